--- /dev/null
+++ b/Makefile
@@ -0,0 +1,85 @@
+# Targets: all, demo, check, bench-*, fuzz, format, lint, deps, proto, clean.
+
+BUILD ?= build
+CC ?= gcc
+CXX ?= g++
+PKGS := glib-2.0 jansson libmicrohttpd libcurl libprotobuf-c libxxhash
+OPT ?= -O2 -g
+SANITIZE ?=
+WARN := -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes
+DEFS := -D_GNU_SOURCE
+LIB_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+LIB_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lev -lm -lstdc++
+CFLAGS_ALL := -std=gnu11 $(OPT) $(SANITIZE) $(WARN) $(DEFS) -Isrc $(LIB_CFLAGS) $(CFLAGS)
+CXXFLAGS_ALL := -std=c++17 $(OPT) $(SANITIZE) -Wall -Wextra -Isrc $(CXXFLAGS)
+
+LIB_C := $(filter-out src/wire/%.pb-c.c,$(wildcard src/*/*.c))
+GEN_C := src/wire/bramley.pb-c.c
+LIB_CXX := $(wildcard src/*/*.cpp)
+LIB_OBJ := $(LIB_C:%.c=$(BUILD)/%.o) $(GEN_C:%.c=$(BUILD)/%.o) $(LIB_CXX:%.cpp=$(BUILD)/%.o)
+LIB := $(BUILD)/libbramleywing.a
+PROGRAMS := $(patsubst cmd/%.c,$(BUILD)/%,$(wildcard cmd/*.c))
+TESTS := $(patsubst test/%.c,$(BUILD)/test/%,$(wildcard test/test_*.c))
+BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/bench_*.c))
+FORMATTED := $(LIB_C) $(LIB_CXX) $(filter-out %.pb-c.h,$(wildcard src/*/*.h)) \
+	$(wildcard cmd/*.c test/*.c test/*.h bench/*.c bench/*.h fuzz/*.c fuzz/*.h)
+
+.SECONDARY:
+.PHONY: all demo check deps format format-check lint proto clean
+all: $(LIB) $(PROGRAMS)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_ALL) -MMD -MP -c $< -o $@
+
+$(BUILD)/src/wire/bramley.pb-c.o: src/wire/bramley.pb-c.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_ALL) -w -MMD -MP -c $< -o $@
+
+$(BUILD)/%.o: %.cpp
+	@mkdir -p $(@D)
+	$(CXX) $(CXXFLAGS_ALL) -MMD -MP -c $< -o $@
+
+$(LIB): $(LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/%: $(BUILD)/cmd/%.o $(LIB)
+	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS)
+
+$(BUILD)/test/%: $(BUILD)/test/%.o $(LIB)
+	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS) -lcmocka
+
+$(BUILD)/bench/bench_%: $(BUILD)/bench/bench_%.o $(LIB)
+	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS)
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
+
+deps:
+	scripts/install-deps.sh
+
+proto:
+	cd src && protoc-c --c_out=. wire/bramley.proto
+
+format:
+	clang-format -i $(FORMATTED)
+
+format-check:
+	clang-format --dry-run --Werror $(FORMATTED)
+
+lint:
+	printf '%s\n' $(LIB_C) $(wildcard cmd/*.c) | xargs -P 8 -n 4 sh -c \
+		'clang-tidy --quiet "$$@" -- -std=gnu11 $(DEFS) -Isrc $(LIB_CFLAGS) 2>/dev/null' sh
+
+clean:
+	rm -rf $(BUILD)
+
+demo: deps
+	$(MAKE) all
+	scripts/demo.sh
+
+.PHONY: tests
+tests: $(TESTS)
+
+check: deps
+	scripts/check.sh
--- /dev/null
+++ b/src/base/counters.c
@@ -0,0 +1,61 @@
+#include "base/counters.h"
+
+static const char *const counter_names[BW_C_COUNT] = {
+	[BW_C_REQUESTS] = "requests",
+	[BW_C_ANSWERS] = "answers",
+	[BW_C_CALLER_GONE] = "caller_gone",
+	[BW_C_REFUSED_NO_SERVICE] = "refused_no_service",
+	[BW_C_REFUSED_TOO_LATE] = "refused_too_late",
+	[BW_C_REFUSED_QUEUE_DEADLINE] = "refused_queue_deadline",
+	[BW_C_REFUSED_QUEUE_FULL] = "refused_queue_full",
+	[BW_C_REFUSED_NOT_READY] = "refused_not_ready",
+	[BW_C_REFUSED_BODY_TOO_LARGE] = "refused_body_too_large",
+	[BW_C_REFUSED_BODY_MEMORY] = "refused_body_memory",
+	[BW_C_REFUSED_METHOD] = "refused_method",
+	[BW_C_REFUSED_BAD_REQUEST] = "refused_bad_request",
+	[BW_C_REFUSED_NOT_SENT] = "refused_not_sent",
+	[BW_C_REFUSED_KEY_INVALID] = "refused_key_invalid",
+	[BW_C_REFUSED_KEY_REUSED] = "refused_key_reused",
+	[BW_C_REFUSED_KEY_NOT_RUN] = "refused_key_not_run",
+	[BW_C_REFUSED_CONNECTIONS] = "refused_connections",
+	[BW_C_REFUSED_SLOW] = "refused_slow",
+	[BW_C_UNKNOWN_BROKEN] = "unknown_broken",
+	[BW_C_UNKNOWN_TIMEOUT] = "unknown_timeout",
+	[BW_C_UNKNOWN_OWNER] = "unknown_owner",
+	[BW_C_UNKNOWN_FIRST] = "unknown_first",
+	[BW_C_UNKNOWN_KEY_OLD] = "unknown_key_old",
+	[BW_C_UNKNOWN_KEY_AHEAD] = "unknown_key_ahead",
+	[BW_C_UNKNOWN_BAD_ANSWER] = "unknown_bad_answer",
+	[BW_C_RETRY_NOT_SENT] = "retry_not_sent",
+	[BW_C_RETRY_BROKEN] = "retry_broken",
+	[BW_C_RETRY_TIMEOUT] = "retry_timeout",
+	[BW_C_RETRY_STATUS] = "retry_status",
+	[BW_C_RETRY_DENIED_BUDGET] = "retry_denied_budget",
+	[BW_C_RETRY_DENIED_DEADLINE] = "retry_denied_deadline",
+	[BW_C_RETRY_DENIED_UNSAFE] = "retry_denied_unsafe",
+	[BW_C_ANSWER_CUT] = "answer_cut",
+	[BW_C_ANSWER_REPLAYED] = "answer_replayed",
+	[BW_C_STALE_BYTES] = "stale_bytes",
+	[BW_C_LOANS_ASKED] = "loans_asked",
+	[BW_C_LOANS_GRANTED] = "loans_granted",
+	[BW_C_LOANS_RETURNED] = "loans_returned",
+	[BW_C_LOANS_LAPSED] = "loans_lapsed",
+	[BW_C_FRAMES_IN] = "frames_in",
+	[BW_C_FRAMES_OUT] = "frames_out",
+	[BW_C_FRAME_BYTES_IN] = "frame_bytes_in",
+	[BW_C_FRAME_BYTES_OUT] = "frame_bytes_out",
+	[BW_C_FRAMES_BAD] = "frames_bad",
+	[BW_C_FRAMES_VERSION] = "frames_version",
+	[BW_C_FRAMES_TOO_LONG] = "frames_too_long",
+	[BW_C_STORE_CALLS] = "store_calls",
+	[BW_C_STORE_ERRORS] = "store_errors",
+	[BW_C_TABLE_APPLIED] = "table_applied",
+	[BW_C_TABLE_REJECTED] = "table_rejected",
+};
+
+const char *bw_counter_name(bw_counter_t which)
+{
+	if (which >= BW_C_COUNT)
+		return "unknown";
+	return counter_names[which];
+}
--- /dev/null
+++ b/src/base/log.h
@@ -0,0 +1,26 @@
+/**
+ * @file
+ * Log lines: a time, a level, a fixed prefix per part and a short sentence.
+ *
+ * Each source file defines BW_LOG_PART before it includes this header.
+ */
+#ifndef BW_BASE_LOG_H
+#define BW_BASE_LOG_H
+
+#include <stdbool.h>
+
+#ifndef BW_LOG_PART
+#error "define BW_LOG_PART before including base/log.h"
+#endif
+#undef G_LOG_DOMAIN
+#define G_LOG_DOMAIN BW_LOG_PART
+#include <glib.h>
+
+/**
+ * Sends the log to standard error.
+ * @param as_json one JSON object per line instead of plain text
+ * @param verbose also prints debug messages
+ */
+void bw_log_init(bool as_json, bool verbose);
+
+#endif
--- /dev/null
+++ b/src/ctl/table.c
@@ -0,0 +1,429 @@
+/* Commands that show and edit the table. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "ctl/ctl.h"
+#include "table/edit.h"
+
+#define EDIT_TRIES	20
+#define EDIT_PAUSE_MS	100
+#define LOST_READ_TRIES 50
+#define WAIT_DEFAULT_S	15
+#define WAIT_POLL_MS	50
+
+/** Makes the new text of the table from the stored one. */
+typedef char *(*edit_fn)(void *ctx, const char *old, const bw_edit_t *edit,
+			 bw_findings_t *findings);
+
+static bw_table_t *parse_or_print(const char *name, const char *text);
+static void describe(bw_edit_t *edit, const char *what);
+static bw_exit_t run_edit(bw_ctl_t *c, edit_fn fn, void *ctx, const char *what);
+static bw_exit_t settle_lost(bw_ctl_t *c, const bw_edit_t *edit, bool *found);
+static bw_exit_t report_done(bw_ctl_t *c, const char *id, uint64_t version);
+static char *edit_cell(void *ctx, const char *old, const bw_edit_t *edit,
+		       bw_findings_t *findings);
+static char *edit_json(void *ctx, const char *old, const bw_edit_t *edit,
+		       bw_findings_t *findings);
+static char *edit_csv(void *ctx, const char *old, const bw_edit_t *edit,
+		      bw_findings_t *findings);
+
+static bw_table_t *parse_or_print(const char *name, const char *text)
+{
+	bw_findings_t *findings = bw_findings_create(name);
+	bw_table_t *table = bw_table_parse(text, strlen(text), findings);
+
+	bw_findings_print(findings, stderr);
+	bw_findings_destroy(findings);
+	return table;
+}
+
+static void print_table(const bw_table_t *t)
+{
+	uint32_t s;
+	uint32_t p;
+
+	printf("version %" G_GUINT64_FORMAT "\n%-16s", t->version, "");
+	for (p = 0; p < t->pool_count; p++)
+		printf(" %12s", t->pools[p].name);
+	printf("\n");
+	for (s = 0; s < t->service_count; s++) {
+		printf("%-16s", t->services[s].name);
+		for (p = 0; p < t->pool_count; p++) {
+			char cell[64];
+
+			bw_cell_format(bw_table_cell(t, s, p), cell,
+				       sizeof(cell));
+			printf(" %12s", *cell ? cell : "-");
+		}
+		printf("\n");
+	}
+}
+
+bw_exit_t bw_ctl_table_show(bw_ctl_t *c, char **args)
+{
+	bw_ctl_value_t value = bw_ctl_read(c, "table");
+	bw_table_t *table;
+
+	(void)args;
+	if (value.status != BW_OK)
+		return bw_ctl_fail(value.status);
+	if (!value.text) {
+		fprintf(stderr, "bramleyctl: no table in the store\n");
+		return BW_EXIT_NOT_FOUND;
+	}
+	if (c->json) {
+		printf("%s\n", value.text);
+		g_free(value.text);
+		return BW_EXIT_OK;
+	}
+	table = parse_or_print("table", value.text);
+	g_free(value.text);
+	if (!table)
+		return BW_EXIT_INVALID;
+	print_table(table);
+	bw_table_destroy(table);
+	return BW_EXIT_OK;
+}
+
+bw_exit_t bw_ctl_table_export(bw_ctl_t *c, char **args)
+{
+	bw_ctl_value_t value = bw_ctl_read(c, "table");
+	bw_table_t *table;
+	char *csv;
+
+	(void)args;
+	if (value.status != BW_OK)
+		return bw_ctl_fail(value.status);
+	if (!value.text)
+		return BW_EXIT_NOT_FOUND;
+	table = parse_or_print("table", value.text);
+	g_free(value.text);
+	if (!table)
+		return BW_EXIT_INVALID;
+	csv = bw_table_to_csv(table);
+	printf("%s", csv);
+	g_free(csv);
+	bw_table_destroy(table);
+	return BW_EXIT_OK;
+}
+
+bw_exit_t bw_ctl_table_check(bw_ctl_t *c, char **args)
+{
+	char *text = bw_ctl_read_file(args[0]);
+	bw_table_t *table;
+
+	(void)c;
+	if (!text)
+		return BW_EXIT_NOT_FOUND;
+	table = parse_or_print(args[0], text);
+	g_free(text);
+	if (!table)
+		return BW_EXIT_INVALID;
+	printf("%s: %u services, %u pools\n", args[0], table->service_count,
+	       table->pool_count);
+	bw_table_destroy(table);
+	return BW_EXIT_OK;
+}
+
+static void describe(bw_edit_t *edit, const char *what)
+{
+	edit->id = g_uuid_string_random();
+	edit->who = g_get_user_name();
+	edit->what = what;
+	edit->when_ms = g_get_real_time() / 1000;
+}
+
+static bw_exit_t report_done(bw_ctl_t *c, const char *id, uint64_t version)
+{
+	if (c->json)
+		printf("{\"version\":%" G_GUINT64_FORMAT ",\"edit\":\"%s\"}\n",
+		       version, id);
+	else
+		printf("accepted as version %" G_GUINT64_FORMAT "\n", version);
+	return BW_EXIT_OK;
+}
+
+/* Looks for an edit whose answer was lost. */
+static bw_exit_t settle_lost(bw_ctl_t *c, const bw_edit_t *edit, bool *found)
+{
+	uint32_t tries;
+
+	*found = false;
+	for (tries = 0; tries < LOST_READ_TRIES; tries++) {
+		bw_ctl_value_t value = bw_ctl_read(c, "table");
+		uint64_t version;
+
+		if (value.status != BW_OK) {
+			bw_ctl_sleep(c, EDIT_PAUSE_MS);
+			continue;
+		}
+		version = value.text ? bw_edit_find(value.text, edit->id) : 0;
+		g_free(value.text);
+		if (version == 0)
+			return BW_EXIT_OK;
+		*found = true;
+		return report_done(c, edit->id, version);
+	}
+	fprintf(stderr,
+		"bramleyctl: edit %s: the answer was lost and the store can't "
+		"be read; look for it with 'table history'\n",
+		edit->id);
+	return BW_EXIT_UNKNOWN;
+}
+
+static bw_exit_t run_edit(bw_ctl_t *c, edit_fn fn, void *ctx, const char *what)
+{
+	bw_findings_t *findings = bw_findings_create("table");
+	bw_exit_t code = BW_EXIT_UNAVAILABLE;
+	bw_edit_t edit;
+	uint32_t tries;
+
+	describe(&edit, what);
+	for (tries = 0; tries < EDIT_TRIES; tries++) {
+		bw_ctl_value_t value = bw_ctl_read(c, "table");
+		bw_status_t status = value.status;
+		bool found = false;
+		char *next = NULL;
+
+		if (status == BW_OK) {
+			next = fn(ctx, value.text, &edit, findings);
+			if (!next) {
+				bw_findings_print(findings, stderr);
+				code = bw_findings_count(findings) > 0
+					       ? BW_EXIT_INVALID
+					       : BW_EXIT_CONFLICT;
+				g_free(value.text);
+				break;
+			}
+			status = bw_ctl_write(c, "table", value.revision, next);
+		}
+		if (status == BW_OK)
+			code = report_done(c, edit.id,
+					   bw_edit_find(next, edit.id));
+		else if (status == BW_ELOST)
+			code = settle_lost(c, &edit, &found);
+		else if (status == BW_ECONFLICT)
+			code = BW_EXIT_CONFLICT;
+		else
+			code = bw_ctl_fail(status);
+		g_free(value.text);
+		free(next);
+		if (status == BW_OK || found || code == BW_EXIT_UNKNOWN ||
+		    code == BW_EXIT_UNAVAILABLE)
+			break;
+		bw_ctl_sleep(c, g_random_int_range(1, EDIT_PAUSE_MS));
+	}
+	if (tries == EDIT_TRIES)
+		fprintf(stderr, "bramleyctl: too many edits at once\n");
+	bw_findings_destroy(findings);
+	g_free((char *)edit.id);
+	return code;
+}
+
+/** An edit of one cell, with the value that its operator saw. */
+typedef struct cell_ctx {
+	bw_cell_edit_t edit;
+	char seen[64];
+	bool has_seen;
+} cell_ctx_t;
+
+static char *edit_cell(void *ctx, const char *old, const bw_edit_t *edit,
+		       bw_findings_t *findings)
+{
+	cell_ctx_t *cell = ctx;
+	bw_table_t *table;
+	uint32_t s;
+	uint32_t p;
+	char now[64] = "";
+
+	if (!old) {
+		bw_findings_add_at(findings, BW_F_MISSING_KEY, "store",
+				   "there is no table yet");
+		return NULL;
+	}
+	table = bw_table_parse(old, strlen(old), findings);
+	if (!table)
+		return NULL;
+	s = bw_table_service_index(table, cell->edit.service);
+	p = bw_table_pool_index(table, cell->edit.pool);
+	if (s != UINT32_MAX && p != UINT32_MAX)
+		bw_cell_format(bw_table_cell(table, s, p), now, sizeof(now));
+	bw_table_destroy(table);
+	if (cell->has_seen && strcmp(cell->seen, now) != 0) {
+		fprintf(stderr,
+			"bramleyctl: conflict: cell %s, %s is now \"%s\", not "
+			"\"%s\"\n",
+			cell->edit.service, cell->edit.pool, now, cell->seen);
+		return NULL;
+	}
+	g_strlcpy(cell->seen, now, sizeof(cell->seen));
+	cell->has_seen = true;
+	return bw_edit_cells(old, &cell->edit, 1, edit, findings);
+}
+
+bw_exit_t bw_ctl_table_set(bw_ctl_t *c, char **args)
+{
+	cell_ctx_t cell = { .edit = { .service = args[0], .pool = args[1] } };
+	char *what;
+	bw_exit_t code;
+
+	if (!args[1] || !args[2]) {
+		fprintf(stderr, "usage: table set SERVICE POOL CELL [OLD]\n");
+		return BW_EXIT_USAGE;
+	}
+	if (bw_cell_parse(args[2], &cell.edit.cell) != BW_OK) {
+		fprintf(stderr, "bramleyctl: %s\n", bw_status_message());
+		return BW_EXIT_INVALID;
+	}
+	if (args[3]) {
+		g_strlcpy(cell.seen, args[3], sizeof(cell.seen));
+		cell.has_seen = true;
+	}
+	what = g_strdup_printf("set %s %s \"%s\"", args[0], args[1], args[2]);
+	code = run_edit(c, edit_cell, &cell, what);
+	g_free(what);
+	return code;
+}
+
+static char *edit_json(void *ctx, const char *old, const bw_edit_t *edit,
+		       bw_findings_t *findings)
+{
+	return bw_edit_replace(old, ctx, edit, findings);
+}
+
+static char *edit_csv(void *ctx, const char *old, const bw_edit_t *edit,
+		      bw_findings_t *findings)
+{
+	bw_table_t *table;
+	char *text;
+	char *next = NULL;
+
+	if (!old) {
+		bw_findings_add_at(findings, BW_F_MISSING_KEY, "store",
+				   "there is no table yet");
+		return NULL;
+	}
+	table = bw_table_parse(old, strlen(old), findings);
+	if (!table)
+		return NULL;
+	if (bw_table_from_csv(table, ctx, findings) == BW_OK) {
+		text = bw_table_format(table);
+		next = bw_edit_replace(old, text, edit, findings);
+		free(text);
+	}
+	bw_table_destroy(table);
+	return next;
+}
+
+bw_exit_t bw_ctl_table_import(bw_ctl_t *c, char **args)
+{
+	char *text = bw_ctl_read_file(args[0]);
+	char *what;
+	bw_exit_t code;
+	bool csv;
+
+	if (!text)
+		return BW_EXIT_NOT_FOUND;
+	csv = g_str_has_suffix(args[0], ".csv");
+	what = g_strdup_printf("import %s", args[0]);
+	code = run_edit(c, csv ? edit_csv : edit_json, text, what);
+	g_free(what);
+	g_free(text);
+	return code;
+}
+
+bw_exit_t bw_ctl_table_history(bw_ctl_t *c, char **args)
+{
+	bw_ctl_value_t value = bw_ctl_read(c, "table");
+	json_t *root;
+	json_t *item;
+	size_t i;
+
+	(void)args;
+	if (value.status != BW_OK)
+		return bw_ctl_fail(value.status);
+	root = value.text ? json_loads(value.text, 0, NULL) : NULL;
+	g_free(value.text);
+	if (c->json) {
+		json_dumpf(json_object_get(root, "history"), stdout,
+			   JSON_INDENT(1));
+		printf("\n");
+		json_decref(root);
+		return BW_EXIT_OK;
+	}
+	json_array_foreach(json_object_get(root, "history"), i, item)
+	{
+		GDateTime *when = g_date_time_new_from_unix_utc(
+			json_integer_value(json_object_get(item, "when_ms")) /
+			1000);
+		char *text = g_date_time_format(when, "%Y-%m-%dT%H:%M:%SZ");
+
+		printf("%6" JSON_INTEGER_FORMAT " %s %-12s %s %s\n",
+		       json_integer_value(json_object_get(item, "version")),
+		       text, json_string_value(json_object_get(item, "who")),
+		       json_string_value(json_object_get(item, "id")),
+		       json_string_value(json_object_get(item, "what")));
+		g_free(text);
+		g_date_time_unref(when);
+	}
+	json_decref(root);
+	return BW_EXIT_OK;
+}
+
+/* Version in force at an entry, or -1 when it does not answer. */
+static int64_t version_at(bw_ctl_t *c, const char *entry)
+{
+	char *body = bw_ctl_get(c, entry, "/status");
+	json_t *root = body ? json_loads(body, 0, NULL) : NULL;
+	int64_t version = -1;
+
+	if (root)
+		version = json_integer_value(
+			json_object_get(root, "table_version"));
+	json_decref(root);
+	g_free(body);
+	return version;
+}
+
+bw_exit_t bw_ctl_table_wait(bw_ctl_t *c, char **args)
+{
+	int64_t wanted = g_ascii_strtoll(args[0], NULL, 10);
+	int64_t limit_s =
+		args[1] ? g_ascii_strtoll(args[1], NULL, 10) : WAIT_DEFAULT_S;
+	int64_t end_us = g_get_monotonic_time() + limit_s * 1000000;
+	uint32_t lagging;
+	uint32_t i;
+
+	if (!c->entries || !c->entries[0]) {
+		fprintf(stderr, "bramleyctl: name the entries with --entry\n");
+		return BW_EXIT_USAGE;
+	}
+	for (;;) {
+		lagging = 0;
+		for (i = 0; c->entries[i]; i++)
+			if (version_at(c, c->entries[i]) < wanted)
+				lagging++;
+		if (lagging == 0) {
+			printf("version %" G_GINT64_FORMAT
+			       " is in force on %u entries\n",
+			       wanted, i);
+			return BW_EXIT_OK;
+		}
+		if (g_get_monotonic_time() >= end_us)
+			break;
+		bw_ctl_sleep(c, WAIT_POLL_MS);
+	}
+	for (i = 0; c->entries[i]; i++) {
+		int64_t version = version_at(c, c->entries[i]);
+
+		if (version < wanted)
+			fprintf(stderr,
+				"lagging: %s has version %" G_GINT64_FORMAT
+				"\n",
+				c->entries[i], version);
+	}
+	return BW_EXIT_TIMEOUT;
+}
--- /dev/null
+++ b/src/node/document.c
@@ -0,0 +1,101 @@
+#include "node/document.h"
+
+#include <jansson.h>
+
+static const char *const document_keys[BW_DOC_COUNT] = {
+	[BW_DOC_TABLE] = "table",
+	[BW_DOC_WORKERS] = "workers",
+	[BW_DOC_VIEW] = "view",
+};
+
+static void member_clear(gpointer data);
+
+const char *bw_document_key(bw_document_kind_t kind)
+{
+	return document_keys[kind];
+}
+
+bool bw_document_set(bw_document_t *doc, int64_t revision, const void *data,
+		     size_t bytes)
+{
+	if (revision <= doc->revision)
+		return false;
+	if (doc->value)
+		g_bytes_unref(doc->value);
+	doc->value = g_bytes_new(data, bytes);
+	doc->revision = revision;
+	return true;
+}
+
+void bw_document_clear(bw_document_t *doc)
+{
+	if (doc->value)
+		g_bytes_unref(doc->value);
+	doc->value = NULL;
+	doc->revision = 0;
+}
+
+static void member_clear(gpointer data)
+{
+	bw_member_t *m = data;
+
+	g_free(m->name);
+	g_free(m->address);
+}
+
+GArray *bw_members_new(void)
+{
+	GArray *members = g_array_new(FALSE, FALSE, sizeof(bw_member_t));
+
+	g_array_set_clear_func(members, member_clear);
+	return members;
+}
+
+char *bw_view_format(uint64_t epoch, const bw_member_t *members, uint32_t count)
+{
+	json_t *list = json_array();
+	json_t *root;
+	char *text;
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		json_array_append_new(
+			list, json_pack("{s:s,s:s}", "name", members[i].name,
+					"address", members[i].address));
+	root = json_pack("{s:I,s:o}", "epoch", (json_int_t)epoch, "members",
+			 list);
+	text = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	return text;
+}
+
+bool bw_view_parse(const char *text, size_t bytes, uint64_t *epoch,
+		   GArray *members)
+{
+	json_t *root = json_loadb(text, bytes, 0, NULL);
+	json_t *item;
+	size_t i;
+	bool good;
+
+	g_array_set_size(members, 0);
+	*epoch = (uint64_t)json_integer_value(json_object_get(root, "epoch"));
+	json_array_foreach(json_object_get(root, "members"), i, item)
+	{
+		const char *name =
+			json_string_value(json_object_get(item, "name"));
+		const char *address =
+			json_string_value(json_object_get(item, "address"));
+		bw_member_t m;
+
+		if (!name || !address)
+			break;
+		m.name = g_strdup(name);
+		m.address = g_strdup(address);
+		g_array_append_val(members, m);
+	}
+	good = *epoch > 0 && members->len > 0 &&
+	       members->len ==
+		       json_array_size(json_object_get(root, "members"));
+	json_decref(root);
+	return good;
+}
--- /dev/null
+++ b/src/node/node.c
@@ -0,0 +1,480 @@
+#include "node/node.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "place/share.h"
+
+#include "node/internal.h"
+#include "store/etcd.h"
+
+#define BW_LOG_PART "node"
+#include "base/log.h"
+
+#define TICK_S		     0.005
+#define LOAN_TTL_US	     500000
+#define RUN_MAX_US	     10000000
+#define SETTLE_US	     1000000
+#define SILENT_HEARTBEATS    5
+#define PROMISE_HEARTBEATS   10
+#define HOLD_US		     ((int64_t)3600 * 1000000)
+#define OPERATOR_CONNECTIONS 64
+#define OPERATOR_BODY_BYTES  65536
+#define LEAVE_TIMEOUT_S	     2.0
+
+static void on_tick(struct ev_loop *loop, ev_timer *timer, int revents);
+static void on_heartbeat(struct ev_loop *loop, ev_timer *timer, int revents);
+static void place_start(void *ctx, bw_preq_t *r);
+static void place_refuse_call(void *ctx, bw_preq_t *r, bw_refusal_t why,
+			      int64_t retry_after_us);
+static bool owner_valid(void *ctx, int64_t now_us);
+static void on_document(void *ctx, bw_document_kind_t kind, int64_t revision,
+			const void *data, size_t bytes);
+static void on_present(void *ctx, const char *name, bool present);
+static void on_current(void *ctx, bool current);
+static void on_renewed(void *ctx, int64_t asked_us);
+static void apply_configuration(bw_node_t *n);
+static void log_findings(const bw_findings_t *findings);
+static void propose_view(bw_node_t *n, int64_t now_us);
+static void stop_progress(bw_node_t *n);
+static void create_decisions(bw_node_t *n);
+static bw_status_t create_servers(bw_node_t *n);
+static void create_session(bw_node_t *n);
+
+const bw_session_ops_t node_session_ops = {
+	.document = on_document,
+	.present = on_present,
+	.current = on_current,
+	.renewed = on_renewed,
+};
+
+static const bw_place_ops_t place_ops = {
+	.start = place_start,
+	.refuse = place_refuse_call,
+	.send = node_send_place,
+};
+
+static const bw_relay_ops_t relay_ops = {
+	.send_once = node_send_once,
+	.owner_valid = owner_valid,
+};
+
+static void place_start(void *ctx, bw_preq_t *r)
+{
+	bw_node_t *n = ctx;
+
+	bw_relay_start(n->relay, r);
+}
+
+static void place_refuse_call(void *ctx, bw_preq_t *r, bw_refusal_t why,
+			      int64_t retry_after_us)
+{
+	bw_node_t *n = ctx;
+
+	bw_relay_refuse(n->relay, r, why, retry_after_us);
+}
+
+static bool owner_valid(void *ctx, int64_t now_us)
+{
+	const bw_node_t *n = ctx;
+
+	return bw_view_owner_valid(n->view, now_us);
+}
+
+static void log_findings(const bw_findings_t *findings)
+{
+	size_t i;
+
+	for (i = 0; i < bw_findings_count(findings); i++)
+		g_warning("Refused: %s.", bw_findings_text(findings, i));
+}
+
+static void apply_configuration(bw_node_t *n)
+{
+	if (!n->table || !n->workers)
+		return;
+	bw_place_configure(n->place, n->table, n->workers, bw_now_us());
+	bw_relay_set_table(n->relay, n->table);
+	bw_count(&n->counters, BW_C_TABLE_APPLIED, 1);
+	if (!n->ready)
+		g_message("Ready with table version %" G_GUINT64_FORMAT ".",
+			  n->table->version);
+	n->ready = true;
+	bw_relay_set_ready(n->relay, true);
+}
+
+static void take_table(bw_node_t *n, const char *text, size_t bytes)
+{
+	bw_findings_t *findings = bw_findings_create("table");
+	bw_table_t *table = bw_table_parse(text, bytes, findings);
+
+	log_findings(findings);
+	bw_findings_destroy(findings);
+	if (!table) {
+		bw_count(&n->counters, BW_C_TABLE_REJECTED, 1);
+		return;
+	}
+	/* The relay reads the old table until the new one is in force. */
+	if (n->ready)
+		bw_relay_set_table(n->relay, table);
+	bw_table_destroy(n->table);
+	n->table = table;
+	apply_configuration(n);
+}
+
+static void take_workers(bw_node_t *n, const char *text, size_t bytes)
+{
+	bw_findings_t *findings = bw_findings_create("workers");
+	bw_workers_t *workers = bw_workers_parse(text, bytes, findings);
+
+	log_findings(findings);
+	bw_findings_destroy(findings);
+	if (!workers) {
+		bw_count(&n->counters, BW_C_TABLE_REJECTED, 1);
+		return;
+	}
+	bw_workers_destroy(n->workers);
+	n->workers = workers;
+	apply_configuration(n);
+}
+
+void node_take_view(bw_node_t *n, const void *data, size_t bytes)
+{
+	GArray *members = bw_members_new();
+	const bw_member_t *list;
+	uint64_t *ids;
+	uint64_t epoch;
+	uint32_t count;
+	uint32_t i;
+
+	if (!bw_view_parse(data, bytes, &epoch, members)) {
+		g_warning("The view can't be parsed.");
+		g_array_free(members, TRUE);
+		return;
+	}
+	list = (const bw_member_t *)members->data;
+	count = members->len;
+	if (bw_view_adopt(n->view, epoch, list, count, bw_now_us())) {
+		g_message("View %" G_GUINT64_FORMAT " with %u entries.", epoch,
+			  count);
+		ids = g_new0(uint64_t, count);
+		for (i = 0; i < count; i++) {
+			ids[i] = bw_name_id(list[i].name);
+			if (ids[i] != n->id)
+				bw_peers_add(n->peers, list[i].name,
+					     list[i].address);
+		}
+		bw_place_set_view(n->place, epoch, ids, count, bw_now_us());
+		bw_once_set_view(n->once, epoch, ids, count);
+		g_free(ids);
+		node_send_heartbeats(n);
+	}
+	g_array_free(members, TRUE);
+}
+
+void node_take_document(bw_node_t *n, bw_document_kind_t kind, int64_t revision,
+			const void *data, size_t bytes)
+{
+	if (!bw_document_set(&n->documents[kind], revision, data, bytes))
+		return;
+	if (kind == BW_DOC_TABLE)
+		take_table(n, data, bytes);
+	else if (kind == BW_DOC_WORKERS)
+		take_workers(n, data, bytes);
+	else
+		node_take_view(n, data, bytes);
+	/* Peers that don't hear from the store learn of it at once. */
+	node_send_heartbeats(n);
+}
+
+static void on_document(void *ctx, bw_document_kind_t kind, int64_t revision,
+			const void *data, size_t bytes)
+{
+	node_take_document(ctx, kind, revision, data, bytes);
+}
+
+static void on_present(void *ctx, const char *name, bool present)
+{
+	bw_node_t *n = ctx;
+
+	bw_view_present(n->view, name, present);
+}
+
+static void on_current(void *ctx, bool current)
+{
+	bw_node_t *n = ctx;
+
+	bw_view_store_current(n->view, current);
+	if (!current)
+		g_warning("The store can't be reached.");
+}
+
+static void on_renewed(void *ctx, int64_t asked_us)
+{
+	bw_node_t *n = ctx;
+
+	bw_view_lease_renewed(n->view, asked_us);
+}
+
+static void propose_view(bw_node_t *n, int64_t now_us)
+{
+	bw_member_t members[BW_MEMBERS_MAX];
+	const char *excluded[BW_MEMBERS_MAX];
+	uint32_t excluded_count;
+	uint32_t count;
+	char *text;
+
+	if (n->stopping)
+		return;
+	count = bw_view_propose(n->view, now_us, members, excluded,
+				&excluded_count);
+	if (count == 0)
+		return;
+	text = bw_view_format(bw_view_epoch(n->view) + 1, members, count);
+	bw_session_write_view(n->session, n->documents[BW_DOC_VIEW].revision,
+			      text, excluded, excluded_count);
+	free(text);
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	bw_node_t *n = timer->data;
+	int64_t now_us = bw_now_us();
+
+	(void)loop;
+	(void)revents;
+	bw_place_tick(n->place, now_us);
+	bw_relay_tick(n->relay);
+	bw_peers_tick(n->peers, now_us);
+	if (n->stopping)
+		stop_progress(n);
+}
+
+static void on_heartbeat(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	bw_node_t *n = timer->data;
+	int64_t now_us = bw_now_us();
+
+	(void)loop;
+	(void)revents;
+	node_send_heartbeats(n);
+	propose_view(n, now_us);
+	bw_once_tick(n->once, bw_wall_ms());
+	if (bw_view_active(n->view) &&
+	    n->once_epoch != bw_view_epoch(n->view)) {
+		n->once_epoch = bw_view_epoch(n->view);
+		bw_once_activate(n->once, n->once_epoch, bw_wall_ms());
+	}
+}
+
+static void create_decisions(bw_node_t *n)
+{
+	const bw_settings_t *s = n->settings;
+	int64_t beat_us = s->heartbeat_ms * 1000;
+	bw_place_config_t place = {
+		.self = n->id,
+		.zone = s->zone,
+		.loan_ttl_us = LOAN_TTL_US,
+		.run_max_us = RUN_MAX_US,
+		.settle_us = SETTLE_US,
+		.seed = g_random_int(),
+		.lending = true,
+	};
+	bw_once_config_t once = {
+		.self = n->id,
+		.key_window_ms = s->key_window_ms,
+		.clock_skew_ms = s->clock_skew_ms,
+		.answer_memory_bytes = (size_t)s->answer_memory_bytes,
+	};
+	bw_view_config_t view = {
+		.name = s->name,
+		.address = s->peers_listen,
+		.lease_us = s->lease_ms * 1000,
+		.promise_us = beat_us * PROMISE_HEARTBEATS,
+		.hold_us = HOLD_US,
+	};
+	bw_relay_config_t relay = { .self = n->id };
+
+	n->place = bw_place_create(&place, &place_ops, n, &n->counters);
+	n->view = bw_view_create(&view);
+	n->relay =
+		bw_relay_create(n->loop, &relay, &relay_ops, n, &n->counters);
+	n->once = bw_once_create(&once, bw_relay_send_verdict, n->relay);
+	n->upstream = bw_upstream_create(n->loop, &bw_relay_attempt_ops, 0,
+					 &n->counters);
+}
+
+static bw_status_t create_servers(bw_node_t *n)
+{
+	const bw_settings_t *s = n->settings;
+	bw_front_config_t front = {
+		.address = s->callers,
+		.connections_max = (uint32_t)s->connections_max,
+		.connections_per_address_max =
+			(uint32_t)s->connections_per_address_max,
+		.idle_timeout_ms = (uint32_t)s->idle_timeout_ms,
+		.header_bytes_max = (size_t)s->header_bytes_max,
+		.body_bytes_max = (size_t)s->body_bytes_max,
+		.body_memory_bytes = (size_t)s->body_memory_bytes,
+	};
+	bw_peers_config_t peers = {
+		.name = s->name,
+		.site = s->site,
+		.listen = s->peers_listen,
+		.incarnation = (uint64_t)bw_wall_ms(),
+		.silence_us = s->heartbeat_ms * 1000 * SILENT_HEARTBEATS,
+	};
+	bw_simple_config_t operators = {
+		.address = s->operators,
+		.body_bytes_max = OPERATOR_BODY_BYTES,
+		.connections_max = OPERATOR_CONNECTIONS,
+	};
+	bw_status_t status;
+	uint32_t i;
+
+	status = bw_peers_create(n->loop, &peers, &node_peers_ops, n,
+				 &n->counters, &n->peers);
+	if (status != BW_OK)
+		return status;
+	for (i = 0; i < s->peer_count; i++)
+		if (strcmp(s->peers[i].name, s->name) != 0)
+			bw_peers_add(n->peers, s->peers[i].name,
+				     s->peers[i].address);
+	status = bw_front_create(n->loop, &front, bw_relay_mbox(n->relay),
+				 &n->counters, &n->front);
+	if (status != BW_OK)
+		return status;
+	return bw_simplehttp_create(n->loop, &operators, node_operators, n,
+				    &n->operators);
+}
+
+static void create_session(bw_node_t *n)
+{
+	const bw_settings_t *s = n->settings;
+	bw_etcd_config_t etcd = {
+		.endpoints = (const char *const *)s->endpoints,
+		.endpoint_count = s->endpoint_count,
+		.timeout_ms = s->store_timeout_ms,
+	};
+	bw_session_config_t session = {
+		.prefix = s->store_prefix,
+		.name = s->name,
+		.value = s->peers_listen,
+		.lease_ms = s->lease_ms,
+		.seed = g_random_int(),
+	};
+
+	n->store = bw_etcd_create(n->loop, &etcd, &n->counters);
+	n->session = bw_session_create(n->loop, &session, &n->store,
+				       &node_session_ops, n);
+}
+
+bw_status_t bw_node_create(struct ev_loop *loop, const bw_settings_t *settings,
+			   bw_node_t **out)
+{
+	bw_node_t *n = g_new0(bw_node_t, 1);
+	bw_status_t status;
+
+	n->loop = loop;
+	n->settings = settings;
+	n->id = bw_name_id(settings->name);
+	create_decisions(n);
+	status = create_servers(n);
+	if (status != BW_OK) {
+		bw_node_destroy(n);
+		return status;
+	}
+	bw_relay_attach(n->relay, n->place, n->once, n->front, n->upstream);
+	create_session(n);
+	ev_timer_init(&n->tick, on_tick, TICK_S, TICK_S);
+	ev_timer_init(&n->heartbeat, on_heartbeat, 0.0,
+		      (double)settings->heartbeat_ms / 1000.0);
+	n->tick.data = n;
+	n->heartbeat.data = n;
+	ev_timer_start(loop, &n->tick);
+	ev_timer_start(loop, &n->heartbeat);
+	g_message("Entry %s of site %s serves callers on %s.", settings->name,
+		  settings->site, settings->callers);
+	*out = n;
+	return BW_OK;
+}
+
+static void on_left(void *ctx)
+{
+	bw_node_t *n = ctx;
+
+	ev_break(n->loop, EVBREAK_ALL);
+}
+
+static void on_leave_timeout(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	(void)timer;
+	(void)revents;
+	ev_break(loop, EVBREAK_ALL);
+}
+
+/* Leaves once the last call has its answer and the last caller has gone. */
+static void stop_progress(bw_node_t *n)
+{
+	int64_t limit_us = n->settings->stop_timeout_ms * 1000;
+	bool late = limit_us > 0 && bw_now_us() - n->stop_us > limit_us;
+
+	if (n->left)
+		return;
+	if (!late && (bw_relay_calls(n->relay) > 0 ||
+		      bw_front_connections(n->front) > 0))
+		return;
+	if (bw_relay_calls(n->relay) > 0)
+		g_warning("Stopping with %u requests in progress.",
+			  bw_relay_calls(n->relay));
+	n->left = true;
+	ev_timer_init(&n->leave, on_leave_timeout, LEAVE_TIMEOUT_S, 0.0);
+	ev_timer_start(n->loop, &n->leave);
+	bw_session_leave(n->session, on_left, n);
+}
+
+void bw_node_stop(bw_node_t *n)
+{
+	if (n->stopping) {
+		ev_break(n->loop, EVBREAK_ALL);
+		return;
+	}
+	g_message("Stopping; %u requests are in progress.",
+		  bw_relay_calls(n->relay));
+	n->stopping = true;
+	n->stop_us = bw_now_us();
+	bw_front_quiesce(n->front);
+}
+
+bool bw_node_busy(const bw_node_t *n)
+{
+	return bw_front_open_calls(n->front) > 0;
+}
+
+void bw_node_destroy(bw_node_t *n)
+{
+	uint32_t i;
+
+	if (!n)
+		return;
+	ev_timer_stop(n->loop, &n->tick);
+	ev_timer_stop(n->loop, &n->heartbeat);
+	ev_timer_stop(n->loop, &n->leave);
+	if (n->store.ops)
+		n->store.ops->destroy(n->store.impl);
+	bw_session_destroy(n->session);
+	bw_simplehttp_destroy(n->operators);
+	bw_peers_destroy(n->peers);
+	n->peers = NULL;
+	bw_front_destroy(n->front);
+	bw_upstream_destroy(n->upstream);
+	bw_once_destroy(n->once);
+	bw_relay_destroy(n->relay);
+	bw_place_destroy(n->place);
+	bw_view_destroy(n->view);
+	bw_table_destroy(n->table);
+	bw_workers_destroy(n->workers);
+	for (i = 0; i < BW_DOC_COUNT; i++)
+		bw_document_clear(&n->documents[i]);
+	g_free(n);
+}
--- /dev/null
+++ b/src/relay/front.c
@@ -0,0 +1,478 @@
+#include "relay/front.h"
+
+#include <inttypes.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+#include <ev.h>
+
+#include "net/mhdev.h"
+#include "relay/problem.h"
+
+#define SWEEP_EVERY_S 1.0
+/* The balancer needs this long to notice that an entry is stopping. */
+#define STOP_IDLE_S	   2.0
+#define CONNECTION_SLACK   16
+#define MEMORY_SLACK	   4096
+#define ANSWER_BLOCK_BYTES 65536
+
+/** A caller's connection, watched for callers that send nothing. */
+typedef struct conn {
+	GList link;
+	struct MHD_Connection *connection;
+	uint32_t ip;
+	bool busy; /**< A whole request is being answered. */
+	double since; /**< Start of the wait for a request. */
+} conn_t;
+
+struct bw_front {
+	struct ev_loop *loop;
+	bw_front_config_t config;
+	bw_mhdev_t *mhd;
+	bw_mbox_t *relay;
+	bw_counters_t *counters;
+	GHashTable *per_ip; /**< Connections by address. */
+	GQueue conns;
+	size_t body_bytes; /**< Reserved for bodies of open requests. */
+	uint32_t open_calls;
+	uint32_t connections;
+	bool quiesced;
+	ev_timer sweep;
+};
+
+static enum MHD_Result on_request(void *ctx, struct MHD_Connection *connection,
+				  const char *url, const char *method,
+				  const char *version, const char *data,
+				  size_t *data_bytes, void **state);
+static void *on_uri(void *ctx, const char *uri, struct MHD_Connection *c);
+static void on_completed(void *ctx, struct MHD_Connection *connection,
+			 void **state, enum MHD_RequestTerminationCode code);
+static void on_connection(void *ctx, struct MHD_Connection *connection,
+			  void **state,
+			  enum MHD_ConnectionNotificationCode code);
+static enum MHD_Result on_accept(void *ctx, const struct sockaddr *address,
+				 socklen_t bytes);
+static void on_sweep(struct ev_loop *loop, ev_timer *timer, int revents);
+static enum MHD_Result take_head(bw_front_t *f, bw_call_t *call,
+				 const char *method);
+static void take_data(bw_front_t *f, bw_call_t *call, const char *data,
+		      size_t bytes);
+static bool reserve(bw_front_t *f, bw_call_t *call, size_t bytes);
+static enum MHD_Result collect_header(void *ctx, enum MHD_ValueKind kind,
+				      const char *name, const char *value);
+static enum MHD_Result refuse(bw_front_t *f, bw_call_t *call,
+			      struct MHD_Connection *connection);
+static enum MHD_Result reply(bw_call_t *call);
+static ssize_t read_answer(void *ctx, uint64_t pos, char *buf, size_t max);
+static conn_t *conn_of(struct MHD_Connection *connection);
+static void set_refusal(bw_call_t *call, unsigned int status,
+			bw_counter_t counter);
+
+static conn_t *conn_of(struct MHD_Connection *connection)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+	return info ? info->socket_context : NULL;
+}
+
+static void *on_uri(void *ctx, const char *uri, struct MHD_Connection *c)
+{
+	bw_front_t *f = ctx;
+	bw_call_t *call = bw_call_create(uri);
+
+	call->connection = c;
+	call->front = f;
+	f->open_calls++;
+	return call;
+}
+
+static void set_refusal(bw_call_t *call, unsigned int status,
+			bw_counter_t counter)
+{
+	if (call->refuse_status != 0)
+		return;
+	call->refuse_status = status;
+	call->refuse_counter = counter;
+}
+
+static bool reserve(bw_front_t *f, bw_call_t *call, size_t bytes)
+{
+	if (bytes <= call->reserved)
+		return true;
+	if (bytes > f->config.body_bytes_max) {
+		set_refusal(call, 413, BW_C_REFUSED_BODY_TOO_LARGE);
+		return false;
+	}
+	if (f->body_bytes + bytes - call->reserved >
+	    f->config.body_memory_bytes) {
+		set_refusal(call, 503, BW_C_REFUSED_BODY_MEMORY);
+		return false;
+	}
+	f->body_bytes += bytes - call->reserved;
+	call->reserved = bytes;
+	return true;
+}
+
+static enum MHD_Result collect_header(void *ctx, enum MHD_ValueKind kind,
+				      const char *name, const char *value)
+{
+	bw_call_t *call = ctx;
+	char *line;
+
+	(void)kind;
+	if (bw_hop_header(name) || !strcasecmp(name, "Content-Length") ||
+	    !strcasecmp(name, "Expect"))
+		return MHD_YES;
+	if (!strcasecmp(name, "Idempotency-Key") && !call->key_text)
+		call->key_text = g_strdup(value ? value : "");
+	if (value && *value)
+		line = g_strconcat(name, ": ", value, NULL);
+	else
+		line = g_strconcat(name, ";", NULL);
+	call->headers = curl_slist_append(call->headers, line);
+	g_free(line);
+	return MHD_YES;
+}
+
+static enum MHD_Result take_head(bw_front_t *f, bw_call_t *call,
+				 const char *method)
+{
+	const char *length = MHD_lookup_connection_value(
+		call->connection, MHD_HEADER_KIND, "Content-Length");
+	guint64 bytes = 0;
+
+	call->head_taken = true;
+	call->method = g_strdup(method);
+	bw_count(f->counters, BW_C_REQUESTS, 1);
+	if (call->target[0] != '/')
+		set_refusal(call, 400, BW_C_REFUSED_BAD_REQUEST);
+	if (!strcmp(method, "CONNECT") || !strcmp(method, "TRACE"))
+		set_refusal(call, 501, BW_C_REFUSED_METHOD);
+	if (length && !g_ascii_string_to_unsigned(length, 10, 0, G_MAXINT64,
+						  &bytes, NULL))
+		set_refusal(call, 400, BW_C_REFUSED_BAD_REQUEST);
+	if (call->refuse_status == 0)
+		reserve(f, call, bytes);
+	/* Answering before the body lets the caller stop sending it. */
+	if (call->refuse_status != 0)
+		return refuse(f, call, call->connection);
+	MHD_get_connection_values(call->connection, MHD_HEADER_KIND,
+				  collect_header, call);
+	return MHD_YES;
+}
+
+static void take_data(bw_front_t *f, bw_call_t *call, const char *data,
+		      size_t bytes)
+{
+	if (call->refuse_status != 0)
+		return;
+	if (!reserve(f, call, call->body->len + bytes)) {
+		g_string_truncate(call->body, 0);
+		return;
+	}
+	g_string_append_len(call->body, data, (gssize)bytes);
+}
+
+static enum MHD_Result refuse(bw_front_t *f, bw_call_t *call,
+			      struct MHD_Connection *connection)
+{
+	struct MHD_Response *response;
+	bw_outcome_t outcome;
+	enum MHD_Result result;
+	char *text;
+
+	bw_count(f->counters, call->refuse_counter, 1);
+	/* Another entry may run the same key, so only an owner can exclude it.
+	 */
+	outcome = MHD_lookup_connection_value(connection, MHD_HEADER_KIND,
+					      "Idempotency-Key")
+			  ? BW_OUTCOME_UNKNOWN
+			  : BW_OUTCOME_NOT_RUN;
+	text = bw_problem_text(call->refuse_status, outcome,
+			       bw_counter_name(call->refuse_counter), NULL);
+	response = MHD_create_response_from_buffer(strlen(text), text,
+						   MHD_RESPMEM_MUST_FREE);
+	MHD_add_response_header(response, "Content-Type", BW_PROBLEM_TYPE);
+	if (call->refuse_status == 503)
+		MHD_add_response_header(response, "Retry-After", "1");
+	call->replying = true;
+	result = MHD_queue_response(connection, call->refuse_status, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+static ssize_t read_answer(void *ctx, uint64_t pos, char *buf, size_t max)
+{
+	bw_call_t *call = ctx;
+	GString *body = call->answer.body;
+	size_t n = MIN(max, body->len);
+
+	(void)pos;
+	if (n == 0) {
+		if (call->answer.cut)
+			return MHD_CONTENT_READER_END_WITH_ERROR;
+		if (call->answer.whole)
+			return MHD_CONTENT_READER_END_OF_STREAM;
+		call->waiting_data = true;
+		call->suspended = true;
+		MHD_suspend_connection(call->connection);
+		return 0;
+	}
+	memcpy(buf, body->str, n);
+	g_string_erase(body, 0, (gssize)n);
+	bw_mbox_post(call->front->relay, BW_RELAY_DRAINED, call);
+	return (ssize_t)n;
+}
+
+static enum MHD_Result reply(bw_call_t *call)
+{
+	bw_answer_t *a = &call->answer;
+	bool head = !strcmp(call->method, "HEAD");
+	struct MHD_Response *response;
+	enum MHD_Result result;
+	guint i;
+
+	call->replying = true;
+	if (a->whole && !head) {
+		gsize bytes = a->body->len;
+		char *text = g_string_free(a->body, FALSE);
+
+		a->body = g_string_new(NULL);
+		response = MHD_create_response_from_buffer(
+			bytes, text, MHD_RESPMEM_MUST_FREE);
+	} else {
+		response = MHD_create_response_from_callback(
+			a->length == UINT64_MAX ? MHD_SIZE_UNKNOWN : a->length,
+			ANSWER_BLOCK_BYTES, read_answer, call, NULL);
+	}
+	for (i = 0; i < a->headers->len; i++) {
+		const bw_header_t *h =
+			&g_array_index(a->headers, bw_header_t, i);
+
+		MHD_add_response_header(response, h->name, h->value);
+	}
+	if (call->front->quiesced)
+		MHD_add_response_header(response, "Connection", "close");
+	result = MHD_queue_response(call->connection, a->status, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+static enum MHD_Result on_request(void *ctx, struct MHD_Connection *connection,
+				  const char *url, const char *method,
+				  const char *version, const char *data,
+				  size_t *data_bytes, void **state)
+{
+	bw_front_t *f = ctx;
+	bw_call_t *call = *state;
+	conn_t *conn;
+
+	(void)url;
+	(void)version;
+	if (!call->head_taken)
+		return take_head(f, call, method);
+	if (*data_bytes > 0) {
+		take_data(f, call, data, *data_bytes);
+		*data_bytes = 0;
+		return MHD_YES;
+	}
+	if (call->replying)
+		return MHD_YES;
+	if (call->refuse_status != 0)
+		return refuse(f, call, connection);
+	if (call->relay)
+		return reply(call);
+	conn = conn_of(connection);
+	if (conn)
+		conn->busy = true;
+	call->suspended = true;
+	MHD_suspend_connection(connection);
+	bw_mbox_post(f->relay, BW_RELAY_REQUEST, call);
+	return MHD_YES;
+}
+
+static void on_completed(void *ctx, struct MHD_Connection *connection,
+			 void **state, enum MHD_RequestTerminationCode code)
+{
+	bw_front_t *f = ctx;
+	bw_call_t *call = *state;
+	conn_t *conn = conn_of(connection);
+
+	if (conn) {
+		conn->busy = false;
+		conn->since = ev_now(f->loop);
+	}
+	if (!call)
+		return;
+	*state = NULL;
+	f->open_calls--;
+	f->body_bytes -= call->reserved;
+	call->connection = NULL;
+	if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
+		bw_count(f->counters, BW_C_CALLER_GONE, 1);
+	if (call->relay)
+		bw_mbox_post(f->relay, BW_RELAY_GONE, call);
+	else
+		bw_call_destroy(call);
+}
+
+static enum MHD_Result on_accept(void *ctx, const struct sockaddr *address,
+				 socklen_t bytes)
+{
+	bw_front_t *f = ctx;
+	const struct sockaddr_in *in = (const struct sockaddr_in *)address;
+	guint same;
+
+	(void)bytes;
+	same = GPOINTER_TO_UINT(g_hash_table_lookup(
+		f->per_ip, GUINT_TO_POINTER(in->sin_addr.s_addr)));
+	if (f->connections < f->config.connections_max &&
+	    same < f->config.connections_per_address_max)
+		return MHD_YES;
+	bw_count(f->counters, BW_C_REFUSED_CONNECTIONS, 1);
+	return MHD_NO;
+}
+
+static void on_connection(void *ctx, struct MHD_Connection *connection,
+			  void **state,
+			  enum MHD_ConnectionNotificationCode code)
+{
+	bw_front_t *f = ctx;
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+	conn_t *conn = *state;
+	gpointer ip;
+	guint same;
+
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		conn = g_new0(conn_t, 1);
+		conn->link.data = conn;
+		conn->connection = connection;
+		conn->ip = ((const struct sockaddr_in *)info->client_addr)
+				   ->sin_addr.s_addr;
+		conn->since = ev_now(f->loop);
+		g_queue_push_tail_link(&f->conns, &conn->link);
+		*state = conn;
+		f->connections++;
+	}
+	ip = GUINT_TO_POINTER(conn->ip);
+	same = GPOINTER_TO_UINT(g_hash_table_lookup(f->per_ip, ip));
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		g_hash_table_insert(f->per_ip, ip, GUINT_TO_POINTER(same + 1));
+		return;
+	}
+	if (same <= 1)
+		g_hash_table_remove(f->per_ip, ip);
+	else
+		g_hash_table_insert(f->per_ip, ip, GUINT_TO_POINTER(same - 1));
+	g_queue_unlink(&f->conns, &conn->link);
+	f->connections--;
+	g_free(conn);
+	*state = NULL;
+}
+
+/* Closes connections whose caller is too slow to send a whole request. */
+static void on_sweep(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	bw_front_t *f = timer->data;
+	double patience =
+		f->quiesced ? STOP_IDLE_S : f->config.idle_timeout_ms / 1000.0;
+	double oldest = ev_now(loop) - patience;
+	const union MHD_ConnectionInfo *info;
+	GList *link;
+
+	(void)revents;
+	for (link = f->conns.head; link; link = link->next) {
+		conn_t *conn = link->data;
+
+		if (conn->busy || conn->since > oldest)
+			continue;
+		info = MHD_get_connection_info(
+			conn->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+		shutdown(info->connect_fd, SHUT_RDWR);
+		conn->since = ev_now(loop);
+		if (!f->quiesced)
+			bw_count(f->counters, BW_C_REFUSED_SLOW, 1);
+	}
+}
+
+bw_status_t bw_front_create(struct ev_loop *loop,
+			    const bw_front_config_t *config, bw_mbox_t *relay,
+			    bw_counters_t *counters, bw_front_t **out)
+{
+	bw_front_t *f = g_new0(bw_front_t, 1);
+	bw_mhdev_config_t mhd = {
+		.address = config->address,
+		.handler = on_request,
+		.uri = on_uri,
+		.completed = on_completed,
+		.connection = on_connection,
+		.accept = on_accept,
+		.ctx = f,
+		.connection_memory = config->header_bytes_max + MEMORY_SLACK,
+		.connections_max = config->connections_max + CONNECTION_SLACK,
+		.idle_timeout_s = MAX(config->idle_timeout_ms / 1000, 1),
+	};
+	bw_status_t status;
+
+	f->loop = loop;
+	f->config = *config;
+	f->relay = relay;
+	f->counters = counters;
+	f->per_ip = g_hash_table_new(NULL, NULL);
+	g_queue_init(&f->conns);
+	status = bw_mhdev_create(loop, &mhd, &f->mhd);
+	if (status != BW_OK) {
+		g_hash_table_destroy(f->per_ip);
+		g_free(f);
+		return status;
+	}
+	ev_timer_init(&f->sweep, on_sweep, SWEEP_EVERY_S, SWEEP_EVERY_S);
+	f->sweep.data = f;
+	ev_timer_start(loop, &f->sweep);
+	*out = f;
+	return BW_OK;
+}
+
+void bw_front_quiesce(bw_front_t *f)
+{
+	if (f->quiesced)
+		return;
+	f->quiesced = true;
+	bw_mhdev_quiesce(f->mhd);
+}
+
+void bw_front_destroy(bw_front_t *f)
+{
+	if (!f)
+		return;
+	ev_timer_stop(f->loop, &f->sweep);
+	bw_mhdev_destroy(f->mhd);
+	g_hash_table_destroy(f->per_ip);
+	g_free(f);
+}
+
+void bw_front_answer(bw_front_t *f, bw_call_t *call)
+{
+	if (!call->connection || !call->suspended)
+		return;
+	if (call->replying && !call->waiting_data)
+		return;
+	call->suspended = false;
+	call->waiting_data = false;
+	bw_mhdev_resume(f->mhd, call->connection);
+}
+
+uint32_t bw_front_open_calls(const bw_front_t *f)
+{
+	return f->open_calls;
+}
+
+uint32_t bw_front_connections(const bw_front_t *f)
+{
+	return f->connections;
+}
--- /dev/null
+++ b/src/relay/upstream.c
@@ -0,0 +1,389 @@
+#include "relay/upstream.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "net/curlev.h"
+
+#define RECEIVE_BUFFER_BYTES 65536L
+#define CONNECT_TIMEOUT_MS   1000L
+#define IDLE_HANDLES_MAX     1024
+#define IDLE_CONNECTION_S    60L
+#define LENGTH_UNKNOWN	     UINT64_MAX
+
+/** State of one attempt. */
+struct bw_attempt {
+	bw_upstream_t *upstream;
+	CURL *easy;
+	void *ctx;
+	bw_attempt_request_t request;
+	unsigned int status;
+	uint64_t length; /**< Declared, or LENGTH_UNKNOWN. */
+	bool chunked;
+	bool sent; /**< Bytes may have reached the server. */
+	bool stale; /**< Refused a reused connection that was not clean. */
+	bool bad; /**< The answer breaks HTTP. */
+	bool in_body;
+	bool head_told;
+};
+
+struct bw_upstream {
+	bw_curlev_t *curl;
+	const bw_attempt_ops_t *ops;
+	bw_counters_t *counters;
+	GPtrArray *idle; /**< CURL handles for reuse. */
+	GHashTable *by_tuple; /**< Connection to its socket + 1. */
+	GHashTable *by_socket; /**< Socket + 1 to its connection. */
+};
+
+static void setup(bw_attempt_t *a, bool fresh);
+static int on_prereq(void *ctx, char *remote_ip, char *local_ip,
+		     int remote_port, int local_port);
+static int on_close_socket(void *ctx, curl_socket_t fd);
+static size_t on_header(char *data, size_t size, size_t count, void *ctx);
+static size_t on_data(char *data, size_t size, size_t count, void *ctx);
+static void on_done(void *ctx, CURL *easy, CURLcode result);
+static bool take_status_line(bw_attempt_t *a, const char *line);
+static void take_header(bw_attempt_t *a, char *line);
+static void end_of_head(bw_attempt_t *a);
+static void take_length(bw_attempt_t *a, const char *value);
+static bool framed(const bw_attempt_t *a);
+static bw_attempt_result_t classify(const bw_attempt_t *a, CURLcode result);
+static void remember_connection(bw_upstream_t *u, CURL *easy);
+static uint64_t tuple(const char *ip, int remote_port, int local_port);
+static void release(bw_attempt_t *a);
+
+static uint64_t tuple(const char *ip, int remote_port, int local_port)
+{
+	uint64_t hash = g_str_hash(ip);
+
+	return hash << 32 | (uint64_t)(uint16_t)remote_port << 16 |
+	       (uint16_t)local_port;
+}
+
+/* Notes which socket a finished attempt leaves open for reuse. */
+static void remember_connection(bw_upstream_t *u, CURL *easy)
+{
+	curl_socket_t fd = CURL_SOCKET_BAD;
+	char *ip = NULL;
+	long remote_port = 0;
+	long local_port = 0;
+	uint64_t *key;
+
+	curl_easy_getinfo(easy, CURLINFO_ACTIVESOCKET, &fd);
+	if (fd == CURL_SOCKET_BAD)
+		return;
+	if (g_hash_table_contains(u->by_socket, GINT_TO_POINTER(fd + 1)))
+		return;
+	curl_easy_getinfo(easy, CURLINFO_PRIMARY_IP, &ip);
+	curl_easy_getinfo(easy, CURLINFO_PRIMARY_PORT, &remote_port);
+	curl_easy_getinfo(easy, CURLINFO_LOCAL_PORT, &local_port);
+	key = g_new(uint64_t, 1);
+	*key = tuple(ip, (int)remote_port, (int)local_port);
+	g_hash_table_replace(u->by_tuple, key, GINT_TO_POINTER(fd + 1));
+	g_hash_table_replace(u->by_socket, GINT_TO_POINTER(fd + 1), key);
+}
+
+static int on_close_socket(void *ctx, curl_socket_t fd)
+{
+	bw_upstream_t *u = ctx;
+	uint64_t *key =
+		g_hash_table_lookup(u->by_socket, GINT_TO_POINTER(fd + 1));
+
+	if (key) {
+		g_hash_table_remove(u->by_socket, GINT_TO_POINTER(fd + 1));
+		g_hash_table_remove(u->by_tuple, key);
+	}
+	return close(fd);
+}
+
+/*
+ * Runs after the connection is ready and before the first byte of the request,
+ * so it knows whether anything was sent. A reused connection must be open and
+ * silent: waiting bytes would be taken for this request's answer.
+ */
+static int on_prereq(void *ctx, char *remote_ip, char *local_ip,
+		     int remote_port, int local_port)
+{
+	bw_attempt_t *a = ctx;
+	uint64_t key = tuple(remote_ip, remote_port, local_port);
+	gpointer found = g_hash_table_lookup(a->upstream->by_tuple, &key);
+	char byte;
+	ssize_t n;
+
+	(void)local_ip;
+	/* libcurl repeats a request by itself on a closed connection. */
+	if (a->sent)
+		return CURL_PREREQFUNC_ABORT;
+	if (found) {
+		n = recv(GPOINTER_TO_INT(found) - 1, &byte, 1,
+			 MSG_PEEK | MSG_DONTWAIT);
+		if (n > 0)
+			bw_count(a->upstream->counters, BW_C_STALE_BYTES, 1);
+		if (n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK)) {
+			a->stale = true;
+			return CURL_PREREQFUNC_ABORT;
+		}
+	}
+	a->sent = true;
+	return CURL_PREREQFUNC_OK;
+}
+
+static bool take_status_line(bw_attempt_t *a, const char *line)
+{
+	const char *space = strchr(line, ' ');
+
+	if (strncmp(line, "HTTP/", 5) != 0 || !space)
+		return false;
+	a->status = (unsigned int)strtoul(space + 1, NULL, 10);
+	a->length = LENGTH_UNKNOWN;
+	a->chunked = false;
+	a->head_told = false;
+	return true;
+}
+
+static void take_length(bw_attempt_t *a, const char *value)
+{
+	guint64 length;
+
+	if (!g_ascii_string_to_unsigned(value, 10, 0, G_MAXINT64, &length,
+					NULL) ||
+	    (a->length != LENGTH_UNKNOWN && a->length != length)) {
+		a->bad = true;
+		return;
+	}
+	a->length = length;
+}
+
+static void take_header(bw_attempt_t *a, char *line)
+{
+	char *colon = strchr(line, ':');
+	const char *value;
+
+	if (!colon) {
+		a->bad = true;
+		return;
+	}
+	*colon = '\0';
+	value = g_strstrip(colon + 1);
+	if (!strcasecmp(line, "Content-Length"))
+		take_length(a, value);
+	else if (!strcasecmp(line, "Transfer-Encoding"))
+		a->chunked = !strcasecmp(value, "chunked");
+	if (!a->head_told) {
+		a->head_told = true;
+		a->upstream->ops->status(a->ctx, a->status);
+	}
+	a->upstream->ops->header(a->ctx, line, value);
+}
+
+/* Whether the end of the answer can be told from a broken connection. */
+static bool framed(const bw_attempt_t *a)
+{
+	if (!strcmp(a->request.method, "HEAD"))
+		return true;
+	if (a->status == 204 || a->status == 304)
+		return true;
+	return a->chunked || a->length != LENGTH_UNKNOWN;
+}
+
+static void end_of_head(bw_attempt_t *a)
+{
+	if (a->status < 200)
+		return;
+	a->in_body = true;
+	if (!framed(a))
+		a->bad = true;
+	if (!a->head_told)
+		a->upstream->ops->status(a->ctx, a->status);
+	if (a->length != LENGTH_UNKNOWN && !a->chunked)
+		a->upstream->ops->length(a->ctx, a->length);
+}
+
+static size_t on_header(char *data, size_t size, size_t count, void *ctx)
+{
+	bw_attempt_t *a = ctx;
+	size_t bytes = size * count;
+	char *line;
+
+	/* Trailers arrive here too, after the body; they are dropped. */
+	if (a->in_body)
+		return bytes;
+	line = g_strndup(data, bytes);
+	g_strchomp(line);
+	if (*line == '\0')
+		end_of_head(a);
+	else if (!take_status_line(a, line) && a->status >= 200)
+		take_header(a, line);
+	g_free(line);
+	return a->bad ? 0 : bytes;
+}
+
+static size_t on_data(char *data, size_t size, size_t count, void *ctx)
+{
+	bw_attempt_t *a = ctx;
+	size_t bytes = size * count;
+
+	if (!a->upstream->ops->data(a->ctx, data, bytes))
+		return CURL_WRITEFUNC_PAUSE;
+	return bytes;
+}
+
+static bw_attempt_result_t classify(const bw_attempt_t *a, CURLcode result)
+{
+	if (a->bad)
+		return BW_ATTEMPT_BAD_ANSWER;
+	if (result == CURLE_OK)
+		return BW_ATTEMPT_OK;
+	if (!a->sent)
+		return BW_ATTEMPT_NOT_SENT;
+	if (result == CURLE_OPERATION_TIMEDOUT)
+		return BW_ATTEMPT_TIMEOUT;
+	if (result == CURLE_WEIRD_SERVER_REPLY ||
+	    result == CURLE_UNSUPPORTED_PROTOCOL ||
+	    result == CURLE_BAD_CONTENT_ENCODING)
+		return BW_ATTEMPT_BAD_ANSWER;
+	return BW_ATTEMPT_BROKEN;
+}
+
+static void release(bw_attempt_t *a)
+{
+	if (a->upstream->idle->len < IDLE_HANDLES_MAX) {
+		curl_easy_reset(a->easy);
+		g_ptr_array_add(a->upstream->idle, a->easy);
+	} else {
+		curl_easy_cleanup(a->easy);
+	}
+	g_free(a);
+}
+
+static void on_done(void *ctx, CURL *easy, CURLcode result)
+{
+	bw_attempt_t *a = ctx;
+	bw_upstream_t *u = a->upstream;
+	void *owner = a->ctx;
+	bw_attempt_result_t verdict;
+
+	if (a->stale && !a->sent) {
+		a->stale = false;
+		curl_easy_reset(easy);
+		setup(a, true);
+		bw_curlev_add(u->curl, easy);
+		return;
+	}
+	verdict = classify(a, result);
+	if (verdict == BW_ATTEMPT_OK)
+		remember_connection(u, easy);
+	release(a);
+	u->ops->done(owner, verdict);
+}
+
+static void setup(bw_attempt_t *a, bool fresh)
+{
+	const bw_attempt_request_t *r = &a->request;
+	CURL *easy = a->easy;
+	char url[80];
+
+	g_snprintf(url, sizeof(url), "http://%s/", r->address);
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, r->target);
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, r->method);
+	if (!strcmp(r->method, "HEAD"))
+		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+	if (r->body) {
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+				 (curl_off_t)r->body_bytes);
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, r->body);
+	}
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, r->headers);
+	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
+			 (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(easy, CURLOPT_HTTP09_ALLOWED, 0L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, RECEIVE_BUFFER_BYTES);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)r->timeout_ms);
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, IDLE_CONNECTION_S);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_prereq);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, a);
+	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, on_close_socket);
+	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, a->upstream);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, a);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_data);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, a);
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, a);
+	if (fresh)
+		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+}
+
+bw_upstream_t *bw_upstream_create(struct ev_loop *loop,
+				  const bw_attempt_ops_t *ops,
+				  uint32_t connections_max,
+				  bw_counters_t *counters)
+{
+	bw_upstream_t *u = g_new0(bw_upstream_t, 1);
+	CURLM *multi;
+
+	u->curl = bw_curlev_create(loop, on_done);
+	u->ops = ops;
+	u->counters = counters;
+	u->idle = g_ptr_array_new_with_free_func(curl_easy_cleanup);
+	u->by_socket = g_hash_table_new(NULL, NULL);
+	u->by_tuple = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					    NULL);
+	multi = bw_curlev_multi(u->curl);
+	curl_multi_setopt(multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+	curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, 65536L);
+	curl_multi_setopt(multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+			  (long)connections_max);
+	return u;
+}
+
+void bw_upstream_destroy(bw_upstream_t *u)
+{
+	if (!u)
+		return;
+	g_ptr_array_free(u->idle, TRUE);
+	bw_curlev_destroy(u->curl);
+	g_hash_table_destroy(u->by_tuple);
+	g_hash_table_destroy(u->by_socket);
+	g_free(u);
+}
+
+bw_attempt_t *bw_attempt_start(bw_upstream_t *u,
+			       const bw_attempt_request_t *request, void *ctx)
+{
+	bw_attempt_t *a = g_new0(bw_attempt_t, 1);
+
+	a->upstream = u;
+	a->ctx = ctx;
+	a->request = *request;
+	a->length = LENGTH_UNKNOWN;
+	if (u->idle->len > 0)
+		a->easy =
+			g_ptr_array_steal_index_fast(u->idle, u->idle->len - 1);
+	else
+		a->easy = curl_easy_init();
+	setup(a, false);
+	bw_curlev_add(u->curl, a->easy);
+	return a;
+}
+
+void bw_attempt_resume(bw_attempt_t *a)
+{
+	curl_easy_pause(a->easy, CURLPAUSE_CONT);
+}
+
+void bw_attempt_abort(bw_attempt_t *a)
+{
+	bw_curlev_remove(a->upstream->curl, a->easy);
+	release(a);
+}
--- /dev/null
+++ b/src/store/store.h
@@ -0,0 +1,88 @@
+/**
+ * @file
+ * The platform's key-value store, behind a callback interface.
+ *
+ * Another store is put in its place by one file that fills bw_store_ops_t.
+ */
+#ifndef BW_STORE_STORE_H
+#define BW_STORE_STORE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/status.h"
+
+/** A key with its value at a revision. */
+typedef struct bw_store_kv {
+	const char *key;
+	const char *value; /**< NUL-terminated after @p bytes. */
+	size_t bytes;
+	int64_t mod_revision; /**< Revision of the last write of the key. */
+	int64_t version; /**< Writes since the key was made. */
+	bool deleted; /**< In a watch: the key was deleted. */
+} bw_store_kv_t;
+
+/**
+ * Answer of a call.
+ *
+ * BW_EUNAVAIL: the call had no effect. BW_ELOST: a write may have taken effect.
+ */
+typedef struct bw_store_reply {
+	bw_status_t status;
+	bool succeeded; /**< A transaction's comparisons held. */
+	int64_t revision; /**< Revision of the store. */
+	int64_t lease_id;
+	int64_t ttl_s;
+	const bw_store_kv_t *kvs; /**< Valid during the callback. */
+	size_t kv_count;
+} bw_store_reply_t;
+
+typedef void (*bw_store_done_fn)(void *ctx, const bw_store_reply_t *reply);
+
+/** One compare-and-swap: writes @p key if its mod revision is as given. */
+typedef struct bw_store_cas {
+	const char *key;
+	const char *value; /**< NULL deletes the key. */
+	size_t bytes;
+	int64_t mod_revision; /**< Expected; 0 when the key must not exist. */
+	int64_t lease_id; /**< 0 is none. */
+	const char *const *absent; /**< Keys that must not exist. */
+	uint32_t absent_count;
+} bw_store_cas_t;
+
+/** A watch that can be ended. */
+typedef struct bw_store_watch bw_store_watch_t;
+
+/** What an adapter provides; all calls return before their callback. */
+typedef struct bw_store_ops {
+	/** Reads all keys with a prefix. */
+	void (*range)(void *impl, const char *prefix, bw_store_done_fn done,
+		      void *ctx);
+	/** Does one compare-and-swap; the reply has the key when it failed. */
+	void (*cas)(void *impl, const bw_store_cas_t *cas,
+		    bw_store_done_fn done, void *ctx);
+	void (*lease_grant)(void *impl, int64_t ttl_s, bw_store_done_fn done,
+			    void *ctx);
+	void (*lease_keepalive)(void *impl, int64_t lease_id,
+				bw_store_done_fn done, void *ctx);
+	void (*lease_revoke)(void *impl, int64_t lease_id,
+			     bw_store_done_fn done, void *ctx);
+	/**
+	 * Reports changes of keys with a prefix from a revision on. A reply
+	 * that is not BW_OK ends the watch.
+	 */
+	bw_store_watch_t *(*watch)(void *impl, const char *prefix,
+				   int64_t revision, bw_store_done_fn event,
+				   void *ctx);
+	void (*watch_end)(void *impl, bw_store_watch_t *watch);
+	void (*destroy)(void *impl);
+} bw_store_ops_t;
+
+/** A store: an adapter's operations and its state. */
+typedef struct bw_store {
+	const bw_store_ops_t *ops;
+	void *impl;
+} bw_store_t;
+
+#endif
--- /dev/null
+++ b/src/table/edit.h
@@ -0,0 +1,57 @@
+/**
+ * @file
+ * Edits of the stored table. Each edit is one compare-and-swap that raises the
+ * version by one and records its id, so that an edit whose answer was lost can
+ * be found again.
+ */
+#ifndef BW_TABLE_EDIT_H
+#define BW_TABLE_EDIT_H
+
+#include "table/table.h"
+
+/** Edits kept in the table's history. */
+#define BW_HISTORY_MAX 100
+
+/** Who makes an edit, and when. */
+typedef struct bw_edit {
+	const char *id; /**< Unique. */
+	const char *who;
+	const char *what; /**< Short description. */
+	int64_t when_ms; /**< Time of day. */
+} bw_edit_t;
+
+/** One cell to change. */
+typedef struct bw_cell_edit {
+	const char *service;
+	const char *pool;
+	bw_cell_t cell;
+} bw_cell_edit_t;
+
+/**
+ * Changes cells of a stored table.
+ * @param text the table as stored
+ * @param findings receives unknown names
+ * @return the new text, to be released with free(), or NULL
+ */
+char *bw_edit_cells(const char *text, const bw_cell_edit_t *cells, size_t count,
+		    const bw_edit_t *edit, bw_findings_t *findings);
+
+/**
+ * Replaces a stored table, keeping its history.
+ * @param old the table as stored, or NULL for the first one
+ * @param next the new table
+ * @return the new text, to be released with free(), or NULL
+ */
+char *bw_edit_replace(const char *old, const char *next, const bw_edit_t *edit,
+		      bw_findings_t *findings);
+
+/** Version in which an edit took effect, or 0. */
+uint64_t bw_edit_find(const char *text, const char *id);
+
+/**
+ * Names the cells in which two tables differ.
+ * @return lines "service pool: old -> new", to be released with g_free()
+ */
+char *bw_table_diff(const bw_table_t *a, const bw_table_t *b);
+
+#endif
--- /dev/null
+++ b/test/test_place.c
@@ -0,0 +1,435 @@
+/* Contract and fault tests of the placement decisions. */
+#include "test.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "place/place.h"
+#include "place/share.h"
+
+#define SECOND_US 1000000
+#define REQUESTS  64
+
+/** What the placement did. */
+typedef struct probe {
+	bw_place_t *place;
+	bw_counters_t counters;
+	bw_preq_t requests[REQUESTS];
+	bool started[REQUESTS];
+	int refused[REQUESTS]; /**< A bw_refusal_t, or -1. */
+	int64_t retry_after_us;
+	bw_place_msg_t sent[64];
+	uint64_t sent_to[64];
+	uint32_t sent_count;
+} probe_t;
+
+static void on_start(void *ctx, bw_preq_t *r)
+{
+	probe_t *p = ctx;
+
+	p->started[r - p->requests] = true;
+}
+
+static void on_refuse(void *ctx, bw_preq_t *r, bw_refusal_t why,
+		      int64_t retry_after_us)
+{
+	probe_t *p = ctx;
+
+	p->refused[r - p->requests] = (int)why;
+	p->retry_after_us = retry_after_us;
+}
+
+static void on_send(void *ctx, uint64_t peer, const bw_place_msg_t *msg)
+{
+	probe_t *p = ctx;
+
+	p->sent[p->sent_count % 64] = *msg;
+	p->sent_to[p->sent_count % 64] = peer;
+	p->sent_count++;
+}
+
+static const bw_place_ops_t probe_ops = { .start = on_start,
+					  .refuse = on_refuse,
+					  .send = on_send };
+
+static const char table_text[] =
+	"{\"pools\":[{\"name\":\"a\"},{\"name\":\"b\"}],"
+	"\"services\":[{\"name\":\"s\",\"prefix\":\"/s/\",\"queue_max\":4},"
+	"{\"name\":\"t\",\"prefix\":\"/t/\"},"
+	"{\"name\":\"d\",\"prefix\":\"/d/\",\"class\":\"deferrable\"}],"
+	"\"cells\":[{\"service\":\"s\",\"pool\":\"a\",\"weight\":10},"
+	"{\"service\":\"s\",\"pool\":\"b\",\"spill\":5,\"limit\":1},"
+	"{\"service\":\"t\",\"pool\":\"b\",\"weight\":10},"
+	"{\"service\":\"d\",\"pool\":\"b\",\"weight\":10}]}";
+
+static void configure(probe_t *p, const char *states, int64_t now_us)
+{
+	bw_findings_t *f = bw_findings_create("test");
+	bw_table_t *table = bw_table_parse(table_text, strlen(table_text), f);
+	GString *text = g_string_new("{\"workers\":[");
+	bw_workers_t *workers;
+	uint32_t i;
+
+	/* One letter per worker: the pool, in upper case when it leaves. */
+	for (i = 0; states[i]; i++)
+		g_string_append_printf(
+			text,
+			"%s{\"name\":\"w%u\",\"address\":\"127.0.0.%u:1\","
+			"\"zone\":\"z%u\",\"rack\":\"r%u\",\"pool\":\"%c\","
+			"\"slots\":2,\"state\":\"%s\"}",
+			i ? "," : "", i, i + 1, i % 2, i,
+			g_ascii_tolower(states[i]),
+			g_ascii_isupper(states[i]) ? "leaving" : "serving");
+	g_string_append(text, "]}");
+	workers = bw_workers_parse(text->str, text->len, f);
+	assert_non_null(table);
+	assert_non_null(workers);
+	bw_place_configure(p->place, table, workers, now_us);
+	bw_table_destroy(table);
+	bw_workers_destroy(workers);
+	bw_findings_destroy(f);
+	g_string_free(text, TRUE);
+}
+
+static probe_t *make_probe(const char *states)
+{
+	probe_t *p = g_new0(probe_t, 1);
+	uint64_t self = bw_name_id("e1");
+	bw_place_config_t config = { .self = self,
+				     .zone = "z0",
+				     .loan_ttl_us = SECOND_US / 2,
+				     .run_max_us = 10 * SECOND_US,
+				     .seed = 1,
+				     .lending = true };
+	uint32_t i;
+
+	for (i = 0; i < REQUESTS; i++)
+		p->refused[i] = -1;
+	p->place = bw_place_create(&config, &probe_ops, p, &p->counters);
+	configure(p, states, 0);
+	bw_place_set_view(p->place, 1, &self, 1, 0);
+	bw_place_tick(p->place, 1);
+	return p;
+}
+
+static void free_probe(probe_t *p)
+{
+	bw_place_destroy(p->place);
+	g_free(p);
+}
+
+static bw_preq_t *submit(probe_t *p, int i, const char *service, int64_t now_us,
+			 int64_t wait_us)
+{
+	bw_preq_t *r = &p->requests[i];
+
+	bw_preq_init(r, bw_place_service(p->place, service), now_us,
+		     now_us + wait_us);
+	bw_place_submit(p->place, r, now_us);
+	return r;
+}
+
+static const char *pool_of(probe_t *p, int i)
+{
+	bw_worker_view_t view;
+
+	assert_true(
+		bw_place_worker_view(p->place, p->requests[i].worker, &view));
+	return view.pool;
+}
+
+static void test_own_pool_first(void **state)
+{
+	probe_t *p = make_probe("ab");
+
+	(void)state;
+	submit(p, 0, "s", 10, SECOND_US);
+	submit(p, 1, "s", 10, SECOND_US);
+	assert_true(p->started[0] && p->started[1]);
+	assert_string_equal(pool_of(p, 0), "a");
+	assert_string_equal(pool_of(p, 1), "a");
+	/* The own pool is full: one slot of pool b is allowed. */
+	submit(p, 2, "s", 10, SECOND_US);
+	assert_string_equal(pool_of(p, 2), "b");
+	submit(p, 3, "s", 10, SECOND_US);
+	assert_false(p->started[3]);
+	free_probe(p);
+}
+
+static void test_owner_before_spill(void **state)
+{
+	probe_t *p = make_probe("b");
+
+	(void)state;
+	submit(p, 0, "t", 10, SECOND_US);
+	submit(p, 1, "t", 10, SECOND_US);
+	submit(p, 2, "s", 20, SECOND_US);
+	submit(p, 3, "t", 30, SECOND_US);
+	bw_place_finish(p->place, &p->requests[0], BW_ATTEMPT_OK, 40);
+	assert_true(p->started[3]);
+	assert_false(p->started[2]);
+	free_probe(p);
+}
+
+static void test_deferrable_waits_then_counts(void **state)
+{
+	probe_t *p = make_probe("b");
+
+	(void)state;
+	submit(p, 0, "t", 10, SECOND_US);
+	submit(p, 1, "t", 10, SECOND_US);
+	submit(p, 2, "d", 20, 100 * (int64_t)SECOND_US);
+	submit(p, 3, "t", 30, 200 * (int64_t)SECOND_US);
+	bw_place_finish(p->place, &p->requests[0], BW_ATTEMPT_OK, 40);
+	assert_true(p->started[3]);
+	/* Near its deadline the deferrable request ranks as urgent. */
+	submit(p, 4, "t", 50, 200 * (int64_t)SECOND_US);
+	submit(p, 5, "t", 50, 200 * (int64_t)SECOND_US);
+	bw_place_finish(p->place, &p->requests[1], BW_ATTEMPT_OK, 60);
+	bw_place_finish(p->place, &p->requests[3], BW_ATTEMPT_OK,
+			99 * (int64_t)SECOND_US);
+	bw_place_finish(p->place, &p->requests[4], BW_ATTEMPT_OK,
+			99 * (int64_t)SECOND_US);
+	assert_true(p->started[2]);
+	free_probe(p);
+}
+
+static void test_refusals(void **state)
+{
+	probe_t *p = make_probe("a");
+	int i;
+
+	(void)state;
+	for (i = 0; i < 2; i++)
+		submit(p, i, "s", 10, SECOND_US);
+	for (i = 2; i < 6; i++)
+		submit(p, i, "s", 10, SECOND_US);
+	submit(p, 6, "s", 10, SECOND_US);
+	assert_int_equal(p->refused[6], BW_REFUSE_QUEUE_FULL);
+	assert_true(p->retry_after_us >= SECOND_US);
+	submit(p, 7, "s", 10, 0);
+	assert_int_equal(p->refused[7], BW_REFUSE_TOO_LATE);
+	bw_place_tick(p->place, 10 + SECOND_US + 1);
+	assert_int_equal(p->refused[2], BW_REFUSE_QUEUE_DEADLINE);
+	assert_int_equal(p->counters.value[BW_C_REFUSED_QUEUE_DEADLINE], 4);
+	assert_int_equal(p->counters.value[BW_C_REFUSED_QUEUE_FULL], 1);
+	free_probe(p);
+}
+
+static void test_leaving_gets_nothing(void **state)
+{
+	probe_t *p = make_probe("aa");
+	int i;
+
+	(void)state;
+	configure(p, "Aa", 5);
+	for (i = 0; i < 4; i++)
+		submit(p, i, "s", 10, SECOND_US);
+	assert_true(p->started[0] && p->started[1]);
+	assert_false(p->started[2] || p->started[3]);
+	assert_string_equal(
+		bw_place_worker_name(p->place, p->requests[0].worker), "w1");
+	/* Back in service, it takes what waits. */
+	configure(p, "aa", 20);
+	assert_true(p->started[2] && p->started[3]);
+	free_probe(p);
+}
+
+static void test_failing_worker_is_left_out(void **state)
+{
+	probe_t *p = make_probe("aa");
+	uint32_t bad;
+	int64_t now_us = 10;
+	int i;
+
+	(void)state;
+	submit(p, 0, "s", now_us, 9 * SECOND_US);
+	bad = p->requests[0].worker;
+	for (i = 0; i < 30; i++) {
+		bw_preq_t *r = submit(p, 1, "s", now_us, 9 * SECOND_US);
+		bool is_bad = r->worker == bad;
+
+		now_us += 100;
+		bw_place_finish(p->place, r,
+				is_bad ? BW_ATTEMPT_BROKEN : BW_ATTEMPT_OK,
+				now_us);
+	}
+	for (i = 0; i < 30; i++) {
+		bw_preq_t *r = submit(p, 1, "s", now_us, 9 * SECOND_US);
+
+		assert_int_not_equal(r->worker, bad);
+		bw_place_finish(p->place, r, BW_ATTEMPT_OK, now_us + 100);
+	}
+	free_probe(p);
+}
+
+static void test_retry_avoids_the_worker(void **state)
+{
+	probe_t *p = make_probe("aaa");
+	int i;
+
+	(void)state;
+	for (i = 0; i < 20; i++) {
+		bw_preq_t *r = submit(p, 0, "s", 10 + i, SECOND_US);
+		uint32_t first = r->worker;
+
+		bw_place_finish(p->place, r, BW_ATTEMPT_NOT_SENT, 20 + i);
+		bw_place_submit(p->place, r, 20 + i);
+		assert_int_not_equal(r->worker, first);
+		bw_place_finish(p->place, r, BW_ATTEMPT_OK, 30 + i);
+	}
+	free_probe(p);
+}
+
+static void test_removed_service_refuses_its_queue(void **state)
+{
+	probe_t *p = make_probe("a");
+	bw_findings_t *f = bw_findings_create("test");
+	static const char other[] = "{\"pools\":[{\"name\":\"a\"}],"
+				    "\"services\":[],\"cells\":[]}";
+	bw_table_t *table = bw_table_parse(other, strlen(other), f);
+	bw_workers_t none = { 0 };
+
+	(void)state;
+	submit(p, 0, "s", 10, SECOND_US);
+	submit(p, 1, "s", 10, SECOND_US);
+	submit(p, 2, "s", 10, SECOND_US);
+	bw_place_configure(p->place, table, &none, 20);
+	assert_int_equal(p->refused[2], BW_REFUSE_NO_SERVICE);
+	/* What runs goes on, and its end is taken as usual. */
+	bw_place_finish(p->place, &p->requests[0], BW_ATTEMPT_OK, 30);
+	bw_place_finish(p->place, &p->requests[1], BW_ATTEMPT_OK, 30);
+	bw_place_configure(p->place, table, &none, 40);
+	bw_table_destroy(table);
+	bw_findings_destroy(f);
+	free_probe(p);
+}
+
+static void test_shares_sum(void **state)
+{
+	uint64_t members[40];
+	uint32_t n;
+	uint32_t quantity;
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < 40; i++)
+		members[i] = 1000 + i * 77;
+	for (n = 1; n <= 40; n++)
+		for (quantity = 0; quantity < 70; quantity += 3) {
+			uint32_t sum = 0;
+			uint32_t holders = 0;
+
+			for (i = 0; i < n; i++) {
+				uint32_t share =
+					bw_share(quantity * 13 + n, quantity,
+						 members, n, members[i]);
+				sum += share;
+				holders += share > 0;
+			}
+			assert_int_equal(sum, quantity);
+			assert_true(holders <= BW_SHARE_GROUP);
+		}
+}
+
+/** A failed attempt and what may follow. */
+typedef struct retry_case {
+	const char *name;
+	bool once;
+	bool started;
+	uint32_t attempts;
+	int64_t left_us;
+	int64_t budget;
+	bw_attempt_result_t result;
+	bw_retry_verdict_t verdict;
+} retry_case_t;
+
+static const retry_case_t retry_cases[] = {
+	{ "repeatable, broken", false, false, 1, 1000, 100, BW_ATTEMPT_BROKEN,
+	  BW_RETRY_YES },
+	{ "repeatable, timeout", false, false, 1, 1000, 100, BW_ATTEMPT_TIMEOUT,
+	  BW_RETRY_YES },
+	{ "once, nothing sent", true, false, 1, 1000, 100, BW_ATTEMPT_NOT_SENT,
+	  BW_RETRY_YES },
+	{ "once, broken", true, false, 1, 1000, 100, BW_ATTEMPT_BROKEN,
+	  BW_RETRY_NO_UNSAFE },
+	{ "once, timeout", true, false, 1, 1000, 100, BW_ATTEMPT_TIMEOUT,
+	  BW_RETRY_NO_UNSAFE },
+	{ "once, status", true, false, 1, 1000, 100, BW_ATTEMPT_STATUS,
+	  BW_RETRY_NO_UNSAFE },
+	{ "once, bad answer", true, false, 1, 1000, 100, BW_ATTEMPT_BAD_ANSWER,
+	  BW_RETRY_NO_UNSAFE },
+	{ "answer begun", false, true, 1, 1000, 100, BW_ATTEMPT_BROKEN,
+	  BW_RETRY_NO_UNSAFE },
+	{ "no time left", false, false, 1, 99, 100, BW_ATTEMPT_BROKEN,
+	  BW_RETRY_NO_DEADLINE },
+	{ "attempts used up", false, false, 3, 1000, 100, BW_ATTEMPT_BROKEN,
+	  BW_RETRY_NO_ATTEMPTS },
+	{ "budget used up", false, false, 1, 1000, 99, BW_ATTEMPT_BROKEN,
+	  BW_RETRY_NO_BUDGET },
+};
+
+static void test_retry_table(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(retry_cases); i++) {
+		const retry_case_t *c = &retry_cases[i];
+		bw_retry_budget_t budget = { .centi = c->budget };
+		bw_retry_request_t request = { .once = c->once,
+					       .answer_started = c->started,
+					       .attempts = c->attempts,
+					       .attempts_max = 3,
+					       .deadline_us = 5000 + c->left_us,
+					       .service_us = 100 };
+		bw_retry_verdict_t verdict =
+			bw_retry_decide(&budget, &request, c->result, 5000);
+
+		if (verdict != c->verdict)
+			print_error("case: %s\n", c->name);
+		assert_int_equal(verdict, c->verdict);
+	}
+}
+
+static void test_retry_budget_share(void **state)
+{
+	bw_retry_budget_t budget;
+	bw_retry_request_t request = { .attempts = 1,
+				       .attempts_max = 3,
+				       .deadline_us = INT64_MAX };
+	uint32_t retries = 0;
+	int i;
+
+	(void)state;
+	bw_retry_init(&budget);
+	for (i = 0; i < 1000; i++) {
+		bw_retry_earn(&budget, 10);
+		if (bw_retry_decide(&budget, &request, BW_ATTEMPT_BROKEN, 0) ==
+		    BW_RETRY_YES)
+			retries++;
+	}
+	/* Ten at the start, then one in ten. */
+	assert_in_range(retries, 100, 110);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_own_pool_first),
+		cmocka_unit_test(test_owner_before_spill),
+		cmocka_unit_test(test_deferrable_waits_then_counts),
+		cmocka_unit_test(test_refusals),
+		cmocka_unit_test(test_leaving_gets_nothing),
+		cmocka_unit_test(test_failing_worker_is_left_out),
+		cmocka_unit_test(test_retry_avoids_the_worker),
+		cmocka_unit_test(test_removed_service_refuses_its_queue),
+		cmocka_unit_test(test_shares_sum),
+		cmocka_unit_test(test_retry_table),
+		cmocka_unit_test(test_retry_budget_share),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
