Measure routing and surges; batch what entries say about lent slots

Cause: at 60% load each entry sent 720 messages a second about loans, most of them single returns and questions asked again after 4 ms, against a control budget of 22 KB/s per node.

Change: returns of a tick go to a peer in one message, an idle loan is kept for 100 ms instead of 20 ms, and a pool asks again after 20 to 200 ms instead of 4 to 64 ms. bench-route and bench-surge are new.

Ruled out: asking one peer at a time, or three (no fewer messages at equal p99).

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,12 @@
 # Targets: all, demo, check, bench-*, fuzz, format, lint, deps, proto, clean.
 
 BUILD ?= build
-CC ?= gcc
-CXX ?= g++
+ifeq ($(origin CC),default)
+CC := gcc
+endif
+ifeq ($(origin CXX),default)
+CXX := g++
+endif
 PKGS := glib-2.0 jansson libmicrohttpd libcurl libprotobuf-c libxxhash
 OPT ?= -O2 -g
 SANITIZE ?=
@@ -50,9 +54,11 @@
 $(BUILD)/test/%: $(BUILD)/test/%.o $(LIB)
 	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS) -lcmocka
 
-$(BUILD)/bench/bench_%: $(BUILD)/bench/bench_%.o $(LIB)
+$(BUILD)/bench/bench_%: $(BUILD)/bench/bench_%.o $(BUILD)/bench/fleet.o $(LIB)
 	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS)
 
+$(BUILD)/bench/%.o: CFLAGS += -Ibench
+
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
 deps:
@@ -83,3 +89,14 @@
 
 check: deps
 	scripts/check.sh
+
+# Each bench ends with one line of name=value pairs.
+.PHONY: bench-route bench-surge bench-relay bench-once
+bench-route: $(BUILD)/bench/bench_route
+	$<
+bench-surge: $(BUILD)/bench/bench_surge
+	$<
+bench-relay: all
+	scripts/bench-relay.sh
+bench-once: all
+	scripts/bench-once.sh
--- /dev/null
+++ b/bench/bench_surge.c
@@ -0,0 +1,735 @@
+/*
+ * Surges by turns in virtual time: the placement of nine entries, with a fake
+ * of the workers, beside simpler rules and an omniscient queue.
+ */
+#include <inttypes.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "fleet.h"
+#include "place/place.h"
+#include "place/share.h"
+
+#define ENTRIES	       9
+#define TICK_US	       5000
+#define HOP_US	       1000
+#define SECOND_US      ((int64_t)1000000)
+#define RUN_US	       (45 * SECOND_US)
+#define SURGE_US       (3 * SECOND_US)
+#define SERVICE_US     50000.0
+#define SURGE_FACTOR   5.0
+#define QUIET_FACTOR   0.05
+#define TARGET_IN_TIME 0.999
+
+typedef enum policy {
+	POLICY_PLACE,
+	POLICY_NO_LOANS,
+	POLICY_OWN_POOL,
+	POLICY_RANDOM,
+	POLICY_OMNISCIENT,
+	POLICY_COUNT
+} policy_t;
+
+static const char *const policy_names[POLICY_COUNT] = {
+	[POLICY_PLACE] = "place",
+	[POLICY_NO_LOANS] = "place, no loans",
+	[POLICY_OWN_POOL] = "own pool only",
+	[POLICY_RANDOM] = "random spill",
+	[POLICY_OMNISCIENT] = "omniscient",
+};
+
+typedef struct request {
+	bw_preq_t preq;
+	uint32_t entry;
+	uint32_t worker;
+	int64_t work_us;
+	bool refused;
+	bool done;
+	int64_t done_us;
+} request_t;
+
+typedef enum event_kind {
+	EVENT_ARRIVE,
+	EVENT_FINISH,
+	EVENT_TICK,
+	EVENT_MESSAGE,
+	EVENT_KIND_COUNT
+} event_kind_t;
+
+typedef struct event {
+	int64_t at_us;
+	uint64_t order;
+	event_kind_t kind;
+	uint32_t entry;
+	uint32_t service;
+	uint64_t peer;
+	request_t *request;
+	bw_place_msg_t *msg;
+} event_t;
+
+typedef struct sim sim_t;
+
+typedef struct entry {
+	sim_t *sim;
+	uint32_t index;
+	uint64_t id;
+	bw_place_t *place;
+	bw_counters_t counters;
+} entry_t;
+
+struct sim {
+	policy_t policy;
+	const bw_table_t *table;
+	const bw_workers_t *workers;
+	double load;
+	GRand *rand;
+	GArray *heap; /**< event_t */
+	uint64_t order;
+	int64_t now_us;
+	entry_t entries[ENTRIES];
+	GHashTable *worker_index; /**< Name to index + 1. */
+	uint32_t *running; /**< Per worker. */
+	uint32_t *entry_running; /**< Per worker and entry. */
+	uint32_t *entry_peak; /**< The same, its highest value. */
+	uint32_t *pool_of;
+	GQueue *worker_queue; /**< Random spill: work beyond the slots. */
+	GSequence **queues; /**< Central rules: per service by deadline. */
+	uint32_t *free_slots; /**< Central rules: per pool. */
+	double *mean_rate; /**< Per service and second. */
+	GPtrArray *requests;
+	uint64_t cap_breaches;
+	uint32_t most_slots;
+	uint64_t messages;
+};
+
+typedef struct outcome {
+	double in_time[BW_CLASS_COUNT];
+	double goodput; /**< Share of all requests answered in time. */
+	uint64_t refused;
+	uint64_t late;
+	uint64_t cap_breaches;
+	uint32_t most_slots;
+	uint32_t most_connections;
+	uint64_t messages;
+	int64_t p99_us; /**< Of urgent answers. */
+	uint64_t reasons[BW_C_COUNT];
+} outcome_t;
+
+static bool before(const event_t *a, const event_t *b)
+{
+	if (a->at_us != b->at_us)
+		return a->at_us < b->at_us;
+	return a->order < b->order;
+}
+
+static void push(sim_t *s, event_t e)
+{
+	event_t *h;
+	guint i;
+
+	e.order = s->order++;
+	g_array_append_val(s->heap, e);
+	h = (event_t *)s->heap->data;
+	for (i = s->heap->len - 1; i > 0 && before(&h[i], &h[(i - 1) / 2]);
+	     i = (i - 1) / 2) {
+		event_t swap = h[i];
+
+		h[i] = h[(i - 1) / 2];
+		h[(i - 1) / 2] = swap;
+	}
+}
+
+static event_t pop(sim_t *s)
+{
+	event_t *h = (event_t *)s->heap->data;
+	event_t first = h[0];
+	guint n = s->heap->len - 1;
+	guint i = 0;
+
+	h[0] = h[n];
+	g_array_set_size(s->heap, n);
+	h = (event_t *)s->heap->data;
+	for (;;) {
+		guint child = 2 * i + 1;
+		event_t swap;
+
+		if (child >= n)
+			break;
+		if (child + 1 < n && before(&h[child + 1], &h[child]))
+			child++;
+		if (!before(&h[child], &h[i]))
+			break;
+		swap = h[i];
+		h[i] = h[child];
+		h[child] = swap;
+		i = child;
+	}
+	return first;
+}
+
+static double exponential(sim_t *s, double mean)
+{
+	return -mean * log(1.0 - g_rand_double(s->rand));
+}
+
+static void occupy(sim_t *s, request_t *r, uint32_t worker)
+{
+	uint32_t at = worker * ENTRIES + r->entry;
+
+	r->worker = worker;
+	s->running[worker]++;
+	s->entry_running[at]++;
+	s->entry_peak[at] = MAX(s->entry_peak[at], s->entry_running[at]);
+	s->most_slots = MAX(s->most_slots, s->running[worker]);
+	if (s->running[worker] > s->workers->items[worker].slots)
+		s->cap_breaches++;
+	push(s, (event_t){ .at_us = s->now_us + r->work_us,
+			   .kind = EVENT_FINISH,
+			   .request = r });
+}
+
+/* The placement of the entries. */
+
+static void on_start(void *ctx, bw_preq_t *preq)
+{
+	entry_t *e = ctx;
+	const char *name = bw_place_worker_name(e->place, preq->worker);
+	gpointer found = g_hash_table_lookup(e->sim->worker_index, name);
+
+	occupy(e->sim, (request_t *)preq, GPOINTER_TO_UINT(found) - 1);
+}
+
+static void on_refuse(void *ctx, bw_preq_t *preq, bw_refusal_t why,
+		      int64_t retry_after_us)
+{
+	(void)ctx;
+	(void)why;
+	(void)retry_after_us;
+	((request_t *)preq)->refused = true;
+}
+
+static void on_send(void *ctx, uint64_t peer, const bw_place_msg_t *msg)
+{
+	entry_t *e = ctx;
+	uint32_t i;
+
+	for (i = 0; i < ENTRIES; i++)
+		if (e->sim->entries[i].id == peer)
+			push(e->sim,
+			     (event_t){ .at_us = e->sim->now_us + HOP_US,
+					.kind = EVENT_MESSAGE,
+					.entry = i,
+					.peer = e->id,
+					.msg = g_memdup2(msg, sizeof(*msg)) });
+	e->sim->messages++;
+}
+
+static const bw_place_ops_t ops = { .start = on_start,
+				    .refuse = on_refuse,
+				    .send = on_send };
+
+static void create_entries(sim_t *s)
+{
+	static const char *const zones[] = { "north", "centre", "south" };
+	uint64_t ids[ENTRIES];
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < ENTRIES; i++) {
+		char name[16];
+
+		snprintf(name, sizeof(name), "entry-%u", i);
+		ids[i] = bw_name_id(name);
+	}
+	for (i = 0; i < ENTRIES; i++) {
+		entry_t *e = &s->entries[i];
+		bw_place_config_t config = {
+			.self = ids[i],
+			.zone = zones[i % 3],
+			.loan_ttl_us = 500000,
+			.run_max_us = 10 * SECOND_US,
+			.seed = i + 1,
+			.lending = s->policy == POLICY_PLACE,
+		};
+
+		e->sim = s;
+		e->index = i;
+		e->id = ids[i];
+		e->place = bw_place_create(&config, &ops, e, &e->counters);
+		bw_place_configure(e->place, s->table, s->workers, 0);
+		push(s, (event_t){ .at_us = TICK_US + i * 100,
+				   .kind = EVENT_TICK,
+				   .entry = i });
+	}
+	for (i = 0; i < ENTRIES; i++) {
+		bw_place_set_view(s->entries[i].place, 1, ids, ENTRIES, 0);
+		for (k = 0; k < ENTRIES; k++)
+			if (k != i)
+				bw_place_peer_up(s->entries[i].place, ids[k],
+						 0);
+	}
+}
+
+/* Central rules: one dispatcher that knows everything at once. */
+
+static gint by_deadline(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const request_t *x = a;
+	const request_t *y = b;
+
+	(void)data;
+	return (x->preq.deadline_us > y->preq.deadline_us) -
+	       (x->preq.deadline_us < y->preq.deadline_us);
+}
+
+static bool may_use(const sim_t *s, uint32_t service, uint32_t pool)
+{
+	const bw_cell_t *cell = bw_table_cell(s->table, service, pool);
+
+	if (s->policy == POLICY_OWN_POOL)
+		return cell->weight > 0;
+	return cell->weight > 0 || cell->spill > 0;
+}
+
+static uint32_t idle_worker(const sim_t *s, uint32_t pool)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->workers->count; i++)
+		if (s->pool_of[i] == pool &&
+		    s->running[i] < s->workers->items[i].slots)
+			return i;
+	return BW_NONE;
+}
+
+static request_t *next_central(sim_t *s, uint32_t pool)
+{
+	request_t *best = NULL;
+	uint32_t i;
+
+	for (i = 0; i < s->table->service_count; i++) {
+		request_t *r;
+		bool better;
+
+		if (!may_use(s, i, pool))
+			continue;
+		while (!g_sequence_is_empty(s->queues[i])) {
+			GSequenceIter *head =
+				g_sequence_get_begin_iter(s->queues[i]);
+
+			r = g_sequence_get(head);
+			/* It knows how long the work takes. */
+			if (s->now_us + r->work_us <= r->preq.deadline_us)
+				break;
+			r->refused = true;
+			g_sequence_remove(head);
+		}
+		if (g_sequence_is_empty(s->queues[i]))
+			continue;
+		r = g_sequence_get(g_sequence_get_begin_iter(s->queues[i]));
+		better = !best ||
+			 s->table->services[i].class <
+				 s->table->services[best->preq.service].class
+			 ||
+			 (s->table->services[i].class ==
+				  s->table->services[best->preq.service].class
+			  && by_deadline(r, best, NULL) < 0);
+		if (better)
+			best = r;
+	}
+	return best;
+}
+
+static void dispatch_central(sim_t *s, uint32_t pool)
+{
+	while (s->free_slots[pool] > 0) {
+		request_t *r = next_central(s, pool);
+
+		if (!r)
+			return;
+		g_sequence_remove(
+			g_sequence_get_begin_iter(s->queues[r->preq.service]));
+		s->free_slots[pool]--;
+		occupy(s, r, idle_worker(s, pool));
+	}
+}
+
+static void arrive_central(sim_t *s, request_t *r)
+{
+	uint32_t pool;
+
+	g_sequence_insert_sorted(s->queues[r->preq.service], r, by_deadline,
+				 NULL);
+	for (pool = 0; pool < s->table->pool_count; pool++)
+		if (may_use(s, r->preq.service, pool))
+			dispatch_central(s, pool);
+}
+
+/* Random spill: any worker that the table allows, without asking anybody. */
+static void arrive_random(sim_t *s, request_t *r)
+{
+	uint32_t worker;
+
+	do {
+		worker = (uint32_t)g_rand_int_range(s->rand, 0,
+						    (gint32)s->workers->count);
+	} while (!may_use(s, r->preq.service, s->pool_of[worker]));
+	if (s->running[worker] < s->workers->items[worker].slots)
+		occupy(s, r, worker);
+	else
+		g_queue_push_tail(&s->worker_queue[worker], r);
+}
+
+static double rate_at(const sim_t *s, uint32_t service)
+{
+	uint32_t services = s->table->service_count;
+	uint32_t turn = (uint32_t)(s->now_us / SURGE_US) % services;
+
+	return s->mean_rate[service] *
+	       (turn == service ? SURGE_FACTOR : QUIET_FACTOR);
+}
+
+static void arrive(sim_t *s, uint32_t service)
+{
+	request_t *r = g_new0(request_t, 1);
+	int64_t wait_us = (int64_t)s->table->services[service].wait_ms * 1000;
+
+	g_ptr_array_add(s->requests, r);
+	r->entry = (uint32_t)g_rand_int_range(s->rand, 0, ENTRIES);
+	r->work_us = (int64_t)exponential(s, SERVICE_US) + 1;
+	bw_preq_init(&r->preq, service, s->now_us, s->now_us + wait_us);
+	if (s->policy == POLICY_RANDOM)
+		arrive_random(s, r);
+	else if (s->policy >= POLICY_OWN_POOL)
+		arrive_central(s, r);
+	else
+		bw_place_submit(s->entries[r->entry].place, &r->preq,
+				s->now_us);
+}
+
+static void next_arrival(sim_t *s, uint32_t service)
+{
+	double mean_us = 1e6 / rate_at(s, service);
+	int64_t gap_us = (int64_t)exponential(s, mean_us) + 1;
+	int64_t turn_end_us = (s->now_us / SURGE_US + 1) * SURGE_US;
+	bool next_turn = s->now_us + gap_us >= turn_end_us;
+
+	/* The rate changes with the turn, so a gap is drawn anew there. */
+	push(s,
+	     (event_t){ .at_us = next_turn ? turn_end_us : s->now_us + gap_us,
+			.kind = EVENT_ARRIVE,
+			.entry = next_turn,
+			.service = service });
+}
+
+static void finish(sim_t *s, request_t *r)
+{
+	uint32_t worker = r->worker;
+
+	r->done = true;
+	r->done_us = s->now_us;
+	s->running[worker]--;
+	s->entry_running[worker * ENTRIES + r->entry]--;
+	if (s->policy == POLICY_RANDOM) {
+		request_t *next = g_queue_pop_head(&s->worker_queue[worker]);
+
+		if (next)
+			occupy(s, next, worker);
+	} else if (s->policy >= POLICY_OWN_POOL) {
+		s->free_slots[s->pool_of[worker]]++;
+		dispatch_central(s, s->pool_of[worker]);
+	} else {
+		bw_place_finish(s->entries[r->entry].place, &r->preq,
+				BW_ATTEMPT_OK, s->now_us);
+	}
+}
+
+static void handle(sim_t *s, event_t *e)
+{
+	entry_t *entry = &s->entries[e->entry % ENTRIES];
+
+	if (e->kind == EVENT_ARRIVE && s->now_us < RUN_US) {
+		if (e->entry == 0)
+			arrive(s, e->service);
+		next_arrival(s, e->service);
+	} else if (e->kind == EVENT_FINISH) {
+		finish(s, e->request);
+	} else if (e->kind == EVENT_TICK) {
+		bw_place_tick(entry->place, s->now_us);
+		if (s->now_us < RUN_US + 120 * SECOND_US)
+			push(s, (event_t){ .at_us = s->now_us + TICK_US,
+					   .kind = EVENT_TICK,
+					   .entry = e->entry });
+	} else if (e->kind == EVENT_MESSAGE) {
+		bw_place_receive(entry->place, e->peer, e->msg, s->now_us);
+		g_free(e->msg);
+	}
+}
+
+/* A service's mean demand: its part by weight of each pool. */
+static double service_mean(const sim_t *s, uint32_t service)
+{
+	double slots = 0.0;
+	uint32_t pool;
+	uint32_t i;
+
+	for (pool = 0; pool < s->table->pool_count; pool++) {
+		double total = 0.0;
+
+		for (i = 0; i < s->table->service_count; i++)
+			total += bw_table_cell(s->table, i, pool)->weight;
+		slots += s->free_slots[pool] *
+			 bw_table_cell(s->table, service, pool)->weight / total;
+	}
+	return slots / (SERVICE_US / 1e6);
+}
+
+static void create_sim(sim_t *s)
+{
+	double turns = s->table->service_count;
+	double mean = (SURGE_FACTOR + QUIET_FACTOR * (turns - 1)) / turns;
+	double total = 0.0;
+	double capacity = 0.0;
+	uint32_t i;
+
+	s->rand = g_rand_new_with_seed(99);
+	s->heap = g_array_new(FALSE, FALSE, sizeof(event_t));
+	s->requests = g_ptr_array_new_with_free_func(g_free);
+	s->worker_index = g_hash_table_new(g_str_hash, g_str_equal);
+	s->running = g_new0(uint32_t, s->workers->count);
+	s->entry_running = g_new0(uint32_t, s->workers->count * ENTRIES);
+	s->entry_peak = g_new0(uint32_t, s->workers->count * ENTRIES);
+	s->pool_of = g_new0(uint32_t, s->workers->count);
+	s->worker_queue = g_new0(GQueue, s->workers->count);
+	s->queues = g_new0(GSequence *, s->table->service_count);
+	s->free_slots = g_new0(uint32_t, s->table->pool_count);
+	s->mean_rate = g_new0(double, s->table->service_count);
+	for (i = 0; i < s->workers->count; i++) {
+		const bw_worker_t *w = &s->workers->items[i];
+
+		g_hash_table_insert(s->worker_index, w->name,
+				    GUINT_TO_POINTER(i + 1));
+		s->pool_of[i] = bw_table_pool_index(s->table, w->pool);
+		s->free_slots[s->pool_of[i]] += w->slots;
+		capacity += w->slots / (SERVICE_US / 1e6);
+	}
+	for (i = 0; i < s->table->service_count; i++) {
+		s->queues[i] = g_sequence_new(NULL);
+		s->mean_rate[i] = service_mean(s, i);
+		total += s->mean_rate[i];
+	}
+	for (i = 0; i < s->table->service_count; i++) {
+		s->mean_rate[i] *= s->load * capacity / total / mean;
+		next_arrival(s, i);
+	}
+	if (s->policy < POLICY_OWN_POOL)
+		create_entries(s);
+}
+
+static void destroy_sim(sim_t *s)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->heap->len; i++)
+		g_free(g_array_index(s->heap, event_t, i).msg);
+	for (i = 0; i < ENTRIES; i++)
+		bw_place_destroy(s->entries[i].place);
+	for (i = 0; i < s->workers->count; i++)
+		g_queue_clear(&s->worker_queue[i]);
+	for (i = 0; i < s->table->service_count; i++)
+		g_sequence_free(s->queues[i]);
+	g_array_free(s->heap, TRUE);
+	g_ptr_array_free(s->requests, TRUE);
+	g_hash_table_destroy(s->worker_index);
+	g_free(s->running);
+	g_free(s->entry_running);
+	g_free(s->entry_peak);
+	g_free(s->pool_of);
+	g_free(s->worker_queue);
+	g_free(s->queues);
+	g_free(s->free_slots);
+	g_free(s->mean_rate);
+	g_rand_free(s->rand);
+}
+
+static int by_time(const void *a, const void *b)
+{
+	int64_t x = *(const int64_t *)a;
+	int64_t y = *(const int64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+static int64_t percentile_99(GArray *times)
+{
+	if (times->len == 0)
+		return 0;
+	qsort(times->data, times->len, sizeof(int64_t), by_time);
+	return g_array_index(times, int64_t, (guint)(times->len * 0.99));
+}
+
+static void judge(const sim_t *s, outcome_t *o)
+{
+	GArray *times = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	uint64_t sent[BW_CLASS_COUNT] = { 0 };
+	uint64_t good[BW_CLASS_COUNT] = { 0 };
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < s->requests->len; i++) {
+		const request_t *r = g_ptr_array_index(s->requests, i);
+		bw_class_t class = s->table->services[r->preq.service].class;
+
+		sent[class]++;
+		o->refused += r->refused;
+		if (!r->done)
+			continue;
+		if (class == BW_CLASS_URGENT) {
+			int64_t time_us = r->done_us - r->preq.arrived_us;
+
+			g_array_append_val(times, time_us);
+		}
+		if (r->done_us <= r->preq.deadline_us)
+			good[class]++;
+		else
+			o->late++;
+	}
+	for (i = 0; i < BW_CLASS_COUNT; i++)
+		o->in_time[i] = (double)good[i] / (double)MAX(sent[i], 1);
+	o->goodput = (double)(good[0] + good[1]) / (double)(sent[0] + sent[1]);
+	o->p99_us = percentile_99(times);
+	g_array_free(times, TRUE);
+	o->cap_breaches = s->cap_breaches;
+	o->most_slots = s->most_slots;
+	o->messages = s->messages;
+	for (i = 0; i < s->workers->count; i++) {
+		uint32_t sum = 0;
+
+		for (k = 0; k < ENTRIES; k++)
+			sum += s->entry_peak[i * ENTRIES + k];
+		o->most_connections = MAX(o->most_connections, sum);
+	}
+	for (i = 0; i < ENTRIES; i++)
+		for (k = 0; k < BW_C_COUNT; k++)
+			o->reasons[k] += s->entries[i].counters.value[k];
+}
+
+static outcome_t run(const char *site, policy_t policy, double load)
+{
+	char *table_path = g_strdup_printf("examples/%s/table.json", site);
+	char *workers_path = g_strdup_printf("examples/%s/workers.json", site);
+	bw_table_t *table = fleet_read_table(table_path);
+	bw_workers_t *workers = fleet_read_workers(workers_path);
+	sim_t s = { .policy = policy,
+		    .load = load,
+		    .table = table,
+		    .workers = workers };
+	outcome_t o = { 0 };
+
+	create_sim(&s);
+	while (s.heap->len > 0) {
+		event_t e = pop(&s);
+
+		s.now_us = e.at_us;
+		handle(&s, &e);
+	}
+	judge(&s, &o);
+	destroy_sim(&s);
+	bw_table_destroy(table);
+	bw_workers_destroy(workers);
+	g_free(table_path);
+	g_free(workers_path);
+	return o;
+}
+
+static void print_row(const char *site, double load, policy_t policy,
+		      const outcome_t *o)
+{
+	printf("%-8s %4.0f%%  %-16s %9.4f %9.4f %9.4f %8" PRIu64 " %6" PRIu64
+	       " %5u %5u %7.0f %8.0f\n",
+	       site, load * 100, policy_names[policy], o->in_time[0] * 100,
+	       o->in_time[1] * 100, o->goodput * 100, o->refused, o->late,
+	       o->most_slots, o->most_connections, (double)o->p99_us / 1e3,
+	       (double)o->messages / ENTRIES / ((double)RUN_US / 1e6));
+}
+
+/* Spare capacity, as a share of the mean demand, that keeps both classes. */
+static double buffer_needed(const char *site, policy_t policy)
+{
+	double low = 0.02;
+	double high = 1.2;
+	int i;
+
+	for (i = 0; i < 7; i++) {
+		double load = (low + high) / 2;
+		outcome_t o = run(site, policy, load);
+
+		if (o.in_time[BW_CLASS_URGENT] >= TARGET_IN_TIME &&
+		    o.in_time[BW_CLASS_DEFERRABLE] >= TARGET_IN_TIME)
+			low = load;
+		else
+			high = load;
+	}
+	return 1.0 / low - 1.0;
+}
+
+int main(void)
+{
+	static const char *const sites[] = { "herrera", "prairie" };
+	static const double loads[] = { 0.60, 0.80, 0.95 };
+	double in_time_80 = 1.0;
+	double ratio_95 = 1.0;
+	double buffer_ratio = 0.0;
+	uint64_t breaches = 0;
+	size_t i;
+	size_t k;
+	uint32_t m;
+	policy_t policy;
+
+	printf("%-8s %5s  %-16s %9s %9s %9s %8s %6s %5s %5s %7s %8s\n", "site",
+	       "load", "rule", "urgent%", "defer%", "goodput%", "refused",
+	       "late", "slots", "conns", "p99_ms", "msg/s");
+	for (i = 0; i < G_N_ELEMENTS(sites); i++) {
+		double own;
+		double place;
+
+		for (k = 0; k < G_N_ELEMENTS(loads); k++) {
+			outcome_t o[POLICY_COUNT];
+
+			for (policy = 0; policy < POLICY_COUNT; policy++) {
+				o[policy] = run(sites[i], policy, loads[k]);
+				print_row(sites[i], loads[k], policy,
+					  &o[policy]);
+			}
+			for (m = 0; m < BW_C_COUNT; m++)
+				if (o[POLICY_PLACE].reasons[m] > 0)
+					printf("    %s=%" PRIu64,
+					       bw_counter_name(m),
+					       o[POLICY_PLACE].reasons[m]);
+			printf("\n");
+			breaches += o[POLICY_PLACE].cap_breaches;
+			if (loads[k] == 0.80)
+				in_time_80 = MIN(in_time_80,
+						 o[POLICY_PLACE].in_time[0]);
+			if (loads[k] == 0.95)
+				ratio_95 = MIN(
+					ratio_95,
+					o[POLICY_PLACE].goodput /
+						o[POLICY_OMNISCIENT].goodput);
+		}
+		own = buffer_needed(sites[i], POLICY_OWN_POOL);
+		place = buffer_needed(sites[i], POLICY_PLACE);
+		printf("%-8s spare capacity for 99.9%% in time: own "
+		       "pool %.0f%%, place %.0f%%\n",
+		       sites[i], own * 100, place * 100);
+		buffer_ratio = MAX(buffer_ratio, place / own);
+	}
+	printf("in_time_80=%.4f goodput_ratio_95=%.4f buffer_ratio=%.3f "
+	       "cap_breaches=%" PRIu64 "\n",
+	       in_time_80 * 100, ratio_95, buffer_ratio, breaches);
+	return 0;
+}
--- a/src/place/internal.h
+++ b/src/place/internal.h
@@ -120,6 +120,7 @@
 	bool up;
 	bool all_owed;
 	GHashTable *owed; /**< Ids of workers over its share. */
+	bw_place_msg_t *returns; /**< Loans to give back to it, or NULL. */
 } peer_state_t;
 
 struct bw_place {
--- a/src/place/loan.c
+++ b/src/place/loan.c
@@ -3,9 +3,9 @@
 
 #define ASK_FANOUT	   2
 #define ASK_COUNT_MAX	   16
-#define ASK_BACKOFF_MIN_US 4000
-#define ASK_BACKOFF_MAX_US 64000
-#define IDLE_RETURN_US	   20000
+#define ASK_BACKOFF_MIN_US 20000
+#define ASK_BACKOFF_MAX_US 200000
+#define IDLE_RETURN_US	   100000
 
 static loan_t *find_loan(GArray *loans, uint64_t peer);
 static void add_loan(GArray **loans, uint64_t peer, uint32_t count,
@@ -14,8 +14,9 @@
 static uint32_t idle_borrowed(const place_worker_t *w);
 static void give_back(bw_place_t *p, uint32_t worker, int64_t now_us);
 static void return_expired(bw_place_t *p, uint32_t worker, int64_t now_us);
-static void send_return(bw_place_t *p, uint64_t peer, const place_worker_t *w,
-			uint32_t count);
+static void queue_return(bw_place_t *p, uint64_t peer, const place_worker_t *w,
+			 uint32_t count);
+static void flush_returns(bw_place_t *p, peer_state_t *state);
 static uint32_t lendable(const bw_place_t *p, const place_worker_t *w);
 static uint32_t collect(bw_place_t *p, uint32_t pool, uint64_t peer,
 			uint32_t count, bw_place_msg_t *msg);
@@ -325,14 +326,29 @@
 	}
 }
 
-static void send_return(bw_place_t *p, uint64_t peer, const place_worker_t *w,
-			uint32_t count)
+/* Collects the returns of a tick, so that a peer gets them in one message. */
+static void queue_return(bw_place_t *p, uint64_t peer, const place_worker_t *w,
+			 uint32_t count)
 {
-	bw_place_msg_t msg = { .type = BW_PMSG_RETURN, .loan_count = 1 };
+	peer_state_t *state = place_peer(p, peer);
 
-	msg.loans[0].worker = w->id;
-	msg.loans[0].count = count;
-	p->ops->send(p->ctx, peer, &msg);
+	if (!state->returns) {
+		state->returns = g_new0(bw_place_msg_t, 1);
+		state->returns->type = BW_PMSG_RETURN;
+	}
+	if (state->returns->loan_count == BW_LOANS_MAX)
+		flush_returns(p, state);
+	state->returns->loans[state->returns->loan_count].worker = w->id;
+	state->returns->loans[state->returns->loan_count].count = count;
+	state->returns->loan_count++;
+}
+
+static void flush_returns(bw_place_t *p, peer_state_t *state)
+{
+	if (!state->returns || state->returns->loan_count == 0)
+		return;
+	p->ops->send(p->ctx, state->id, state->returns);
+	state->returns->loan_count = 0;
 }
 
 static uint32_t idle_borrowed(const place_worker_t *w)
@@ -382,7 +398,7 @@
 			i++;
 			continue;
 		}
-		send_return(p, loan->peer, w, n);
+		queue_return(p, loan->peer, w, n);
 		loan->count -= n;
 		spare -= n;
 		if (loan->count == 0)
@@ -412,7 +428,7 @@
 			i++;
 			continue;
 		}
-		send_return(p, loan->peer, w, n);
+		queue_return(p, loan->peer, w, n);
 		loan->count -= n;
 		w->borrowed -= n;
 		idle -= n;
@@ -472,6 +488,8 @@
 		else
 			g_array_remove_index_fast(p->borrowing, i);
 	}
+	for (i = 0; i < p->peers->len; i++)
+		flush_returns(p, g_ptr_array_index(p->peers, i));
 	lapse_lent(p, now_us);
 }
 
@@ -502,6 +520,8 @@
 		}
 		place_refresh(p, i);
 	}
+	if (place_peer(p, peer)->returns)
+		place_peer(p, peer)->returns->loan_count = 0;
 	for (i = 0; i < p->pools->len; i++) {
 		GArray *wants = pool_at(p, i)->wants;
 		uint32_t k;
--- a/src/place/view.c
+++ b/src/place/view.c
@@ -31,6 +31,7 @@
 	peer_state_t *peer = data;
 
 	g_hash_table_destroy(peer->owed);
+	g_free(peer->returns);
 	g_free(peer);
 }
 
