Say not-run for a key only where no other entry can run it

They had reached an entry that was just started and had no table yet; it refused before it had looked whether the request was keyed, and a copy then ran through another entry.

Ruled out: double grants (no key ran twice), refusals after a grant (the owner keeps them), attempts counted as not sent (no byte had left).

Change: until its service is known, a request with an Idempotency-Key is taken for a non-repeatable one, so that a refusal without a grant says unknown. The load tool sends due copies before new requests; before, copies fell up to 20 s behind and 31% of answers were unknown because their keys were old by then.

Conclusion: the outcome now depends on the grant alone.

--- a/cmd/bramley-load.c
+++ b/cmd/bramley-load.c
@@ -16,6 +16,7 @@
 static int option_duration_ms;
 static int option_surge_ms = 2000;
 static int option_copies;
+static int option_pace;
 static int option_seed = 1;
 static gboolean option_open;
 static gboolean option_surges;
@@ -41,6 +42,8 @@
 	  "Length of a surge", "MS" },
 	{ "copies", 0, 0, G_OPTION_ARG_INT, &option_copies,
 	  "Send keyed POSTs, each up to this often", "N" },
+	{ "pace", 0, 0, G_OPTION_ARG_INT, &option_pace,
+	  "Most first requests per second", "N" },
 	{ "control", 0, 0, G_OPTION_ARG_STRING, &option_control,
 	  "Control address of the backend stand-in, to compare runs",
 	  "IP:PORT" },
@@ -86,6 +89,7 @@
 	c->surges = option_surges;
 	c->surge_ms = option_surge_ms;
 	c->copies = (uint32_t)option_copies;
+	c->pace = (uint32_t)option_pace;
 	c->seed = (uint32_t)option_seed;
 	return true;
 }
--- a/src/load/load.c
+++ b/src/load/load.c
@@ -18,7 +18,9 @@
 #define CLIENT_TIMEOUT_MS 30000L
 #define DEFAULT_WAIT_US	  5000000
 #define LATENCIES_MAX	  2000000
-#define COPY_DELAY_MS_MAX 60
+#define COPY_SOON_US	  60000
+#define COPY_LATE_US	  3000000
+#define COPY_LATE_SHARE	  0.2
 #define TARGET_DOWN_US	  500000
 
 /** What callers were told of one key. */
@@ -58,7 +60,7 @@
 	GPtrArray *idle;
 	GArray *latencies; /**< int64_t */
 	GHashTable *told; /**< Key to told_t. */
-	GQueue copies; /**< copy_t by due time, roughly. */
+	GSequence *copies; /**< copy_t by due time. */
 	GRand *rand;
 	double due[BW_LOAD_SERVICES_MAX]; /**< Next arrival, seconds. */
 	int64_t start_us;
@@ -83,6 +85,7 @@
 static double rate_at(const load_t *l, uint32_t service, double now_s);
 static bool finished(const load_t *l, int64_t now_us);
 static void fill_closed(load_t *l);
+static void send_copies(load_t *l, int64_t now_us);
 
 static size_t on_body(char *data, size_t size, size_t count, void *ctx)
 {
@@ -207,8 +210,11 @@
 	g_ptr_array_add(l->idle, easy);
 	g_free(f);
 	l->in_flight--;
-	if (!l->config->open_loop)
-		fill_closed(l);
+	if (l->config->open_loop)
+		return;
+	/* Copies go first, else they would fall ever further behind. */
+	send_copies(l, now_us);
+	fill_closed(l);
 }
 
 static void send_one(load_t *l, const bw_load_service_t *service,
@@ -258,6 +264,23 @@
 	l->result->class_sent[service->class]++;
 }
 
+/* Most copies follow at once, some after faults had time to happen. */
+static int64_t copy_delay(load_t *l)
+{
+	bool late = g_rand_double(l->rand) < COPY_LATE_SHARE;
+
+	return g_rand_int_range(l->rand, 0, late ? COPY_LATE_US : COPY_SOON_US);
+}
+
+static gint by_due(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const copy_t *x = a;
+	const copy_t *y = b;
+
+	(void)data;
+	return (x->due_us > y->due_us) - (x->due_us < y->due_us);
+}
+
 static void send_original(load_t *l, const bw_load_service_t *service)
 {
 	copy_t copy = { .service = service };
@@ -279,10 +302,8 @@
 	for (i = 0; i < copies; i++) {
 		copy_t *later = g_memdup2(&copy, sizeof(copy));
 
-		later->due_us =
-			g_get_monotonic_time() +
-			g_rand_int_range(l->rand, 0, COPY_DELAY_MS_MAX * 1000);
-		g_queue_push_tail(&l->copies, later);
+		later->due_us = g_get_monotonic_time() + copy_delay(l);
+		g_sequence_insert_sorted(l->copies, later, by_due, NULL);
 	}
 }
 
@@ -309,11 +330,20 @@
 	       now_us - l->start_us >= c->duration_ms * 1000;
 }
 
+static bool within_pace(const load_t *l, int64_t now_us)
+{
+	if (l->config->pace == 0)
+		return true;
+	return l->originals * 1000000 <=
+	       (uint64_t)(now_us - l->start_us) * l->config->pace;
+}
+
 static void fill_closed(load_t *l)
 {
 	int64_t now_us = g_get_monotonic_time();
 
-	while (l->in_flight < l->config->concurrency && !finished(l, now_us)) {
+	while (l->in_flight < l->config->concurrency && !finished(l, now_us) &&
+	       within_pace(l, now_us)) {
 		uint32_t s = (uint32_t)l->originals % l->config->service_count;
 
 		send_original(l, &l->config->services[s]);
@@ -341,17 +371,15 @@
 
 static void send_copies(load_t *l, int64_t now_us)
 {
-	guint left = g_queue_get_length(&l->copies);
-
-	while (left-- > 0) {
-		copy_t *copy = g_queue_pop_head(&l->copies);
+	while (!g_sequence_is_empty(l->copies) &&
+	       l->in_flight < l->config->concurrency) {
+		GSequenceIter *first = g_sequence_get_begin_iter(l->copies);
+		copy_t *copy = g_sequence_get(first);
 
-		if (copy->due_us > now_us) {
-			g_queue_push_tail(&l->copies, copy);
-			continue;
-		}
+		if (copy->due_us > now_us)
+			return;
 		send_one(l, copy->service, copy->key);
-		g_free(copy);
+		g_sequence_remove(first);
 	}
 }
 
@@ -367,7 +395,7 @@
 	else
 		fill_closed(l);
 	if (finished(l, now_us) && l->in_flight == 0 &&
-	    g_queue_is_empty(&l->copies))
+	    g_sequence_is_empty(l->copies))
 		ev_break(loop, EVBREAK_ALL);
 }
 
@@ -404,12 +432,13 @@
 	l.loop = ev_loop_new(0);
 	l.curl = bw_curlev_create(l.loop, on_done);
 	curl_multi_setopt(bw_curlev_multi(l.curl), CURLMOPT_MAXCONNECTS,
-			  (long)config->concurrency);
+			  (long)config->concurrency *
+				  (long)config->target_count);
 	l.idle = g_ptr_array_new_with_free_func(curl_easy_cleanup);
 	l.latencies = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	l.told = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	l.rand = g_rand_new_with_seed(config->seed);
-	g_queue_init(&l.copies);
+	l.copies = g_sequence_new(g_free);
 	l.start_us = g_get_monotonic_time();
 	ev_timer_init(&l.step, on_step, STEP_S, STEP_S);
 	l.step.data = &l;
@@ -420,6 +449,7 @@
 	if (last_told)
 		g_hash_table_destroy(last_told);
 	last_told = l.told;
+	g_sequence_free(l.copies);
 	g_array_free(l.latencies, TRUE);
 	g_ptr_array_free(l.idle, TRUE);
 	bw_curlev_destroy(l.curl);
--- a/src/load/load.h
+++ b/src/load/load.h
@@ -34,6 +34,7 @@
 	bool open_loop; /**< Sends at the services' rates. */
 	bool surges; /**< Services surge by turns to 5 times their mean. */
 	int64_t surge_ms; /**< Length of a surge. */
+	uint32_t pace; /**< Most first requests per second; 0 is no limit. */
 	uint32_t copies; /**< Most copies of a keyed POST; 0 sends GETs. */
 	uint32_t seed;
 } bw_load_config_t;
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -208,6 +208,8 @@
 	call->relay = r;
 	call->received_us = bw_now_us();
 	call->state = BW_CALL_PLACING;
+	/* Until its service is known, a request with a key counts as such. */
+	call->once = call->key_text != NULL;
 	if (!r->ready) {
 		relay_fail(r, call, 503, BW_C_REFUSED_NOT_READY, 1);
 		return;
