Refuse a kept connection that has unread bytes

Cause: a backend server that sends more than its answer's declared length, at once or later, left bytes on the kept connection, and the next request got them as its answer. test_answers, new here, showed it: expected "other", got "wrong", then failures of every later case on that worker. The check before a reused connection existed, but never found the socket: libcurl forgets which connection a transfer used once the transfer leaves the multi handle, and the socket was asked for after that.

Ruled out: libcurl closing such a connection itself (it does not when the bytes come late), and two transfers on one connection (pipelining is off).

Change: the driver calls a second function before it removes a transfer, and the upstream notes the socket there. Before each request on a kept connection a peek finds waiting bytes or a close, and a new connection is made instead.

Left: bytes that arrive between the peek and the answer can't be told from the answer; only a server that breaks HTTP within that time can cause it.

--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,7 @@
 $(BUILD)/%: $(BUILD)/cmd/%.o $(LIB)
 	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS)
 
-$(BUILD)/test/%: $(BUILD)/test/%.o $(LIB)
+$(BUILD)/test/test_%: $(BUILD)/test/test_%.o $(BUILD)/test/fixture.o $(LIB)
 	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS) -lcmocka
 
 $(BUILD)/bench/bench_%: $(BUILD)/bench/bench_%.o $(BUILD)/bench/fleet.o $(LIB)
--- a/src/load/load.c
+++ b/src/load/load.c
@@ -430,7 +430,7 @@
 	if (config->target_count == 0 || config->service_count == 0)
 		return bw_status_set(BW_EINVAL, "no target or no service");
 	l.loop = ev_loop_new(0);
-	l.curl = bw_curlev_create(l.loop, on_done);
+	l.curl = bw_curlev_create(l.loop, on_done, NULL);
 	curl_multi_setopt(bw_curlev_multi(l.curl), CURLMOPT_MAXCONNECTS,
 			  (long)config->concurrency *
 				  (long)config->target_count);
--- a/src/net/curlev.c
+++ b/src/net/curlev.c
@@ -7,6 +7,7 @@
 	struct ev_loop *loop;
 	CURLM *multi;
 	bw_curlev_done_fn done;
+	bw_curlev_ending_fn ending;
 	ev_timer timer;
 };
 
@@ -109,17 +110,21 @@
 		if (msg->msg != CURLMSG_DONE)
 			continue;
 		curl_easy_getinfo(easy, CURLINFO_PRIVATE, &ctx);
+		if (c->ending)
+			c->ending(ctx, easy, result);
 		curl_multi_remove_handle(c->multi, easy);
 		c->done(ctx, easy, result);
 	}
 }
 
-bw_curlev_t *bw_curlev_create(struct ev_loop *loop, bw_curlev_done_fn done)
+bw_curlev_t *bw_curlev_create(struct ev_loop *loop, bw_curlev_done_fn done,
+			      bw_curlev_ending_fn ending)
 {
 	bw_curlev_t *c = g_new0(bw_curlev_t, 1);
 
 	c->loop = loop;
 	c->done = done;
+	c->ending = ending;
 	c->multi = curl_multi_init();
 	ev_timer_init(&c->timer, on_timer, 0.0, 0.0);
 	c->timer.data = c;
--- a/src/net/curlev.h
+++ b/src/net/curlev.h
@@ -17,11 +17,16 @@
  */
 typedef void (*bw_curlev_done_fn)(void *ctx, CURL *easy, CURLcode result);
 
+/** Tells the end of a transfer while its connection is still known to it. */
+typedef void (*bw_curlev_ending_fn)(void *ctx, CURL *easy, CURLcode result);
+
 /**
  * Creates a driver.
  * @param done called at the end of each transfer
+ * @param ending called just before, or NULL
  */
-bw_curlev_t *bw_curlev_create(struct ev_loop *loop, bw_curlev_done_fn done);
+bw_curlev_t *bw_curlev_create(struct ev_loop *loop, bw_curlev_done_fn done,
+			      bw_curlev_ending_fn ending);
 
 /** Destroys a driver; its transfers must have been removed. */
 void bw_curlev_destroy(bw_curlev_t *c);
--- a/src/relay/upstream.c
+++ b/src/relay/upstream.c
@@ -48,6 +48,7 @@
 static int on_close_socket(void *ctx, curl_socket_t fd);
 static size_t on_header(char *data, size_t size, size_t count, void *ctx);
 static size_t on_data(char *data, size_t size, size_t count, void *ctx);
+static void on_ending(void *ctx, CURL *easy, CURLcode result);
 static void on_done(void *ctx, CURL *easy, CURLcode result);
 static bool take_status_line(bw_attempt_t *a, const char *line);
 static void take_header(bw_attempt_t *a, char *line);
@@ -263,6 +264,14 @@
 	g_free(a);
 }
 
+static void on_ending(void *ctx, CURL *easy, CURLcode result)
+{
+	bw_attempt_t *a = ctx;
+
+	if (result == CURLE_OK)
+		remember_connection(a->upstream, easy);
+}
+
 static void on_done(void *ctx, CURL *easy, CURLcode result)
 {
 	bw_attempt_t *a = ctx;
@@ -278,8 +287,6 @@
 		return;
 	}
 	verdict = classify(a, result);
-	if (verdict == BW_ATTEMPT_OK)
-		remember_connection(u, easy);
 	release(a);
 	u->ops->done(owner, verdict);
 }
@@ -332,7 +339,7 @@
 	bw_upstream_t *u = g_new0(bw_upstream_t, 1);
 	CURLM *multi;
 
-	u->curl = bw_curlev_create(loop, on_done);
+	u->curl = bw_curlev_create(loop, on_done, on_ending);
 	u->ops = ops;
 	u->counters = counters;
 	u->idle = g_ptr_array_new_with_free_func(curl_easy_cleanup);
--- a/src/store/etcd.c
+++ b/src/store/etcd.c
@@ -427,7 +427,7 @@
 	bw_store_t store = { .ops = &etcd_ops, .impl = e };
 	uint32_t i;
 
-	e->curl = bw_curlev_create(loop, on_done);
+	e->curl = bw_curlev_create(loop, on_done, NULL);
 	e->headers = curl_slist_append(NULL, "Content-Type: application/json");
 	e->headers = curl_slist_append(e->headers, "Expect:");
 	e->endpoints = g_ptr_array_new_with_free_func(g_free);
--- /dev/null
+++ b/test/fixture.c
@@ -0,0 +1,352 @@
+#include "fixture.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <curl/curl.h>
+
+#include "store/etcd.h"
+
+#define STORE_ADDRESS "127.0.5.100:2379"
+#define SERVER_IP     "127.0.5.50"
+#define SERVER_PORT   9000
+#define ENTRY_IP      "127.0.5.1"
+#define CALLERS_PORT  8080
+#define LATER_S	      0.05
+#define WATCHDOG_S    30.0
+
+static const char table_text[] =
+	"{\"version\":1,\"pools\":[{\"name\":\"a\"}],\"services\":"
+	"[{\"name\":\"s\",\"prefix\":\"/s/\",\"wait_ms\":20000}],"
+	"\"cells\":[{\"service\":\"s\",\"pool\":\"a\",\"weight\":10}]}";
+
+static const char workers_text[] =
+	"{\"workers\":[{\"name\":\"w\",\"address\":\"127.0.5.50:9000\","
+	"\"zone\":\"z\",\"pool\":\"a\"}]}";
+
+/** A connection of the scripted server. */
+typedef struct server {
+	fixture_t *fixture;
+	ev_io io;
+	ev_timer later;
+	int fd;
+	GString *in;
+	GString *out;
+	const script_t *script;
+	bool closing;
+} server_t;
+
+static void server_free(server_t *s)
+{
+	ev_io_stop(s->fixture->loop, &s->io);
+	ev_timer_stop(s->fixture->loop, &s->later);
+	close(s->fd);
+	g_string_free(s->in, TRUE);
+	g_string_free(s->out, TRUE);
+	g_ptr_array_remove(s->fixture->servers, s);
+	g_free(s);
+}
+
+static void server_watch(server_t *s)
+{
+	int events = EV_READ | (s->out->len > 0 ? EV_WRITE : 0);
+
+	ev_io_stop(s->fixture->loop, &s->io);
+	ev_io_set(&s->io, s->fd, events);
+	ev_io_start(s->fixture->loop, &s->io);
+}
+
+static void on_later(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	server_t *s = timer->data;
+
+	(void)loop;
+	(void)revents;
+	g_string_append(s->out, s->script->later);
+	server_watch(s);
+}
+
+/* Length of the first request in the buffer, or 0 when it is not whole. */
+static size_t request_length(const GString *in)
+{
+	const char *end = strstr(in->str, "\r\n\r\n");
+	const char *length = strstr(in->str, "Content-Length: ");
+	size_t bytes;
+
+	if (!end)
+		return 0;
+	bytes = (size_t)(end - in->str) + 4;
+	if (length && length < end)
+		bytes += strtoul(length + strlen("Content-Length: "), NULL, 10);
+	return in->len >= bytes ? bytes : 0;
+}
+
+static void server_answer(server_t *s)
+{
+	fixture_t *f = s->fixture;
+	size_t length = request_length(s->in);
+	char *line;
+	size_t i;
+
+	if (length == 0)
+		return;
+	f->requests++;
+	line = g_strndup(s->in->str, strcspn(s->in->str, "\r"));
+	s->script = NULL;
+	for (i = 0; i < f->script_count && !s->script; i++)
+		if (strstr(line, f->scripts[i].path))
+			s->script = &f->scripts[i];
+	g_free(line);
+	g_string_erase(s->in, 0, (gssize)length);
+	s->closing = !s->script || !s->script->answer || s->script->close_after;
+	if (s->script && s->script->answer)
+		g_string_append_len(
+			s->out, s->script->answer,
+			s->script->answer_bytes > 0
+				? (gssize)s->script->answer_bytes
+				: (gssize)strlen(s->script->answer));
+	if (s->script && s->script->later) {
+		ev_timer_set(&s->later, LATER_S, 0.0);
+		ev_timer_start(f->loop, &s->later);
+	}
+}
+
+static void on_server(struct ev_loop *loop, ev_io *io, int revents)
+{
+	server_t *s = io->data;
+	char buffer[65536];
+	ssize_t n;
+
+	(void)loop;
+	if (revents & EV_READ) {
+		n = recv(s->fd, buffer, sizeof(buffer), 0);
+		if (n == 0 || (n < 0 && errno != EAGAIN)) {
+			server_free(s);
+			return;
+		}
+		if (n > 0)
+			g_string_append_len(s->in, buffer, n);
+		server_answer(s);
+	}
+	if (s->out->len > 0) {
+		n = send(s->fd, s->out->str, s->out->len, MSG_NOSIGNAL);
+		if (n > 0)
+			g_string_erase(s->out, 0, n);
+	}
+	if (s->closing && s->out->len == 0) {
+		server_free(s);
+		return;
+	}
+	server_watch(s);
+}
+
+static void on_accept(struct ev_loop *loop, ev_io *io, int revents)
+{
+	fixture_t *f = io->data;
+	server_t *s;
+	int fd = accept4(f->listen_fd, NULL, NULL, SOCK_NONBLOCK);
+
+	(void)revents;
+	if (fd < 0)
+		return;
+	s = g_new0(server_t, 1);
+	s->fixture = f;
+	s->fd = fd;
+	s->in = g_string_new(NULL);
+	s->out = g_string_new(NULL);
+	ev_io_init(&s->io, on_server, fd, EV_READ);
+	ev_timer_init(&s->later, on_later, 0.0, 0.0);
+	s->io.data = s;
+	s->later.data = s;
+	ev_io_start(loop, &s->io);
+	g_ptr_array_add(f->servers, s);
+}
+
+static struct sockaddr_in address_of(const char *ip, uint16_t port)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons(port) };
+
+	inet_pton(AF_INET, ip, &address.sin_addr);
+	return address;
+}
+
+static void listen_server(fixture_t *f)
+{
+	struct sockaddr_in address = address_of(SERVER_IP, SERVER_PORT);
+	int one = 1;
+
+	f->listen_fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	setsockopt(f->listen_fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(f->listen_fd, (struct sockaddr *)&address, sizeof(address)) <
+		    0 ||
+	    listen(f->listen_fd, 64) < 0)
+		abort();
+	ev_io_init(&f->accept, on_accept, f->listen_fd, EV_READ);
+	f->accept.data = f;
+	ev_io_start(f->loop, &f->accept);
+}
+
+static void on_break(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	(void)timer;
+	(void)revents;
+	ev_break(loop, EVBREAK_ALL);
+}
+
+void fixture_run(fixture_t *f, double seconds)
+{
+	ev_timer timer;
+
+	ev_timer_init(&timer, on_break, seconds, 0.0);
+	ev_timer_start(f->loop, &timer);
+	ev_run(f->loop, 0);
+	ev_timer_stop(f->loop, &timer);
+}
+
+static void on_put(void *ctx, const bw_store_reply_t *reply)
+{
+	if (reply->status != BW_OK || !reply->succeeded)
+		abort();
+	ev_break(((fixture_t *)ctx)->loop, EVBREAK_ALL);
+}
+
+static void put(fixture_t *f, const char *key, const char *text)
+{
+	static const char *const endpoints[] = { "http://" STORE_ADDRESS };
+	bw_etcd_config_t config = { .endpoints = endpoints,
+				    .endpoint_count = 1,
+				    .timeout_ms = 5000 };
+	bw_counters_t counters = { { 0 } };
+	bw_store_t store = bw_etcd_create(f->loop, &config, &counters);
+	bw_store_cas_t cas = { .key = key,
+			       .value = text,
+			       .bytes = strlen(text) };
+
+	store.ops->cas(store.impl, &cas, on_put, f);
+	ev_run(f->loop, 0);
+	store.ops->destroy(store.impl);
+}
+
+fixture_t *fixture_create(const script_t *scripts, size_t count,
+			  bool with_table)
+{
+	fixture_t *f = g_new0(fixture_t, 1);
+	bw_findings_t *findings = bw_findings_create("test");
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	f->loop = ev_default_loop(0);
+	f->scripts = scripts;
+	f->script_count = count;
+	f->servers = g_ptr_array_new();
+	listen_server(f);
+	if (bw_standin_kv_create(f->loop, STORE_ADDRESS, &f->kv) != BW_OK)
+		abort();
+	if (with_table) {
+		put(f, "/test/table", table_text);
+		put(f, "/test/workers", workers_text);
+	}
+	if (bw_settings_read("test/entry.toml", &f->settings, findings) !=
+		    BW_OK ||
+	    bw_node_create(f->loop, &f->settings, &f->node) != BW_OK) {
+		bw_findings_print(findings, stderr);
+		abort();
+	}
+	bw_findings_destroy(findings);
+	/* Registration, the first view and the settle time. */
+	fixture_run(f, with_table ? 1.6 : 0.3);
+	return f;
+}
+
+void fixture_destroy(fixture_t *f)
+{
+	bw_node_destroy(f->node);
+	bw_standin_kv_destroy(f->kv);
+	ev_io_stop(f->loop, &f->accept);
+	close(f->listen_fd);
+	while (f->servers->len > 0)
+		server_free(g_ptr_array_index(f->servers, 0));
+	g_ptr_array_free(f->servers, TRUE);
+	bw_settings_clear(&f->settings);
+	ev_loop_destroy(f->loop);
+	g_free(f);
+}
+
+/** A caller's connection. */
+typedef struct caller {
+	struct ev_loop *loop;
+	ev_io io;
+	int fd;
+	const char *out;
+	size_t left;
+	GString *in;
+} caller_t;
+
+static void on_caller(struct ev_loop *loop, ev_io *io, int revents)
+{
+	caller_t *c = io->data;
+	char buffer[65536];
+	ssize_t n;
+
+	if ((revents & EV_WRITE) && c->left > 0) {
+		n = send(c->fd, c->out, c->left, MSG_NOSIGNAL);
+		if (n > 0) {
+			c->out += n;
+			c->left -= (size_t)n;
+		}
+		if (c->left == 0) {
+			ev_io_stop(loop, io);
+			ev_io_set(io, c->fd, EV_READ);
+			ev_io_start(loop, io);
+		}
+	}
+	if (!(revents & EV_READ))
+		return;
+	n = recv(c->fd, buffer, sizeof(buffer), 0);
+	if (n > 0)
+		g_string_append_len(c->in, buffer, n);
+	else if (n == 0 || errno != EAGAIN)
+		ev_break(loop, EVBREAK_ALL);
+}
+
+GString *fixture_exchange(fixture_t *f, const char *request, size_t bytes)
+{
+	struct sockaddr_in address = address_of(ENTRY_IP, CALLERS_PORT);
+	caller_t c = { .loop = f->loop,
+		       .out = request,
+		       .left = bytes,
+		       .in = g_string_new(NULL) };
+
+	c.fd = socket(AF_INET, SOCK_STREAM, 0);
+	if (connect(c.fd, (struct sockaddr *)&address, sizeof(address)) < 0)
+		abort();
+	fcntl(c.fd, F_SETFL, O_NONBLOCK);
+	ev_io_init(&c.io, on_caller, c.fd, EV_READ | EV_WRITE);
+	c.io.data = &c;
+	ev_io_start(f->loop, &c.io);
+	fixture_run(f, WATCHDOG_S);
+	ev_io_stop(f->loop, &c.io);
+	close(c.fd);
+	/* Lets the entry see the connection close. */
+	fixture_run(f, 0.01);
+	return c.in;
+}
+
+int answer_status(const GString *answer)
+{
+	if (!g_str_has_prefix(answer->str, "HTTP/1.1 "))
+		return 0;
+	return atoi(answer->str + strlen("HTTP/1.1 "));
+}
+
+const char *answer_body(const GString *answer)
+{
+	const char *end = strstr(answer->str, "\r\n\r\n");
+
+	return end ? end + 4 : "";
+}
