Divide a cell's limit like slots, and void shares after a pause

Reading the trace showed a second gap: an entry paused past its lease could start requests on shares that others had taken, until it heard of the new view.

Change: a limit's parts fall at once and rise only when every member has acknowledged the view and owes nothing, as slots do. After a gap of five heartbeats between two calls an entry counts its shares as void and asks all members for their view; only answers with its own view give them back. The test for this failed first: an answer with a newer view was taken as good.

--- a/src/conf/settings.h
+++ b/src/conf/settings.h
@@ -62,13 +62,4 @@
 /** Releases the strings of settings. */
 void bw_settings_clear(bw_settings_t *s);
 
-/**
- * Splits "ip:port".
- * @param address text such as "127.0.0.1:8080"
- * @param ip receives the IP, at least 46 bytes
- * @param port receives the port, 1 to 65535
- * @return BW_OK or BW_EINVAL
- */
-bw_status_t bw_address_split(const char *address, char ip[46], uint16_t *port);
-
 #endif
--- a/src/net/mhdev.c
+++ b/src/net/mhdev.c
@@ -6,7 +6,7 @@
 #include <ev.h>
 #include <glib.h>
 
-#include "conf/settings.h"
+#include "base/address.h"
 
 struct bw_mhdev {
 	struct ev_loop *loop;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -277,6 +277,7 @@
 		.loan_ttl_us = LOAN_TTL_US,
 		.run_max_us = RUN_MAX_US,
 		.settle_us = SETTLE_US,
+		.stall_us = beat_us * SILENT_HEARTBEATS,
 		.seed = g_random_int(),
 		.lending = true,
 	};
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -14,7 +14,7 @@
 #define BW_LOG_PART "peer"
 #include "base/log.h"
 
-#include "conf/settings.h"
+#include "base/address.h"
 #include "place/share.h"
 
 #define LISTEN_BACKLOG 128
--- a/src/place/configure.c
+++ b/src/place/configure.c
@@ -109,8 +109,11 @@
 		for (k = 0; k < old->len; k++) {
 			const route_t *before = &g_array_index(old, route_t, k);
 
-			if (before->pool == route.pool)
-				route.running = before->running;
+			if (before->pool != route.pool)
+				continue;
+			route.running = before->running;
+			route.limit_share = before->limit_share;
+			route.was_owed = before->was_owed;
 		}
 		/* A route with running requests stays known until they end. */
 		if (route.weight == 0 && route.spill == 0 && route.running == 0)
@@ -248,6 +251,6 @@
 	configure_workers(p, workers);
 	forget_unused(p);
 	place_divide(p, now_us);
-	place_send_ack(p, 0);
+	place_send_ack(p, 0, false);
 	place_dispatch_all(p, now_us);
 }
--- a/src/place/internal.h
+++ b/src/place/internal.h
@@ -61,7 +61,9 @@
 	uint32_t weight;
 	uint32_t spill;
 	uint32_t limit; /**< Of the whole site; 0 is none. */
-	uint32_t limit_share; /**< This entry's part. */
+	uint32_t limit_share; /**< This entry's part that may be used now. */
+	uint32_t limit_target; /**< This entry's part under the view. */
+	bool was_owed; /**< Reported over its part in the last ACK. */
 	uint32_t running;
 } route_t;
 
@@ -145,6 +147,7 @@
 	bool owing; /**< The last ACK named workers over their share. */
 	uint32_t waiting;
 	int64_t last_prune_us;
+	int64_t last_us; /**< Time of the last call. */
 };
 
 static inline place_worker_t *worker_at(const bw_place_t *p, uint32_t i)
@@ -263,8 +266,18 @@
 /** Raises shares to their targets where this is allowed by now. */
 void place_raise_shares(bw_place_t *p, int64_t now_us);
 
-/** Tells peers the view in use and the workers over their share. */
-void place_send_ack(bw_place_t *p, uint64_t peer);
+/**
+ * Tells the view in use and the workers over their share.
+ * @param peer the receiver, or 0 for all
+ * @param ask whether the receivers answer with their own
+ */
+void place_send_ack(bw_place_t *p, uint64_t peer, bool ask);
+
+/**
+ * Notes the time. After a pause in which others may have taken this entry for
+ * lost, its shares are void until every member has answered again.
+ */
+void place_note_time(bw_place_t *p, int64_t now_us);
 
 /** Tells peers again when workers came down to their share. */
 void place_settle_debts(bw_place_t *p);
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -218,6 +218,7 @@
 {
 	place_service_t *s;
 
+	place_note_time(p, now_us);
 	if (r->service >= p->services->len ||
 	    !service_at(p, r->service)->present) {
 		place_refuse(p, r, BW_REFUSE_NO_SERVICE, 0);
@@ -359,6 +360,7 @@
 	place_worker_t *w = worker_at(p, worker);
 	route_t *route = place_route(s, r->pool);
 
+	place_note_time(p, now_us);
 	note_result(p, r, result, now_us);
 	if (route && route->running > 0)
 		route->running--;
@@ -412,6 +414,7 @@
 		[BW_PMSG_ACK] = place_take_ack,
 	};
 
+	place_note_time(p, now_us);
 	if (msg->type < BW_PMSG_TYPE_COUNT)
 		handlers[msg->type](p, peer, msg, now_us);
 }
@@ -427,7 +430,7 @@
 	(void)now_us;
 	place_peer(p, peer)->up = true;
 	if (p->epoch > 0)
-		place_send_ack(p, peer);
+		place_send_ack(p, peer, false);
 }
 
 static void tick_ejected(bw_place_t *p, int64_t now_us)
@@ -455,6 +458,7 @@
 
 void bw_place_tick(bw_place_t *p, int64_t now_us)
 {
+	place_note_time(p, now_us);
 	place_loan_tick(p, now_us);
 	tick_ejected(p, now_us);
 	place_raise_shares(p, now_us);
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -72,6 +72,7 @@
 	uint32_t count; /**< WANT: slots asked for. */
 	uint32_t rank; /**< WANT: rank of the waiting work, 0 is first. */
 	bool all; /**< ACK: every worker may be over its share. */
+	bool ask; /**< ACK: the receiver answers with its own. */
 	uint32_t loan_count;
 	bw_loan_t loans[BW_LOANS_MAX]; /**< ACK: workers over their share. */
 } bw_place_msg_t;
@@ -93,6 +94,7 @@
 	int64_t loan_ttl_us; /**< Time in which a lent slot may be used. */
 	int64_t run_max_us; /**< Longest request on a lent slot. */
 	int64_t settle_us; /**< Wait before taking a lost entry's slots. */
+	int64_t stall_us; /**< A pause after which others may have acted. */
 	uint32_t seed;
 	bool lending; /**< Whether slots are lent at all. */
 } bw_place_config_t;
--- a/src/place/view.c
+++ b/src/place/view.c
@@ -2,8 +2,12 @@
 #include "place/internal.h"
 
 static bool over_target(const place_worker_t *w);
-static bool raise_allowed(const bw_place_t *p, const place_worker_t *w,
-			  int64_t now_us);
+static bool raise_allowed(const bw_place_t *p, uint64_t object);
+static bool raise_limits(bw_place_t *p);
+static void add_debt(bw_place_msg_t *msg, uint64_t object);
+static bool debts_shrank(const bw_place_t *p);
+static uint64_t cell_id(const bw_place_t *p, const place_service_t *s,
+			const route_t *route);
 static bool all_acknowledged(const bw_place_t *p);
 static bool is_member(const GArray *members, uint64_t id);
 static void divide_limits(bw_place_t *p);
@@ -45,6 +49,13 @@
 	return false;
 }
 
+/* Identifies a table cell where its limit is divided or owed. */
+static uint64_t cell_id(const bw_place_t *p, const place_service_t *s,
+			const route_t *route)
+{
+	return s->id ^ pool_at(p, route->pool)->id;
+}
+
 static void divide_limits(bw_place_t *p)
 {
 	const uint64_t *members = (const uint64_t *)p->members->data;
@@ -56,11 +67,14 @@
 
 		for (k = 0; k < s->routes->len; k++) {
 			route_t *route = &g_array_index(s->routes, route_t, k);
-			uint64_t object = s->id ^ pool_at(p, route->pool)->id;
 
+			route->limit_target = bw_share(
+				cell_id(p, s, route), route->limit, members,
+				p->members->len, p->config.self);
 			route->limit_share =
-				bw_share(object, route->limit, members,
-					 p->members->len, p->config.self);
+				MIN(route->limit_share, route->limit_target);
+			if (route->limit_share < route->limit_target)
+				p->rising = true;
 		}
 	}
 }
@@ -110,7 +124,7 @@
 	p->members = next;
 	p->epoch = epoch;
 	place_divide(p, now_us);
-	place_send_ack(p, 0);
+	place_send_ack(p, 0, false);
 	place_dispatch_all(p, now_us);
 }
 
@@ -138,7 +152,7 @@
 				g_ptr_array_index(p->peers, k);
 
 			acknowledged =
-				peer->id == id && peer->epoch >= p->epoch;
+				peer->id == id && peer->epoch == p->epoch;
 		}
 		if (!acknowledged)
 			return false;
@@ -146,37 +160,60 @@
 	return true;
 }
 
-static bool raise_allowed(const bw_place_t *p, const place_worker_t *w,
-			  int64_t now_us)
+static bool raise_allowed(const bw_place_t *p, uint64_t object)
 {
 	uint32_t i;
 
-	if (now_us < p->settle_until_us)
-		return false;
 	for (i = 0; i < p->peers->len; i++) {
 		const peer_state_t *peer = g_ptr_array_index(p->peers, i);
 
 		if (!is_member(p->members, peer->id))
 			continue;
-		if (peer->all_owed || g_hash_table_contains(peer->owed, &w->id))
+		if (peer->all_owed ||
+		    g_hash_table_contains(peer->owed, &object))
 			return false;
 	}
 	return true;
 }
 
-void place_raise_shares(bw_place_t *p, int64_t now_us)
+/* @return whether some limit stays below its target */
+static bool raise_limits(bw_place_t *p)
 {
 	bool left = false;
 	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < p->services->len; i++) {
+		place_service_t *s = service_at(p, i);
+
+		for (k = 0; k < s->routes->len; k++) {
+			route_t *route = &g_array_index(s->routes, route_t, k);
+
+			if (route->limit_share >= route->limit_target)
+				continue;
+			if (raise_allowed(p, cell_id(p, s, route)))
+				route->limit_share = route->limit_target;
+			else
+				left = true;
+		}
+	}
+	return left;
+}
+
+void place_raise_shares(bw_place_t *p, int64_t now_us)
+{
+	bool left;
+	uint32_t i;
 
 	if (!p->rising || now_us < p->settle_until_us || !all_acknowledged(p))
 		return;
+	left = raise_limits(p);
 	for (i = 0; i < p->workers->len; i++) {
 		place_worker_t *w = worker_at(p, i);
 
 		if (!w || w->share >= w->target)
 			continue;
-		if (!raise_allowed(p, w, now_us)) {
+		if (!raise_allowed(p, w->id)) {
 			left = true;
 			continue;
 		}
@@ -187,10 +224,29 @@
 	place_dispatch_all(p, now_us);
 }
 
-void place_send_ack(bw_place_t *p, uint64_t peer)
+static bool over_limit(const route_t *route)
 {
-	bw_place_msg_t msg = { .type = BW_PMSG_ACK, .epoch = p->epoch };
+	return route->limit > 0 && route->running > route->limit_target;
+}
+
+static void add_debt(bw_place_msg_t *msg, uint64_t object)
+{
+	if (msg->loan_count == BW_LOANS_MAX) {
+		msg->all = true;
+		return;
+	}
+	msg->loans[msg->loan_count].worker = object;
+	msg->loans[msg->loan_count].count = 1;
+	msg->loan_count++;
+}
+
+void place_send_ack(bw_place_t *p, uint64_t peer, bool ask)
+{
+	bw_place_msg_t msg = { .type = BW_PMSG_ACK,
+			       .epoch = p->epoch,
+			       .ask = ask };
 	uint32_t i;
+	uint32_t k;
 
 	p->owing = false;
 	for (i = 0; i < p->workers->len; i++) {
@@ -199,17 +255,21 @@
 		if (!w)
 			continue;
 		w->was_owed = over_target(w);
-		if (!w->was_owed)
-			continue;
-		p->owing = true;
-		if (msg.loan_count == BW_LOANS_MAX) {
-			msg.all = true;
-			continue;
+		if (w->was_owed)
+			add_debt(&msg, w->id);
+	}
+	for (i = 0; i < p->services->len; i++) {
+		place_service_t *s = service_at(p, i);
+
+		for (k = 0; k < s->routes->len; k++) {
+			route_t *route = &g_array_index(s->routes, route_t, k);
+
+			route->was_owed = over_limit(route);
+			if (route->was_owed)
+				add_debt(&msg, cell_id(p, s, route));
 		}
-		msg.loans[msg.loan_count].worker = w->id;
-		msg.loans[msg.loan_count].count = 1;
-		msg.loan_count++;
 	}
+	p->owing = msg.loan_count > 0;
 	if (peer != 0) {
 		p->ops->send(p->ctx, peer, &msg);
 		return;
@@ -222,20 +282,35 @@
 	}
 }
 
-void place_settle_debts(bw_place_t *p)
+static bool debts_shrank(const bw_place_t *p)
 {
 	uint32_t i;
+	uint32_t k;
 
-	if (!p->owing)
-		return;
 	for (i = 0; i < p->workers->len; i++) {
 		const place_worker_t *w = worker_at(p, i);
 
-		if (w && w->was_owed && !over_target(w)) {
-			place_send_ack(p, 0);
-			return;
+		if (w && w->was_owed && !over_target(w))
+			return true;
+	}
+	for (i = 0; i < p->services->len; i++) {
+		const place_service_t *s = service_at(p, i);
+
+		for (k = 0; k < s->routes->len; k++) {
+			const route_t *route =
+				&g_array_index(s->routes, route_t, k);
+
+			if (route->was_owed && !over_limit(route))
+				return true;
 		}
 	}
+	return false;
+}
+
+void place_settle_debts(bw_place_t *p)
+{
+	if (p->owing && debts_shrank(p))
+		place_send_ack(p, 0, false);
 }
 
 void place_take_ack(bw_place_t *p, uint64_t peer, const bw_place_msg_t *msg,
@@ -244,6 +319,8 @@
 	peer_state_t *state = place_peer(p, peer);
 	uint32_t i;
 
+	if (msg->ask)
+		place_send_ack(p, peer, false);
 	if (msg->epoch < state->epoch)
 		return;
 	state->epoch = msg->epoch;
@@ -257,3 +334,37 @@
 	}
 	place_raise_shares(p, now_us);
 }
+
+void place_note_time(bw_place_t *p, int64_t now_us)
+{
+	int64_t before_us = p->last_us;
+	uint32_t i;
+	uint32_t k;
+
+	p->last_us = now_us;
+	if (p->epoch == 0 || before_us == 0 || p->config.stall_us == 0)
+		return;
+	if (now_us - before_us < p->config.stall_us)
+		return;
+	for (i = 0; i < p->peers->len; i++) {
+		peer_state_t *peer = g_ptr_array_index(p->peers, i);
+
+		peer->epoch = 0;
+	}
+	for (i = 0; i < p->workers->len; i++) {
+		place_worker_t *w = worker_at(p, i);
+
+		if (!w)
+			continue;
+		w->share = 0;
+		place_refresh(p, i);
+	}
+	for (i = 0; i < p->services->len; i++) {
+		place_service_t *s = service_at(p, i);
+
+		for (k = 0; k < s->routes->len; k++)
+			g_array_index(s->routes, route_t, k).limit_share = 0;
+	}
+	p->rising = true;
+	place_send_ack(p, 0, true);
+}
--- a/src/table/json.c
+++ b/src/table/json.c
@@ -9,7 +9,7 @@
 #include <glib.h>
 #include <jansson.h>
 
-#include "conf/settings.h"
+#include "base/address.h"
 
 #define WAIT_MS_MAX	  86400000
 #define QUEUE_DEFAULT	  1000
--- a/src/wire/bramley.pb-c.c
+++ b/src/wire/bramley.pb-c.c
@@ -572,7 +572,7 @@
   (ProtobufCMessageInit) bramley__loan__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__place__field_descriptors[8] =
+static const ProtobufCFieldDescriptor bramley__place__field_descriptors[9] =
 {
   {
     "type",
@@ -670,9 +670,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ask",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__Place, ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__place__field_indices_by_name[] = {
   6,   /* field[6] = all */
+  8,   /* field[8] = ask */
   4,   /* field[4] = count */
   2,   /* field[2] = epoch */
   7,   /* field[7] = loans */
@@ -684,7 +697,7 @@
 static const ProtobufCIntRange bramley__place__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor bramley__place__descriptor =
 {
@@ -694,7 +707,7 @@
   "Bramley__Place",
   "bramley",
   sizeof(Bramley__Place),
-  8,
+  9,
   bramley__place__field_descriptors,
   bramley__place__field_indices_by_name,
   1,  bramley__place__number_ranges,
--- a/src/wire/bramley.pb-c.h
+++ b/src/wire/bramley.pb-c.h
@@ -104,10 +104,11 @@
   protobuf_c_boolean all;
   size_t n_loans;
   Bramley__Loan **loans;
+  protobuf_c_boolean ask;
 };
 #define BRAMLEY__PLACE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__place__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
--- a/test/test_place.c
+++ b/test/test_place.c
@@ -93,6 +93,9 @@
 	g_string_free(text, TRUE);
 }
 
+/* Most tests jump over minutes, which is no pause of the entry. */
+static int64_t probe_stall_us;
+
 static probe_t *make_probe(const char *states)
 {
 	probe_t *p = g_new0(probe_t, 1);
@@ -101,6 +104,7 @@
 				     .zone = "z0",
 				     .loan_ttl_us = SECOND_US / 2,
 				     .run_max_us = 10 * SECOND_US,
+				     .stall_us = probe_stall_us,
 				     .seed = 1,
 				     .lending = true };
 	uint32_t i;
@@ -307,6 +311,42 @@
 	free_probe(p);
 }
 
+/* An entry that was paused may have been taken for lost by the others. */
+static void test_pause_voids_shares(void **state)
+{
+	uint64_t members[2] = { bw_name_id("e1"), bw_name_id("e2") };
+	bw_place_msg_t ack = { .type = BW_PMSG_ACK, .epoch = 2 };
+	int64_t woken_us = 5 * SECOND_US;
+	probe_t *p;
+
+	(void)state;
+	probe_stall_us = SECOND_US;
+	p = make_probe("aaaa");
+	bw_place_set_view(p->place, 2, members, 2, 10);
+	bw_place_receive(p->place, members[1], &ack, 20);
+	submit(p, 0, "s", 30, 9 * SECOND_US);
+	assert_true(p->started[0]);
+	submit(p, 1, "s", woken_us, 9 * SECOND_US);
+	assert_false(p->started[1]);
+	assert_true(p->sent[(p->sent_count - 1) % 64].type == BW_PMSG_ACK ||
+		    p->sent[(p->sent_count - 2) % 64].ask);
+	/* A member with another view does not give the shares back. */
+	ack.epoch = 3;
+	bw_place_receive(p->place, members[1], &ack, woken_us + 10);
+	assert_false(p->started[1]);
+	free_probe(p);
+	p = make_probe("aaaa");
+	ack.epoch = 2;
+	bw_place_set_view(p->place, 2, members, 2, 10);
+	bw_place_receive(p->place, members[1], &ack, 20);
+	submit(p, 1, "s", woken_us, 9 * SECOND_US);
+	assert_false(p->started[1]);
+	bw_place_receive(p->place, members[1], &ack, woken_us + 10);
+	assert_true(p->started[1]);
+	free_probe(p);
+	probe_stall_us = 0;
+}
+
 static void test_shares_sum(void **state)
 {
 	uint64_t members[40];
@@ -426,6 +466,7 @@
 		cmocka_unit_test(test_failing_worker_is_left_out),
 		cmocka_unit_test(test_retry_avoids_the_worker),
 		cmocka_unit_test(test_removed_service_refuses_its_queue),
+		cmocka_unit_test(test_pause_voids_shares),
 		cmocka_unit_test(test_shares_sum),
 		cmocka_unit_test(test_retry_table),
 		cmocka_unit_test(test_retry_budget_share),
