--- a/src/standin/kv.c
+++ b/src/standin/kv.c
@@ -566,6 +566,7 @@
 	delayed_t *d = user;
 
 	ev_timer_stop(d->kv->loop, &d->timer);
+	g_ptr_array_remove_fast(d->kv->delays, d);
 	free(d->text);
 	g_free(d);
 }
@@ -579,6 +580,7 @@
 	d->connection = r->connection;
 	d->text = text;
 	r->user = d;
+	g_ptr_array_add(kv->delays, d);
 	r->user_free = free_delay;
 	ev_timer_init(&d->timer, on_delay, (double)kv->slow_ms / 1000.0, 0.0);
 	d->timer.data = d;
@@ -705,6 +707,7 @@
 	kv->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					   g_free);
 	kv->watchers = g_ptr_array_new();
+	kv->delays = g_ptr_array_new();
 	status = bw_simplehttp_create(loop, &config, on_request, kv, &kv->http);
 	if (status != BW_OK) {
 		bw_standin_kv_destroy(kv);
@@ -727,6 +730,13 @@
 		w->broken = true;
 	}
 	wake_watchers(kv);
+	/* The server library refuses to stop with suspended connections. */
+	for (i = 0; i < kv->delays->len; i++) {
+		delayed_t *d = g_ptr_array_index(kv->delays, i);
+
+		if (!d->due)
+			bw_simple_resume(kv->http, d->connection);
+	}
 	if (kv->http)
 		bw_simplehttp_destroy(kv->http);
 	ev_timer_stop(kv->loop, &kv->expiry);
@@ -734,5 +744,6 @@
 	g_ptr_array_free(kv->history, TRUE);
 	g_hash_table_destroy(kv->leases);
 	g_ptr_array_free(kv->watchers, TRUE);
+	g_ptr_array_free(kv->delays, TRUE);
 	g_free(kv);
 }
--- a/test/fixture.c
+++ b/test/fixture.c
@@ -96,6 +96,9 @@
 	if (length == 0)
 		return;
 	f->requests++;
+	if (f->stop_after_request)
+		bw_node_stop(f->node);
+	f->stop_after_request = false;
 	line = g_strndup(s->in->str, strcspn(s->in->str, "\r"));
 	s->script = NULL;
 	for (i = 0; i < f->script_count && !s->script; i++)
@@ -285,6 +288,7 @@
 	const char *out;
 	size_t left;
 	GString *in;
+	bool closed;
 } caller_t;
 
 static void on_caller(struct ev_loop *loop, ev_io *io, int revents)
@@ -310,8 +314,10 @@
 	n = recv(c->fd, buffer, sizeof(buffer), 0);
 	if (n > 0)
 		g_string_append_len(c->in, buffer, n);
-	else if (n == 0 || errno != EAGAIN)
+	else if (n == 0 || errno != EAGAIN) {
+		c->closed = true;
 		ev_break(loop, EVBREAK_ALL);
+	}
 }
 
 GString *fixture_exchange(fixture_t *f, const char *request, size_t bytes)
@@ -334,7 +340,10 @@
 	close(c.fd);
 	/* Lets the entry see the connection close. */
 	fixture_run(f, 0.01);
-	return c.in;
+	if (c.closed)
+		return c.in;
+	g_string_free(c.in, TRUE);
+	return NULL;
 }
 
 int answer_status(const GString *answer)
--- a/test/fixture.h
+++ b/test/fixture.h
@@ -32,6 +32,7 @@
 	int listen_fd;
 	ev_io accept;
 	GPtrArray *servers;
+	bool stop_after_request; /**< Stops the entry at the next request. */
 	uint32_t requests; /**< Requests that reached the server. */
 } fixture_t;
 
@@ -44,7 +45,8 @@
 
 /**
  * Sends a raw request to the entry and reads until it closes the connection.
- * @return the raw answer, to be freed with g_string_free()
+ * @return the raw answer, to be freed with g_string_free(), or NULL when it did
+ *         not close in time
  */
 GString *fixture_exchange(fixture_t *f, const char *request, size_t bytes);
 
--- a/test/test_answers.c
+++ b/test/test_answers.c
@@ -59,6 +59,9 @@
 	{ .path = "/s/unavailable",
 	  .answer = "HTTP/1.1 503 Service Unavailable\r\n"
 		    "Content-Length: 4\r\n\r\nbusy" },
+	{ .path = "/s/slow",
+	  .answer = "HTTP/1.1 200 OK\r\n",
+	  .later = "Content-Length: 5\r\n\r\nhello" },
 	{ .path = "/s/big" },
 	{ .path = "/s/count",
 	  .answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone" },
@@ -264,6 +267,31 @@
 	fixture_destroy(f);
 }
 
+/* A caller that never finishes its request loses its connection. */
+static void test_slow_caller(void **state)
+{
+	static const char text[] = "GET /s/good HTTP/1.1\r\nHost:";
+	GString *answer = fixture_exchange(*state, text, strlen(text));
+
+	assert_non_null(answer);
+	assert_int_equal(answer->len, 0);
+	g_string_free(answer, TRUE);
+}
+
+/* Runs last: the entry stops, and what is in progress gets its answer. */
+static void test_graceful_stop(void **state)
+{
+	static const char text[] = "GET /s/slow HTTP/1.1\r\nHost: x\r\n\r\n";
+	fixture_t *f = *state;
+	GString *answer;
+
+	f->stop_after_request = true;
+	answer = fixture_exchange(f, text, strlen(text));
+	expect("in progress", answer, 200, "hello", NULL);
+	assert_non_null(strstr(answer->str, "Connection: close"));
+	g_string_free(answer, TRUE);
+}
+
 static int setup(void **state)
 {
 	GString *big = g_string_new(NULL);
@@ -309,6 +337,8 @@
 		cmocka_unit_test(test_big_bodies),
 		cmocka_unit_test(test_body_too_large),
 		cmocka_unit_test(test_keys),
+		cmocka_unit_test(test_slow_caller),
+		cmocka_unit_test(test_graceful_stop),
 	};
 	int failed = cmocka_run_group_tests(tests, setup, teardown);
 
