Measure slopes of an entry's costs and work out the design size

Cause: the design size must decide the design, and no slope was known. Change: bench-slopes measures configuration, memory, division of slots, heartbeats, keys, a sketch of a wave's step and an idle loop at four or more sizes, fits lines and prints what the design size costs.

--- a/Makefile
+++ b/Makefile
@@ -134,3 +134,7 @@
 		-o $$@ $(LIB_LIBS)
 endef
 $(foreach v,$(VARIANTS),$(eval $(call variant_rule,$(v))))
+
+.PHONY: bench-slopes
+bench-slopes: $(BUILD)/bench/bench_slopes
+	$<
