Pack the worker list into 64 values

Change: a worker's record lies in the one of 64 values that its name's hash says, and never changes it. Heartbeats carry one revision up to which all documents are known in place of one per document; a peer that is behind asks for what came after, and gets it in the order of revisions. An entry puts what arrived in one turn of its loop in force once, since 64 values at its start would divide the slots 64 times.

--- a/bench/bench_slopes.c
+++ b/bench/bench_slopes.c
@@ -42,7 +42,6 @@
 #define LEASE_S		   5.0
 #define RENEWALS_PER_LEASE 4.0
 #define TICKS_S		   200.0
-#define WATCHERS_PER_ZONE  2.0
 #define TCP_OVERHEAD_BYTES 66.0
 #define KEYS_S_ENTRY	   500.0
 #define KEY_WINDOW_S	   600.0
@@ -144,7 +143,7 @@
 	return bw_place_create(&config, &no_ops, NULL, counters);
 }
 
-/* Configuration: time to parse and apply, memory, bytes of the list. */
+/* A change of one VM: time to take its part in, memory, bytes of the part. */
 static void measure_configuration(series_t *cpu, series_t *memory,
 				  series_t *bytes, series_t *tick)
 {
@@ -156,7 +155,7 @@
 		uint32_t pools = MAX(5, sizes[i] * DESIGN_POOLS / 7900);
 		bw_counters_t counters = { { 0 } };
 		bw_findings_t *findings = bw_findings_create("bench");
-		bw_workers_t *parsed = NULL;
+		bw_workers_t *part;
 		bw_workers_t *list;
 		bw_table_t *table;
 		size_t heap = heap_bytes();
@@ -168,14 +167,15 @@
 		p = make_place(sizes[i], pools, &counters, &table, &list);
 		bw_workers_destroy(list);
 		list = fleet_workers(table, sizes[i], ZONES);
-		text = bw_workers_format(list);
+		part = bw_workers_select(list, 0);
+		text = bw_workers_format(part);
 		add(bytes, sizes[i], (double)strlen(text));
-		bw_workers_destroy(list);
+		bw_workers_destroy(part);
 		began = fleet_cpu_s();
 		for (k = 0; k < REPEATS; k++) {
-			bw_workers_destroy(parsed);
-			parsed = bw_workers_parse(text, strlen(text), findings);
-			bw_place_configure(p, table, parsed, k);
+			part = bw_workers_parse(text, strlen(text), findings);
+			bw_place_configure(p, table, list, k);
+			bw_workers_destroy(part);
 		}
 		add(cpu, sizes[i], (fleet_cpu_s() - began) / REPEATS * 1e3);
 		bw_place_set_view(p, 1, &self, 1, 10);
@@ -187,7 +187,7 @@
 			bw_place_tick(p, 5000 * (k + 1));
 		add(tick, sizes[i], (fleet_cpu_s() - began) / 20000 * 1e6);
 		free(text);
-		bw_workers_destroy(parsed);
+		bw_workers_destroy(list);
 		bw_table_destroy(table);
 		bw_place_destroy(p);
 		bw_findings_destroy(findings);
@@ -262,8 +262,6 @@
 					BRAMLEY__HEARTBEAT__INIT;
 				Bramley__Frame frame = BRAMLEY__FRAME__INIT;
 				Bramley__Frame *again;
-				int64_t revisions[3] = { 100000, 100001,
-							 100002 };
 				bw_view_beat_t b;
 				gsize at = out->len;
 				size_t used;
@@ -273,8 +271,7 @@
 				beat.stamp_us = 1000000000000 + round;
 				beat.echo_us = 1000000000000 + round;
 				beat.promise = true;
-				beat.n_revision = 3;
-				beat.revision = revisions;
+				beat.known = 100000;
 				frame.body_case =
 					BRAMLEY__FRAME__BODY_HEARTBEAT;
 				frame.heartbeat = &beat;
@@ -431,7 +428,7 @@
 {
 	series_t configure = { .name = "configure_ms", .unit = "ms" };
 	series_t memory = { .name = "place_mb", .unit = "MB" };
-	series_t bytes = { .name = "workers_bytes", .unit = "bytes" };
+	series_t bytes = { .name = "part_bytes", .unit = "bytes" };
 	series_t tick = { .name = "tick_us", .unit = "us" };
 	series_t divide = { .name = "divide_ms", .unit = "ms per entry" };
 	series_t beat = { .name = "beat_ms", .unit = "ms per entry" };
@@ -487,8 +484,8 @@
 		  LOAN_MESSAGES_S * LOAN_MESSAGE_BYTES;
 	writes_s = entries * RENEWALS_PER_LEASE / LEASE_S + changes_s +
 		   vm_changes_s + views_s;
-	reads_s = ZONES * WATCHERS_PER_ZONE * (1 + changes_s + vm_changes_s) +
-		  entries * views_s;
+	/* Every entry watches; a waiting watch counts as a call. */
+	reads_s = entries * (1 + changes_s + vm_changes_s + views_s);
 	printf("# entries %.0f for %.0f requests a second\n", entries,
 	       requests_s);
 	print_budget("core, %", core_s * 100, 2.6);
--- a/scripts/plot-slopes.sh
+++ b/scripts/plot-slopes.sh
@@ -13,7 +13,7 @@
 	echo 'set key off; set yrange [0:*]; set xrange [0:*]; set grid; set tics font ",8"; set format x "%.0s%c"; set format y "%.3s%c"; set xtics autofreq; set ytics autofreq; set xtics rotate by -30'
 	for series in $(cut -d, -f1 "$data" | uniq); do
 		case $series in
-		configure_ms | place_mb | workers_bytes | tick_us | wave_step_ms) x=workers ;;
+		configure_ms | place_mb | part_bytes | tick_us | wave_step_ms) x=workers ;;
 		divide_ms | beat_ms | beat_bytes) x=entries ;;
 		loop_ms) x=wake-ups ;;
 	*) x=keys ;;
--- a/src/ctl/ctl.c
+++ b/src/ctl/ctl.c
@@ -44,6 +44,42 @@
 	return w.value;
 }
 
+/** Waits for the keys of a range. */
+typedef struct wait_all {
+	bw_ctl_t *ctl;
+	void (*fn)(void *ctx, const char *name, const char *text,
+		   int64_t revision);
+	void *ctx;
+	bw_status_t status;
+} wait_all_t;
+
+static void on_read_all(void *ctx, const bw_store_reply_t *reply)
+{
+	wait_all_t *w = ctx;
+	size_t skip = strlen(w->ctl->prefix) + 1;
+	size_t i;
+
+	w->status = reply->status;
+	for (i = 0; i < reply->kv_count; i++)
+		w->fn(w->ctx, reply->kvs[i].key + skip, reply->kvs[i].value,
+		      reply->kvs[i].mod_revision);
+	ev_break(w->ctl->loop, EVBREAK_ALL);
+}
+
+bw_status_t bw_ctl_read_all(bw_ctl_t *c, const char *name,
+			    void (*fn)(void *ctx, const char *name,
+				       const char *text, int64_t revision),
+			    void *ctx)
+{
+	char *prefix = g_strconcat(c->prefix, "/", name, NULL);
+	wait_all_t w = { .ctl = c, .fn = fn, .ctx = ctx };
+
+	c->store.ops->range(c->store.impl, prefix, on_read_all, &w);
+	ev_run(c->loop, 0);
+	g_free(prefix);
+	return w.status;
+}
+
 static void on_written(void *ctx, const bw_store_reply_t *reply)
 {
 	wait_t *w = ctx;
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -47,6 +47,15 @@
 /** Reads one key below the prefix. Release the text with g_free(). */
 bw_ctl_value_t bw_ctl_read(bw_ctl_t *c, const char *name);
 
+/**
+ * Reads all keys below the prefix that begin with @p name.
+ * @param fn gets each key's name, text and revision
+ */
+bw_status_t bw_ctl_read_all(bw_ctl_t *c, const char *name,
+			    void (*fn)(void *ctx, const char *name,
+				       const char *text, int64_t revision),
+			    void *ctx);
+
 /**
  * Writes one key if its revision is as given.
  * @return BW_OK, BW_ECONFLICT, BW_EUNAVAIL, or BW_ELOST when the write may
--- a/src/ctl/worker.c
+++ b/src/ctl/worker.c
@@ -8,8 +8,25 @@
 
 #define EDIT_TRIES    20
 #define EDIT_PAUSE_MS 100
+#define KEY_BYTES     16
+
+/** The stored parts of the worker list. */
+typedef struct parts {
+	bw_workers_t *list[BW_WORKER_PARTS];
+	int64_t revision[BW_WORKER_PARTS];
+	bool bad;
+} parts_t;
 
 static bw_workers_t *parse_or_print(const char *name, const char *text);
+static void part_key(uint32_t part, char out[KEY_BYTES]);
+static void take_part(void *ctx, const char *name, const char *text,
+		      int64_t revision);
+static void clear_parts(parts_t *parts);
+static bw_status_t write_part(bw_ctl_t *c, uint32_t part, int64_t revision,
+			      const bw_workers_t *workers);
+static bw_status_t import_part(bw_ctl_t *c, uint32_t part, const parts_t *parts,
+			       const bw_workers_t *all);
+static void print_worker(const bw_worker_t *w);
 static bw_exit_t set_state(bw_ctl_t *c, const char *name,
 			   bw_worker_state_t state);
 static bw_worker_t *find(bw_workers_t *workers, const char *name);
@@ -24,59 +41,131 @@
 	return workers;
 }
 
+static void part_key(uint32_t part, char out[KEY_BYTES])
+{
+	g_snprintf(out, KEY_BYTES, "workers/%02x", part);
+}
+
+static void take_part(void *ctx, const char *name, const char *text,
+		      int64_t revision)
+{
+	parts_t *parts = ctx;
+	guint64 part = g_ascii_strtoull(name + strlen("workers/"), NULL, 16);
+
+	if (part >= BW_WORKER_PARTS)
+		return;
+	parts->list[part] = parse_or_print(name, text);
+	parts->revision[part] = revision;
+	parts->bad = parts->bad || !parts->list[part];
+}
+
+static void clear_parts(parts_t *parts)
+{
+	uint32_t i;
+
+	for (i = 0; i < BW_WORKER_PARTS; i++)
+		bw_workers_destroy(parts->list[i]);
+}
+
+static bw_status_t write_part(bw_ctl_t *c, uint32_t part, int64_t revision,
+			      const bw_workers_t *workers)
+{
+	char key[KEY_BYTES];
+	char *text = bw_workers_format(workers);
+	bw_status_t status;
+
+	part_key(part, key);
+	status = bw_ctl_write(c, key, revision, text);
+	free(text);
+	return status;
+}
+
+static void print_worker(const bw_worker_t *w)
+{
+	printf("%-16s %-21s %-10s %-8s %-14s %3u %3u %s\n", w->name, w->address,
+	       w->zone, w->rack, w->pool, w->slots, w->connections,
+	       bw_worker_state_names[w->state]);
+}
+
 bw_exit_t bw_ctl_worker_list(bw_ctl_t *c, char **args)
 {
-	bw_ctl_value_t value = bw_ctl_read(c, "workers");
-	bw_workers_t *workers;
+	parts_t parts = { 0 };
+	bw_status_t status = bw_ctl_read_all(c, "workers/", take_part, &parts);
+	bool first = true;
 	uint32_t i;
+	uint32_t k;
 
 	(void)args;
-	if (value.status != BW_OK)
-		return bw_ctl_fail(value.status);
-	if (!value.text)
-		return BW_EXIT_NOT_FOUND;
-	if (c->json) {
-		printf("%s\n", value.text);
-		g_free(value.text);
-		return BW_EXIT_OK;
-	}
-	workers = parse_or_print("workers", value.text);
-	g_free(value.text);
-	if (!workers)
-		return BW_EXIT_INVALID;
-	for (i = 0; i < workers->count; i++) {
-		const bw_worker_t *w = &workers->items[i];
-
-		printf("%-16s %-21s %-10s %-8s %-14s %3u %3u %s\n", w->name,
-		       w->address, w->zone, w->rack, w->pool, w->slots,
-		       w->connections, bw_worker_state_names[w->state]);
+	if (status != BW_OK)
+		return bw_ctl_fail(status);
+	if (c->json)
+		printf("[");
+	for (i = 0; i < BW_WORKER_PARTS; i++) {
+		char *text;
+
+		if (!parts.list[i])
+			continue;
+		if (c->json) {
+			text = bw_workers_format(parts.list[i]);
+			printf("%s%s", first ? "" : ",\n", text);
+			free(text);
+			first = false;
+			continue;
+		}
+		for (k = 0; k < parts.list[i]->count; k++)
+			print_worker(&parts.list[i]->items[k]);
 	}
-	bw_workers_destroy(workers);
-	return BW_EXIT_OK;
+	if (c->json)
+		printf("]\n");
+	clear_parts(&parts);
+	return parts.bad ? BW_EXIT_INVALID : BW_EXIT_OK;
+}
+
+/* Parts that stay the same are not written. */
+static bw_status_t import_part(bw_ctl_t *c, uint32_t part, const parts_t *parts,
+			       const bw_workers_t *all)
+{
+	bw_workers_t *next = bw_workers_select(all, part);
+	const bw_workers_t *old = parts->list[part];
+	char *before = old ? bw_workers_format(old) : NULL;
+	char *after = bw_workers_format(next);
+	bool same = before ? !strcmp(before, after) : next->count == 0;
+	bw_status_t status = BW_OK;
+
+	if (!same)
+		status = write_part(c, part, parts->revision[part], next);
+	free(before);
+	free(after);
+	bw_workers_destroy(next);
+	return status;
 }
 
 bw_exit_t bw_ctl_worker_import(bw_ctl_t *c, char **args)
 {
 	char *text = bw_ctl_read_file(args[0]);
-	bw_workers_t *workers;
-	bw_ctl_value_t value;
+	bw_workers_t *workers = text ? parse_or_print(args[0], text) : NULL;
+	parts_t parts = { 0 };
 	bw_status_t status;
+	uint32_t i;
 
-	if (!text)
-		return BW_EXIT_NOT_FOUND;
-	workers = parse_or_print(args[0], text);
 	if (!workers) {
+		bw_exit_t code = text ? BW_EXIT_INVALID : BW_EXIT_NOT_FOUND;
+
 		g_free(text);
-		return BW_EXIT_INVALID;
+		return code;
 	}
-	value = bw_ctl_read(c, "workers");
-	status = value.status;
-	if (status == BW_OK)
-		status = bw_ctl_write(c, "workers", value.revision, text);
-	g_free(value.text);
 	g_free(text);
+	status = bw_ctl_read_all(c, "workers/", take_part, &parts);
+	for (i = 0; i < BW_WORKER_PARTS && status == BW_OK; i++)
+		status = import_part(c, i, &parts, workers);
 	if (status == BW_OK)
 		printf("accepted %u workers\n", workers->count);
+	else
+		fprintf(stderr,
+			"bramleyctl: stopped after part %u of %d; import again "
+			"to finish\n",
+			i, BW_WORKER_PARTS);
+	clear_parts(&parts);
 	bw_workers_destroy(workers);
 	return status == BW_OK ? BW_EXIT_OK : bw_ctl_fail(status);
 }
@@ -95,18 +184,20 @@
 static bw_exit_t set_state(bw_ctl_t *c, const char *name,
 			   bw_worker_state_t state)
 {
+	uint32_t part = bw_worker_part(name);
 	bw_status_t status = BW_EUNAVAIL;
+	char key[KEY_BYTES];
 	uint32_t tries;
 
+	part_key(part, key);
 	for (tries = 0; tries < EDIT_TRIES; tries++) {
-		bw_ctl_value_t value = bw_ctl_read(c, "workers");
+		bw_ctl_value_t value = bw_ctl_read(c, key);
 		bw_workers_t *workers = NULL;
 		bw_worker_t *worker = NULL;
-		char *text;
 
 		status = value.status;
 		if (status == BW_OK && value.text)
-			workers = parse_or_print("workers", value.text);
+			workers = parse_or_print(key, value.text);
 		g_free(value.text);
 		if (workers)
 			worker = find(workers, name);
@@ -123,10 +214,7 @@
 		}
 		if (worker) {
 			worker->state = state;
-			text = bw_workers_format(workers);
-			status = bw_ctl_write(c, "workers", value.revision,
-					      text);
-			free(text);
+			status = write_part(c, part, value.revision, workers);
 		}
 		bw_workers_destroy(workers);
 		if (status == BW_EUNAVAIL || status == BW_EIO)
--- a/src/node/document.c
+++ b/src/node/document.c
@@ -1,18 +1,33 @@
 #include "node/document.h"
 
-#include <jansson.h>
+#include <string.h>
 
-static const char *const document_keys[BW_DOC_COUNT] = {
-	[BW_DOC_TABLE] = "table",
-	[BW_DOC_WORKERS] = "workers",
-	[BW_DOC_VIEW] = "view",
-};
+#include <jansson.h>
 
 static void member_clear(gpointer data);
 
-const char *bw_document_key(bw_document_kind_t kind)
+void bw_document_key(bw_document_id_t id, char out[BW_DOCUMENT_KEY_BYTES])
 {
-	return document_keys[kind];
+	if (id == BW_DOC_TABLE)
+		g_strlcpy(out, "table", BW_DOCUMENT_KEY_BYTES);
+	else if (id == BW_DOC_VIEW)
+		g_strlcpy(out, "view", BW_DOCUMENT_KEY_BYTES);
+	else
+		g_snprintf(out, BW_DOCUMENT_KEY_BYTES, "workers/%02x",
+			   id - BW_DOC_WORKERS);
+}
+
+bw_document_id_t bw_document_find(const char *key)
+{
+	char text[BW_DOCUMENT_KEY_BYTES];
+	bw_document_id_t id;
+
+	for (id = 0; id < BW_DOC_COUNT; id++) {
+		bw_document_key(id, text);
+		if (!strcmp(key, text))
+			return id;
+	}
+	return BW_DOC_COUNT;
 }
 
 bool bw_document_set(bw_document_t *doc, int64_t revision, const void *data,
--- a/src/node/document.h
+++ b/src/node/document.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * The documents that all entries share: table, workers and view.
+ * The documents that all entries share: table, view and workers.
  *
  * A document's revision is that of its key in the store. Only a higher revision
  * replaces a document, so that no configuration reverts, whether it comes from
@@ -16,21 +16,29 @@
 #include <glib.h>
 
 #include "member/view.h"
+#include "table/table.h"
 
-typedef enum bw_document_kind {
-	BW_DOC_TABLE,
-	BW_DOC_WORKERS,
-	BW_DOC_VIEW,
-	BW_DOC_COUNT
-} bw_document_kind_t;
+/** Number of a document; the worker list is packed into many. */
+typedef uint32_t bw_document_id_t;
+
+#define BW_DOC_TABLE   0
+#define BW_DOC_VIEW    1
+#define BW_DOC_WORKERS 2 /**< First of BW_WORKER_PARTS. */
+#define BW_DOC_COUNT   (BW_DOC_WORKERS + BW_WORKER_PARTS)
 
 typedef struct bw_document {
 	int64_t revision; /**< 0 before the first. */
 	GBytes *value;
 } bw_document_t;
 
-/** Last part of a document's key in the store. */
-const char *bw_document_key(bw_document_kind_t kind);
+/** Bytes that bw_document_key() writes at most. */
+#define BW_DOCUMENT_KEY_BYTES 16
+
+/** Key of a document below the site's prefix. */
+void bw_document_key(bw_document_id_t id, char out[BW_DOCUMENT_KEY_BYTES]);
+
+/** Document with a key, or BW_DOC_COUNT. */
+bw_document_id_t bw_document_find(const char *key);
 
 /**
  * Replaces a document by a newer one.
--- a/src/node/internal.h
+++ b/src/node/internal.h
@@ -34,7 +34,10 @@
 	bw_simplehttp_t *operators;
 	bw_document_t documents[BW_DOC_COUNT];
 	bw_table_t *table;
-	bw_workers_t *workers;
+	bw_table_t *next_table; /**< Read, but not yet in force. */
+	bw_workers_t *parts[BW_WORKER_PARTS];
+	int64_t known_revision; /**< All documents up to it are known. */
+	bool dirty; /**< Documents wait to be put in force. */
 	ev_timer tick;
 	ev_timer heartbeat;
 	ev_timer leave;
@@ -46,7 +49,7 @@
 };
 
 /** Takes a document of the store or of a peer if it is newer. */
-void node_take_document(bw_node_t *n, bw_document_kind_t kind, int64_t revision,
+void node_take_document(bw_node_t *n, bw_document_id_t id, int64_t revision,
 			const void *data, size_t bytes);
 
 /** Adopts a view document. */
--- a/src/node/messages.c
+++ b/src/node/messages.c
@@ -60,19 +60,14 @@
 {
 	Bramley__Heartbeat beat = BRAMLEY__HEARTBEAT__INIT;
 	Bramley__Frame frame = BRAMLEY__FRAME__INIT;
-	int64_t revisions[BW_DOC_COUNT];
 	bw_view_beat_t view;
-	uint32_t i;
 
 	bw_view_beat(n->view, peer, bw_now_us(), &view);
-	for (i = 0; i < BW_DOC_COUNT; i++)
-		revisions[i] = n->documents[i].revision;
 	beat.epoch = view.epoch;
 	beat.stamp_us = view.stamp_us;
 	beat.echo_us = view.echo_us;
 	beat.promise = view.promise;
-	beat.n_revision = BW_DOC_COUNT;
-	beat.revision = revisions;
+	beat.known = n->known_revision;
 	frame.body_case = BRAMLEY__FRAME__BODY_HEARTBEAT;
 	frame.heartbeat = &beat;
 	bw_peers_send(n->peers, peer, &frame);
@@ -98,35 +93,26 @@
 				.stamp_us = beat->stamp_us,
 				.echo_us = beat->echo_us,
 				.promise = beat->promise };
-	size_t i;
+	Bramley__DocumentAsk ask = BRAMLEY__DOCUMENT_ASK__INIT;
+	Bramley__Frame out = BRAMLEY__FRAME__INIT;
 
 	bw_view_heard(n->view, peer, &view, bw_now_us());
-	for (i = 0; i < beat->n_revision && i < BW_DOC_COUNT; i++) {
-		Bramley__DocumentAsk ask = BRAMLEY__DOCUMENT_ASK__INIT;
-		Bramley__Frame out = BRAMLEY__FRAME__INIT;
-
-		if (beat->revision[i] <= n->documents[i].revision)
-			continue;
-		ask.document = (uint32_t)i;
-		out.body_case = BRAMLEY__FRAME__BODY_ASK;
-		out.ask = &ask;
-		bw_peers_send(n->peers, peer, &out);
-	}
+	if (beat->known <= n->known_revision)
+		return;
+	ask.after = n->known_revision;
+	out.body_case = BRAMLEY__FRAME__BODY_ASK;
+	out.ask = &ask;
+	bw_peers_send(n->peers, peer, &out);
 }
 
-static void take_ask(bw_node_t *n, uint64_t peer, const Bramley__Frame *frame)
+static void send_document(bw_node_t *n, uint64_t peer, bw_document_id_t id)
 {
 	Bramley__Document document = BRAMLEY__DOCUMENT__INIT;
 	Bramley__Frame out = BRAMLEY__FRAME__INIT;
-	const bw_document_t *doc;
+	const bw_document_t *doc = &n->documents[id];
 	gsize bytes;
 
-	if (frame->ask->document >= BW_DOC_COUNT)
-		return;
-	doc = &n->documents[frame->ask->document];
-	if (!doc->value)
-		return;
-	document.document = frame->ask->document;
+	document.document = id;
 	document.revision = doc->revision;
 	document.value.data = (uint8_t *)g_bytes_get_data(doc->value, &bytes);
 	document.value.len = bytes;
@@ -135,6 +121,34 @@
 	bw_peers_send(n->peers, peer, &out);
 }
 
+/* The document with the lowest revision above a given one, or BW_DOC_COUNT. */
+static bw_document_id_t next_after(const bw_node_t *n, int64_t revision)
+{
+	bw_document_id_t best = BW_DOC_COUNT;
+	bw_document_id_t id;
+
+	for (id = 0; id < BW_DOC_COUNT; id++) {
+		int64_t its = n->documents[id].revision;
+
+		if (its <= revision)
+			continue;
+		if (best == BW_DOC_COUNT || its < n->documents[best].revision)
+			best = id;
+	}
+	return best;
+}
+
+static void take_ask(bw_node_t *n, uint64_t peer, const Bramley__Frame *frame)
+{
+	int64_t after = frame->ask->after;
+	bw_document_id_t id;
+
+	while ((id = next_after(n, after)) != BW_DOC_COUNT) {
+		send_document(n, peer, id);
+		after = n->documents[id].revision;
+	}
+}
+
 static void take_document(bw_node_t *n, uint64_t peer,
 			  const Bramley__Frame *frame)
 {
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -28,7 +28,7 @@
 static void place_refuse_call(void *ctx, bw_preq_t *r, bw_refusal_t why,
 			      int64_t retry_after_us);
 static bool owner_valid(void *ctx, int64_t now_us);
-static void on_document(void *ctx, bw_document_kind_t kind, int64_t revision,
+static void on_document(void *ctx, bw_document_id_t id, int64_t revision,
 			const void *data, size_t bytes);
 static void on_present(void *ctx, const char *name, bool present);
 static void on_current(void *ctx, bool current);
@@ -89,18 +89,54 @@
 		g_warning("Refused: %s.", bw_findings_text(findings, i));
 }
 
+/* All parts as one list, whose strings belong to the parts. */
+static bw_workers_t all_workers(const bw_node_t *n)
+{
+	bw_workers_t all = { 0 };
+	uint32_t i;
+
+	for (i = 0; i < BW_WORKER_PARTS; i++)
+		all.count += n->parts[i] ? n->parts[i]->count : 0;
+	all.items = g_new0(bw_worker_t, all.count + 1);
+	all.count = 0;
+	for (i = 0; i < BW_WORKER_PARTS; i++) {
+		const bw_workers_t *part = n->parts[i];
+
+		if (!part)
+			continue;
+		memcpy(&all.items[all.count], part->items,
+		       part->count * sizeof(*part->items));
+		all.count += part->count;
+	}
+	return all;
+}
+
+/* Puts what has arrived in force, once for many documents. */
 static void apply_configuration(bw_node_t *n)
 {
-	if (!n->table || !n->workers)
+	bw_table_t *old = n->table;
+	bw_workers_t all;
+
+	if (!n->dirty || (!n->table && !n->next_table))
 		return;
-	bw_place_configure(n->place, n->table, n->workers, bw_now_us());
+	n->dirty = false;
+	if (n->next_table) {
+		n->table = n->next_table;
+		n->next_table = NULL;
+	}
+	all = all_workers(n);
+	bw_place_configure(n->place, n->table, &all, bw_now_us());
 	bw_relay_set_table(n->relay, n->table);
 	bw_count(&n->counters, BW_C_TABLE_APPLIED, 1);
-	if (!n->ready)
+	if (!n->ready && all.count > 0) {
 		g_message("Ready with table version %" G_GUINT64_FORMAT ".",
 			  n->table->version);
-	n->ready = true;
-	bw_relay_set_ready(n->relay, true);
+		n->ready = true;
+		bw_relay_set_ready(n->relay, true);
+	}
+	g_free(all.items);
+	if (old != n->table)
+		bw_table_destroy(old);
 }
 
 static void take_table(bw_node_t *n, const char *text, size_t bytes)
@@ -114,28 +150,43 @@
 		bw_count(&n->counters, BW_C_TABLE_REJECTED, 1);
 		return;
 	}
-	/* The relay reads the old table until the new one is in force. */
-	if (n->ready)
-		bw_relay_set_table(n->relay, table);
-	bw_table_destroy(n->table);
-	n->table = table;
-	apply_configuration(n);
+	bw_table_destroy(n->next_table);
+	n->next_table = table;
+	n->dirty = true;
 }
 
-static void take_workers(bw_node_t *n, const char *text, size_t bytes)
+static void check_part(const bw_workers_t *workers, uint32_t part,
+		       bw_findings_t *findings)
+{
+	uint32_t i;
+
+	for (i = 0; i < workers->count; i++)
+		if (bw_worker_part(workers->items[i].name) != part)
+			bw_findings_add_at(findings, BW_F_BAD_VALUE,
+					   workers->items[i].name,
+					   "belongs to another part");
+}
+
+static void take_workers(bw_node_t *n, uint32_t part, const char *text,
+			 size_t bytes)
 {
 	bw_findings_t *findings = bw_findings_create("workers");
 	bw_workers_t *workers = bw_workers_parse(text, bytes, findings);
+	bool good;
 
+	if (workers)
+		check_part(workers, part, findings);
+	good = bw_findings_count(findings) == 0;
 	log_findings(findings);
 	bw_findings_destroy(findings);
-	if (!workers) {
+	if (!good) {
+		bw_workers_destroy(workers);
 		bw_count(&n->counters, BW_C_TABLE_REJECTED, 1);
 		return;
 	}
-	bw_workers_destroy(n->workers);
-	n->workers = workers;
-	apply_configuration(n);
+	bw_workers_destroy(n->parts[part]);
+	n->parts[part] = workers;
+	n->dirty = true;
 }
 
 void node_take_view(bw_node_t *n, const void *data, size_t bytes)
@@ -172,25 +223,24 @@
 	g_array_free(members, TRUE);
 }
 
-void node_take_document(bw_node_t *n, bw_document_kind_t kind, int64_t revision,
+void node_take_document(bw_node_t *n, bw_document_id_t id, int64_t revision,
 			const void *data, size_t bytes)
 {
-	if (!bw_document_set(&n->documents[kind], revision, data, bytes))
+	if (!bw_document_set(&n->documents[id], revision, data, bytes))
 		return;
-	if (kind == BW_DOC_TABLE)
+	n->known_revision = MAX(n->known_revision, revision);
+	if (id == BW_DOC_TABLE)
 		take_table(n, data, bytes);
-	else if (kind == BW_DOC_WORKERS)
-		take_workers(n, data, bytes);
-	else
+	else if (id == BW_DOC_VIEW)
 		node_take_view(n, data, bytes);
-	/* Peers that don't hear from the store learn of it at once. */
-	node_send_heartbeats(n);
+	else
+		take_workers(n, id - BW_DOC_WORKERS, data, bytes);
 }
 
-static void on_document(void *ctx, bw_document_kind_t kind, int64_t revision,
+static void on_document(void *ctx, bw_document_id_t id, int64_t revision,
 			const void *data, size_t bytes)
 {
-	node_take_document(ctx, kind, revision, data, bytes);
+	node_take_document(ctx, id, revision, data, bytes);
 }
 
 static void on_present(void *ctx, const char *name, bool present)
@@ -243,6 +293,11 @@
 
 	(void)loop;
 	(void)revents;
+	if (n->dirty) {
+		apply_configuration(n);
+		/* Peers that don't hear from the store learn of it at once. */
+		node_send_heartbeats(n);
+	}
 	bw_place_tick(n->place, now_us);
 	bw_relay_tick(n->relay);
 	bw_peers_tick(n->peers, now_us);
@@ -474,7 +529,9 @@
 	bw_place_destroy(n->place);
 	bw_view_destroy(n->view);
 	bw_table_destroy(n->table);
-	bw_workers_destroy(n->workers);
+	bw_table_destroy(n->next_table);
+	for (i = 0; i < BW_WORKER_PARTS; i++)
+		bw_workers_destroy(n->parts[i]);
 	for (i = 0; i < BW_DOC_COUNT; i++)
 		bw_document_clear(&n->documents[i]);
 	g_free(n);
--- a/src/node/session.c
+++ b/src/node/session.c
@@ -188,7 +188,7 @@
 static void take_kv(bw_session_t *s, const bw_store_kv_t *kv)
 {
 	const char *name = kv->key + strlen(s->prefix);
-	uint32_t kind;
+	bw_document_id_t id;
 
 	if (g_str_has_prefix(name, "entries/")) {
 		take_entry(s, name + strlen("entries/"), !kv->deleted);
@@ -196,10 +196,10 @@
 	}
 	if (kv->deleted)
 		return;
-	for (kind = 0; kind < BW_DOC_COUNT; kind++)
-		if (!strcmp(name, bw_document_key(kind)))
-			s->ops->document(s->ctx, kind, kv->mod_revision,
-					 kv->value, kv->bytes);
+	id = bw_document_find(name);
+	if (id < BW_DOC_COUNT)
+		s->ops->document(s->ctx, id, kv->mod_revision, kv->value,
+				 kv->bytes);
 }
 
 static void on_synced(void *ctx, const bw_store_reply_t *reply)
@@ -266,7 +266,7 @@
 void bw_session_write_view(bw_session_t *s, int64_t revision, const char *text,
 			   const char *const *excluded, uint32_t count)
 {
-	char *key = g_strconcat(s->prefix, bw_document_key(BW_DOC_VIEW), NULL);
+	char *key = g_strconcat(s->prefix, "view", NULL);
 	GPtrArray *absent = g_ptr_array_new_with_free_func(g_free);
 	bw_store_cas_t cas = { .key = key,
 			       .value = text,
--- a/src/node/session.h
+++ b/src/node/session.h
@@ -15,7 +15,7 @@
 
 /** Events. */
 typedef struct bw_session_ops {
-	void (*document)(void *ctx, bw_document_kind_t kind, int64_t revision,
+	void (*document)(void *ctx, bw_document_id_t id, int64_t revision,
 			 const void *data, size_t bytes);
 	/** An entry's lease key was seen, or seen to be gone. */
 	void (*present)(void *ctx, const char *name, bool present);
--- a/src/table/table.c
+++ b/src/table/table.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include <glib.h>
+#include <xxhash.h>
 
 const char *const bw_class_names[BW_CLASS_COUNT] = {
 	[BW_CLASS_URGENT] = "urgent",
@@ -106,6 +107,33 @@
 	return true;
 }
 
+uint32_t bw_worker_part(const char *name)
+{
+	return (uint32_t)(XXH3_64bits(name, strlen(name)) % BW_WORKER_PARTS);
+}
+
+bw_workers_t *bw_workers_select(const bw_workers_t *w, uint32_t part)
+{
+	bw_workers_t *out = g_new0(bw_workers_t, 1);
+	uint32_t i;
+
+	out->items = g_new0(bw_worker_t, w->count + 1);
+	for (i = 0; i < w->count; i++) {
+		bw_worker_t *to = &out->items[out->count];
+
+		if (bw_worker_part(w->items[i].name) != part)
+			continue;
+		*to = w->items[i];
+		to->name = g_strdup(to->name);
+		to->address = g_strdup(to->address);
+		to->zone = g_strdup(to->zone);
+		to->rack = g_strdup(to->rack);
+		to->pool = g_strdup(to->pool);
+		out->count++;
+	}
+	return out;
+}
+
 void bw_workers_destroy(bw_workers_t *w)
 {
 	uint32_t i;
--- a/src/table/table.h
+++ b/src/table/table.h
@@ -18,6 +18,8 @@
 #define BW_WORKERS_MAX	32768
 #define BW_WEIGHT_MAX	1000
 #define BW_SLOTS_MAX	255
+/** Values that the worker list is packed into; a worker never changes its. */
+#define BW_WORKER_PARTS 64
 
 /** How a service's requests are ordered against others'. */
 typedef enum bw_class {
@@ -137,6 +139,15 @@
 /** JSON form of a worker list, to be released with free(). */
 char *bw_workers_format(const bw_workers_t *w);
 
+/** Part of the worker list that a worker belongs to. */
+uint32_t bw_worker_part(const char *name);
+
+/**
+ * Takes the workers of one part out of a list.
+ * @return a new list owned by the caller
+ */
+bw_workers_t *bw_workers_select(const bw_workers_t *w, uint32_t part);
+
 /** Destroys a worker list; NULL is allowed. */
 void bw_workers_destroy(bw_workers_t *w);
 
--- a/src/wire/bramley.pb-c.c
+++ b/src/wire/bramley.pb-c.c
@@ -482,23 +482,23 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "revision",
+    "known",
     5,
-    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_INT64,
-    offsetof(Bramley__Heartbeat, n_revision),
-    offsetof(Bramley__Heartbeat, revision),
+    0,   /* quantifier_offset */
+    offsetof(Bramley__Heartbeat, known),
     NULL,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned bramley__heartbeat__field_indices_by_name[] = {
   2,   /* field[2] = echo_us */
   0,   /* field[0] = epoch */
+  4,   /* field[4] = known */
   3,   /* field[3] = promise */
-  4,   /* field[4] = revision */
   1,   /* field[1] = stamp_us */
 };
 static const ProtobufCIntRange bramley__heartbeat__number_ranges[1 + 1] =
@@ -872,12 +872,12 @@
 static const ProtobufCFieldDescriptor bramley__document_ask__field_descriptors[1] =
 {
   {
-    "document",
+    "after",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Bramley__DocumentAsk, document),
+    offsetof(Bramley__DocumentAsk, after),
     NULL,
     NULL,
     0,             /* flags */
@@ -885,7 +885,7 @@
   },
 };
 static const unsigned bramley__document_ask__field_indices_by_name[] = {
-  0,   /* field[0] = document */
+  0,   /* field[0] = after */
 };
 static const ProtobufCIntRange bramley__document_ask__number_ranges[1 + 1] =
 {
--- a/src/wire/bramley.pb-c.h
+++ b/src/wire/bramley.pb-c.h
@@ -68,14 +68,13 @@
    */
   protobuf_c_boolean promise;
   /*
-   * Of each document, by its number.
+   * All documents up to this revision are known.
    */
-  size_t n_revision;
-  int64_t *revision;
+  int64_t known;
 };
 #define BRAMLEY__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__heartbeat__descriptor) \
-    , 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Bramley__Loan
@@ -134,12 +133,12 @@
 
 
 /*
- * Asks for a document.
+ * Asks for the documents with a higher revision.
  */
 struct  Bramley__DocumentAsk
 {
   ProtobufCMessage base;
-  uint32_t document;
+  int64_t after;
 };
 #define BRAMLEY__DOCUMENT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__document_ask__descriptor) \
@@ -147,7 +146,8 @@
 
 
 /*
- * A document of the store, passed on by an entry that has it.
+ * A document of the store, passed on in the order of revisions, so that a
+ * receiver knows all documents up to the last one it got.
  */
 struct  Bramley__Document
 {
--- a/test/fixture.c
+++ b/test/fixture.c
@@ -11,6 +11,7 @@
 #include <curl/curl.h>
 
 #include "store/etcd.h"
+#include "table/table.h"
 
 #define STORE_ADDRESS "127.0.5.100:2379"
 #define SERVER_IP     "127.0.5.50"
@@ -241,6 +242,7 @@
 {
 	fixture_t *f = g_new0(fixture_t, 1);
 	bw_findings_t *findings = bw_findings_create("test");
+	char key[32];
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	f->loop = ev_default_loop(0);
@@ -252,7 +254,9 @@
 		abort();
 	if (with_table) {
 		put(f, "/test/table", table_text);
-		put(f, "/test/workers", workers_text);
+		g_snprintf(key, sizeof(key), "/test/workers/%02x",
+			   bw_worker_part("w"));
+		put(f, key, workers_text);
 	}
 	if (bw_settings_read("test/entry.toml", &f->settings, findings) !=
 		    BW_OK ||
--- a/test/test_place.c
+++ b/test/test_place.c
@@ -374,6 +374,33 @@
 		}
 }
 
+static void test_worker_parts(void **state)
+{
+	bw_worker_t items[300];
+	char names[300][16];
+	bw_workers_t all = { .items = items, .count = 300 };
+	uint32_t seen = 0;
+	uint32_t part;
+	uint32_t i;
+
+	(void)state;
+	memset(items, 0, sizeof(items));
+	for (i = 0; i < 300; i++) {
+		g_snprintf(names[i], sizeof(names[i]), "worker-%u", i);
+		items[i].name = names[i];
+	}
+	for (part = 0; part < BW_WORKER_PARTS; part++) {
+		bw_workers_t *some = bw_workers_select(&all, part);
+
+		for (i = 0; i < some->count; i++)
+			assert_int_equal(bw_worker_part(some->items[i].name),
+					 part);
+		seen += some->count;
+		bw_workers_destroy(some);
+	}
+	assert_int_equal(seen, 300);
+}
+
 /** A failed attempt and what may follow. */
 typedef struct retry_case {
 	const char *name;
@@ -468,6 +495,7 @@
 		cmocka_unit_test(test_removed_service_refuses_its_queue),
 		cmocka_unit_test(test_pause_voids_shares),
 		cmocka_unit_test(test_shares_sum),
+		cmocka_unit_test(test_worker_parts),
 		cmocka_unit_test(test_retry_table),
 		cmocka_unit_test(test_retry_budget_share),
 	};
--- a/test/test_wire.c
+++ b/test/test_wire.c
@@ -54,7 +54,7 @@
 	size_t i;
 
 	(void)state;
-	ask.document = 2;
+	ask.after = 2;
 	frame.body_case = BRAMLEY__FRAME__BODY_ASK;
 	frame.ask = &ask;
 	bw_frame_write(out, &frame);
@@ -68,7 +68,7 @@
 				       &used, &again),
 			 BW_FRAME_OK);
 	assert_int_equal(used, out->len / 2);
-	assert_int_equal(again->ask->document, 2);
+	assert_int_equal(again->ask->after, 2);
 	bramley__frame__free_unpacked(again, NULL);
 	g_string_free(out, TRUE);
 }
