--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -57,6 +57,7 @@
 for test in build/test/test_*; do
 	[ -x "$test" ] && suite "$test"
 done
+step "test/test_ctl.sh" test/test_ctl.sh
 step "build with sanitizers" make -j "$jobs" BUILD=build/san CC=clang CXX=clang++ \
 	SANITIZE="-fsanitize=address,undefined -fno-sanitize=vptr -fno-sanitize-recover=undefined" \
 	OPT="-O1 -g" all tests
--- a/src/ctl/table.c
+++ b/src/ctl/table.c
@@ -19,6 +19,8 @@
 			 bw_findings_t *findings);
 
 static bw_table_t *parse_or_print(const char *name, const char *text);
+static bw_table_t *load_table(bw_ctl_t *c, char **text, bw_exit_t *code);
+static bw_table_t *parse_stored(const char *old, bw_findings_t *findings);
 static void describe(bw_edit_t *edit, const char *what);
 static bw_exit_t run_edit(bw_ctl_t *c, edit_fn fn, void *ctx, const char *what);
 static bw_exit_t settle_lost(bw_ctl_t *c, const bw_edit_t *edit, bool *found);
@@ -62,52 +64,63 @@
 	}
 }
 
-bw_exit_t bw_ctl_table_show(bw_ctl_t *c, char **args)
+/* Reads the stored table; NULL when that failed, with the exit code. */
+static bw_table_t *load_table(bw_ctl_t *c, char **text, bw_exit_t *code)
 {
 	bw_ctl_value_t value = bw_ctl_read(c, "table");
 	bw_table_t *table;
 
-	(void)args;
-	if (value.status != BW_OK)
-		return bw_ctl_fail(value.status);
+	if (value.status != BW_OK) {
+		*code = bw_ctl_fail(value.status);
+		return NULL;
+	}
 	if (!value.text) {
 		fprintf(stderr, "bramleyctl: no table in the store\n");
-		return BW_EXIT_NOT_FOUND;
-	}
-	if (c->json) {
-		printf("%s\n", value.text);
-		g_free(value.text);
-		return BW_EXIT_OK;
+		*code = BW_EXIT_NOT_FOUND;
+		return NULL;
 	}
 	table = parse_or_print("table", value.text);
-	g_free(value.text);
+	*code = table ? BW_EXIT_OK : BW_EXIT_INVALID;
+	*text = value.text;
 	if (!table)
-		return BW_EXIT_INVALID;
-	print_table(table);
+		g_clear_pointer(text, g_free);
+	return table;
+}
+
+bw_exit_t bw_ctl_table_show(bw_ctl_t *c, char **args)
+{
+	bw_exit_t code;
+	char *text = NULL;
+	bw_table_t *table = load_table(c, &text, &code);
+
+	(void)args;
+	if (!table)
+		return code;
+	if (c->json)
+		printf("%s\n", text);
+	else
+		print_table(table);
 	bw_table_destroy(table);
-	return BW_EXIT_OK;
+	g_free(text);
+	return code;
 }
 
 bw_exit_t bw_ctl_table_export(bw_ctl_t *c, char **args)
 {
-	bw_ctl_value_t value = bw_ctl_read(c, "table");
-	bw_table_t *table;
+	bw_exit_t code;
+	char *text = NULL;
+	bw_table_t *table = load_table(c, &text, &code);
 	char *csv;
 
 	(void)args;
-	if (value.status != BW_OK)
-		return bw_ctl_fail(value.status);
-	if (!value.text)
-		return BW_EXIT_NOT_FOUND;
-	table = parse_or_print("table", value.text);
-	g_free(value.text);
 	if (!table)
-		return BW_EXIT_INVALID;
+		return code;
 	csv = bw_table_to_csv(table);
 	printf("%s", csv);
 	g_free(csv);
 	bw_table_destroy(table);
-	return BW_EXIT_OK;
+	g_free(text);
+	return code;
 }
 
 bw_exit_t bw_ctl_table_check(bw_ctl_t *c, char **args)
@@ -223,6 +236,15 @@
 	return code;
 }
 
+static bw_table_t *parse_stored(const char *old, bw_findings_t *findings)
+{
+	if (old)
+		return bw_table_parse(old, strlen(old), findings);
+	bw_findings_add_at(findings, BW_F_MISSING_KEY, "store",
+			   "there is no table yet");
+	return NULL;
+}
+
 /** An edit of one cell, with the value that its operator saw. */
 typedef struct cell_ctx {
 	bw_cell_edit_t edit;
@@ -239,12 +261,7 @@
 	uint32_t p;
 	char now[64] = "";
 
-	if (!old) {
-		bw_findings_add_at(findings, BW_F_MISSING_KEY, "store",
-				   "there is no table yet");
-		return NULL;
-	}
-	table = bw_table_parse(old, strlen(old), findings);
+	table = parse_stored(old, findings);
 	if (!table)
 		return NULL;
 	s = bw_table_service_index(table, cell->edit.service);
@@ -301,12 +318,7 @@
 	char *text;
 	char *next = NULL;
 
-	if (!old) {
-		bw_findings_add_at(findings, BW_F_MISSING_KEY, "store",
-				   "there is no table yet");
-		return NULL;
-	}
-	table = bw_table_parse(old, strlen(old), findings);
+	table = parse_stored(old, findings);
 	if (!table)
 		return NULL;
 	if (bw_table_from_csv(table, ctx, findings) == BW_OK) {
--- a/src/member/view.c
+++ b/src/member/view.c
@@ -39,6 +39,10 @@
 	int64_t due_since_us; /**< Since when a change is due. */
 };
 
+/** Says something of another member. */
+typedef bool (*member_fn)(const bw_view_t *v, const peer_t *peer,
+			  int64_t now_us);
+
 static void member_clear(gpointer data);
 static void peer_free(gpointer data);
 static peer_t *find_peer(const bw_view_t *v, uint64_t id);
@@ -46,7 +50,10 @@
 static bool is_member(const bw_view_t *v, uint64_t id);
 static bool may_exclude(const bw_view_t *v, const peer_t *peer, int64_t now_us);
 static uint32_t rank_among_present(const bw_view_t *v);
-static bool promised_by_all(const bw_view_t *v, int64_t now_us);
+static bool all_others(const bw_view_t *v, member_fn holds, int64_t now_us);
+static bool has_promised(const bw_view_t *v, const peer_t *peer,
+			 int64_t now_us);
+static bool has_adopted(const bw_view_t *v, const peer_t *peer, int64_t now_us);
 
 static void member_clear(gpointer data)
 {
@@ -232,7 +239,8 @@
 	p->promised_us = now_us + v->config.promise_us;
 }
 
-static bool promised_by_all(const bw_view_t *v, int64_t now_us)
+/* Whether something holds of every other member. */
+static bool all_others(const bw_view_t *v, member_fn holds, int64_t now_us)
 {
 	guint i;
 
@@ -243,12 +251,24 @@
 
 		if (!strcmp(name, v->name))
 			continue;
-		if (!peer || now_us >= peer->promise_us)
+		if (!peer || !holds(v, peer, now_us))
 			return false;
 	}
 	return true;
 }
 
+static bool has_promised(const bw_view_t *v, const peer_t *peer, int64_t now_us)
+{
+	(void)v;
+	return now_us < peer->promise_us;
+}
+
+static bool has_adopted(const bw_view_t *v, const peer_t *peer, int64_t now_us)
+{
+	(void)now_us;
+	return peer->epoch >= v->epoch;
+}
+
 bool bw_view_owner_valid(const bw_view_t *v, int64_t now_us)
 {
 	if (!bw_view_is_member(v))
@@ -258,24 +278,12 @@
 	/* Alone, there is nobody whose promise could be asked. */
 	if (now_us >= v->store_seen_us + v->config.hold_us)
 		return false;
-	return v->members->len > 1 && promised_by_all(v, now_us);
+	return v->members->len > 1 && all_others(v, has_promised, now_us);
 }
 
 bool bw_view_active(const bw_view_t *v)
 {
-	guint i;
-
-	for (i = 0; i < v->members->len; i++) {
-		const char *name =
-			g_array_index(v->members, bw_member_t, i).name;
-		const peer_t *peer = find_peer(v, bw_name_id(name));
-
-		if (!strcmp(name, v->name))
-			continue;
-		if (!peer || peer->epoch < v->epoch)
-			return false;
-	}
-	return bw_view_is_member(v);
+	return bw_view_is_member(v) && all_others(v, has_adopted, 0);
 }
 
 void bw_view_force(bw_view_t *v, const char *name)
