--- a/Makefile
+++ b/Makefile
@@ -138,3 +138,7 @@
 .PHONY: bench-slopes
 bench-slopes: $(BUILD)/bench/bench_slopes
 	$<
+
+.PHONY: bench-config
+bench-config: all
+	scripts/bench-config.sh
--- a/cmd/bramleyctl.c
+++ b/cmd/bramleyctl.c
@@ -21,6 +21,7 @@
 static const command_t commands[] = {
 	{ "table", "show", 0, bw_ctl_table_show, "table show" },
 	{ "table", "check", 1, bw_ctl_table_check, "table check FILE" },
+	{ "table", "diff", 1, bw_ctl_table_diff, "table diff FILE" },
 	{ "table", "set", 3, bw_ctl_table_set,
 	  "table set SERVICE POOL CELL [OLD]" },
 	{ "table", "import", 1, bw_ctl_table_import,
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -84,6 +84,7 @@
 
 bw_exit_t bw_ctl_table_show(bw_ctl_t *c, char **args);
 bw_exit_t bw_ctl_table_check(bw_ctl_t *c, char **args);
+bw_exit_t bw_ctl_table_diff(bw_ctl_t *c, char **args);
 bw_exit_t bw_ctl_table_set(bw_ctl_t *c, char **args);
 bw_exit_t bw_ctl_table_import(bw_ctl_t *c, char **args);
 bw_exit_t bw_ctl_table_export(bw_ctl_t *c, char **args);
--- a/src/ctl/table.c
+++ b/src/ctl/table.c
@@ -123,6 +123,30 @@
 	return code;
 }
 
+/* Tells in which cells a file differs from the stored table. */
+bw_exit_t bw_ctl_table_diff(bw_ctl_t *c, char **args)
+{
+	char *file = bw_ctl_read_file(args[0]);
+	bw_table_t *other = file ? parse_or_print(args[0], file) : NULL;
+	bw_table_t *table = NULL;
+	bw_exit_t code = file ? BW_EXIT_INVALID : BW_EXIT_NOT_FOUND;
+	char *text = NULL;
+	char *lines;
+
+	g_free(file);
+	if (other)
+		table = load_table(c, &text, &code);
+	if (table) {
+		lines = bw_table_diff(table, other);
+		printf("%s", lines);
+		g_free(lines);
+	}
+	bw_table_destroy(table);
+	bw_table_destroy(other);
+	g_free(text);
+	return code;
+}
+
 bw_exit_t bw_ctl_table_check(bw_ctl_t *c, char **args)
 {
 	char *text = bw_ctl_read_file(args[0]);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -128,9 +128,11 @@
 	bw_place_configure(n->place, n->table, &all, bw_now_us());
 	bw_relay_set_table(n->relay, n->table);
 	bw_count(&n->counters, BW_C_TABLE_APPLIED, 1);
-	if (!n->ready && all.count > 0) {
-		g_message("Ready with table version %" G_GUINT64_FORMAT ".",
+	if (old != n->table)
+		g_message("Table version %" G_GUINT64_FORMAT " is in force.",
 			  n->table->version);
+	if (!n->ready && all.count > 0) {
+		g_message("Ready with %u workers.", all.count);
 		n->ready = true;
 		bw_relay_set_ready(n->relay, true);
 	}
--- a/test/test_ctl.sh
+++ b/test/test_ctl.sh
@@ -51,6 +51,9 @@
 expect "show" 0 $ctl table show
 says "show" "version 4"
 
+expect "diff" 0 $ctl table diff $site/table.json
+says "diff" 'heats office: "+80" -> "+50"'
+
 # The answer is lost after the write: the edit is found, not made again.
 fault "lose=1"
 expect "lost answer" 0 $ctl table set heats office +91
