Drop peers that left the view; remove what nothing uses

Change: a new view drops the peers that are in neither it nor the settings; POST /forget takes the operator's word; the rest is removed.

make check: 105 passed, 0 failed.

--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -47,7 +47,6 @@
 	TEXT_KEY("entry.operators", KEY_ADDRESS, operators),
 	TEXT_KEY("store.prefix", KEY_TEXT, store_prefix),
 	NUMBER_KEY("store.timeout_ms", store_timeout_ms, 10, 60000, 1000),
-	NUMBER_KEY("entry.entries_max", entries_max, 1, 64, 10),
 	NUMBER_KEY("entry.lease_ms", lease_ms, 500, 600000, 5000),
 	NUMBER_KEY("entry.heartbeat_ms", heartbeat_ms, 20, 10000, 200),
 	NUMBER_KEY("entry.clock_skew_ms", clock_skew_ms, 1, 10000, 500),
--- a/src/conf/settings.h
+++ b/src/conf/settings.h
@@ -34,7 +34,6 @@
 	uint32_t endpoint_count;
 	uint32_t peer_count;
 	int64_t store_timeout_ms;
-	int64_t entries_max;
 	int64_t lease_ms;
 	int64_t heartbeat_ms;
 	int64_t clock_skew_ms;
--- a/src/ctl/ctl.c
+++ b/src/ctl/ctl.c
@@ -153,7 +153,8 @@
 
 bw_exit_t bw_ctl_fail(bw_status_t status)
 {
-	fprintf(stderr, "bramleyctl: %s\n", bw_status_message());
+	fprintf(stderr, "bramleyctl: %s: %s\n", bw_status_name(status),
+		bw_status_message());
 	if (status == BW_ELOST)
 		return BW_EXIT_UNKNOWN;
 	if (status == BW_ECONFLICT)
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -191,6 +191,44 @@
 	n->dirty = true;
 }
 
+/** Names of peers that are in neither the view nor the settings. */
+typedef struct strangers {
+	const bw_node_t *node;
+	const GArray *members;
+	GPtrArray *names;
+} strangers_t;
+
+static void find_stranger(void *ctx, uint64_t peer, const char *name, bool up)
+{
+	strangers_t *s = ctx;
+	const bw_settings_t *settings = s->node->settings;
+	uint32_t i;
+
+	(void)peer;
+	(void)up;
+	for (i = 0; i < s->members->len; i++)
+		if (!strcmp(g_array_index(s->members, bw_member_t, i).name,
+			    name))
+			return;
+	for (i = 0; i < settings->peer_count; i++)
+		if (!strcmp(settings->peers[i].name, name))
+			return;
+	g_ptr_array_add(s->names, g_strdup(name));
+}
+
+static void drop_strangers(bw_node_t *n, const GArray *members)
+{
+	strangers_t s = { .node = n,
+			  .members = members,
+			  .names = g_ptr_array_new_with_free_func(g_free) };
+	guint i;
+
+	bw_peers_foreach(n->peers, find_stranger, &s);
+	for (i = 0; i < s.names->len; i++)
+		bw_peers_remove(n->peers, g_ptr_array_index(s.names, i));
+	g_ptr_array_free(s.names, TRUE);
+}
+
 void node_take_view(bw_node_t *n, const void *data, size_t bytes)
 {
 	GArray *members = bw_members_new();
@@ -219,6 +257,7 @@
 		}
 		bw_place_set_view(n->place, epoch, ids, count, bw_now_us());
 		bw_once_set_view(n->once, epoch, ids, count);
+		drop_strangers(n, members);
 		g_free(ids);
 		node_send_heartbeats(n);
 	}
--- a/src/node/operators.c
+++ b/src/node/operators.c
@@ -6,6 +6,9 @@
 
 #include <jansson.h>
 
+#define BW_LOG_PART "operators"
+#include "base/log.h"
+
 static json_t *show_status(bw_node_t *n);
 static json_t *show_counters(bw_node_t *n);
 static json_t *show_workers(bw_node_t *n);
@@ -119,6 +122,20 @@
 	return out;
 }
 
+/* An operator's word that an entry is gone, which lets it be excluded. */
+static enum MHD_Result forget(bw_node_t *n, bw_simple_request_t *r)
+{
+	const char *name = MHD_lookup_connection_value(
+		r->connection, MHD_GET_ARGUMENT_KIND, "name");
+
+	if (strcmp(r->method, "POST") != 0 || !name || !*name)
+		return bw_simple_reply(r, 400, "text/plain",
+				       "POST /forget?name=NAME\n", 23);
+	g_message("An operator says that the entry %s is gone.", name);
+	bw_view_force(n->view, name);
+	return bw_simple_reply(r, 200, "text/plain", "noted\n", 6);
+}
+
 enum MHD_Result node_operators(void *ctx, bw_simple_request_t *r)
 {
 	bw_node_t *n = ctx;
@@ -127,6 +144,8 @@
 	char *text;
 	size_t i;
 
+	if (!strcmp(r->path, "/forget"))
+		return forget(n, r);
 	if (!strcmp(r->path, "/ready"))
 		return n->ready && !n->stopping
 			       ? bw_simple_reply(r, 200, "text/plain",
--- a/src/once/once.c
+++ b/src/once/once.c
@@ -57,14 +57,6 @@
 	GPtrArray *views; /**< past_view_t, oldest first. */
 };
 
-static const char *const verdict_names[BW_ONCE_VERDICT_COUNT] = {
-	[BW_ONCE_GRANTED] = "granted",	 [BW_ONCE_RUNNING] = "running",
-	[BW_ONCE_ANSWERED] = "answered", [BW_ONCE_NOT_HELD] = "not-held",
-	[BW_ONCE_NOT_RUN] = "not-run",	 [BW_ONCE_BROKEN] = "broken",
-	[BW_ONCE_REUSED] = "key-reused", [BW_ONCE_OLD] = "key-old",
-	[BW_ONCE_AHEAD] = "key-ahead",	 [BW_ONCE_FENCED] = "fenced",
-};
-
 static const bw_once_verdict_t state_verdicts[RECORD_STATE_COUNT] = {
 	[RECORD_RUNNING] = BW_ONCE_RUNNING,
 	[RECORD_ANSWERED] = BW_ONCE_ANSWERED,
@@ -94,13 +86,6 @@
 			const bw_once_msg_t *msg);
 static void drop_answer(bw_once_t *o, record_t *record);
 
-const char *bw_once_verdict_name(bw_once_verdict_t verdict)
-{
-	if (verdict >= BW_ONCE_VERDICT_COUNT)
-		return "unknown";
-	return verdict_names[verdict];
-}
-
 bool bw_once_parse_key(const char *key, int64_t *issued_ms)
 {
 	int64_t time_ms = 0;
@@ -476,8 +461,3 @@
 		g_ptr_array_remove_index(o->views, 0);
 	}
 }
-
-uint32_t bw_once_count(const bw_once_t *o)
-{
-	return g_hash_table_size(o->records);
-}
--- a/src/once/once.h
+++ b/src/once/once.h
@@ -59,7 +59,6 @@
 	uint64_t fingerprint; /**< CLAIM: hash of the request. */
 	uint64_t claim; /**< The claimant's number for the claim. */
 	int64_t issued_ms; /**< CLAIM: the key's time of issue. */
-	int64_t wait_until_ms; /**< CLAIM: time of day the caller waits to. */
 	const void *answer; /**< RESULT, VERDICT: encoded answer, or NULL. */
 	size_t answer_bytes;
 } bw_once_msg_t;
@@ -133,10 +132,4 @@
 /** Forgets what is older than the window. */
 void bw_once_tick(bw_once_t *o, int64_t now_ms);
 
-/** Keys in the record. */
-uint32_t bw_once_count(const bw_once_t *o);
-
-/** Name of a verdict, a static string. */
-const char *bw_once_verdict_name(bw_once_verdict_t verdict);
-
 #endif
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -506,13 +506,6 @@
 	ev_io_start(p->loop, &link->io);
 }
 
-bool bw_peers_is_up(const bw_peers_t *p, uint64_t peer)
-{
-	const link_t *link = find_link(p, peer);
-
-	return link && link->up;
-}
-
 uint32_t bw_peers_up_count(const bw_peers_t *p)
 {
 	uint32_t count = 0;
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -54,9 +54,6 @@
 /** Sends a message; it is lost when the peer is not up. */
 void bw_peers_send(bw_peers_t *p, uint64_t peer, const Bramley__Frame *frame);
 
-/** Whether a peer is up. */
-bool bw_peers_is_up(const bw_peers_t *p, uint64_t peer);
-
 /** Number of peers that are up. */
 uint32_t bw_peers_up_count(const bw_peers_t *p);
 
--- a/src/place/place.c
+++ b/src/place/place.c
@@ -173,16 +173,6 @@
 	return false;
 }
 
-uint32_t bw_place_choose(bw_place_t *p, const bw_preq_t *r, int64_t now_us)
-{
-	route_t *route;
-	uint32_t worker;
-
-	if (!choose(p, r, now_us, &route, &worker))
-		return BW_NONE;
-	return worker;
-}
-
 static void start_at(bw_place_t *p, bw_preq_t *r, route_t *route,
 		     uint32_t worker, int64_t now_us)
 {
--- a/src/place/place.h
+++ b/src/place/place.h
@@ -157,9 +157,6 @@
 void bw_place_set_view(bw_place_t *p, uint64_t epoch, const uint64_t *members,
 		       uint32_t member_count, int64_t now_us);
 
-/** Epoch of the view in force, 0 before the first. */
-uint64_t bw_place_epoch(const bw_place_t *p);
-
 /** Index of a service by name, or BW_NONE. */
 uint32_t bw_place_service(const bw_place_t *p, const char *name);
 
@@ -218,12 +215,6 @@
 /** Requests waiting in all queues. */
 uint32_t bw_place_waiting(const bw_place_t *p);
 
-/**
- * Chooses a worker for a request without starting it, for measurements.
- * @return a worker index or BW_NONE
- */
-uint32_t bw_place_choose(bw_place_t *p, const bw_preq_t *r, int64_t now_us);
-
 /** Name of a refusal, a static string. */
 const char *bw_refusal_name(bw_refusal_t why);
 
--- a/src/place/retry.h
+++ b/src/place/retry.h
@@ -58,8 +58,4 @@
 				   const bw_retry_request_t *r,
 				   bw_attempt_result_t result, int64_t now_us);
 
-/** Name of a result or verdict, a static string. */
-const char *bw_attempt_result_name(bw_attempt_result_t result);
-const char *bw_retry_verdict_name(bw_retry_verdict_t verdict);
-
 #endif
--- a/src/place/view.c
+++ b/src/place/view.c
@@ -128,11 +128,6 @@
 	place_dispatch_all(p, now_us);
 }
 
-uint64_t bw_place_epoch(const bw_place_t *p)
-{
-	return p->epoch;
-}
-
 static bool over_target(const place_worker_t *w)
 {
 	return w->busy + w->lent > w->target + w->borrowed;
--- a/src/relay/call.h
+++ b/src/relay/call.h
@@ -59,7 +59,6 @@
 	/* The front's. */
 	struct MHD_Connection *connection; /**< NULL once the caller is gone. */
 	struct bw_front *front;
-	GList *link; /**< In the front's list of open calls. */
 	char *method;
 	char *target; /**< Path and query as received. */
 	GString *body;
@@ -91,7 +90,6 @@
 	int64_t issued_ms;
 	int64_t claim_until_us;
 	int64_t claim_again_us;
-	bool awaiting; /**< The first request with the key is running. */
 	bool sealed; /**< No entry will run it. */
 } bw_call_t;
 
--- a/src/relay/claim.c
+++ b/src/relay/claim.c
@@ -132,7 +132,6 @@
 {
 	(void)r;
 	(void)msg;
-	call->awaiting = true;
 	call->claim_until_us = call->preq.deadline_us;
 }
 
--- a/src/relay/problem.c
+++ b/src/relay/problem.c
@@ -9,13 +9,6 @@
 	[BW_OUTCOME_UNKNOWN] = "unknown",
 };
 
-const char *bw_outcome_name(bw_outcome_t outcome)
-{
-	if (outcome >= BW_OUTCOME_COUNT)
-		return "unknown";
-	return outcome_names[outcome];
-}
-
 char *bw_problem_text(unsigned int status, bw_outcome_t outcome,
 		      const char *reason, const char *ticket)
 {
--- a/src/relay/problem.h
+++ b/src/relay/problem.h
@@ -18,7 +18,4 @@
 char *bw_problem_text(unsigned int status, bw_outcome_t outcome,
 		      const char *reason, const char *ticket);
 
-/** Name of an outcome, a static string. */
-const char *bw_outcome_name(bw_outcome_t outcome);
-
 #endif
