--- a/bench/bench_slopes.c
+++ b/bench/bench_slopes.c
@@ -386,6 +386,59 @@
 	}
 }
 
+static gint by_value(gconstpointer a, gconstpointer b, gpointer data)
+{
+	(void)data;
+	return (GPOINTER_TO_SIZE(a) > GPOINTER_TO_SIZE(b)) -
+	       (GPOINTER_TO_SIZE(a) < GPOINTER_TO_SIZE(b));
+}
+
+/*
+ * Sketch of placing a job with its team's quota, which is not built: workers in
+ * a tree by free processors; the tightest fit is taken and put back changed.
+ */
+static void measure_job_placement(series_t *cpu)
+{
+	static const uint32_t sizes[] = { 494, 987, 1975, 3950, 7900 };
+	static uint32_t team_used[53];
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		GTree *tree = g_tree_new_full(by_value, NULL, NULL, NULL);
+		GRand *rand = g_rand_new_with_seed(3);
+		double began;
+		uint32_t k;
+
+		/* A key is the free processors, then the worker's number. */
+		for (k = 0; k < sizes[i]; k++)
+			g_tree_insert(tree,
+				      GSIZE_TO_POINTER((gsize)32 << 32 | k),
+				      GUINT_TO_POINTER(1));
+		began = fleet_cpu_s();
+		for (k = 0; k < 100000; k++) {
+			gsize need = (gsize)g_rand_int_range(rand, 1, 9);
+			GTreeNode *node = g_tree_lower_bound(
+				tree, GSIZE_TO_POINTER(need << 32));
+			gsize key = GPOINTER_TO_SIZE(g_tree_node_key(node));
+			gsize left = (key >> 32) - need;
+
+			team_used[k % 53] += (uint32_t)need;
+			/* A nearly full worker finishes what it has. */
+			if (left < 9)
+				left = 32;
+			g_tree_remove(tree, GSIZE_TO_POINTER(key));
+			g_tree_insert(tree,
+				      GSIZE_TO_POINTER(left << 32 |
+						       (key & 0xffffffff)),
+				      GUINT_TO_POINTER(1));
+		}
+		add(cpu, log2(sizes[i]),
+		    (fleet_cpu_s() - began) / 100000 * 1e6);
+		g_tree_destroy(tree);
+		g_rand_free(rand);
+	}
+}
+
 static void on_loop_tick(struct ev_loop *loop, ev_timer *timer, int revents)
 {
 	int *left = timer->data;
@@ -435,6 +488,7 @@
 	series_t beat_bytes = { .name = "beat_bytes", .unit = "bytes" };
 	series_t keys_mb = { .name = "keys_mb", .unit = "MB" };
 	series_t loop = { .name = "loop_ms", .unit = "ms" };
+	series_t job = { .name = "job_us", .unit = "us, sketch" };
 	series_t wave = { .name = "wave_step_ms", .unit = "ms, sketch" };
 	series_t keys_ms = { .name = "keys_ms", .unit = "ms" };
 	double requests_s = DESIGN_WORKERS * 8 * SLOT_USE / SERVICE_S;
@@ -457,6 +511,7 @@
 	measure_heartbeats(&beat, &beat_bytes);
 	measure_keys(&keys_mb, &keys_ms);
 	measure_wave_step(&wave);
+	measure_job_placement(&job);
 	measure_loop(&loop);
 	fit(&configure);
 	fit(&memory);
@@ -468,6 +523,7 @@
 	fit(&keys_mb);
 	fit(&keys_ms);
 	fit(&wave);
+	fit(&job);
 	fit(&loop);
 
 	core_s = (at_size(&configure, DESIGN_WORKERS) *
--- a/scripts/plot-slopes.sh
+++ b/scripts/plot-slopes.sh
@@ -16,6 +16,7 @@
 		configure_ms | place_mb | part_bytes | tick_us | wave_step_ms) x=workers ;;
 		divide_ms | beat_ms | beat_bytes) x=entries ;;
 		loop_ms) x=wake-ups ;;
+	job_us) x=log2-workers ;;
 	*) x=keys ;;
 		esac
 		echo "set title '$series' noenhanced; set xlabel '$x'"
