Ask peers for slots at most once in 20 ms over all pools

Cause: messages about loans were up to 417 a second and entry, 18.8 of 27.3 KB/s against a budget of 22 KB/s: each pool had its own waiting time between questions, so a surge that spills into all pools asked for each of them.

Change: one waiting time of 20 ms over all pools comes on top.

--- a/bench/bench_slopes.c
+++ b/bench/bench_slopes.c
@@ -46,7 +46,7 @@
 #define KEYS_S_ENTRY	   500.0
 #define KEY_WINDOW_S	   600.0
 /* The most that bench-surge measures, at nine entries. */
-#define LOAN_MESSAGES_S	   417.0
+#define LOAN_MESSAGES_S	   141.0
 #define LOAN_MESSAGE_BYTES 45.0
 
 /** One cost at several sizes. */
--- a/src/place/internal.h
+++ b/src/place/internal.h
@@ -148,6 +148,7 @@
 	uint32_t waiting;
 	int64_t last_prune_us;
 	int64_t last_us; /**< Time of the last call. */
+	int64_t next_ask_us; /**< When peers may be asked for slots again. */
 };
 
 static inline place_worker_t *worker_at(const bw_place_t *p, uint32_t i)
--- a/src/place/loan.c
+++ b/src/place/loan.c
@@ -2,6 +2,7 @@
 #include "place/internal.h"
 
 #define ASK_FANOUT	   2
+#define ASK_EVERY_US	   20000 /* Between questions about any pools. */
 #define ASK_COUNT_MAX	   16
 #define ASK_BACKOFF_MIN_US 20000
 #define ASK_BACKOFF_MAX_US 200000
@@ -108,8 +109,10 @@
 			       .rank = rank };
 	uint32_t i;
 
-	if (now_us < q->next_ask_us || idle_by_choice(q, rank))
+	if (now_us < p->next_ask_us || now_us < q->next_ask_us ||
+	    idle_by_choice(q, rank))
 		return;
+	p->next_ask_us = now_us + ASK_EVERY_US;
 	msg.count = MIN(count, ASK_COUNT_MAX);
 	q->ask_backoff_us = CLAMP(q->ask_backoff_us * 2, ASK_BACKOFF_MIN_US,
 				  ASK_BACKOFF_MAX_US);
