--- a/Makefile
+++ b/Makefile
@@ -14,18 +14,19 @@
 DEFS := -D_GNU_SOURCE
 LIB_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 LIB_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lev -lm -lstdc++
-CFLAGS_ALL := -std=gnu11 $(OPT) $(SANITIZE) $(WARN) $(DEFS) -Isrc $(LIB_CFLAGS) $(CFLAGS)
+CFLAGS_ALL := -std=gnu11 $(OPT) $(SANITIZE) $(WARN) $(DEFS) -Isrc -Iplatform $(LIB_CFLAGS) $(CFLAGS)
 CXXFLAGS_ALL := -std=c++17 $(OPT) $(SANITIZE) -Wall -Wextra -Isrc $(CXXFLAGS)
 
 LIB_C := $(filter-out src/wire/%.pb-c.c,$(wildcard src/*/*.c))
-GEN_C := src/wire/bramley.pb-c.c
+GEN_C := src/wire/bramley.pb-c.c src/wire/record.pb-c.c
+PLATFORM_C := $(wildcard platform/*.c)
 LIB_CXX := $(wildcard src/*/*.cpp)
-LIB_OBJ := $(LIB_C:%.c=$(BUILD)/%.o) $(GEN_C:%.c=$(BUILD)/%.o) $(LIB_CXX:%.cpp=$(BUILD)/%.o)
+LIB_OBJ := $(LIB_C:%.c=$(BUILD)/%.o) $(PLATFORM_C:%.c=$(BUILD)/%.o) $(GEN_C:%.c=$(BUILD)/%.o) $(LIB_CXX:%.cpp=$(BUILD)/%.o)
 LIB := $(BUILD)/libbramleywing.a
 PROGRAMS := $(patsubst cmd/%.c,$(BUILD)/%,$(wildcard cmd/*.c))
 TESTS := $(patsubst test/%.c,$(BUILD)/test/%,$(wildcard test/test_*.c))
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/bench_*.c))
-FORMATTED := $(LIB_C) $(LIB_CXX) $(filter-out %.pb-c.h,$(wildcard src/*/*.h)) \
+FORMATTED := $(LIB_C) $(LIB_CXX) $(PLATFORM_C) $(wildcard platform/*.h) $(filter-out %.pb-c.h,$(wildcard src/*/*.h)) \
 	$(wildcard cmd/*.c test/*.c test/*.h bench/*.c bench/*.h fuzz/*.c fuzz/*.h)
 
 .SECONDARY:
@@ -36,7 +37,7 @@
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS_ALL) -MMD -MP -c $< -o $@
 
-$(BUILD)/src/wire/bramley.pb-c.o: src/wire/bramley.pb-c.c
+$(GEN_C:%.c=$(BUILD)/%.o): $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS_ALL) -w -MMD -MP -c $< -o $@
 
@@ -65,7 +66,7 @@
 	scripts/install-deps.sh
 
 proto:
-	cd src && protoc-c --c_out=. wire/bramley.proto
+	cd src && protoc-c --c_out=. wire/bramley.proto wire/record.proto
 
 format:
 	clang-format -i $(FORMATTED)
@@ -74,8 +75,8 @@
 	clang-format --dry-run --Werror $(FORMATTED)
 
 lint:
-	printf '%s\n' $(LIB_C) $(wildcard cmd/*.c) | xargs -P 8 -n 4 sh -c \
-		'clang-tidy --quiet "$$@" -- -std=gnu11 $(DEFS) -Isrc $(LIB_CFLAGS) 2>/dev/null' sh
+	printf '%s\n' $(LIB_C) $(PLATFORM_C) $(wildcard cmd/*.c) | xargs -P 8 -n 4 sh -c \
+		'clang-tidy --quiet "$$@" -- -std=gnu11 $(DEFS) -Isrc -Iplatform $(LIB_CFLAGS) 2>/dev/null' sh
 
 clean:
 	rm -rf $(BUILD)
--- /dev/null
+++ b/cmd/bramley-fleetd.c
@@ -0,0 +1,186 @@
+/* bramley-fleetd: one node of a fleet on the users' platform. */
+#include <signal.h>
+#include <stdio.h>
+#include <unistd.h>
+
+#include <curl/curl.h>
+#include <ev.h>
+#include <glib.h>
+
+#include "base/clock.h"
+#include "base/event.h"
+#include "fleet/fleet.h"
+#include "fleet/settings.h"
+#include "platform.h"
+
+#define EXIT_USAGE    1
+#define EXIT_SETTINGS 2
+#define EXIT_START    3
+/** After a stop signal callers are served until the balancer has noticed. */
+#define LINGER_MS     2600
+/** Kept free of the grace, to end in order. */
+#define GRACE_RESERVE_MS 700
+#define STOP_POLL_S   0.1
+
+/** The running program. */
+typedef struct program {
+	struct ev_loop *loop;
+	bw_fleet_settings_t settings;
+	bw_counters_t counters;
+	bw_fleet_t *fleet;
+	platform_front_t *front;
+	ev_signal term;
+	ev_signal interrupt;
+	ev_signal hangup;
+	ev_timer stop_poll;
+	int64_t stop_ms; /**< When the stop began; 0: it has not. */
+} program_t;
+
+static char *option_settings;
+static gboolean option_check;
+
+static GOptionEntry options[] = {
+	{ "settings", 's', 0, G_OPTION_ARG_FILENAME, &option_settings,
+	  "Settings file", "FILE" },
+	{ "check", 'c', 0, G_OPTION_ARG_NONE, &option_check,
+	  "Check the settings file and exit", NULL },
+	{ NULL, 0, 0, 0, NULL, NULL, NULL },
+};
+
+static bool read_settings(bw_fleet_settings_t *settings)
+{
+	bw_findings_t *findings = bw_findings_create(option_settings);
+	bw_status_t status =
+		bw_fleet_settings_read(option_settings, settings, findings);
+
+	bw_findings_print(findings, stderr);
+	bw_findings_destroy(findings);
+	if (status != BW_OK)
+		fprintf(stderr, "bramley-fleetd: %s\n", bw_status_message());
+	return status == BW_OK;
+}
+
+/* Ends once pools are handed over and callers answered, or grace runs out. */
+static void on_stop_poll(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	program_t *p = timer->data;
+	int64_t age_ms = bw_clock_now_ms() - p->stop_ms;
+	bool served = age_ms >= LINGER_MS && platform_front_open(p->front) == 0;
+
+	(void)revents;
+	if ((served && bw_fleet_left(p->fleet)) ||
+	    age_ms >= p->settings.grace_ms - GRACE_RESERVE_MS)
+		ev_break(loop, EVBREAK_ALL);
+}
+
+static void on_stop(struct ev_loop *loop, ev_signal *signal, int revents)
+{
+	program_t *p = signal->data;
+
+	(void)revents;
+	if (p->stop_ms > 0)
+		return;
+	p->stop_ms = bw_clock_now_ms();
+	bw_event("main", "stopping", "signal=%d", signal->signum);
+	platform_front_leave(p->front);
+	bw_fleet_leave(p->fleet);
+	ev_timer_init(&p->stop_poll, on_stop_poll, STOP_POLL_S, STOP_POLL_S);
+	p->stop_poll.data = p;
+	ev_timer_start(loop, &p->stop_poll);
+}
+
+static void on_hangup(struct ev_loop *loop, ev_signal *signal, int revents)
+{
+	program_t *p = signal->data;
+	bw_fleet_settings_t fresh;
+
+	(void)loop;
+	(void)revents;
+	/* Addresses and limits hold for a process; a new start takes others. */
+	bw_event("main", "reload", "settings=%s good=%d", option_settings,
+		 read_settings(&fresh));
+	bw_fleet_settings_clear(&fresh);
+	(void)p;
+}
+
+static void watch_signal(program_t *p, ev_signal *watch, int number,
+			 void (*fn)(struct ev_loop *, ev_signal *, int))
+{
+	ev_signal_init(watch, fn, number);
+	watch->data = p;
+	ev_signal_start(p->loop, watch);
+}
+
+static bw_status_t create_fleet(program_t *p)
+{
+	const bw_fleet_settings_t *settings = &p->settings;
+	bw_fleet_env_t env = {
+		.loop = p->loop,
+		.settings = settings,
+		.values = &platform_values,
+		.counters = &p->counters,
+	};
+
+	env.store = platform_store_create(p->loop, settings->store,
+					  &p->counters);
+	env.workers = platform_workers_create(p->loop, settings->advice);
+	if (settings->machines)
+		env.machines =
+			platform_machines_create(p->loop, settings->machines);
+	return bw_fleet_create(&env, &p->fleet);
+}
+
+static int serve(program_t *p)
+{
+	bw_request_port_t requests;
+
+	bw_event_init(p->loop);
+	if (create_fleet(p) != BW_OK) {
+		fprintf(stderr, "bramley-fleetd: %s\n", bw_status_message());
+		return EXIT_START;
+	}
+	requests = bw_fleet_requests(p->fleet);
+	if (platform_front_create(p->loop, p->settings.callers,
+				  p->settings.ready, &requests,
+				  &p->front) != BW_OK) {
+		fprintf(stderr, "bramley-fleetd: %s\n", bw_status_message());
+		return EXIT_START;
+	}
+	watch_signal(p, &p->term, SIGTERM, on_stop);
+	watch_signal(p, &p->interrupt, SIGINT, on_stop);
+	watch_signal(p, &p->hangup, SIGHUP, on_hangup);
+	bw_event("main", "started", "node=%s zone=%s callers=%s",
+		 p->settings.name, p->settings.zone, p->settings.callers);
+	ev_run(p->loop, 0);
+	bw_event("main", "stopped", "left_out=%" G_GUINT64_FORMAT,
+		 bw_event_dropped());
+	bw_event_flush();
+	/* Connections and memory go with the process. */
+	_exit(0);
+}
+
+int main(int argc, char **argv)
+{
+	GOptionContext *context = g_option_context_new(NULL);
+	program_t *p = g_new0(program_t, 1);
+	GError *error = NULL;
+
+	g_option_context_add_main_entries(context, options, NULL);
+	if (!g_option_context_parse(context, &argc, &argv, &error) ||
+	    !option_settings) {
+		fprintf(stderr, "bramley-fleetd: %s\n",
+			error ? error->message : "--settings is needed");
+		return EXIT_USAGE;
+	}
+	g_option_context_free(context);
+	if (!read_settings(&p->settings))
+		return EXIT_SETTINGS;
+	if (option_check) {
+		printf("%s: good\n", option_settings);
+		return 0;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	curl_global_init(CURL_GLOBAL_NOTHING);
+	p->loop = ev_default_loop(0);
+	return serve(p);
+}
--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -7,45 +7,28 @@
 #include <glib.h>
 
 #include "base/address.h"
+#include "conf/keys.h"
 #include "conf/toml.h"
 
-/** How the value of a key is checked. */
-typedef enum key_kind {
-	KEY_NAME,
-	KEY_ADDRESS,
-	KEY_TEXT,
-	KEY_NUMBER
-} key_kind_t;
-
-typedef struct key_spec {
-	const char *path;
-	key_kind_t kind;
-	size_t offset;
-	int64_t min;
-	int64_t max;
-	int64_t fallback; /**< Default of a number. */
-	gboolean required;
-} key_spec_t;
-
 #define MIB ((int64_t)1 << 20)
 #define TEXT_KEY(path, kind, field)                                            \
 	{                                                                      \
-		path, kind, offsetof(bw_settings_t, field), 0, 0, 0, TRUE      \
+		path, kind, offsetof(bw_settings_t, field), 0, 0, 0, true      \
 	}
 #define NUMBER_KEY(path, field, min, max, fallback)                            \
 	{                                                                      \
-		path, KEY_NUMBER, offsetof(bw_settings_t, field), min, max,    \
-			fallback, FALSE                                        \
+		path, BW_KEY_NUMBER, offsetof(bw_settings_t, field), min, max,    \
+			fallback, false                                        \
 	}
 
-static const key_spec_t key_specs[] = {
-	TEXT_KEY("entry.name", KEY_NAME, name),
-	TEXT_KEY("entry.site", KEY_NAME, site),
-	TEXT_KEY("entry.zone", KEY_NAME, zone),
-	TEXT_KEY("entry.callers", KEY_ADDRESS, callers),
-	TEXT_KEY("entry.peers", KEY_ADDRESS, peers_listen),
-	TEXT_KEY("entry.operators", KEY_ADDRESS, operators),
-	TEXT_KEY("store.prefix", KEY_TEXT, store_prefix),
+static const bw_key_spec_t key_specs[] = {
+	TEXT_KEY("entry.name", BW_KEY_NAME, name),
+	TEXT_KEY("entry.site", BW_KEY_NAME, site),
+	TEXT_KEY("entry.zone", BW_KEY_NAME, zone),
+	TEXT_KEY("entry.callers", BW_KEY_ADDRESS, callers),
+	TEXT_KEY("entry.peers", BW_KEY_ADDRESS, peers_listen),
+	TEXT_KEY("entry.operators", BW_KEY_ADDRESS, operators),
+	TEXT_KEY("store.prefix", BW_KEY_TEXT, store_prefix),
 	NUMBER_KEY("store.timeout_ms", store_timeout_ms, 10, 60000, 1000),
 	NUMBER_KEY("entry.lease_ms", lease_ms, 500, 600000, 5000),
 	NUMBER_KEY("entry.heartbeat_ms", heartbeat_ms, 20, 10000, 200),
@@ -66,11 +49,8 @@
 		   1024 * MIB, 16 * MIB),
 };
 
-static const key_spec_t *find_spec(const char *path);
-static void set_text(bw_settings_t *s, const key_spec_t *spec,
-		     const bw_toml_item_t *item, bw_findings_t *f);
-static void set_number(bw_settings_t *s, const key_spec_t *spec,
-		       const bw_toml_item_t *item, bw_findings_t *f);
+static const bw_keys_t keys = { key_specs, G_N_ELEMENTS(key_specs) };
+
 static void take_endpoint(bw_settings_t *s, const bw_toml_item_t *item,
 			  bw_findings_t *f);
 static void take_peer(bw_settings_t *s, const bw_toml_item_t *item,
@@ -79,65 +59,6 @@
 		      bw_findings_t *f);
 static void check_required(const bw_settings_t *s, bw_findings_t *f);
 
-static const key_spec_t *find_spec(const char *path)
-{
-	size_t i;
-
-	for (i = 0; i < G_N_ELEMENTS(key_specs); i++)
-		if (!strcmp(key_specs[i].path, path))
-			return &key_specs[i];
-	return NULL;
-}
-
-static void set_text(bw_settings_t *s, const key_spec_t *spec,
-		     const bw_toml_item_t *item, bw_findings_t *f)
-{
-	char **field = (char **)((char *)s + spec->offset);
-	char ip[46];
-	uint16_t port;
-
-	if (item->type != BW_TOML_STRING) {
-		bw_findings_add(f, BW_F_WRONG_TYPE, item->line, item->column,
-				"%s takes a string", item->path);
-		g_free(*field);
-		*field = g_strdup("");
-		return;
-	}
-	if (item->string[0] == '\0')
-		bw_findings_add(f, BW_F_BAD_VALUE, item->line, item->column,
-				"%s is empty", item->path);
-	if (spec->kind == KEY_ADDRESS &&
-	    bw_address_split(item->string, ip, &port) != BW_OK)
-		bw_findings_add(f, BW_F_BAD_VALUE, item->line, item->column,
-				"%s: %s", item->path, bw_status_message());
-	if (spec->kind == KEY_NAME && strpbrk(item->string, "/ \t\n"))
-		bw_findings_add(f, BW_F_BAD_VALUE, item->line, item->column,
-				"%s has a slash or a space", item->path);
-	g_free(*field);
-	*field = g_strdup(item->string);
-}
-
-static void set_number(bw_settings_t *s, const key_spec_t *spec,
-		       const bw_toml_item_t *item, bw_findings_t *f)
-{
-	int64_t *field = (int64_t *)((char *)s + spec->offset);
-
-	if (item->type != BW_TOML_INTEGER) {
-		bw_findings_add(f, BW_F_WRONG_TYPE, item->line, item->column,
-				"%s takes an integer", item->path);
-		return;
-	}
-	if (item->integer < spec->min || item->integer > spec->max) {
-		bw_findings_add(f, BW_F_OUT_OF_RANGE, item->line, item->column,
-				"%s is %" PRId64 ", allowed are %" PRId64
-				" to %" PRId64,
-				item->path, item->integer, spec->min,
-				spec->max);
-		return;
-	}
-	*field = item->integer;
-}
-
 static void take_endpoint(bw_settings_t *s, const bw_toml_item_t *item,
 			  bw_findings_t *f)
 {
@@ -196,33 +117,19 @@
 static void take_item(bw_settings_t *s, const bw_toml_item_t *item,
 		      bw_findings_t *f)
 {
-	const key_spec_t *spec = find_spec(item->path);
-
 	if (g_str_has_prefix(item->path, "store.endpoints["))
 		take_endpoint(s, item, f);
 	else if (g_str_has_prefix(item->path, "peer["))
 		take_peer(s, item, f);
-	else if (!spec)
-		bw_findings_add(f, BW_F_UNKNOWN_KEY, item->line, item->column,
-				"%s", item->path);
-	else if (spec->kind == KEY_NUMBER)
-		set_number(s, spec, item, f);
 	else
-		set_text(s, spec, item, f);
+		bw_keys_take(&keys, s, item, f);
 }
 
 static void check_required(const bw_settings_t *s, bw_findings_t *f)
 {
 	size_t i;
 
-	for (i = 0; i < G_N_ELEMENTS(key_specs); i++) {
-		const key_spec_t *spec = &key_specs[i];
-		const char *base = (const char *)s + spec->offset;
-
-		if (spec->required && !*(char *const *)base)
-			bw_findings_add(f, BW_F_MISSING_KEY, 0, 0, "%s",
-					spec->path);
-	}
+	bw_keys_check_required(&keys, s, f);
 	if (s->endpoint_count == 0)
 		bw_findings_add(f, BW_F_MISSING_KEY, 0, 0, "store.endpoints");
 	for (i = 0; i < s->peer_count; i++)
@@ -231,17 +138,6 @@
 					"peer[%zu] needs name and address", i);
 }
 
-static void set_defaults(bw_settings_t *s)
-{
-	size_t i;
-
-	memset(s, 0, sizeof(*s));
-	for (i = 0; i < G_N_ELEMENTS(key_specs); i++)
-		if (key_specs[i].kind == KEY_NUMBER)
-			*(int64_t *)((char *)s + key_specs[i].offset) =
-				key_specs[i].fallback;
-}
-
 bw_status_t bw_settings_read(const char *path, bw_settings_t *s,
 			     bw_findings_t *findings)
 {
@@ -249,7 +145,8 @@
 	bw_status_t status;
 	size_t i;
 
-	set_defaults(s);
+	memset(s, 0, sizeof(*s));
+	bw_keys_set_defaults(&keys, s);
 	status = bw_toml_read(path, &doc, findings);
 	if (status != BW_OK)
 		return status;
@@ -267,12 +164,7 @@
 {
 	size_t i;
 
-	for (i = 0; i < G_N_ELEMENTS(key_specs); i++) {
-		char *base = (char *)s + key_specs[i].offset;
-
-		if (key_specs[i].kind != KEY_NUMBER)
-			g_clear_pointer((char **)base, g_free);
-	}
+	bw_keys_clear(&keys, s);
 	for (i = 0; i < s->endpoint_count; i++)
 		g_free(s->endpoints[i]);
 	for (i = 0; i < s->peer_count; i++) {
--- a/src/conf/toml.cpp
+++ b/src/conf/toml.cpp
@@ -30,6 +30,9 @@
 	} else if (auto i = node.as_integer()) {
 		item.type = BW_TOML_INTEGER;
 		item.integer = i->get();
+	} else if (auto f = node.as_floating_point()) {
+		item.type = BW_TOML_FLOAT;
+		item.number = f->get();
 	} else if (auto b = node.as_boolean()) {
 		item.type = BW_TOML_BOOLEAN;
 		item.boolean = b->get();
--- a/src/conf/toml.h
+++ b/src/conf/toml.h
@@ -21,6 +21,7 @@
 	BW_TOML_STRING,
 	BW_TOML_INTEGER,
 	BW_TOML_BOOLEAN,
+	BW_TOML_FLOAT,
 	BW_TOML_OTHER,
 	BW_TOML_TYPE_COUNT
 } bw_toml_type_t;
@@ -30,6 +31,7 @@
 	char *path;
 	char *string; /**< NULL unless the type is BW_TOML_STRING. */
 	int64_t integer;
+	double number; /**< With BW_TOML_FLOAT. */
 	bool boolean;
 	bw_toml_type_t type;
 	uint32_t line;
--- /dev/null
+++ b/src/fleet/fleet.c
@@ -0,0 +1,492 @@
+#include "fleet/fleet.h"
+
+#include <string.h>
+
+#include <ev.h>
+#include <glib.h>
+
+#include "base/clock.h"
+#include "base/event.h"
+#include "fleet/directory.h"
+#include "fleet/inquiry.h"
+#include "fleet/member.h"
+#include "fleet/mirror.h"
+#include "fleet/pool.h"
+#include "fleet/service.h"
+#include "fleet/upkeep.h"
+
+#define TICK_S 0.05
+/** Part of the longest grant that a lease may last, so that a successor can
+ * renew grants before they run out. */
+#define LEASE_SHARE 0.4
+/** An owner acts this long past its lease when the store is out of reach. */
+#define OUTAGE_MS 6500
+/** Without an answer of the store for so long it counts as out of reach. */
+#define STORE_SILENT_MS 1400
+/** Calls that fail in a row before the store counts as out of reach. */
+#define STORE_FAILURES 3
+
+struct bw_fleet {
+	bw_fleet_env_t env;
+	uint64_t incarnation;
+	bw_fleet_config_t *config;
+	GPtrArray *old_configs; /**< Requests in progress may use them. */
+	bw_mirror_t *config_mirror;
+	bw_mirror_t *wave_mirror;
+	bw_fleet_member_t *member;
+	bw_directory_t *directory;
+	bw_inquiry_t *inquiry;
+	bw_service_t *service;
+	bw_upkeep_t *upkeep;
+	GHashTable *pools; /**< Name to bw_pool_t. */
+	ev_timer tick;
+	int64_t store_ok_ms;
+	uint32_t store_failures;
+	bool store_good;
+	bool leaving;
+	bool left;
+};
+
+static void on_tick(struct ev_loop *loop, ev_timer *timer, int revents);
+static void on_config(void *ctx, const bw_store_kv_t *kv);
+static void on_wave(void *ctx, const bw_store_kv_t *kv);
+static void on_synced(void *ctx);
+static void on_result(void *ctx, bw_status_t status);
+static void on_node(void *ctx, const char *name, const char *address);
+static void on_gained(void *ctx, const char *pool, int64_t revision);
+static void on_lost(void *ctx, const char *pool, const char *reason);
+static void each_pool(void *ctx, void (*fn)(void *arg, const char *pool),
+		      void *arg);
+static void on_superseded(void *ctx, const char *pool);
+static void on_pool_stopped(void *ctx, const char *pool);
+static void on_directory(void *ctx, int64_t now_ms);
+static const char *owner_of(void *ctx, const char *pool);
+static void answer_local(void *ctx, const char *pool, const char *job,
+			 const char *queue, bw_inquiry_answer_t *out);
+static bool is_store_good(void *ctx);
+static bw_pool_t *find_pool(void *ctx, const char *name);
+static bool owns_any(void *ctx);
+static void configure_pool(bw_fleet_t *f, bw_pool_t *pool);
+
+static const bw_mirror_ops_t config_ops = { on_config, on_synced, on_result };
+static const bw_mirror_ops_t wave_ops = { on_wave, on_synced, on_result };
+static const bw_fleet_member_ops_t member_ops = {
+	.node = on_node,
+	.gained = on_gained,
+	.lost = on_lost,
+	.pools = each_pool,
+	.result = on_result,
+};
+static const bw_pool_ops_t pool_ops = { on_superseded, on_result,
+					on_pool_stopped };
+static const bw_directory_ops_t directory_ops = { on_directory, on_result };
+static const bw_service_ops_t service_ops = { owner_of, answer_local,
+					      on_result, is_store_good };
+static const bw_upkeep_ops_t upkeep_ops = { find_pool, owns_any, on_result };
+
+static char *peers_address(const bw_fleet_settings_t *settings)
+{
+	return g_strdup_printf("%s:%d", settings->ip,
+			       (int)settings->peers_port);
+}
+
+static void create_member(bw_fleet_t *f, const char *address)
+{
+	const bw_fleet_settings_t *settings = f->env.settings;
+	bw_fleet_member_config_t config = {
+		.name = settings->name,
+		.address = address,
+		.incarnation = f->incarnation,
+		.lease_ms = MAX(settings->lease_min_ms,
+				(int64_t)((double)settings->grant_max_ms *
+					  LEASE_SHARE)),
+	};
+
+	f->member = bw_fleet_member_create(f->env.loop, &f->env.store, &config,
+					   &member_ops, f);
+}
+
+static void create_parts(bw_fleet_t *f, const char *address)
+{
+	bw_upkeep_env_t upkeep = {
+		.store = f->env.store,
+		.machines = f->env.machines,
+		.values = f->env.values,
+		.node = f->env.settings->name,
+		.holder_ms = f->env.settings->holder_ms,
+	};
+
+	create_member(f, address);
+	f->directory = bw_directory_create(&f->env.store, f->env.values,
+					   &directory_ops, f);
+	f->service = bw_service_create(f->env.loop, f->env.settings->name,
+				       &f->env.store, f->inquiry, &service_ops,
+				       f);
+	if (f->env.machines.impl)
+		f->upkeep = bw_upkeep_create(&upkeep, &upkeep_ops, f);
+	f->config_mirror =
+		bw_mirror_create(f->env.loop, &f->env.store,
+				 f->env.values->config_key, &config_ops, f);
+	if (f->upkeep)
+		f->wave_mirror = bw_mirror_create(f->env.loop, &f->env.store,
+						  f->env.values->waves_prefix,
+						  &wave_ops, f);
+}
+
+bw_status_t bw_fleet_create(const bw_fleet_env_t *env, bw_fleet_t **out)
+{
+	bw_fleet_t *f = g_new0(bw_fleet_t, 1);
+	char *address = peers_address(env->settings);
+	bw_status_t status;
+
+	f->env = *env;
+	f->incarnation = ((uint64_t)g_random_int() << 32) | g_random_int();
+	f->store_ok_ms = bw_clock_now_ms();
+	f->store_good = true;
+	f->old_configs = g_ptr_array_new();
+	f->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					 (GDestroyNotify)bw_pool_destroy);
+	status = bw_inquiry_create(env->loop, env->settings->name, address,
+				   f->incarnation, answer_local, f,
+				   env->counters, &f->inquiry);
+	if (status != BW_OK) {
+		g_free(address);
+		return status;
+	}
+	create_parts(f, address);
+	ev_timer_init(&f->tick, on_tick, TICK_S, TICK_S);
+	f->tick.data = f;
+	ev_timer_start(env->loop, &f->tick);
+	g_free(address);
+	*out = f;
+	return BW_OK;
+}
+
+/* Whether the store is out of reach, from all calls of this node. */
+static void on_result(void *ctx, bw_status_t status)
+{
+	bw_fleet_t *f = ctx;
+	bool good = status != BW_EUNAVAIL && status != BW_ELOST;
+	int64_t now_ms = bw_clock_now_ms();
+
+	if (good) {
+		f->store_ok_ms = now_ms;
+		f->store_failures = 0;
+	} else {
+		f->store_failures++;
+	}
+	if (good && !f->store_good)
+		bw_event("fleet", "store-regained", "node=%s",
+			 f->env.settings->name);
+	if (good)
+		f->store_good = true;
+	else if (f->store_good && f->store_failures >= STORE_FAILURES &&
+		 now_ms - f->store_ok_ms > STORE_SILENT_MS / 2) {
+		f->store_good = false;
+		bw_event("fleet", "store-lost",
+			 "node=%s failures=%u silent_ms=%" G_GINT64_FORMAT,
+			 f->env.settings->name, f->store_failures,
+			 now_ms - f->store_ok_ms);
+	}
+}
+
+static bool is_store_good(void *ctx)
+{
+	return ((bw_fleet_t *)ctx)->store_good;
+}
+
+static void configure_pool(bw_fleet_t *f, bw_pool_t *pool)
+{
+	bw_sched_t *sched = bw_pool_sched(pool);
+	uint32_t i;
+
+	if (!sched || !f->config)
+		return;
+	for (i = 0; i < f->config->queue_count; i++) {
+		const bw_queue_t *queue = &f->config->queues[i];
+		bw_queue_config_t config = {
+			.name = queue->name,
+			.priority = queue->priority,
+			.attempts_max = queue->attempts_max,
+			.stretch = queue->stretch,
+			.target_ms = queue->target_ms,
+			.advised = queue->advised,
+		};
+
+		bw_sched_set_queue(sched, &config);
+	}
+	bw_pool_wake(pool);
+}
+
+static void on_config(void *ctx, const bw_store_kv_t *kv)
+{
+	bw_fleet_t *f = ctx;
+	bw_fleet_config_t *config;
+	GHashTableIter iter;
+	gpointer pool;
+
+	if (kv->deleted || strcmp(kv->key, f->env.values->config_key) != 0)
+		return;
+	if (f->env.values->config(kv->value, kv->bytes, &config) != BW_OK) {
+		bw_event("fleet", "config-unreadable", "error=\"%s\"",
+			 bw_status_message());
+		return;
+	}
+	if (f->config && config->version < f->config->version) {
+		bw_event("fleet", "config-older", "version=%" G_GINT64_FORMAT,
+			 config->version);
+		bw_fleet_config_free(config);
+		return;
+	}
+	bw_event("fleet", "config",
+		 "version=%" G_GINT64_FORMAT " queues=%u pools=%u",
+		 config->version, config->queue_count, config->pool_count);
+	bw_service_configure(f->service, config);
+	bw_fleet_config_free(f->config);
+	f->config = config;
+	g_hash_table_iter_init(&iter, f->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &pool))
+		configure_pool(f, pool);
+}
+
+static void on_wave(void *ctx, const bw_store_kv_t *kv)
+{
+	bw_fleet_t *f = ctx;
+	bw_wave_order_t *order;
+
+	if (kv->deleted)
+		return;
+	if (f->env.values->wave(kv->value, kv->bytes, &order) == BW_OK)
+		bw_upkeep_wave(f->upkeep, order);
+	else
+		bw_event("fleet", "wave-unreadable", "key=%s", kv->key);
+}
+
+static void on_synced(void *ctx)
+{
+	(void)ctx;
+}
+
+static void on_node(void *ctx, const char *name, const char *address)
+{
+	bw_fleet_t *f = ctx;
+
+	bw_event("fleet", "node", "name=%s address=%s", name,
+		 address ? address : "-");
+	bw_inquiry_node(f->inquiry, name, address);
+}
+
+static void each_pool(void *ctx, void (*fn)(void *arg, const char *pool),
+		      void *arg)
+{
+	bw_fleet_t *f = ctx;
+	uint32_t i;
+
+	for (i = 0; f->config && i < f->config->pool_count; i++)
+		fn(arg, f->config->pools[i].name);
+}
+
+static void on_gained(void *ctx, const char *name, int64_t revision)
+{
+	bw_fleet_t *f = ctx;
+	bw_pool_env_t env = {
+		.loop = f->env.loop,
+		.store = f->env.store,
+		.workers = f->env.workers,
+		.settings = f->env.settings,
+		.outage_ms = OUTAGE_MS,
+	};
+
+	g_hash_table_replace(f->pools, g_strdup(name),
+			     bw_pool_create(&env, name, revision, &pool_ops,
+					    f));
+}
+
+static void on_lost(void *ctx, const char *pool, const char *reason)
+{
+	bw_fleet_t *f = ctx;
+
+	bw_event("fleet", "pool-lost", "pool=%s reason=%s", pool, reason);
+	g_hash_table_remove(f->pools, pool);
+}
+
+static void on_superseded(void *ctx, const char *pool)
+{
+	bw_fleet_t *f = ctx;
+
+	bw_fleet_member_superseded(f->member, pool);
+}
+
+static const char *owner_of(void *ctx, const char *pool)
+{
+	bw_fleet_t *f = ctx;
+
+	if (g_hash_table_contains(f->pools, pool))
+		return f->env.settings->name;
+	return bw_fleet_member_owner(f->member, pool);
+}
+
+static void answer_local(void *ctx, const char *name, const char *job,
+			 const char *queue, bw_inquiry_answer_t *out)
+{
+	bw_fleet_t *f = ctx;
+	bw_pool_t *pool = g_hash_table_lookup(f->pools, name);
+
+	if (!pool || !bw_pool_ready(pool))
+		return;
+	out->owner = true;
+	if (job)
+		out->state = bw_sched_job_state(bw_pool_sched(pool), job);
+	if (queue)
+		out->waiting = bw_sched_waiting(bw_pool_sched(pool), queue);
+}
+
+static bw_pool_t *find_pool(void *ctx, const char *name)
+{
+	return g_hash_table_lookup(((bw_fleet_t *)ctx)->pools, name);
+}
+
+static bool owns_any(void *ctx)
+{
+	return g_hash_table_size(((bw_fleet_t *)ctx)->pools) > 0;
+}
+
+/** A pool and the directory, while one is fed from the other. */
+typedef struct feed {
+	bw_fleet_t *f;
+	bw_pool_t *pool;
+	int64_t now_ms;
+} feed_t;
+
+static void feed_registration(void *ctx, const bw_registration_t *r)
+{
+	feed_t *feed = ctx;
+
+	if (!strcmp(r->pool, bw_pool_name(feed->pool)))
+		bw_sched_worker_seen(bw_pool_sched(feed->pool), feed->now_ms,
+				     &r->info);
+}
+
+static void check_registration(void *ctx, const char *id, bool registered)
+{
+	feed_t *feed = ctx;
+	const bw_registration_t *r =
+		bw_directory_find(feed->f->directory, id);
+
+	if (registered && (!r || strcmp(r->pool, bw_pool_name(feed->pool))))
+		bw_sched_worker_gone(bw_pool_sched(feed->pool), feed->now_ms,
+				     id);
+}
+
+static void feed_pool(bw_fleet_t *f, bw_pool_t *pool, int64_t now_ms)
+{
+	feed_t feed = { f, pool, now_ms };
+
+	if (!bw_pool_sched(pool))
+		return;
+	bw_directory_foreach(f->directory, feed_registration, &feed);
+	if (bw_directory_complete(f->directory, now_ms))
+		bw_sched_workers(bw_pool_sched(pool), check_registration,
+				 &feed);
+	bw_pool_directory_read(pool);
+}
+
+static void on_directory(void *ctx, int64_t now_ms)
+{
+	bw_fleet_t *f = ctx;
+	GHashTableIter iter;
+	gpointer pool;
+
+	g_hash_table_iter_init(&iter, f->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &pool)) {
+		configure_pool(f, pool);
+		feed_pool(f, pool, now_ms);
+	}
+}
+
+static void allow_pools(bw_fleet_t *f, int64_t now_ms)
+{
+	bool allowed =
+		now_ms < bw_fleet_member_until_ms(f->member) + OUTAGE_MS;
+	GHashTableIter iter;
+	gpointer pool;
+
+	g_hash_table_iter_init(&iter, f->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &pool))
+		bw_pool_allow(pool, allowed);
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	bw_fleet_t *f = timer->data;
+	int64_t now_ms = bw_clock_now_ms();
+
+	(void)loop;
+	(void)revents;
+	bw_fleet_member_tick(f->member, now_ms);
+	bw_inquiry_tick(f->inquiry, now_ms);
+	allow_pools(f, now_ms);
+	if (owns_any(f))
+		bw_directory_tick(f->directory, now_ms);
+	if (f->upkeep && !f->leaving)
+		bw_upkeep_tick(f->upkeep, now_ms);
+}
+
+static void serve(void *impl, const bw_request_t *request, bw_answer_fn done,
+		  void *ctx)
+{
+	bw_fleet_t *f = impl;
+
+	bw_service_serve(f->service, request, done, ctx);
+}
+
+static bool is_ready(void *impl)
+{
+	bw_fleet_t *f = impl;
+
+	return f->config && f->store_good && !f->leaving;
+}
+
+bw_request_port_t bw_fleet_requests(bw_fleet_t *f)
+{
+	return (bw_request_port_t){ f, serve, is_ready };
+}
+
+static void end_if_left(bw_fleet_t *f)
+{
+	if (!f->leaving || f->left || g_hash_table_size(f->pools) > 0)
+		return;
+	f->left = true;
+	bw_fleet_member_end(f->member);
+	bw_event("fleet", "left", "node=%s", f->env.settings->name);
+}
+
+static void on_pool_stopped(void *ctx, const char *pool)
+{
+	bw_fleet_t *f = ctx;
+
+	bw_event("fleet", "pool-handed-over", "pool=%s", pool);
+	g_hash_table_remove(f->pools, pool);
+	end_if_left(f);
+}
+
+void bw_fleet_leave(bw_fleet_t *f)
+{
+	GList *pools;
+	GList *at;
+
+	if (f->leaving)
+		return;
+	f->leaving = true;
+	bw_fleet_member_leave(f->member);
+	pools = g_hash_table_get_values(f->pools);
+	for (at = pools; at; at = at->next)
+		bw_pool_stop(at->data);
+	g_list_free(pools);
+	end_if_left(f);
+}
+
+bool bw_fleet_left(const bw_fleet_t *f)
+{
+	return f->left;
+}
--- /dev/null
+++ b/src/fleet/member.h
@@ -0,0 +1,75 @@
+/**
+ * @file
+ * The live nodes and the owners of pools, as the store has them: this node's
+ * lease and registration, and claims of pools without an owner.
+ */
+#ifndef BW_FLEET_MEMBER_H
+#define BW_FLEET_MEMBER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "store/store.h"
+
+struct ev_loop;
+
+typedef struct bw_fleet_member bw_fleet_member_t;
+
+typedef struct bw_fleet_member_config {
+	const char *name; /**< Of this node. */
+	const char *address; /**< ip:port for other nodes. */
+	uint64_t incarnation;
+	int64_t lease_ms;
+} bw_fleet_member_config_t;
+
+typedef struct bw_fleet_member_ops {
+	/** A node came, changed its address, or (NULL) went. */
+	void (*node)(void *ctx, const char *name, const char *address);
+	/** This node owns a pool now. */
+	void (*gained)(void *ctx, const char *pool, int64_t revision);
+	/** This node owns a pool no longer. */
+	void (*lost)(void *ctx, const char *pool, const char *reason);
+	/** Calls a function for each pool that is to have an owner. */
+	void (*pools)(void *ctx, void (*fn)(void *arg, const char *pool),
+		      void *arg);
+	/** A call to the store ended so. */
+	void (*result)(void *ctx, bw_status_t status);
+} bw_fleet_member_ops_t;
+
+bw_fleet_member_t *bw_fleet_member_create(struct ev_loop *loop,
+					  const bw_store_t *store,
+					  const bw_fleet_member_config_t *config,
+					  const bw_fleet_member_ops_t *ops,
+					  void *ctx);
+void bw_fleet_member_destroy(bw_fleet_member_t *m);
+
+/** Renews the lease and claims pools; to be called often. */
+void bw_fleet_member_tick(bw_fleet_member_t *m, int64_t now_ms);
+
+/** Until when the lease holds for sure. */
+int64_t bw_fleet_member_until_ms(const bw_fleet_member_t *m);
+
+/** Owner of a pool, or NULL. */
+const char *bw_fleet_member_owner(const bw_fleet_member_t *m,
+				  const char *pool);
+
+/** Key of a pool's owner; release with g_free(). */
+char *bw_fleet_owner_key(const char *pool);
+
+/** Claims no more. */
+void bw_fleet_member_leave(bw_fleet_member_t *m);
+
+/** Ends the lease, which frees all that this node owns. */
+void bw_fleet_member_end(bw_fleet_member_t *m);
+
+/** Another owner was met; the pool is given up. */
+void bw_fleet_member_superseded(bw_fleet_member_t *m, const char *pool);
+
+/**
+ * Rank of a node for a pool among live nodes: 0 claims first.
+ * @param names live nodes
+ */
+uint32_t bw_fleet_rank(const char *pool, const char *name,
+		       const char *const *names, uint32_t count);
+
+#endif
--- /dev/null
+++ b/src/fleet/pool.c
@@ -0,0 +1,639 @@
+#include "fleet/pool.h"
+
+#include <string.h>
+
+#include <ev.h>
+#include <glib.h>
+
+#include "base/clock.h"
+#include "base/event.h"
+#include "fleet/member.h"
+#include "fleet/mirror.h"
+
+/** Pauses between stores of progress. */
+#define SAVE_GAP_MS	  100
+#define SAVE_URGENT_GAP_MS 50
+#define SAVE_RETRY_MS	  200
+#define LOAD_RETRY_S	  0.15
+/** Decisions are made at least so often. */
+#define TICK_S		  0.1
+#define JOB_SUFFIX	  "/job"
+#define CANCEL_SUFFIX	  "/cancel"
+#define LEASE_SLACK_MS	  200
+
+struct bw_pool {
+	bw_pool_env_t env;
+	char *name;
+	char *owner_key;
+	char *state_key;
+	char *queue_prefix;
+	int64_t fence;
+	int64_t since_ms;
+	int64_t state_revision;
+	bw_pool_ops_t ops;
+	void *ctx;
+	bw_sched_t *sched;
+	bw_mirror_t *jobs;
+	GHashTable *cancelled; /**< Cancelled jobs that are not known yet. */
+	ev_timer tick;
+	ev_timer save_timer;
+	ev_timer retry;
+	ev_prepare prepare;
+	uint64_t saving; /**< Version in the store call in progress. */
+	int64_t saved_at_ms;
+	int64_t save_after_ms;
+	uint32_t refs; /**< The owner and each call in progress. */
+	bool jobs_read;
+	bool directory_read;
+	bool dirty;
+	bool save_out;
+	bool stopping;
+	bool closed;
+};
+
+/** Identifies a call to a worker. */
+typedef struct order_ctx {
+	bw_pool_t *pool;
+	char *worker;
+	bw_task_name_t task;
+	uint32_t run;
+} order_ctx_t;
+
+static void load(bw_pool_t *pool);
+static void on_loaded(void *ctx, const bw_store_reply_t *reply);
+static void on_retry(struct ev_loop *loop, ev_timer *timer, int revents);
+static void on_tick(struct ev_loop *loop, ev_timer *timer, int revents);
+static void on_prepare(struct ev_loop *loop, ev_prepare *prepare, int revents);
+static void on_save_timer(struct ev_loop *loop, ev_timer *timer, int revents);
+static void on_key(void *ctx, const bw_store_kv_t *kv);
+static void on_synced(void *ctx);
+static void on_result(void *ctx, bw_status_t status);
+static void plan_save(bw_pool_t *pool);
+static void save(bw_pool_t *pool);
+static void on_saved(void *ctx, const bw_store_reply_t *reply);
+static void give_up(bw_pool_t *pool);
+static void unref(bw_pool_t *pool);
+
+char *bw_pool_job_key(const char *pool, const char *id)
+{
+	return g_strconcat("bw/q/", pool, "/", id, JOB_SUFFIX, NULL);
+}
+
+char *bw_pool_cancel_key(const char *pool, const char *id)
+{
+	return g_strconcat("bw/q/", pool, "/", id, CANCEL_SUFFIX, NULL);
+}
+
+static order_ctx_t *order_new(bw_pool_t *pool, const char *worker,
+			      const bw_task_name_t *task, uint32_t run)
+{
+	order_ctx_t *order = g_new0(order_ctx_t, 1);
+
+	pool->refs++;
+	order->pool = pool;
+	order->worker = g_strdup(worker);
+	if (task)
+		order->task = *task;
+	order->run = run;
+	return order;
+}
+
+static void order_free(order_ctx_t *order)
+{
+	unref(order->pool);
+	g_free(order->worker);
+	g_free(order);
+}
+
+static void on_started(void *ctx, bw_order_result_t result, int64_t clock_ms)
+{
+	order_ctx_t *order = ctx;
+	bw_pool_t *pool = order->pool;
+
+	if (!pool->closed) {
+		bw_sched_started(pool->sched, bw_clock_now_ms(), order->worker,
+				 &order->task, order->run, result, clock_ms);
+		pool->dirty = true;
+	}
+	order_free(order);
+}
+
+static void on_stopped(void *ctx, bw_order_result_t result, int64_t clock_ms)
+{
+	order_ctx_t *order = ctx;
+	bw_pool_t *pool = order->pool;
+
+	(void)clock_ms;
+	if (!pool->closed) {
+		bw_sched_stopped(pool->sched, bw_clock_now_ms(), order->worker,
+				 &order->task, order->run, result);
+		pool->dirty = true;
+	}
+	order_free(order);
+}
+
+static void on_throttled(void *ctx, bw_order_result_t result, int64_t clock_ms)
+{
+	order_ctx_t *order = ctx;
+
+	(void)clock_ms;
+	if (result != BW_ORDER_OK)
+		bw_event("pool", "throttle-failed", "worker=%s result=%s",
+			 order->worker, bw_order_result_name(result));
+	order_free(order);
+}
+
+static void on_held(void *ctx, const bw_hold_answer_t *answer)
+{
+	order_ctx_t *order = ctx;
+	bw_pool_t *pool = order->pool;
+
+	if (!pool->closed) {
+		if (answer->result != BW_ORDER_OK)
+			bw_event("pool", "hold-failed", "worker=%s result=%s",
+				 order->worker,
+				 bw_order_result_name(answer->result));
+		bw_sched_held(pool->sched, bw_clock_now_ms(), order->worker,
+			      answer);
+		pool->dirty = true;
+	}
+	order_free(order);
+}
+
+static void on_advice(void *ctx, const char *const *workers,
+		      const char *const *tickets, uint32_t count,
+		      int64_t valid_ms)
+{
+	order_ctx_t *order = ctx;
+	bw_pool_t *pool = order->pool;
+
+	if (!pool->closed) {
+		bw_sched_advised(pool->sched, bw_clock_now_ms(), &order->task,
+				 workers, tickets, count, valid_ms);
+		pool->dirty = true;
+	}
+	order_free(order);
+}
+
+static void do_start(void *ctx, const bw_start_order_t *order)
+{
+	bw_pool_t *pool = ctx;
+
+	pool->env.workers.start(
+		pool->env.workers.impl, order, on_started,
+		order_new(pool, order->worker, &order->task, order->run));
+}
+
+static void do_stop(void *ctx, const bw_run_order_t *order)
+{
+	bw_pool_t *pool = ctx;
+
+	bw_event("pool", "stop", "job=%s step=%u index=%u run=%u worker=%s",
+		 order->task.job, order->task.step, order->task.index,
+		 order->run, order->worker);
+	pool->env.workers.stop(
+		pool->env.workers.impl, order, on_stopped,
+		order_new(pool, order->worker, &order->task, order->run));
+}
+
+static void do_throttle(void *ctx, const bw_run_order_t *order)
+{
+	bw_pool_t *pool = ctx;
+
+	pool->env.workers.throttle(
+		pool->env.workers.impl, order, on_throttled,
+		order_new(pool, order->worker, &order->task, order->run));
+}
+
+static void do_hold(void *ctx, const bw_hold_order_t *order)
+{
+	bw_pool_t *pool = ctx;
+
+	pool->env.workers.hold(pool->env.workers.impl, order, on_held,
+			       order_new(pool, order->worker, NULL, 0));
+}
+
+static void do_advise(void *ctx, const bw_task_name_t *step,
+		      const char *const *workers, uint32_t count)
+{
+	bw_pool_t *pool = ctx;
+
+	pool->env.workers.advise(pool->env.workers.impl, step, workers, count,
+				 on_advice, order_new(pool, "", step, 0));
+}
+
+static void do_superseded(void *ctx)
+{
+	give_up(ctx);
+}
+
+static void do_log(void *ctx, const char *event, const char *fields)
+{
+	const bw_pool_t *pool = ctx;
+
+	bw_event("sched", event, "pool=%s %s", pool->name, fields);
+}
+
+static const bw_sched_ops_t sched_ops = {
+	.start = do_start,
+	.stop = do_stop,
+	.throttle = do_throttle,
+	.hold = do_hold,
+	.advise = do_advise,
+	.superseded = do_superseded,
+	.log = do_log,
+};
+
+static void create_sched(bw_pool_t *pool)
+{
+	const bw_fleet_settings_t *settings = pool->env.settings;
+	bw_sched_config_t config = {
+		.grant_ms = settings->grant_max_ms,
+		.grant_ms_max = settings->grant_max_ms,
+		.outage_ms = pool->env.outage_ms,
+		.stop_ms = settings->stop_ms,
+		.keep_ms = settings->keep_ms,
+		.tail_patience_ms = settings->tail_patience_ms,
+		.early_ms = settings->early_ms,
+		.fence = (uint64_t)pool->fence,
+	};
+
+	pool->sched = bw_sched_create(&config, &sched_ops, pool,
+				      bw_clock_now_ms());
+}
+
+bw_pool_t *bw_pool_create(const bw_pool_env_t *env, const char *name,
+			  int64_t fence, const bw_pool_ops_t *ops, void *ctx)
+{
+	bw_pool_t *pool = g_new0(bw_pool_t, 1);
+
+	pool->env = *env;
+	pool->name = g_strdup(name);
+	pool->owner_key = bw_fleet_owner_key(name);
+	pool->state_key = g_strconcat("bw/p/", name, NULL);
+	pool->queue_prefix = g_strconcat("bw/q/", name, "/", NULL);
+	pool->fence = fence;
+	pool->since_ms = bw_clock_now_ms();
+	pool->ops = *ops;
+	pool->ctx = ctx;
+	pool->refs = 1;
+	pool->cancelled = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						NULL);
+	ev_timer_init(&pool->tick, on_tick, TICK_S, TICK_S);
+	ev_timer_init(&pool->save_timer, on_save_timer, 0.0, 0.0);
+	ev_timer_init(&pool->retry, on_retry, LOAD_RETRY_S, 0.0);
+	ev_prepare_init(&pool->prepare, on_prepare);
+	pool->tick.data = pool;
+	pool->save_timer.data = pool;
+	pool->retry.data = pool;
+	pool->prepare.data = pool;
+	load(pool);
+	return pool;
+}
+
+static void unref(bw_pool_t *pool)
+{
+	if (--pool->refs > 0)
+		return;
+	bw_sched_destroy(pool->sched);
+	g_hash_table_destroy(pool->cancelled);
+	g_free(pool->name);
+	g_free(pool->owner_key);
+	g_free(pool->state_key);
+	g_free(pool->queue_prefix);
+	g_free(pool);
+}
+
+void bw_pool_destroy(bw_pool_t *pool)
+{
+	if (!pool || pool->closed)
+		return;
+	pool->closed = true;
+	bw_mirror_destroy(pool->jobs);
+	ev_timer_stop(pool->env.loop, &pool->tick);
+	ev_timer_stop(pool->env.loop, &pool->save_timer);
+	ev_timer_stop(pool->env.loop, &pool->retry);
+	ev_prepare_stop(pool->env.loop, &pool->prepare);
+	unref(pool);
+}
+
+static void give_up(bw_pool_t *pool)
+{
+	if (pool->closed)
+		return;
+	if (pool->sched)
+		bw_sched_allow(pool->sched, false);
+	pool->ops.superseded(pool->ctx, pool->name);
+}
+
+static void load(bw_pool_t *pool)
+{
+	pool->refs++;
+	pool->env.store.ops->get(pool->env.store.impl, pool->state_key,
+				 on_loaded, pool);
+}
+
+static void on_retry(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	(void)loop;
+	(void)revents;
+	load(timer->data);
+}
+
+static void take_state(bw_pool_t *pool, const bw_store_reply_t *reply)
+{
+	static const bw_mirror_ops_t mirror_ops = { on_key, on_synced,
+						    on_result };
+
+	create_sched(pool);
+	if (reply->status == BW_OK && reply->kv_count > 0) {
+		pool->state_revision = reply->kvs[0].mod_revision;
+		if (bw_sched_load(pool->sched, bw_clock_now_ms(),
+				  (const uint8_t *)reply->kvs[0].value,
+				  reply->kvs[0].bytes) != BW_OK)
+			bw_event("pool", "state-unreadable", "pool=%s error=%s",
+				 pool->name, bw_status_message());
+	}
+	bw_event("pool", "loaded",
+		 "pool=%s fence=%" G_GINT64_FORMAT
+		 " revision=%" G_GINT64_FORMAT,
+		 pool->name, pool->fence, pool->state_revision);
+	pool->jobs = bw_mirror_create(pool->env.loop, &pool->env.store,
+				      pool->queue_prefix, &mirror_ops, pool);
+	ev_timer_start(pool->env.loop, &pool->tick);
+	ev_prepare_start(pool->env.loop, &pool->prepare);
+}
+
+static void on_loaded(void *ctx, const bw_store_reply_t *reply)
+{
+	bw_pool_t *pool = ctx;
+
+	if (!pool->closed) {
+		pool->ops.result(pool->ctx, reply->status);
+		if (reply->status == BW_OK || reply->status == BW_ENOTFOUND) {
+			take_state(pool, reply);
+		} else {
+			ev_timer_set(&pool->retry, LOAD_RETRY_S, 0.0);
+			ev_timer_start(pool->env.loop, &pool->retry);
+		}
+	}
+	unref(pool);
+}
+
+/* Splits "PREFIX ID SUFFIX"; false for keys of other shapes. */
+static bool take_id(const bw_pool_t *pool, const char *key, const char *suffix,
+		    char id[BW_JOB_ID_CHARS + 1])
+{
+	const char *at = key + strlen(pool->queue_prefix);
+
+	if (strlen(at) != BW_JOB_ID_CHARS + strlen(suffix) ||
+	    strcmp(at + BW_JOB_ID_CHARS, suffix) != 0)
+		return false;
+	g_strlcpy(id, at, BW_JOB_ID_CHARS + 1);
+	return true;
+}
+
+static void take_job(bw_pool_t *pool, const char *id, const bw_store_kv_t *kv)
+{
+	bw_job_record_t record;
+	int64_t now_ms = bw_clock_now_ms();
+
+	if (bw_job_record_unpack((const uint8_t *)kv->value, kv->bytes,
+				 &record) != BW_OK) {
+		bw_event("pool", "job-unreadable", "pool=%s job=%s error=%s",
+			 pool->name, id, bw_status_message());
+		return;
+	}
+	bw_sched_job(pool->sched, now_ms, bw_clock_wall_ms(), id, &record);
+	bw_job_record_clear(&record);
+	if (g_hash_table_remove(pool->cancelled, id))
+		bw_sched_cancel(pool->sched, now_ms, id);
+}
+
+static void take_cancel(bw_pool_t *pool, const char *id)
+{
+	if (bw_sched_job_state(pool->sched, id) == BW_JOB_UNKNOWN)
+		g_hash_table_add(pool->cancelled, g_strdup(id));
+	else
+		bw_sched_cancel(pool->sched, bw_clock_now_ms(), id);
+}
+
+static void on_key(void *ctx, const bw_store_kv_t *kv)
+{
+	bw_pool_t *pool = ctx;
+	char id[BW_JOB_ID_CHARS + 1];
+
+	if (kv->deleted)
+		return;
+	pool->dirty = true;
+	if (take_id(pool, kv->key, JOB_SUFFIX, id))
+		take_job(pool, id, kv);
+	else if (take_id(pool, kv->key, CANCEL_SUFFIX, id))
+		take_cancel(pool, id);
+}
+
+static void on_synced(void *ctx)
+{
+	bw_pool_t *pool = ctx;
+
+	pool->jobs_read = true;
+	pool->dirty = true;
+}
+
+static void on_result(void *ctx, bw_status_t status)
+{
+	bw_pool_t *pool = ctx;
+
+	pool->ops.result(pool->ctx, status);
+}
+
+const char *bw_pool_name(const bw_pool_t *pool)
+{
+	return pool->name;
+}
+
+int64_t bw_pool_fence(const bw_pool_t *pool)
+{
+	return pool->fence;
+}
+
+int64_t bw_pool_since_ms(const bw_pool_t *pool)
+{
+	return pool->since_ms;
+}
+
+bw_sched_t *bw_pool_sched(bw_pool_t *pool)
+{
+	return pool->sched;
+}
+
+bool bw_pool_ready(const bw_pool_t *pool)
+{
+	return pool->jobs_read;
+}
+
+void bw_pool_directory_read(bw_pool_t *pool)
+{
+	pool->directory_read = true;
+	pool->dirty = true;
+}
+
+void bw_pool_wake(bw_pool_t *pool)
+{
+	pool->dirty = true;
+}
+
+void bw_pool_allow(bw_pool_t *pool, bool allowed)
+{
+	if (pool->sched && !pool->stopping)
+		bw_sched_allow(pool->sched, allowed);
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	(void)loop;
+	(void)revents;
+	((bw_pool_t *)timer->data)->dirty = true;
+}
+
+static void on_prepare(struct ev_loop *loop, ev_prepare *prepare, int revents)
+{
+	bw_pool_t *pool = prepare->data;
+
+	(void)loop;
+	(void)revents;
+	if (!pool->dirty)
+		return;
+	pool->dirty = false;
+	if (!pool->jobs_read || !pool->directory_read)
+		return;
+	pool->refs++;
+	bw_sched_run(pool->sched, bw_clock_now_ms(), bw_clock_wall_ms());
+	if (!pool->closed)
+		plan_save(pool);
+	unref(pool);
+}
+
+static void on_save_timer(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	(void)loop;
+	(void)revents;
+	save(timer->data);
+}
+
+/* Stores changes at once if the last store is old enough, or later. */
+static void plan_save(bw_pool_t *pool)
+{
+	int64_t now_ms = bw_clock_now_ms();
+	int64_t gap_ms = bw_sched_urgent(pool->sched) ? SAVE_URGENT_GAP_MS :
+							SAVE_GAP_MS;
+	int64_t due_ms = MAX(pool->saved_at_ms + gap_ms, pool->save_after_ms);
+
+	if (pool->save_out || pool->closed ||
+	    pool->saving == bw_sched_version(pool->sched))
+		return;
+	ev_timer_stop(pool->env.loop, &pool->save_timer);
+	if (now_ms >= due_ms) {
+		save(pool);
+		return;
+	}
+	ev_timer_set(&pool->save_timer, (double)(due_ms - now_ms) / 1000.0,
+		     0.0);
+	ev_timer_start(pool->env.loop, &pool->save_timer);
+}
+
+static void save(bw_pool_t *pool)
+{
+	bw_store_expect_t expects[] = {
+		{ pool->owner_key, pool->fence },
+		{ pool->state_key, pool->state_revision },
+	};
+	bw_store_write_t write = { .key = pool->state_key };
+	bw_store_txn_t txn = { expects, G_N_ELEMENTS(expects), &write, 1 };
+	uint8_t *data;
+
+	if (pool->save_out)
+		return;
+	data = bw_sched_pack(pool->sched, bw_clock_wall_ms(), &write.bytes);
+	write.value = (const char *)data;
+	pool->saving = bw_sched_version(pool->sched);
+	pool->saved_at_ms = bw_clock_now_ms();
+	pool->save_out = true;
+	pool->refs++;
+	pool->env.store.ops->txn(pool->env.store.impl, &txn, on_saved, pool);
+	g_free(data);
+}
+
+/* The store holds something else than expected. */
+static void take_conflict(bw_pool_t *pool, const bw_store_reply_t *reply)
+{
+	int64_t owner_revision = 0;
+	int64_t state_revision = 0;
+	size_t i;
+
+	for (i = 0; i < reply->kv_count; i++) {
+		if (!strcmp(reply->kvs[i].key, pool->owner_key))
+			owner_revision = reply->kvs[i].mod_revision;
+		if (!strcmp(reply->kvs[i].key, pool->state_key))
+			state_revision = reply->kvs[i].mod_revision;
+	}
+	if (owner_revision != pool->fence) {
+		give_up(pool);
+		return;
+	}
+	/* Only owners write the state, so this was a call of ours. */
+	pool->state_revision = state_revision;
+}
+
+static void take_saved(bw_pool_t *pool, const bw_store_reply_t *reply)
+{
+	uint64_t version = pool->saving;
+
+	pool->ops.result(pool->ctx, reply->status);
+	if (reply->status == BW_OK && reply->succeeded) {
+		pool->state_revision = reply->revision;
+		bw_sched_saved(pool->sched, bw_clock_now_ms(), version);
+		if (pool->stopping &&
+		    version == bw_sched_version(pool->sched))
+			pool->ops.stopped(pool->ctx, pool->name);
+		return;
+	}
+	pool->saving = 0;
+	pool->save_after_ms = bw_clock_now_ms() + SAVE_RETRY_MS;
+	if (reply->status == BW_OK) {
+		pool->save_after_ms = 0;
+		take_conflict(pool, reply);
+	} else {
+		bw_event("pool", "save-failed", "pool=%s status=%s",
+			 pool->name, bw_status_name(reply->status));
+	}
+}
+
+static void on_saved(void *ctx, const bw_store_reply_t *reply)
+{
+	bw_pool_t *pool = ctx;
+
+	pool->save_out = false;
+	if (!pool->closed)
+		take_saved(pool, reply);
+	if (!pool->closed) {
+		pool->dirty = true;
+		if (pool->stopping)
+			plan_save(pool);
+	}
+	unref(pool);
+}
+
+void bw_pool_stop(bw_pool_t *pool)
+{
+	if (!pool->sched || !pool->jobs_read) {
+		pool->ops.stopped(pool->ctx, pool->name);
+		return;
+	}
+	bw_sched_allow(pool->sched, false);
+	pool->stopping = true;
+	if (pool->saving == bw_sched_version(pool->sched) && !pool->save_out)
+		pool->ops.stopped(pool->ctx, pool->name);
+	else
+		plan_save(pool);
+}
--- /dev/null
+++ b/src/fleet/ports.c
@@ -0,0 +1,42 @@
+#include "fleet/ports.h"
+
+#include <glib.h>
+
+void bw_fleet_config_free(bw_fleet_config_t *config)
+{
+	uint32_t i;
+
+	if (!config)
+		return;
+	for (i = 0; i < config->queue_count; i++) {
+		g_free(config->queues[i].name);
+		g_free(config->queues[i].host);
+		g_free(config->queues[i].prefix);
+		g_free(config->queues[i].pool);
+	}
+	for (i = 0; i < config->pool_count; i++)
+		g_free(config->pools[i].name);
+	g_free(config->queues);
+	g_free(config->pools);
+	g_free(config);
+}
+
+void bw_registration_free(bw_registration_t *registration)
+{
+	if (!registration)
+		return;
+	g_free(registration->pool);
+	g_strfreev(registration->labels);
+	g_free(registration->id);
+	g_free(registration->address);
+	g_free(registration->rack);
+	g_free(registration);
+}
+
+void bw_wave_order_free(bw_wave_order_t *order)
+{
+	if (!order)
+		return;
+	g_strfreev(order->machines);
+	g_free(order);
+}
--- /dev/null
+++ b/src/fleet/ports.h
@@ -0,0 +1,155 @@
+/**
+ * @file
+ * What the fleet needs from the platform that it runs on, besides the store:
+ * calls to workers and machines, and the reading of values that operators and
+ * workers put into the store. An adapter fills these tables.
+ */
+#ifndef BW_FLEET_PORTS_H
+#define BW_FLEET_PORTS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/status.h"
+#include "sched/sched.h"
+
+/** Ends of calls to workers. */
+typedef void (*bw_order_done_fn)(void *ctx, bw_order_result_t result,
+				 int64_t clock_ms);
+typedef void (*bw_hold_done_fn)(void *ctx, const bw_hold_answer_t *answer);
+/** @param count workers; 0 when the call failed, with valid_ms 0 */
+typedef void (*bw_advice_done_fn)(void *ctx, const char *const *workers,
+				  const char *const *tickets, uint32_t count,
+				  int64_t valid_ms);
+
+/** Calls to workers; the callbacks are called from the loop, once. */
+typedef struct bw_worker_port {
+	void *impl;
+	void (*start)(void *impl, const bw_start_order_t *order,
+		      bw_order_done_fn done, void *ctx);
+	void (*stop)(void *impl, const bw_run_order_t *order,
+		     bw_order_done_fn done, void *ctx);
+	void (*throttle)(void *impl, const bw_run_order_t *order,
+			 bw_order_done_fn done, void *ctx);
+	void (*hold)(void *impl, const bw_hold_order_t *order,
+		     bw_hold_done_fn done, void *ctx);
+	/** Asks which workers may run a step. */
+	void (*advise)(void *impl, const bw_task_name_t *step,
+		       const char *const *workers, uint32_t count,
+		       bw_advice_done_fn done, void *ctx);
+} bw_worker_port_t;
+
+/** A machine of a pool. */
+typedef struct bw_machine {
+	char *name;
+	char *pool;
+	char *worker; /**< The worker that lives on it; "" is none. */
+	bool up;
+} bw_machine_t;
+
+/** How an order to a machine ended. */
+typedef enum bw_machine_result {
+	BW_MACHINE_OK, /**< Done now or before. */
+	BW_MACHINE_FENCED,
+	BW_MACHINE_BUSY, /**< Not up, or leaving. */
+	BW_MACHINE_NOT_DUE, /**< Not of that wave. */
+	BW_MACHINE_REFUSED, /**< No such machine. */
+	BW_MACHINE_FAILED, /**< No answer, or none to rely on. */
+	BW_MACHINE_RESULT_COUNT
+} bw_machine_result_t;
+
+typedef void (*bw_machines_done_fn)(void *ctx, bw_status_t status,
+				    const bw_machine_t *machines,
+				    uint32_t count);
+typedef void (*bw_machine_done_fn)(void *ctx, bw_machine_result_t result);
+
+/** Who gives an order to a machine. */
+typedef struct bw_machine_holder {
+	const char *node;
+	uint64_t fence;
+} bw_machine_holder_t;
+
+/** Calls to the machines' interface. */
+typedef struct bw_machine_port {
+	void *impl;
+	/** Lists all machines. */
+	void (*list)(void *impl, bw_machines_done_fn done, void *ctx);
+	void (*upkeep)(void *impl, const char *machine, int64_t wave,
+		       const bw_machine_holder_t *holder,
+		       bw_machine_done_fn done, void *ctx);
+	void (*move)(void *impl, const char *machine, const char *pool,
+		     const bw_machine_holder_t *holder, bw_machine_done_fn done,
+		     void *ctx);
+} bw_machine_port_t;
+
+/** A queue, as operators configure it. */
+typedef struct bw_queue {
+	char *name;
+	char *host;
+	char *prefix; /**< Paths that begin so belong to it. */
+	char *pool;
+	uint32_t priority;
+	uint32_t attempts_max;
+	double stretch;
+	int64_t target_ms;
+	bool advised;
+} bw_queue_t;
+
+/** A pool, as operators configure it. */
+typedef struct bw_pool_config {
+	char *name;
+	bool standby; /**< Its machines are off. */
+} bw_pool_config_t;
+
+/** The operators' configuration; release with bw_fleet_config_free(). */
+typedef struct bw_fleet_config {
+	int64_t version;
+	bw_queue_t *queues;
+	uint32_t queue_count;
+	bw_pool_config_t *pools;
+	uint32_t pool_count;
+} bw_fleet_config_t;
+
+void bw_fleet_config_free(bw_fleet_config_t *config);
+
+/** A worker's registration; release with bw_registration_free(). */
+typedef struct bw_registration {
+	bw_worker_info_t info;
+	char *pool;
+	char **labels;
+	char *id;
+	char *address;
+	char *rack;
+} bw_registration_t;
+
+void bw_registration_free(bw_registration_t *registration);
+
+/** A wave of upkeep; release with bw_wave_order_free(). */
+typedef struct bw_wave_order {
+	int64_t number;
+	int64_t duration_ms;
+	uint32_t at_once_max;
+	char **machines; /**< NULL-terminated. */
+} bw_wave_order_t;
+
+void bw_wave_order_free(bw_wave_order_t *order);
+
+/** Keys and values of operators and workers in the store. */
+typedef struct bw_values_port {
+	const char *config_key;
+	const char *waves_prefix;
+	const char *workers_prefix;
+	/** @return BW_OK, or BW_EPARSE with the reason as status message */
+	bw_status_t (*config)(const char *value, size_t bytes,
+			      bw_fleet_config_t **out);
+	bw_status_t (*registration)(const char *key, const char *value,
+				    size_t bytes, bw_registration_t **out);
+	bw_status_t (*wave)(const char *value, size_t bytes,
+			    bw_wave_order_t **out);
+	/** Key and value that tell operators how a wave stands; to be freed. */
+	char *(*wave_status_key)(int64_t wave);
+	char *(*wave_status)(int64_t wave, bool completed);
+} bw_values_port_t;
+
+#endif
--- /dev/null
+++ b/src/fleet/settings.c
@@ -0,0 +1,75 @@
+#include "fleet/settings.h"
+
+#include <stddef.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "conf/keys.h"
+
+#define DAY_MS ((int64_t)86400000)
+#define TEXT(path, kind, field, required)                                      \
+	{                                                                      \
+		path, kind, offsetof(bw_fleet_settings_t, field), 0, 0, 0,     \
+			required                                               \
+	}
+#define NUMBER(path, field, min, max, fallback)                                \
+	{                                                                      \
+		path, BW_KEY_NUMBER, offsetof(bw_fleet_settings_t, field),     \
+			min, max, fallback, false                              \
+	}
+#define SECONDS(path, field, fallback_ms)                                      \
+	{                                                                      \
+		path, BW_KEY_SECONDS, offsetof(bw_fleet_settings_t, field), 0, \
+			DAY_MS, fallback_ms, false                             \
+	}
+
+static const bw_key_spec_t key_specs[] = {
+	TEXT("node.name", BW_KEY_NAME, name, true),
+	TEXT("node.zone", BW_KEY_NAME, zone, true),
+	TEXT("node.ip", BW_KEY_NAME, ip, true),
+	TEXT("node.callers", BW_KEY_ADDRESS, callers, true),
+	TEXT("node.ready", BW_KEY_ADDRESS, ready, true),
+	TEXT("platform.store", BW_KEY_ADDRESS, store, true),
+	TEXT("platform.machines", BW_KEY_ADDRESS, machines, false),
+	TEXT("platform.advice", BW_KEY_ADDRESS, advice, false),
+	NUMBER("node.peers_port", peers_port, 1, 65535, 7060),
+	NUMBER("node.metrics_port", metrics_port, 1, 65535, 7061),
+	NUMBER("platform.lease_min_ms", lease_min_ms, 1, DAY_MS, 1000),
+	NUMBER("limits.grant_max_ms", grant_max_ms, 500, DAY_MS, 6000),
+	NUMBER("limits.stop_ms", stop_ms, 1, DAY_MS, 400),
+	NUMBER("limits.tail_patience_ms", tail_patience_ms, 1, DAY_MS, 4000),
+	NUMBER("limits.early_ms", early_ms, 0, DAY_MS, 0),
+	NUMBER("limits.holder_ms", holder_ms, 0, DAY_MS, 3000),
+	SECONDS("limits.keep_s", keep_ms, 120000),
+	SECONDS("limits.grace_s", grace_ms, 6000),
+};
+
+static const bw_keys_t keys = { key_specs, G_N_ELEMENTS(key_specs) };
+
+bw_status_t bw_fleet_settings_read(const char *path, bw_fleet_settings_t *s,
+				   bw_findings_t *findings)
+{
+	bw_toml_doc_t doc;
+	bw_status_t status;
+	size_t i;
+
+	memset(s, 0, sizeof(*s));
+	bw_keys_set_defaults(&keys, s);
+	status = bw_toml_read(path, &doc, findings);
+	if (status != BW_OK)
+		return status;
+	for (i = 0; i < doc.count; i++)
+		bw_keys_take(&keys, s, &doc.items[i], findings);
+	bw_toml_clear(&doc);
+	bw_keys_check_required(&keys, s, findings);
+	if (bw_findings_count(findings) > 0)
+		return bw_status_set(BW_EINVAL, "%s has %zu mistakes", path,
+				     bw_findings_count(findings));
+	return BW_OK;
+}
+
+void bw_fleet_settings_clear(bw_fleet_settings_t *s)
+{
+	bw_keys_clear(&keys, s);
+}
--- /dev/null
+++ b/src/fleet/upkeep.c
@@ -0,0 +1,608 @@
+#include "fleet/upkeep.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/clock.h"
+#include "base/event.h"
+#include "wire/record.pb-c.h"
+
+#define RECORD_VERSION	 1
+/** Age from which the list of machines is read again. */
+#define LIST_AGE_MS	 700
+/** Age from which a wave's record is read again. */
+#define RECORD_AGE_MS	 2000
+#define ORDER_AGAIN_MS	 400
+/** An upkeep shows in the list of machines within this. */
+#define ORDER_SHOWS_MS	 300
+#define CALL_AGAIN_MS	 300
+
+/** Progress of a machine in a wave. */
+typedef enum progress {
+	PROGRESS_RESERVED = 1, /**< Counts as down; is emptied. */
+	PROGRESS_DONE = 2
+} progress_t;
+
+typedef struct entry {
+	char *machine;
+	char *worker; /**< That lived on it when it was reserved. */
+	progress_t progress;
+	progress_t stored; /**< What the store has; 0 is nothing. */
+	int64_t ordered_ms; /**< When the order was answered; 0 is never. */
+	int64_t next_ms;
+	bool call_out;
+} entry_t;
+
+typedef struct wave {
+	bw_upkeep_t *u;
+	bw_wave_order_t *order;
+	char *key;
+	GHashTable *entries; /**< Machine to entry_t. */
+	int64_t revision;
+	int64_t read_ms;
+	int64_t next_ms; /**< No call before. */
+	bool known; /**< The record has been read. */
+	bool call_out;
+	bool begun; /**< Operators have been told that it runs. */
+	bool completed;
+	bool status_out;
+} wave_t;
+
+struct bw_upkeep {
+	bw_upkeep_env_t env;
+	bw_upkeep_ops_t ops;
+	void *ctx;
+	GHashTable *waves; /**< Number to wave_t. */
+	GHashTable *machines; /**< Name to bw_machine_t. */
+	int64_t list_ms; /**< When the list in hand was asked for. */
+	int64_t asked_ms;
+	int64_t list_next_ms;
+	bool list_out;
+};
+
+/** An order in progress. */
+typedef struct order_ctx {
+	wave_t *wave;
+	char *machine;
+} order_ctx_t;
+
+static void ask_list(bw_upkeep_t *u, int64_t now_ms);
+static void on_list(void *ctx, bw_status_t status, const bw_machine_t *list,
+		    uint32_t count);
+static void read_record(wave_t *wave);
+static void on_record(void *ctx, const bw_store_reply_t *reply);
+static void take_record(wave_t *wave, const bw_store_kv_t *kv);
+static void write_record(wave_t *wave);
+static void on_written(void *ctx, const bw_store_reply_t *reply);
+static void order_upkeep(wave_t *wave, entry_t *entry, bw_pool_t *pool,
+			 int64_t now_ms);
+static void on_ordered(void *ctx, bw_machine_result_t result);
+static void tick_wave(wave_t *wave, int64_t now_ms);
+static void tell_status(wave_t *wave, bool completed);
+static void on_begun(void *ctx, const bw_store_reply_t *reply);
+static void on_completed(void *ctx, const bw_store_reply_t *reply);
+
+static const char *const result_names[BW_MACHINE_RESULT_COUNT] = {
+	[BW_MACHINE_OK] = "ok",		  [BW_MACHINE_FENCED] = "fenced",
+	[BW_MACHINE_BUSY] = "busy",	  [BW_MACHINE_NOT_DUE] = "not-due",
+	[BW_MACHINE_REFUSED] = "refused", [BW_MACHINE_FAILED] = "failed",
+};
+
+static void entry_free(gpointer data)
+{
+	entry_t *entry = data;
+
+	g_free(entry->machine);
+	g_free(entry->worker);
+	g_free(entry);
+}
+
+static void wave_free(gpointer data)
+{
+	wave_t *wave = data;
+
+	bw_wave_order_free(wave->order);
+	g_hash_table_destroy(wave->entries);
+	g_free(wave->key);
+	g_free(wave);
+}
+
+static void machine_free(gpointer data)
+{
+	bw_machine_t *machine = data;
+
+	g_free(machine->name);
+	g_free(machine->pool);
+	g_free(machine->worker);
+	g_free(machine);
+}
+
+bw_upkeep_t *bw_upkeep_create(const bw_upkeep_env_t *env,
+			      const bw_upkeep_ops_t *ops, void *ctx)
+{
+	bw_upkeep_t *u = g_new0(bw_upkeep_t, 1);
+
+	u->env = *env;
+	u->ops = *ops;
+	u->ctx = ctx;
+	u->waves = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					 wave_free);
+	u->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					    machine_free);
+	return u;
+}
+
+void bw_upkeep_destroy(bw_upkeep_t *u)
+{
+	if (!u)
+		return;
+	g_hash_table_destroy(u->waves);
+	g_hash_table_destroy(u->machines);
+	g_free(u);
+}
+
+void bw_upkeep_wave(bw_upkeep_t *u, bw_wave_order_t *order)
+{
+	wave_t *wave;
+
+	if (g_hash_table_contains(u->waves, &order->number)) {
+		bw_wave_order_free(order);
+		return;
+	}
+	wave = g_new0(wave_t, 1);
+	wave->u = u;
+	wave->order = order;
+	wave->key = g_strdup_printf("bw/w/%" G_GINT64_FORMAT, order->number);
+	wave->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					      entry_free);
+	g_hash_table_insert(u->waves, &order->number, wave);
+	bw_event("upkeep", "wave",
+		 "wave=%" G_GINT64_FORMAT " machines=%u at_once=%u "
+		 "duration_ms=%" G_GINT64_FORMAT,
+		 order->number, g_strv_length(order->machines),
+		 order->at_once_max, order->duration_ms);
+}
+
+static void ask_list(bw_upkeep_t *u, int64_t now_ms)
+{
+	if (u->list_out || now_ms < u->list_next_ms ||
+	    now_ms - u->list_ms < LIST_AGE_MS)
+		return;
+	u->list_out = true;
+	u->asked_ms = now_ms;
+	u->env.machines.list(u->env.machines.impl, on_list, u);
+}
+
+static void on_list(void *ctx, bw_status_t status, const bw_machine_t *list,
+		    uint32_t count)
+{
+	bw_upkeep_t *u = ctx;
+	uint32_t i;
+
+	u->list_out = false;
+	if (status != BW_OK) {
+		u->list_next_ms = bw_clock_now_ms() + CALL_AGAIN_MS;
+		return;
+	}
+	u->list_ms = u->asked_ms;
+	g_hash_table_remove_all(u->machines);
+	for (i = 0; i < count; i++) {
+		bw_machine_t *machine = g_new0(bw_machine_t, 1);
+
+		machine->name = g_strdup(list[i].name);
+		machine->pool = g_strdup(list[i].pool);
+		machine->worker = g_strdup(list[i].worker);
+		machine->up = list[i].up;
+		g_hash_table_replace(u->machines, machine->name, machine);
+	}
+}
+
+static void read_record(wave_t *wave)
+{
+	bw_store_t *store = &wave->u->env.store;
+
+	wave->call_out = true;
+	store->ops->get(store->impl, wave->key, on_record, wave);
+}
+
+static void on_record(void *ctx, const bw_store_reply_t *reply)
+{
+	wave_t *wave = ctx;
+	int64_t now_ms = bw_clock_now_ms();
+
+	wave->call_out = false;
+	wave->u->ops.result(wave->u->ctx, reply->status);
+	if (reply->status == BW_ENOTFOUND) {
+		wave->revision = 0;
+	} else if (reply->status == BW_OK && reply->kv_count > 0) {
+		take_record(wave, &reply->kvs[0]);
+	} else {
+		wave->next_ms = now_ms + CALL_AGAIN_MS;
+		return;
+	}
+	wave->known = true;
+	wave->read_ms = now_ms;
+}
+
+static entry_t *entry_add(wave_t *wave, const char *machine,
+			  const char *worker, progress_t progress)
+{
+	entry_t *entry = g_new0(entry_t, 1);
+
+	entry->machine = g_strdup(machine);
+	entry->worker = g_strdup(worker);
+	entry->progress = progress;
+	g_hash_table_replace(wave->entries, entry->machine, entry);
+	return entry;
+}
+
+/* Takes what the store has; what this node knows of its orders stays. */
+static void take_record(wave_t *wave, const bw_store_kv_t *kv)
+{
+	Bramley__WaveRecord *record = bramley__wave_record__unpack(
+		NULL, kv->bytes, (const uint8_t *)kv->value);
+	size_t i;
+
+	wave->revision = kv->mod_revision;
+	if (!record)
+		return;
+	for (i = 0; i < record->n_machines; i++) {
+		const Bramley__WaveMachine *row = record->machines[i];
+		entry_t *entry =
+			g_hash_table_lookup(wave->entries, row->machine);
+
+		if (!entry)
+			entry = entry_add(wave, row->machine, row->worker,
+					  (progress_t)row->state);
+		else if (row->state == PROGRESS_DONE)
+			entry->progress = PROGRESS_DONE;
+		entry->stored = (progress_t)row->state;
+	}
+	bramley__wave_record__free_unpacked(record, NULL);
+}
+
+static void write_record(wave_t *wave)
+{
+	bw_store_t *store = &wave->u->env.store;
+	guint count = g_hash_table_size(wave->entries);
+	Bramley__WaveRecord record = BRAMLEY__WAVE_RECORD__INIT;
+	Bramley__WaveMachine *rows = g_new(Bramley__WaveMachine, count + 1);
+	bw_store_expect_t expect = { wave->key, wave->revision };
+	bw_store_write_t write = { .key = wave->key };
+	bw_store_txn_t txn = { &expect, 1, &write, 1 };
+	GHashTableIter iter;
+	gpointer value;
+	uint8_t *data;
+
+	record.version = RECORD_VERSION;
+	record.machines = g_new(Bramley__WaveMachine *, count + 1);
+	g_hash_table_iter_init(&iter, wave->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const entry_t *entry = value;
+		Bramley__WaveMachine *row = &rows[record.n_machines];
+
+		bramley__wave_machine__init(row);
+		row->machine = entry->machine;
+		row->worker = entry->worker;
+		row->state = entry->progress;
+		record.machines[record.n_machines++] = row;
+	}
+	write.bytes = bramley__wave_record__get_packed_size(&record);
+	data = g_malloc(write.bytes + 1);
+	bramley__wave_record__pack(&record, data);
+	write.value = (const char *)data;
+	wave->call_out = true;
+	store->ops->txn(store->impl, &txn, on_written, wave);
+	g_free(data);
+	g_free(record.machines);
+	g_free(rows);
+}
+
+static void on_written(void *ctx, const bw_store_reply_t *reply)
+{
+	wave_t *wave = ctx;
+
+	bool good = reply->status == BW_OK && reply->succeeded;
+	GHashTableIter iter;
+	gpointer value;
+
+	wave->call_out = false;
+	wave->u->ops.result(wave->u->ctx, reply->status);
+	g_hash_table_iter_init(&iter, wave->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		entry_t *entry = value;
+
+		/* What may be stored all the same comes with the record. */
+		if (good)
+			entry->stored = entry->progress;
+		else if (entry->stored == 0)
+			g_hash_table_iter_remove(&iter);
+	}
+	if (good) {
+		wave->revision = reply->revision;
+		return;
+	}
+	wave->known = false;
+	wave->next_ms = bw_clock_now_ms() + CALL_AGAIN_MS;
+}
+
+static void order_upkeep(wave_t *wave, entry_t *entry, bw_pool_t *pool,
+			 int64_t now_ms)
+{
+	bw_upkeep_t *u = wave->u;
+	bw_machine_holder_t holder = { u->env.node,
+				       (uint64_t)bw_pool_fence(pool) };
+	order_ctx_t *order = g_new0(order_ctx_t, 1);
+
+	order->wave = wave;
+	order->machine = g_strdup(entry->machine);
+	entry->call_out = true;
+	entry->next_ms = now_ms + ORDER_AGAIN_MS;
+	u->env.machines.upkeep(u->env.machines.impl, entry->machine,
+			       wave->order->number, &holder, on_ordered, order);
+}
+
+static void on_ordered(void *ctx, bw_machine_result_t result)
+{
+	order_ctx_t *order = ctx;
+	entry_t *entry =
+		g_hash_table_lookup(order->wave->entries, order->machine);
+
+	bw_event("upkeep", "ordered",
+		 "wave=%" G_GINT64_FORMAT " machine=%s result=%s",
+		 order->wave->order->number, order->machine,
+		 result_names[result]);
+	if (entry) {
+		entry->call_out = false;
+		entry->next_ms = bw_clock_now_ms() + ORDER_AGAIN_MS;
+		if (result == BW_MACHINE_OK)
+			entry->ordered_ms = bw_clock_now_ms();
+		if (result == BW_MACHINE_NOT_DUE ||
+		    result == BW_MACHINE_REFUSED) {
+			entry->ordered_ms = bw_clock_now_ms();
+			g_free(entry->worker);
+			entry->worker = g_strdup("");
+		}
+	}
+	g_free(order->machine);
+	g_free(order);
+}
+
+static void tell_status(wave_t *wave, bool completed)
+{
+	bw_upkeep_t *u = wave->u;
+	char *key = u->env.values->wave_status_key(wave->order->number);
+	char *value = u->env.values->wave_status(wave->order->number,
+						 completed);
+	bw_store_write_t write = { key, value, strlen(value), 0 };
+	bw_store_txn_t txn = { NULL, 0, &write, 1 };
+
+	wave->status_out = true;
+	u->env.store.ops->txn(u->env.store.impl, &txn,
+			      completed ? on_completed : on_begun, wave);
+	g_free(value);
+	g_free(key);
+}
+
+static void on_begun(void *ctx, const bw_store_reply_t *reply)
+{
+	wave_t *wave = ctx;
+
+	wave->status_out = false;
+	wave->u->ops.result(wave->u->ctx, reply->status);
+	wave->begun = reply->status == BW_OK;
+	wave->next_ms = bw_clock_now_ms() + (wave->begun ? 0 : CALL_AGAIN_MS);
+}
+
+static void on_completed(void *ctx, const bw_store_reply_t *reply)
+{
+	wave_t *wave = ctx;
+
+	wave->status_out = false;
+	wave->u->ops.result(wave->u->ctx, reply->status);
+	wave->completed = reply->status == BW_OK;
+	wave->next_ms = bw_clock_now_ms() + CALL_AGAIN_MS;
+	if (wave->completed)
+		bw_event("upkeep", "completed", "wave=%" G_GINT64_FORMAT,
+			 wave->order->number);
+}
+
+static uint32_t count_reserved(const wave_t *wave)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, wave->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (((entry_t *)value)->progress == PROGRESS_RESERVED)
+			count++;
+	return count;
+}
+
+/* Number of tasks on a machine that could be reserved; UINT32_MAX: none. */
+static uint32_t cost_of(const wave_t *wave, const char *name)
+{
+	bw_upkeep_t *u = wave->u;
+	const bw_machine_t *machine = g_hash_table_lookup(u->machines, name);
+	bw_pool_t *pool;
+	uint32_t tasks;
+
+	if (!machine || !machine->up ||
+	    g_hash_table_contains(wave->entries, name))
+		return UINT32_MAX;
+	pool = u->ops.pool(u->ctx, machine->pool);
+	if (!pool || !bw_pool_sched(pool))
+		return UINT32_MAX;
+	tasks = bw_sched_worker_tasks(bw_pool_sched(pool), machine->worker);
+	return tasks == UINT32_MAX ? 0 : tasks;
+}
+
+/* Reserves machines of this node's pools while the wave has room. */
+static void reserve(wave_t *wave)
+{
+	uint32_t reserved = count_reserved(wave);
+
+	while (reserved < wave->order->at_once_max) {
+		const bw_machine_t *machine;
+		const char *best = NULL;
+		uint32_t best_cost = UINT32_MAX;
+		char **name;
+
+		for (name = wave->order->machines; *name; name++) {
+			uint32_t cost = cost_of(wave, *name);
+
+			if (cost < best_cost) {
+				best_cost = cost;
+				best = *name;
+			}
+		}
+		if (!best)
+			break;
+		machine = g_hash_table_lookup(wave->u->machines, best);
+		entry_add(wave, best, machine->worker, PROGRESS_RESERVED);
+		bw_event("upkeep", "reserve",
+			 "wave=%" G_GINT64_FORMAT " machine=%s worker=%s "
+			 "tasks=%u reserved=%u",
+			 wave->order->number, best, machine->worker, best_cost,
+			 reserved);
+		reserved++;
+	}
+}
+
+/* Takes a reserved machine further. */
+static void advance(wave_t *wave, entry_t *entry, int64_t now_ms)
+{
+	bw_upkeep_t *u = wave->u;
+	const bw_machine_t *machine =
+		g_hash_table_lookup(u->machines, entry->machine);
+	bw_pool_t *pool =
+		machine ? u->ops.pool(u->ctx, machine->pool) : NULL;
+	bw_sched_t *sched = pool ? bw_pool_sched(pool) : NULL;
+
+	if (!sched || entry->call_out)
+		return;
+	if (entry->ordered_ms > 0) {
+		if (!machine->up || !strcmp(machine->worker, entry->worker) ||
+		    u->list_ms < entry->ordered_ms + ORDER_SHOWS_MS)
+			return;
+		entry->progress = PROGRESS_DONE;
+		bw_sched_worker_empty(sched, machine->worker, false);
+		bw_event("upkeep", "done",
+			 "wave=%" G_GINT64_FORMAT " machine=%s worker=%s",
+			 wave->order->number, entry->machine, machine->worker);
+		return;
+	}
+	bw_sched_worker_empty(sched, machine->worker, true);
+	if (machine->up && now_ms >= entry->next_ms &&
+	    now_ms - bw_pool_since_ms(pool) >= u->env.holder_ms &&
+	    (bw_sched_worker_idle(sched, machine->worker) ||
+	     bw_sched_worker_tasks(sched, machine->worker) == UINT32_MAX))
+		order_upkeep(wave, entry, pool, now_ms);
+}
+
+/* Marks workers that are due, so that they get long work last. */
+static void mark_due(wave_t *wave)
+{
+	bw_upkeep_t *u = wave->u;
+	char **name;
+
+	for (name = wave->order->machines; *name; name++) {
+		const bw_machine_t *machine =
+			g_hash_table_lookup(u->machines, *name);
+		const entry_t *entry =
+			g_hash_table_lookup(wave->entries, *name);
+		bw_pool_t *pool =
+			machine ? u->ops.pool(u->ctx, machine->pool) : NULL;
+
+		if (pool && bw_pool_sched(pool))
+			bw_sched_worker_due(bw_pool_sched(pool),
+					    machine->worker,
+					    !entry || entry->progress !=
+							      PROGRESS_DONE);
+	}
+}
+
+static bool has_unstored(const wave_t *wave)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, wave->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (((entry_t *)value)->stored != ((entry_t *)value)->progress)
+			return true;
+	return false;
+}
+
+static bool all_done(const wave_t *wave)
+{
+	char **name;
+
+	for (name = wave->order->machines; *name; name++) {
+		const entry_t *entry =
+			g_hash_table_lookup(wave->entries, *name);
+
+		if (g_hash_table_contains(wave->u->machines, *name) &&
+		    (!entry || entry->progress != PROGRESS_DONE))
+			return false;
+	}
+	return true;
+}
+
+static void tick_wave(wave_t *wave, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (wave->completed || wave->call_out || wave->status_out ||
+	    now_ms < wave->next_ms)
+		return;
+	if (!wave->known || now_ms - wave->read_ms > RECORD_AGE_MS) {
+		read_record(wave);
+		return;
+	}
+	if (wave->u->list_ms == 0)
+		return;
+	if (!wave->begun) {
+		tell_status(wave, false);
+		return;
+	}
+	mark_due(wave);
+	g_hash_table_iter_init(&iter, wave->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (((entry_t *)value)->stored == PROGRESS_RESERVED &&
+		    ((entry_t *)value)->progress == PROGRESS_RESERVED)
+			advance(wave, value, now_ms);
+	reserve(wave);
+	if (has_unstored(wave))
+		write_record(wave);
+	else if (all_done(wave))
+		tell_status(wave, true);
+}
+
+static bool any_open(const bw_upkeep_t *u)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, u->waves);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (!((wave_t *)value)->completed)
+			return true;
+	return false;
+}
+
+void bw_upkeep_tick(bw_upkeep_t *u, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!any_open(u) || !u->ops.owns_any(u->ctx))
+		return;
+	ask_list(u, now_ms);
+	g_hash_table_iter_init(&iter, u->waves);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		tick_wave(value, now_ms);
+}
--- /dev/null
+++ b/src/job/job.c
@@ -0,0 +1,252 @@
+#include "job/job.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "wire/record.pb-c.h"
+
+#define RECORD_VERSION 1
+
+enum step_flag {
+	FLAG_CHECKPOINTS = 1,
+	FLAG_GANG = 2,
+	FLAG_SAME_RACK = 4,
+	FLAG_DUPLICATES = 8,
+	FLAG_LASTING = 16,
+	FLAG_FILLER = 32
+};
+
+static const char *const state_names[BW_JOB_STATE_COUNT] = {
+	[BW_JOB_UNKNOWN] = "unknown",	  [BW_JOB_QUEUED] = "queued",
+	[BW_JOB_RUNNING] = "running",	  [BW_JOB_COMPLETED] = "completed",
+	[BW_JOB_FAILED] = "failed",	  [BW_JOB_CANCELLED] = "cancelled",
+};
+
+static bw_status_t check_step(const bw_job_spec_t *spec, uint32_t number);
+static void step_clear(bw_step_spec_t *step);
+static void pack_step(const bw_step_spec_t *step, Bramley__StepRecord *out);
+static void unpack_step(const Bramley__StepRecord *record, bw_step_spec_t *out);
+static char *text_or_null(const char *text);
+static bw_job_spec_t *unpack_spec(const Bramley__JobRecord *record);
+
+const char *bw_job_state_name(bw_job_state_t state)
+{
+	return state_names[state];
+}
+
+bool bw_job_id_valid(const char *id)
+{
+	size_t i;
+
+	for (i = 0; i < BW_JOB_ID_CHARS; i++)
+		if (!g_ascii_isxdigit(id[i]))
+			return false;
+	return id[BW_JOB_ID_CHARS] == '\0';
+}
+
+bw_job_spec_t *bw_job_spec_new(uint32_t step_count)
+{
+	bw_job_spec_t *spec = g_new0(bw_job_spec_t, 1);
+
+	spec->steps = g_new0(bw_step_spec_t, step_count);
+	spec->step_count = step_count;
+	return spec;
+}
+
+static void step_clear(bw_step_spec_t *step)
+{
+	g_free(step->after);
+	g_free(step->label);
+	g_free(step->rack);
+	g_free(step->image);
+}
+
+void bw_job_spec_free(bw_job_spec_t *spec)
+{
+	uint32_t i;
+
+	if (!spec)
+		return;
+	for (i = 0; i < spec->step_count; i++)
+		step_clear(&spec->steps[i]);
+	g_free(spec->steps);
+	g_free(spec->text);
+	g_free(spec);
+}
+
+static bw_status_t check_step(const bw_job_spec_t *spec, uint32_t number)
+{
+	const bw_step_spec_t *step = &spec->steps[number];
+	uint32_t i;
+
+	if (step->count == 0)
+		return bw_status_set(BW_EINVAL, "step %u has no tasks", number);
+	if (step->need.cpu_millis < 0 || step->need.mem_mb < 0 ||
+	    step->need.gpus < 0)
+		return bw_status_set(BW_EINVAL, "step %u asks a negative amount",
+				     number);
+	for (i = 0; i < step->after_count; i++)
+		if (step->after[i] >= number)
+			return bw_status_set(BW_EINVAL,
+					     "step %u comes after step %u, "
+					     "which is not an earlier one",
+					     number, step->after[i]);
+	return BW_OK;
+}
+
+bw_status_t bw_job_spec_check(const bw_job_spec_t *spec)
+{
+	uint32_t i;
+
+	if (spec->step_count == 0 || spec->step_count > BW_JOB_STEPS_MAX)
+		return bw_status_set(BW_EINVAL, "a job has 1 to %d steps",
+				     BW_JOB_STEPS_MAX);
+	for (i = 0; i < spec->step_count; i++)
+		if (check_step(spec, i) != BW_OK)
+			return BW_EINVAL;
+	if (bw_job_spec_tasks(spec) > BW_JOB_TASKS_MAX)
+		return bw_status_set(BW_EINVAL, "a job has at most %d tasks",
+				     BW_JOB_TASKS_MAX);
+	return BW_OK;
+}
+
+uint32_t bw_job_spec_tasks(const bw_job_spec_t *spec)
+{
+	uint64_t tasks = 0;
+	uint32_t i;
+
+	for (i = 0; i < spec->step_count; i++)
+		tasks += spec->steps[i].count;
+	return (uint32_t)MIN(tasks, (uint64_t)UINT32_MAX);
+}
+
+static void pack_step(const bw_step_spec_t *step, Bramley__StepRecord *out)
+{
+	out->count = step->count;
+	out->cpu_millis = step->need.cpu_millis;
+	out->mem_mb = step->need.mem_mb;
+	out->gpus = step->need.gpus;
+	out->estimate_ms = step->estimate_ms;
+	out->after = step->after;
+	out->n_after = step->after_count;
+	out->flags = (step->checkpoints ? FLAG_CHECKPOINTS : 0U) |
+		     (step->gang ? FLAG_GANG : 0U) |
+		     (step->same_rack ? FLAG_SAME_RACK : 0U) |
+		     (step->duplicates ? FLAG_DUPLICATES : 0U) |
+		     (step->lasting ? FLAG_LASTING : 0U) |
+		     (step->filler ? FLAG_FILLER : 0U);
+	out->label = step->label ? step->label : out->label;
+	out->rack = step->rack ? step->rack : out->rack;
+	out->image = step->image ? step->image : out->image;
+	out->per_worker_max = step->per_worker_max;
+	out->tail_ms_max = step->tail_ms_max;
+	out->away_max = step->away_max;
+}
+
+uint8_t *bw_job_record_pack(const bw_job_record_t *record, size_t *bytes)
+{
+	const bw_job_spec_t *spec = record->spec;
+	Bramley__JobRecord message = BRAMLEY__JOB_RECORD__INIT;
+	Bramley__StepRecord *steps = g_new(Bramley__StepRecord,
+					   spec->step_count);
+	Bramley__StepRecord **rows = g_new(Bramley__StepRecord *,
+					   spec->step_count);
+	uint8_t *data;
+	uint32_t i;
+
+	for (i = 0; i < spec->step_count; i++) {
+		bramley__step_record__init(&steps[i]);
+		pack_step(&spec->steps[i], &steps[i]);
+		rows[i] = &steps[i];
+	}
+	message.version = RECORD_VERSION;
+	message.queue = record->queue;
+	message.accepted_ms = record->accepted_ms;
+	message.text = spec->text ? spec->text : message.text;
+	message.steps = rows;
+	message.n_steps = spec->step_count;
+	message.repeats = spec->repeats;
+	message.first_due_ms = spec->first_due_ms;
+	message.interval_ms = spec->interval_ms;
+	*bytes = bramley__job_record__get_packed_size(&message);
+	data = g_malloc(*bytes + 1);
+	bramley__job_record__pack(&message, data);
+	g_free(rows);
+	g_free(steps);
+	return data;
+}
+
+static char *text_or_null(const char *text)
+{
+	return text[0] ? g_strdup(text) : NULL;
+}
+
+static void unpack_step(const Bramley__StepRecord *record, bw_step_spec_t *out)
+{
+	out->count = record->count;
+	out->need.cpu_millis = record->cpu_millis;
+	out->need.mem_mb = record->mem_mb;
+	out->need.gpus = record->gpus;
+	out->estimate_ms = record->estimate_ms;
+	out->after = g_memdup2(record->after,
+			       record->n_after * sizeof(*record->after));
+	out->after_count = (uint32_t)record->n_after;
+	out->checkpoints = (record->flags & FLAG_CHECKPOINTS) != 0;
+	out->gang = (record->flags & FLAG_GANG) != 0;
+	out->same_rack = (record->flags & FLAG_SAME_RACK) != 0;
+	out->duplicates = (record->flags & FLAG_DUPLICATES) != 0;
+	out->lasting = (record->flags & FLAG_LASTING) != 0;
+	out->filler = (record->flags & FLAG_FILLER) != 0;
+	out->label = text_or_null(record->label);
+	out->rack = text_or_null(record->rack);
+	out->image = text_or_null(record->image);
+	out->per_worker_max = record->per_worker_max;
+	out->tail_ms_max = record->tail_ms_max;
+	out->away_max = record->away_max;
+}
+
+static bw_job_spec_t *unpack_spec(const Bramley__JobRecord *record)
+{
+	bw_job_spec_t *spec = bw_job_spec_new((uint32_t)record->n_steps);
+	uint32_t i;
+
+	spec->text = g_strdup(record->text);
+	spec->repeats = record->repeats;
+	spec->first_due_ms = record->first_due_ms;
+	spec->interval_ms = record->interval_ms;
+	for (i = 0; i < spec->step_count; i++)
+		unpack_step(record->steps[i], &spec->steps[i]);
+	return spec;
+}
+
+bw_status_t bw_job_record_unpack(const uint8_t *data, size_t bytes,
+				 bw_job_record_t *out)
+{
+	Bramley__JobRecord *record =
+		bramley__job_record__unpack(NULL, bytes, data);
+
+	memset(out, 0, sizeof(*out));
+	if (!record)
+		return bw_status_set(BW_EPARSE, "not a job record");
+	if (record->version != RECORD_VERSION) {
+		bramley__job_record__free_unpacked(record, NULL);
+		return bw_status_set(BW_EPARSE, "job record of a newer version");
+	}
+	out->queue = g_strdup(record->queue);
+	out->accepted_ms = record->accepted_ms;
+	out->spec = unpack_spec(record);
+	bramley__job_record__free_unpacked(record, NULL);
+	if (bw_job_spec_check(out->spec) != BW_OK) {
+		bw_job_record_clear(out);
+		return BW_EPARSE;
+	}
+	return BW_OK;
+}
+
+void bw_job_record_clear(bw_job_record_t *record)
+{
+	g_free(record->queue);
+	bw_job_spec_free(record->spec);
+	memset(record, 0, sizeof(*record));
+}
--- /dev/null
+++ b/src/net/httpcall.h
@@ -0,0 +1,57 @@
+/**
+ * @file
+ * HTTP calls to other programs, many at a time, on one libev loop.
+ */
+#ifndef BW_NET_HTTPCALL_H
+#define BW_NET_HTTPCALL_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+struct ev_loop;
+
+typedef struct bw_http_client bw_http_client_t;
+
+/** How a call ended. */
+typedef enum bw_http_outcome {
+	BW_HTTP_ANSWERED, /**< A whole answer came. */
+	BW_HTTP_NOT_SENT, /**< No connection; the call had no effect. */
+	BW_HTTP_LOST, /**< Sent, without an answer. */
+	BW_HTTP_OUTCOME_COUNT
+} bw_http_outcome_t;
+
+/** Answer of a call; valid during the callback. */
+typedef struct bw_http_answer {
+	bw_http_outcome_t outcome;
+	uint32_t status; /**< HTTP status, when answered. */
+	const char *body; /**< NUL-terminated after @p bytes. */
+	size_t bytes;
+} bw_http_answer_t;
+
+typedef void (*bw_http_done_fn)(void *ctx, const bw_http_answer_t *answer);
+
+/** One call; strings are copied. */
+typedef struct bw_http_request {
+	const char *method;
+	const char *url;
+	const char *const *headers; /**< "Name: value"; NULL-terminated. */
+	const char *body; /**< NULL is none. */
+	size_t bytes;
+	int64_t timeout_ms; /**< Of the whole call. */
+} bw_http_request_t;
+
+/**
+ * Creates a client.
+ * @param host_connections_max connections to one address; more calls wait
+ */
+bw_http_client_t *bw_http_client_create(struct ev_loop *loop,
+					uint32_t host_connections_max);
+
+/** Ends all calls without calling back. */
+void bw_http_client_destroy(bw_http_client_t *client);
+
+/** Starts a call; @p done is called from the loop, once. */
+void bw_http_call(bw_http_client_t *client, const bw_http_request_t *request,
+		  bw_http_done_fn done, void *ctx);
+
+#endif
--- a/src/net/simplehttp.c
+++ b/src/net/simplehttp.c
@@ -39,12 +39,20 @@
 		return MHD_YES;
 	}
 	if (*data_bytes > 0) {
-		if (r->body->len + *data_bytes > s->body_bytes_max)
-			return MHD_NO;
+		if (r->body->len + *data_bytes > s->body_bytes_max) {
+			/* The rest is read and dropped, to be answered. */
+			r->too_long = true;
+			*data_bytes = 0;
+			return MHD_YES;
+		}
 		g_string_append_len(r->body, data, (gssize)*data_bytes);
 		*data_bytes = 0;
 		return MHD_YES;
 	}
+	if (r->too_long)
+		return bw_simple_reply(r, MHD_HTTP_CONTENT_TOO_LARGE,
+				       "application/json",
+				       "{\"error\":\"body too long\"}", 25);
 	result = s->fn(s->ctx, r);
 	r->calls++;
 	return result;
--- a/src/net/simplehttp.h
+++ b/src/net/simplehttp.h
@@ -19,6 +19,7 @@
 	const char *method;
 	const char *path; /**< Without the query. */
 	GString *body;
+	bool too_long; /**< The body was over the limit. */
 	void *user; /**< The handler's; NULL at the first call. */
 	void (*user_free)(void *user); /**< Called at the end, if set. */
 	uint32_t calls; /**< Calls of the handler before this one. */
--- a/src/node/session.c
+++ b/src/node/session.c
@@ -69,8 +69,7 @@
 	s->lease_id = 0;
 	s->asked_us = g_get_monotonic_time();
 	s->store->ops->lease_grant(s->store->impl,
-				   (s->config.lease_ms + 999) / 1000,
-				   on_granted, s);
+				   s->config.lease_ms, on_granted, s);
 }
 
 static void on_granted(void *ctx, const bw_store_reply_t *reply)
@@ -158,7 +157,7 @@
 
 	if (s->leaving)
 		return;
-	if (reply->status == BW_OK && reply->ttl_s <= 0) {
+	if (reply->status == BW_OK && reply->ttl_ms <= 0) {
 		g_warning("The lease lapsed; registering again.");
 		start_grant(s);
 		return;
--- /dev/null
+++ b/src/sched/evacuate.c
@@ -0,0 +1,80 @@
+#include "sched/internal.h"
+
+/** A lasting task counts as away until it has run this long. */
+#define SETTLED_RUN_MS 2500
+/** Tasks that end by themselves get this long before they are stopped. */
+#define EMPTY_PATIENCE_MS 3500
+
+static uint32_t count_away(const task_t *task, int64_t now_ms);
+static bool may_stop(const task_t *task, int64_t now_ms);
+static void evacuate(bw_sched_t *s, worker_t *worker, int64_t now_ms);
+
+/* Other tasks of a step that are not at work, or only just started. */
+static uint32_t count_away(const task_t *task, int64_t now_ms)
+{
+	const occurrence_t *occurrence = task->occurrence;
+	const bw_step_spec_t *spec = sched_task_step(task);
+	uint32_t first = occurrence->steps[task->step].first;
+	uint32_t away = 0;
+	uint32_t i;
+
+	for (i = 0; i < spec->count; i++) {
+		const task_t *other = &occurrence->tasks[first + i];
+
+		if (other != task &&
+		    (other->state != TASK_RUNNING ||
+		     now_ms - other->answered_ms < SETTLED_RUN_MS))
+			away++;
+	}
+	return away;
+}
+
+static bool may_stop(const task_t *task, int64_t now_ms)
+{
+	const bw_step_spec_t *spec = sched_task_step(task);
+
+	if (!spec->lasting)
+		return true;
+	return count_away(task, now_ms) < MAX(spec->away_max, 1U);
+}
+
+static void evacuate(bw_sched_t *s, worker_t *worker, int64_t now_ms)
+{
+	guint i;
+
+	for (i = 0; i < worker->tasks->len; i++) {
+		task_t *task = g_ptr_array_index(worker->tasks, i);
+
+		if (task->state != TASK_RUNNING)
+			continue;
+		if (!sched_task_step(task)->lasting &&
+		    now_ms - worker->empty_ms < EMPTY_PATIENCE_MS)
+			continue;
+		if (!worker->draining && !may_stop(task, now_ms))
+			continue;
+		sched_log(s, "evacuate", "job=%s step=%u index=%u run=%u "
+			  "worker=%s",
+			  task->occurrence->job->id, task->step, task->index,
+			  task->run, worker->id);
+		sched_stop_task(s, task, now_ms);
+	}
+}
+
+void sched_evacuate(bw_sched_t *s, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		worker_t *worker = value;
+
+		if (!worker->empty && !worker->draining) {
+			worker->empty_ms = 0;
+			continue;
+		}
+		if (worker->empty_ms == 0)
+			worker->empty_ms = now_ms;
+		evacuate(s, worker, now_ms);
+	}
+}
--- /dev/null
+++ b/src/sched/job.c
@@ -0,0 +1,438 @@
+#include "sched/internal.h"
+
+#include <string.h>
+
+/** Weight of a new sample in running means. */
+#define MEAN_WEIGHT	   0.03
+/** Bounds of a learned ratio of actual to estimated duration. */
+#define RATIO_MIN	   0.1
+#define RATIO_MAX	   10.0
+#define STRETCH_DEFAULT	   2.0
+#define TARGET_DEFAULT_MS  1000
+/** After this multiple of its objective a job is worth nothing. */
+#define LATE_MULTIPLE	   3
+#define OCCURRENCES_AT_ONCE 64
+
+static void occurrence_free(gpointer data);
+
+static void step_clear(step_state_t *state);
+static void learn_duration(task_t *task, int64_t now_ms);
+static void occurrence_done(bw_sched_t *s, occurrence_t *occurrence,
+			    int64_t now_ms);
+static bool occurrence_known(const job_t *job, uint32_t number);
+static void job_due(bw_sched_t *s, job_t *job, int64_t now_ms, int64_t wall_ms);
+
+queue_t *sched_queue(bw_sched_t *s, const char *name)
+{
+	queue_t *queue = g_hash_table_lookup(s->queues, name);
+
+	if (queue)
+		return queue;
+	queue = g_new0(queue_t, 1);
+	queue->name = g_strdup(name);
+	queue->stretch = STRETCH_DEFAULT;
+	queue->target_ms = TARGET_DEFAULT_MS;
+	queue->estimate_ratio = 1.0;
+	g_hash_table_insert(s->queues, queue->name, queue);
+	return queue;
+}
+
+job_t *sched_job_new(bw_sched_t *s, const char *id, const char *queue)
+{
+	job_t *job = g_new0(job_t, 1);
+
+	g_strlcpy(job->id, id, sizeof(job->id));
+	job->queue = sched_queue(s, queue);
+	job->state = BW_JOB_QUEUED;
+	job->occurrences = g_ptr_array_new_with_free_func(occurrence_free);
+	job->done = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	g_hash_table_insert(s->jobs, job->id, job);
+	return job;
+}
+
+void sched_job_free(gpointer data)
+{
+	job_t *job = data;
+
+	g_ptr_array_free(job->occurrences, TRUE);
+	g_array_free(job->done, TRUE);
+	bw_job_spec_free(job->spec);
+	g_free(job);
+}
+
+static void step_clear(step_state_t *state)
+{
+	if (state->tickets)
+		g_hash_table_destroy(state->tickets);
+}
+
+static void occurrence_free(gpointer data)
+{
+	occurrence_t *occurrence = data;
+	uint32_t i;
+
+	for (i = 0; i < occurrence->task_count; i++) {
+		if (occurrence->tasks[i].at)
+			sched_detach(&occurrence->tasks[i]);
+		g_free(occurrence->tasks[i].checkpoint);
+	}
+	for (i = 0; i < occurrence->job->spec->step_count; i++)
+		step_clear(&occurrence->steps[i]);
+	g_free(occurrence->steps);
+	g_free(occurrence->tasks);
+	g_free(occurrence);
+}
+
+static void init_tasks(occurrence_t *occurrence)
+{
+	const bw_job_spec_t *spec = occurrence->job->spec;
+	uint32_t number = 0;
+	uint32_t step;
+	uint32_t i;
+
+	for (step = 0; step < spec->step_count; step++) {
+		step_state_t *state = &occurrence->steps[step];
+
+		state->first = number;
+		state->left = spec->steps[step].count;
+		state->waiting = state->left;
+		for (i = 0; i < spec->steps[step].count; i++) {
+			task_t *task = &occurrence->tasks[number++];
+
+			task->occurrence = occurrence;
+			task->step = step;
+			task->index = i;
+			task->percent = 100;
+		}
+	}
+}
+
+occurrence_t *sched_occurrence_new(bw_sched_t *s, job_t *job, uint32_t number,
+				   int64_t due_ms)
+{
+	occurrence_t *occurrence = g_new0(occurrence_t, 1);
+	int64_t objective_ms;
+
+	(void)s;
+	occurrence->job = job;
+	occurrence->number = number;
+	occurrence->task_count = bw_job_spec_tasks(job->spec);
+	occurrence->left = occurrence->task_count;
+	occurrence->tasks = g_new0(task_t, occurrence->task_count);
+	occurrence->steps = g_new0(step_state_t, job->spec->step_count);
+	init_tasks(occurrence);
+	objective_ms = (int64_t)(job->queue->stretch *
+				 (double)sched_chain_ms(job, 0)) +
+		       job->queue->target_ms;
+	occurrence->due_ms = due_ms;
+	occurrence->objective_ms = due_ms + objective_ms;
+	occurrence->late_ms = due_ms + LATE_MULTIPLE * objective_ms;
+	g_ptr_array_add(job->occurrences, occurrence);
+	return occurrence;
+}
+
+int64_t sched_estimate_ms(const job_t *job, const bw_step_spec_t *step)
+{
+	const queue_t *queue = job->queue;
+	double estimate = step->estimate_ms * queue->estimate_ratio;
+
+	if (queue->duration_ms <= 0.0)
+		return (int64_t)estimate;
+	/* A caller's guess is no better than the mean of its queue. */
+	return (int64_t)((estimate + queue->duration_ms) / 2.0);
+}
+
+int64_t sched_chain_ms(const job_t *job, uint32_t step)
+{
+	const bw_job_spec_t *spec = job->spec;
+	int64_t ends_ms[BW_JOB_STEPS_MAX];
+	int64_t longest_ms = 0;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = step; i < spec->step_count; i++) {
+		const bw_step_spec_t *at = &spec->steps[i];
+		int64_t begin_ms = 0;
+
+		for (k = 0; k < at->after_count; k++)
+			if (at->after[k] >= step)
+				begin_ms = MAX(begin_ms,
+					       ends_ms[at->after[k]]);
+		ends_ms[i] = begin_ms;
+		if (!at->lasting)
+			ends_ms[i] += sched_estimate_ms(job, at);
+		longest_ms = MAX(longest_ms, ends_ms[i]);
+	}
+	return longest_ms;
+}
+
+task_t *sched_find_task(bw_sched_t *s, const bw_task_name_t *name)
+{
+	job_t *job = g_hash_table_lookup(s->jobs, name->job);
+	guint i;
+
+	if (!job || !job->spec || name->step >= job->spec->step_count ||
+	    name->index >= job->spec->steps[name->step].count)
+		return NULL;
+	for (i = 0; i < job->occurrences->len; i++) {
+		occurrence_t *at = g_ptr_array_index(job->occurrences, i);
+
+		if (at->number == name->occurrence)
+			return &at->tasks[at->steps[name->step].first +
+					  name->index];
+	}
+	return NULL;
+}
+
+void sched_task_name(const task_t *task, bw_task_name_t *out)
+{
+	g_strlcpy(out->job, task->occurrence->job->id, sizeof(out->job));
+	out->occurrence = task->occurrence->number;
+	out->step = task->step;
+	out->index = task->index;
+}
+
+const bw_step_spec_t *sched_task_step(const task_t *task)
+{
+	return &task->occurrence->job->spec->steps[task->step];
+}
+
+step_state_t *sched_step_state(const task_t *task)
+{
+	return &task->occurrence->steps[task->step];
+}
+
+void sched_task_wait(task_t *task)
+{
+	if (task->at)
+		sched_detach(task);
+	if (task->state != TASK_WAITING)
+		sched_step_state(task)->waiting++;
+	task->state = TASK_WAITING;
+	task->answered_ms = 0;
+	task->stop_sent_ms = 0;
+	task->stop_answered = false;
+	task->tail_ms = 0;
+	task->percent = 100;
+}
+
+static void learn_duration(task_t *task, int64_t now_ms)
+{
+	queue_t *queue = task->occurrence->job->queue;
+	const bw_step_spec_t *step = sched_task_step(task);
+	double took_ms = (double)(now_ms - task->answered_ms);
+	double ratio;
+
+	if (step->lasting || task->answered_ms == 0 || task->checkpoint)
+		return;
+	if (queue->duration_ms <= 0.0)
+		queue->duration_ms = took_ms;
+	queue->duration_ms += MEAN_WEIGHT * (took_ms - queue->duration_ms);
+	if (step->estimate_ms == 0)
+		return;
+	ratio = CLAMP(took_ms / step->estimate_ms, RATIO_MIN, RATIO_MAX);
+	queue->estimate_ratio += MEAN_WEIGHT * (ratio - queue->estimate_ratio);
+}
+
+void sched_task_done(bw_sched_t *s, task_t *task, int64_t now_ms)
+{
+	occurrence_t *occurrence = task->occurrence;
+	step_state_t *state = sched_step_state(task);
+
+	learn_duration(task, now_ms);
+	if (task->at)
+		sched_detach(task);
+	if (task->state == TASK_WAITING)
+		state->waiting--;
+	task->state = TASK_DONE;
+	g_clear_pointer(&task->checkpoint, g_free);
+	state->left--;
+	occurrence->left--;
+	sched_changed(s, state->left == 0);
+	if (occurrence->left == 0)
+		occurrence_done(s, occurrence, now_ms);
+}
+
+static void occurrence_done(bw_sched_t *s, occurrence_t *occurrence,
+			    int64_t now_ms)
+{
+	job_t *job = occurrence->job;
+
+	sched_log(s, "occurrence-done",
+		  "job=%s occurrence=%u took_ms=%" G_GINT64_FORMAT
+		  " objective_ms=%" G_GINT64_FORMAT,
+		  job->id, occurrence->number, now_ms - occurrence->due_ms,
+		  occurrence->objective_ms - occurrence->due_ms);
+	g_array_append_val(job->done, occurrence->number);
+	g_ptr_array_remove(job->occurrences, occurrence);
+	job->occurrences_left--;
+	if (job->occurrences_left == 0)
+		sched_job_finish(s, job, BW_JOB_COMPLETED, now_ms);
+}
+
+void sched_job_finish(bw_sched_t *s, job_t *job, bw_job_state_t state,
+		      int64_t now_ms)
+{
+	guint i;
+	uint32_t k;
+
+	sched_changed(s, true);
+	job->state = state;
+	job->finished_version = s->version;
+	g_ptr_array_remove(s->active, job);
+	g_ptr_array_add(s->ending, job);
+	sched_log(s, "job-finished",
+		  "job=%s queue=%s state=%s age_ms=%" G_GINT64_FORMAT, job->id,
+		  job->queue->name, bw_job_state_name(state),
+		  now_ms - job->arrived_ms);
+	for (i = 0; i < job->occurrences->len; i++) {
+		occurrence_t *at = g_ptr_array_index(job->occurrences, i);
+
+		for (k = 0; k < at->task_count; k++)
+			if (at->tasks[k].at)
+				sched_stop_task(s, &at->tasks[k], now_ms);
+	}
+}
+
+static bool runs_somewhere(const job_t *job)
+{
+	guint i;
+	uint32_t k;
+
+	for (i = 0; i < job->occurrences->len; i++) {
+		const occurrence_t *at = g_ptr_array_index(job->occurrences, i);
+
+		for (k = 0; k < at->task_count; k++)
+			if (at->tasks[k].at)
+				return true;
+	}
+	return false;
+}
+
+void sched_jobs_reap(bw_sched_t *s)
+{
+	guint i = s->ending->len;
+
+	while (i-- > 0) {
+		job_t *job = g_ptr_array_index(s->ending, i);
+
+		if (runs_somewhere(job))
+			continue;
+		g_ptr_array_set_size(job->occurrences, 0);
+		g_clear_pointer(&job->spec, bw_job_spec_free);
+		g_ptr_array_remove_index_fast(s->ending, i);
+	}
+}
+
+static bool occurrence_known(const job_t *job, uint32_t number)
+{
+	guint i;
+
+	for (i = 0; i < job->occurrences->len; i++) {
+		const occurrence_t *at = g_ptr_array_index(job->occurrences, i);
+
+		if (at->number == number)
+			return true;
+	}
+	for (i = 0; i < job->done->len; i++)
+		if (g_array_index(job->done, uint32_t, i) == number)
+			return true;
+	return false;
+}
+
+static void job_due(bw_sched_t *s, job_t *job, int64_t now_ms, int64_t wall_ms)
+{
+	uint32_t made = 0;
+
+	while (job->next_occurrence < job->spec->repeats &&
+	       made < OCCURRENCES_AT_ONCE) {
+		int64_t due_ms = job->spec->first_due_ms +
+				 job->spec->interval_ms * job->next_occurrence;
+
+		if (wall_ms < due_ms)
+			return;
+		if (!occurrence_known(job, job->next_occurrence))
+			sched_occurrence_new(s, job, job->next_occurrence,
+					     now_ms - (wall_ms - due_ms));
+		job->next_occurrence++;
+		made++;
+	}
+}
+
+void sched_jobs_due(bw_sched_t *s, int64_t now_ms, int64_t wall_ms)
+{
+	guint i;
+
+	for (i = 0; i < s->active->len; i++) {
+		job_t *job = g_ptr_array_index(s->active, i);
+
+		if (job->spec->repeats > 0)
+			job_due(s, job, now_ms, wall_ms);
+	}
+}
+
+static bool has_lasting_step(const bw_job_spec_t *spec)
+{
+	uint32_t i;
+
+	for (i = 0; i < spec->step_count; i++)
+		if (spec->steps[i].lasting)
+			return true;
+	return false;
+}
+
+/* Gives a job that was created by its progress or just now its contents. */
+static void take_spec(bw_sched_t *s, job_t *job, bw_job_record_t *record,
+		      int64_t now_ms, int64_t wall_ms)
+{
+	job->spec = g_steal_pointer(&record->spec);
+	job->lasting = has_lasting_step(job->spec);
+	job->occurrences_left = MAX(job->spec->repeats, 1U);
+	job->arrived_ms = now_ms - CLAMP(wall_ms - record->accepted_ms, 0,
+					 (int64_t)24 * 3600 * 1000);
+	g_ptr_array_add(s->active, job);
+	if (job->spec->repeats == 0)
+		sched_occurrence_new(s, job, 0, job->arrived_ms);
+}
+
+static void mark_suspect(job_t *job)
+{
+	guint i;
+	uint32_t k;
+
+	for (i = 0; i < job->occurrences->len; i++) {
+		occurrence_t *at = g_ptr_array_index(job->occurrences, i);
+
+		for (k = 0; k < at->task_count; k++)
+			at->tasks[k].suspect = true;
+	}
+}
+
+void bw_sched_job(bw_sched_t *s, int64_t now_ms, int64_t wall_ms,
+		  const char *id, bw_job_record_t *record)
+{
+	job_t *job = g_hash_table_lookup(s->jobs, id);
+
+	if (job)
+		return;
+	job = sched_job_new(s, id, record->queue);
+	take_spec(s, job, record, now_ms, wall_ms);
+	sched_load_progress(s, job, now_ms);
+	/* Known before our first store: an earlier owner may have begun it. */
+	if (!s->fresh && s->saved_version == 0)
+		mark_suspect(job);
+	sched_log(s, "job",
+		  "job=%s queue=%s tasks=%u repeats=%u lasting=%d"
+		  " age_ms=%" G_GINT64_FORMAT,
+		  job->id, job->queue->name, bw_job_spec_tasks(job->spec),
+		  job->spec->repeats, job->lasting, now_ms - job->arrived_ms);
+}
+
+void bw_sched_cancel(bw_sched_t *s, int64_t now_ms, const char *id)
+{
+	job_t *job = g_hash_table_lookup(s->jobs, id);
+
+	if (!job || job->finished_version > 0)
+		return;
+	sched_job_finish(s, job, BW_JOB_CANCELLED, now_ms);
+}
--- /dev/null
+++ b/src/sched/save.c
@@ -0,0 +1,263 @@
+#include "sched/internal.h"
+
+#include <string.h>
+
+#include "wire/record.pb-c.h"
+
+#define RECORD_VERSION 1
+
+/** A record under construction; the arena owns what it points to. */
+typedef struct packer {
+	GPtrArray *arena;
+	int64_t wall_ms;
+	int64_t keep_ms;
+} packer_t;
+
+static void *take(packer_t *p, size_t bytes);
+static Bramley__TaskRecord *pack_task(packer_t *p, const task_t *task,
+				      uint32_t number);
+static Bramley__JobProgress *pack_job(packer_t *p, const job_t *job);
+static void pack_jobs(packer_t *p, bw_sched_t *s, Bramley__PoolRecord *out);
+static void pack_workers(packer_t *p, bw_sched_t *s, Bramley__PoolRecord *out);
+static void load_task(bw_sched_t *s, job_t *job,
+		      const Bramley__TaskRecord *record, int64_t now_ms);
+
+static void *take(packer_t *p, size_t bytes)
+{
+	void *data = g_malloc0(bytes);
+
+	g_ptr_array_add(p->arena, data);
+	return data;
+}
+
+static Bramley__TaskRecord *pack_task(packer_t *p, const task_t *task,
+				      uint32_t number)
+{
+	Bramley__TaskRecord *record = take(p, sizeof(*record));
+
+	bramley__task_record__init(record);
+	record->occurrence = task->occurrence->number;
+	record->number = number;
+	record->run = task->run;
+	record->failures = task->failures;
+	record->failed_run = task->failed_run;
+	record->done = task->state == TASK_DONE;
+	if (task->checkpoint)
+		record->checkpoint = task->checkpoint;
+	return record;
+}
+
+static void pack_tasks(packer_t *p, const job_t *job,
+		       Bramley__JobProgress *out)
+{
+	size_t total = 0;
+	guint i;
+	uint32_t k;
+
+	for (i = 0; i < job->occurrences->len; i++) {
+		const occurrence_t *at = g_ptr_array_index(job->occurrences, i);
+
+		total += at->task_count;
+	}
+	out->tasks = take(p, total * sizeof(*out->tasks) + 1);
+	for (i = 0; i < job->occurrences->len; i++) {
+		const occurrence_t *at = g_ptr_array_index(job->occurrences, i);
+
+		for (k = 0; k < at->task_count; k++)
+			if (at->tasks[k].run > 0)
+				out->tasks[out->n_tasks++] =
+					pack_task(p, &at->tasks[k], k);
+	}
+}
+
+static Bramley__JobProgress *pack_job(packer_t *p, const job_t *job)
+{
+	Bramley__JobProgress *record = take(p, sizeof(*record));
+
+	bramley__job_progress__init(record);
+	record->id = (char *)job->id;
+	record->state = job->state;
+	record->finished_ms = job->finished_ms;
+	record->started = job->started;
+	if (job->finished_version > 0)
+		return record;
+	pack_tasks(p, job, record);
+	record->occurrences_done = (uint32_t *)(void *)job->done->data;
+	record->n_occurrences_done = job->done->len;
+	return record;
+}
+
+static void pack_jobs(packer_t *p, bw_sched_t *s, Bramley__PoolRecord *out)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	out->jobs = take(p, (g_hash_table_size(s->jobs) + 1) *
+				    sizeof(*out->jobs));
+	g_hash_table_iter_init(&iter, s->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		job_t *job = value;
+
+		if (job->finished_version > 0 && job->finished_ms == 0)
+			job->finished_ms = p->wall_ms;
+		if (job->finished_version > 0 || job->started)
+			out->jobs[out->n_jobs++] = pack_job(p, job);
+	}
+}
+
+static void pack_workers(packer_t *p, bw_sched_t *s, Bramley__PoolRecord *out)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	out->workers = take(p, (g_hash_table_size(s->workers) + 1) *
+				       sizeof(*out->workers));
+	g_hash_table_iter_init(&iter, s->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		worker_t *worker = value;
+		Bramley__WorkerRecord *record = take(p, sizeof(*record));
+
+		bramley__worker_record__init(record);
+		record->id = worker->id;
+		record->address = worker->address;
+		worker->packed = worker->seen;
+		out->workers[out->n_workers++] = record;
+	}
+}
+
+uint8_t *bw_sched_pack(bw_sched_t *s, int64_t wall_ms, size_t *bytes)
+{
+	Bramley__PoolRecord record = BRAMLEY__POOL_RECORD__INIT;
+	packer_t p = { .wall_ms = wall_ms, .keep_ms = s->config.keep_ms };
+	uint8_t *data;
+
+	p.arena = g_ptr_array_new_with_free_func(g_free);
+	record.version = RECORD_VERSION;
+	record.fence = s->config.fence;
+	pack_workers(&p, s, &record);
+	pack_jobs(&p, s, &record);
+	*bytes = bramley__pool_record__get_packed_size(&record);
+	data = g_malloc(*bytes + 1);
+	bramley__pool_record__pack(&record, data);
+	g_ptr_array_free(p.arena, TRUE);
+	s->packed_version = s->version;
+	return data;
+}
+
+void bw_sched_saved(bw_sched_t *s, int64_t now_ms, uint64_t version)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	s->saved_version = MAX(s->saved_version, version);
+	g_hash_table_iter_init(&iter, s->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		worker_t *worker = value;
+
+		if (worker->stored_version <= s->saved_version)
+			worker->stored = true;
+		if (worker->packed <= worker->acked)
+			continue;
+		worker->acked = worker->packed;
+		worker->hold_at_ms = MIN(worker->hold_at_ms, now_ms);
+	}
+}
+
+static void load_task(bw_sched_t *s, job_t *job,
+		      const Bramley__TaskRecord *record, int64_t now_ms)
+{
+	occurrence_t *at = NULL;
+	task_t *task;
+	guint i;
+
+	for (i = 0; i < job->occurrences->len && !at; i++) {
+		at = g_ptr_array_index(job->occurrences, i);
+		if (at->number != record->occurrence)
+			at = NULL;
+	}
+	if (!at)
+		at = sched_occurrence_new(s, job, record->occurrence, now_ms);
+	if (record->number >= at->task_count)
+		return;
+	task = &at->tasks[record->number];
+	task->run = record->run;
+	task->failures = record->failures;
+	task->failed_run = record->failed_run;
+	task->checkpoint =
+		record->checkpoint[0] ? g_strdup(record->checkpoint) : NULL;
+	if (!record->done || task->state == TASK_DONE)
+		return;
+	task->state = TASK_DONE;
+	at->steps[task->step].waiting--;
+	at->steps[task->step].left--;
+	at->left--;
+}
+
+void sched_load_progress(bw_sched_t *s, job_t *job, int64_t now_ms)
+{
+	Bramley__JobProgress *progress =
+		g_hash_table_lookup(s->progress, job->id);
+	size_t i;
+
+	if (!progress)
+		return;
+	job->started = progress->started;
+	for (i = 0; i < progress->n_occurrences_done; i++) {
+		g_array_append_val(job->done, progress->occurrences_done[i]);
+		job->occurrences_left--;
+	}
+	for (i = 0; i < progress->n_tasks; i++)
+		load_task(s, job, progress->tasks[i], now_ms);
+	g_hash_table_remove(s->progress, job->id);
+}
+
+static void load_job(bw_sched_t *s, const Bramley__JobProgress *progress)
+{
+	size_t bytes = bramley__job_progress__get_packed_size(progress);
+	uint8_t *data;
+	job_t *job;
+
+	if (progress->state >= BW_JOB_STATE_COUNT ||
+	    !bw_job_id_valid(progress->id))
+		return;
+	if (progress->state >= BW_JOB_COMPLETED) {
+		job = sched_job_new(s, progress->id, "");
+		job->state = progress->state;
+		job->finished_version = 1;
+		job->finished_ms = progress->finished_ms;
+		return;
+	}
+	data = g_malloc(bytes + 1);
+	bramley__job_progress__pack(progress, data);
+	g_hash_table_insert(s->progress, g_strdup(progress->id),
+			    bramley__job_progress__unpack(NULL, bytes, data));
+	g_free(data);
+}
+
+void sched_progress_free(gpointer data)
+{
+	bramley__job_progress__free_unpacked(data, NULL);
+}
+
+bw_status_t bw_sched_load(bw_sched_t *s, int64_t now_ms, const uint8_t *data,
+			  size_t bytes)
+{
+	Bramley__PoolRecord *record =
+		bramley__pool_record__unpack(NULL, bytes, data);
+	size_t i;
+
+	if (!record)
+		return bw_status_set(BW_EPARSE, "not a pool record");
+	s->fresh = false;
+	for (i = 0; i < record->n_jobs; i++)
+		load_job(s, record->jobs[i]);
+	for (i = 0; i < record->n_workers; i++) {
+		worker_t *worker =
+			sched_worker_new(s, record->workers[i]->id, now_ms);
+
+		worker->address = g_strdup(record->workers[i]->address);
+		worker->stored = true;
+	}
+	bramley__pool_record__free_unpacked(record, NULL);
+	return BW_OK;
+}
--- /dev/null
+++ b/src/sched/sched.c
@@ -0,0 +1,236 @@
+#include "sched/internal.h"
+
+#include <stdarg.h>
+
+static const char *const order_result_names[BW_ORDER_RESULT_COUNT] = {
+	[BW_ORDER_OK] = "ok",
+	[BW_ORDER_FENCED] = "fenced",
+	[BW_ORDER_OLD_RUN] = "old-run",
+	[BW_ORDER_EXPIRED] = "expired",
+	[BW_ORDER_NO_ROOM] = "no-room",
+	[BW_ORDER_NO_TICKET] = "no-ticket",
+	[BW_ORDER_UNHEALTHY] = "unhealthy",
+	[BW_ORDER_OTHER_BOOT] = "other-boot",
+	[BW_ORDER_REFUSED] = "refused",
+	[BW_ORDER_NOT_SENT] = "not-sent",
+	[BW_ORDER_LOST] = "lost",
+};
+
+static const char *const end_kind_names[BW_END_KIND_COUNT] = {
+	[BW_END_DONE] = "done",
+	[BW_END_FAILED] = "failed",
+	[BW_END_STOPPED] = "stopped",
+	[BW_END_EXPIRED] = "expired",
+	[BW_END_GANG_BROKEN] = "gang-broken",
+	[BW_END_GANG_ALONE] = "gang-alone",
+};
+
+static void settle(bw_sched_t *s, int64_t now_ms);
+
+const char *bw_order_result_name(bw_order_result_t result)
+{
+	return order_result_names[result];
+}
+
+const char *bw_end_kind_name(bw_end_kind_t kind)
+{
+	return end_kind_names[kind];
+}
+
+void sched_log(bw_sched_t *s, const char *event, const char *fmt, ...)
+{
+	char fields[512];
+	va_list args;
+
+	if (!s->ops.log)
+		return;
+	va_start(args, fmt);
+	g_vsnprintf(fields, sizeof(fields), fmt, args);
+	va_end(args);
+	s->ops.log(s->ctx, event, fields);
+}
+
+void sched_changed(bw_sched_t *s, bool urgent)
+{
+	s->version++;
+	if (urgent)
+		s->urgent_version = s->version;
+}
+
+bw_sched_t *bw_sched_create(const bw_sched_config_t *config,
+			    const bw_sched_ops_t *ops, void *ctx,
+			    int64_t now_ms)
+{
+	bw_sched_t *s = g_new0(bw_sched_t, 1);
+
+	s->config = *config;
+	s->ops = *ops;
+	s->ctx = ctx;
+	s->queues = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
+	s->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					sched_job_free);
+	s->active = g_ptr_array_new();
+	s->ending = g_ptr_array_new();
+	s->progress = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    sched_progress_free);
+	s->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					   sched_worker_free);
+	s->created_ms = now_ms;
+	s->fresh = true;
+	s->allowed = true;
+	s->version = 1;
+	s->urgent_version = 1;
+	return s;
+}
+
+static void queue_free(queue_t *queue)
+{
+	g_free(queue->name);
+	g_free(queue);
+}
+
+void bw_sched_destroy(bw_sched_t *s)
+{
+	GHashTableIter iter;
+	gpointer queue;
+
+	if (!s)
+		return;
+	g_hash_table_destroy(s->jobs);
+	g_hash_table_destroy(s->workers);
+	g_hash_table_iter_init(&iter, s->queues);
+	while (g_hash_table_iter_next(&iter, NULL, &queue))
+		queue_free(queue);
+	g_hash_table_destroy(s->queues);
+	g_ptr_array_free(s->active, TRUE);
+	g_ptr_array_free(s->ending, TRUE);
+	g_hash_table_destroy(s->progress);
+	g_free(s);
+}
+
+void bw_sched_set_queue(bw_sched_t *s, const bw_queue_config_t *config)
+{
+	queue_t *queue = sched_queue(s, config->name);
+
+	queue->priority = config->priority;
+	queue->attempts_max = config->attempts_max;
+	queue->stretch = config->stretch;
+	queue->target_ms = config->target_ms;
+	queue->advised = config->advised;
+}
+
+void bw_sched_allow(bw_sched_t *s, bool allowed)
+{
+	if (s->allowed != allowed)
+		sched_log(s, "orders", "allowed=%d", allowed);
+	s->allowed = allowed;
+}
+
+/* What an earlier owner started is known once each worker has told. */
+static void settle(bw_sched_t *s, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+	int64_t bound_ms =
+		s->created_ms + s->config.outage_ms + CLOCK_MARGIN_MS +
+		(int64_t)((double)s->config.grant_ms_max / CLOCK_RATE_MIN);
+
+	if (s->settled)
+		return;
+	if (!s->fresh && now_ms < bound_ms) {
+		g_hash_table_iter_init(&iter, s->workers);
+		while (g_hash_table_iter_next(&iter, NULL, &value))
+			if (!((worker_t *)value)->learned)
+				return;
+	}
+	s->settled = true;
+	sched_log(s, "settled", "after_ms=%" G_GINT64_FORMAT,
+		  now_ms - s->created_ms);
+}
+
+void bw_sched_run(bw_sched_t *s, int64_t now_ms, int64_t wall_ms)
+{
+	if (!s->allowed)
+		return;
+	settle(s, now_ms);
+	sched_workers_expire(s, now_ms);
+	sched_workers_stops(s, now_ms);
+	sched_jobs_due(s, now_ms, wall_ms);
+	sched_jobs_reap(s);
+	sched_evacuate(s, now_ms);
+	if (s->saved_version > 0)
+		sched_place(s, now_ms);
+	sched_workers_hold(s, now_ms);
+}
+
+uint64_t bw_sched_version(const bw_sched_t *s)
+{
+	return s->version;
+}
+
+bool bw_sched_urgent(const bw_sched_t *s)
+{
+	return s->urgent_version > s->saved_version;
+}
+
+bw_job_state_t bw_sched_job_state(const bw_sched_t *s, const char *id)
+{
+	const job_t *job = g_hash_table_lookup(s->jobs, id);
+
+	if (!job)
+		return BW_JOB_UNKNOWN;
+	if (job->finished_version > 0 &&
+	    job->finished_version <= s->saved_version)
+		return job->state;
+	/* A cancellation is stored before it comes here. */
+	if (job->state == BW_JOB_CANCELLED)
+		return job->state;
+	return job->started ? BW_JOB_RUNNING : BW_JOB_QUEUED;
+}
+
+static void add_worker_stats(const worker_t *worker, bw_sched_stats_t *out)
+{
+	out->workers++;
+	if (!worker->registered || worker->draining || !worker->learned)
+		return;
+	out->workers_usable++;
+	out->room.cpu_millis += worker->room.cpu_millis;
+	out->room.mem_mb += worker->room.mem_mb;
+	out->used.cpu_millis += worker->used.cpu_millis;
+	out->used.mem_mb += worker->used.mem_mb;
+	out->tasks_running += worker->tasks->len;
+}
+
+void bw_sched_stats(const bw_sched_t *s, bw_sched_stats_t *out)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	*out = (bw_sched_stats_t){ 0 };
+	g_hash_table_iter_init(&iter, s->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		add_worker_stats(value, out);
+	out->jobs_active = s->active->len;
+	for (i = 0; i < s->active->len; i++) {
+		const job_t *job = g_ptr_array_index(s->active, i);
+
+		if (!job->started && job->spec->repeats == 0)
+			out->jobs_waiting++;
+	}
+}
+
+uint32_t bw_sched_waiting(const bw_sched_t *s, const char *queue)
+{
+	uint32_t waiting = 0;
+	guint i;
+
+	for (i = 0; i < s->active->len; i++) {
+		const job_t *job = g_ptr_array_index(s->active, i);
+
+		if (!job->started && job->spec->repeats == 0 &&
+		    !g_strcmp0(job->queue->name, queue))
+			waiting++;
+	}
+	return waiting;
+}
--- a/src/store/etcd.c
+++ b/src/store/etcd.c
@@ -131,7 +131,7 @@
 		json_object_get(json_object_get(root, "header"), "revision"));
 	reply->succeeded = json_is_true(json_object_get(root, "succeeded"));
 	reply->lease_id = decode_int(json_object_get(root, "ID"));
-	reply->ttl_s = decode_int(json_object_get(root, "TTL"));
+	reply->ttl_ms = decode_int(json_object_get(root, "TTL")) * 1000;
 	json_array_foreach(json_object_get(root, "kvs"), i, item)
 		decode_kv(item, false, kvs, owned);
 	json_array_foreach(json_object_get(root, "responses"), i, item)
@@ -345,11 +345,12 @@
 	      false, true, done, ctx);
 }
 
-static void etcd_lease_grant(void *impl, int64_t ttl_s, bw_store_done_fn done,
-			     void *ctx)
+static void etcd_lease_grant(void *impl, int64_t ttl_ms,
+			     bw_store_done_fn done, void *ctx)
 {
 	start(impl, "/v3/lease/grant",
-	      json_pack("{s:o,s:s}", "TTL", encode_int(ttl_s), "ID", "0"),
+	      json_pack("{s:o,s:s}", "TTL", encode_int((ttl_ms + 999) / 1000),
+			"ID", "0"),
 	      false, true, done, ctx);
 }
 
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -27,13 +27,15 @@
  * Answer of a call.
  *
  * BW_EUNAVAIL: the call had no effect. BW_ELOST: a write may have taken effect.
+ * BW_ENOTFOUND: no such key or lease. BW_ESTALE: the history is gone.
  */
 typedef struct bw_store_reply {
 	bw_status_t status;
 	bool succeeded; /**< A transaction's comparisons held. */
 	int64_t revision; /**< Revision of the store. */
 	int64_t lease_id;
-	int64_t ttl_s;
+	int64_t ttl_ms;
+	bool more; /**< Of a page: others follow. */
 	const bw_store_kv_t *kvs; /**< Valid during the callback. */
 	size_t kv_count;
 } bw_store_reply_t;
@@ -51,6 +53,35 @@
 	uint32_t absent_count;
 } bw_store_cas_t;
 
+/** A key that a transaction expects at a revision. */
+typedef struct bw_store_expect {
+	const char *key;
+	int64_t mod_revision; /**< 0: the key must not exist. */
+} bw_store_expect_t;
+
+/** A key that a transaction writes. */
+typedef struct bw_store_write {
+	const char *key;
+	const char *value; /**< NULL deletes the key. */
+	size_t bytes;
+	int64_t lease_id; /**< 0 is none. */
+} bw_store_write_t;
+
+/** Writes that all happen, if all expectations hold, or not at all. */
+typedef struct bw_store_txn {
+	const bw_store_expect_t *expects;
+	uint32_t expect_count;
+	const bw_store_write_t *writes;
+	uint32_t write_count;
+} bw_store_txn_t;
+
+/** One page of the keys with a prefix, in their order. */
+typedef struct bw_store_page {
+	const char *prefix;
+	const char *after; /**< Last key of the page before, or NULL. */
+	bool stale; /**< May be seconds old, and is cheap. */
+} bw_store_page_t;
+
 /** A watch that can be ended. */
 typedef struct bw_store_watch bw_store_watch_t;
 
@@ -62,7 +93,7 @@
 	/** Does one compare-and-swap; the reply has the key when it failed. */
 	void (*cas)(void *impl, const bw_store_cas_t *cas,
 		    bw_store_done_fn done, void *ctx);
-	void (*lease_grant)(void *impl, int64_t ttl_s, bw_store_done_fn done,
+	void (*lease_grant)(void *impl, int64_t ttl_ms, bw_store_done_fn done,
 			    void *ctx);
 	void (*lease_keepalive)(void *impl, int64_t lease_id,
 				bw_store_done_fn done, void *ctx);
@@ -76,6 +107,17 @@
 				   int64_t revision, bw_store_done_fn event,
 				   void *ctx);
 	void (*watch_end)(void *impl, bw_store_watch_t *watch);
+	/**
+	 * Does a transaction; when it failed, the reply has the expected keys
+	 * as they are. NULL in adapters without it, like the next two.
+	 */
+	void (*txn)(void *impl, const bw_store_txn_t *txn,
+		    bw_store_done_fn done, void *ctx);
+	void (*page)(void *impl, const bw_store_page_t *page,
+		     bw_store_done_fn done, void *ctx);
+	/** Reads one key; BW_ENOTFOUND when it does not exist. */
+	void (*get)(void *impl, const char *key, bw_store_done_fn done,
+		    void *ctx);
 	void (*destroy)(void *impl);
 } bw_store_ops_t;
 
--- a/src/wire/bramley.pb-c.c
+++ b/src/wire/bramley.pb-c.c
@@ -322,6 +322,96 @@
   assert(message->base.descriptor == &bramley__document__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bramley__state_ask__init
+                     (Bramley__StateAsk         *message)
+{
+  static const Bramley__StateAsk init_value = BRAMLEY__STATE_ASK__INIT;
+  *message = init_value;
+}
+size_t bramley__state_ask__get_packed_size
+                     (const Bramley__StateAsk *message)
+{
+  assert(message->base.descriptor == &bramley__state_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bramley__state_ask__pack
+                     (const Bramley__StateAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bramley__state_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bramley__state_ask__pack_to_buffer
+                     (const Bramley__StateAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bramley__state_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bramley__StateAsk *
+       bramley__state_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bramley__StateAsk *)
+     protobuf_c_message_unpack (&bramley__state_ask__descriptor,
+                                allocator, len, data);
+}
+void   bramley__state_ask__free_unpacked
+                     (Bramley__StateAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bramley__state_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bramley__state_answer__init
+                     (Bramley__StateAnswer         *message)
+{
+  static const Bramley__StateAnswer init_value = BRAMLEY__STATE_ANSWER__INIT;
+  *message = init_value;
+}
+size_t bramley__state_answer__get_packed_size
+                     (const Bramley__StateAnswer *message)
+{
+  assert(message->base.descriptor == &bramley__state_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bramley__state_answer__pack
+                     (const Bramley__StateAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bramley__state_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bramley__state_answer__pack_to_buffer
+                     (const Bramley__StateAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bramley__state_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bramley__StateAnswer *
+       bramley__state_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bramley__StateAnswer *)
+     protobuf_c_message_unpack (&bramley__state_answer__descriptor,
+                                allocator, len, data);
+}
+void   bramley__state_answer__free_unpacked
+                     (Bramley__StateAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bramley__state_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bramley__frame__init
                      (Bramley__Frame         *message)
 {
@@ -971,7 +1061,161 @@
   (ProtobufCMessageInit) bramley__document__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__frame__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bramley__state_ask__field_descriptors[4] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__StateAsk, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pool",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__StateAsk, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__StateAsk, job),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queue",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__StateAsk, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bramley__state_ask__field_indices_by_name[] = {
+  2,   /* field[2] = job */
+  0,   /* field[0] = number */
+  1,   /* field[1] = pool */
+  3,   /* field[3] = queue */
+};
+static const ProtobufCIntRange bramley__state_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor bramley__state_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bramley.StateAsk",
+  "StateAsk",
+  "Bramley__StateAsk",
+  "bramley",
+  sizeof(Bramley__StateAsk),
+  4,
+  bramley__state_ask__field_descriptors,
+  bramley__state_ask__field_indices_by_name,
+  1,  bramley__state_ask__number_ranges,
+  (ProtobufCMessageInit) bramley__state_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bramley__state_answer__field_descriptors[4] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__StateAnswer, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owner",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__StateAnswer, owner),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__StateAnswer, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__StateAnswer, waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bramley__state_answer__field_indices_by_name[] = {
+  0,   /* field[0] = number */
+  1,   /* field[1] = owner */
+  2,   /* field[2] = state */
+  3,   /* field[3] = waiting */
+};
+static const ProtobufCIntRange bramley__state_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor bramley__state_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bramley.StateAnswer",
+  "StateAnswer",
+  "Bramley__StateAnswer",
+  "bramley",
+  sizeof(Bramley__StateAnswer),
+  4,
+  bramley__state_answer__field_descriptors,
+  bramley__state_answer__field_indices_by_name,
+  1,  bramley__state_answer__number_ranges,
+  (ProtobufCMessageInit) bramley__state_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bramley__frame__field_descriptors[8] =
 {
   {
     "hello",
@@ -1045,6 +1289,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "state_ask",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bramley__Frame, body_case),
+    offsetof(Bramley__Frame, state_ask),
+    &bramley__state_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state_answer",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bramley__Frame, body_case),
+    offsetof(Bramley__Frame, state_answer),
+    &bramley__state_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__frame__field_indices_by_name[] = {
   4,   /* field[4] = ask */
@@ -1053,11 +1321,13 @@
   0,   /* field[0] = hello */
   3,   /* field[3] = once */
   2,   /* field[2] = place */
+  7,   /* field[7] = state_answer */
+  6,   /* field[6] = state_ask */
 };
 static const ProtobufCIntRange bramley__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor bramley__frame__descriptor =
 {
@@ -1067,7 +1337,7 @@
   "Bramley__Frame",
   "bramley",
   sizeof(Bramley__Frame),
-  6,
+  8,
   bramley__frame__field_descriptors,
   bramley__frame__field_indices_by_name,
   1,  bramley__frame__number_ranges,
--- a/src/wire/bramley.pb-c.h
+++ b/src/wire/bramley.pb-c.h
@@ -22,6 +22,8 @@
 typedef struct Bramley__Once Bramley__Once;
 typedef struct Bramley__DocumentAsk Bramley__DocumentAsk;
 typedef struct Bramley__Document Bramley__Document;
+typedef struct Bramley__StateAsk Bramley__StateAsk;
+typedef struct Bramley__StateAnswer Bramley__StateAnswer;
 typedef struct Bramley__Frame Bramley__Frame;
 
 
@@ -161,6 +163,41 @@
     , 0, 0, {0,NULL} }
 
 
+/*
+ * Asks the owner of a pool for a job's state and the pool's waiting jobs.
+ */
+struct  Bramley__StateAsk
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  char *pool;
+  /*
+   * Empty: only the waiting jobs of a queue.
+   */
+  char *job;
+  char *queue;
+};
+#define BRAMLEY__STATE_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bramley__state_ask__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+struct  Bramley__StateAnswer
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  /*
+   * The sender owns the pool; the rest is valid.
+   */
+  protobuf_c_boolean owner;
+  uint32_t state;
+  uint32_t waiting;
+};
+#define BRAMLEY__STATE_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bramley__state_answer__descriptor) \
+    , 0, 0, 0, 0 }
+
+
 typedef enum {
   BRAMLEY__FRAME__BODY__NOT_SET = 0,
   BRAMLEY__FRAME__BODY_HELLO = 1,
@@ -168,7 +205,9 @@
   BRAMLEY__FRAME__BODY_PLACE = 3,
   BRAMLEY__FRAME__BODY_ONCE = 4,
   BRAMLEY__FRAME__BODY_ASK = 5,
-  BRAMLEY__FRAME__BODY_DOCUMENT = 6
+  BRAMLEY__FRAME__BODY_DOCUMENT = 6,
+  BRAMLEY__FRAME__BODY_STATE_ASK = 7,
+  BRAMLEY__FRAME__BODY_STATE_ANSWER = 8
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BRAMLEY__FRAME__BODY__CASE)
 } Bramley__Frame__BodyCase;
 
@@ -183,6 +222,8 @@
     Bramley__Once *once;
     Bramley__DocumentAsk *ask;
     Bramley__Document *document;
+    Bramley__StateAsk *state_ask;
+    Bramley__StateAnswer *state_answer;
   };
 };
 #define BRAMLEY__FRAME__INIT \
@@ -323,6 +364,44 @@
 void   bramley__document__free_unpacked
                      (Bramley__Document *message,
                       ProtobufCAllocator *allocator);
+/* Bramley__StateAsk methods */
+void   bramley__state_ask__init
+                     (Bramley__StateAsk         *message);
+size_t bramley__state_ask__get_packed_size
+                     (const Bramley__StateAsk   *message);
+size_t bramley__state_ask__pack
+                     (const Bramley__StateAsk   *message,
+                      uint8_t             *out);
+size_t bramley__state_ask__pack_to_buffer
+                     (const Bramley__StateAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Bramley__StateAsk *
+       bramley__state_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bramley__state_ask__free_unpacked
+                     (Bramley__StateAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Bramley__StateAnswer methods */
+void   bramley__state_answer__init
+                     (Bramley__StateAnswer         *message);
+size_t bramley__state_answer__get_packed_size
+                     (const Bramley__StateAnswer   *message);
+size_t bramley__state_answer__pack
+                     (const Bramley__StateAnswer   *message,
+                      uint8_t             *out);
+size_t bramley__state_answer__pack_to_buffer
+                     (const Bramley__StateAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Bramley__StateAnswer *
+       bramley__state_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bramley__state_answer__free_unpacked
+                     (Bramley__StateAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* Bramley__Frame methods */
 void   bramley__frame__init
                      (Bramley__Frame         *message);
@@ -365,6 +444,12 @@
 typedef void (*Bramley__Document_Closure)
                  (const Bramley__Document *message,
                   void *closure_data);
+typedef void (*Bramley__StateAsk_Closure)
+                 (const Bramley__StateAsk *message,
+                  void *closure_data);
+typedef void (*Bramley__StateAnswer_Closure)
+                 (const Bramley__StateAnswer *message,
+                  void *closure_data);
 typedef void (*Bramley__Frame_Closure)
                  (const Bramley__Frame *message,
                   void *closure_data);
@@ -381,6 +466,8 @@
 extern const ProtobufCMessageDescriptor bramley__once__descriptor;
 extern const ProtobufCMessageDescriptor bramley__document_ask__descriptor;
 extern const ProtobufCMessageDescriptor bramley__document__descriptor;
+extern const ProtobufCMessageDescriptor bramley__state_ask__descriptor;
+extern const ProtobufCMessageDescriptor bramley__state_answer__descriptor;
 extern const ProtobufCMessageDescriptor bramley__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/test/test_store.c
+++ b/test/test_store.c
@@ -261,20 +261,20 @@
 	store_test_t *t = *state;
 	int64_t lease;
 
-	t->store.ops->lease_grant(t->store.impl, 1, on_reply, t);
+	t->store.ops->lease_grant(t->store.impl, 1000, on_reply, t);
 	run(t);
 	lease = t->reply.lease_id;
 	assert_true(lease > 0);
 	assert_int_equal(cas(t, "/e/a", "1", 0, lease, NULL), BW_OK);
 	t->store.ops->lease_keepalive(t->store.impl, lease, on_reply, t);
 	run(t);
-	assert_true(t->reply.ttl_s > 0);
+	assert_true(t->reply.ttl_ms > 0);
 	do {
 		assert_int_equal(range(t, "/e/"), BW_OK);
 	} while (t->reply.kv_count > 0);
 	t->store.ops->lease_keepalive(t->store.impl, lease, on_reply, t);
 	run(t);
-	assert_int_equal(t->reply.ttl_s, 0);
+	assert_int_equal(t->reply.ttl_ms, 0);
 }
 
 int main(void)
