Take over without waiting for workers that are known to be dead

Cause: a new owner waited 17 s until each worker of the record had told what it runs; old lives of machines after upkeep never tell. Lasting tasks stood still (LOST) and jobs came late. Evacuation counted tasks on silent workers as at work (AVAIL). Change: a newer worker on the same machine, our own upkeep order and another boot at the address prove a worker's death; grants are 5.5 s and leases 2.5 s; past its lease an owner acts only while peers say that the store is down for all, which shortens a successor's wait; tasks on silent workers count as away.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -16,11 +16,10 @@
 #include "fleet/upkeep.h"
 
 #define TICK_S 0.05
-/** Part of the longest grant that a lease may last, so that a successor can
- * renew grants before they run out. */
-#define LEASE_SHARE 0.4
-/** An owner acts this long past its lease when the store is out of reach. */
-#define OUTAGE_MS 6500
+#define LEASE_MS 2500
+/** An owner that was cut off may act for so long after its claim is gone: its
+ * lease, and the time in which it hears of it from other nodes. */
+#define OUTAGE_MS (LEASE_MS + 1500)
 /** Without an answer of the store for so long it counts as out of reach. */
 #define STORE_SILENT_MS 1400
 /** Calls that fail in a row before the store counts as out of reach. */
@@ -97,9 +96,8 @@
 		.name = settings->name,
 		.address = address,
 		.incarnation = f->incarnation,
-		.lease_ms = MAX(settings->lease_min_ms,
-				(int64_t)((double)settings->grant_max_ms *
-					  LEASE_SHARE)),
+		.lease_ms = MAX(settings->lease_min_ms, (int64_t)LEASE_MS),
+		.first_start = settings->first_start,
 	};
 
 	f->member = bw_fleet_member_create(f->env.loop, &f->env.store, &config,
@@ -406,8 +404,8 @@
 
 static void allow_pools(bw_fleet_t *f, int64_t now_ms)
 {
-	bool allowed =
-		now_ms < bw_fleet_member_until_ms(f->member) + OUTAGE_MS;
+	bool allowed = now_ms < bw_fleet_member_until_ms(f->member) ||
+		       bw_inquiry_outage(f->inquiry, now_ms);
 	GHashTableIter iter;
 	gpointer pool;
 
@@ -423,6 +421,7 @@
 
 	(void)loop;
 	(void)revents;
+	bw_inquiry_set_store_good(f->inquiry, f->store_good);
 	bw_fleet_member_tick(f->member, now_ms);
 	bw_inquiry_tick(f->inquiry, now_ms);
 	allow_pools(f, now_ms);
--- a/src/fleet/inquiry.c
+++ b/src/fleet/inquiry.c
@@ -10,7 +10,9 @@
 
 /** A question without an answer for this long is given up. */
 #define ANSWER_TIMEOUT_MS 300
-#define HEARTBEAT_MS	  1000
+#define HEARTBEAT_MS	  500
+/** What a peer said of the store holds for so long. */
+#define STORE_WORD_MS	  1200
 #define SILENCE_MS	  3500
 #define US_PER_MS	  1000
 #define SITE		  "fleet"
@@ -23,15 +25,24 @@
 	uint64_t peer;
 } question_t;
 
+/** What a peer last said of the store. */
+typedef struct word {
+	int64_t heard_ms; /**< 0: nothing yet. */
+	bool store_good;
+} word_t;
+
 struct bw_inquiry {
 	bw_peers_t *peers;
 	char *name;
 	bw_inquiry_local_fn local;
 	void *ctx;
 	GHashTable *questions; /**< Number to question_t. */
-	GHashTable *up; /**< Identifiers of peers that are connected. */
+	GHashTable *up; /**< Connected peers, to word_t. */
+	GHashTable *names; /**< Known nodes besides this one. */
 	uint64_t last;
 	int64_t beat_ms;
+	bool store_good;
+	bool told_good; /**< In the last heartbeat. */
 };
 
 static void on_up(void *ctx, uint64_t peer);
@@ -40,6 +51,8 @@
 static void answer_ask(bw_inquiry_t *q, uint64_t peer,
 		       const Bramley__StateAsk *ask);
 static void take_answer(bw_inquiry_t *q, const Bramley__StateAnswer *answer);
+static void take_beat(bw_inquiry_t *q, uint64_t peer,
+		      const Bramley__Heartbeat *beat);
 static void end_question(bw_inquiry_t *q, uint64_t number,
 			 const bw_inquiry_answer_t *answer);
 
@@ -72,7 +85,10 @@
 	q->questions = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					     g_free, g_free);
 	q->up = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-				      NULL);
+				      g_free);
+	q->names = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	q->store_good = true;
+	q->told_good = true;
 	*out = q;
 	return BW_OK;
 }
@@ -84,6 +100,7 @@
 	bw_peers_destroy(q->peers);
 	g_hash_table_destroy(q->questions);
 	g_hash_table_destroy(q->up);
+	g_hash_table_destroy(q->names);
 	g_free(q->name);
 	g_free(q);
 }
@@ -97,7 +114,7 @@
 {
 	bw_inquiry_t *q = ctx;
 
-	g_hash_table_add(q->up, key_of(peer));
+	g_hash_table_replace(q->up, key_of(peer), g_new0(word_t, 1));
 }
 
 static void on_lost(void *ctx, uint64_t peer)
@@ -125,6 +142,19 @@
 		answer_ask(q, peer, frame->state_ask);
 	else if (frame->body_case == BRAMLEY__FRAME__BODY_STATE_ANSWER)
 		take_answer(q, frame->state_answer);
+	else if (frame->body_case == BRAMLEY__FRAME__BODY_HEARTBEAT)
+		take_beat(q, peer, frame->heartbeat);
+}
+
+static void take_beat(bw_inquiry_t *q, uint64_t peer,
+		      const Bramley__Heartbeat *beat)
+{
+	word_t *word = g_hash_table_lookup(q->up, &peer);
+
+	if (!word)
+		return;
+	word->heard_ms = bw_clock_now_ms();
+	word->store_good = beat->store_good;
 }
 
 static void answer_ask(bw_inquiry_t *q, uint64_t peer,
@@ -175,6 +205,10 @@
 {
 	if (!strcmp(name, q->name))
 		return;
+	if (address)
+		g_hash_table_add(q->names, g_strdup(name));
+	else
+		g_hash_table_remove(q->names, name);
 	if (address)
 		bw_peers_add(q->peers, name, address);
 	else
@@ -238,6 +272,7 @@
 	if (!up)
 		return;
 	frame.body_case = BRAMLEY__FRAME__BODY_HEARTBEAT;
+	beat.store_good = q->store_good;
 	frame.heartbeat = &beat;
 	bw_peers_send(q->peers, peer, &frame);
 }
@@ -246,8 +281,37 @@
 {
 	end_expired(q, now_ms);
 	bw_peers_tick(q->peers, now_ms * US_PER_MS);
-	if (now_ms - q->beat_ms < HEARTBEAT_MS)
+	if (now_ms - q->beat_ms < HEARTBEAT_MS &&
+	    q->told_good == q->store_good)
 		return;
 	q->beat_ms = now_ms;
+	q->told_good = q->store_good;
 	bw_peers_foreach(q->peers, send_beat, q);
 }
+
+void bw_inquiry_set_store_good(bw_inquiry_t *q, bool good)
+{
+	q->store_good = good;
+}
+
+bool bw_inquiry_outage(const bw_inquiry_t *q, int64_t now_ms)
+{
+	uint32_t agree = 1;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (q->store_good)
+		return false;
+	g_hash_table_iter_init(&iter, q->up);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const word_t *word = value;
+
+		if (word->heard_ms == 0 ||
+		    now_ms - word->heard_ms > STORE_WORD_MS)
+			continue;
+		if (word->store_good)
+			return false;
+		agree++;
+	}
+	return agree * 2 > g_hash_table_size(q->names) + 1;
+}
--- a/src/fleet/inquiry.h
+++ b/src/fleet/inquiry.h
@@ -50,6 +50,15 @@
 		    const char *job, const char *queue, bw_inquiry_fn done,
 		    void *ctx);
 
+/** Sets what heartbeats tell of the store. */
+void bw_inquiry_set_store_good(bw_inquiry_t *q, bool good);
+
+/**
+ * Whether the store is down for all: half of the known nodes, with this one,
+ * have said so lately, and none has said otherwise.
+ */
+bool bw_inquiry_outage(const bw_inquiry_t *q, int64_t now_ms);
+
 /** Sends heartbeats and ends questions without an answer. */
 void bw_inquiry_tick(bw_inquiry_t *q, int64_t now_ms);
 
--- a/src/fleet/member.c
+++ b/src/fleet/member.c
@@ -67,6 +67,7 @@
 	int64_t started_ms;
 	bool call_out;
 	bool synced;
+	bool first_start;
 	bool leaving;
 	bool ended;
 };
@@ -116,6 +117,7 @@
 	m->address = g_strdup(config->address);
 	m->incarnation = config->incarnation;
 	m->lease_ms = config->lease_ms;
+	m->first_start = config->first_start;
 	m->ops = *ops;
 	m->ctx = ctx;
 	m->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -507,7 +509,7 @@
 			renew(m, now_ms);
 	}
 	if (m->leaving || !m->synced || m->phase != PHASE_REGISTERED ||
-	    now_ms - m->started_ms < START_WAIT_MS ||
+	    (m->first_start && now_ms - m->started_ms < START_WAIT_MS) ||
 	    now_ms >= bw_fleet_member_until_ms(m))
 		return;
 	m->ops.pools(m->ctx, try_claim, m);
--- a/src/fleet/member.h
+++ b/src/fleet/member.h
@@ -20,6 +20,7 @@
 	const char *address; /**< ip:port for other nodes. */
 	uint64_t incarnation;
 	int64_t lease_ms;
+	bool first_start; /**< The other nodes start at the same time. */
 } bw_fleet_member_config_t;
 
 typedef struct bw_fleet_member_ops {
--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -19,7 +19,8 @@
 #define TICK_S		  0.1
 #define JOB_SUFFIX	  "/job"
 #define CANCEL_SUFFIX	  "/cancel"
-#define LEASE_SLACK_MS	  200
+/** Granted to workers at a time: a failover with some room to spare. */
+#define GRANT_MS	  5500
 
 struct bw_pool {
 	bw_pool_env_t env;
@@ -248,8 +249,8 @@
 {
 	const bw_fleet_settings_t *settings = pool->env.settings;
 	bw_sched_config_t config = {
-		.grant_ms = settings->grant_max_ms,
-		.grant_ms_max = settings->grant_max_ms,
+		.grant_ms = MIN(settings->grant_max_ms, GRANT_MS),
+		.grant_ms_max = MIN(settings->grant_max_ms, GRANT_MS),
 		.outage_ms = pool->env.outage_ms,
 		.stop_ms = settings->stop_ms,
 		.keep_ms = settings->keep_ms,
--- a/src/fleet/ports.c
+++ b/src/fleet/ports.c
@@ -30,6 +30,7 @@
 	g_free(registration->id);
 	g_free(registration->address);
 	g_free(registration->rack);
+	g_free(registration->machine);
 	g_free(registration);
 }
 
--- a/src/fleet/ports.h
+++ b/src/fleet/ports.h
@@ -121,6 +121,7 @@
 	char *id;
 	char *address;
 	char *rack;
+	char *machine;
 } bw_registration_t;
 
 void bw_registration_free(bw_registration_t *registration);
--- a/src/fleet/settings.c
+++ b/src/fleet/settings.c
@@ -33,6 +33,8 @@
 	TEXT("platform.store", BW_KEY_ADDRESS, store, true),
 	TEXT("platform.machines", BW_KEY_ADDRESS, machines, false),
 	TEXT("platform.advice", BW_KEY_ADDRESS, advice, false),
+	{ "node.first_start", BW_KEY_BOOLEAN,
+	  offsetof(bw_fleet_settings_t, first_start), 0, 0, 0, false },
 	NUMBER("node.peers_port", peers_port, 1, 65535, 7060),
 	NUMBER("node.metrics_port", metrics_port, 1, 65535, 7061),
 	NUMBER("platform.lease_min_ms", lease_min_ms, 1, DAY_MS, 1000),
--- a/src/fleet/settings.h
+++ b/src/fleet/settings.h
@@ -30,6 +30,7 @@
 	int64_t tail_patience_ms;
 	int64_t early_ms; /**< A scheduled start may be this early. */
 	int64_t holder_ms; /**< Between orders of two nodes to a machine. */
+	bool first_start; /**< The whole site starts for the first time. */
 	int64_t grace_ms; /**< Between a stop signal and the kill. */
 } bw_fleet_settings_t;
 
--- a/src/fleet/upkeep.c
+++ b/src/fleet/upkeep.c
@@ -343,6 +343,20 @@
 			       wave->order->number, &holder, on_ordered, order);
 }
 
+/* Its worker ended with the order, unless an earlier order did it. */
+static void take_ordered(wave_t *wave, entry_t *entry)
+{
+	bw_upkeep_t *u = wave->u;
+	const bw_machine_t *machine =
+		g_hash_table_lookup(u->machines, entry->machine);
+	bw_pool_t *pool = machine ? u->ops.pool(u->ctx, machine->pool) : NULL;
+
+	entry->ordered_ms = bw_clock_now_ms();
+	if (pool && bw_pool_sched(pool))
+		bw_sched_worker_dead(bw_pool_sched(pool), entry->worker,
+				     "upkeep");
+}
+
 static void on_ordered(void *ctx, bw_machine_result_t result)
 {
 	order_ctx_t *order = ctx;
@@ -357,7 +371,7 @@
 		entry->call_out = false;
 		entry->next_ms = bw_clock_now_ms() + ORDER_AGAIN_MS;
 		if (result == BW_MACHINE_OK)
-			entry->ordered_ms = bw_clock_now_ms();
+			take_ordered(order->wave, entry);
 		if (result == BW_MACHINE_NOT_DUE ||
 		    result == BW_MACHINE_REFUSED) {
 			entry->ordered_ms = bw_clock_now_ms();
--- a/src/sched/evacuate.c
+++ b/src/sched/evacuate.c
@@ -5,10 +5,19 @@
 /** Tasks that end by themselves get this long before they are stopped. */
 #define EMPTY_PATIENCE_MS 3500
 
+static bool is_away(const task_t *task, int64_t now_ms);
 static uint32_t count_away(const task_t *task, int64_t now_ms);
 static bool may_stop(const task_t *task, int64_t now_ms);
 static void evacuate(bw_sched_t *s, worker_t *worker, int64_t now_ms);
 
+/* What runs on a worker that is silent may not be at work. */
+static bool is_away(const task_t *task, int64_t now_ms)
+{
+	return task->state != TASK_RUNNING ||
+	       now_ms - task->answered_ms < SETTLED_RUN_MS ||
+	       now_ms - task->at->heard_ms > WORKER_SILENT_MS;
+}
+
 /* Other tasks of a step that are not at work, or only just started. */
 static uint32_t count_away(const task_t *task, int64_t now_ms)
 {
@@ -21,9 +30,7 @@
 	for (i = 0; i < spec->count; i++) {
 		const task_t *other = &occurrence->tasks[first + i];
 
-		if (other != task &&
-		    (other->state != TASK_RUNNING ||
-		     now_ms - other->answered_ms < SETTLED_RUN_MS))
+		if (other != task && is_away(other, now_ms))
 			away++;
 	}
 	return away;
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -119,6 +119,7 @@
 	char *id;
 	char *address;
 	char *rack;
+	char *machine;
 	char **labels;
 	bw_room_t room;
 	bw_room_t used;
@@ -129,6 +130,7 @@
 	bool draining;
 	bool empty; /**< Is to be emptied. */
 	bool due; /**< Is due for upkeep. */
+	bool dead; /**< Ended for sure, with all that ran on it. */
 	bool learned; /**< Has seen our token and told what it runs. */
 	bool hold_out; /**< A hold is unanswered. */
 	int64_t born_ms;
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -140,7 +140,8 @@
 	if (!s->fresh && now_ms < bound_ms) {
 		g_hash_table_iter_init(&iter, s->workers);
 		while (g_hash_table_iter_next(&iter, NULL, &value))
-			if (!((worker_t *)value)->learned)
+			if (!((worker_t *)value)->learned &&
+			    !((worker_t *)value)->dead)
 				return;
 	}
 	s->settled = true;
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -47,6 +47,7 @@
 	const char *const *labels;
 	uint32_t label_count;
 	const char *rack; /**< NULL if it tells none. */
+	const char *machine; /**< On which it lives; NULL if it tells none. */
 	int64_t born_ms; /**< Unix time of its start; 0 is not known. */
 	bool draining;
 } bw_worker_info_t;
@@ -189,7 +190,10 @@
 /** A worker is no longer registered. */
 void bw_sched_worker_gone(bw_sched_t *s, int64_t now_ms, const char *id);
 
-/** Calls a function for each registered worker. */
+/** A worker is known to have ended, with all that ran on it. */
+void bw_sched_worker_dead(bw_sched_t *s, const char *id, const char *reason);
+
+/** Calls a function for each worker. */
 void bw_sched_workers(const bw_sched_t *s,
 		      void (*fn)(void *ctx, const char *id, bool registered),
 		      void *ctx);
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -50,6 +50,7 @@
 	g_ptr_array_free(worker->tasks, TRUE);
 	g_strfreev(worker->labels);
 	g_free(worker->rack);
+	g_free(worker->machine);
 	g_free(worker->address);
 	g_free(worker->id);
 	g_free(worker);
@@ -149,12 +150,13 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		worker_t *worker = value;
 
-		if (now_ms - worker->heard_ms < WORKER_SILENT_MS ||
-		    !grant_over(s, worker, now_ms))
+		if (!worker->dead &&
+		    (now_ms - worker->heard_ms < WORKER_SILENT_MS ||
+		     !grant_over(s, worker, now_ms)))
 			continue;
 		if (worker->tasks->len > 0)
 			forget_runs(s, worker, "grant-over");
-		if (!worker->registered && !worker->hold_out)
+		if ((worker->dead || !worker->registered) && !worker->hold_out)
 			g_hash_table_iter_remove(&iter);
 	}
 }
@@ -163,7 +165,7 @@
 			 int64_t now_ms)
 {
 	(void)s;
-	return worker->registered && worker->learned && worker->stored &&
+	return worker->registered && !worker->dead && worker->learned && worker->stored &&
 	       !worker->draining && !worker->empty && worker->clock_ms > 0 &&
 	       now_ms - worker->heard_ms < WORKER_SILENT_MS &&
 	       now_ms >= worker->pause_until_ms;
@@ -198,7 +200,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		worker_t *worker = value;
 
-		if (!worker->hold_out && now_ms >= worker->hold_at_ms)
+		if (!worker->hold_out && !worker->dead &&
+		    now_ms >= worker->hold_at_ms)
 			hold(s, worker, now_ms);
 	}
 }
@@ -234,6 +237,8 @@
 		worker->labels[i] = g_strdup(info->labels[i]);
 	g_free(worker->rack);
 	worker->rack = g_strdup(info->rack);
+	g_free(worker->machine);
+	worker->machine = g_strdup(info->machine);
 }
 
 /* A new life of a worker runs nothing of the life before. */
@@ -255,6 +260,37 @@
 	worker->born_ms = MAX(worker->born_ms, born_ms);
 }
 
+void bw_sched_worker_dead(bw_sched_t *s, const char *id, const char *reason)
+{
+	worker_t *worker = sched_worker(s, id);
+
+	if (!worker || worker->dead)
+		return;
+	sched_log(s, "worker-dead", "worker=%s tasks=%u reason=%s", id,
+		  worker->tasks->len, reason);
+	worker->dead = true;
+	forget_runs(s, worker, reason);
+}
+
+/* A machine hosts one worker at a time: an older one on it has ended. */
+static void bury_predecessors(bw_sched_t *s, const worker_t *worker)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!worker->machine || worker->born_ms == 0)
+		return;
+	g_hash_table_iter_init(&iter, s->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		worker_t *other = value;
+
+		if (other != worker && other->born_ms > 0 &&
+		    other->born_ms < worker->born_ms &&
+		    !g_strcmp0(other->machine, worker->machine))
+			bw_sched_worker_dead(s, other->id, "machine-reused");
+	}
+}
+
 void bw_sched_worker_seen(bw_sched_t *s, int64_t now_ms,
 			  const bw_worker_info_t *info)
 {
@@ -264,10 +300,12 @@
 		worker = sched_worker_new(s, info->id, now_ms);
 		sched_changed(s, true);
 		worker->stored_version = s->version;
-		sched_log(s, "worker", "worker=%s address=%s rack=%s "
+		sched_log(s, "worker", "worker=%s address=%s rack=%s machine=%s "
 			  "cpu=%" G_GINT64_FORMAT " mem_mb=%" G_GINT64_FORMAT,
 			  info->id, info->address,
-			  info->rack ? info->rack : "-", info->room.cpu_millis,
+			  info->rack ? info->rack : "-",
+			  info->machine ? info->machine : "-",
+			  info->room.cpu_millis,
 			  info->room.mem_mb);
 	}
 	if (g_strcmp0(worker->address, info->address) != 0) {
@@ -275,6 +313,8 @@
 		worker->address = g_strdup(info->address);
 	}
 	take_birth(s, worker, info->born_ms);
+	if (worker->dead)
+		return;
 	worker->room = info->room;
 	if (!worker->labels || !worker->registered)
 		set_labels(worker, info);
@@ -283,6 +323,7 @@
 		sched_log(s, "worker-draining", "worker=%s tasks=%u",
 			  worker->id, worker->tasks->len);
 	worker->draining = info->draining;
+	bury_predecessors(s, worker);
 }
 
 void bw_sched_worker_gone(bw_sched_t *s, int64_t now_ms, const char *id)
@@ -542,11 +583,7 @@
 	if (result != BW_ORDER_OTHER_BOOT)
 		return;
 	/* Its address belongs to another worker, so this one is gone. */
-	if (worker->tasks->len > 0)
-		forget_runs(s, worker, "other-boot");
-	worker->learned = true;
-	worker->registered = false;
-	worker->clock_ms = 0;
+	bw_sched_worker_dead(s, worker->id, "other-boot");
 }
 
 void bw_sched_held(bw_sched_t *s, int64_t now_ms, const char *id,
@@ -558,6 +595,8 @@
 	if (!worker)
 		return;
 	worker->hold_out = false;
+	if (worker->dead)
+		return;
 	if (answer->result != BW_ORDER_OK) {
 		hold_failed(s, worker, answer->result, now_ms);
 		return;
--- a/src/wire/bramley.pb-c.c
+++ b/src/wire/bramley.pb-c.c
@@ -521,7 +521,7 @@
   (ProtobufCMessageInit) bramley__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__heartbeat__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bramley__heartbeat__field_descriptors[6] =
 {
   {
     "epoch",
@@ -583,6 +583,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_good",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__Heartbeat, store_good),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__heartbeat__field_indices_by_name[] = {
   2,   /* field[2] = echo_us */
@@ -590,11 +602,12 @@
   4,   /* field[4] = known */
   3,   /* field[3] = promise */
   1,   /* field[1] = stamp_us */
+  5,   /* field[5] = store_good */
 };
 static const ProtobufCIntRange bramley__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bramley__heartbeat__descriptor =
 {
@@ -604,7 +617,7 @@
   "Bramley__Heartbeat",
   "bramley",
   sizeof(Bramley__Heartbeat),
-  5,
+  6,
   bramley__heartbeat__field_descriptors,
   bramley__heartbeat__field_indices_by_name,
   1,  bramley__heartbeat__number_ranges,
--- a/src/wire/bramley.pb-c.h
+++ b/src/wire/bramley.pb-c.h
@@ -73,10 +73,14 @@
    * All documents up to this revision are known.
    */
   int64_t known;
+  /*
+   * The sender reaches the store.
+   */
+  protobuf_c_boolean store_good;
 };
 #define BRAMLEY__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__heartbeat__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 struct  Bramley__Loan
