Let grants of silent workers run out; ask the earlier owner

Cause: each unanswered hold carried a longer grant, so what ran on a worker that went dark never counted as over; a new owner waited 10 s for such workers. Change: no longer grants for silent workers; the earlier owner is asked whether it still acts; failed runs are told apart by number.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -16,7 +16,8 @@
 #include "fleet/upkeep.h"
 
 #define TICK_S 0.05
-#define LEASE_MS 2500
+#define PREDECESSOR_ASK_MS 250
+#define LEASE_MS 2000
 /** An owner that was cut off may act for so long after its claim is gone: its
  * lease, and the time in which it hears of it from other nodes. */
 #define OUTAGE_MS (LEASE_MS + 1500)
@@ -39,6 +40,7 @@
 	bw_upkeep_t *upkeep;
 	GHashTable *pools; /**< Name to bw_pool_t. */
 	ev_timer tick;
+	int64_t predecessor_ms; /**< Of the next question to one. */
 	int64_t store_ok_ms;
 	uint32_t store_failures;
 	bool store_good;
@@ -330,6 +332,7 @@
 	bw_fleet_t *f = ctx;
 	bw_pool_t *pool = g_hash_table_lookup(f->pools, name);
 
+	out->holds = pool != NULL;
 	if (!pool || !bw_pool_ready(pool))
 		return;
 	out->owner = true;
@@ -402,6 +405,62 @@
 	}
 }
 
+/** A question to the node that owned a pool before. */
+typedef struct predecessor_ask {
+	bw_fleet_t *f;
+	char *pool;
+	int64_t fence;
+} predecessor_ask_t;
+
+static void on_predecessor(void *ctx, const bw_inquiry_answer_t *answer)
+{
+	predecessor_ask_t *ask = ctx;
+	bw_pool_t *pool = g_hash_table_lookup(ask->f->pools, ask->pool);
+
+	if (answer && !answer->holds && pool &&
+	    bw_pool_fence(pool) == ask->fence && bw_pool_sched(pool)) {
+		bw_event("fleet", "predecessor-stopped", "pool=%s", ask->pool);
+		bw_sched_predecessor_stopped(bw_pool_sched(pool),
+					     bw_clock_now_ms());
+	}
+	g_free(ask->pool);
+	g_free(ask);
+}
+
+/* Once the node that owned a pool says that it does not any more, what it
+ * granted to workers out of reach runs out in a known time. */
+static void ask_predecessors(bw_fleet_t *f, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (now_ms < f->predecessor_ms)
+		return;
+	f->predecessor_ms = now_ms + PREDECESSOR_ASK_MS;
+	g_hash_table_iter_init(&iter, f->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		bw_sched_t *sched = bw_pool_sched(value);
+		const char *name = bw_pool_name(value);
+		const char *node =
+			bw_fleet_member_predecessor(f->member, name);
+		predecessor_ask_t *ask;
+
+		if (!sched || !node || bw_sched_settled(sched))
+			continue;
+		/* What this process gave up, or an earlier one of its name. */
+		if (!strcmp(node, f->env.settings->name)) {
+			bw_sched_predecessor_stopped(sched, now_ms);
+			continue;
+		}
+		ask = g_new0(predecessor_ask_t, 1);
+		ask->f = f;
+		ask->pool = g_strdup(name);
+		ask->fence = bw_pool_fence(value);
+		bw_inquiry_ask(f->inquiry, node, name, NULL, NULL,
+			       on_predecessor, ask);
+	}
+}
+
 static void allow_pools(bw_fleet_t *f, int64_t now_ms)
 {
 	bool allowed = now_ms < bw_fleet_member_until_ms(f->member) ||
@@ -425,6 +484,7 @@
 	bw_fleet_member_tick(f->member, now_ms);
 	bw_inquiry_tick(f->inquiry, now_ms);
 	allow_pools(f, now_ms);
+	ask_predecessors(f, now_ms);
 	if (owns_any(f))
 		bw_directory_tick(f->directory, now_ms);
 	if (f->upkeep && !f->leaving)
--- a/src/fleet/inquiry.c
+++ b/src/fleet/inquiry.c
@@ -168,6 +168,7 @@
 		 ask->queue[0] ? ask->queue : NULL, &answer);
 	message.number = ask->number;
 	message.owner = answer.owner;
+	message.holds = answer.holds;
 	message.state = answer.state;
 	message.waiting = answer.waiting;
 	frame.body_case = BRAMLEY__FRAME__BODY_STATE_ANSWER;
@@ -193,6 +194,7 @@
 static void take_answer(bw_inquiry_t *q, const Bramley__StateAnswer *answer)
 {
 	bw_inquiry_answer_t out = {
+		.holds = answer->holds,
 		.owner = answer->owner && answer->state < BW_JOB_STATE_COUNT,
 		.state = (bw_job_state_t)answer->state,
 		.waiting = answer->waiting,
--- a/src/fleet/inquiry.h
+++ b/src/fleet/inquiry.h
@@ -18,6 +18,7 @@
 
 /** What an owner says. */
 typedef struct bw_inquiry_answer {
+	bool holds; /**< The node may still give orders for the pool. */
 	bool owner; /**< The node owns the pool; the rest is valid. */
 	bw_job_state_t state;
 	uint32_t waiting; /**< Jobs of the queue that have not begun. */
--- a/src/fleet/member.c
+++ b/src/fleet/member.c
@@ -56,6 +56,7 @@
 	bw_mirror_t *mirror;
 	GHashTable *nodes; /**< Name to address. */
 	GHashTable *owners; /**< Pool to owner_t. */
+	GHashTable *before; /**< Pool to the node that owned it before. */
 	GHashTable *owned; /**< Pools of this node, to their revision. */
 	GHashTable *claims; /**< Pools that are being claimed. */
 	GHashTable *absent; /**< Pool to the time since it has no owner. */
@@ -124,6 +125,8 @@
 					 g_free);
 	m->owners = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					  owner_free);
+	m->before = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					  g_free);
 	m->owned = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					 g_free);
 	m->claims = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -142,6 +145,7 @@
 	bw_mirror_destroy(m->mirror);
 	g_hash_table_destroy(m->nodes);
 	g_hash_table_destroy(m->owners);
+	g_hash_table_destroy(m->before);
 	g_hash_table_destroy(m->owned);
 	g_hash_table_destroy(m->claims);
 	g_hash_table_destroy(m->absent);
@@ -162,6 +166,12 @@
 	return owner ? owner->node : NULL;
 }
 
+const char *bw_fleet_member_predecessor(const bw_fleet_member_t *m,
+					const char *pool)
+{
+	return g_hash_table_lookup(m->before, pool);
+}
+
 char *bw_fleet_owner_key(const char *pool)
 {
 	return g_strconcat(OWNER_PREFIX, pool, NULL);
@@ -450,8 +460,11 @@
 	const char *pool = kv->key + strlen(OWNER_PREFIX);
 	const int64_t *own = g_hash_table_lookup(m->owned, pool);
 	Bramley__OwnerRecord *record = NULL;
-	owner_t *owner;
+	owner_t *owner = g_hash_table_lookup(m->owners, pool);
 
+	if (owner)
+		g_hash_table_replace(m->before, g_strdup(pool),
+				     g_strdup(owner->node));
 	if (own && (kv->deleted || kv->mod_revision > *own))
 		drop(m, pool, kv->deleted ? "claim-gone" : "claimed-away");
 	if (!kv->deleted)
--- a/src/fleet/member.h
+++ b/src/fleet/member.h
@@ -54,6 +54,10 @@
 const char *bw_fleet_member_owner(const bw_fleet_member_t *m,
 				  const char *pool);
 
+/** Node that owned a pool before its present owner; NULL if not known. */
+const char *bw_fleet_member_predecessor(const bw_fleet_member_t *m,
+					const char *pool);
+
 /** Key of a pool's owner; release with g_free(). */
 char *bw_fleet_owner_key(const char *pool);
 
--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -20,7 +20,7 @@
 #define JOB_SUFFIX	  "/job"
 #define CANCEL_SUFFIX	  "/cancel"
 /** Granted to workers at a time: a failover with some room to spare. */
-#define GRANT_MS	  5500
+#define GRANT_MS	  5000
 
 struct bw_pool {
 	bw_pool_env_t env;
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -13,6 +13,8 @@
 #define DOUBT_MS	  600
 /** Pause before a stop without an answer is sent again. */
 #define STOP_AGAIN_MS	  400
+/** Added to the time that a worker takes to stop a task. */
+#define STOP_SLACK_MS	  100
 /** Longest wait of a hold, which bounds how old a worker's view gets. */
 #define HOLD_WAIT_MS	  1000
 /** Pause before a failed hold is sent again. */
@@ -21,6 +23,8 @@
 #define HOLD_UNSAVED_MS	  300
 /** A worker that did not answer for this long gets no new tasks. */
 #define WORKER_SILENT_MS  1900
+/** A worker that did not answer for this long gets no longer grants. */
+#define GRANT_SILENT_MS	  2200
 /** Workers' clocks run at this share of ours at least. */
 #define CLOCK_RATE_MIN	  0.98
 /** Added to bounds that compare clocks of two programs. */
@@ -30,6 +34,9 @@
 /** A worker that was unhealthy gets no start for this long. */
 #define UNHEALTHY_PAUSE_MS 1000
 
+/** Failed runs of a task that are told apart. */
+#define FAILED_RUNS_KEPT 8
+
 typedef struct job job_t;
 typedef struct occurrence occurrence_t;
 typedef struct worker worker_t;
@@ -52,7 +59,8 @@
 	bool stop_answered;
 	uint32_t run; /**< Number of the last start. */
 	uint32_t failures;
-	uint32_t failed_run; /**< Last run counted as a failure. */
+	/** Last runs counted as failures; their ends may come again. */
+	uint32_t failed_runs[FAILED_RUNS_KEPT];
 	uint32_t percent;
 	worker_t *at; /**< Where it was ordered; NULL when waiting. */
 	worker_t *failed_at; /**< Where it failed last. */
@@ -136,6 +144,7 @@
 	int64_t born_ms;
 	int64_t first_seen_ms;
 	int64_t heard_ms;
+	int64_t learned_ms;
 	int64_t empty_ms; /**< Since when it is emptied; 0: it is not. */
 	int64_t hold_at_ms;
 	int64_t pause_until_ms; /**< No starts before. */
@@ -163,6 +172,7 @@
 	GHashTable *progress; /**< Loaded, for jobs that were not seen yet. */
 	GHashTable *workers;
 	int64_t created_ms;
+	int64_t stopped_ms; /**< The earlier owner acts no more; 0: unknown. */
 	bool fresh; /**< No earlier owner has stored anything. */
 	bool settled; /**< All that an earlier owner started is known. */
 	bool allowed;
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -40,7 +40,8 @@
 	record->number = number;
 	record->run = task->run;
 	record->failures = task->failures;
-	record->failed_run = task->failed_run;
+	record->failed_runs = (uint32_t *)task->failed_runs;
+	record->n_failed_runs = MIN(task->failures, FAILED_RUNS_KEPT);
 	record->done = task->state == TASK_DONE;
 	if (task->checkpoint)
 		record->checkpoint = task->checkpoint;
@@ -182,7 +183,9 @@
 	task = &at->tasks[record->number];
 	task->run = record->run;
 	task->failures = record->failures;
-	task->failed_run = record->failed_run;
+	memcpy(task->failed_runs, record->failed_runs,
+	       MIN(record->n_failed_runs, FAILED_RUNS_KEPT) *
+		       sizeof(*task->failed_runs));
 	task->checkpoint =
 		record->checkpoint[0] ? g_strdup(record->checkpoint) : NULL;
 	if (!record->done || task->state == TASK_DONE)
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -126,13 +126,27 @@
 	s->allowed = allowed;
 }
 
+void bw_sched_predecessor_stopped(bw_sched_t *s, int64_t now_ms)
+{
+	if (s->stopped_ms == 0)
+		s->stopped_ms = now_ms;
+}
+
+bool bw_sched_settled(const bw_sched_t *s)
+{
+	return s->settled;
+}
+
 /* What an earlier owner started is known once each worker has told. */
 static void settle(bw_sched_t *s, int64_t now_ms)
 {
 	GHashTableIter iter;
 	gpointer value;
+	int64_t stopped_ms = s->stopped_ms > 0 ?
+				     s->stopped_ms :
+				     s->created_ms + s->config.outage_ms;
 	int64_t bound_ms =
-		s->created_ms + s->config.outage_ms + CLOCK_MARGIN_MS +
+		stopped_ms + CLOCK_MARGIN_MS +
 		(int64_t)((double)s->config.grant_ms_max / CLOCK_RATE_MIN);
 
 	if (s->settled)
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -240,6 +240,12 @@
 /** Whether orders may still be given; see bw_sched_config_t.outage_ms. */
 void bw_sched_allow(bw_sched_t *s, bool allowed);
 
+/** The earlier owner is known to give no more orders. */
+void bw_sched_predecessor_stopped(bw_sched_t *s, int64_t now_ms);
+
+/** Whether all that an earlier owner started is known. */
+bool bw_sched_settled(const bw_sched_t *s);
+
 /** Places tasks and sends what is due; to be called often. */
 void bw_sched_run(bw_sched_t *s, int64_t now_ms, int64_t wall_ms);
 
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -164,7 +164,10 @@
 bool sched_worker_usable(const bw_sched_t *s, const worker_t *worker,
 			 int64_t now_ms)
 {
-	(void)s;
+	/* What an earlier owner was stopping takes room unseen. */
+	if (!s->fresh && now_ms - worker->learned_ms <
+				 s->config.stop_ms + STOP_SLACK_MS)
+		return false;
 	return worker->registered && !worker->dead && worker->learned && worker->stored &&
 	       !worker->draining && !worker->empty && worker->clock_ms > 0 &&
 	       now_ms - worker->heard_ms < WORKER_SILENT_MS &&
@@ -181,7 +184,8 @@
 		.now_ms = now_ms,
 	};
 
-	if (worker->learned)
+	/* A silent worker's grant runs out, so that its tasks can move. */
+	if (worker->learned && now_ms - worker->heard_ms < GRANT_SILENT_MS)
 		order.grant_clock_ms = sched_grant_clock(s, worker, now_ms);
 	if (worker->learned && worker->seen == worker->acked)
 		order.wait_ms = HOLD_WAIT_MS;
@@ -404,6 +408,17 @@
 	task->checkpoint = g_strdup(checkpoint);
 }
 
+/* Ends of different workers come in any order, and more than once. */
+static bool is_counted(const task_t *task, uint32_t run)
+{
+	uint32_t i;
+
+	for (i = 0; i < FAILED_RUNS_KEPT; i++)
+		if (task->failed_runs[i] == run)
+			return true;
+	return false;
+}
+
 static void take_failure(bw_sched_t *s, worker_t *worker, task_t *task,
 			 uint32_t run, int64_t now_ms)
 {
@@ -411,9 +426,9 @@
 
 	worker->failures = worker->failures * HEALTH_KEEP + 1.0;
 	worker->successes *= HEALTH_KEEP;
-	if (run <= task->failed_run)
+	if (is_counted(task, run))
 		return;
-	task->failed_run = run;
+	task->failed_runs[task->failures % FAILED_RUNS_KEPT] = run;
 	task->failures++;
 	task->failed_at = worker;
 	task->retry_ms = now_ms + FAILED_PAUSE_MS;
@@ -567,7 +582,8 @@
 			sched_task_wait(task);
 		} else if (task->state == TASK_STOPPING &&
 			   task->stop_answered &&
-			   task->stop_answered_ms < answer->sent_ms)
+			   answer->sent_ms - task->stop_answered_ms >
+				   s->config.stop_ms + STOP_SLACK_MS)
 			sched_task_wait(task);
 	}
 }
@@ -613,6 +629,8 @@
 	for (i = 0; i < answer->run_count; i++)
 		take_run(s, worker, &answer->runs[i], answer->sent_ms, now_ms);
 	check_missing(s, worker, answer, now_ms);
+	if (!worker->learned)
+		worker->learned_ms = now_ms;
 	worker->learned = true;
 	sched_fill_look(s, worker, now_ms);
 	worker->hold_at_ms = now_ms;
--- a/src/wire/bramley.pb-c.c
+++ b/src/wire/bramley.pb-c.c
@@ -1151,7 +1151,7 @@
   (ProtobufCMessageInit) bramley__state_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__state_answer__field_descriptors[4] =
+static const ProtobufCFieldDescriptor bramley__state_answer__field_descriptors[5] =
 {
   {
     "number",
@@ -1201,8 +1201,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "holds",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__StateAnswer, holds),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__state_answer__field_indices_by_name[] = {
+  4,   /* field[4] = holds */
   0,   /* field[0] = number */
   1,   /* field[1] = owner */
   2,   /* field[2] = state */
@@ -1211,7 +1224,7 @@
 static const ProtobufCIntRange bramley__state_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor bramley__state_answer__descriptor =
 {
@@ -1221,7 +1234,7 @@
   "Bramley__StateAnswer",
   "bramley",
   sizeof(Bramley__StateAnswer),
-  4,
+  5,
   bramley__state_answer__field_descriptors,
   bramley__state_answer__field_indices_by_name,
   1,  bramley__state_answer__number_ranges,
--- a/src/wire/bramley.pb-c.h
+++ b/src/wire/bramley.pb-c.h
@@ -196,10 +196,14 @@
   protobuf_c_boolean owner;
   uint32_t state;
   uint32_t waiting;
+  /*
+   * The sender may still give orders for the pool.
+   */
+  protobuf_c_boolean holds;
 };
 #define BRAMLEY__STATE_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__state_answer__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 typedef enum {
--- a/src/wire/record.pb-c.c
+++ b/src/wire/record.pb-c.c
@@ -831,15 +831,15 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "failed_run",
+    "failed_runs",
     5,
-    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Bramley__TaskRecord, failed_run),
+    offsetof(Bramley__TaskRecord, n_failed_runs),
+    offsetof(Bramley__TaskRecord, failed_runs),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
@@ -870,7 +870,7 @@
 static const unsigned bramley__task_record__field_indices_by_name[] = {
   6,   /* field[6] = checkpoint */
   5,   /* field[5] = done */
-  4,   /* field[4] = failed_run */
+  4,   /* field[4] = failed_runs */
   3,   /* field[3] = failures */
   1,   /* field[1] = number */
   0,   /* field[0] = occurrence */
--- a/src/wire/record.pb-c.h
+++ b/src/wire/record.pb-c.h
@@ -93,15 +93,16 @@
   uint32_t run;
   uint32_t failures;
   /*
-   * Last run counted in failures.
+   * Last runs counted in failures.
    */
-  uint32_t failed_run;
+  size_t n_failed_runs;
+  uint32_t *failed_runs;
   protobuf_c_boolean done;
   char *checkpoint;
 };
 #define BRAMLEY__TASK_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__task_record__descriptor) \
-    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Bramley__JobProgress
