Play pools under faults in virtual time, and mend what that found

Cause and change, each with a seed that failed first (test_world): - an end for a start that its earlier owner never stored left the job out of the stored state, though the end was acknowledged: the task ran again - a task done elsewhere gave back the room of its other run before that ended - runs that should not be there took room that was not counted - a finished job was shown as queued between a takeover and its first store Ruled out for stranded jobs of the first seeds: the scheduler; the world drew lasting jobs that filled the pool.

--- a/Makefile
+++ b/Makefile
@@ -55,6 +55,19 @@
 $(BUILD)/test/test_%: $(BUILD)/test/test_%.o $(BUILD)/test/fixture.o $(LIB)
 	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS) -lcmocka
 
+$(BUILD)/test/test_world: $(BUILD)/test/test_world.o $(BUILD)/test/world.o $(LIB)
+	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS) -lcmocka
+
+$(BUILD)/test/play_world: $(BUILD)/test/play_world.o $(BUILD)/test/world.o $(LIB)
+	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS)
+
+# Plays worlds with fresh seeds, or from FIRST on.
+SEEDS ?= 200
+FIRST ?= $(shell date +%s)
+.PHONY: world
+world: $(BUILD)/test/play_world
+	$< $(FIRST) $(SEEDS)
+
 $(BUILD)/bench/bench_%: $(BUILD)/bench/bench_%.o $(BUILD)/bench/fleet.o $(LIB)
 	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS)
 
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -48,7 +48,7 @@
 	[ $bad = 0 ] || tail -n 60 "$out"
 }
 
-step "build" make -j "$jobs" all tests
+step "build" make -j "$jobs" all tests build/test/play_world
 step "format" make format-check
 step "lint" make lint
 for page in man/*.[1-9]; do
@@ -57,6 +57,7 @@
 for test in build/test/test_*; do
 	[ -x "$test" ] && suite "$test"
 done
+step "worlds catch broken schedulers" scripts/world-caught.sh
 step "test/test_ctl.sh" test/test_ctl.sh
 step "build with sanitizers" make -j "$jobs" BUILD=build/san CC=clang CXX=clang++ \
 	SANITIZE="-fsanitize=address,undefined -fno-sanitize=vptr -fno-sanitize-recover=undefined" \
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -55,6 +55,7 @@
 	uint32_t step;
 	uint32_t index;
 	task_state_t state;
+	bool done; /**< Another run of it may still be stopping. */
 	bool suspect; /**< May run unseen for an earlier owner. */
 	bool stop_answered;
 	uint32_t run; /**< Number of the last start. */
@@ -117,6 +118,7 @@
 	int64_t arrived_ms;
 	uint32_t next_occurrence;
 	uint32_t occurrences_left;
+	bool stored; /**< Its end has been stored by an earlier owner. */
 	bool started; /**< A task has been started. */
 	bool lasting; /**< Has a step whose tasks last. */
 	GPtrArray *occurrences; /**< Those that are due and not done. */
@@ -140,6 +142,7 @@
 	bool due; /**< Is due for upkeep. */
 	bool dead; /**< Ended for sure, with all that ran on it. */
 	bool learned; /**< Has seen our token and told what it runs. */
+	bool has_orphans; /**< Runs what should not, and whose room is unknown. */
 	bool hold_out; /**< A hold is unanswered. */
 	int64_t born_ms;
 	int64_t first_seen_ms;
--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -206,6 +206,10 @@
 {
 	if (task->at)
 		sched_detach(task);
+	if (task->done) {
+		task->state = TASK_DONE;
+		return;
+	}
 	if (task->state != TASK_WAITING)
 		sched_step_state(task)->waiting++;
 	task->state = TASK_WAITING;
@@ -240,11 +244,14 @@
 	step_state_t *state = sched_step_state(task);
 
 	learn_duration(task, now_ms);
-	if (task->at)
-		sched_detach(task);
 	if (task->state == TASK_WAITING)
 		state->waiting--;
-	task->state = TASK_DONE;
+	task->done = true;
+	/* Another run of it takes room until it has ended. */
+	if (task->at)
+		sched_stop_task(s, task, now_ms);
+	else
+		task->state = TASK_DONE;
 	g_clear_pointer(&task->checkpoint, g_free);
 	state->left--;
 	occurrence->left--;
@@ -264,7 +271,6 @@
 		  job->id, occurrence->number, now_ms - occurrence->due_ms,
 		  occurrence->objective_ms - occurrence->due_ms);
 	g_array_append_val(job->done, occurrence->number);
-	g_ptr_array_remove(job->occurrences, occurrence);
 	job->occurrences_left--;
 	if (job->occurrences_left == 0)
 		sched_job_finish(s, job, BW_JOB_COMPLETED, now_ms);
@@ -294,19 +300,29 @@
 	}
 }
 
-static bool runs_somewhere(const job_t *job)
+static bool runs_somewhere(const occurrence_t *occurrence)
 {
-	guint i;
-	uint32_t k;
+	uint32_t i;
 
-	for (i = 0; i < job->occurrences->len; i++) {
+	for (i = 0; i < occurrence->task_count; i++)
+		if (occurrence->tasks[i].at)
+			return true;
+	return false;
+}
+
+/* Releases occurrences that are over and run nowhere; true if none is left. */
+static bool reap_occurrences(job_t *job)
+{
+	guint i = job->occurrences->len;
+
+	while (i-- > 0) {
 		const occurrence_t *at = g_ptr_array_index(job->occurrences, i);
 
-		for (k = 0; k < at->task_count; k++)
-			if (at->tasks[k].at)
-				return true;
+		if ((job->finished_version > 0 || at->left == 0) &&
+		    !runs_somewhere(at))
+			g_ptr_array_remove_index(job->occurrences, i);
 	}
-	return false;
+	return job->occurrences->len == 0;
 }
 
 void sched_jobs_reap(bw_sched_t *s)
@@ -316,9 +332,8 @@
 	while (i-- > 0) {
 		job_t *job = g_ptr_array_index(s->ending, i);
 
-		if (runs_somewhere(job))
+		if (!reap_occurrences(job))
 			continue;
-		g_ptr_array_set_size(job->occurrences, 0);
 		g_clear_pointer(&job->spec, bw_job_spec_free);
 		g_ptr_array_remove_index_fast(s->ending, i);
 	}
@@ -366,8 +381,10 @@
 	for (i = 0; i < s->active->len; i++) {
 		job_t *job = g_ptr_array_index(s->active, i);
 
-		if (job->spec->repeats > 0)
-			job_due(s, job, now_ms, wall_ms);
+		if (job->spec->repeats == 0)
+			continue;
+		reap_occurrences(job);
+		job_due(s, job, now_ms, wall_ms);
 	}
 }
 
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -42,7 +42,7 @@
 	record->failures = task->failures;
 	record->failed_runs = (uint32_t *)task->failed_runs;
 	record->n_failed_runs = MIN(task->failures, FAILED_RUNS_KEPT);
-	record->done = task->state == TASK_DONE;
+	record->done = task->done;
 	if (task->checkpoint)
 		record->checkpoint = task->checkpoint;
 	return record;
@@ -64,7 +64,7 @@
 	for (i = 0; i < job->occurrences->len; i++) {
 		const occurrence_t *at = g_ptr_array_index(job->occurrences, i);
 
-		for (k = 0; k < at->task_count; k++)
+		for (k = 0; at->left > 0 && k < at->task_count; k++)
 			if (at->tasks[k].run > 0)
 				out->tasks[out->n_tasks++] =
 					pack_task(p, &at->tasks[k], k);
@@ -188,8 +188,9 @@
 		       sizeof(*task->failed_runs));
 	task->checkpoint =
 		record->checkpoint[0] ? g_strdup(record->checkpoint) : NULL;
-	if (!record->done || task->state == TASK_DONE)
+	if (!record->done || task->done)
 		return;
+	task->done = true;
 	task->state = TASK_DONE;
 	at->steps[task->step].waiting--;
 	at->steps[task->step].left--;
@@ -227,6 +228,7 @@
 		job = sched_job_new(s, progress->id, "");
 		job->state = progress->state;
 		job->finished_version = 1;
+		job->stored = true;
 		job->finished_ms = progress->finished_ms;
 		return;
 	}
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -169,7 +169,8 @@
 				 s->config.stop_ms + STOP_SLACK_MS)
 		return false;
 	return worker->registered && !worker->dead && worker->learned && worker->stored &&
-	       !worker->draining && !worker->empty && worker->clock_ms > 0 &&
+	       !worker->draining && !worker->empty && !worker->has_orphans &&
+	       worker->clock_ms > 0 &&
 	       now_ms - worker->heard_ms < WORKER_SILENT_MS &&
 	       now_ms >= worker->pause_until_ms;
 }
@@ -458,14 +459,22 @@
 		  end->task.index, end->run, worker->id,
 		  bw_end_kind_name(end->kind), end->number, task != NULL);
 	sched_changed(s, false);
-	if (!task || task->state == TASK_DONE)
+	if (!task)
 		return;
+	/* Known to have begun, even if its earlier owner did not store it. */
+	task->occurrence->job->started = true;
 	here = task->at == worker && task->run == end->run;
-	task->run = MAX(task->run, end->run);
+	if (task->done) {
+		if (here)
+			sched_task_wait(task);
+		return;
+	}
+	if (!task->at)
+		task->run = MAX(task->run, end->run);
 	if (end->kind == BW_END_DONE && !sched_task_step(task)->lasting) {
 		take_success(worker);
-		if (task->at && !here)
-			send_stop(s, task, now_ms);
+		if (here)
+			sched_detach(task);
 		sched_task_done(s, task, now_ms);
 		return;
 	}
@@ -536,6 +545,7 @@
 		remember_checkpoint(task, row->checkpoint);
 		return;
 	}
+	worker->has_orphans = true;
 	if (now_ms - worker->orphan_stop_ms >= STOP_AGAIN_MS ||
 	    worker->orphan_stop_ms == now_ms)
 		stop_orphan(s, worker, row, now_ms);
@@ -626,6 +636,7 @@
 		take_end(s, worker, &answer->ends[i], now_ms);
 		worker->seen = answer->ends[i].number;
 	}
+	worker->has_orphans = false;
 	for (i = 0; i < answer->run_count; i++)
 		take_run(s, worker, &answer->runs[i], answer->sent_ms, now_ms);
 	check_missing(s, worker, answer, now_ms);
