--- a/src/fleet/directory.c
+++ b/src/fleet/directory.c
@@ -6,6 +6,9 @@
 
 /** Age from which the registrations are read again. */
 #define READ_AGE_MS  800
+/** The same while new registrations are expected, and for how long. */
+#define AWAIT_AGE_MS 200
+#define AWAIT_MS     700
 #define RETRY_MS     200
 /** Registrations that ran out in an outage are back after this. */
 #define RETURN_MS    2600
@@ -20,6 +23,7 @@
 	int64_t now_ms;
 	int64_t next_ms;
 	int64_t failed_ms; /**< Of the last call that failed; 0: none. */
+	int64_t await_until_ms;
 	bool call_out;
 	bool complete;
 };
@@ -112,10 +116,18 @@
 	d->now_ms = now_ms;
 	if (d->call_out || now_ms < d->next_ms)
 		return;
-	d->next_ms = now_ms + READ_AGE_MS;
+	d->next_ms = now_ms + (now_ms < d->await_until_ms ? AWAIT_AGE_MS :
+							    READ_AGE_MS);
 	read_page(d, NULL);
 }
 
+void bw_directory_await(bw_directory_t *d, int64_t now_ms)
+{
+	if (now_ms >= d->await_until_ms)
+		d->next_ms = MIN(d->next_ms, now_ms + AWAIT_AGE_MS);
+	d->await_until_ms = now_ms + AWAIT_MS;
+}
+
 bool bw_directory_known(const bw_directory_t *d)
 {
 	return d->complete;
--- a/src/fleet/directory.h
+++ b/src/fleet/directory.h
@@ -25,6 +25,9 @@
 /** Reads again if the last reading is old. */
 void bw_directory_tick(bw_directory_t *d, int64_t now_ms);
 
+/** New registrations are expected, so that it is read more often. */
+void bw_directory_await(bw_directory_t *d, int64_t now_ms);
+
 /** Whether a whole reading has been done. */
 bool bw_directory_known(const bw_directory_t *d);
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -13,9 +13,13 @@
 #include "fleet/mirror.h"
 #include "fleet/pool.h"
 #include "fleet/service.h"
-#include "fleet/upkeep.h"
+#include "fleet/controller.h"
 
 #define TICK_S 0.05
+/** Pause between reports of pools to the node that directs machines. */
+#define REPORT_MS 100
+/** An order of that node ends without a newer one. */
+#define ORDER_LAPSES_MS 1500
 #define PREDECESSOR_ASK_MS 250
 #define LEASE_MS 2000
 /** An owner that was cut off may act for so long after its claim is gone: its
@@ -30,14 +34,16 @@
 	bw_fleet_env_t env;
 	uint64_t incarnation;
 	bw_fleet_config_t *config;
-	GPtrArray *old_configs; /**< Requests in progress may use them. */
 	bw_mirror_t *config_mirror;
 	bw_mirror_t *wave_mirror;
 	bw_fleet_member_t *member;
 	bw_directory_t *directory;
 	bw_inquiry_t *inquiry;
 	bw_service_t *service;
-	bw_upkeep_t *upkeep;
+	bw_controller_t *controller; /**< While this node holds the role. */
+	GPtrArray *waves; /**< Values of waves, as GBytes. */
+	GHashTable *ordered; /**< Pool to the time of its last order. */
+	int64_t report_ms;
 	GHashTable *pools; /**< Name to bw_pool_t. */
 	ev_timer tick;
 	int64_t predecessor_ms; /**< Of the next question to one. */
@@ -51,6 +57,7 @@
 static void on_tick(struct ev_loop *loop, ev_timer *timer, int revents);
 static void on_config(void *ctx, const bw_store_kv_t *kv);
 static void on_wave(void *ctx, const bw_store_kv_t *kv);
+static void give_wave(bw_fleet_t *f, GBytes *value);
 static void on_synced(void *ctx);
 static void on_result(void *ctx, bw_status_t status);
 static void on_node(void *ctx, const char *name, const char *address);
@@ -65,7 +72,10 @@
 static void answer_local(void *ctx, const char *pool, const char *job,
 			 const char *queue, bw_inquiry_answer_t *out);
 static bool is_store_good(void *ctx);
-static bw_pool_t *find_pool(void *ctx, const char *name);
+static void on_frame(void *ctx, const Bramley__Frame *frame);
+static void send_order(void *ctx, const char *pool,
+		       const Bramley__Frame *frame);
+static void on_controller_superseded(void *ctx);
 static bool owns_any(void *ctx);
 static void configure_pool(bw_fleet_t *f, bw_pool_t *pool);
 
@@ -83,7 +93,8 @@
 static const bw_directory_ops_t directory_ops = { on_directory, on_result };
 static const bw_service_ops_t service_ops = { owner_of, answer_local,
 					      on_result, is_store_good };
-static const bw_upkeep_ops_t upkeep_ops = { find_pool, owns_any, on_result };
+static const bw_controller_ops_t controller_ops = { send_order, on_result,
+						    on_controller_superseded };
 
 static char *peers_address(const bw_fleet_settings_t *settings)
 {
@@ -108,26 +119,16 @@
 
 static void create_parts(bw_fleet_t *f, const char *address)
 {
-	bw_upkeep_env_t upkeep = {
-		.store = f->env.store,
-		.machines = f->env.machines,
-		.values = f->env.values,
-		.node = f->env.settings->name,
-		.holder_ms = f->env.settings->holder_ms,
-	};
-
 	create_member(f, address);
 	f->directory = bw_directory_create(&f->env.store, f->env.values,
 					   &directory_ops, f);
 	f->service = bw_service_create(f->env.loop, f->env.settings->name,
 				       &f->env.store, f->inquiry, &service_ops,
 				       f);
-	if (f->env.machines.impl)
-		f->upkeep = bw_upkeep_create(&upkeep, &upkeep_ops, f);
 	f->config_mirror =
 		bw_mirror_create(f->env.loop, &f->env.store,
 				 f->env.values->config_key, &config_ops, f);
-	if (f->upkeep)
+	if (f->env.machines.impl)
 		f->wave_mirror = bw_mirror_create(f->env.loop, &f->env.store,
 						  f->env.values->waves_prefix,
 						  &wave_ops, f);
@@ -143,11 +144,13 @@
 	f->incarnation = ((uint64_t)g_random_int() << 32) | g_random_int();
 	f->store_ok_ms = bw_clock_now_ms();
 	f->store_good = true;
-	f->old_configs = g_ptr_array_new();
+	f->waves = g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
+	f->ordered = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   g_free);
 	f->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					 (GDestroyNotify)bw_pool_destroy);
 	status = bw_inquiry_create(env->loop, env->settings->name, address,
-				   f->incarnation, answer_local, f,
+				   f->incarnation, answer_local, on_frame, f,
 				   env->counters, &f->inquiry);
 	if (status != BW_OK) {
 		g_free(address);
@@ -242,6 +245,8 @@
 		 "version=%" G_GINT64_FORMAT " queues=%u pools=%u",
 		 config->version, config->queue_count, config->pool_count);
 	bw_service_configure(f->service, config);
+	if (f->controller)
+		bw_controller_configure(f->controller, config);
 	bw_fleet_config_free(f->config);
 	f->config = config;
 	g_hash_table_iter_init(&iter, f->pools);
@@ -252,14 +257,27 @@
 static void on_wave(void *ctx, const bw_store_kv_t *kv)
 {
 	bw_fleet_t *f = ctx;
-	bw_wave_order_t *order;
+	GBytes *value;
 
 	if (kv->deleted)
 		return;
-	if (f->env.values->wave(kv->value, kv->bytes, &order) == BW_OK)
-		bw_upkeep_wave(f->upkeep, order);
+	value = g_bytes_new(kv->value, kv->bytes);
+	g_ptr_array_add(f->waves, value);
+	if (f->controller)
+		give_wave(f, value);
+}
+
+static void give_wave(bw_fleet_t *f, GBytes *value)
+{
+	bw_wave_order_t *order;
+	gsize bytes;
+	const char *data = g_bytes_get_data(value, &bytes);
+
+	if (f->env.values->wave(data, bytes, &order) == BW_OK)
+		bw_controller_wave(f->controller, order);
 	else
-		bw_event("fleet", "wave-unreadable", "key=%s", kv->key);
+		bw_event("fleet", "wave-unreadable", "error=\"%s\"",
+			 bw_status_message());
 }
 
 static void on_synced(void *ctx)
@@ -284,6 +302,30 @@
 
 	for (i = 0; f->config && i < f->config->pool_count; i++)
 		fn(arg, f->config->pools[i].name);
+	if (f->config && f->env.machines.impl)
+		fn(arg, BW_CONTROLLER_ROLE);
+}
+
+static void start_controller(bw_fleet_t *f, int64_t revision)
+{
+	bw_controller_env_t env = {
+		.store = f->env.store,
+		.machines = f->env.machines,
+		.values = f->env.values,
+		.node = f->env.settings->name,
+		.holder_ms = f->env.settings->holder_ms,
+		.fence = revision,
+		.first = bw_fleet_member_predecessor(
+				 f->member, BW_CONTROLLER_ROLE) == NULL &&
+			 f->env.settings->first_start,
+	};
+	guint i;
+
+	bw_controller_destroy(f->controller);
+	f->controller = bw_controller_create(&env, &controller_ops, f);
+	bw_controller_configure(f->controller, f->config);
+	for (i = 0; i < f->waves->len; i++)
+		give_wave(f, g_ptr_array_index(f->waves, i));
 }
 
 static void on_gained(void *ctx, const char *name, int64_t revision)
@@ -297,6 +339,10 @@
 		.outage_ms = OUTAGE_MS,
 	};
 
+	if (!strcmp(name, BW_CONTROLLER_ROLE)) {
+		start_controller(f, revision);
+		return;
+	}
 	g_hash_table_replace(f->pools, g_strdup(name),
 			     bw_pool_create(&env, name, revision, &pool_ops,
 					    f));
@@ -307,9 +353,21 @@
 	bw_fleet_t *f = ctx;
 
 	bw_event("fleet", "pool-lost", "pool=%s reason=%s", pool, reason);
+	if (!strcmp(pool, BW_CONTROLLER_ROLE)) {
+		bw_controller_destroy(f->controller);
+		f->controller = NULL;
+		return;
+	}
 	g_hash_table_remove(f->pools, pool);
 }
 
+static void on_controller_superseded(void *ctx)
+{
+	bw_fleet_t *f = ctx;
+
+	bw_fleet_member_superseded(f->member, BW_CONTROLLER_ROLE);
+}
+
 static void on_superseded(void *ctx, const char *pool)
 {
 	bw_fleet_t *f = ctx;
@@ -342,10 +400,6 @@
 		out->waiting = bw_sched_waiting(bw_pool_sched(pool), queue);
 }
 
-static bw_pool_t *find_pool(void *ctx, const char *name)
-{
-	return g_hash_table_lookup(((bw_fleet_t *)ctx)->pools, name);
-}
 
 static bool owns_any(void *ctx)
 {
@@ -473,6 +527,92 @@
 		bw_pool_allow(pool, allowed);
 }
 
+static void apply_order(bw_fleet_t *f, const Bramley__PoolOrder *order)
+{
+	bw_pool_t *pool = g_hash_table_lookup(f->pools, order->pool);
+	int64_t *at_ms;
+
+	if (!pool || !bw_pool_sched(pool))
+		return;
+	at_ms = g_new(int64_t, 1);
+	*at_ms = bw_clock_now_ms();
+	g_hash_table_replace(f->ordered, g_strdup(order->pool), at_ms);
+	if (order->awaits)
+		bw_directory_await(f->directory, bw_clock_now_ms());
+	bw_reports_apply(bw_pool_sched(pool), order);
+	bw_pool_wake(pool);
+}
+
+static void send_order(void *ctx, const char *pool, const Bramley__Frame *frame)
+{
+	bw_fleet_t *f = ctx;
+	const char *owner = owner_of(f, pool);
+
+	if (owner && !strcmp(owner, f->env.settings->name))
+		apply_order(f, frame->pool_order);
+	else if (owner)
+		bw_inquiry_send(f->inquiry, owner, frame);
+}
+
+static void send_report(void *ctx, const Bramley__Frame *frame)
+{
+	bw_fleet_t *f = ctx;
+	const char *node =
+		bw_fleet_member_owner(f->member, BW_CONTROLLER_ROLE);
+
+	if (f->controller)
+		bw_controller_report(f->controller, bw_clock_now_ms(),
+				     frame->pool_report);
+	else if (node)
+		bw_inquiry_send(f->inquiry, node, frame);
+}
+
+static void on_frame(void *ctx, const Bramley__Frame *frame)
+{
+	bw_fleet_t *f = ctx;
+
+	if (frame->body_case == BRAMLEY__FRAME__BODY_POOL_ORDER)
+		apply_order(f, frame->pool_order);
+	else if (frame->body_case == BRAMLEY__FRAME__BODY_POOL_REPORT &&
+		 f->controller)
+		bw_controller_report(f->controller, bw_clock_now_ms(),
+				     frame->pool_report);
+}
+
+/* Ends what the node that directs machines asked for, if it is silent. */
+static void lapse_orders(bw_fleet_t *f, bw_pool_t *pool, int64_t now_ms)
+{
+	const int64_t *at_ms =
+		g_hash_table_lookup(f->ordered, bw_pool_name(pool));
+
+	if (!at_ms || now_ms - *at_ms < ORDER_LAPSES_MS)
+		return;
+	g_hash_table_remove(f->ordered, bw_pool_name(pool));
+	bw_reports_lapse(bw_pool_sched(pool));
+}
+
+/* Tells the node that directs machines how the pools stand. */
+static void exchange_reports(bw_fleet_t *f, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (now_ms - f->report_ms < REPORT_MS)
+		return;
+	f->report_ms = now_ms;
+	g_hash_table_iter_init(&iter, f->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		bw_pool_t *pool = value;
+
+		if (!bw_pool_sched(pool) || !bw_pool_ready(pool))
+			continue;
+		lapse_orders(f, pool, now_ms);
+		bw_reports_pack(bw_pool_name(pool),
+				(uint64_t)bw_pool_fence(pool),
+				bw_pool_sched(pool), now_ms, send_report, f);
+	}
+}
+
 static void on_tick(struct ev_loop *loop, ev_timer *timer, int revents)
 {
 	bw_fleet_t *f = timer->data;
@@ -487,8 +627,10 @@
 	ask_predecessors(f, now_ms);
 	if (owns_any(f))
 		bw_directory_tick(f->directory, now_ms);
-	if (f->upkeep && !f->leaving)
-		bw_upkeep_tick(f->upkeep, now_ms);
+	exchange_reports(f, now_ms);
+	if (f->controller && !f->leaving &&
+	    now_ms < bw_fleet_member_until_ms(f->member))
+		bw_controller_tick(f->controller, now_ms);
 }
 
 static void serve(void *impl, const bw_request_t *request, bw_answer_fn done,
@@ -538,6 +680,8 @@
 		return;
 	f->leaving = true;
 	bw_fleet_member_leave(f->member);
+	bw_controller_destroy(f->controller);
+	f->controller = NULL;
 	pools = g_hash_table_get_values(f->pools);
 	for (at = pools; at; at = at->next)
 		bw_pool_stop(at->data);
--- a/src/fleet/inquiry.c
+++ b/src/fleet/inquiry.c
@@ -35,6 +35,7 @@
 	bw_peers_t *peers;
 	char *name;
 	bw_inquiry_local_fn local;
+	bw_inquiry_frame_fn other;
 	void *ctx;
 	GHashTable *questions; /**< Number to question_t. */
 	GHashTable *up; /**< Connected peers, to word_t. */
@@ -60,7 +61,8 @@
 
 bw_status_t bw_inquiry_create(struct ev_loop *loop, const char *name,
 			      const char *listen, uint64_t incarnation,
-			      bw_inquiry_local_fn local, void *ctx,
+			      bw_inquiry_local_fn local,
+			      bw_inquiry_frame_fn other, void *ctx,
 			      bw_counters_t *counters, bw_inquiry_t **out)
 {
 	bw_inquiry_t *q = g_new0(bw_inquiry_t, 1);
@@ -81,6 +83,7 @@
 	}
 	q->name = g_strdup(name);
 	q->local = local;
+	q->other = other;
 	q->ctx = ctx;
 	q->questions = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					     g_free, g_free);
@@ -144,6 +147,8 @@
 		take_answer(q, frame->state_answer);
 	else if (frame->body_case == BRAMLEY__FRAME__BODY_HEARTBEAT)
 		take_beat(q, peer, frame->heartbeat);
+	else
+		q->other(q->ctx, frame);
 }
 
 static void take_beat(bw_inquiry_t *q, uint64_t peer,
@@ -317,3 +322,9 @@
 	}
 	return agree * 2 > g_hash_table_size(q->names) + 1;
 }
+
+void bw_inquiry_send(bw_inquiry_t *q, const char *node,
+		     const Bramley__Frame *frame)
+{
+	bw_peers_send(q->peers, bw_name_id(node), frame);
+}
--- a/src/fleet/inquiry.h
+++ b/src/fleet/inquiry.h
@@ -11,6 +11,7 @@
 #include "base/counters.h"
 #include "base/status.h"
 #include "job/job.h"
+#include "wire/bramley.pb-c.h"
 
 struct ev_loop;
 
@@ -27,6 +28,9 @@
 /** @param answer NULL when none came in time */
 typedef void (*bw_inquiry_fn)(void *ctx, const bw_inquiry_answer_t *answer);
 
+/** Takes another message of a node; valid during the call. */
+typedef void (*bw_inquiry_frame_fn)(void *ctx, const Bramley__Frame *frame);
+
 /** Answers a question of another node. */
 typedef void (*bw_inquiry_local_fn)(void *ctx, const char *pool,
 				    const char *job, const char *queue,
@@ -35,7 +39,8 @@
 /** Listens for other nodes. */
 bw_status_t bw_inquiry_create(struct ev_loop *loop, const char *name,
 			      const char *listen, uint64_t incarnation,
-			      bw_inquiry_local_fn local, void *ctx,
+			      bw_inquiry_local_fn local,
+			      bw_inquiry_frame_fn other, void *ctx,
 			      bw_counters_t *counters, bw_inquiry_t **out);
 void bw_inquiry_destroy(bw_inquiry_t *q);
 
@@ -51,6 +56,10 @@
 		    const char *job, const char *queue, bw_inquiry_fn done,
 		    void *ctx);
 
+/** Sends a message to a node; it is lost if the node is not connected. */
+void bw_inquiry_send(bw_inquiry_t *q, const char *node,
+		     const Bramley__Frame *frame);
+
 /** Sets what heartbeats tell of the store. */
 void bw_inquiry_set_store_good(bw_inquiry_t *q, bool good);
 
--- a/src/fleet/ports.h
+++ b/src/fleet/ports.h
@@ -45,6 +45,7 @@
 	char *name;
 	char *pool;
 	char *worker; /**< The worker that lives on it; "" is none. */
+	int64_t room_millis; /**< Its processor. */
 	bool up;
 } bw_machine_t;
 
--- /dev/null
+++ b/src/fleet/reports.c
@@ -0,0 +1,276 @@
+#include "fleet/reports.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+typedef struct pool_report {
+	char *pool;
+	int64_t at_ms;
+	bw_pool_demand_t demand;
+	GHashTable *workers; /**< Identifier to bw_worker_report_t. */
+	GPtrArray *orders[BW_WORKER_ORDER_COUNT]; /**< Identifiers. */
+	bool awaits; /**< New workers are on their way. */
+} pool_report_t;
+
+struct bw_reports {
+	GHashTable *pools; /**< Name to pool_report_t. */
+};
+
+/** A report under construction. */
+typedef struct packing {
+	GArray *rows;
+} packing_t;
+
+static pool_report_t *pool_of(bw_reports_t *r, const char *pool);
+
+static void worker_free(gpointer data)
+{
+	bw_worker_report_t *worker = data;
+
+	g_free(worker->id);
+	g_free(worker);
+}
+
+static void pool_free(gpointer data)
+{
+	pool_report_t *report = data;
+	int i;
+
+	for (i = 0; i < BW_WORKER_ORDER_COUNT; i++)
+		g_ptr_array_free(report->orders[i], TRUE);
+	g_hash_table_destroy(report->workers);
+	g_free(report->pool);
+	g_free(report);
+}
+
+bw_reports_t *bw_reports_create(void)
+{
+	bw_reports_t *r = g_new0(bw_reports_t, 1);
+
+	r->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					 pool_free);
+	return r;
+}
+
+void bw_reports_destroy(bw_reports_t *r)
+{
+	if (!r)
+		return;
+	g_hash_table_destroy(r->pools);
+	g_free(r);
+}
+
+static void pack_worker(void *ctx, const bw_worker_view_t *view)
+{
+	packing_t *p = ctx;
+	Bramley__WorkerReport row = BRAMLEY__WORKER_REPORT__INIT;
+
+	row.id = (char *)view->id;
+	row.tasks = view->tasks;
+	row.idle = view->idle;
+	row.emptied = view->emptied;
+	row.usable = view->usable;
+	g_array_append_val(p->rows, row);
+}
+
+void bw_reports_pack(const char *pool, uint64_t fence, const bw_sched_t *sched,
+		     int64_t now_ms,
+		     void (*send)(void *ctx, const Bramley__Frame *frame),
+		     void *ctx)
+{
+	packing_t p = { g_array_new(FALSE, FALSE,
+				    sizeof(Bramley__WorkerReport)) };
+	Bramley__PoolReport report = BRAMLEY__POOL_REPORT__INIT;
+	Bramley__Frame frame = BRAMLEY__FRAME__INIT;
+	bw_pool_demand_t demand;
+	guint i;
+
+	bw_sched_demand(sched, &demand);
+	bw_sched_views(sched, now_ms, pack_worker, &p);
+	report.pool = (char *)pool;
+	report.fence = fence;
+	report.used_millis = demand.used_millis;
+	report.waiting_millis = demand.waiting_millis;
+	report.lasting_millis = demand.lasting_millis;
+	report.n_workers = p.rows->len;
+	report.workers = g_new(Bramley__WorkerReport *, p.rows->len + 1);
+	for (i = 0; i < p.rows->len; i++)
+		report.workers[i] =
+			&g_array_index(p.rows, Bramley__WorkerReport, i);
+	frame.body_case = BRAMLEY__FRAME__BODY_POOL_REPORT;
+	frame.pool_report = &report;
+	send(ctx, &frame);
+	g_free(report.workers);
+	g_array_free(p.rows, TRUE);
+}
+
+static pool_report_t *pool_of(bw_reports_t *r, const char *pool)
+{
+	pool_report_t *report = g_hash_table_lookup(r->pools, pool);
+	int i;
+
+	if (report)
+		return report;
+	report = g_new0(pool_report_t, 1);
+	report->pool = g_strdup(pool);
+	report->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						worker_free);
+	for (i = 0; i < BW_WORKER_ORDER_COUNT; i++)
+		report->orders[i] = g_ptr_array_new_with_free_func(g_free);
+	g_hash_table_insert(r->pools, report->pool, report);
+	return report;
+}
+
+void bw_reports_take(bw_reports_t *r, int64_t now_ms,
+		     const Bramley__PoolReport *message)
+{
+	pool_report_t *report = pool_of(r, message->pool);
+	size_t i;
+
+	report->at_ms = now_ms;
+	report->demand.used_millis = message->used_millis;
+	report->demand.waiting_millis = message->waiting_millis;
+	report->demand.lasting_millis = message->lasting_millis;
+	g_hash_table_remove_all(report->workers);
+	for (i = 0; i < message->n_workers; i++) {
+		const Bramley__WorkerReport *row = message->workers[i];
+		bw_worker_report_t *worker = g_new0(bw_worker_report_t, 1);
+
+		worker->id = g_strdup(row->id);
+		worker->tasks = row->tasks;
+		worker->idle = row->idle;
+		worker->emptied = row->emptied;
+		worker->usable = row->usable;
+		g_hash_table_replace(report->workers, worker->id, worker);
+	}
+}
+
+bool bw_reports_fresh(const bw_reports_t *r, int64_t now_ms, const char *pool)
+{
+	const pool_report_t *report = g_hash_table_lookup(r->pools, pool);
+
+	return report && report->at_ms > 0 &&
+	       now_ms - report->at_ms <= BW_REPORT_FRESH_MS;
+}
+
+bw_pool_demand_t bw_reports_demand(const bw_reports_t *r, const char *pool)
+{
+	const pool_report_t *report = g_hash_table_lookup(r->pools, pool);
+
+	return report ? report->demand : (bw_pool_demand_t){ 0 };
+}
+
+const bw_worker_report_t *bw_reports_worker(const bw_reports_t *r,
+					    const char *pool, const char *id)
+{
+	const pool_report_t *report = g_hash_table_lookup(r->pools, pool);
+
+	return report ? g_hash_table_lookup(report->workers, id) : NULL;
+}
+
+void bw_reports_clear_orders(bw_reports_t *r)
+{
+	GHashTableIter iter;
+	gpointer value;
+	int i;
+
+	g_hash_table_iter_init(&iter, r->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		pool_report_t *report = value;
+
+		report->awaits = false;
+		for (i = 0; i < BW_WORKER_ORDER_COUNT; i++)
+			g_ptr_array_set_size(report->orders[i], 0);
+	}
+}
+
+void bw_reports_await(bw_reports_t *r, const char *pool)
+{
+	pool_of(r, pool)->awaits = true;
+}
+
+void bw_reports_order(bw_reports_t *r, const char *pool, const char *worker,
+		      bw_worker_order_t order)
+{
+	if (worker[0] != '\0')
+		g_ptr_array_add(pool_of(r, pool)->orders[order],
+				g_strdup(worker));
+}
+
+void bw_reports_send_orders(bw_reports_t *r,
+			    void (*send)(void *ctx, const char *pool,
+					 const Bramley__Frame *frame),
+			    void *ctx)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, r->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		pool_report_t *report = value;
+		Bramley__PoolOrder order = BRAMLEY__POOL_ORDER__INIT;
+		Bramley__Frame frame = BRAMLEY__FRAME__INIT;
+
+		order.pool = report->pool;
+		order.empty =
+			(char **)report->orders[BW_WORKER_EMPTY]->pdata;
+		order.n_empty = report->orders[BW_WORKER_EMPTY]->len;
+		order.due = (char **)report->orders[BW_WORKER_DUE]->pdata;
+		order.n_due = report->orders[BW_WORKER_DUE]->len;
+		order.dead = (char **)report->orders[BW_WORKER_DEAD]->pdata;
+		order.n_dead = report->orders[BW_WORKER_DEAD]->len;
+		order.awaits = report->awaits;
+		frame.body_case = BRAMLEY__FRAME__BODY_POOL_ORDER;
+		frame.pool_order = &order;
+		send(ctx, report->pool, &frame);
+	}
+}
+
+static bool contains(char *const *ids, size_t count, const char *id)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		if (!strcmp(ids[i], id))
+			return true;
+	return false;
+}
+
+/** A pool and its order, while that is carried out. */
+typedef struct applying {
+	bw_sched_t *sched;
+	const Bramley__PoolOrder *order;
+} applying_t;
+
+static void apply_worker(void *ctx, const char *id, bool registered)
+{
+	applying_t *a = ctx;
+	const Bramley__PoolOrder *order = a->order;
+
+	(void)registered;
+	bw_sched_worker_empty(a->sched, id,
+			      contains(order->empty, order->n_empty, id));
+	bw_sched_worker_due(a->sched, id,
+			    contains(order->due, order->n_due, id));
+	if (contains(order->dead, order->n_dead, id))
+		bw_sched_worker_dead(a->sched, id, "upkeep-or-move");
+}
+
+void bw_reports_apply(bw_sched_t *sched, const Bramley__PoolOrder *order)
+{
+	applying_t a = { sched, order };
+
+	bw_sched_workers(sched, apply_worker, &a);
+}
+
+static void lapse_worker(void *ctx, const char *id, bool registered)
+{
+	(void)registered;
+	bw_sched_worker_empty(ctx, id, false);
+}
+
+void bw_reports_lapse(bw_sched_t *sched)
+{
+	bw_sched_workers(sched, lapse_worker, sched);
+}
--- a/src/fleet/upkeep.c
+++ b/src/fleet/upkeep.c
@@ -9,8 +9,6 @@
 #include "wire/record.pb-c.h"
 
 #define RECORD_VERSION	 1
-/** Age from which the list of machines is read again. */
-#define LIST_AGE_MS	 700
 /** Age from which a wave's record is read again. */
 #define RECORD_AGE_MS	 2000
 #define ORDER_AGAIN_MS	 400
@@ -54,11 +52,9 @@
 	bw_upkeep_ops_t ops;
 	void *ctx;
 	GHashTable *waves; /**< Number to wave_t. */
-	GHashTable *machines; /**< Name to bw_machine_t. */
-	int64_t list_ms; /**< When the list in hand was asked for. */
-	int64_t asked_ms;
-	int64_t list_next_ms;
-	bool list_out;
+	const bw_upkeep_view_t *view; /**< During a tick. */
+	uint32_t refs; /**< The owner and each call in progress. */
+	bool closed;
 };
 
 /** An order in progress. */
@@ -67,16 +63,12 @@
 	char *machine;
 } order_ctx_t;
 
-static void ask_list(bw_upkeep_t *u, int64_t now_ms);
-static void on_list(void *ctx, bw_status_t status, const bw_machine_t *list,
-		    uint32_t count);
 static void read_record(wave_t *wave);
 static void on_record(void *ctx, const bw_store_reply_t *reply);
 static void take_record(wave_t *wave, const bw_store_kv_t *kv);
 static void write_record(wave_t *wave);
 static void on_written(void *ctx, const bw_store_reply_t *reply);
-static void order_upkeep(wave_t *wave, entry_t *entry, bw_pool_t *pool,
-			 int64_t now_ms);
+static void order_upkeep(wave_t *wave, entry_t *entry, int64_t now_ms);
 static void on_ordered(void *ctx, bw_machine_result_t result);
 static void tick_wave(wave_t *wave, int64_t now_ms);
 static void tell_status(wave_t *wave, bool completed);
@@ -108,16 +100,6 @@
 	g_free(wave);
 }
 
-static void machine_free(gpointer data)
-{
-	bw_machine_t *machine = data;
-
-	g_free(machine->name);
-	g_free(machine->pool);
-	g_free(machine->worker);
-	g_free(machine);
-}
-
 bw_upkeep_t *bw_upkeep_create(const bw_upkeep_env_t *env,
 			      const bw_upkeep_ops_t *ops, void *ctx)
 {
@@ -128,20 +110,26 @@
 	u->ctx = ctx;
 	u->waves = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					 wave_free);
-	u->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					    machine_free);
+	u->refs = 1;
 	return u;
 }
 
-void bw_upkeep_destroy(bw_upkeep_t *u)
+static void unref(bw_upkeep_t *u)
 {
-	if (!u)
+	if (--u->refs > 0)
 		return;
 	g_hash_table_destroy(u->waves);
-	g_hash_table_destroy(u->machines);
 	g_free(u);
 }
 
+void bw_upkeep_destroy(bw_upkeep_t *u)
+{
+	if (!u)
+		return;
+	u->closed = true;
+	unref(u);
+}
+
 void bw_upkeep_wave(bw_upkeep_t *u, bw_wave_order_t *order)
 {
 	wave_t *wave;
@@ -164,51 +152,17 @@
 		 order->at_once_max, order->duration_ms);
 }
 
-static void ask_list(bw_upkeep_t *u, int64_t now_ms)
-{
-	if (u->list_out || now_ms < u->list_next_ms ||
-	    now_ms - u->list_ms < LIST_AGE_MS)
-		return;
-	u->list_out = true;
-	u->asked_ms = now_ms;
-	u->env.machines.list(u->env.machines.impl, on_list, u);
-}
-
-static void on_list(void *ctx, bw_status_t status, const bw_machine_t *list,
-		    uint32_t count)
-{
-	bw_upkeep_t *u = ctx;
-	uint32_t i;
-
-	u->list_out = false;
-	if (status != BW_OK) {
-		u->list_next_ms = bw_clock_now_ms() + CALL_AGAIN_MS;
-		return;
-	}
-	u->list_ms = u->asked_ms;
-	g_hash_table_remove_all(u->machines);
-	for (i = 0; i < count; i++) {
-		bw_machine_t *machine = g_new0(bw_machine_t, 1);
-
-		machine->name = g_strdup(list[i].name);
-		machine->pool = g_strdup(list[i].pool);
-		machine->worker = g_strdup(list[i].worker);
-		machine->up = list[i].up;
-		g_hash_table_replace(u->machines, machine->name, machine);
-	}
-}
-
 static void read_record(wave_t *wave)
 {
 	bw_store_t *store = &wave->u->env.store;
 
 	wave->call_out = true;
+	wave->u->refs++;
 	store->ops->get(store->impl, wave->key, on_record, wave);
 }
 
-static void on_record(void *ctx, const bw_store_reply_t *reply)
+static void take_read(wave_t *wave, const bw_store_reply_t *reply)
 {
-	wave_t *wave = ctx;
 	int64_t now_ms = bw_clock_now_ms();
 
 	wave->call_out = false;
@@ -225,6 +179,15 @@
 	wave->read_ms = now_ms;
 }
 
+static void on_record(void *ctx, const bw_store_reply_t *reply)
+{
+	bw_upkeep_t *u = ((wave_t *)ctx)->u;
+
+	if (!u->closed)
+		take_read(ctx, reply);
+	unref(u);
+}
+
 static entry_t *entry_add(wave_t *wave, const char *machine,
 			  const char *worker, progress_t progress)
 {
@@ -293,15 +256,15 @@
 	bramley__wave_record__pack(&record, data);
 	write.value = (const char *)data;
 	wave->call_out = true;
+	wave->u->refs++;
 	store->ops->txn(store->impl, &txn, on_written, wave);
 	g_free(data);
 	g_free(record.machines);
 	g_free(rows);
 }
 
-static void on_written(void *ctx, const bw_store_reply_t *reply)
+static void take_written(wave_t *wave, const bw_store_reply_t *reply)
 {
-	wave_t *wave = ctx;
 
 	bool good = reply->status == BW_OK && reply->succeeded;
 	GHashTableIter iter;
@@ -327,39 +290,33 @@
 	wave->next_ms = bw_clock_now_ms() + CALL_AGAIN_MS;
 }
 
-static void order_upkeep(wave_t *wave, entry_t *entry, bw_pool_t *pool,
-			 int64_t now_ms)
+static void on_written(void *ctx, const bw_store_reply_t *reply)
+{
+	bw_upkeep_t *u = ((wave_t *)ctx)->u;
+
+	if (!u->closed)
+		take_written(ctx, reply);
+	unref(u);
+}
+
+static void order_upkeep(wave_t *wave, entry_t *entry, int64_t now_ms)
 {
 	bw_upkeep_t *u = wave->u;
-	bw_machine_holder_t holder = { u->env.node,
-				       (uint64_t)bw_pool_fence(pool) };
 	order_ctx_t *order = g_new0(order_ctx_t, 1);
 
 	order->wave = wave;
 	order->machine = g_strdup(entry->machine);
 	entry->call_out = true;
 	entry->next_ms = now_ms + ORDER_AGAIN_MS;
+	u->refs++;
 	u->env.machines.upkeep(u->env.machines.impl, entry->machine,
-			       wave->order->number, &holder, on_ordered, order);
-}
-
-/* Its worker ended with the order, unless an earlier order did it. */
-static void take_ordered(wave_t *wave, entry_t *entry)
-{
-	bw_upkeep_t *u = wave->u;
-	const bw_machine_t *machine =
-		g_hash_table_lookup(u->machines, entry->machine);
-	bw_pool_t *pool = machine ? u->ops.pool(u->ctx, machine->pool) : NULL;
-
-	entry->ordered_ms = bw_clock_now_ms();
-	if (pool && bw_pool_sched(pool))
-		bw_sched_worker_dead(bw_pool_sched(pool), entry->worker,
-				     "upkeep");
+			       wave->order->number, &u->env.holder, on_ordered,
+			       order);
 }
 
-static void on_ordered(void *ctx, bw_machine_result_t result)
+static void take_ordered(order_ctx_t *order, bw_machine_result_t result)
 {
-	order_ctx_t *order = ctx;
+	int64_t now_ms = bw_clock_now_ms();
 	entry_t *entry =
 		g_hash_table_lookup(order->wave->entries, order->machine);
 
@@ -367,20 +324,32 @@
 		 "wave=%" G_GINT64_FORMAT " machine=%s result=%s",
 		 order->wave->order->number, order->machine,
 		 result_names[result]);
-	if (entry) {
-		entry->call_out = false;
-		entry->next_ms = bw_clock_now_ms() + ORDER_AGAIN_MS;
-		if (result == BW_MACHINE_OK)
-			take_ordered(order->wave, entry);
-		if (result == BW_MACHINE_NOT_DUE ||
-		    result == BW_MACHINE_REFUSED) {
-			entry->ordered_ms = bw_clock_now_ms();
-			g_free(entry->worker);
-			entry->worker = g_strdup("");
-		}
+	if (!entry)
+		return;
+	entry->call_out = false;
+	entry->next_ms = now_ms + ORDER_AGAIN_MS;
+	if (result == BW_MACHINE_OK)
+		entry->ordered_ms = now_ms;
+	if (result == BW_MACHINE_NOT_DUE || result == BW_MACHINE_REFUSED) {
+		/* There is nothing to wait for. */
+		entry->ordered_ms = now_ms;
+		g_free(entry->worker);
+		entry->worker = g_strdup("?");
 	}
+	if (result == BW_MACHINE_FENCED)
+		order->wave->u->ops.superseded(order->wave->u->ctx);
+}
+
+static void on_ordered(void *ctx, bw_machine_result_t result)
+{
+	order_ctx_t *order = ctx;
+	bw_upkeep_t *u = order->wave->u;
+
+	if (!u->closed)
+		take_ordered(order, result);
 	g_free(order->machine);
 	g_free(order);
+	unref(u);
 }
 
 static void tell_status(wave_t *wave, bool completed)
@@ -393,15 +362,15 @@
 	bw_store_txn_t txn = { NULL, 0, &write, 1 };
 
 	wave->status_out = true;
+	u->refs++;
 	u->env.store.ops->txn(u->env.store.impl, &txn,
 			      completed ? on_completed : on_begun, wave);
 	g_free(value);
 	g_free(key);
 }
 
-static void on_begun(void *ctx, const bw_store_reply_t *reply)
+static void take_begun(wave_t *wave, const bw_store_reply_t *reply)
 {
-	wave_t *wave = ctx;
 
 	wave->status_out = false;
 	wave->u->ops.result(wave->u->ctx, reply->status);
@@ -409,9 +378,17 @@
 	wave->next_ms = bw_clock_now_ms() + (wave->begun ? 0 : CALL_AGAIN_MS);
 }
 
-static void on_completed(void *ctx, const bw_store_reply_t *reply)
+static void on_begun(void *ctx, const bw_store_reply_t *reply)
+{
+	bw_upkeep_t *u = ((wave_t *)ctx)->u;
+
+	if (!u->closed)
+		take_begun(ctx, reply);
+	unref(u);
+}
+
+static void take_completed(wave_t *wave, const bw_store_reply_t *reply)
 {
-	wave_t *wave = ctx;
 
 	wave->status_out = false;
 	wave->u->ops.result(wave->u->ctx, reply->status);
@@ -422,6 +399,15 @@
 			 wave->order->number);
 }
 
+static void on_completed(void *ctx, const bw_store_reply_t *reply)
+{
+	bw_upkeep_t *u = ((wave_t *)ctx)->u;
+
+	if (!u->closed)
+		take_completed(ctx, reply);
+	unref(u);
+}
+
 static uint32_t count_reserved(const wave_t *wave)
 {
 	GHashTableIter iter;
@@ -438,22 +424,23 @@
 /* Number of tasks on a machine that could be reserved; UINT32_MAX: none. */
 static uint32_t cost_of(const wave_t *wave, const char *name)
 {
-	bw_upkeep_t *u = wave->u;
-	const bw_machine_t *machine = g_hash_table_lookup(u->machines, name);
-	bw_pool_t *pool;
-	uint32_t tasks;
+	const bw_upkeep_view_t *view = wave->u->view;
+	const bw_machine_t *machine = g_hash_table_lookup(view->machines, name);
+	const bw_worker_report_t *worker;
 
 	if (!machine || !machine->up ||
 	    g_hash_table_contains(wave->entries, name))
 		return UINT32_MAX;
-	pool = u->ops.pool(u->ctx, machine->pool);
-	if (!pool || !bw_pool_sched(pool))
+	if (machine->worker[0] == '\0')
+		return 0;
+	if (!bw_reports_fresh(view->reports, view->now_ms, machine->pool))
 		return UINT32_MAX;
-	tasks = bw_sched_worker_tasks(bw_pool_sched(pool), machine->worker);
-	return tasks == UINT32_MAX ? 0 : tasks;
+	worker = bw_reports_worker(view->reports, machine->pool,
+				   machine->worker);
+	return worker ? worker->tasks : 0;
 }
 
-/* Reserves machines of this node's pools while the wave has room. */
+/* Reserves machines, the emptiest first, while the wave has room. */
 static void reserve(wave_t *wave)
 {
 	uint32_t reserved = count_reserved(wave);
@@ -474,7 +461,7 @@
 		}
 		if (!best)
 			break;
-		machine = g_hash_table_lookup(wave->u->machines, best);
+		machine = g_hash_table_lookup(wave->u->view->machines, best);
 		entry_add(wave, best, machine->worker, PROGRESS_RESERVED);
 		bw_event("upkeep", "reserve",
 			 "wave=%" G_GINT64_FORMAT " machine=%s worker=%s "
@@ -485,56 +472,65 @@
 	}
 }
 
+/* Whether nothing runs on a machine, and nothing will be started there. */
+static bool is_empty(const bw_upkeep_view_t *view, const bw_machine_t *machine)
+{
+	const bw_worker_report_t *worker;
+
+	if (machine->worker[0] == '\0')
+		return true;
+	if (!bw_reports_fresh(view->reports, view->now_ms, machine->pool))
+		return false;
+	worker = bw_reports_worker(view->reports, machine->pool,
+				   machine->worker);
+	/* A worker that its owner does not know runs nothing of ours. */
+	return !worker || (worker->idle && worker->emptied);
+}
+
 /* Takes a reserved machine further. */
-static void advance(wave_t *wave, entry_t *entry, int64_t now_ms)
+static void advance(wave_t *wave, entry_t *entry)
 {
-	bw_upkeep_t *u = wave->u;
+	const bw_upkeep_view_t *view = wave->u->view;
 	const bw_machine_t *machine =
-		g_hash_table_lookup(u->machines, entry->machine);
-	bw_pool_t *pool =
-		machine ? u->ops.pool(u->ctx, machine->pool) : NULL;
-	bw_sched_t *sched = pool ? bw_pool_sched(pool) : NULL;
+		g_hash_table_lookup(view->machines, entry->machine);
 
-	if (!sched || entry->call_out)
+	if (!machine || entry->call_out)
 		return;
 	if (entry->ordered_ms > 0) {
-		if (!machine->up || !strcmp(machine->worker, entry->worker) ||
-		    u->list_ms < entry->ordered_ms + ORDER_SHOWS_MS)
+		bw_reports_order(view->reports, machine->pool, entry->worker,
+				 BW_WORKER_DEAD);
+		if (!machine->up || (!strcmp(machine->worker, entry->worker) &&
+				     entry->worker[0] != '\0') ||
+		    view->list_ms < entry->ordered_ms + ORDER_SHOWS_MS)
 			return;
 		entry->progress = PROGRESS_DONE;
-		bw_sched_worker_empty(sched, machine->worker, false);
 		bw_event("upkeep", "done",
 			 "wave=%" G_GINT64_FORMAT " machine=%s worker=%s",
 			 wave->order->number, entry->machine, machine->worker);
 		return;
 	}
-	bw_sched_worker_empty(sched, machine->worker, true);
-	if (machine->up && now_ms >= entry->next_ms &&
-	    now_ms - bw_pool_since_ms(pool) >= u->env.holder_ms &&
-	    (bw_sched_worker_idle(sched, machine->worker) ||
-	     bw_sched_worker_tasks(sched, machine->worker) == UINT32_MAX))
-		order_upkeep(wave, entry, pool, now_ms);
+	bw_reports_order(view->reports, machine->pool, machine->worker,
+			 BW_WORKER_EMPTY);
+	if (machine->up && view->may_order && view->now_ms >= entry->next_ms &&
+	    is_empty(view, machine))
+		order_upkeep(wave, entry, view->now_ms);
 }
 
 /* Marks workers that are due, so that they get long work last. */
 static void mark_due(wave_t *wave)
 {
-	bw_upkeep_t *u = wave->u;
+	const bw_upkeep_view_t *view = wave->u->view;
 	char **name;
 
 	for (name = wave->order->machines; *name; name++) {
 		const bw_machine_t *machine =
-			g_hash_table_lookup(u->machines, *name);
+			g_hash_table_lookup(view->machines, *name);
 		const entry_t *entry =
 			g_hash_table_lookup(wave->entries, *name);
-		bw_pool_t *pool =
-			machine ? u->ops.pool(u->ctx, machine->pool) : NULL;
-
-		if (pool && bw_pool_sched(pool))
-			bw_sched_worker_due(bw_pool_sched(pool),
-					    machine->worker,
-					    !entry || entry->progress !=
-							      PROGRESS_DONE);
+
+		if (machine && (!entry || entry->progress != PROGRESS_DONE))
+			bw_reports_order(view->reports, machine->pool,
+					 machine->worker, BW_WORKER_DUE);
 	}
 }
 
@@ -558,37 +554,45 @@
 		const entry_t *entry =
 			g_hash_table_lookup(wave->entries, *name);
 
-		if (g_hash_table_contains(wave->u->machines, *name) &&
+		if (g_hash_table_contains(wave->u->view->machines, *name) &&
 		    (!entry || entry->progress != PROGRESS_DONE))
 			return false;
 	}
 	return true;
 }
 
-static void tick_wave(wave_t *wave, int64_t now_ms)
+/* Orders of owners lapse, so they are repeated whatever else is awaited. */
+static void advance_all(wave_t *wave)
 {
 	GHashTableIter iter;
 	gpointer value;
 
-	if (wave->completed || wave->call_out || wave->status_out ||
-	    now_ms < wave->next_ms)
+	mark_due(wave);
+	g_hash_table_iter_init(&iter, wave->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		entry_t *entry = value;
+
+		if (entry->stored == PROGRESS_RESERVED &&
+		    entry->progress == PROGRESS_RESERVED)
+			advance(wave, entry);
+	}
+}
+
+static void tick_wave(wave_t *wave, int64_t now_ms)
+{
+	if (wave->completed)
+		return;
+	advance_all(wave);
+	if (wave->call_out || wave->status_out || now_ms < wave->next_ms)
 		return;
 	if (!wave->known || now_ms - wave->read_ms > RECORD_AGE_MS) {
 		read_record(wave);
 		return;
 	}
-	if (wave->u->list_ms == 0)
-		return;
 	if (!wave->begun) {
 		tell_status(wave, false);
 		return;
 	}
-	mark_due(wave);
-	g_hash_table_iter_init(&iter, wave->entries);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (((entry_t *)value)->stored == PROGRESS_RESERVED &&
-		    ((entry_t *)value)->progress == PROGRESS_RESERVED)
-			advance(wave, value, now_ms);
 	reserve(wave);
 	if (has_unstored(wave))
 		write_record(wave);
@@ -596,7 +600,7 @@
 		tell_status(wave, true);
 }
 
-static bool any_open(const bw_upkeep_t *u)
+bool bw_upkeep_open(const bw_upkeep_t *u)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -608,15 +612,31 @@
 	return false;
 }
 
-void bw_upkeep_tick(bw_upkeep_t *u, int64_t now_ms)
+bool bw_upkeep_reserved(const bw_upkeep_t *u, const char *machine)
 {
 	GHashTableIter iter;
 	gpointer value;
 
-	if (!any_open(u) || !u->ops.owns_any(u->ctx))
-		return;
-	ask_list(u, now_ms);
+	g_hash_table_iter_init(&iter, u->waves);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const wave_t *wave = value;
+		const entry_t *entry =
+			g_hash_table_lookup(wave->entries, machine);
+
+		if (entry && entry->progress == PROGRESS_RESERVED)
+			return true;
+	}
+	return false;
+}
+
+void bw_upkeep_tick(bw_upkeep_t *u, const bw_upkeep_view_t *view)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	u->view = view;
 	g_hash_table_iter_init(&iter, u->waves);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		tick_wave(value, now_ms);
+		tick_wave(value, view->now_ms);
+	u->view = NULL;
 }
--- a/src/fleet/upkeep.h
+++ b/src/fleet/upkeep.h
@@ -1,14 +1,16 @@
 /**
  * @file
- * Upkeep of machines in waves: each owner empties the machines of its pools
- * and orders their upkeep, within the number that a wave allows at a time.
- * That number is kept by a compare-and-swap on the wave's key.
+ * Upkeep of machines in waves: machines are reserved, emptied by the owners of
+ * their pools, and then ordered down, within the number that a wave allows at
+ * a time. Reservations are kept in the store for a successor.
  */
 #ifndef BW_FLEET_UPKEEP_H
 #define BW_FLEET_UPKEEP_H
 
-#include "fleet/pool.h"
+#include <glib.h>
+
 #include "fleet/ports.h"
+#include "fleet/reports.h"
 #include "store/store.h"
 
 typedef struct bw_upkeep bw_upkeep_t;
@@ -17,27 +19,41 @@
 	bw_store_t store;
 	bw_machine_port_t machines;
 	const bw_values_port_t *values;
-	const char *node;
-	int64_t holder_ms; /**< Between orders of two nodes to a machine. */
+	bw_machine_holder_t holder;
 } bw_upkeep_env_t;
 
 typedef struct bw_upkeep_ops {
-	/** A pool that this node owns, or NULL. */
-	bw_pool_t *(*pool)(void *ctx, const char *name);
-	/** Whether this node owns any pool. */
-	bool (*owns_any)(void *ctx);
 	/** A call to the store ended so. */
 	void (*result)(void *ctx, bw_status_t status);
+	/** A machine was ordered by a node with a higher token. */
+	void (*superseded)(void *ctx);
 } bw_upkeep_ops_t;
 
+/** What is known of machines and of the workers on them. */
+typedef struct bw_upkeep_view {
+	int64_t now_ms;
+	GHashTable *machines; /**< Name to bw_machine_t. */
+	int64_t list_ms; /**< When they were listed. */
+	bw_reports_t *reports; /**< Also takes orders for owners. */
+	bool may_order; /**< Orders to machines may be given. */
+} bw_upkeep_view_t;
+
 bw_upkeep_t *bw_upkeep_create(const bw_upkeep_env_t *env,
 			      const bw_upkeep_ops_t *ops, void *ctx);
+
+/** Calls in progress are ignored from now on. */
 void bw_upkeep_destroy(bw_upkeep_t *u);
 
-/** Takes an order of a wave; known waves are ignored. */
+/** Takes an order of a wave, which is moved; known waves are ignored. */
 void bw_upkeep_wave(bw_upkeep_t *u, bw_wave_order_t *order);
 
-/** Takes the next steps; to be called often. */
-void bw_upkeep_tick(bw_upkeep_t *u, int64_t now_ms);
+/** Takes the next steps. */
+void bw_upkeep_tick(bw_upkeep_t *u, const bw_upkeep_view_t *view);
+
+/** Whether a machine is reserved for upkeep. */
+bool bw_upkeep_reserved(const bw_upkeep_t *u, const char *machine);
+
+/** Whether a wave is not completed. */
+bool bw_upkeep_open(const bw_upkeep_t *u);
 
 #endif
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -141,6 +141,7 @@
 	bool empty; /**< Is to be emptied. */
 	bool due; /**< Is due for upkeep. */
 	bool dead; /**< Ended for sure, with all that ran on it. */
+	bool inherited; /**< An earlier owner may have given it orders. */
 	bool learned; /**< Has seen our token and told what it runs. */
 	bool has_orphans; /**< Runs what should not, and whose room is unknown. */
 	bool hold_out; /**< A hold is unanswered. */
@@ -241,6 +242,8 @@
 void sched_fill_look(bw_sched_t *s, worker_t *worker, int64_t now_ms);
 
 /* place.c */
+/** Whether the steps before one are done. */
+bool sched_step_ready(const occurrence_t *occurrence, uint32_t step);
 void sched_place(bw_sched_t *s, int64_t now_ms);
 
 #endif
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -33,7 +33,6 @@
 	int64_t key; /**< Lower goes first. */
 } candidate_t;
 
-static bool step_ready(const occurrence_t *occurrence, uint32_t step);
 static bool has_waiting(const occurrence_t *occurrence);
 static void rank(candidate_t *candidate, int64_t now_ms);
 static int compare(gconstpointer a, gconstpointer b);
@@ -48,7 +47,7 @@
 static bool place_step(bw_sched_t *s, GPtrArray *workers,
 		       occurrence_t *occurrence, uint32_t step, int64_t now_ms);
 
-static bool step_ready(const occurrence_t *occurrence, uint32_t step)
+bool sched_step_ready(const occurrence_t *occurrence, uint32_t step)
 {
 	const bw_step_spec_t *spec = &occurrence->job->spec->steps[step];
 	uint32_t i;
@@ -65,7 +64,7 @@
 
 	for (i = 0; i < occurrence->job->spec->step_count; i++)
 		if (occurrence->steps[i].waiting > 0 &&
-		    step_ready(occurrence, i))
+		    sched_step_ready(occurrence, i))
 			return true;
 	return false;
 }
@@ -432,7 +431,7 @@
 
 		for (step = 0; step < at->job->spec->step_count; step++)
 			if (at->steps[step].waiting > 0 &&
-			    step_ready(at, step))
+			    sched_step_ready(at, step))
 				place_step(s, workers, at, step, now_ms);
 	}
 	g_ptr_array_free(workers, TRUE);
--- /dev/null
+++ b/src/sched/report.c
@@ -0,0 +1,76 @@
+#include "sched/internal.h"
+
+static void add_waiting(const occurrence_t *occurrence, bw_pool_demand_t *out);
+
+static void add_waiting(const occurrence_t *occurrence, bw_pool_demand_t *out)
+{
+	const bw_job_spec_t *spec = occurrence->job->spec;
+	uint32_t i;
+
+	for (i = 0; i < spec->step_count; i++) {
+		const step_state_t *state = &occurrence->steps[i];
+
+		if (state->waiting > 0 && !spec->steps[i].filler &&
+		    sched_step_ready(occurrence, i))
+			out->waiting_millis += spec->steps[i].need.cpu_millis *
+					       state->waiting;
+	}
+}
+
+static void add_used(const worker_t *worker, bw_pool_demand_t *out)
+{
+	guint i;
+
+	out->used_millis += worker->used.cpu_millis;
+	for (i = 0; i < worker->tasks->len; i++) {
+		const bw_step_spec_t *step =
+			sched_task_step(g_ptr_array_index(worker->tasks, i));
+
+		if (step->lasting && !step->filler)
+			out->lasting_millis += step->need.cpu_millis;
+	}
+}
+
+void bw_sched_demand(const bw_sched_t *s, bw_pool_demand_t *out)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+	guint k;
+
+	*out = (bw_pool_demand_t){ 0 };
+	g_hash_table_iter_init(&iter, s->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		add_used(value, out);
+	for (i = 0; i < s->active->len; i++) {
+		const job_t *job = g_ptr_array_index(s->active, i);
+
+		for (k = 0; k < job->occurrences->len; k++)
+			add_waiting(g_ptr_array_index(job->occurrences, k),
+				    out);
+	}
+}
+
+void bw_sched_views(const bw_sched_t *s, int64_t now_ms,
+		    void (*fn)(void *ctx, const bw_worker_view_t *view),
+		    void *ctx)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const worker_t *worker = value;
+		bw_worker_view_t view = {
+			.id = worker->id,
+			.tasks = worker->tasks->len,
+			.idle = worker->learned && worker->tasks->len == 0 &&
+				!worker->has_orphans,
+			.emptied = worker->empty,
+			.usable = sched_worker_usable(s, worker, now_ms),
+		};
+
+		if (!worker->dead)
+			fn(ctx, &view);
+	}
+}
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -204,12 +204,6 @@
 /** Marks a worker that is due for upkeep, so that it is used last. */
 void bw_sched_worker_due(bw_sched_t *s, const char *id, bool due);
 
-/** Whether nothing runs or may run on a worker. */
-bool bw_sched_worker_idle(const bw_sched_t *s, const char *id);
-
-/** Tasks on a worker; UINT32_MAX when it is not known. */
-uint32_t bw_sched_worker_tasks(const bw_sched_t *s, const char *id);
-
 /** Takes an accepted job; the record is moved. Known jobs are ignored. */
 void bw_sched_job(bw_sched_t *s, int64_t now_ms, int64_t wall_ms,
 		  const char *id, bw_job_record_t *record);
@@ -268,6 +262,29 @@
 /** State of a job, never ahead of what is stored. */
 bw_job_state_t bw_sched_job_state(const bw_sched_t *s, const char *id);
 
+/** A worker as a pool has it. */
+typedef struct bw_worker_view {
+	const char *id;
+	uint32_t tasks;
+	bool idle; /**< Nothing runs or may run on it. */
+	bool emptied; /**< Nothing is started on it. */
+	bool usable;
+} bw_worker_view_t;
+
+/** Processor that a pool uses and could use. */
+typedef struct bw_pool_demand {
+	int64_t used_millis;
+	int64_t waiting_millis; /**< Of tasks that could start now. */
+	int64_t lasting_millis; /**< Part of used_millis. */
+} bw_pool_demand_t;
+
+void bw_sched_demand(const bw_sched_t *s, bw_pool_demand_t *out);
+
+/** Calls a function for each worker. */
+void bw_sched_views(const bw_sched_t *s, int64_t now_ms,
+		    void (*fn)(void *ctx, const bw_worker_view_t *view),
+		    void *ctx);
+
 /** Accepted jobs of a queue, without a schedule, that have not begun. */
 uint32_t bw_sched_waiting(const bw_sched_t *s, const char *queue);
 
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -39,6 +39,7 @@
 	worker->first_seen_ms = now_ms;
 	worker->hold_at_ms = now_ms;
 	worker->fill_share = 100;
+	worker->inherited = !s->fresh && s->saved_version == 0;
 	g_hash_table_insert(s->workers, worker->id, worker);
 	return worker;
 }
@@ -156,7 +157,8 @@
 			continue;
 		if (worker->tasks->len > 0)
 			forget_runs(s, worker, "grant-over");
-		if ((worker->dead || !worker->registered) && !worker->hold_out)
+		/* A dead worker is kept while its registration lingers. */
+		if (!worker->registered && !worker->hold_out)
 			g_hash_table_iter_remove(&iter);
 	}
 }
@@ -165,8 +167,8 @@
 			 int64_t now_ms)
 {
 	/* What an earlier owner was stopping takes room unseen. */
-	if (!s->fresh && now_ms - worker->learned_ms <
-				 s->config.stop_ms + STOP_SLACK_MS)
+	if (worker->inherited && now_ms - worker->learned_ms <
+					 s->config.stop_ms + STOP_SLACK_MS)
 		return false;
 	return worker->registered && !worker->dead && worker->learned && worker->stored &&
 	       !worker->draining && !worker->empty && !worker->has_orphans &&
@@ -375,19 +377,6 @@
 		worker->due = due;
 }
 
-bool bw_sched_worker_idle(const bw_sched_t *s, const char *id)
-{
-	const worker_t *worker = g_hash_table_lookup(s->workers, id);
-
-	return worker && worker->learned && worker->tasks->len == 0;
-}
-
-uint32_t bw_sched_worker_tasks(const bw_sched_t *s, const char *id)
-{
-	const worker_t *worker = g_hash_table_lookup(s->workers, id);
-
-	return worker ? worker->tasks->len : UINT32_MAX;
-}
 
 static void take_clock(worker_t *worker, int64_t now_ms, int64_t clock_ms)
 {
--- a/src/wire/bramley.pb-c.c
+++ b/src/wire/bramley.pb-c.c
@@ -412,6 +412,141 @@
   assert(message->base.descriptor == &bramley__state_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bramley__worker_report__init
+                     (Bramley__WorkerReport         *message)
+{
+  static const Bramley__WorkerReport init_value = BRAMLEY__WORKER_REPORT__INIT;
+  *message = init_value;
+}
+size_t bramley__worker_report__get_packed_size
+                     (const Bramley__WorkerReport *message)
+{
+  assert(message->base.descriptor == &bramley__worker_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bramley__worker_report__pack
+                     (const Bramley__WorkerReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bramley__worker_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bramley__worker_report__pack_to_buffer
+                     (const Bramley__WorkerReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bramley__worker_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bramley__WorkerReport *
+       bramley__worker_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bramley__WorkerReport *)
+     protobuf_c_message_unpack (&bramley__worker_report__descriptor,
+                                allocator, len, data);
+}
+void   bramley__worker_report__free_unpacked
+                     (Bramley__WorkerReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bramley__worker_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bramley__pool_report__init
+                     (Bramley__PoolReport         *message)
+{
+  static const Bramley__PoolReport init_value = BRAMLEY__POOL_REPORT__INIT;
+  *message = init_value;
+}
+size_t bramley__pool_report__get_packed_size
+                     (const Bramley__PoolReport *message)
+{
+  assert(message->base.descriptor == &bramley__pool_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bramley__pool_report__pack
+                     (const Bramley__PoolReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bramley__pool_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bramley__pool_report__pack_to_buffer
+                     (const Bramley__PoolReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bramley__pool_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bramley__PoolReport *
+       bramley__pool_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bramley__PoolReport *)
+     protobuf_c_message_unpack (&bramley__pool_report__descriptor,
+                                allocator, len, data);
+}
+void   bramley__pool_report__free_unpacked
+                     (Bramley__PoolReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bramley__pool_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bramley__pool_order__init
+                     (Bramley__PoolOrder         *message)
+{
+  static const Bramley__PoolOrder init_value = BRAMLEY__POOL_ORDER__INIT;
+  *message = init_value;
+}
+size_t bramley__pool_order__get_packed_size
+                     (const Bramley__PoolOrder *message)
+{
+  assert(message->base.descriptor == &bramley__pool_order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bramley__pool_order__pack
+                     (const Bramley__PoolOrder *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bramley__pool_order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bramley__pool_order__pack_to_buffer
+                     (const Bramley__PoolOrder *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bramley__pool_order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bramley__PoolOrder *
+       bramley__pool_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bramley__PoolOrder *)
+     protobuf_c_message_unpack (&bramley__pool_order__descriptor,
+                                allocator, len, data);
+}
+void   bramley__pool_order__free_unpacked
+                     (Bramley__PoolOrder *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bramley__pool_order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bramley__frame__init
                      (Bramley__Frame         *message)
 {
@@ -1241,7 +1376,290 @@
   (ProtobufCMessageInit) bramley__state_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__frame__field_descriptors[8] =
+static const ProtobufCFieldDescriptor bramley__worker_report__field_descriptors[5] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__WorkerReport, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tasks",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__WorkerReport, tasks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "idle",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__WorkerReport, idle),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "emptied",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__WorkerReport, emptied),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "usable",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__WorkerReport, usable),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bramley__worker_report__field_indices_by_name[] = {
+  3,   /* field[3] = emptied */
+  0,   /* field[0] = id */
+  2,   /* field[2] = idle */
+  1,   /* field[1] = tasks */
+  4,   /* field[4] = usable */
+};
+static const ProtobufCIntRange bramley__worker_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor bramley__worker_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bramley.WorkerReport",
+  "WorkerReport",
+  "Bramley__WorkerReport",
+  "bramley",
+  sizeof(Bramley__WorkerReport),
+  5,
+  bramley__worker_report__field_descriptors,
+  bramley__worker_report__field_indices_by_name,
+  1,  bramley__worker_report__number_ranges,
+  (ProtobufCMessageInit) bramley__worker_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bramley__pool_report__field_descriptors[6] =
+{
+  {
+    "pool",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__PoolReport, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__PoolReport, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "used_millis",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__PoolReport, used_millis),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting_millis",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__PoolReport, waiting_millis),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lasting_millis",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__PoolReport, lasting_millis),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "workers",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bramley__PoolReport, n_workers),
+    offsetof(Bramley__PoolReport, workers),
+    &bramley__worker_report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bramley__pool_report__field_indices_by_name[] = {
+  1,   /* field[1] = fence */
+  4,   /* field[4] = lasting_millis */
+  0,   /* field[0] = pool */
+  2,   /* field[2] = used_millis */
+  3,   /* field[3] = waiting_millis */
+  5,   /* field[5] = workers */
+};
+static const ProtobufCIntRange bramley__pool_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor bramley__pool_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bramley.PoolReport",
+  "PoolReport",
+  "Bramley__PoolReport",
+  "bramley",
+  sizeof(Bramley__PoolReport),
+  6,
+  bramley__pool_report__field_descriptors,
+  bramley__pool_report__field_indices_by_name,
+  1,  bramley__pool_report__number_ranges,
+  (ProtobufCMessageInit) bramley__pool_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bramley__pool_order__field_descriptors[5] =
+{
+  {
+    "pool",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__PoolOrder, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "empty",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bramley__PoolOrder, n_empty),
+    offsetof(Bramley__PoolOrder, empty),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "due",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bramley__PoolOrder, n_due),
+    offsetof(Bramley__PoolOrder, due),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "dead",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bramley__PoolOrder, n_dead),
+    offsetof(Bramley__PoolOrder, dead),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "awaits",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__PoolOrder, awaits),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bramley__pool_order__field_indices_by_name[] = {
+  4,   /* field[4] = awaits */
+  3,   /* field[3] = dead */
+  2,   /* field[2] = due */
+  1,   /* field[1] = empty */
+  0,   /* field[0] = pool */
+};
+static const ProtobufCIntRange bramley__pool_order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor bramley__pool_order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bramley.PoolOrder",
+  "PoolOrder",
+  "Bramley__PoolOrder",
+  "bramley",
+  sizeof(Bramley__PoolOrder),
+  5,
+  bramley__pool_order__field_descriptors,
+  bramley__pool_order__field_indices_by_name,
+  1,  bramley__pool_order__number_ranges,
+  (ProtobufCMessageInit) bramley__pool_order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bramley__frame__field_descriptors[10] =
 {
   {
     "hello",
@@ -1339,6 +1757,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pool_report",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bramley__Frame, body_case),
+    offsetof(Bramley__Frame, pool_report),
+    &bramley__pool_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pool_order",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bramley__Frame, body_case),
+    offsetof(Bramley__Frame, pool_order),
+    &bramley__pool_order__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__frame__field_indices_by_name[] = {
   4,   /* field[4] = ask */
@@ -1347,13 +1789,15 @@
   0,   /* field[0] = hello */
   3,   /* field[3] = once */
   2,   /* field[2] = place */
+  9,   /* field[9] = pool_order */
+  8,   /* field[8] = pool_report */
   7,   /* field[7] = state_answer */
   6,   /* field[6] = state_ask */
 };
 static const ProtobufCIntRange bramley__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor bramley__frame__descriptor =
 {
@@ -1363,7 +1807,7 @@
   "Bramley__Frame",
   "bramley",
   sizeof(Bramley__Frame),
-  8,
+  10,
   bramley__frame__field_descriptors,
   bramley__frame__field_indices_by_name,
   1,  bramley__frame__number_ranges,
--- a/src/wire/bramley.pb-c.h
+++ b/src/wire/bramley.pb-c.h
@@ -24,6 +24,9 @@
 typedef struct Bramley__Document Bramley__Document;
 typedef struct Bramley__StateAsk Bramley__StateAsk;
 typedef struct Bramley__StateAnswer Bramley__StateAnswer;
+typedef struct Bramley__WorkerReport Bramley__WorkerReport;
+typedef struct Bramley__PoolReport Bramley__PoolReport;
+typedef struct Bramley__PoolOrder Bramley__PoolOrder;
 typedef struct Bramley__Frame Bramley__Frame;
 
 
@@ -206,6 +209,89 @@
     , 0, 0, 0, 0, 0 }
 
 
+/*
+ * A worker, as the owner of its pool has it.
+ */
+struct  Bramley__WorkerReport
+{
+  ProtobufCMessage base;
+  char *id;
+  uint32_t tasks;
+  /*
+   * Nothing runs or may run on it.
+   */
+  protobuf_c_boolean idle;
+  /*
+   * Nothing is started on it.
+   */
+  protobuf_c_boolean emptied;
+  protobuf_c_boolean usable;
+};
+#define BRAMLEY__WORKER_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bramley__worker_report__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+/*
+ * Sent by the owner of a pool to the node that directs machines.
+ */
+struct  Bramley__PoolReport
+{
+  ProtobufCMessage base;
+  char *pool;
+  uint64_t fence;
+  /*
+   * Processor of what runs.
+   */
+  int64_t used_millis;
+  /*
+   * Processor of what could start now.
+   */
+  int64_t waiting_millis;
+  /*
+   * Processor of tasks that last.
+   */
+  int64_t lasting_millis;
+  size_t n_workers;
+  Bramley__WorkerReport **workers;
+};
+#define BRAMLEY__POOL_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bramley__pool_report__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL }
+
+
+/*
+ * Sent by the node that directs machines to the owner of a pool.
+ */
+struct  Bramley__PoolOrder
+{
+  ProtobufCMessage base;
+  char *pool;
+  /*
+   * Workers to be emptied.
+   */
+  size_t n_empty;
+  char **empty;
+  /*
+   * Workers due for upkeep.
+   */
+  size_t n_due;
+  char **due;
+  /*
+   * Workers that have ended.
+   */
+  size_t n_dead;
+  char **dead;
+  /*
+   * New workers are on their way.
+   */
+  protobuf_c_boolean awaits;
+};
+#define BRAMLEY__POOL_ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bramley__pool_order__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0 }
+
+
 typedef enum {
   BRAMLEY__FRAME__BODY__NOT_SET = 0,
   BRAMLEY__FRAME__BODY_HELLO = 1,
@@ -215,7 +301,9 @@
   BRAMLEY__FRAME__BODY_ASK = 5,
   BRAMLEY__FRAME__BODY_DOCUMENT = 6,
   BRAMLEY__FRAME__BODY_STATE_ASK = 7,
-  BRAMLEY__FRAME__BODY_STATE_ANSWER = 8
+  BRAMLEY__FRAME__BODY_STATE_ANSWER = 8,
+  BRAMLEY__FRAME__BODY_POOL_REPORT = 9,
+  BRAMLEY__FRAME__BODY_POOL_ORDER = 10
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BRAMLEY__FRAME__BODY__CASE)
 } Bramley__Frame__BodyCase;
 
@@ -232,6 +320,8 @@
     Bramley__Document *document;
     Bramley__StateAsk *state_ask;
     Bramley__StateAnswer *state_answer;
+    Bramley__PoolReport *pool_report;
+    Bramley__PoolOrder *pool_order;
   };
 };
 #define BRAMLEY__FRAME__INIT \
@@ -410,6 +500,63 @@
 void   bramley__state_answer__free_unpacked
                      (Bramley__StateAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Bramley__WorkerReport methods */
+void   bramley__worker_report__init
+                     (Bramley__WorkerReport         *message);
+size_t bramley__worker_report__get_packed_size
+                     (const Bramley__WorkerReport   *message);
+size_t bramley__worker_report__pack
+                     (const Bramley__WorkerReport   *message,
+                      uint8_t             *out);
+size_t bramley__worker_report__pack_to_buffer
+                     (const Bramley__WorkerReport   *message,
+                      ProtobufCBuffer     *buffer);
+Bramley__WorkerReport *
+       bramley__worker_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bramley__worker_report__free_unpacked
+                     (Bramley__WorkerReport *message,
+                      ProtobufCAllocator *allocator);
+/* Bramley__PoolReport methods */
+void   bramley__pool_report__init
+                     (Bramley__PoolReport         *message);
+size_t bramley__pool_report__get_packed_size
+                     (const Bramley__PoolReport   *message);
+size_t bramley__pool_report__pack
+                     (const Bramley__PoolReport   *message,
+                      uint8_t             *out);
+size_t bramley__pool_report__pack_to_buffer
+                     (const Bramley__PoolReport   *message,
+                      ProtobufCBuffer     *buffer);
+Bramley__PoolReport *
+       bramley__pool_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bramley__pool_report__free_unpacked
+                     (Bramley__PoolReport *message,
+                      ProtobufCAllocator *allocator);
+/* Bramley__PoolOrder methods */
+void   bramley__pool_order__init
+                     (Bramley__PoolOrder         *message);
+size_t bramley__pool_order__get_packed_size
+                     (const Bramley__PoolOrder   *message);
+size_t bramley__pool_order__pack
+                     (const Bramley__PoolOrder   *message,
+                      uint8_t             *out);
+size_t bramley__pool_order__pack_to_buffer
+                     (const Bramley__PoolOrder   *message,
+                      ProtobufCBuffer     *buffer);
+Bramley__PoolOrder *
+       bramley__pool_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bramley__pool_order__free_unpacked
+                     (Bramley__PoolOrder *message,
+                      ProtobufCAllocator *allocator);
 /* Bramley__Frame methods */
 void   bramley__frame__init
                      (Bramley__Frame         *message);
@@ -458,6 +605,15 @@
 typedef void (*Bramley__StateAnswer_Closure)
                  (const Bramley__StateAnswer *message,
                   void *closure_data);
+typedef void (*Bramley__WorkerReport_Closure)
+                 (const Bramley__WorkerReport *message,
+                  void *closure_data);
+typedef void (*Bramley__PoolReport_Closure)
+                 (const Bramley__PoolReport *message,
+                  void *closure_data);
+typedef void (*Bramley__PoolOrder_Closure)
+                 (const Bramley__PoolOrder *message,
+                  void *closure_data);
 typedef void (*Bramley__Frame_Closure)
                  (const Bramley__Frame *message,
                   void *closure_data);
@@ -476,6 +632,9 @@
 extern const ProtobufCMessageDescriptor bramley__document__descriptor;
 extern const ProtobufCMessageDescriptor bramley__state_ask__descriptor;
 extern const ProtobufCMessageDescriptor bramley__state_answer__descriptor;
+extern const ProtobufCMessageDescriptor bramley__worker_report__descriptor;
+extern const ProtobufCMessageDescriptor bramley__pool_report__descriptor;
+extern const ProtobufCMessageDescriptor bramley__pool_order__descriptor;
 extern const ProtobufCMessageDescriptor bramley__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
