Hand pools over in order, to nodes that a rolling restart has passed

Cause: in rolling restarts each role moved again with every stop, its successor waited half a second for stops that none had ordered, and the one that directs machines waited three seconds for a holder that was gone. Change: a stopping owner's last store says so and which tasks are placed; successors are the youngest nodes with few roles; no wait for a holder that has left.

--- a/src/fleet/controller.h
+++ b/src/fleet/controller.h
@@ -23,7 +23,7 @@
 	const char *node;
 	int64_t holder_ms; /**< Between orders of two nodes to a machine. */
 	int64_t fence;
-	bool first; /**< No other node held the role before. */
+	bool first; /**< No other live node held the role before. */
 } bw_controller_env_t;
 
 typedef struct bw_controller_ops {
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -110,6 +110,7 @@
 		.address = address,
 		.incarnation = f->incarnation,
 		.lease_ms = MAX(settings->lease_min_ms, (int64_t)LEASE_MS),
+		.started_ms = bw_clock_wall_ms(),
 		.first_start = settings->first_start,
 	};
 
@@ -308,6 +309,8 @@
 
 static void start_controller(bw_fleet_t *f, int64_t revision)
 {
+	const char *before =
+		bw_fleet_member_predecessor(f->member, BW_CONTROLLER_ROLE);
 	bw_controller_env_t env = {
 		.store = f->env.store,
 		.machines = f->env.machines,
@@ -315,9 +318,10 @@
 		.node = f->env.settings->name,
 		.holder_ms = f->env.settings->holder_ms,
 		.fence = revision,
-		.first = bw_fleet_member_predecessor(
-				 f->member, BW_CONTROLLER_ROLE) == NULL &&
-			 f->env.settings->first_start,
+		.first = before ? !strcmp(before, f->env.settings->name) ||
+					  !bw_fleet_member_alive(f->member,
+								 before) :
+				  f->env.settings->first_start,
 	};
 	guint i;
 
--- a/src/fleet/member.c
+++ b/src/fleet/member.c
@@ -20,6 +20,8 @@
 /** After its start a node lets the others register first. */
 #define START_WAIT_MS 1500
 #define CALL_AGAIN_MS 150
+/** Nodes that started within this time count as equally old. */
+#define SAME_START_MS 700
 
 typedef enum phase {
 	PHASE_NO_LEASE,
@@ -28,6 +30,11 @@
 	PHASE_REGISTERED
 } phase_t;
 
+/** A live node. */
+typedef struct node {
+	int64_t started_ms;
+} node_t;
+
 /** A pool's owner in the store. */
 typedef struct owner {
 	char *node;
@@ -54,7 +61,7 @@
 	bw_fleet_member_ops_t ops;
 	void *ctx;
 	bw_mirror_t *mirror;
-	GHashTable *nodes; /**< Name to address. */
+	GHashTable *nodes; /**< Name to node_t. */
 	GHashTable *owners; /**< Pool to owner_t. */
 	GHashTable *before; /**< Pool to the node that owned it before. */
 	GHashTable *owned; /**< Pools of this node, to their revision. */
@@ -66,6 +73,7 @@
 	int64_t renewed_ms; /**< Sending time of the last good renewal. */
 	int64_t next_ms;
 	int64_t started_ms;
+	int64_t started_wall_ms;
 	bool call_out;
 	bool synced;
 	bool first_start;
@@ -119,6 +127,7 @@
 	m->incarnation = config->incarnation;
 	m->lease_ms = config->lease_ms;
 	m->first_start = config->first_start;
+	m->started_wall_ms = config->started_ms;
 	m->ops = *ops;
 	m->ctx = ctx;
 	m->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -182,20 +191,40 @@
 	return XXH64(name, strlen(name), XXH64(pool, strlen(pool), 0));
 }
 
-uint32_t bw_fleet_rank(const char *pool, const char *name,
-		       const char *const *names, uint32_t count)
+/* Whether candidate a comes before b. */
+static bool comes_first(const char *pool, const bw_candidate_t *a,
+			const bw_candidate_t *b, uint32_t owned_max)
+{
+	bool a_full = a->owned >= owned_max;
+	bool b_full = b->owned >= owned_max;
+	int64_t younger_ms = a->started_ms - b->started_ms;
+
+	if (a_full != b_full)
+		return b_full;
+	if (younger_ms > SAME_START_MS || younger_ms < -SAME_START_MS)
+		return younger_ms > 0;
+	return weight(pool, a->name) > weight(pool, b->name);
+}
+
+uint32_t bw_fleet_rank(const char *pool, const bw_candidate_t *candidates,
+		       uint32_t count, uint32_t self, uint32_t roles)
 {
-	uint64_t own = weight(pool, name);
+	uint32_t owned_max = roles / MAX(count, 1U) + 1;
 	uint32_t rank = 0;
 	uint32_t i;
 
 	for (i = 0; i < count; i++)
-		if (strcmp(names[i], name) != 0 &&
-		    weight(pool, names[i]) > own)
+		if (i != self && comes_first(pool, &candidates[i],
+					     &candidates[self], owned_max))
 			rank++;
 	return rank;
 }
 
+bool bw_fleet_member_alive(const bw_fleet_member_t *m, const char *node)
+{
+	return g_hash_table_contains(m->nodes, node);
+}
+
 static void grant(bw_fleet_member_t *m, int64_t now_ms)
 {
 	m->phase = PHASE_GRANTING;
@@ -233,6 +262,7 @@
 	record.address = m->address;
 	record.incarnation = m->incarnation;
 	record.lease = m->lease;
+	record.started_ms = m->started_wall_ms;
 	write.bytes = bramley__node_record__get_packed_size(&record);
 	data = g_malloc(write.bytes + 1);
 	bramley__node_record__pack(&record, data);
@@ -316,12 +346,56 @@
 	g_free(claim);
 }
 
+static uint32_t count_owned(const bw_fleet_member_t *m, const char *node)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, m->owners);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (!strcmp(((owner_t *)value)->node, node))
+			count++;
+	return count;
+}
+
+static void count_role(void *arg, const char *pool)
+{
+	(void)pool;
+	(*(uint32_t *)arg)++;
+}
+
+static uint32_t own_rank(bw_fleet_member_t *m, const char *pool)
+{
+	uint32_t count = g_hash_table_size(m->nodes);
+	bw_candidate_t *candidates = g_new0(bw_candidate_t, count + 1);
+	uint32_t roles = 0;
+	uint32_t self = 0;
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+	uint32_t rank;
+	uint32_t i = 0;
+
+	m->ops.pools(m->ctx, count_role, &roles);
+	g_hash_table_iter_init(&iter, m->nodes);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		candidates[i].name = key;
+		candidates[i].owned = count_owned(m, key);
+		candidates[i].started_ms = ((node_t *)value)->started_ms;
+		if (!strcmp(key, m->name))
+			self = i;
+		i++;
+	}
+	rank = bw_fleet_rank(pool, candidates, count, self, roles);
+	g_free(candidates);
+	return rank;
+}
+
 /* Whether it is this node's turn to claim a pool without an owner. */
 static bool its_turn(bw_fleet_member_t *m, const char *pool, int64_t now_ms)
 {
 	int64_t *since_ms = g_hash_table_lookup(m->absent, pool);
-	guint count;
-	gpointer *names;
 	uint32_t rank;
 
 	if (!since_ms) {
@@ -329,9 +403,7 @@
 		*since_ms = now_ms;
 		g_hash_table_insert(m->absent, g_strdup(pool), since_ms);
 	}
-	names = g_hash_table_get_keys_as_array(m->nodes, &count);
-	rank = bw_fleet_rank(pool, m->name, (const char *const *)names, count);
-	g_free(names);
+	rank = own_rank(m, pool);
 	return now_ms - *since_ms >= rank * RANK_STEP_MS;
 }
 
@@ -434,6 +506,7 @@
 {
 	const char *name = kv->key + strlen(NODE_PREFIX);
 	Bramley__NodeRecord *record = NULL;
+	node_t *node;
 
 	if (!kv->deleted)
 		record = bramley__node_record__unpack(
@@ -449,8 +522,9 @@
 	if (!strcmp(name, m->name) && record->incarnation != m->incarnation)
 		m->store.ops->lease_revoke(m->store.impl, record->lease,
 					   on_revoked, m);
-	g_hash_table_replace(m->nodes, g_strdup(name),
-			     g_strdup(record->address));
+	node = g_new0(node_t, 1);
+	node->started_ms = record->started_ms;
+	g_hash_table_replace(m->nodes, g_strdup(name), node);
 	m->ops.node(m->ctx, name, record->address);
 	bramley__node_record__free_unpacked(record, NULL);
 }
--- a/src/fleet/member.h
+++ b/src/fleet/member.h
@@ -20,6 +20,7 @@
 	const char *address; /**< ip:port for other nodes. */
 	uint64_t incarnation;
 	int64_t lease_ms;
+	int64_t started_ms; /**< Unix time. */
 	bool first_start; /**< The other nodes start at the same time. */
 } bw_fleet_member_config_t;
 
@@ -58,6 +59,9 @@
 const char *bw_fleet_member_predecessor(const bw_fleet_member_t *m,
 					const char *pool);
 
+/** Whether a node is registered. */
+bool bw_fleet_member_alive(const bw_fleet_member_t *m, const char *node);
+
 /** Key of a pool's owner; release with g_free(). */
 char *bw_fleet_owner_key(const char *pool);
 
@@ -70,11 +74,21 @@
 /** Another owner was met; the pool is given up. */
 void bw_fleet_member_superseded(bw_fleet_member_t *m, const char *pool);
 
+/** A live node, as a candidate for a pool. */
+typedef struct bw_candidate {
+	const char *name;
+	uint32_t owned; /**< Pools that it owns. */
+	int64_t started_ms; /**< Unix time. */
+} bw_candidate_t;
+
 /**
- * Rank of a node for a pool among live nodes: 0 claims first.
- * @param names live nodes
+ * Rank of a node for a pool among live nodes: 0 claims first. Nodes with few
+ * pools come first; among these the youngest, as those have been through a
+ * rolling restart already.
+ * @param self index of the node
+ * @param roles pools that are shared out
  */
-uint32_t bw_fleet_rank(const char *pool, const char *name,
-		       const char *const *names, uint32_t count);
+uint32_t bw_fleet_rank(const char *pool, const bw_candidate_t *candidates,
+		       uint32_t count, uint32_t self, uint32_t roles);
 
 #endif
--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -49,6 +49,7 @@
 	bool dirty;
 	bool save_out;
 	bool stopping;
+	bool final; /**< The store in progress is the last one. */
 	bool closed;
 };
 
@@ -555,6 +556,7 @@
 
 	if (pool->save_out)
 		return;
+	pool->final = pool->stopping;
 	data = bw_sched_pack(pool->sched, bw_clock_wall_ms(), &write.bytes);
 	write.value = (const char *)data;
 	pool->saving = bw_sched_version(pool->sched);
@@ -594,8 +596,8 @@
 	if (reply->status == BW_OK && reply->succeeded) {
 		pool->state_revision = reply->revision;
 		bw_sched_saved(pool->sched, bw_clock_now_ms(), version);
-		if (pool->stopping &&
-		    version == bw_sched_version(pool->sched))
+		/* Later changes are seen by the successor at the workers. */
+		if (pool->stopping && pool->final)
 			pool->ops.stopped(pool->ctx, pool->name);
 		return;
 	}
@@ -631,10 +633,8 @@
 		pool->ops.stopped(pool->ctx, pool->name);
 		return;
 	}
-	bw_sched_allow(pool->sched, false);
+	bw_sched_leave(pool->sched);
 	pool->stopping = true;
-	if (pool->saving == bw_sched_version(pool->sched) && !pool->save_out)
-		pool->ops.stopped(pool->ctx, pool->name);
-	else
-		plan_save(pool);
+	pool->saved_at_ms = 0;
+	plan_save(pool);
 }
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -177,6 +177,8 @@
 	GHashTable *workers;
 	int64_t created_ms;
 	int64_t stopped_ms; /**< The earlier owner acts no more; 0: unknown. */
+	bool leaving; /**< What is packed from now on is final. */
+	bool handed_over; /**< The earlier owner gave up in order. */
 	bool fresh; /**< No earlier owner has stored anything. */
 	bool settled; /**< All that an earlier owner started is known. */
 	bool allowed;
--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -436,7 +436,7 @@
 	take_spec(s, job, record, now_ms, wall_ms);
 	sched_load_progress(s, job, now_ms);
 	/* Known before our first store: an earlier owner may have begun it. */
-	if (!s->fresh && s->saved_version == 0)
+	if (!s->fresh && !s->handed_over && s->saved_version == 0)
 		mark_suspect(job);
 	sched_log(s, "job",
 		  "job=%s queue=%s tasks=%u repeats=%u lasting=%d"
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -43,6 +43,7 @@
 	record->failed_runs = (uint32_t *)task->failed_runs;
 	record->n_failed_runs = MIN(task->failures, FAILED_RUNS_KEPT);
 	record->done = task->done;
+	record->placed = task->at != NULL;
 	if (task->checkpoint)
 		record->checkpoint = task->checkpoint;
 	return record;
@@ -126,6 +127,28 @@
 	}
 }
 
+/* A task that is being stopped takes room that a successor can't see. */
+static bool any_stopping(const bw_sched_t *s)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	g_hash_table_iter_init(&iter, s->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const worker_t *worker = value;
+
+		for (i = 0; i < worker->tasks->len; i++) {
+			const task_t *task =
+				g_ptr_array_index(worker->tasks, i);
+
+			if (task->state == TASK_STOPPING)
+				return true;
+		}
+	}
+	return false;
+}
+
 uint8_t *bw_sched_pack(bw_sched_t *s, int64_t wall_ms, size_t *bytes)
 {
 	Bramley__PoolRecord record = BRAMLEY__POOL_RECORD__INIT;
@@ -135,6 +158,7 @@
 	p.arena = g_ptr_array_new_with_free_func(g_free);
 	record.version = RECORD_VERSION;
 	record.fence = s->config.fence;
+	record.handed_over = s->leaving && !any_stopping(s);
 	pack_workers(&p, s, &record);
 	pack_jobs(&p, s, &record);
 	*bytes = bramley__pool_record__get_packed_size(&record);
@@ -181,6 +205,7 @@
 	if (record->number >= at->task_count)
 		return;
 	task = &at->tasks[record->number];
+	task->suspect = record->placed;
 	task->run = record->run;
 	task->failures = record->failures;
 	memcpy(task->failed_runs, record->failed_runs,
@@ -254,6 +279,7 @@
 	if (!record)
 		return bw_status_set(BW_EPARSE, "not a pool record");
 	s->fresh = false;
+	s->handed_over = record->handed_over;
 	for (i = 0; i < record->n_jobs; i++)
 		load_job(s, record->jobs[i]);
 	for (i = 0; i < record->n_workers; i++) {
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -126,6 +126,13 @@
 	s->allowed = allowed;
 }
 
+void bw_sched_leave(bw_sched_t *s)
+{
+	bw_sched_allow(s, false);
+	s->leaving = true;
+	sched_changed(s, true);
+}
+
 void bw_sched_predecessor_stopped(bw_sched_t *s, int64_t now_ms)
 {
 	if (s->stopped_ms == 0)
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -240,6 +240,9 @@
 /** Whether all that an earlier owner started is known. */
 bool bw_sched_settled(const bw_sched_t *s);
 
+/** Gives no more orders; what is packed next is final. */
+void bw_sched_leave(bw_sched_t *s);
+
 /** Places tasks and sends what is due; to be called often. */
 void bw_sched_run(bw_sched_t *s, int64_t now_ms, int64_t wall_ms);
 
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -39,7 +39,8 @@
 	worker->first_seen_ms = now_ms;
 	worker->hold_at_ms = now_ms;
 	worker->fill_share = 100;
-	worker->inherited = !s->fresh && s->saved_version == 0;
+	worker->inherited =
+		!s->fresh && !s->handed_over && s->saved_version == 0;
 	g_hash_table_insert(s->workers, worker->id, worker);
 	return worker;
 }
--- a/src/wire/record.pb-c.c
+++ b/src/wire/record.pb-c.c
@@ -780,7 +780,7 @@
   (ProtobufCMessageInit) bramley__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__task_record__field_descriptors[7] =
+static const ProtobufCFieldDescriptor bramley__task_record__field_descriptors[8] =
 {
   {
     "occurrence",
@@ -866,6 +866,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "placed",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__TaskRecord, placed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__task_record__field_indices_by_name[] = {
   6,   /* field[6] = checkpoint */
@@ -874,12 +886,13 @@
   3,   /* field[3] = failures */
   1,   /* field[1] = number */
   0,   /* field[0] = occurrence */
+  7,   /* field[7] = placed */
   2,   /* field[2] = run */
 };
 static const ProtobufCIntRange bramley__task_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor bramley__task_record__descriptor =
 {
@@ -889,7 +902,7 @@
   "Bramley__TaskRecord",
   "bramley",
   sizeof(Bramley__TaskRecord),
-  7,
+  8,
   bramley__task_record__field_descriptors,
   bramley__task_record__field_indices_by_name,
   1,  bramley__task_record__number_ranges,
@@ -1050,7 +1063,7 @@
   (ProtobufCMessageInit) bramley__worker_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__pool_record__field_descriptors[4] =
+static const ProtobufCFieldDescriptor bramley__pool_record__field_descriptors[5] =
 {
   {
     "version",
@@ -1100,9 +1113,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "handed_over",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__PoolRecord, handed_over),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__pool_record__field_indices_by_name[] = {
   1,   /* field[1] = fence */
+  4,   /* field[4] = handed_over */
   3,   /* field[3] = jobs */
   0,   /* field[0] = version */
   2,   /* field[2] = workers */
@@ -1110,7 +1136,7 @@
 static const ProtobufCIntRange bramley__pool_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor bramley__pool_record__descriptor =
 {
@@ -1120,14 +1146,14 @@
   "Bramley__PoolRecord",
   "bramley",
   sizeof(Bramley__PoolRecord),
-  4,
+  5,
   bramley__pool_record__field_descriptors,
   bramley__pool_record__field_indices_by_name,
   1,  bramley__pool_record__number_ranges,
   (ProtobufCMessageInit) bramley__pool_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__node_record__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bramley__node_record__field_descriptors[4] =
 {
   {
     "address",
@@ -1165,16 +1191,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "started_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__NodeRecord, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__node_record__field_indices_by_name[] = {
   0,   /* field[0] = address */
   1,   /* field[1] = incarnation */
   2,   /* field[2] = lease */
+  3,   /* field[3] = started_ms */
 };
 static const ProtobufCIntRange bramley__node_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bramley__node_record__descriptor =
 {
@@ -1184,7 +1223,7 @@
   "Bramley__NodeRecord",
   "bramley",
   sizeof(Bramley__NodeRecord),
-  3,
+  4,
   bramley__node_record__field_descriptors,
   bramley__node_record__field_indices_by_name,
   1,  bramley__node_record__number_ranges,
--- a/src/wire/record.pb-c.h
+++ b/src/wire/record.pb-c.h
@@ -99,10 +99,14 @@
   uint32_t *failed_runs;
   protobuf_c_boolean done;
   char *checkpoint;
+  /*
+   * Ordered to a worker, and not known to be over.
+   */
+  protobuf_c_boolean placed;
 };
 #define BRAMLEY__TASK_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__task_record__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Bramley__JobProgress
@@ -148,10 +152,14 @@
   Bramley__WorkerRecord **workers;
   size_t n_jobs;
   Bramley__JobProgress **jobs;
+  /*
+   * The owner gives no orders after this.
+   */
+  protobuf_c_boolean handed_over;
 };
 #define BRAMLEY__POOL_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__pool_record__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -163,10 +171,14 @@
   char *address;
   uint64_t incarnation;
   int64_t lease;
+  /*
+   * Unix time.
+   */
+  int64_t started_ms;
 };
 #define BRAMLEY__NODE_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__node_record__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
