Let lasting tasks share workers, and do not chase them

Cause: machines were taken from a pool together with tasks that last, which moved on to the next machine that was wanted, up to six times in five seconds; each move used the step's budget, so upkeep waited. Change: such machines are not taken for moves, and reserved for upkeep last, four at a time; lasting tasks share workers, two of a step; a task counts as at work as its worker tells, not after a fixed time.

--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -112,7 +112,7 @@
 {
 	const state_t *state = &states[machine->pool];
 
-	if (!machine->up || machine->held)
+	if (!machine->up || machine->held || machine->lasting > 0)
 		return false;
 	return pools[machine->pool].standby ||
 	       (pools[machine->pool].known && state->have > state->wanted);
--- a/src/fleet/balance.h
+++ b/src/fleet/balance.h
@@ -32,6 +32,7 @@
 	uint32_t pool; /**< Index of its pool. */
 	int64_t room_millis;
 	uint32_t tasks;
+	uint32_t lasting; /**< Of the tasks, those that last. */
 	bool up;
 	bool usable; /**< Its pool can start tasks on it. */
 	bool free; /**< Emptied and idle, or off: may be moved. */
--- a/src/fleet/controller.c
+++ b/src/fleet/controller.c
@@ -332,6 +332,7 @@
 		.room_millis = from->room_millis,
 		.up = from->up,
 		.tasks = worker ? worker->tasks : 0,
+		.lasting = worker ? worker->lasting : 0,
 		.usable = worker && worker->usable,
 		.held = move || bw_upkeep_reserved(c->upkeep, from->name),
 		.free = c->config->pools[pool].standby ||
--- a/src/fleet/reports.c
+++ b/src/fleet/reports.c
@@ -68,6 +68,7 @@
 
 	row.id = (char *)view->id;
 	row.tasks = view->tasks;
+	row.lasting = view->lasting;
 	row.idle = view->idle;
 	row.emptied = view->emptied;
 	row.usable = view->usable;
@@ -139,6 +140,7 @@
 
 		worker->id = g_strdup(row->id);
 		worker->tasks = row->tasks;
+		worker->lasting = row->lasting;
 		worker->idle = row->idle;
 		worker->emptied = row->emptied;
 		worker->usable = row->usable;
--- a/src/fleet/reports.h
+++ b/src/fleet/reports.h
@@ -21,6 +21,7 @@
 typedef struct bw_worker_report {
 	char *id;
 	uint32_t tasks;
+	uint32_t lasting; /**< Of the tasks, those that last. */
 	bool idle; /**< Nothing runs or may run on it. */
 	bool emptied; /**< Its owner starts nothing on it. */
 	bool usable;
--- a/src/fleet/upkeep.c
+++ b/src/fleet/upkeep.c
@@ -9,6 +9,10 @@
 #include "wire/record.pb-c.h"
 
 #define RECORD_VERSION	 1
+/** Moving a task that lasts is worth as much as so many other tasks. */
+#define LASTING_COST	 10U
+/** Machines with such tasks that are emptied at a time. */
+#define LASTING_AT_ONCE	 4U
 /** Age from which a wave's record is read again. */
 #define RECORD_AGE_MS	 2000
 #define ORDER_AGAIN_MS	 400
@@ -421,7 +425,7 @@
 	return count;
 }
 
-/* Number of tasks on a machine that could be reserved; UINT32_MAX: none. */
+/* What it takes to empty a machine that could be reserved; UINT32_MAX: none. */
 static uint32_t cost_of(const wave_t *wave, const char *name)
 {
 	const bw_upkeep_view_t *view = wave->u->view;
@@ -437,7 +441,33 @@
 		return UINT32_MAX;
 	worker = bw_reports_worker(view->reports, machine->pool,
 				   machine->worker);
-	return worker ? worker->tasks : 0;
+	return worker ? worker->tasks + LASTING_COST * worker->lasting : 0;
+}
+
+/* Reserved machines that tasks that last have still to leave. */
+static uint32_t count_slow(const wave_t *wave)
+{
+	const bw_upkeep_view_t *view = wave->u->view;
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, wave->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const entry_t *entry = value;
+		const bw_machine_t *machine =
+			g_hash_table_lookup(view->machines, entry->machine);
+		const bw_worker_report_t *worker =
+			machine ? bw_reports_worker(view->reports,
+						    machine->pool,
+						    machine->worker) :
+				  NULL;
+
+		if (entry->progress == PROGRESS_RESERVED &&
+		    entry->ordered_ms == 0 && worker && worker->lasting > 0)
+			count++;
+	}
+	return count;
 }
 
 /* Reserves machines, the emptiest first, while the wave has room. */
@@ -445,6 +475,8 @@
 {
 	uint32_t reserved = count_reserved(wave);
 
+	uint32_t slow = count_slow(wave);
+
 	while (reserved < wave->order->at_once_max) {
 		const bw_machine_t *machine;
 		const char *best = NULL;
@@ -459,8 +491,10 @@
 				best = *name;
 			}
 		}
-		if (!best)
+		if (!best ||
+		    (best_cost >= LASTING_COST && slow >= LASTING_AT_ONCE))
 			break;
+		slow += best_cost >= LASTING_COST;
 		machine = g_hash_table_lookup(wave->u->view->machines, best);
 		entry_add(wave, best, machine->worker, PROGRESS_RESERVED);
 		bw_event("upkeep", "reserve",
--- a/src/sched/evacuate.c
+++ b/src/sched/evacuate.c
@@ -1,7 +1,5 @@
 #include "sched/internal.h"
 
-/** A lasting task counts as away until it has run this long. */
-#define SETTLED_RUN_MS 2500
 /** Tasks that end by themselves get this long before they are stopped. */
 #define EMPTY_PATIENCE_MS 3500
 
@@ -13,8 +11,7 @@
 /* What runs on a worker that is silent may not be at work. */
 static bool is_away(const task_t *task, int64_t now_ms)
 {
-	return task->state != TASK_RUNNING ||
-	       now_ms - task->answered_ms < SETTLED_RUN_MS ||
+	return task->state != TASK_RUNNING || !task->at_work ||
 	       now_ms - task->at->heard_ms > WORKER_SILENT_MS;
 }
 
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -17,6 +17,10 @@
 #define STOP_SLACK_MS	  100
 /** Longest wait of a hold, which bounds how old a worker's view gets. */
 #define HOLD_WAIT_MS	  1000
+/** The same while a task that lasts starts up. */
+#define HOLD_SHORT_WAIT_MS 250
+/** Speed of a task that an earlier owner may have throttled. */
+#define PERCENT_UNKNOWN	  101
 /** Pause before a failed hold is sent again. */
 #define HOLD_AGAIN_MS	  250
 /** Pause between looks while ends wait to be stored. */
@@ -56,6 +60,7 @@
 	uint32_t index;
 	task_state_t state;
 	bool done; /**< Another run of it may still be stopping. */
+	bool at_work; /**< Of a task that lasts: it has started up. */
 	bool suspect; /**< May run unseen for an earlier owner. */
 	bool stop_answered;
 	uint32_t run; /**< Number of the last start. */
@@ -178,6 +183,7 @@
 	int64_t created_ms;
 	int64_t stopped_ms; /**< The earlier owner acts no more; 0: unknown. */
 	bool leaving; /**< What is packed from now on is final. */
+	bool inherits_stops; /**< The earlier owner may have ordered stops. */
 	bool handed_over; /**< The earlier owner gave up in order. */
 	bool fresh; /**< No earlier owner has stored anything. */
 	bool settled; /**< All that an earlier owner started is known. */
@@ -243,6 +249,9 @@
 /* fill.c */
 void sched_fill_look(bw_sched_t *s, worker_t *worker, int64_t now_ms);
 
+/* report.c */
+uint32_t sched_count_lasting(const worker_t *worker);
+
 /* place.c */
 /** Whether the steps before one are done. */
 bool sched_step_ready(const occurrence_t *occurrence, uint32_t step);
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -12,10 +12,15 @@
 /* Weights of a worker's merit for a task; free room counts up to 1. */
 #define MERIT_RACK	 2.0
 #define MERIT_DUE	 3.0
+/** Tasks that last share workers, so that others can be emptied soon. */
+#define MERIT_LASTING	 1.5
 #define MERIT_DISTURBANCE 4.0
 #define MERIT_FAILED	 20.0
 #define MERIT_SICK	 30.0
 
+/** Tasks of one lasting step that share a worker; more are spread. */
+#define LASTING_TOGETHER 2U
+
 /** How a job stands towards its objective; the first class goes first. */
 typedef enum urgency {
 	URGENCY_LASTING,
@@ -212,6 +217,9 @@
 		value += MERIT_RACK;
 	if (worker->due)
 		value -= MERIT_DUE;
+	if (spec->lasting && sched_count_lasting(worker) > 0 &&
+	    count_same_step(worker, task) < LASTING_TOGETHER)
+		value += MERIT_LASTING;
 	if (disturbs(worker, spec))
 		value -= MERIT_DISTURBANCE;
 	if (task->failed_at == worker)
@@ -253,6 +261,7 @@
 	task->ordered_ms = now_ms;
 	task->answered_ms = 0;
 	task->percent = 100;
+	task->at_work = false;
 	sched_attach(task, worker);
 }
 
--- a/src/sched/report.c
+++ b/src/sched/report.c
@@ -17,6 +17,20 @@
 	}
 }
 
+uint32_t sched_count_lasting(const worker_t *worker)
+{
+	uint32_t lasting = 0;
+	guint i;
+
+	for (i = 0; i < worker->tasks->len; i++) {
+		const task_t *task = g_ptr_array_index(worker->tasks, i);
+
+		if (sched_task_step(task)->lasting)
+			lasting++;
+	}
+	return lasting;
+}
+
 static void add_used(const worker_t *worker, bw_pool_demand_t *out)
 {
 	guint i;
@@ -64,6 +78,7 @@
 		bw_worker_view_t view = {
 			.id = worker->id,
 			.tasks = worker->tasks->len,
+			.lasting = sched_count_lasting(worker),
 			.idle = worker->learned && worker->tasks->len == 0 &&
 				!worker->has_orphans,
 			.emptied = worker->empty,
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -158,7 +158,8 @@
 	p.arena = g_ptr_array_new_with_free_func(g_free);
 	record.version = RECORD_VERSION;
 	record.fence = s->config.fence;
-	record.handed_over = s->leaving && !any_stopping(s);
+	record.handed_over = s->leaving;
+	record.stopping = any_stopping(s);
 	pack_workers(&p, s, &record);
 	pack_jobs(&p, s, &record);
 	*bytes = bramley__pool_record__get_packed_size(&record);
@@ -280,6 +281,7 @@
 		return bw_status_set(BW_EPARSE, "not a pool record");
 	s->fresh = false;
 	s->handed_over = record->handed_over;
+	s->inherits_stops = !record->handed_over || record->stopping;
 	for (i = 0; i < record->n_jobs; i++)
 		load_job(s, record->jobs[i]);
 	for (i = 0; i < record->n_workers; i++) {
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -90,7 +90,7 @@
 	bw_task_name_t task;
 	uint32_t run;
 	const char *checkpoint; /**< "" is none. */
-	uint32_t percent; /**< Share of its speed that it may use. */
+	uint32_t progress; /**< Percent; a task that lasts is at work at 100. */
 	int64_t tail_ms; /**< Its own users' latency; cpu for other tasks. */
 } bw_run_row_t;
 
@@ -269,6 +269,7 @@
 typedef struct bw_worker_view {
 	const char *id;
 	uint32_t tasks;
+	uint32_t lasting; /**< Of the tasks, those that last. */
 	bool idle; /**< Nothing runs or may run on it. */
 	bool emptied; /**< Nothing is started on it. */
 	bool usable;
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -39,8 +39,7 @@
 	worker->first_seen_ms = now_ms;
 	worker->hold_at_ms = now_ms;
 	worker->fill_share = 100;
-	worker->inherited =
-		!s->fresh && !s->handed_over && s->saved_version == 0;
+	worker->inherited = s->inherits_stops && s->saved_version == 0;
 	g_hash_table_insert(s->workers, worker->id, worker);
 	return worker;
 }
@@ -178,6 +177,20 @@
 	       now_ms >= worker->pause_until_ms;
 }
 
+/* Whether a task that lasts is about to be at work. */
+static bool starts_up(const worker_t *worker)
+{
+	guint i;
+
+	for (i = 0; i < worker->tasks->len; i++) {
+		const task_t *task = g_ptr_array_index(worker->tasks, i);
+
+		if (sched_task_step(task)->lasting && !task->at_work)
+			return true;
+	}
+	return false;
+}
+
 static void hold(bw_sched_t *s, worker_t *worker, int64_t now_ms)
 {
 	bw_hold_order_t order = {
@@ -192,7 +205,8 @@
 	if (worker->learned && now_ms - worker->heard_ms < GRANT_SILENT_MS)
 		order.grant_clock_ms = sched_grant_clock(s, worker, now_ms);
 	if (worker->learned && worker->seen == worker->acked)
-		order.wait_ms = HOLD_WAIT_MS;
+		order.wait_ms = starts_up(worker) ? HOLD_SHORT_WAIT_MS :
+						    HOLD_WAIT_MS;
 	worker->granted_clock_ms =
 		MAX(worker->granted_clock_ms, order.grant_clock_ms);
 	worker->hold_out = true;
@@ -502,7 +516,8 @@
 	task->run = row->run;
 	task->ordered_ms = now_ms;
 	task->answered_ms = now_ms;
-	task->percent = row->percent;
+	task->percent = PERCENT_UNKNOWN;
+	task->at_work = row->progress == 100;
 	task->occurrence->job->started = true;
 	sched_attach(task, worker);
 	sched_log(s, "adopt", "job=%s step=%u index=%u run=%u worker=%s",
@@ -523,6 +538,7 @@
 		if (task->state == TASK_STOPPING &&
 		    task->stop_answered_ms < sent_ms - s->config.stop_ms)
 			task->stop_answered = false;
+		task->at_work = row->progress == 100;
 		if (sched_task_step(task)->tail_ms_max > 0)
 			task->tail_ms = row->tail_ms;
 		remember_checkpoint(task, row->checkpoint);
--- a/src/wire/bramley.pb-c.c
+++ b/src/wire/bramley.pb-c.c
@@ -1376,7 +1376,7 @@
   (ProtobufCMessageInit) bramley__state_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__worker_report__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bramley__worker_report__field_descriptors[6] =
 {
   {
     "id",
@@ -1438,18 +1438,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lasting",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__WorkerReport, lasting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__worker_report__field_indices_by_name[] = {
   3,   /* field[3] = emptied */
   0,   /* field[0] = id */
   2,   /* field[2] = idle */
+  5,   /* field[5] = lasting */
   1,   /* field[1] = tasks */
   4,   /* field[4] = usable */
 };
 static const ProtobufCIntRange bramley__worker_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bramley__worker_report__descriptor =
 {
@@ -1459,7 +1472,7 @@
   "Bramley__WorkerReport",
   "bramley",
   sizeof(Bramley__WorkerReport),
-  5,
+  6,
   bramley__worker_report__field_descriptors,
   bramley__worker_report__field_indices_by_name,
   1,  bramley__worker_report__number_ranges,
--- a/src/wire/bramley.pb-c.h
+++ b/src/wire/bramley.pb-c.h
@@ -226,10 +226,14 @@
    */
   protobuf_c_boolean emptied;
   protobuf_c_boolean usable;
+  /*
+   * Of the tasks, those that last.
+   */
+  uint32_t lasting;
 };
 #define BRAMLEY__WORKER_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__worker_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/wire/record.pb-c.c
+++ b/src/wire/record.pb-c.c
@@ -1063,7 +1063,7 @@
   (ProtobufCMessageInit) bramley__worker_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__pool_record__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bramley__pool_record__field_descriptors[6] =
 {
   {
     "version",
@@ -1125,18 +1125,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stopping",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__PoolRecord, stopping),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__pool_record__field_indices_by_name[] = {
   1,   /* field[1] = fence */
   4,   /* field[4] = handed_over */
   3,   /* field[3] = jobs */
+  5,   /* field[5] = stopping */
   0,   /* field[0] = version */
   2,   /* field[2] = workers */
 };
 static const ProtobufCIntRange bramley__pool_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bramley__pool_record__descriptor =
 {
@@ -1146,7 +1159,7 @@
   "Bramley__PoolRecord",
   "bramley",
   sizeof(Bramley__PoolRecord),
-  5,
+  6,
   bramley__pool_record__field_descriptors,
   bramley__pool_record__field_indices_by_name,
   1,  bramley__pool_record__number_ranges,
--- a/src/wire/record.pb-c.h
+++ b/src/wire/record.pb-c.h
@@ -156,10 +156,14 @@
    * The owner gives no orders after this.
    */
   protobuf_c_boolean handed_over;
+  /*
+   * Tasks are being stopped.
+   */
+  protobuf_c_boolean stopping;
 };
 #define BRAMLEY__POOL_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__pool_record__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
