--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -23,7 +23,7 @@
 
 /** A pool in one decision. */
 typedef struct state {
-	uint32_t have; /**< Machines, also those that are on their way. */
+	uint32_t have; /**< Usable machines, or those that soon are. */
 	int64_t room_millis; /**< Of all of them. */
 	uint32_t needed; /**< At present. */
 	uint32_t wanted;
@@ -82,6 +82,8 @@
 	uint32_t i;
 
 	for (i = 0; i < machine_count; i++) {
+		if (!machines[i].usable)
+			continue;
 		states[machines[i].pool].have++;
 		states[machines[i].pool].room_millis +=
 			machines[i].room_millis;
@@ -114,6 +116,8 @@
 
 	if (!machine->up || machine->held || machine->lasting > 0)
 		return false;
+	if (!pools[machine->pool].standby && !machine->usable)
+		return false;
 	return pools[machine->pool].standby ||
 	       (pools[machine->pool].known && state->have > state->wanted);
 }
--- a/src/fleet/balance.h
+++ b/src/fleet/balance.h
@@ -34,7 +34,7 @@
 	uint32_t tasks;
 	uint32_t lasting; /**< Of the tasks, those that last. */
 	bool up;
-	bool usable; /**< Its pool can start tasks on it. */
+	bool usable; /**< Its pool can start tasks on it, or soon can. */
 	bool free; /**< Emptied and idle, or off: may be moved. */
 	bool held; /**< Reserved for upkeep, or a move is in progress. */
 } bw_balance_machine_t;
--- a/src/fleet/controller.c
+++ b/src/fleet/controller.c
@@ -19,6 +19,8 @@
 #define MOVE_AGAIN_MS	 400
 /** A move shows in the list of machines within this. */
 #define MOVE_SHOWS_MS	 150
+/** A machine that is not in use so long after a move is not on its way. */
+#define MOVE_LONGEST_MS	 4000
 
 /** A move that was ordered. */
 typedef struct move {
@@ -205,6 +207,7 @@
 		machine->worker = g_strdup(list[i].worker);
 		machine->room_millis = list[i].room_millis;
 		machine->up = list[i].up;
+		machine->returning = list[i].returning;
 		g_hash_table_replace(c->machines, machine->name, machine);
 	}
 }
@@ -266,6 +269,19 @@
 	unref(c);
 }
 
+/* A machine has moved once its new pool uses it, or should long have. */
+static bool has_arrived(const bw_controller_t *c, const move_t *move,
+			const bw_machine_t *machine, int64_t now_ms)
+{
+	const bw_worker_report_t *worker = bw_reports_worker(
+		c->reports, machine->pool, machine->worker);
+
+	if (!machine->up || c->list_ms < move->ordered_ms + MOVE_SHOWS_MS)
+		return false;
+	return machine->worker[0] == '\0' || (worker && worker->reachable) ||
+	       now_ms - move->ordered_ms > MOVE_LONGEST_MS;
+}
+
 /* Repeats orders without an answer, and ends those that show in the list. */
 static void advance_moves(bw_controller_t *c, int64_t now_ms)
 {
@@ -288,9 +304,7 @@
 		}
 		bw_reports_order(c->reports, move->from, move->worker,
 				 BW_WORKER_DEAD);
-		if (!machine ||
-		    (machine->up &&
-		     c->list_ms > move->ordered_ms + MOVE_SHOWS_MS))
+		if (!machine || has_arrived(c, move, machine, now_ms))
 			g_hash_table_iter_remove(&iter);
 	}
 }
@@ -333,7 +347,7 @@
 		.up = from->up,
 		.tasks = worker ? worker->tasks : 0,
 		.lasting = worker ? worker->lasting : 0,
-		.usable = worker && worker->usable,
+		.usable = from->returning || move || (worker && worker->reachable),
 		.held = move || bw_upkeep_reserved(c->upkeep, from->name),
 		.free = c->config->pools[pool].standby ||
 			(worker && worker->idle && worker->emptied),
--- a/src/fleet/ports.h
+++ b/src/fleet/ports.h
@@ -47,6 +47,7 @@
 	char *worker; /**< The worker that lives on it; "" is none. */
 	int64_t room_millis; /**< Its processor. */
 	bool up;
+	bool returning; /**< In a move or an upkeep; up again soon. */
 } bw_machine_t;
 
 /** How an order to a machine ended. */
--- a/src/fleet/reports.c
+++ b/src/fleet/reports.c
@@ -71,7 +71,7 @@
 	row.lasting = view->lasting;
 	row.idle = view->idle;
 	row.emptied = view->emptied;
-	row.usable = view->usable;
+	row.reachable = view->reachable;
 	g_array_append_val(p->rows, row);
 }
 
@@ -143,7 +143,7 @@
 		worker->lasting = row->lasting;
 		worker->idle = row->idle;
 		worker->emptied = row->emptied;
-		worker->usable = row->usable;
+		worker->reachable = row->reachable;
 		g_hash_table_replace(report->workers, worker->id, worker);
 	}
 }
--- a/src/fleet/reports.h
+++ b/src/fleet/reports.h
@@ -24,7 +24,7 @@
 	uint32_t lasting; /**< Of the tasks, those that last. */
 	bool idle; /**< Nothing runs or may run on it. */
 	bool emptied; /**< Its owner starts nothing on it. */
-	bool usable;
+	bool reachable; /**< It answers and is to stay. */
 } bw_worker_report_t;
 
 /** What a worker's owner is told to do with it. */
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -124,7 +124,8 @@
 	uint32_t next_occurrence;
 	uint32_t occurrences_left;
 	bool stored; /**< Its end has been stored by an earlier owner. */
-	bool started; /**< A task has been started. */
+	bool ordered; /**< A start has been ordered. */
+	bool started; /**< A task is known to have begun. */
 	bool lasting; /**< Has a step whose tasks last. */
 	GPtrArray *occurrences; /**< Those that are due and not done. */
 	GArray *done; /**< Numbers of occurrences that are done. */
@@ -235,6 +236,9 @@
 void sched_workers_expire(bw_sched_t *s, int64_t now_ms);
 void sched_workers_hold(bw_sched_t *s, int64_t now_ms);
 void sched_workers_stops(bw_sched_t *s, int64_t now_ms);
+/** Whether a worker answers and is to stay. */
+bool sched_worker_reachable(const worker_t *worker, int64_t now_ms);
+/** Whether tasks may be started on it now. */
 bool sched_worker_usable(const bw_sched_t *s, const worker_t *worker,
 			 int64_t now_ms);
 
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -288,8 +288,8 @@
 	sched_task_name(task, &order.task);
 	worker->granted_clock_ms =
 		MAX(worker->granted_clock_ms, order.grant_clock_ms);
-	if (!job->started) {
-		job->started = true;
+	if (!job->ordered) {
+		job->ordered = true;
 		sched_changed(s, false);
 	}
 	sched_log(s, "start",
--- a/src/sched/report.c
+++ b/src/sched/report.c
@@ -82,7 +82,7 @@
 			.idle = worker->learned && worker->tasks->len == 0 &&
 				!worker->has_orphans,
 			.emptied = worker->empty,
-			.usable = sched_worker_usable(s, worker, now_ms),
+			.reachable = sched_worker_reachable(worker, now_ms),
 		};
 
 		if (!worker->dead)
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -102,7 +102,7 @@
 
 		if (job->finished_version > 0 && job->finished_ms == 0)
 			job->finished_ms = p->wall_ms;
-		if (job->finished_version > 0 || job->started)
+		if (job->finished_version > 0 || job->ordered)
 			out->jobs[out->n_jobs++] = pack_job(p, job);
 	}
 }
@@ -117,8 +117,11 @@
 	g_hash_table_iter_init(&iter, s->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		worker_t *worker = value;
-		Bramley__WorkerRecord *record = take(p, sizeof(*record));
+		Bramley__WorkerRecord *record;
 
+		if (worker->dead)
+			continue;
+		record = take(p, sizeof(*record));
 		bramley__worker_record__init(record);
 		record->id = worker->id;
 		record->address = worker->address;
@@ -231,6 +234,7 @@
 
 	if (!progress)
 		return;
+	job->ordered = true;
 	job->started = progress->started;
 	for (i = 0; i < progress->n_occurrences_done; i++) {
 		g_array_append_val(job->done, progress->occurrences_done[i]);
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -272,7 +272,7 @@
 	uint32_t lasting; /**< Of the tasks, those that last. */
 	bool idle; /**< Nothing runs or may run on it. */
 	bool emptied; /**< Nothing is started on it. */
-	bool usable;
+	bool reachable; /**< It answers and is to stay. */
 } bw_worker_view_t;
 
 /** Processor that a pool uses and could use. */
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -163,6 +163,13 @@
 	}
 }
 
+bool sched_worker_reachable(const worker_t *worker, int64_t now_ms)
+{
+	return worker->registered && !worker->dead && worker->learned &&
+	       worker->stored && !worker->draining && worker->clock_ms > 0 &&
+	       now_ms - worker->heard_ms < WORKER_SILENT_MS;
+}
+
 bool sched_worker_usable(const bw_sched_t *s, const worker_t *worker,
 			 int64_t now_ms)
 {
@@ -170,11 +177,8 @@
 	if (worker->inherited && now_ms - worker->learned_ms <
 					 s->config.stop_ms + STOP_SLACK_MS)
 		return false;
-	return worker->registered && !worker->dead && worker->learned && worker->stored &&
-	       !worker->draining && !worker->empty && !worker->has_orphans &&
-	       worker->clock_ms > 0 &&
-	       now_ms - worker->heard_ms < WORKER_SILENT_MS &&
-	       now_ms >= worker->pause_until_ms;
+	return sched_worker_reachable(worker, now_ms) && !worker->empty &&
+	       !worker->has_orphans && now_ms >= worker->pause_until_ms;
 }
 
 /* Whether a task that lasts is about to be at work. */
@@ -451,6 +455,18 @@
 	worker->successes = worker->successes * HEALTH_KEEP + 1.0;
 }
 
+/* A task of the job is known to have begun. */
+static void mark_begun(bw_sched_t *s, const task_t *task)
+{
+	job_t *job = task->occurrence->job;
+
+	job->ordered = true;
+	if (job->started)
+		return;
+	job->started = true;
+	sched_changed(s, false);
+}
+
 static void take_end(bw_sched_t *s, worker_t *worker, const bw_end_row_t *end,
 		     int64_t now_ms)
 {
@@ -466,7 +482,7 @@
 	if (!task)
 		return;
 	/* Known to have begun, even if its earlier owner did not store it. */
-	task->occurrence->job->started = true;
+	mark_begun(s, task);
 	here = task->at == worker && task->run == end->run;
 	if (task->done) {
 		if (here)
@@ -518,7 +534,7 @@
 	task->answered_ms = now_ms;
 	task->percent = PERCENT_UNKNOWN;
 	task->at_work = row->progress == 100;
-	task->occurrence->job->started = true;
+	mark_begun(s, task);
 	sched_attach(task, worker);
 	sched_log(s, "adopt", "job=%s step=%u index=%u run=%u worker=%s",
 		  row->task.job, row->task.step, row->task.index, row->run,
@@ -532,6 +548,7 @@
 
 	if (task && task->at == worker && task->run == row->run) {
 		if (task->state == TASK_STARTING) {
+			mark_begun(s, task);
 			task->state = TASK_RUNNING;
 			task->answered_ms = now_ms;
 		}
@@ -677,6 +694,7 @@
 	if (!task || task->at != worker || task->run != run)
 		return;
 	if (result == BW_ORDER_OK) {
+		mark_begun(s, task);
 		task->answered_ms = now_ms;
 		if (task->state == TASK_STARTING)
 			task->state = TASK_RUNNING;
--- a/src/wire/bramley.pb-c.c
+++ b/src/wire/bramley.pb-c.c
@@ -1427,12 +1427,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "usable",
+    "reachable",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Bramley__WorkerReport, usable),
+    offsetof(Bramley__WorkerReport, reachable),
     NULL,
     NULL,
     0,             /* flags */
@@ -1456,8 +1456,8 @@
   0,   /* field[0] = id */
   2,   /* field[2] = idle */
   5,   /* field[5] = lasting */
+  4,   /* field[4] = reachable */
   1,   /* field[1] = tasks */
-  4,   /* field[4] = usable */
 };
 static const ProtobufCIntRange bramley__worker_report__number_ranges[1 + 1] =
 {
--- a/src/wire/bramley.pb-c.h
+++ b/src/wire/bramley.pb-c.h
@@ -225,7 +225,10 @@
    * Nothing is started on it.
    */
   protobuf_c_boolean emptied;
-  protobuf_c_boolean usable;
+  /*
+   * It answers and is to stay.
+   */
+  protobuf_c_boolean reachable;
   /*
    * Of the tasks, those that last.
    */
