--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -10,6 +10,7 @@
 #define SPARE_MACHINES 1
 /** A pool keeps at least so many machines. */
 #define MACHINES_MIN 3
+#define KEPT_MACHINES 7U
 /** A pool that needs fewer machines keeps them for so long. */
 #define RELEASE_MS 1500
 /** After its start the load is watched for so long before a move. */
@@ -19,6 +20,7 @@
 typedef struct memory {
 	uint32_t wanted; /**< Machines, with the delay of releases. */
 	int64_t wanted_ms; /**< When so many were last needed. */
+	bw_balance_state_t last; /**< At the last decision. */
 } memory_t;
 
 /** A pool in one decision. */
@@ -106,6 +108,16 @@
 		memory->wanted_ms = now_ms;
 	}
 	state->wanted = memory->wanted;
+	memory->last.have = state->have;
+	memory->last.needed = state->needed;
+	memory->last.wanted = state->wanted;
+}
+
+bw_balance_state_t bw_balance_state(const bw_balance_t *b, const char *pool)
+{
+	const memory_t *memory = g_hash_table_lookup(b->memories, pool);
+
+	return memory ? memory->last : (bw_balance_state_t){ 0 };
 }
 
 static bool could_give(const bw_balance_pool_t *pools, const state_t *states,
@@ -169,6 +181,65 @@
 	return best;
 }
 
+static uint32_t find_standby(const bw_balance_pool_t *pools,
+			     uint32_t pool_count)
+{
+	uint32_t i;
+
+	for (i = 0; i < pool_count; i++)
+		if (pools[i].standby)
+			return i;
+	return UINT32_MAX;
+}
+
+/* A machine that its pool does not need; UINT32_MAX if there is none. */
+static uint32_t pick_surplus(const bw_balance_pool_t *pools,
+			     const state_t *states,
+			     const bw_balance_machine_t *machines,
+			     uint32_t machine_count, const bool *used)
+{
+	uint32_t best = UINT32_MAX;
+	uint32_t i;
+
+	for (i = 0; i < machine_count; i++) {
+		const bw_balance_machine_t *machine = &machines[i];
+		const state_t *state = &states[machine->pool];
+
+		if (used[i] || pools[machine->pool].standby ||
+		    state->have <= MAX(state->wanted, KEPT_MACHINES) ||
+		    !could_give(pools, states, machine))
+			continue;
+		if (best == UINT32_MAX || machine->tasks < machines[best].tasks)
+			best = i;
+	}
+	return best;
+}
+
+/* Turns machines off that no pool needs. */
+static uint32_t park(const bw_balance_pool_t *pools, uint32_t pool_count,
+		     state_t *states, const bw_balance_machine_t *machines,
+		     uint32_t machine_count, bool *used,
+		     bw_balance_action_t *actions)
+{
+	uint32_t standby = find_standby(pools, pool_count);
+	uint32_t count = 0;
+
+	while (standby != UINT32_MAX) {
+		uint32_t giver = pick_surplus(pools, states, machines,
+					      machine_count, used);
+
+		if (giver == UINT32_MAX)
+			break;
+		used[giver] = true;
+		states[machines[giver].pool].have--;
+		actions[count].kind = machines[giver].free ? BW_BALANCE_MOVE :
+							     BW_BALANCE_EMPTY;
+		actions[count].machine = giver;
+		actions[count++].pool = standby;
+	}
+	return count;
+}
+
 uint32_t bw_balance_decide(bw_balance_t *b, int64_t now_ms,
 			   const bw_balance_pool_t *pools, uint32_t pool_count,
 			   const bw_balance_machine_t *machines,
@@ -203,6 +274,9 @@
 		actions[count].machine = giver;
 		actions[count++].pool = taker;
 	}
+	if (now_ms - b->started_ms >= WATCH_MS)
+		count += park(pools, pool_count, states, machines,
+			      machine_count, used, actions + count);
 	g_free(used);
 	g_free(states);
 	return count;
--- a/src/fleet/balance.h
+++ b/src/fleet/balance.h
@@ -39,6 +39,13 @@
 	bool held; /**< Reserved for upkeep, or a move is in progress. */
 } bw_balance_machine_t;
 
+/** How a pool stands, for logs. */
+typedef struct bw_balance_state {
+	uint32_t have; /**< Machines that are, or soon are, of use. */
+	uint32_t needed; /**< At present. */
+	uint32_t wanted; /**< With the delay of releases. */
+} bw_balance_state_t;
+
 /** What is to be done with a machine. */
 typedef enum bw_balance_kind {
 	BW_BALANCE_EMPTY, /**< Nothing new is to start on it. */
@@ -54,6 +61,9 @@
 bw_balance_t *bw_balance_create(void);
 void bw_balance_destroy(bw_balance_t *b);
 
+/** How a pool stood at the last decision. */
+bw_balance_state_t bw_balance_state(const bw_balance_t *b, const char *pool);
+
 /**
  * Decides on the present state.
  * @param actions receives at most @p machine_count actions
--- a/src/fleet/controller.c
+++ b/src/fleet/controller.c
@@ -16,6 +16,7 @@
 #define LIST_AGAIN_MS	 300
 /** Pause between rounds of decisions. */
 #define ROUND_MS      100
+#define LOG_MS 500
 #define MOVE_AGAIN_MS 400
 /** A move shows in the list of machines within this. */
 #define MOVE_SHOWS_MS 150
@@ -48,6 +49,7 @@
 	int64_t asked_ms;
 	int64_t list_next_ms;
 	int64_t round_ms;
+	int64_t logged_ms;
 	uint32_t refs; /**< The owner and each call in progress. */
 	bool list_out;
 	bool closed;
@@ -339,6 +341,8 @@
 	const bw_worker_report_t *worker =
 		bw_reports_worker(c->reports, from->pool, from->worker);
 	const move_t *move = g_hash_table_lookup(c->moves, from->name);
+	/* A machine that is reserved for upkeep serves nobody for a while. */
+	bool reserved = bw_upkeep_reserved(c->upkeep, from->name);
 
 	*out = (bw_balance_machine_t){
 		.name = from->name,
@@ -347,9 +351,9 @@
 		.up = from->up,
 		.tasks = worker ? worker->tasks : 0,
 		.lasting = worker ? worker->lasting : 0,
-		.usable = from->returning || move ||
-			  (worker && worker->reachable),
-		.held = move || bw_upkeep_reserved(c->upkeep, from->name),
+		.usable = !reserved && (from->returning || move ||
+					(worker && worker->reachable)),
+		.held = move || reserved,
 		.free = c->config->pools[pool].standby ||
 			(worker && worker->idle && worker->emptied),
 	};
@@ -375,6 +379,31 @@
 	return count;
 }
 
+/* One line for each pool now and then, with what moves depend on. */
+static void log_pools(bw_controller_t *c, const bw_balance_pool_t *pools,
+		      int64_t now_ms)
+{
+	uint32_t i;
+
+	if (now_ms - c->logged_ms < LOG_MS)
+		return;
+	c->logged_ms = now_ms;
+	for (i = 0; i < c->config->pool_count; i++) {
+		bw_balance_state_t state =
+			bw_balance_state(c->balance, pools[i].name);
+
+		bw_event("controller", "pool",
+			 "pool=%s known=%d used=%" G_GINT64_FORMAT
+			 " waiting=%" G_GINT64_FORMAT " lasting=%" G_GINT64_FORMAT
+			 " have=%u needed=%u wanted=%u",
+			 pools[i].name, pools[i].known,
+			 pools[i].demand.used_millis,
+			 pools[i].demand.waiting_millis,
+			 pools[i].demand.lasting_millis, state.have,
+			 state.needed, state.wanted);
+	}
+}
+
 static void begin_move(bw_controller_t *c, const char *name, const char *to,
 		       int64_t now_ms)
 {
@@ -401,6 +430,7 @@
 
 	fill_pools(c, now_ms, pools);
 	count = fill_machines(c, machines);
+	log_pools(c, pools, now_ms);
 	count = bw_balance_decide(c->balance, now_ms, pools,
 				  c->config->pool_count, machines, count,
 				  actions);
