Count arriving work when machines are shared out

Cause: needs were seen only as work piled up. Change: owners report the rate of arriving work (half-second mean of cores that it will ask for).

--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -64,12 +64,13 @@
 	return memory;
 }
 
-/* Machines that would carry all that a pool runs and could start. */
+/* Machines that would carry what a pool runs and could start, or what comes. */
 static uint32_t needed(const bw_balance_pool_t *pool, const state_t *state)
 {
-	double asked = (double)(pool->demand.used_millis +
-				pool->demand.waiting_millis) *
-		       HEADROOM;
+	const bw_pool_demand_t *demand = &pool->demand;
+	int64_t present = demand->used_millis + demand->waiting_millis;
+	int64_t coming = demand->lasting_millis + demand->offered_millis;
+	double asked = (double)MAX(present, coming) * HEADROOM;
 	double each;
 
 	if (state->have == 0 || state->room_millis == 0)
--- a/src/fleet/controller.c
+++ b/src/fleet/controller.c
@@ -394,10 +394,12 @@
 
 		bw_event("controller", "pool",
 			 "pool=%s known=%d used=%" G_GINT64_FORMAT
+			 " offered=%" G_GINT64_FORMAT
 			 " waiting=%" G_GINT64_FORMAT " lasting=%" G_GINT64_FORMAT
 			 " have=%u needed=%u wanted=%u",
 			 pools[i].name, pools[i].known,
 			 pools[i].demand.used_millis,
+			 pools[i].demand.offered_millis,
 			 pools[i].demand.waiting_millis,
 			 pools[i].demand.lasting_millis, state.have,
 			 state.needed, state.wanted);
--- a/src/fleet/reports.c
+++ b/src/fleet/reports.c
@@ -87,13 +87,14 @@
 	bw_pool_demand_t demand;
 	guint i;
 
-	bw_sched_demand(sched, &demand);
+	bw_sched_demand(sched, now_ms, &demand);
 	bw_sched_views(sched, now_ms, pack_worker, &p);
 	report.pool = (char *)pool;
 	report.fence = fence;
 	report.used_millis = demand.used_millis;
 	report.waiting_millis = demand.waiting_millis;
 	report.lasting_millis = demand.lasting_millis;
+	report.offered_millis = demand.offered_millis;
 	report.n_workers = p.rows->len;
 	report.workers = g_new(Bramley__WorkerReport *, p.rows->len + 1);
 	for (i = 0; i < p.rows->len; i++)
@@ -133,6 +134,7 @@
 	report->demand.used_millis = message->used_millis;
 	report->demand.waiting_millis = message->waiting_millis;
 	report->demand.lasting_millis = message->lasting_millis;
+	report->demand.offered_millis = message->offered_millis;
 	g_hash_table_remove_all(report->workers);
 	for (i = 0; i < message->n_workers; i++) {
 		const Bramley__WorkerReport *row = message->workers[i];
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -183,6 +183,8 @@
 	GHashTable *progress; /**< Loaded, for jobs that were not seen yet. */
 	GHashTable *workers;
 	int64_t created_ms;
+	double offered_work; /**< Arrived core-milliseconds, decayed. */
+	int64_t offered_ms; /**< When it was decayed last. */
 	int64_t stopped_ms; /**< The earlier owner acts no more; 0: unknown. */
 	bool leaving; /**< What is packed from now on is final. */
 	bool inherits_stops; /**< The earlier owner may have ordered stops. */
@@ -256,6 +258,8 @@
 void sched_fill_look(bw_sched_t *s, worker_t *worker, int64_t now_ms);
 
 /* report.c */
+/** Counts the work of a job that has just arrived. */
+void sched_offer(bw_sched_t *s, const job_t *job, int64_t now_ms);
 uint32_t sched_count_lasting(const worker_t *worker);
 
 /* place.c */
--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -432,6 +432,7 @@
 	job = sched_job_new(s, id, record->queue);
 	take_spec(s, job, record, now_ms, wall_ms);
 	sched_load_progress(s, job, now_ms);
+	sched_offer(s, job, now_ms);
 	/* Known before our first store: an earlier owner may have begun it. */
 	if (!s->fresh && !s->handed_over && s->saved_version == 0)
 		mark_suspect(job);
--- a/src/sched/report.c
+++ b/src/sched/report.c
@@ -1,5 +1,12 @@
 #include "sched/internal.h"
 
+#include <math.h>
+
+/** Time constant of the rate of arriving work. */
+#define OFFERED_MS 500.0
+/** A job that waited longer was not just handed in. */
+#define ARRIVED_MAX_MS 1500
+
 static void add_waiting(const occurrence_t *occurrence, bw_pool_demand_t *out);
 
 static void add_waiting(const occurrence_t *occurrence, bw_pool_demand_t *out)
@@ -45,14 +52,42 @@
 	}
 }
 
-void bw_sched_demand(const bw_sched_t *s, bw_pool_demand_t *out)
+static double decay(const bw_sched_t *s, int64_t now_ms)
+{
+	return s->offered_work *
+	       exp(-(double)(now_ms - s->offered_ms) / OFFERED_MS);
+}
+
+void sched_offer(bw_sched_t *s, const job_t *job, int64_t now_ms)
+{
+	uint32_t i;
+
+	if (now_ms - job->arrived_ms > ARRIVED_MAX_MS || job->spec->repeats > 0)
+		return;
+	s->offered_work = decay(s, now_ms);
+	s->offered_ms = now_ms;
+	for (i = 0; i < job->spec->step_count; i++) {
+		const bw_step_spec_t *step = &job->spec->steps[i];
+
+		if (!step->lasting && !step->filler)
+			s->offered_work += (double)step->need.cpu_millis *
+					   step->count *
+					   (double)sched_estimate_ms(job, step) /
+					   OFFERED_MS;
+	}
+}
+
+void bw_sched_demand(const bw_sched_t *s, int64_t now_ms,
+		     bw_pool_demand_t *out)
 {
 	GHashTableIter iter;
 	gpointer value;
 	guint i;
 	guint k;
 
-	*out = (bw_pool_demand_t){ 0 };
+	*out = (bw_pool_demand_t){
+		.offered_millis = (int64_t)decay(s, now_ms),
+	};
 	g_hash_table_iter_init(&iter, s->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		add_used(value, out);
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -279,9 +279,11 @@
 	int64_t used_millis;
 	int64_t waiting_millis; /**< Of tasks that could start now. */
 	int64_t lasting_millis; /**< Part of used_millis. */
+	int64_t offered_millis; /**< Work arriving a second, without lasting. */
 } bw_pool_demand_t;
 
-void bw_sched_demand(const bw_sched_t *s, bw_pool_demand_t *out);
+void bw_sched_demand(const bw_sched_t *s, int64_t now_ms,
+		     bw_pool_demand_t *out);
 
 /** Calls a function for each worker. */
 void bw_sched_views(const bw_sched_t *s, int64_t now_ms,
--- a/src/wire/bramley.pb-c.c
+++ b/src/wire/bramley.pb-c.c
@@ -1479,7 +1479,7 @@
   (ProtobufCMessageInit) bramley__worker_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__pool_report__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bramley__pool_report__field_descriptors[7] =
 {
   {
     "pool",
@@ -1553,10 +1553,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "offered_millis",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__PoolReport, offered_millis),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__pool_report__field_indices_by_name[] = {
   1,   /* field[1] = fence */
   4,   /* field[4] = lasting_millis */
+  6,   /* field[6] = offered_millis */
   0,   /* field[0] = pool */
   2,   /* field[2] = used_millis */
   3,   /* field[3] = waiting_millis */
@@ -1565,7 +1578,7 @@
 static const ProtobufCIntRange bramley__pool_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bramley__pool_report__descriptor =
 {
@@ -1575,7 +1588,7 @@
   "Bramley__PoolReport",
   "bramley",
   sizeof(Bramley__PoolReport),
-  6,
+  7,
   bramley__pool_report__field_descriptors,
   bramley__pool_report__field_indices_by_name,
   1,  bramley__pool_report__number_ranges,
--- a/src/wire/bramley.pb-c.h
+++ b/src/wire/bramley.pb-c.h
@@ -261,10 +261,14 @@
   int64_t lasting_millis;
   size_t n_workers;
   Bramley__WorkerReport **workers;
+  /*
+   * Processor that arriving jobs will ask for.
+   */
+  int64_t offered_millis;
 };
 #define BRAMLEY__POOL_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__pool_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
