Show operators pools, jobs, waves and metrics

Each fleet node answers operators on its own port: status, pools, jobs, waves as JSON, submission, state and cancellation of jobs in the product's own words, and metrics as text: requests by kind and answer, refusals by reason, orders and store calls by result, histograms of latency.

--- a/src/fleet/controller.c
+++ b/src/fleet/controller.c
@@ -7,7 +7,6 @@
 #include "base/clock.h"
 #include "base/event.h"
 #include "fleet/balance.h"
-#include "fleet/upkeep.h"
 
 /** Ages from which the list of machines is read again. */
 #define LIST_AGE_MS	 1500
@@ -476,3 +475,10 @@
 		balance(c, now_ms);
 	bw_reports_send_orders(c->reports, c->ops.order, c->ctx);
 }
+
+void bw_controller_waves(const bw_controller_t *c,
+			 void (*fn)(void *ctx, const bw_wave_progress_t *wave),
+			 void *ctx)
+{
+	bw_upkeep_waves(c->upkeep, fn, ctx);
+}
--- a/src/fleet/controller.h
+++ b/src/fleet/controller.h
@@ -9,6 +9,7 @@
 
 #include "fleet/ports.h"
 #include "fleet/reports.h"
+#include "fleet/upkeep.h"
 #include "store/store.h"
 
 /** Name under which the role is claimed, beside the pools. */
@@ -56,6 +57,11 @@
 /** Takes the next steps; to be called often. */
 void bw_controller_tick(bw_controller_t *c, int64_t now_ms);
 
+/** Calls a function for each wave. */
+void bw_controller_waves(const bw_controller_t *c,
+			 void (*fn)(void *ctx, const bw_wave_progress_t *wave),
+			 void *ctx);
+
 /** Whether a move is in progress, so that new workers come soon. */
 bool bw_controller_busy(const bw_controller_t *c);
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -1,19 +1,10 @@
-#include "fleet/fleet.h"
+#include "fleet/internal.h"
 
 #include <string.h>
 
-#include <ev.h>
-#include <glib.h>
-
 #include "base/clock.h"
 #include "base/event.h"
-#include "fleet/directory.h"
-#include "fleet/inquiry.h"
-#include "fleet/member.h"
-#include "fleet/mirror.h"
-#include "fleet/pool.h"
-#include "fleet/service.h"
-#include "fleet/controller.h"
+#include "base/metrics.h"
 
 #define TICK_S 0.05
 /** Pause between reports of pools to the node that directs machines. */
@@ -30,28 +21,19 @@
 /** Calls that fail in a row before the store counts as out of reach. */
 #define STORE_FAILURES 3
 
-struct bw_fleet {
-	bw_fleet_env_t env;
-	uint64_t incarnation;
-	bw_fleet_config_t *config;
-	bw_mirror_t *config_mirror;
-	bw_mirror_t *wave_mirror;
-	bw_fleet_member_t *member;
-	bw_directory_t *directory;
-	bw_inquiry_t *inquiry;
-	bw_service_t *service;
-	bw_controller_t *controller; /**< While this node holds the role. */
-	GPtrArray *waves; /**< Values of waves, as GBytes. */
-	GHashTable *ordered; /**< Pool to the time of its last order. */
-	int64_t report_ms;
-	GHashTable *pools; /**< Name to bw_pool_t. */
-	ev_timer tick;
-	int64_t predecessor_ms; /**< Of the next question to one. */
-	int64_t store_ok_ms;
-	uint32_t store_failures;
-	bool store_good;
-	bool leaving;
-	bool left;
+
+/** Changes of what this node owns, in metrics. */
+typedef enum change {
+	CHANGE_GAINED,
+	CHANGE_LOST,
+	CHANGE_HANDED_OVER,
+	CHANGE_COUNT
+} change_t;
+
+static const char *const change_names[CHANGE_COUNT] = {
+	[CHANGE_GAINED] = "gained",
+	[CHANGE_LOST] = "lost",
+	[CHANGE_HANDED_OVER] = "handed-over",
 };
 
 static void on_tick(struct ev_loop *loop, ev_timer *timer, int revents);
@@ -96,6 +78,12 @@
 static const bw_controller_ops_t controller_ops = { send_order, on_result,
 						    on_controller_superseded };
 
+static char *operators_address(const bw_fleet_settings_t *settings)
+{
+	return g_strdup_printf("%s:%d", settings->ip,
+			       (int)settings->metrics_port);
+}
+
 static char *peers_address(const bw_fleet_settings_t *settings)
 {
 	return g_strdup_printf("%s:%d", settings->ip,
@@ -135,9 +123,25 @@
 						  &wave_ops, f);
 }
 
+/* Operators' requests need not be served for the node to do its work. */
+static void create_operators(bw_fleet_t *f)
+{
+	char *address = operators_address(f->env.settings);
+	bw_request_port_t requests = bw_fleet_requests(f);
+
+	if (bw_fleet_operators_create(f->env.loop, address, &requests,
+				      &bw_fleet_show_ops, f,
+				      &f->operators) != BW_OK)
+		bw_event("fleet", "operators-unserved", "error=\"%s\"",
+			 bw_status_message());
+	g_free(address);
+}
+
 bw_status_t bw_fleet_create(const bw_fleet_env_t *env, bw_fleet_t **out)
 {
 	bw_fleet_t *f = g_new0(bw_fleet_t, 1);
+	bw_family_labels_t changes = { "change", change_names, CHANGE_COUNT,
+				       NULL,	 NULL,	       0 };
 	char *address = peers_address(env->settings);
 	bw_status_t status;
 
@@ -145,6 +149,7 @@
 	f->incarnation = ((uint64_t)g_random_int() << 32) | g_random_int();
 	f->store_ok_ms = bw_clock_now_ms();
 	f->store_good = true;
+	bw_metrics_define(BW_MC_OWNERSHIP, &changes);
 	f->waves =
 		g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
 	f->ordered =
@@ -159,6 +164,7 @@
 		return status;
 	}
 	create_parts(f, address);
+	create_operators(f);
 	ev_timer_init(&f->tick, on_tick, TICK_S, TICK_S);
 	f->tick.data = f;
 	ev_timer_start(env->loop, &f->tick);
@@ -344,6 +350,7 @@
 		.outage_ms = OUTAGE_MS,
 	};
 
+	bw_metrics_count(BW_MC_OWNERSHIP, CHANGE_GAINED, 0);
 	if (!strcmp(name, BW_CONTROLLER_ROLE)) {
 		start_controller(f, revision);
 		return;
@@ -358,6 +365,7 @@
 	bw_fleet_t *f = ctx;
 
 	bw_event("fleet", "pool-lost", "pool=%s reason=%s", pool, reason);
+	bw_metrics_count(BW_MC_OWNERSHIP, CHANGE_LOST, 0);
 	if (!strcmp(pool, BW_CONTROLLER_ROLE)) {
 		bw_controller_destroy(f->controller);
 		f->controller = NULL;
@@ -669,6 +677,7 @@
 	bw_fleet_t *f = ctx;
 
 	bw_event("fleet", "pool-handed-over", "pool=%s", pool);
+	bw_metrics_count(BW_MC_OWNERSHIP, CHANGE_HANDED_OVER, 0);
 	g_hash_table_remove(f->pools, pool);
 	end_if_left(f);
 }
--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "base/event.h"
+#include "base/metrics.h"
 #include "fleet/member.h"
 #include "fleet/mirror.h"
 
@@ -48,6 +49,7 @@
 	bool directory_read;
 	bool dirty;
 	bool save_out;
+	bool settled;
 	bool stopping;
 	bool final; /**< The store in progress is the last one. */
 	bool closed;
@@ -59,8 +61,25 @@
 	char *worker;
 	bw_task_name_t task;
 	uint32_t run;
+	int64_t sent_ms;
 } order_ctx_t;
 
+/** Kinds of orders to workers, in metrics. */
+typedef enum order_kind {
+	ORDER_START,
+	ORDER_STOP,
+	ORDER_THROTTLE,
+	ORDER_HOLD,
+	ORDER_KIND_COUNT
+} order_kind_t;
+
+static const char *const order_names[ORDER_KIND_COUNT] = {
+	[ORDER_START] = "start",
+	[ORDER_STOP] = "stop",
+	[ORDER_THROTTLE] = "throttle",
+	[ORDER_HOLD] = "hold",
+};
+
 static void load(bw_pool_t *pool);
 static void on_loaded(void *ctx, const bw_store_reply_t *reply);
 static void on_retry(struct ev_loop *loop, ev_timer *timer, int revents);
@@ -97,6 +116,7 @@
 	if (task)
 		order->task = *task;
 	order->run = run;
+	order->sent_ms = bw_clock_now_ms();
 	return order;
 }
 
@@ -112,6 +132,8 @@
 	order_ctx_t *order = ctx;
 	bw_pool_t *pool = order->pool;
 
+	bw_metrics_count(BW_MC_ORDERS, ORDER_START, result);
+	bw_metrics_observe(BW_MH_START, bw_clock_now_ms() - order->sent_ms);
 	if (!pool->closed) {
 		bw_sched_started(pool->sched, bw_clock_now_ms(), order->worker,
 				 &order->task, order->run, result, clock_ms);
@@ -126,6 +148,8 @@
 	bw_pool_t *pool = order->pool;
 
 	(void)clock_ms;
+	bw_metrics_count(BW_MC_ORDERS, ORDER_STOP, result);
+	bw_metrics_observe(BW_MH_STOP, bw_clock_now_ms() - order->sent_ms);
 	if (!pool->closed) {
 		bw_sched_stopped(pool->sched, bw_clock_now_ms(), order->worker,
 				 &order->task, order->run, result);
@@ -139,6 +163,7 @@
 	order_ctx_t *order = ctx;
 
 	(void)clock_ms;
+	bw_metrics_count(BW_MC_ORDERS, ORDER_THROTTLE, result);
 	if (result != BW_ORDER_OK)
 		bw_event("pool", "throttle-failed", "worker=%s result=%s",
 			 order->worker, bw_order_result_name(result));
@@ -150,6 +175,7 @@
 	order_ctx_t *order = ctx;
 	bw_pool_t *pool = order->pool;
 
+	bw_metrics_count(BW_MC_ORDERS, ORDER_HOLD, answer->result);
 	if (!pool->closed) {
 		if (answer->result != BW_ORDER_OK)
 			bw_event("pool", "hold-failed", "worker=%s result=%s",
@@ -181,6 +207,7 @@
 {
 	bw_pool_t *pool = ctx;
 
+	bw_metrics_observe(BW_MH_QUEUE_WAIT, order->waited_ms);
 	pool->env.workers.start(
 		pool->env.workers.impl, order, on_started,
 		order_new(pool, order->worker, &order->task, order->run));
@@ -264,11 +291,30 @@
 		bw_sched_create(&config, &sched_ops, pool, bw_clock_now_ms());
 }
 
+static void define_metrics(void)
+{
+	static const char *results[BW_ORDER_RESULT_COUNT];
+	static bool defined;
+	bw_family_labels_t orders = {
+		"order",  order_names, ORDER_KIND_COUNT,
+		"result", results,	   BW_ORDER_RESULT_COUNT,
+	};
+	int i;
+
+	if (defined)
+		return;
+	defined = true;
+	for (i = 0; i < BW_ORDER_RESULT_COUNT; i++)
+		results[i] = bw_order_result_name((bw_order_result_t)i);
+	bw_metrics_define(BW_MC_ORDERS, &orders);
+}
+
 bw_pool_t *bw_pool_create(const bw_pool_env_t *env, const char *name,
 			  int64_t fence, const bw_pool_ops_t *ops, void *ctx)
 {
 	bw_pool_t *pool = g_new0(bw_pool_t, 1);
 
+	define_metrics();
 	pool->env = *env;
 	pool->name = g_strdup(name);
 	pool->owner_key = bw_fleet_owner_key(name);
@@ -511,6 +557,11 @@
 		return;
 	pool->refs++;
 	bw_sched_run(pool->sched, bw_clock_now_ms(), bw_clock_wall_ms());
+	if (!pool->settled && bw_sched_settled(pool->sched)) {
+		pool->settled = true;
+		bw_metrics_observe(BW_MH_TAKEOVER,
+				   bw_clock_now_ms() - pool->since_ms);
+	}
 	if (!pool->closed)
 		plan_save(pool);
 	unref(pool);
@@ -595,6 +646,8 @@
 	pool->ops.result(pool->ctx, reply->status);
 	if (reply->status == BW_OK && reply->succeeded) {
 		pool->state_revision = reply->revision;
+		bw_metrics_observe(BW_MH_ACKNOWLEDGE,
+				   bw_clock_now_ms() - pool->saved_at_ms);
 		bw_sched_saved(pool->sched, bw_clock_now_ms(), version);
 		/* Later changes are seen by the successor at the workers. */
 		if (pool->stopping && pool->final)
--- a/src/fleet/request.h
+++ b/src/fleet/request.h
@@ -20,6 +20,8 @@
 	bw_request_kind_t kind;
 	const char *host;
 	const char *path; /**< A queue's prefix, then a job's identifier. */
+	/** Names the queue; the path is then the identifier alone. */
+	const char *queue;
 	bw_job_spec_t *spec; /**< Of a submission; moved. */
 	int64_t patience_ms; /**< How long the caller waits. */
 } bw_request_t;
--- a/src/fleet/service.c
+++ b/src/fleet/service.c
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "base/event.h"
+#include "base/metrics.h"
 #include "fleet/pool.h"
 
 /** An answer leaves this long before the caller's patience ends. */
@@ -19,6 +20,32 @@
 /** Pause before a call to the store is repeated. */
 #define REPEAT_S 0.08
 
+/** Why a request was not served. */
+typedef enum reason {
+	REASON_NONE,
+	REASON_NO_CONFIGURATION,
+	REASON_NO_QUEUE,
+	REASON_BAD_ID,
+	REASON_STORE_OUT_OF_REACH,
+	REASON_STORE_REFUSED,
+	REASON_STORE_SILENT,
+	REASON_OWNER_OUT_OF_REACH,
+	REASON_NO_JOB,
+	REASON_COUNT
+} reason_t;
+
+static const char *const reasons[REASON_COUNT] = {
+	[REASON_NONE] = "none",
+	[REASON_NO_CONFIGURATION] = "no configuration yet",
+	[REASON_NO_QUEUE] = "no such queue",
+	[REASON_BAD_ID] = "not a job's identifier",
+	[REASON_STORE_OUT_OF_REACH] = "store out of reach",
+	[REASON_STORE_REFUSED] = "store refused",
+	[REASON_STORE_SILENT] = "store did not answer",
+	[REASON_OWNER_OUT_OF_REACH] = "owner out of reach",
+	[REASON_NO_JOB] = "no such job",
+};
+
 struct bw_service {
 	struct ev_loop *loop;
 	char *node;
@@ -59,8 +86,7 @@
 static void on_cancelled(void *ctx, const bw_store_reply_t *reply);
 static void on_waiting(void *ctx, const bw_inquiry_answer_t *answer);
 static void finish(task_t *task, const bw_answer_t *answer);
-static void finish_kind(task_t *task, bw_answer_kind_t kind,
-			const char *reason);
+static void finish_kind(task_t *task, bw_answer_kind_t kind, reason_t reason);
 
 static const char *const answer_names[BW_ANSWER_KIND_COUNT] = {
 	[BW_ANSWER_DONE] = "done",	   [BW_ANSWER_STATE] = "state",
@@ -76,12 +102,31 @@
 	[BW_REQUEST_QUEUE] = "queue",
 };
 
+static void define_metrics(void)
+{
+	const bw_family_labels_t requests = {
+		"kind", request_names, BW_REQUEST_KIND_COUNT,
+		"answer", answer_names, BW_ANSWER_KIND_COUNT,
+	};
+	const bw_family_labels_t refusals = {
+		"reason", reasons, REASON_COUNT, NULL, NULL, 0,
+	};
+	const bw_family_labels_t retries = {
+		"kind", request_names, BW_REQUEST_KIND_COUNT, NULL, NULL, 0,
+	};
+
+	bw_metrics_define(BW_MC_REQUESTS, &requests);
+	bw_metrics_define(BW_MC_REFUSALS, &refusals);
+	bw_metrics_define(BW_MC_RETRIES, &retries);
+}
+
 bw_service_t *bw_service_create(struct ev_loop *loop, const char *node,
 				const bw_store_t *store, bw_inquiry_t *inquiry,
 				const bw_service_ops_t *ops, void *ctx)
 {
 	bw_service_t *s = g_new0(bw_service_t, 1);
 
+	define_metrics();
 	s->loop = loop;
 	s->node = g_strdup(node);
 	s->store = *store;
@@ -184,6 +229,7 @@
 /* Repeats a step after a pause. */
 static void later(task_t *task, void (*next)(task_t *task))
 {
+	bw_metrics_count(BW_MC_RETRIES, task->kind, 0);
 	task->next = next;
 	ev_timer_init(&task->timer, on_timer, REPEAT_S, 0.0);
 	task->timer.data = task;
@@ -208,13 +254,28 @@
 		 bw_job_state_name(answer->state),
 		 answer->reason ? answer->reason : "", task->attempts,
 		 bw_clock_now_ms() - task->since_ms);
+	bw_metrics_count(BW_MC_REQUESTS, task->kind, answer->kind);
+	if (task->kind == BW_REQUEST_SUBMIT)
+		bw_metrics_observe(BW_MH_SUBMIT,
+				   bw_clock_now_ms() - task->since_ms);
+	if (task->kind == BW_REQUEST_STATE)
+		bw_metrics_observe(BW_MH_STATE,
+				   bw_clock_now_ms() - task->since_ms);
 	task->done(task->ctx, answer);
 	task_free(task);
 }
 
-static void finish_kind(task_t *task, bw_answer_kind_t kind, const char *reason)
+static const char *reason_text(reason_t reason)
+{
+	return reason == REASON_NONE ? NULL : reasons[reason];
+}
+
+static void finish_kind(task_t *task, bw_answer_kind_t kind, reason_t reason)
 {
-	bw_answer_t answer = { .kind = kind, .reason = reason };
+	bw_answer_t answer = { .kind = kind, .reason = reason_text(reason) };
+
+	if (reason != REASON_NONE)
+		bw_metrics_count(BW_MC_REFUSALS, reason, 0);
 
 	if (kind == BW_ANSWER_REFUSED)
 		answer.retry_after_s = task->s->ops.store_good(task->s->ctx)
@@ -231,14 +292,15 @@
 }
 
 static void refuse(bw_answer_fn done, void *ctx, bw_answer_kind_t kind,
-		   const char *reason)
+		   reason_t reason)
 {
-	bw_answer_t answer = { .kind = kind, .reason = reason };
+	bw_answer_t answer = { .kind = kind, .reason = reason_text(reason) };
 
+	bw_metrics_count(BW_MC_REFUSALS, reason, 0);
 	if (kind == BW_ANSWER_REFUSED)
 		answer.retry_after_s = SOON_RETRY_S;
 	bw_event("service", "request-refused", "answer=%s reason=\"%s\"",
-		 answer_names[kind], reason);
+		 answer_names[kind], reasons[reason]);
 	done(ctx, &answer);
 }
 
@@ -290,20 +352,25 @@
 	task_t *task;
 
 	if (!s->config) {
-		refuse(done, ctx, BW_ANSWER_REFUSED, "no configuration yet");
+		refuse(done, ctx, BW_ANSWER_REFUSED, REASON_NO_CONFIGURATION);
 		return;
 	}
-	queue = bw_fleet_find_queue(s->config, request->host, request->path);
+	queue = request->queue ?
+			queue_named(s->config, request->queue) :
+			bw_fleet_find_queue(s->config, request->host,
+					    request->path);
 	if (!queue) {
-		refuse(done, ctx, BW_ANSWER_NO_QUEUE, "no such queue");
+		refuse(done, ctx, BW_ANSWER_NO_QUEUE, REASON_NO_QUEUE);
 		return;
 	}
-	id = request->path + strlen(queue->prefix);
+	id = request->path;
+	if (!request->queue)
+		id += strlen(queue->prefix);
 	if (request->kind != BW_REQUEST_QUEUE && !bw_job_id_valid(id)) {
 		refuse(done, ctx,
 		       request->kind == BW_REQUEST_SUBMIT ? BW_ANSWER_BAD
 							  : BW_ANSWER_NO_JOB,
-		       "not a job's identifier");
+		       REASON_BAD_ID);
 		return;
 	}
 	task = task_new(s, request, queue, done, ctx);
@@ -329,7 +396,7 @@
 	guint i;
 
 	if (!s->ops.store_good(s->ctx) && !task->in_doubt) {
-		finish_kind(task, BW_ANSWER_REFUSED, "store out of reach");
+		finish_kind(task, BW_ANSWER_REFUSED, REASON_STORE_OUT_OF_REACH);
 	} else {
 		expects[0].key = key;
 		for (i = 0; i < count; i++) {
@@ -355,17 +422,17 @@
 	s->ops.result(s->ctx, reply->status);
 	if (reply->status == BW_OK) {
 		/* A failed condition means that the job is there already. */
-		finish_kind(task, BW_ANSWER_DONE, NULL);
+		finish_kind(task, BW_ANSWER_DONE, REASON_NONE);
 		return;
 	}
 	if (reply->status == BW_ELOST)
 		task->in_doubt = true;
 	if (!task->in_doubt) {
-		finish_kind(task, BW_ANSWER_REFUSED, "store refused");
+		finish_kind(task, BW_ANSWER_REFUSED, REASON_STORE_REFUSED);
 		return;
 	}
 	if (bw_clock_now_ms() + STORE_CALL_MS >= task->until_ms) {
-		finish_kind(task, BW_ANSWER_UNKNOWN, "store did not answer");
+		finish_kind(task, BW_ANSWER_UNKNOWN, REASON_STORE_SILENT);
 		return;
 	}
 	later(task, submit);
@@ -398,7 +465,7 @@
 	bw_answer_t out = { .kind = BW_ANSWER_WAITING };
 
 	if (!answer || !answer->owner) {
-		finish_kind(task, BW_ANSWER_REFUSED, "owner out of reach");
+		finish_kind(task, BW_ANSWER_REFUSED, REASON_OWNER_OUT_OF_REACH);
 		return;
 	}
 	out.waiting = answer->waiting;
@@ -454,7 +521,7 @@
 	s->ops.result(s->ctx, reply->status);
 	if (reply->status == BW_ENOTFOUND) {
 		if (!look_in_former_pool(task))
-			finish_kind(task, BW_ANSWER_NO_JOB, "no such job");
+			finish_kind(task, BW_ANSWER_NO_JOB, REASON_NO_JOB);
 		return;
 	}
 	if (reply->status == BW_OK) {
@@ -468,7 +535,7 @@
 	    s->ops.store_good(s->ctx))
 		later(task, look_up);
 	else
-		finish_kind(task, BW_ANSWER_UNKNOWN, "store did not answer");
+		finish_kind(task, BW_ANSWER_UNKNOWN, REASON_STORE_SILENT);
 }
 
 static void cancel(task_t *task)
@@ -489,9 +556,9 @@
 
 	s->ops.result(s->ctx, reply->status);
 	if (reply->status == BW_OK)
-		finish_kind(task, BW_ANSWER_DONE, NULL);
+		finish_kind(task, BW_ANSWER_DONE, REASON_NONE);
 	else if (bw_clock_now_ms() + STORE_CALL_MS < task->until_ms)
 		later(task, cancel);
 	else
-		finish_kind(task, BW_ANSWER_UNKNOWN, "store did not answer");
+		finish_kind(task, BW_ANSWER_UNKNOWN, REASON_STORE_SILENT);
 }
--- a/src/fleet/upkeep.c
+++ b/src/fleet/upkeep.c
@@ -675,3 +675,27 @@
 		tick_wave(value, view->now_ms);
 	u->view = NULL;
 }
+
+void bw_upkeep_waves(const bw_upkeep_t *u,
+		     void (*fn)(void *ctx, const bw_wave_progress_t *wave),
+		     void *ctx)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, u->waves);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const wave_t *wave = value;
+		bw_wave_progress_t progress = {
+			.number = wave->order->number,
+			.machines = g_strv_length(wave->order->machines),
+			.at_once_max = wave->order->at_once_max,
+			.reserved = count_reserved(wave),
+			.completed = wave->completed,
+		};
+
+		progress.done =
+			g_hash_table_size(wave->entries) - progress.reserved;
+		fn(ctx, &progress);
+	}
+}
--- a/src/fleet/upkeep.h
+++ b/src/fleet/upkeep.h
@@ -50,6 +50,21 @@
 /** Takes the next steps. */
 void bw_upkeep_tick(bw_upkeep_t *u, const bw_upkeep_view_t *view);
 
+/** How far a wave is. */
+typedef struct bw_wave_progress {
+	int64_t number;
+	uint32_t machines;
+	uint32_t at_once_max;
+	uint32_t reserved; /**< Being emptied, or down. */
+	uint32_t done;
+	bool completed;
+} bw_wave_progress_t;
+
+/** Calls a function for each wave. */
+void bw_upkeep_waves(const bw_upkeep_t *u,
+		     void (*fn)(void *ctx, const bw_wave_progress_t *wave),
+		     void *ctx);
+
 /** Whether a machine is reserved for upkeep. */
 bool bw_upkeep_reserved(const bw_upkeep_t *u, const char *machine);
 
--- /dev/null
+++ b/src/job/json.c
@@ -0,0 +1,208 @@
+#include "job/json.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+/** Where the value of a step's key goes. */
+typedef enum field_type { FIELD_COUNT, FIELD_AMOUNT, FIELD_FLAG, FIELD_TEXT } field_type_t;
+
+typedef struct field {
+	const char *name;
+	field_type_t type;
+	size_t offset;
+} field_t;
+
+static const field_t fields[] = {
+	{ "tasks", FIELD_COUNT, offsetof(bw_step_spec_t, count) },
+	{ "cpu_millis", FIELD_AMOUNT,
+	  offsetof(bw_step_spec_t, need.cpu_millis) },
+	{ "mem_mb", FIELD_AMOUNT, offsetof(bw_step_spec_t, need.mem_mb) },
+	{ "gpus", FIELD_AMOUNT, offsetof(bw_step_spec_t, need.gpus) },
+	{ "estimate_ms", FIELD_COUNT, offsetof(bw_step_spec_t, estimate_ms) },
+	{ "checkpoints", FIELD_FLAG, offsetof(bw_step_spec_t, checkpoints) },
+	{ "gang", FIELD_FLAG, offsetof(bw_step_spec_t, gang) },
+	{ "same_rack", FIELD_FLAG, offsetof(bw_step_spec_t, same_rack) },
+	{ "duplicates", FIELD_FLAG, offsetof(bw_step_spec_t, duplicates) },
+	{ "lasting", FIELD_FLAG, offsetof(bw_step_spec_t, lasting) },
+	{ "filler", FIELD_FLAG, offsetof(bw_step_spec_t, filler) },
+	{ "label", FIELD_TEXT, offsetof(bw_step_spec_t, label) },
+	{ "rack", FIELD_TEXT, offsetof(bw_step_spec_t, rack) },
+	{ "image", FIELD_TEXT, offsetof(bw_step_spec_t, image) },
+	{ "per_worker_max", FIELD_COUNT,
+	  offsetof(bw_step_spec_t, per_worker_max) },
+	{ "tail_ms_max", FIELD_COUNT, offsetof(bw_step_spec_t, tail_ms_max) },
+	{ "away_max", FIELD_COUNT, offsetof(bw_step_spec_t, away_max) },
+};
+
+static const field_t *find_field(const char *name);
+static bool take_number(json_t *value, int64_t max, int64_t *out);
+static void take_field(const field_t *field, json_t *value, uint32_t step,
+		       bw_step_spec_t *out, bw_findings_t *f);
+static void take_after(json_t *value, uint32_t step, bw_step_spec_t *out,
+		       bw_findings_t *f);
+static void take_step(json_t *value, uint32_t step, bw_step_spec_t *out,
+		      bw_findings_t *f);
+static bw_status_t take_job(json_t *root, bw_findings_t *f,
+			    bw_job_spec_t **out);
+
+static const field_t *find_field(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(fields); i++)
+		if (!strcmp(fields[i].name, name))
+			return &fields[i];
+	return NULL;
+}
+
+static bool take_number(json_t *value, int64_t max, int64_t *out)
+{
+	if (!json_is_integer(value))
+		return false;
+	*out = json_integer_value(value);
+	return *out >= 0 && *out <= max;
+}
+
+static void take_field(const field_t *field, json_t *value, uint32_t step,
+		       bw_step_spec_t *out, bw_findings_t *f)
+{
+	char *at = (char *)out + field->offset;
+	int64_t number = 0;
+	bool good = false;
+
+	switch (field->type) {
+	case FIELD_COUNT:
+		good = take_number(value, G_MAXINT32, &number);
+		*(uint32_t *)(void *)at = (uint32_t)number;
+		break;
+	case FIELD_AMOUNT:
+		good = take_number(value, INT64_MAX, &number);
+		*(int64_t *)(void *)at = number;
+		break;
+	case FIELD_FLAG:
+		good = json_is_boolean(value);
+		*(bool *)at = json_is_true(value);
+		break;
+	case FIELD_TEXT:
+		good = json_is_string(value);
+		*(char **)(void *)at = g_strdup(json_string_value(value));
+		break;
+	}
+	if (!good)
+		bw_findings_add(f, BW_F_BAD_VALUE, 0, 0, "steps[%u].%s", step,
+				field->name);
+}
+
+static void take_after(json_t *value, uint32_t step, bw_step_spec_t *out,
+		       bw_findings_t *f)
+{
+	size_t i;
+
+	out->after_count = (uint32_t)json_array_size(value);
+	out->after = g_new0(uint32_t, out->after_count + 1);
+	for (i = 0; i < out->after_count; i++) {
+		int64_t number = 0;
+
+		if (!take_number(json_array_get(value, i), BW_JOB_STEPS_MAX,
+				 &number))
+			bw_findings_add(f, BW_F_BAD_VALUE, 0, 0,
+					"steps[%u].after[%zu]", step, i);
+		out->after[i] = (uint32_t)number;
+	}
+}
+
+static void take_step(json_t *value, uint32_t step, bw_step_spec_t *out,
+		      bw_findings_t *f)
+{
+	const char *name;
+	json_t *item;
+
+	if (!json_is_object(value)) {
+		bw_findings_add(f, BW_F_WRONG_TYPE, 0, 0,
+				"steps[%u] is not an object", step);
+		return;
+	}
+	json_object_foreach(value, name, item) {
+		const field_t *field = find_field(name);
+
+		if (field)
+			take_field(field, item, step, out, f);
+		else if (!strcmp(name, "after") && json_is_array(item))
+			take_after(item, step, out, f);
+		else
+			bw_findings_add(f, BW_F_UNKNOWN_KEY, 0, 0,
+					"steps[%u].%s", step, name);
+	}
+}
+
+static void take_schedule(json_t *root, bw_findings_t *f, bw_job_spec_t *out)
+{
+	json_t *schedule = json_object_get(root, "schedule");
+	int64_t repeats = 0;
+
+	if (!schedule)
+		return;
+	if (!take_number(json_object_get(schedule, "repeats"), G_MAXINT32,
+			 &repeats) ||
+	    !take_number(json_object_get(schedule, "first_due_ms"), INT64_MAX,
+			 &out->first_due_ms) ||
+	    !take_number(json_object_get(schedule, "interval_ms"), INT64_MAX,
+			 &out->interval_ms))
+		bw_findings_add(f, BW_F_BAD_VALUE, 0, 0,
+				"schedule takes repeats, first_due_ms and "
+				"interval_ms");
+	out->repeats = (uint32_t)repeats;
+}
+
+static bw_status_t take_job(json_t *root, bw_findings_t *f,
+			    bw_job_spec_t **out)
+{
+	json_t *steps = json_object_get(root, "steps");
+	const char *text = json_string_value(json_object_get(root, "text"));
+	bw_job_spec_t *spec;
+	uint32_t i;
+
+	if (!text)
+		bw_findings_add(f, BW_F_MISSING_KEY, 0, 0, "text");
+	if (!json_is_array(steps))
+		bw_findings_add(f, BW_F_MISSING_KEY, 0, 0, "steps");
+	spec = bw_job_spec_new(
+		(uint32_t)MIN(json_array_size(steps), BW_JOB_STEPS_MAX + 1));
+	spec->text = g_strdup(text ? text : "");
+	take_schedule(root, f, spec);
+	for (i = 0; i < spec->step_count; i++)
+		take_step(json_array_get(steps, i), i, &spec->steps[i], f);
+	if (bw_findings_count(f) == 0 && bw_job_spec_check(spec) != BW_OK)
+		bw_findings_add(f, BW_F_BAD_VALUE, 0, 0, "%s",
+				bw_status_message());
+	if (bw_findings_count(f) > 0) {
+		bw_job_spec_free(spec);
+		return bw_status_set(BW_EINVAL, "the job has %zu mistakes",
+				     bw_findings_count(f));
+	}
+	*out = spec;
+	return BW_OK;
+}
+
+bw_status_t bw_job_spec_from_json(const char *text, size_t bytes,
+				  bw_findings_t *findings, bw_job_spec_t **out)
+{
+	json_error_t error;
+	json_t *root = json_loadb(text, bytes, JSON_REJECT_DUPLICATES, &error);
+	bw_status_t status;
+
+	if (!json_is_object(root)) {
+		bw_findings_add(findings, BW_F_SYNTAX,
+				(uint32_t)MAX(error.line, 0),
+				(uint32_t)MAX(error.column, 0), "%s",
+				root ? "not an object" : error.text);
+		json_decref(root);
+		return bw_status_set(BW_EPARSE, "the job is not valid JSON");
+	}
+	status = take_job(root, findings, out);
+	json_decref(root);
+	return status;
+}
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -282,6 +282,7 @@
 		.fence = s->config.fence,
 		.checkpoint = task->checkpoint,
 		.ticket = ticket_of(task, worker, now_ms),
+		.waited_ms = now_ms - task->occurrence->due_ms,
 	};
 
 	sched_task_name(task, &order.task);
--- a/src/sched/report.c
+++ b/src/sched/report.c
@@ -124,3 +124,39 @@
 			fn(ctx, &view);
 	}
 }
+
+static void count_tasks(const occurrence_t *occurrence, bw_job_view_t *view)
+{
+	uint32_t i;
+
+	view->tasks += occurrence->task_count;
+	for (i = 0; i < occurrence->task_count; i++) {
+		task_state_t state = occurrence->tasks[i].state;
+
+		view->running += state == TASK_RUNNING;
+		view->waiting += state == TASK_WAITING;
+	}
+}
+
+void bw_sched_jobs(const bw_sched_t *s, int64_t now_ms,
+		   void (*fn)(void *ctx, const bw_job_view_t *view), void *ctx)
+{
+	guint i;
+	guint k;
+
+	for (i = 0; i < s->active->len; i++) {
+		const job_t *job = g_ptr_array_index(s->active, i);
+		bw_job_view_t view = {
+			.id = job->id,
+			.queue = job->queue->name,
+			.state = bw_sched_job_state(s, job->id),
+			.lasting = job->lasting,
+			.age_ms = now_ms - job->arrived_ms,
+		};
+
+		for (k = 0; k < job->occurrences->len; k++)
+			count_tasks(g_ptr_array_index(job->occurrences, k),
+				    &view);
+		fn(ctx, &view);
+	}
+}
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -126,6 +126,7 @@
 	uint64_t fence;
 	const char *checkpoint; /**< NULL is none. */
 	const char *ticket; /**< NULL is none. */
+	int64_t waited_ms; /**< Since the job was due. */
 } bw_start_order_t;
 
 /** Order to stop or throttle a run. */
@@ -290,6 +291,22 @@
 		    void (*fn)(void *ctx, const bw_worker_view_t *view),
 		    void *ctx);
 
+/** A job as its pool has it. */
+typedef struct bw_job_view {
+	const char *id;
+	const char *queue;
+	bw_job_state_t state;
+	bool lasting;
+	int64_t age_ms;
+	uint32_t tasks; /**< Of occurrences that are due. */
+	uint32_t running;
+	uint32_t waiting;
+} bw_job_view_t;
+
+/** Calls a function for each job that is not finished. */
+void bw_sched_jobs(const bw_sched_t *s, int64_t now_ms,
+		   void (*fn)(void *ctx, const bw_job_view_t *view), void *ctx);
+
 /** Accepted jobs of a queue, without a schedule, that have not begun. */
 uint32_t bw_sched_waiting(const bw_sched_t *s, const char *queue);
 
