Move no lasting task right after a takeover

Change: no evacuation for 1.5 s after a takeover that may inherit stops. The test of the scheduler failed before. Also: the holder of machine orders is waited for only while its process lives.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -314,10 +314,17 @@
 		fn(arg, BW_CONTROLLER_ROLE);
 }
 
+/* Whether a node that is in touch may have just given orders to machines. */
+static bool has_live_predecessor(const bw_fleet_t *f)
+{
+	const char *node;
+
+	return bw_fleet_member_predecessor(f->member, BW_CONTROLLER_ROLE,
+					   &node) == BW_PREDECESSOR_ALIVE;
+}
+
 static void start_controller(bw_fleet_t *f, int64_t revision)
 {
-	const char *before =
-		bw_fleet_member_predecessor(f->member, BW_CONTROLLER_ROLE);
 	bw_controller_env_t env = {
 		.store = f->env.store,
 		.machines = f->env.machines,
@@ -325,10 +332,7 @@
 		.node = f->env.settings->name,
 		.holder_ms = f->env.settings->holder_ms,
 		.fence = revision,
-		.first = before ? !strcmp(before, f->env.settings->name) ||
-					  !bw_fleet_member_alive(f->member,
-								 before)
-				: f->env.settings->first_start,
+		.first = !has_live_predecessor(f),
 	};
 	guint i;
 
@@ -507,13 +511,15 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		bw_sched_t *sched = bw_pool_sched(value);
 		const char *name = bw_pool_name(value);
-		const char *node = bw_fleet_member_predecessor(f->member, name);
+		const char *node = NULL;
 		predecessor_ask_t *ask;
+		bw_predecessor_t before =
+			bw_fleet_member_predecessor(f->member, name, &node);
 
-		if (!sched || !node || bw_sched_settled(sched))
+		if (!sched || bw_sched_settled(sched) ||
+		    before == BW_PREDECESSOR_UNKNOWN)
 			continue;
-		/* What this process gave up, or an earlier one of its name. */
-		if (!strcmp(node, f->env.settings->name)) {
+		if (before == BW_PREDECESSOR_ENDED) {
 			bw_sched_predecessor_stopped(sched, now_ms);
 			continue;
 		}
--- a/src/fleet/member.c
+++ b/src/fleet/member.c
@@ -33,11 +33,13 @@
 /** A live node. */
 typedef struct node {
 	int64_t started_ms;
+	uint64_t incarnation;
 } node_t;
 
 /** A pool's owner in the store. */
 typedef struct owner {
 	char *node;
+	uint64_t incarnation;
 	uint64_t nonce;
 	int64_t revision;
 } owner_t;
@@ -63,7 +65,7 @@
 	bw_mirror_t *mirror;
 	GHashTable *nodes; /**< Name to node_t. */
 	GHashTable *owners; /**< Pool to owner_t. */
-	GHashTable *before; /**< Pool to the node that owned it before. */
+	GHashTable *before; /**< Pool to its owner_t before. */
 	GHashTable *owned; /**< Pools of this node, to their revision. */
 	GHashTable *claims; /**< Pools that are being claimed. */
 	GHashTable *absent; /**< Pool to the time since it has no owner. */
@@ -111,6 +113,15 @@
 	g_free(owner);
 }
 
+static owner_t *owner_copy(const owner_t *owner)
+{
+	owner_t *copy = g_new0(owner_t, 1);
+
+	*copy = *owner;
+	copy->node = g_strdup(owner->node);
+	return copy;
+}
+
 bw_fleet_member_t *
 bw_fleet_member_create(struct ev_loop *loop, const bw_store_t *store,
 		       const bw_fleet_member_config_t *config,
@@ -174,10 +185,25 @@
 	return owner ? owner->node : NULL;
 }
 
-const char *bw_fleet_member_predecessor(const bw_fleet_member_t *m,
-					const char *pool)
+bw_predecessor_t bw_fleet_member_predecessor(const bw_fleet_member_t *m,
+					     const char *pool,
+					     const char **node)
 {
-	return g_hash_table_lookup(m->before, pool);
+	const owner_t *before = g_hash_table_lookup(m->before, pool);
+	const node_t *now;
+
+	if (!before)
+		return BW_PREDECESSOR_UNKNOWN;
+	*node = before->node;
+	/* What this process owned itself is over as well. */
+	if (!strcmp(before->node, m->name))
+		return BW_PREDECESSOR_ENDED;
+	now = g_hash_table_lookup(m->nodes, before->node);
+	if (!now)
+		return BW_PREDECESSOR_LEFT;
+	return now->incarnation == before->incarnation ?
+		       BW_PREDECESSOR_ALIVE :
+		       BW_PREDECESSOR_ENDED;
 }
 
 char *bw_fleet_owner_key(const char *pool)
@@ -220,11 +246,6 @@
 	return rank;
 }
 
-bool bw_fleet_member_alive(const bw_fleet_member_t *m, const char *node)
-{
-	return g_hash_table_contains(m->nodes, node);
-}
-
 static void grant(bw_fleet_member_t *m, int64_t now_ms)
 {
 	m->phase = PHASE_GRANTING;
@@ -526,6 +547,7 @@
 					   on_revoked, m);
 	node = g_new0(node_t, 1);
 	node->started_ms = record->started_ms;
+	node->incarnation = record->incarnation;
 	g_hash_table_replace(m->nodes, g_strdup(name), node);
 	m->ops.node(m->ctx, name, record->address);
 	bramley__node_record__free_unpacked(record, NULL);
@@ -540,7 +562,7 @@
 
 	if (owner)
 		g_hash_table_replace(m->before, g_strdup(pool),
-				     g_strdup(owner->node));
+				     owner_copy(owner));
 	if (own && (kv->deleted || kv->mod_revision > *own))
 		drop(m, pool, kv->deleted ? "claim-gone" : "claimed-away");
 	if (!kv->deleted)
@@ -553,6 +575,7 @@
 	}
 	owner = g_new0(owner_t, 1);
 	owner->node = g_strdup(record->node);
+	owner->incarnation = record->incarnation;
 	owner->nonce = record->nonce;
 	owner->revision = kv->mod_revision;
 	g_hash_table_replace(m->owners, g_strdup(pool), owner);
--- a/src/fleet/member.h
+++ b/src/fleet/member.h
@@ -53,12 +53,18 @@
 /** Owner of a pool, or NULL. */
 const char *bw_fleet_member_owner(const bw_fleet_member_t *m, const char *pool);
 
-/** Node that owned a pool before its present owner; NULL if not known. */
-const char *bw_fleet_member_predecessor(const bw_fleet_member_t *m,
-					const char *pool);
-
-/** Whether a node is registered. */
-bool bw_fleet_member_alive(const bw_fleet_member_t *m, const char *node);
+/** What is known of a pool's owner before the present one. */
+typedef enum bw_predecessor {
+	BW_PREDECESSOR_UNKNOWN, /**< This node has seen none. */
+	BW_PREDECESSOR_ENDED, /**< Its process has ended. */
+	BW_PREDECESSOR_LEFT, /**< It is not registered, but may still run. */
+	BW_PREDECESSOR_ALIVE
+} bw_predecessor_t;
+
+/** @param node receives its name, if it is known */
+bw_predecessor_t bw_fleet_member_predecessor(const bw_fleet_member_t *m,
+					     const char *pool,
+					     const char **node);
 
 /** Key of a pool's owner; release with g_free(). */
 char *bw_fleet_owner_key(const char *pool);
--- a/src/fleet/service.c
+++ b/src/fleet/service.c
@@ -432,7 +432,8 @@
 		return;
 	}
 	if (bw_clock_now_ms() + STORE_CALL_MS >= task->until_ms) {
-		finish_kind(task, BW_ANSWER_UNKNOWN, REASON_STORE_SILENT);
+		/* Nothing was changed, so there is nothing in doubt. */
+		finish_kind(task, BW_ANSWER_REFUSED, REASON_STORE_SILENT);
 		return;
 	}
 	later(task, submit);
@@ -535,7 +536,8 @@
 	    s->ops.store_good(s->ctx))
 		later(task, look_up);
 	else
-		finish_kind(task, BW_ANSWER_UNKNOWN, REASON_STORE_SILENT);
+		/* Nothing was changed, so there is nothing in doubt. */
+		finish_kind(task, BW_ANSWER_REFUSED, REASON_STORE_SILENT);
 }
 
 static void cancel(task_t *task)
--- a/src/sched/evacuate.c
+++ b/src/sched/evacuate.c
@@ -1,5 +1,7 @@
 #include "sched/internal.h"
 
+/** Stops of an earlier owner have shown after this. */
+#define TAKEOVER_MS 1500
 /** Tasks that end by themselves get this long before they are stopped. */
 #define EMPTY_PATIENCE_MS 3500
 
@@ -70,6 +72,9 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	/* What an earlier owner was stopping does not show at once. */
+	if (s->inherits_stops && now_ms - s->created_ms < TAKEOVER_MS)
+		return;
 	g_hash_table_iter_init(&iter, s->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		worker_t *worker = value;
--- /dev/null
+++ b/test/test_sched.c
@@ -0,0 +1,377 @@
+/* A pool's scheduler against orders that a test answers by hand. */
+#include "test.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "sched/sched.h"
+
+#define ORDERS_MAX 64
+
+/** Orders that were given. */
+typedef struct orders {
+	bw_sched_t *sched;
+	struct {
+		bw_task_name_t task;
+		uint32_t run;
+		char worker[16];
+	} starts[ORDERS_MAX], stops[ORDERS_MAX];
+	uint32_t start_count;
+	uint32_t stop_count;
+	uint32_t hold_count;
+	uint32_t superseded;
+	int64_t now_ms;
+} orders_t;
+
+static void on_start(void *ctx, const bw_start_order_t *order)
+{
+	orders_t *o = ctx;
+
+	assert_true(o->start_count < ORDERS_MAX);
+	o->starts[o->start_count].task = order->task;
+	o->starts[o->start_count].run = order->run;
+	g_strlcpy(o->starts[o->start_count++].worker, order->worker, 16);
+}
+
+static void on_stop(void *ctx, const bw_run_order_t *order)
+{
+	orders_t *o = ctx;
+
+	assert_true(o->stop_count < ORDERS_MAX);
+	o->stops[o->stop_count].task = order->task;
+	o->stops[o->stop_count].run = order->run;
+	g_strlcpy(o->stops[o->stop_count++].worker, order->worker, 16);
+}
+
+static void on_throttle(void *ctx, const bw_run_order_t *order)
+{
+	(void)ctx;
+	(void)order;
+}
+
+static void on_hold(void *ctx, const bw_hold_order_t *order)
+{
+	(void)order;
+	((orders_t *)ctx)->hold_count++;
+}
+
+static void on_advise(void *ctx, const bw_task_name_t *step,
+		      const char *const *workers, uint32_t count)
+{
+	(void)ctx;
+	(void)step;
+	(void)workers;
+	(void)count;
+}
+
+static void on_superseded(void *ctx)
+{
+	((orders_t *)ctx)->superseded++;
+}
+
+static const bw_sched_ops_t ops = {
+	.start = on_start,
+	.stop = on_stop,
+	.throttle = on_throttle,
+	.hold = on_hold,
+	.advise = on_advise,
+	.superseded = on_superseded,
+};
+
+static void begin(orders_t *o)
+{
+	bw_sched_config_t config = { .grant_ms = 5000,
+				     .grant_ms_max = 5000,
+				     .outage_ms = 3500,
+				     .stop_ms = 400,
+				     .keep_ms = 120000,
+				     .fence = 7 };
+	bw_queue_config_t queue = { "q", 0, 3, 1.6, 600, false };
+
+	memset(o, 0, sizeof(*o));
+	o->now_ms = 1000;
+	o->sched = bw_sched_create(&config, &ops, o, o->now_ms);
+	bw_sched_set_queue(o->sched, &queue);
+}
+
+static void add_worker(orders_t *o, const char *id)
+{
+	bw_worker_info_t info = { .id = id,
+				  .address = "10.0.0.1:1",
+				  .room = { 8000, 8000, 0 },
+				  .machine = id,
+				  .born_ms = 5 };
+
+	bw_sched_worker_seen(o->sched, o->now_ms, &info);
+}
+
+static void hold(orders_t *o, const char *id, const bw_run_row_t *runs,
+		 uint32_t run_count, const bw_end_row_t *ends,
+		 uint32_t end_count)
+{
+	bw_hold_answer_t answer = { .result = BW_ORDER_OK,
+				    .sent_ms = o->now_ms,
+				    .clock_ms = o->now_ms + 100,
+				    .born_ms = 5,
+				    .runs = runs,
+				    .run_count = run_count,
+				    .ends = ends,
+				    .end_count = end_count };
+
+	bw_sched_held(o->sched, o->now_ms, id, &answer);
+}
+
+static void save(orders_t *o)
+{
+	size_t bytes;
+	uint64_t version = bw_sched_version(o->sched);
+
+	g_free(bw_sched_pack(o->sched, o->now_ms, &bytes));
+	bw_sched_saved(o->sched, o->now_ms, version);
+}
+
+static void run(orders_t *o, int64_t ms)
+{
+	o->now_ms += ms;
+	bw_sched_run(o->sched, o->now_ms, o->now_ms);
+}
+
+static void add_job(orders_t *o, const char *id, uint32_t tasks, bool lasting,
+		    int64_t cpu_millis, uint32_t estimate_ms)
+{
+	bw_job_record_t record = { .queue = g_strdup("q"),
+				   .accepted_ms = o->now_ms,
+				   .spec = bw_job_spec_new(1) };
+
+	record.spec->text = g_strdup("text");
+	record.spec->steps[0].count = tasks;
+	record.spec->steps[0].lasting = lasting;
+	record.spec->steps[0].away_max = 1;
+	record.spec->steps[0].need.cpu_millis = cpu_millis;
+	record.spec->steps[0].estimate_ms = estimate_ms;
+	bw_sched_job(o->sched, o->now_ms, o->now_ms, id, &record);
+	bw_job_record_clear(&record);
+}
+
+#define JOB_A "00000000000000aa"
+#define JOB_B "00000000000000bb"
+
+/* Nothing starts before a successor could know the pool and its workers. */
+static void test_nothing_before_the_first_store(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	begin(&o);
+	add_worker(&o, "w1");
+	add_job(&o, JOB_A, 2, false, 1000, 500);
+	hold(&o, "w1", NULL, 0, NULL, 0);
+	run(&o, 10);
+	assert_int_equal(o.start_count, 0);
+	save(&o);
+	run(&o, 10);
+	assert_int_equal(o.start_count, 2);
+	bw_sched_destroy(o.sched);
+}
+
+static void ready(orders_t *o)
+{
+	begin(o);
+	add_worker(o, "w1");
+	hold(o, "w1", NULL, 0, NULL, 0);
+	save(o);
+	run(o, 10);
+}
+
+/* A start without an answer is stopped before the task starts elsewhere. */
+static void test_start_in_doubt(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	ready(&o);
+	add_job(&o, JOB_A, 1, false, 1000, 500);
+	run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	bw_sched_started(o.sched, o.now_ms + 700, "w1", &o.starts[0].task, 1,
+			 BW_ORDER_LOST, 0);
+	o.now_ms += 800;
+	hold(&o, "w1", NULL, 0, NULL, 0);
+	assert_int_equal(o.stop_count, 1);
+	run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	bw_sched_stopped(o.sched, o.now_ms, "w1", &o.starts[0].task, 1,
+			 BW_ORDER_OK);
+	/* An answer that was asked for too early proves nothing. */
+	o.now_ms += 300;
+	hold(&o, "w1", NULL, 0, NULL, 0);
+	run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	o.now_ms += 300;
+	hold(&o, "w1", NULL, 0, NULL, 0);
+	run(&o, 10);
+	assert_int_equal(o.start_count, 2);
+	assert_int_equal(o.starts[1].run, 2);
+	bw_sched_destroy(o.sched);
+}
+
+/* A job is shown as begun only once a task of it is known to run. */
+static void test_begun_is_known(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	ready(&o);
+	add_job(&o, JOB_A, 1, false, 1000, 500);
+	run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	assert_int_equal(bw_sched_job_state(o.sched, JOB_A), BW_JOB_QUEUED);
+	assert_int_equal(bw_sched_waiting(o.sched, "q"), 1);
+	bw_sched_started(o.sched, o.now_ms, "w1", &o.starts[0].task, 1,
+			 BW_ORDER_OK, 0);
+	assert_int_equal(bw_sched_job_state(o.sched, JOB_A), BW_JOB_RUNNING);
+	assert_int_equal(bw_sched_waiting(o.sched, "q"), 0);
+	bw_sched_destroy(o.sched);
+}
+
+/* Completed is said once it is stored. */
+static void test_completed_is_stored(void **state)
+{
+	bw_end_row_t end = { .number = 1,
+			     .run = 1,
+			     .kind = BW_END_DONE,
+			     .checkpoint = "" };
+	orders_t o;
+
+	(void)state;
+	ready(&o);
+	add_job(&o, JOB_A, 1, false, 1000, 500);
+	run(&o, 10);
+	end.task = o.starts[0].task;
+	o.now_ms += 500;
+	hold(&o, "w1", NULL, 0, &end, 1);
+	assert_int_equal(bw_sched_job_state(o.sched, JOB_A), BW_JOB_RUNNING);
+	save(&o);
+	assert_int_equal(bw_sched_job_state(o.sched, JOB_A), BW_JOB_COMPLETED);
+	bw_sched_destroy(o.sched);
+}
+
+/* What can be in time goes before what is late. */
+static void test_in_time_first(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	ready(&o);
+	add_job(&o, JOB_A, 1, false, 8000, 1000);
+	run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	bw_sched_started(o.sched, o.now_ms, "w1", &o.starts[0].task, 1,
+			 BW_ORDER_OK, 0);
+	add_job(&o, "00000000000000cc", 1, false, 8000, 1000);
+	o.now_ms += 3000;
+	add_job(&o, JOB_B, 1, false, 8000, 1000);
+	{
+		bw_end_row_t end = { .number = 1,
+				     .task = o.starts[0].task,
+				     .run = 1,
+				     .kind = BW_END_DONE,
+				     .checkpoint = "" };
+
+		hold(&o, "w1", NULL, 0, &end, 1);
+	}
+	run(&o, 10);
+	assert_int_equal(o.start_count, 2);
+	assert_string_equal(o.starts[1].task.job, JOB_B);
+	bw_sched_destroy(o.sched);
+}
+
+/* A worker that refuses the token ends the ownership. */
+static void test_superseded(void **state)
+{
+	bw_hold_answer_t answer = { .result = BW_ORDER_FENCED };
+	orders_t o;
+
+	(void)state;
+	ready(&o);
+	bw_sched_held(o.sched, o.now_ms, "w1", &answer);
+	assert_int_equal(o.superseded, 1);
+	bw_sched_destroy(o.sched);
+}
+
+static void lasting_row(bw_run_row_t *row, uint32_t index)
+{
+	memset(row, 0, sizeof(*row));
+	g_strlcpy(row->task.job, JOB_A, sizeof(row->task.job));
+	row->task.index = index;
+	row->run = 1;
+	row->checkpoint = "";
+	row->progress = 100;
+}
+
+/*
+ * A task that the earlier owner is stopping still shows as running: nothing
+ * else of its step is moved until that shows.
+ */
+static void test_no_move_right_after_takeover(void **state)
+{
+	bw_run_row_t rows[2];
+	uint8_t *data;
+	size_t bytes;
+	orders_t before;
+	orders_t o;
+
+	(void)state;
+	ready(&before);
+	add_job(&before, JOB_A, 2, true, 1000, 0);
+	run(&before, 10);
+	data = bw_sched_pack(before.sched, before.now_ms, &bytes);
+	bw_sched_destroy(before.sched);
+	begin(&o);
+	assert_int_equal(bw_sched_load(o.sched, o.now_ms, data, bytes), BW_OK);
+	g_free(data);
+	add_worker(&o, "w1");
+	add_job(&o, JOB_A, 2, true, 1000, 0);
+	lasting_row(&rows[0], 0);
+	lasting_row(&rows[1], 1);
+	hold(&o, "w1", rows, 2, NULL, 0);
+	save(&o);
+	bw_sched_worker_empty(o.sched, "w1", true);
+	run(&o, 10);
+	assert_int_equal(o.stop_count, 0);
+	o.now_ms += 1500;
+	hold(&o, "w1", rows, 2, NULL, 0);
+	run(&o, 10);
+	assert_int_equal(o.stop_count, 1);
+	bw_sched_destroy(o.sched);
+}
+
+/* Bytes that are no state, or of another version, change nothing. */
+static void test_bad_state(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	begin(&o);
+	assert_int_equal(bw_sched_load(o.sched, o.now_ms,
+				       (const uint8_t *)"\xff\xff\xff", 3),
+			 BW_EPARSE);
+	bw_sched_destroy(o.sched);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_nothing_before_the_first_store),
+		cmocka_unit_test(test_start_in_doubt),
+		cmocka_unit_test(test_begun_is_known),
+		cmocka_unit_test(test_completed_is_stored),
+		cmocka_unit_test(test_in_time_first),
+		cmocka_unit_test(test_superseded),
+		cmocka_unit_test(test_no_move_right_after_takeover),
+		cmocka_unit_test(test_bad_state),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/world.c
+++ b/test/world.c
@@ -14,6 +14,8 @@
 #define GRANT_MS	5000
 #define OUTAGE_MS	3500
 #define STOP_MS		400
+/** A task that lasts is at work after this. */
+#define START_UP_MS 300
 #define TICK_MS		100
 #define DIRECTORY_MS	800
 #define CALL_TIMEOUT_MS 700
@@ -42,6 +44,7 @@
 	bw_room_t need;
 	bool fails;
 	bool stopping;
+	int64_t began_ms;
 	int64_t ends_ms; /**< INT64_MAX for tasks that last. */
 } run_t;
 
@@ -50,6 +53,7 @@
 	uint32_t running; /**< Runs on live workers. */
 	bool done;
 	bool done_acked;
+	bool away; /**< Ended by an order, and not at work again. */
 	uint32_t failed_acked;
 	uint32_t failed;
 } truth_t;
@@ -79,6 +83,7 @@
 	bool dark; /**< When dead, calls get no answer instead of a refusal. */
 	bool registered;
 	bool bad; /**< Fails all that it starts. */
+	bool wanted; /**< Its owner is to empty it. */
 	int64_t born_ms;
 	int64_t registered_until_ms;
 	double rate;
@@ -338,6 +343,7 @@
 	w->result->starts++;
 	run.fails = worker->bad || (job->poison && task->index == 0) ||
 		    chance(w, 0.02);
+	run.began_ms = w->now_ms;
 	run.ends_ms = INT64_MAX;
 	if (!step->lasting || chance(w, 0.1)) {
 		run.ends_ms = w->now_ms + between(w, 100, 2500);
@@ -390,6 +396,7 @@
 	uint64_t acked;
 	int64_t sent_ms;
 	bool answer_lost;
+	bool late; /**< Carried out after its caller gave up. */
 	bw_order_result_t result;
 	int64_t clock_ms;
 	int64_t born_ms;
@@ -472,6 +479,45 @@
 		begin_run(w, worker, &call->task, call->run);
 }
 
+static bool at_work(const world_t *w, const run_t *run)
+{
+	return w->now_ms - run->began_ms >= START_UP_MS;
+}
+
+/* No stop takes a second task of a lasting step away. */
+static void check_away(world_t *w, const call_t *call, const run_t *run)
+{
+	fake_job_t *job = find_job(w, run->task.job);
+	const bw_step_spec_t *step = &job->record.spec->steps[run->task.step];
+	bw_task_name_t name = run->task;
+	uint32_t away = 0;
+
+	if (!step->lasting || job->cancelled_ms > 0 || call->late)
+		return;
+	for (name.index = 0; name.index < step->count; name.index++)
+		if (name.index != run->task.index &&
+		    find_truth(job, &name)->away)
+			away++;
+	if (at_work(w, run) && away >= MAX(step->away_max, 1U))
+		breach(w, "task %s.%u.%u is stopped with %u others away",
+		       run->task.job, run->task.step, run->task.index, away);
+	find_truth(job, &run->task)->away = true;
+}
+
+/* A run that has started up ends its task's absence. */
+static void note_at_work(world_t *w, const fake_worker_t *worker)
+{
+	guint i;
+
+	for (i = 0; i < worker->runs->len; i++) {
+		const run_t *run = &g_array_index(worker->runs, run_t, i);
+
+		if (!run->stopping && at_work(w, run))
+			find_truth(find_job(w, run->task.job), &run->task)
+				->away = false;
+	}
+}
+
 static void do_stop(world_t *w, call_t *call)
 {
 	fake_worker_t *worker = call->worker;
@@ -489,6 +535,7 @@
 	run = &g_array_index(worker->runs, run_t, index);
 	if (run->stopping)
 		return;
+	check_away(w, call, run);
 	run->stopping = true;
 	run->ends_ms = w->now_ms + between(w, 50, STOP_MS);
 	at(w, run->ends_ms - w->now_ms, check_worker, worker);
@@ -525,11 +572,13 @@
 	if (call->grant > 0)
 		extend(w, worker, call->grant);
 	take_acked(w, worker, call->acked);
+	note_at_work(w, worker);
 	call->runs = g_array_new(FALSE, TRUE, sizeof(bw_run_row_t));
 	call->ends = g_array_new(FALSE, TRUE, sizeof(bw_end_row_t));
 	for (i = 0; i < worker->runs->len; i++) {
 		const run_t *run = &g_array_index(worker->runs, run_t, i);
-		bw_run_row_t row = { run->task, run->number, "", 100, 0 };
+		bw_run_row_t row = { run->task, run->number, "",
+				     at_work(w, run) ? 100U : 50U, 0 };
 
 		g_array_append_val(call->runs, row);
 	}
@@ -592,6 +641,7 @@
 {
 	call_t *call = arg;
 
+	call->late = true;
 	if (call->worker->alive)
 		carry_out(w, call);
 	call_free(call);
@@ -864,8 +914,16 @@
 
 static void run_node(world_t *w, node_t *node)
 {
+	guint i;
+
 	if (!node->sched || !node_works(w, node) || node->fence == 0)
 		return;
+	for (i = 0; i < w->workers->len; i++) {
+		const fake_worker_t *worker =
+			g_ptr_array_index(w->workers, i);
+
+		bw_sched_worker_empty(node->sched, worker->id, worker->wanted);
+	}
 	if (!node->leaving)
 		bw_sched_allow(node->sched, w->now_ms < node->lease_until_ms ||
 						    w->store_down);
@@ -1112,6 +1170,7 @@
 	(void)w;
 	memset(worker->cut, 0, sizeof(worker->cut));
 	worker->bad = false;
+	worker->wanted = false;
 }
 
 static void cut_worker(world_t *w)
@@ -1127,6 +1186,17 @@
 	at(w, between(w, 500, 9000), on_heal_worker, worker);
 }
 
+static void empty_worker(world_t *w)
+{
+	fake_worker_t *worker = live_worker(w);
+
+	if (!worker)
+		return;
+	trace(w, "empty", worker->id);
+	worker->wanted = true;
+	at(w, between(w, 2000, 9000), on_heal_worker, worker);
+}
+
 static void spoil_worker(world_t *w)
 {
 	fake_worker_t *worker = live_worker(w);
@@ -1174,7 +1244,7 @@
 	uint32_t i;
 
 	(void)arg;
-	switch (between(w, 0, 11)) {
+	switch (between(w, 0, 14)) {
 	case 0:
 	case 1:
 		kill_node(w, owner);
@@ -1207,6 +1277,11 @@
 	case 8:
 		cut_worker(w);
 		break;
+	case 12:
+	case 13:
+		empty_worker(w);
+		empty_worker(w);
+		break;
 	case 9:
 	case 10:
 		if (!owner->sched || owner->fence == 0 || owner->leaving)
