--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -92,10 +92,9 @@
 	g_string_append_printf(out, "# TYPE %s counter\n", family_names[which]);
 	for (a = 0; a < labels->first_count; a++) {
 		for (b = 0; b < columns(family); b++) {
-			g_string_append_printf(out, "%s{%s=\"%s\"",
-					       family_names[which],
-					       labels->first,
-					       labels->first_values[a]);
+			g_string_append_printf(
+				out, "%s{%s=\"%s\"", family_names[which],
+				labels->first, labels->first_values[a]);
 			if (labels->second)
 				g_string_append_printf(
 					out, ",%s=\"%s\"", labels->second,
--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -9,7 +9,7 @@
 /** Machines that a pool keeps beyond that. */
 #define SPARE_MACHINES 1
 /** A pool keeps at least so many machines. */
-#define MACHINES_MIN 3
+#define MACHINES_MIN  3
 #define KEPT_MACHINES 7U
 /** A pool that needs fewer machines keeps them for so long. */
 #define RELEASE_MS 1500
@@ -233,8 +233,8 @@
 			break;
 		used[giver] = true;
 		states[machines[giver].pool].have--;
-		actions[count].kind = machines[giver].free ? BW_BALANCE_MOVE :
-							     BW_BALANCE_EMPTY;
+		actions[count].kind = machines[giver].free ? BW_BALANCE_MOVE
+							   : BW_BALANCE_EMPTY;
 		actions[count].machine = giver;
 		actions[count++].pool = standby;
 	}
--- a/src/fleet/controller.c
+++ b/src/fleet/controller.c
@@ -15,7 +15,7 @@
 #define LIST_AGAIN_MS	 300
 /** Pause between rounds of decisions. */
 #define ROUND_MS      100
-#define LOG_MS 500
+#define LOG_MS	      500
 #define MOVE_AGAIN_MS 400
 /** A move shows in the list of machines within this. */
 #define MOVE_SHOWS_MS 150
@@ -394,7 +394,8 @@
 		bw_event("controller", "pool",
 			 "pool=%s known=%d used=%" G_GINT64_FORMAT
 			 " offered=%" G_GINT64_FORMAT
-			 " waiting=%" G_GINT64_FORMAT " lasting=%" G_GINT64_FORMAT
+			 " waiting=%" G_GINT64_FORMAT
+			 " lasting=%" G_GINT64_FORMAT
 			 " have=%u needed=%u wanted=%u",
 			 pools[i].name, pools[i].known,
 			 pools[i].demand.used_millis,
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -21,7 +21,6 @@
 /** Calls that fail in a row before the store counts as out of reach. */
 #define STORE_FAILURES 3
 
-
 /** Changes of what this node owns, in metrics. */
 typedef enum change {
 	CHANGE_GAINED,
--- a/src/fleet/member.c
+++ b/src/fleet/member.c
@@ -201,9 +201,8 @@
 	now = g_hash_table_lookup(m->nodes, before->node);
 	if (!now)
 		return BW_PREDECESSOR_LEFT;
-	return now->incarnation == before->incarnation ?
-		       BW_PREDECESSOR_ALIVE :
-		       BW_PREDECESSOR_ENDED;
+	return now->incarnation == before->incarnation ? BW_PREDECESSOR_ALIVE
+						       : BW_PREDECESSOR_ENDED;
 }
 
 char *bw_fleet_owner_key(const char *pool)
--- a/src/fleet/operators.c
+++ b/src/fleet/operators.c
@@ -117,9 +117,9 @@
 					  &out->spec) == BW_OK;
 
 	if (!good) {
-		answer.reason = bw_findings_count(findings) > 0 ?
-					bw_findings_text(findings, 0) :
-					bw_status_message();
+		answer.reason = bw_findings_count(findings) > 0
+					? bw_findings_text(findings, 0)
+					: bw_status_message();
 		on_answer(p, &answer);
 	}
 	bw_findings_destroy(findings);
@@ -161,8 +161,7 @@
 
 	if (!take_path(parts, &request))
 		on_answer(p, &bad);
-	else if (request.kind != BW_REQUEST_SUBMIT ||
-		 take_job(p, r, &request))
+	else if (request.kind != BW_REQUEST_SUBMIT || take_job(p, r, &request))
 		o->requests.serve(o->requests.impl, &request, on_answer, p);
 	bw_job_spec_free(request.spec);
 	g_strfreev(parts);
--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -297,7 +297,7 @@
 	static bool defined;
 	bw_family_labels_t orders = {
 		"order",  order_names, ORDER_KIND_COUNT,
-		"result", results,	   BW_ORDER_RESULT_COUNT,
+		"result", results,     BW_ORDER_RESULT_COUNT,
 	};
 	int i;
 
--- a/src/fleet/service.c
+++ b/src/fleet/service.c
@@ -105,8 +105,8 @@
 static void define_metrics(void)
 {
 	const bw_family_labels_t requests = {
-		"kind", request_names, BW_REQUEST_KIND_COUNT,
-		"answer", answer_names, BW_ANSWER_KIND_COUNT,
+		"kind",	  request_names, BW_REQUEST_KIND_COUNT,
+		"answer", answer_names,	 BW_ANSWER_KIND_COUNT,
 	};
 	const bw_family_labels_t refusals = {
 		"reason", reasons, REASON_COUNT, NULL, NULL, 0,
@@ -355,10 +355,9 @@
 		refuse(done, ctx, BW_ANSWER_REFUSED, REASON_NO_CONFIGURATION);
 		return;
 	}
-	queue = request->queue ?
-			queue_named(s->config, request->queue) :
-			bw_fleet_find_queue(s->config, request->host,
-					    request->path);
+	queue = request->queue ? queue_named(s->config, request->queue)
+			       : bw_fleet_find_queue(s->config, request->host,
+						     request->path);
 	if (!queue) {
 		refuse(done, ctx, BW_ANSWER_NO_QUEUE, REASON_NO_QUEUE);
 		return;
@@ -432,8 +431,7 @@
 		return;
 	}
 	if (bw_clock_now_ms() + STORE_CALL_MS >= task->until_ms) {
-		/* Nothing was changed, so there is nothing in doubt. */
-		finish_kind(task, BW_ANSWER_REFUSED, REASON_STORE_SILENT);
+		finish_kind(task, BW_ANSWER_UNKNOWN, REASON_STORE_SILENT);
 		return;
 	}
 	later(task, submit);
--- a/src/fleet/show.c
+++ b/src/fleet/show.c
@@ -71,8 +71,7 @@
 	uint32_t i;
 
 	for (i = 0; f->config && i < f->config->pool_count; i++)
-		json_array_append_new(list,
-				      show_pool(f, &f->config->pools[i]));
+		json_array_append_new(list, show_pool(f, &f->config->pools[i]));
 	return list;
 }
 
@@ -162,9 +161,9 @@
 	bw_metrics_gauge(out, "bramley_store_good", NULL, f->store_good);
 	bw_metrics_gauge(out, "bramley_store_answer_age_ms", NULL,
 			 (double)(now_ms - f->store_ok_ms));
-	bw_metrics_gauge(out, "bramley_lease_left_ms", NULL,
-			 (double)(bw_fleet_member_until_ms(f->member) -
-				  now_ms));
+	bw_metrics_gauge(
+		out, "bramley_lease_left_ms", NULL,
+		(double)(bw_fleet_member_until_ms(f->member) - now_ms));
 	bw_metrics_gauge(out, "bramley_configuration_version", NULL,
 			 f->config ? (double)f->config->version : 0.0);
 	bw_metrics_gauge(out, "bramley_log_lines_left_out", NULL,
--- a/src/job/json.c
+++ b/src/job/json.c
@@ -7,7 +7,12 @@
 #include <jansson.h>
 
 /** Where the value of a step's key goes. */
-typedef enum field_type { FIELD_COUNT, FIELD_AMOUNT, FIELD_FLAG, FIELD_TEXT } field_type_t;
+typedef enum field_type {
+	FIELD_COUNT,
+	FIELD_AMOUNT,
+	FIELD_FLAG,
+	FIELD_TEXT
+} field_type_t;
 
 typedef struct field {
 	const char *name;
@@ -125,7 +130,8 @@
 				"steps[%u] is not an object", step);
 		return;
 	}
-	json_object_foreach(value, name, item) {
+	json_object_foreach(value, name, item)
+	{
 		const field_t *field = find_field(name);
 
 		if (field)
@@ -157,8 +163,7 @@
 	out->repeats = (uint32_t)repeats;
 }
 
-static bw_status_t take_job(json_t *root, bw_findings_t *f,
-			    bw_job_spec_t **out)
+static bw_status_t take_job(json_t *root, bw_findings_t *f, bw_job_spec_t **out)
 {
 	json_t *steps = json_object_get(root, "steps");
 	const char *text = json_string_value(json_object_get(root, "text"));
--- a/src/sched/report.c
+++ b/src/sched/report.c
@@ -70,15 +70,14 @@
 		const bw_step_spec_t *step = &job->spec->steps[i];
 
 		if (!step->lasting && !step->filler)
-			s->offered_work += (double)step->need.cpu_millis *
-					   step->count *
-					   (double)sched_estimate_ms(job, step) /
-					   OFFERED_MS;
+			s->offered_work +=
+				(double)step->need.cpu_millis * step->count *
+				(double)sched_estimate_ms(job, step) /
+				OFFERED_MS;
 	}
 }
 
-void bw_sched_demand(const bw_sched_t *s, int64_t now_ms,
-		     bw_pool_demand_t *out)
+void bw_sched_demand(const bw_sched_t *s, int64_t now_ms, bw_pool_demand_t *out)
 {
 	GHashTableIter iter;
 	gpointer value;
--- /dev/null
+++ b/test/test_fleet.c
@@ -0,0 +1,500 @@
+/* Decisions of a fleet node, and requests against a store that fails. */
+#include "test.h"
+
+#include <string.h>
+
+#include <ev.h>
+#include <glib.h>
+
+#include "fleet/balance.h"
+#include "fleet/member.h"
+#include "fleet/service.h"
+#include "job/json.h"
+
+/* Ranks. */
+
+static void test_rank(void **state)
+{
+	bw_candidate_t nodes[] = { { "a", 0, 0 },
+				   { "b", 0, 0 },
+				   { "c", 0, 0 } };
+	uint32_t seen = 0;
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < 3; i++)
+		seen |= 1U << bw_fleet_rank("pool", nodes, 3, i, 5);
+	assert_int_equal(seen, 7);
+	/* The youngest first, as it was restarted already. */
+	nodes[1].started_ms = 60000;
+	assert_int_equal(bw_fleet_rank("pool", nodes, 3, 1, 5), 0);
+	/* But not once it has its part of the pools. */
+	nodes[1].owned = 2;
+	assert_int_equal(bw_fleet_rank("pool", nodes, 3, 1, 5), 2);
+}
+
+/* Machines. */
+
+#define MACHINES 8
+
+static void fill(bw_balance_pool_t *pools, bw_balance_machine_t *machines)
+{
+	uint32_t i;
+
+	memset(pools, 0, 3 * sizeof(*pools));
+	memset(machines, 0, MACHINES * sizeof(*machines));
+	pools[0].name = "a";
+	pools[1].name = "b";
+	pools[2].name = "off";
+	pools[0].known = true;
+	pools[1].known = true;
+	pools[2].standby = true;
+	for (i = 0; i < MACHINES; i++) {
+		machines[i].name = "m";
+		machines[i].pool = i < 3 ? 0 : i < 6 ? 1 : 2;
+		machines[i].room_millis = 32000;
+		machines[i].up = true;
+		machines[i].usable = true;
+		machines[i].free = i >= 6;
+	}
+}
+
+static uint32_t decide(const bw_balance_pool_t *pools,
+		       const bw_balance_machine_t *machines,
+		       bw_balance_action_t *actions)
+{
+	bw_balance_t *b = bw_balance_create();
+	uint32_t count;
+
+	bw_balance_decide(b, 1000, pools, 3, machines, MACHINES, actions);
+	count = bw_balance_decide(b, 2000, pools, 3, machines, MACHINES,
+				  actions);
+	bw_balance_destroy(b);
+	return count;
+}
+
+static void test_surge_takes_machines_that_are_off(void **state)
+{
+	bw_balance_pool_t pools[3];
+	bw_balance_machine_t machines[MACHINES];
+	bw_balance_action_t actions[MACHINES];
+
+	(void)state;
+	fill(pools, machines);
+	pools[0].demand.waiting_millis = 120000;
+	assert_int_equal(decide(pools, machines, actions), 2);
+	assert_int_equal(actions[0].kind, BW_BALANCE_MOVE);
+	assert_int_equal(actions[0].pool, 0);
+	assert_true(actions[0].machine >= 6 && actions[1].machine >= 6);
+}
+
+static void test_arriving_work_counts(void **state)
+{
+	bw_balance_pool_t pools[3];
+	bw_balance_machine_t machines[MACHINES];
+	bw_balance_action_t actions[MACHINES];
+
+	(void)state;
+	fill(pools, machines);
+	pools[1].demand.offered_millis = 120000;
+	assert_int_equal(decide(pools, machines, actions), 2);
+	assert_int_equal(actions[0].pool, 1);
+}
+
+static void test_what_is_held_stays(void **state)
+{
+	bw_balance_pool_t pools[3];
+	bw_balance_machine_t machines[MACHINES];
+	bw_balance_action_t actions[MACHINES];
+	uint32_t i;
+
+	(void)state;
+	fill(pools, machines);
+	pools[0].demand.waiting_millis = 500000;
+	for (i = 3; i < MACHINES; i++)
+		machines[i].held = true;
+	assert_int_equal(decide(pools, machines, actions), 0);
+	/* Nor is a machine taken with tasks that last, or out of reach. */
+	for (i = 3; i < MACHINES; i++) {
+		machines[i].held = false;
+		machines[i].lasting = i % 2;
+		machines[i].up = i % 2 == 1;
+	}
+	assert_int_equal(decide(pools, machines, actions), 0);
+}
+
+/* A pool whose owner does not report keeps what it has. */
+static void test_unknown_pool_gives_nothing(void **state)
+{
+	bw_balance_pool_t pools[3];
+	bw_balance_machine_t machines[MACHINES];
+	bw_balance_action_t actions[MACHINES];
+	uint32_t i;
+
+	(void)state;
+	fill(pools, machines);
+	pools[0].demand.waiting_millis = 900000;
+	pools[1].known = false;
+	for (i = 0; i < MACHINES; i++)
+		machines[i].free = true;
+	assert_int_equal(decide(pools, machines, actions), 2);
+}
+
+/* Requests. */
+
+typedef struct fake_store {
+	bw_status_t results[8]; /**< Of calls, in their order. */
+	bool succeeded[8];
+	uint32_t calls;
+	bool good;
+	bw_answer_t answer;
+	uint32_t answers;
+	char reason[64];
+} fake_store_t;
+
+static void answer_call(fake_store_t *f, bw_store_done_fn done, void *ctx)
+{
+	bw_store_kv_t kv = { .key = "k", .value = "", .mod_revision = 1 };
+	bw_store_reply_t reply = { .status = f->results[f->calls],
+				   .succeeded = f->succeeded[f->calls],
+				   .kvs = &kv,
+				   .kv_count = 1 };
+
+	f->calls++;
+	done(ctx, &reply);
+}
+
+static void fake_txn(void *impl, const bw_store_txn_t *txn,
+		     bw_store_done_fn done, void *ctx)
+{
+	(void)txn;
+	answer_call(impl, done, ctx);
+}
+
+static void fake_get(void *impl, const char *key, bw_store_done_fn done,
+		     void *ctx)
+{
+	(void)key;
+	answer_call(impl, done, ctx);
+}
+
+static const bw_store_ops_t fake_ops = { .txn = fake_txn, .get = fake_get };
+
+static const char *no_owner(void *ctx, const char *pool)
+{
+	(void)ctx;
+	(void)pool;
+	return NULL;
+}
+
+static void no_answer(void *ctx, const char *pool, const char *job,
+		      const char *queue, bw_inquiry_answer_t *out)
+{
+	(void)ctx;
+	(void)pool;
+	(void)job;
+	(void)queue;
+	(void)out;
+}
+
+static void ignore_result(void *ctx, bw_status_t status)
+{
+	(void)ctx;
+	(void)status;
+}
+
+static bool fake_good(void *ctx)
+{
+	return ((fake_store_t *)ctx)->good;
+}
+
+static const bw_service_ops_t service_ops = { no_owner, no_answer,
+					      ignore_result, fake_good };
+
+static void on_answer(void *ctx, const bw_answer_t *answer)
+{
+	fake_store_t *f = ctx;
+
+	f->answer = *answer;
+	f->answers++;
+	g_strlcpy(f->reason, answer->reason ? answer->reason : "", 64);
+}
+
+static bw_queue_t queues[] = {
+	{ .name = "short", .host = "h", .prefix = "/p/", .pool = "a" },
+	{ .name = "long", .host = "h", .prefix = "/p/q/", .pool = "b" },
+};
+static bw_fleet_config_t config = { .queues = queues, .queue_count = 2 };
+
+static void ask(fake_store_t *f, bw_request_kind_t kind, const char *path,
+		int64_t patience_ms)
+{
+	struct ev_loop *loop = ev_loop_new(0);
+	bw_store_t store = { &fake_ops, f };
+	bw_service_t *s =
+		bw_service_create(loop, "n", &store, NULL, &service_ops, f);
+	bw_request_t request = { .kind = kind,
+				 .host = "h:80",
+				 .path = path,
+				 .patience_ms = patience_ms };
+
+	if (kind == BW_REQUEST_SUBMIT) {
+		request.spec = bw_job_spec_new(1);
+		request.spec->steps[0].count = 1;
+	}
+	f->calls = 0;
+	f->answers = 0;
+	bw_service_configure(s, &config);
+	bw_service_serve(s, &request, on_answer, f);
+	/* Ends when no repetition is due any more. */
+	ev_run(loop, 0);
+	bw_job_spec_free(request.spec);
+	bw_service_destroy(s);
+	ev_loop_destroy(loop);
+	assert_int_equal(f->answers, 1);
+}
+
+#define JOB "/p/00000000000000aa"
+
+typedef struct request_case {
+	const char *name;
+	bw_request_kind_t kind;
+	const char *path;
+	bw_status_t results[8];
+	bool succeeded[8];
+	bool good;
+	bw_answer_kind_t answer;
+	uint32_t calls;
+} request_case_t;
+
+static const request_case_t request_cases[] = {
+	{ "stored",
+	  BW_REQUEST_SUBMIT,
+	  JOB,
+	  { BW_OK },
+	  { true },
+	  true,
+	  BW_ANSWER_DONE,
+	  1 },
+	{ "there already",
+	  BW_REQUEST_SUBMIT,
+	  JOB,
+	  { BW_OK },
+	  { false },
+	  true,
+	  BW_ANSWER_DONE,
+	  1 },
+	{ "refused by the store",
+	  BW_REQUEST_SUBMIT,
+	  JOB,
+	  { BW_EUNAVAIL },
+	  { false },
+	  true,
+	  BW_ANSWER_REFUSED,
+	  1 },
+	{ "known outage",
+	  BW_REQUEST_SUBMIT,
+	  JOB,
+	  { BW_OK },
+	  { true },
+	  false,
+	  BW_ANSWER_REFUSED,
+	  0 },
+	{ "answer lost, then found",
+	  BW_REQUEST_SUBMIT,
+	  JOB,
+	  { BW_ELOST, BW_OK },
+	  { false, false },
+	  true,
+	  BW_ANSWER_DONE,
+	  2 },
+	{ "answer lost, then refused, then stored",
+	  BW_REQUEST_SUBMIT,
+	  JOB,
+	  { BW_ELOST, BW_EUNAVAIL, BW_OK },
+	  { false, false, true },
+	  true,
+	  BW_ANSWER_DONE,
+	  3 },
+	{ "not an identifier",
+	  BW_REQUEST_SUBMIT,
+	  "/p/zz",
+	  { BW_OK },
+	  { true },
+	  true,
+	  BW_ANSWER_BAD,
+	  0 },
+	{ "no queue",
+	  BW_REQUEST_SUBMIT,
+	  "/x/00000000000000aa",
+	  { BW_OK },
+	  { true },
+	  true,
+	  BW_ANSWER_NO_QUEUE,
+	  0 },
+	{ "state of a stored job",
+	  BW_REQUEST_STATE,
+	  JOB,
+	  { BW_OK },
+	  { true },
+	  true,
+	  BW_ANSWER_STATE,
+	  1 },
+	{ "state of no job",
+	  BW_REQUEST_STATE,
+	  JOB,
+	  { BW_ENOTFOUND },
+	  { false },
+	  true,
+	  BW_ANSWER_NO_JOB,
+	  1 },
+	{ "state, store silent",
+	  BW_REQUEST_STATE,
+	  JOB,
+	  { BW_ELOST },
+	  { false },
+	  false,
+	  BW_ANSWER_REFUSED,
+	  1 },
+	{ "cancelled",
+	  BW_REQUEST_CANCEL,
+	  JOB,
+	  { BW_OK, BW_OK },
+	  { true, true },
+	  true,
+	  BW_ANSWER_DONE,
+	  2 },
+	{ "cancelled, answer lost once",
+	  BW_REQUEST_CANCEL,
+	  JOB,
+	  { BW_OK, BW_ELOST, BW_OK },
+	  { true, false, true },
+	  true,
+	  BW_ANSWER_DONE,
+	  3 },
+	{ "cancel of no job",
+	  BW_REQUEST_CANCEL,
+	  JOB,
+	  { BW_ENOTFOUND },
+	  { false },
+	  true,
+	  BW_ANSWER_NO_JOB,
+	  1 },
+	{ "count without an owner",
+	  BW_REQUEST_QUEUE,
+	  "/p/",
+	  { BW_OK },
+	  { true },
+	  true,
+	  BW_ANSWER_REFUSED,
+	  0 },
+};
+
+static void test_requests(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(request_cases); i++) {
+		const request_case_t *c = &request_cases[i];
+		fake_store_t f = { .good = c->good };
+
+		memcpy(f.results, c->results, sizeof(f.results));
+		memcpy(f.succeeded, c->succeeded, sizeof(f.succeeded));
+		ask(&f, c->kind, c->path, 3000);
+		if (f.answer.kind != c->answer || f.calls != c->calls)
+			print_error("case: %s\n", c->name);
+		assert_int_equal(f.answer.kind, c->answer);
+		assert_int_equal(f.calls, c->calls);
+		/* A refusal always tells when to come back. */
+		if (f.answer.kind == BW_ANSWER_REFUSED)
+			assert_true(f.answer.retry_after_s > 0);
+	}
+}
+
+/* What may have been stored is never called refused. */
+static void test_doubt_is_not_refused(void **state)
+{
+	fake_store_t f = { .results = { BW_ELOST, BW_EUNAVAIL }, .good = true };
+
+	(void)state;
+	ask(&f, BW_REQUEST_SUBMIT, JOB, 400);
+	assert_int_equal(f.answer.kind, BW_ANSWER_UNKNOWN);
+}
+
+static void test_longest_prefix(void **state)
+{
+	(void)state;
+	assert_string_equal(bw_fleet_find_queue(&config, "h", "/p/q/x")->name,
+			    "long");
+	assert_string_equal(
+		bw_fleet_find_queue(&config, "h:8080", "/p/x")->name, "short");
+	assert_null(bw_fleet_find_queue(&config, "g", "/p/x"));
+	assert_null(bw_fleet_find_queue(&config, NULL, "/p/x"));
+}
+
+/* Jobs of operators. */
+
+typedef struct job_case {
+	const char *text;
+	const char *says; /**< Part of the first finding; NULL: no mistake. */
+} job_case_t;
+
+static const job_case_t job_cases[] = {
+	{ "{\"text\":\"t\",\"steps\":[{\"tasks\":2,\"cpu_millis\":5}]}", NULL },
+	{ "{\"text\":\"t\",\n\"steps\":", "job:2" },
+	{ "{\"steps\":[{\"tasks\":1}]}", "text" },
+	{ "{\"text\":\"t\"}", "steps" },
+	{ "{\"text\":\"t\",\"steps\":[{\"tasks\":1,\"cpu\":5}]}",
+	  "steps[0].cpu" },
+	{ "{\"text\":\"t\",\"steps\":[{\"tasks\":\"1\"}]}", "steps[0].tasks" },
+	{ "{\"text\":\"t\",\"steps\":[{\"tasks\":1,\"after\":[0]}]}",
+	  "step 0 comes after step 0" },
+	{ "{\"text\":\"t\",\"steps\":[{\"tasks\":1}],\"schedule\":{}}",
+	  "schedule" },
+};
+
+static void test_operators_jobs(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(job_cases); i++) {
+		const job_case_t *c = &job_cases[i];
+		bw_findings_t *findings = bw_findings_create("job");
+		bw_job_spec_t *spec = NULL;
+		bw_status_t status = bw_job_spec_from_json(
+			c->text, strlen(c->text), findings, &spec);
+
+		if (!c->says) {
+			assert_int_equal(status, BW_OK);
+		} else {
+			assert_int_not_equal(status, BW_OK);
+			assert_true(bw_findings_count(findings) > 0);
+			if (!strstr(bw_findings_text(findings, 0), c->says))
+				print_error("%s: %s\n", c->text,
+					    bw_findings_text(findings, 0));
+			assert_non_null(
+				strstr(bw_findings_text(findings, 0), c->says));
+		}
+		bw_job_spec_free(spec);
+		bw_findings_destroy(findings);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_rank),
+		cmocka_unit_test(test_surge_takes_machines_that_are_off),
+		cmocka_unit_test(test_arriving_work_counts),
+		cmocka_unit_test(test_what_is_held_stays),
+		cmocka_unit_test(test_unknown_pool_gives_nothing),
+		cmocka_unit_test(test_requests),
+		cmocka_unit_test(test_doubt_is_not_refused),
+		cmocka_unit_test(test_longest_prefix),
+		cmocka_unit_test(test_operators_jobs),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/test_platform.c
@@ -0,0 +1,232 @@
+/* The adapter's decoding: bodies, registrations, waves and names of tasks. */
+#include "test.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "platform.h"
+
+typedef struct body_case {
+	const char *name;
+	const char *body;
+	bw_status_t status;
+} body_case_t;
+
+static const body_case_t body_cases[] = {
+	{ "whole",
+	  "{\"spec\":\"t\",\"steps\":[{\"count\":2,\"cpu\":500,\"mem_mb\":1},"
+	  "{\"count\":1,\"after\":[0]}]}",
+	  BW_OK },
+	{ "field that is not known",
+	  "{\"spec\":\"t\",\"steps\":[{\"count\":1,\"later\":{}}],\"x\":1}",
+	  BW_OK },
+	{ "nothing", "", BW_EPARSE },
+	{ "not JSON", "{\"spec\":", BW_EPARSE },
+	{ "a list", "[]", BW_EPARSE },
+	{ "no steps", "{\"spec\":\"t\"}", BW_EPARSE },
+	{ "steps of another type", "{\"spec\":\"t\",\"steps\":7}", BW_EPARSE },
+	{ "step of another type", "{\"spec\":\"t\",\"steps\":[7]}", BW_EPARSE },
+	{ "spec of another type", "{\"spec\":7,\"steps\":[{\"count\":1}]}",
+	  BW_EPARSE },
+	{ "empty list", "{\"spec\":\"t\",\"steps\":[]}", BW_EINVAL },
+	{ "no tasks", "{\"spec\":\"t\",\"steps\":[{}]}", BW_EINVAL },
+	{ "count of another type",
+	  "{\"spec\":\"t\",\"steps\":[{\"count\":\"2\"}]}", BW_EINVAL },
+	{ "step that names itself",
+	  "{\"spec\":\"t\",\"steps\":[{\"count\":1,\"after\":[0]}]}",
+	  BW_EINVAL },
+	{ "step after a later one",
+	  "{\"spec\":\"t\",\"steps\":[{\"count\":1,\"after\":[1]},"
+	  "{\"count\":1}]}",
+	  BW_EINVAL },
+	{ "negative amount",
+	  "{\"spec\":\"t\",\"steps\":[{\"count\":1,\"cpu\":-5}]}", BW_EINVAL },
+	{ "too many tasks", "{\"spec\":\"t\",\"steps\":[{\"count\":99999999}]}",
+	  BW_EINVAL },
+};
+
+static void test_bodies(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(body_cases); i++) {
+		const body_case_t *c = &body_cases[i];
+		bw_job_spec_t *spec = NULL;
+		bw_status_t status =
+			platform_decode_job(c->body, strlen(c->body), &spec);
+
+		if (status != c->status)
+			print_error("case: %s\n", c->name);
+		assert_int_equal(status, c->status);
+		bw_job_spec_free(spec);
+	}
+}
+
+static void test_body_fields(void **state)
+{
+	static const char body[] =
+		"{\"spec\":\"t\",\"repeat_count\":3,\"initial_delay_ms\":77,"
+		"\"interval_ms\":5,\"steps\":[{\"count\":2,\"cpu\":1500,"
+		"\"mem_mb\":64,\"gpu\":1,\"est_duration_ms\":900,"
+		"\"checkpoint\":true,\"gang\":true,\"same_rack\":true,"
+		"\"required_label\":\"a\",\"affinity\":\"r1-3\","
+		"\"max_per_server\":4,\"allow_duplicates\":true,"
+		"\"long_running\":true,\"image\":\"i\",\"target_ms\":50,"
+		"\"fills\":true,\"miss_budget\":1}]}";
+	bw_job_spec_t *spec;
+	bw_step_spec_t *step;
+
+	(void)state;
+	assert_int_equal(platform_decode_job(body, strlen(body), &spec), BW_OK);
+	step = &spec->steps[0];
+	assert_int_equal(spec->repeats, 3);
+	assert_int_equal(spec->first_due_ms, 77);
+	assert_int_equal(spec->interval_ms, 5);
+	assert_int_equal(step->need.cpu_millis, 1500);
+	assert_int_equal(step->need.gpus, 1);
+	assert_int_equal(step->estimate_ms, 900);
+	assert_true(step->checkpoints && step->gang && step->same_rack);
+	assert_true(step->duplicates && step->lasting && step->filler);
+	assert_string_equal(step->label, "a");
+	assert_string_equal(step->rack, "r1-3");
+	assert_int_equal(step->per_worker_max, 4);
+	assert_int_equal(step->tail_ms_max, 50);
+	assert_int_equal(step->away_max, 1);
+	bw_job_spec_free(spec);
+}
+
+typedef struct entry_case {
+	const char *name;
+	const char *value;
+	bw_status_t status;
+} entry_case_t;
+
+static const entry_case_t entry_cases[] = {
+	{ "whole",
+	  "{\"service\":\"s\",\"address\":\"10.1.1.1:80\",\"state\":\"ready\","
+	  "\"capacity\":{\"cpu\":1},\"labels\":[\"a\",\"r1\"],\"born\":9}",
+	  BW_OK },
+	{ "bytes", "\xff\xfe", BW_EPARSE },
+	{ "number", "7", BW_EPARSE },
+	{ "state that is not known",
+	  "{\"service\":\"s\",\"address\":\"x\",\"state\":\"new\","
+	  "\"capacity\":{},\"labels\":[]}",
+	  BW_EPARSE },
+	{ "service of another type",
+	  "{\"service\":7,\"address\":\"x\",\"state\":\"ready\","
+	  "\"capacity\":{},\"labels\":[]}",
+	  BW_EPARSE },
+	{ "no capacity",
+	  "{\"service\":\"s\",\"address\":\"x\",\"state\":\"ready\","
+	  "\"labels\":[]}",
+	  BW_EPARSE },
+};
+
+static void test_registrations(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(entry_cases); i++) {
+		const entry_case_t *c = &entry_cases[i];
+		bw_registration_t *r = NULL;
+		bw_status_t status = platform_values.registration(
+			"servers/w1", c->value, strlen(c->value), &r);
+
+		if (status != c->status)
+			print_error("case: %s\n", c->name);
+		assert_int_equal(status, c->status);
+		if (r) {
+			assert_string_equal(r->id, "w1");
+			assert_string_equal(r->rack, "r1");
+			assert_int_equal(r->info.born_ms, 9);
+		}
+		bw_registration_free(r);
+	}
+}
+
+static void test_task_names(void **state)
+{
+	static const char *const bad[] = {
+		"",
+		"5c0e7a21d94b36f8",
+		"5c0e7a21d94b36f8.0.1",
+		"5c0e7a21d94b36f8.0.1.x",
+		"5c0e7a21d94b36f8.0.1.2.3",
+		"5c0e7a21d94b36fz.0.1.2",
+	};
+	bw_task_name_t name;
+	char text[80];
+	size_t i;
+
+	(void)state;
+	assert_true(platform_task_parse("5c0e7a21d94b36f8.2.1.17", &name));
+	assert_int_equal(name.occurrence, 2);
+	assert_int_equal(name.step, 1);
+	assert_int_equal(name.index, 17);
+	platform_task_text(&name, text, sizeof(text));
+	assert_string_equal(text, "5c0e7a21d94b36f8.2.1.17");
+	assert_false(platform_task_parse(NULL, &name));
+	for (i = 0; i < G_N_ELEMENTS(bad); i++)
+		assert_false(platform_task_parse(bad[i], &name));
+}
+
+static void test_waves(void **state)
+{
+	static const char good[] = "{\"wave\":3,\"machines\":[\"m1\",\"m2\"],"
+				   "\"duration_s\":20.5,\"cap\":2}";
+	bw_wave_order_t *wave;
+	char *value;
+
+	(void)state;
+	assert_int_equal(platform_values.wave(good, strlen(good), &wave),
+			 BW_OK);
+	assert_int_equal(wave->number, 3);
+	assert_int_equal(wave->duration_ms, 20500);
+	assert_int_equal(wave->at_once_max, 2);
+	assert_string_equal(wave->machines[1], "m2");
+	assert_null(wave->machines[2]);
+	bw_wave_order_free(wave);
+	assert_int_equal(platform_values.wave("{}", 2, &wave), BW_EPARSE);
+	value = platform_values.wave_status(3, true);
+	assert_string_equal(value, "{\"wave\":3,\"state\":\"completed\"}");
+	g_free(value);
+}
+
+static void test_configuration(void **state)
+{
+	static const char text[] =
+		"{\"version\":7,\"routes\":[{\"name\":\"q\",\"host\":\"h\","
+		"\"prefix\":\"/p/\",\"service\":\"s\",\"stretch\":1.5,"
+		"\"max_attempts\":3,\"target_duration_ms\":600},"
+		"{\"name\":\"broken\"}],\"services\":[{\"name\":\"s\"},"
+		"{\"name\":\"off\",\"standby\":true}]}";
+	bw_fleet_config_t *config;
+
+	(void)state;
+	assert_int_equal(platform_values.config(text, strlen(text), &config),
+			 BW_OK);
+	assert_int_equal(config->version, 7);
+	assert_int_equal(config->queue_count, 1);
+	assert_int_equal(config->queues[0].attempts_max, 3);
+	assert_int_equal(config->pool_count, 2);
+	assert_true(config->pools[1].standby);
+	bw_fleet_config_free(config);
+	assert_int_equal(platform_values.config("[]", 2, &config), BW_EPARSE);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_bodies),
+		cmocka_unit_test(test_body_fields),
+		cmocka_unit_test(test_registrations),
+		cmocka_unit_test(test_task_names),
+		cmocka_unit_test(test_waves),
+		cmocka_unit_test(test_configuration),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/test_sched.c
+++ b/test/test_sched.c
@@ -238,10 +238,9 @@
 /* Completed is said once it is stored. */
 static void test_completed_is_stored(void **state)
 {
-	bw_end_row_t end = { .number = 1,
-			     .run = 1,
-			     .kind = BW_END_DONE,
-			     .checkpoint = "" };
+	bw_end_row_t end = {
+		.number = 1, .run = 1, .kind = BW_END_DONE, .checkpoint = ""
+	};
 	orders_t o;
 
 	(void)state;
--- a/test/world.c
+++ b/test/world.c
@@ -8,14 +8,14 @@
 
 #include "sched/sched.h"
 
-#define NODES		3
-#define WORKERS		7
-#define LEASE_MS	2000
-#define GRANT_MS	5000
-#define OUTAGE_MS	3500
-#define STOP_MS		400
+#define NODES	  3
+#define WORKERS	  7
+#define LEASE_MS  2000
+#define GRANT_MS  5000
+#define OUTAGE_MS 3500
+#define STOP_MS	  400
 /** A task that lasts is at work after this. */
-#define START_UP_MS 300
+#define START_UP_MS	300
 #define TICK_MS		100
 #define DIRECTORY_MS	800
 #define CALL_TIMEOUT_MS 700
@@ -919,8 +919,7 @@
 	if (!node->sched || !node_works(w, node) || node->fence == 0)
 		return;
 	for (i = 0; i < w->workers->len; i++) {
-		const fake_worker_t *worker =
-			g_ptr_array_index(w->workers, i);
+		const fake_worker_t *worker = g_ptr_array_index(w->workers, i);
 
 		bw_sched_worker_empty(node->sched, worker->id, worker->wanted);
 	}
