Stop a gang that lacks a member, and take one good end for all

Change: the others are stopped at once and the gang starts again; one end that is done stands for all members; after a takeover a gang waits like other tasks.

--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -245,10 +245,10 @@
 		state->waiting--;
 	task->done = true;
 	/* Another run of it takes room until it has ended. */
-	if (task->at)
-		sched_stop_task(s, task, now_ms);
-	else
+	if (!task->at)
 		task->state = TASK_DONE;
+	else if (!sched_task_step(task)->gang)
+		sched_stop_task(s, task, now_ms);
 	g_clear_pointer(&task->checkpoint, g_free);
 	state->left--;
 	occurrence->left--;
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -300,6 +300,12 @@
 	s->ops.start(s->ctx, &order);
 }
 
+static bool startable(const bw_sched_t *s, const task_t *task, int64_t now_ms)
+{
+	return task->state == TASK_WAITING && now_ms >= task->retry_ms &&
+	       (s->settled || !task->suspect);
+}
+
 /* Places all tasks of a gang, or none. */
 static bool place_gang(bw_sched_t *s, GPtrArray *workers,
 		       occurrence_t *occurrence, uint32_t step, int64_t now_ms)
@@ -313,8 +319,11 @@
 
 	if (state->waiting < count)
 		return true;
-	for (i = 0; i < count; i++)
+	for (i = 0; i < count; i++) {
+		if (!startable(s, &tasks[i], now_ms))
+			return true;
 		run = MAX(run, next_run(&tasks[i]));
+	}
 	for (placed = 0; placed < count; placed++) {
 		worker_t *worker = pick(s, workers, &tasks[placed], now_ms);
 
@@ -350,12 +359,6 @@
 	g_free(ids);
 }
 
-static bool startable(const bw_sched_t *s, const task_t *task, int64_t now_ms)
-{
-	return task->state == TASK_WAITING && now_ms >= task->retry_ms &&
-	       (s->settled || !task->suspect);
-}
-
 /* Starts what fits of a step; false if a task found no worker. */
 static bool place_step(bw_sched_t *s, GPtrArray *workers,
 		       occurrence_t *occurrence, uint32_t step, int64_t now_ms)
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -108,6 +108,19 @@
 	send_stop(s, task, now_ms);
 }
 
+void sched_stop_gang(bw_sched_t *s, const task_t *task, int64_t now_ms)
+{
+	const bw_step_spec_t *step = sched_task_step(task);
+	task_t *first = &task->occurrence->tasks[sched_step_state(task)->first];
+	uint32_t i;
+
+	if (!step->gang)
+		return;
+	for (i = 0; i < step->count; i++)
+		if (first[i].at && !first[i].done)
+			sched_stop_task(s, &first[i], now_ms);
+}
+
 int64_t sched_grant_clock(const bw_sched_t *s, const worker_t *worker,
 			  int64_t now_ms)
 {
@@ -470,6 +483,22 @@
 	sched_changed(s, false);
 }
 
+/* One end of a gang stands for all its members. */
+static void finish_task(bw_sched_t *s, task_t *task, int64_t now_ms)
+{
+	const bw_step_spec_t *step = sched_task_step(task);
+	task_t *first = &task->occurrence->tasks[sched_step_state(task)->first];
+	uint32_t i;
+
+	if (!step->gang) {
+		sched_task_done(s, task, now_ms);
+		return;
+	}
+	for (i = 0; i < step->count; i++)
+		if (!first[i].done)
+			sched_task_done(s, &first[i], now_ms);
+}
+
 static void take_end(bw_sched_t *s, worker_t *worker, const bw_end_row_t *end,
 		     int64_t now_ms)
 {
@@ -499,7 +528,7 @@
 		take_success(worker);
 		if (here)
 			sched_detach(task);
-		sched_task_done(s, task, now_ms);
+		finish_task(s, task, now_ms);
 		return;
 	}
 	if (here || !task->at)
@@ -608,10 +637,11 @@
 		if (lists_run(answer, task))
 			continue;
 		if (task->state == TASK_STARTING && task->answered_ms < 0 &&
-		    now_ms - task->ordered_ms > DOUBT_MS)
+		    now_ms - task->ordered_ms > DOUBT_MS) {
 			sched_stop_task(s, task, now_ms);
-		else if (task->state == TASK_RUNNING &&
-			 task->answered_ms < answer->sent_ms) {
+			sched_stop_gang(s, task, now_ms);
+		} else if (task->state == TASK_RUNNING &&
+			   task->answered_ms < answer->sent_ms) {
 			sched_log(s, "run-missing",
 				  "job=%s step=%u index=%u "
 				  "run=%u worker=%s",
@@ -712,6 +742,7 @@
 	/* Refused, so this run can never begin. */
 	task->retry_ms = now_ms + ROOM_PAUSE_MS;
 	sched_task_wait(task);
+	sched_stop_gang(s, task, now_ms);
 }
 
 void bw_sched_stopped(bw_sched_t *s, int64_t now_ms, const char *id,
