--- a/cmd/bramleyctl.c
+++ b/cmd/bramleyctl.c
@@ -38,6 +38,13 @@
 	{ "status", NULL, 0, bw_ctl_status, "status" },
 	{ "counters", NULL, 0, bw_ctl_counters, "counters" },
 	{ "services", NULL, 0, bw_ctl_services, "services" },
+	{ "job", "submit", 2, bw_ctl_job_submit, "job submit QUEUE FILE [ID]" },
+	{ "job", "show", 2, bw_ctl_job_show, "job show QUEUE ID" },
+	{ "job", "list", 1, bw_ctl_job_list, "job list POOL" },
+	{ "job", "cancel", 2, bw_ctl_job_cancel, "job cancel QUEUE ID" },
+	{ "pool", "show", 0, bw_ctl_pool_show, "pool show" },
+	{ "wave", "status", 0, bw_ctl_wave_status, "wave status" },
+	{ "explain", NULL, 1, bw_ctl_explain, "explain ID" },
 };
 
 static char *option_settings;
--- a/src/ctl/ctl.c
+++ b/src/ctl/ctl.c
@@ -15,6 +15,9 @@
 
 static void on_read(void *ctx, const bw_store_reply_t *reply);
 static void on_written(void *ctx, const bw_store_reply_t *reply);
+/** HTTP statuses from here on are errors. */
+#define HTTP_ERRORS 400
+
 static size_t on_body(char *data, size_t size, size_t count, void *ctx);
 static void on_slept(struct ev_loop *loop, ev_timer *timer, int revents);
 
@@ -113,27 +116,43 @@
 	return size * count;
 }
 
-char *bw_ctl_get(bw_ctl_t *c, const char *address, const char *path)
+char *bw_ctl_call(bw_ctl_t *c, const char *method, const char *address,
+		  const char *path, const char *body, long *status)
 {
 	CURL *easy = curl_easy_init();
-	GString *body = g_string_new(NULL);
+	GString *answer = g_string_new(NULL);
 	char *url = g_strconcat("http://", address, path, NULL);
 	CURLcode result;
 
 	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
-	curl_easy_setopt(easy, CURLOPT_FAILONERROR, 1L);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)c->timeout_ms);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(easy, CURLOPT_WRITEDATA, body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, answer);
+	if (body)
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
 	result = curl_easy_perform(easy);
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, status);
 	curl_easy_cleanup(easy);
 	g_free(url);
 	if (result == CURLE_OK)
-		return g_string_free(body, FALSE);
+		return g_string_free(answer, FALSE);
 	bw_status_set(BW_EUNAVAIL, "%s: %s", address,
 		      curl_easy_strerror(result));
-	g_string_free(body, TRUE);
+	g_string_free(answer, TRUE);
+	return NULL;
+}
+
+char *bw_ctl_get(bw_ctl_t *c, const char *address, const char *path)
+{
+	long status = 0;
+	char *body = bw_ctl_call(c, "GET", address, path, NULL, &status);
+
+	if (!body || status < HTTP_ERRORS)
+		return body;
+	bw_status_set(BW_EUNAVAIL, "%s: status %ld", address, status);
+	g_free(body);
 	return NULL;
 }
 
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -70,6 +70,15 @@
  */
 char *bw_ctl_get(bw_ctl_t *c, const char *address, const char *path);
 
+/**
+ * Calls an entry or node.
+ * @param body NULL is none
+ * @param status receives the HTTP status
+ * @return the body, to be released with g_free(), or NULL without an answer
+ */
+char *bw_ctl_call(bw_ctl_t *c, const char *method, const char *address,
+		  const char *path, const char *body, long *status);
+
 /** Reads a file or, for "-", standard input. Release with g_free(). */
 char *bw_ctl_read_file(const char *path);
 
@@ -97,5 +106,12 @@
 bw_exit_t bw_ctl_status(bw_ctl_t *c, char **args);
 bw_exit_t bw_ctl_counters(bw_ctl_t *c, char **args);
 bw_exit_t bw_ctl_services(bw_ctl_t *c, char **args);
+bw_exit_t bw_ctl_job_submit(bw_ctl_t *c, char **args);
+bw_exit_t bw_ctl_job_show(bw_ctl_t *c, char **args);
+bw_exit_t bw_ctl_job_list(bw_ctl_t *c, char **args);
+bw_exit_t bw_ctl_job_cancel(bw_ctl_t *c, char **args);
+bw_exit_t bw_ctl_pool_show(bw_ctl_t *c, char **args);
+bw_exit_t bw_ctl_wave_status(bw_ctl_t *c, char **args);
+bw_exit_t bw_ctl_explain(bw_ctl_t *c, char **args);
 
 #endif
