--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -84,6 +84,7 @@
 	uint32_t first; /**< Number of its first task. */
 	uint32_t left; /**< Tasks that are not done. */
 	uint32_t waiting; /**< Tasks in TASK_WAITING. */
+	int64_t longest_ms; /**< Of the good runs of its tasks. */
 	GHashTable *tickets; /**< Worker identifier to ticket, or NULL. */
 	int64_t tickets_until_ms;
 	bool asked;
@@ -97,7 +98,7 @@
 	uint32_t task_count;
 	uint32_t left; /**< Tasks that are not done. */
 	int64_t due_ms; /**< When it could start. */
-	int64_t objective_ms; /**< When it should be done. */
+	int64_t objective_ms; /**< When it should be done, as far as known. */
 	int64_t late_ms; /**< After this it is worth nothing. */
 };
 
@@ -222,6 +223,8 @@
 void sched_jobs_due(bw_sched_t *s, int64_t now_ms, int64_t wall_ms);
 /** Releases the tasks of finished jobs once none is left anywhere. */
 void sched_jobs_reap(bw_sched_t *s);
+/** Sets the objective from what its steps took, and estimates of the rest. */
+void sched_set_objective(occurrence_t *occurrence);
 /** Longest chain of a step and those after it, from estimates. */
 int64_t sched_chain_ms(const job_t *job, uint32_t step);
 int64_t sched_estimate_ms(const job_t *job, const bw_step_spec_t *step);
--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -110,7 +110,6 @@
 				   int64_t due_ms)
 {
 	occurrence_t *occurrence = g_new0(occurrence_t, 1);
-	int64_t objective_ms;
 
 	(void)s;
 	occurrence->job = job;
@@ -120,12 +119,8 @@
 	occurrence->tasks = g_new0(task_t, occurrence->task_count);
 	occurrence->steps = g_new0(step_state_t, job->spec->step_count);
 	init_tasks(occurrence);
-	objective_ms = (int64_t)(job->queue->stretch *
-				 (double)sched_chain_ms(job, 0)) +
-		       job->queue->target_ms;
 	occurrence->due_ms = due_ms;
-	occurrence->objective_ms = due_ms + objective_ms;
-	occurrence->late_ms = due_ms + LATE_MULTIPLE * objective_ms;
+	sched_set_objective(occurrence);
 	g_ptr_array_add(job->occurrences, occurrence);
 	return occurrence;
 }
@@ -164,6 +159,45 @@
 	return longest_ms;
 }
 
+/* What a step took, or what it will at least take. */
+static int64_t step_ms(const occurrence_t *occurrence, uint32_t step)
+{
+	const step_state_t *state = &occurrence->steps[step];
+	const bw_step_spec_t *spec = &occurrence->job->spec->steps[step];
+
+	if (spec->lasting)
+		return 0;
+	if (state->left == 0)
+		return state->longest_ms;
+	return MAX(state->longest_ms,
+		   sched_estimate_ms(occurrence->job, spec));
+}
+
+void sched_set_objective(occurrence_t *occurrence)
+{
+	const job_t *job = occurrence->job;
+	const bw_job_spec_t *spec = job->spec;
+	int64_t ends_ms[BW_JOB_STEPS_MAX];
+	int64_t chain_ms = 0;
+	int64_t objective_ms;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < spec->step_count; i++) {
+		const bw_step_spec_t *at = &spec->steps[i];
+
+		ends_ms[i] = 0;
+		for (k = 0; k < at->after_count; k++)
+			ends_ms[i] = MAX(ends_ms[i], ends_ms[at->after[k]]);
+		ends_ms[i] += step_ms(occurrence, i);
+		chain_ms = MAX(chain_ms, ends_ms[i]);
+	}
+	objective_ms = (int64_t)(job->queue->stretch * (double)chain_ms) +
+		       job->queue->target_ms;
+	occurrence->objective_ms = occurrence->due_ms + objective_ms;
+	occurrence->late_ms = occurrence->due_ms + LATE_MULTIPLE * objective_ms;
+}
+
 task_t *sched_find_task(bw_sched_t *s, const bw_task_name_t *name)
 {
 	job_t *job = g_hash_table_lookup(s->jobs, name->job);
@@ -241,6 +275,9 @@
 	step_state_t *state = sched_step_state(task);
 
 	learn_duration(task, now_ms);
+	if (task->answered_ms > 0)
+		state->longest_ms = MAX(state->longest_ms,
+					now_ms - task->answered_ms);
 	if (task->state == TASK_WAITING)
 		state->waiting--;
 	task->done = true;
@@ -252,6 +289,7 @@
 	g_clear_pointer(&task->checkpoint, g_free);
 	state->left--;
 	occurrence->left--;
+	sched_set_objective(occurrence);
 	sched_changed(s, state->left == 0);
 	if (occurrence->left == 0)
 		occurrence_done(s, occurrence, now_ms);
