--- a/src/ctl/explain.c
+++ b/src/ctl/explain.c
@@ -16,10 +16,11 @@
 
 /** Events that matter to every job while they last. */
 static const char *const context_events[] = {
-	" main started ",     " main stopping ",     " main stopped ",
-	" fleet store-lost ", " fleet store-regained ", " fleet pool-lost ",
-	" fleet pool-handed-over ", " member claimed ", " member lease-lost ",
-	" fleet config ",
+	" main started ",	    " main stopping ",
+	" main stopped ",	    " fleet store-lost ",
+	" fleet store-regained ",   " fleet pool-lost ",
+	" fleet pool-handed-over ", " member claimed ",
+	" member lease-lost ",	    " fleet config ",
 };
 
 static bool parse_time(const char *text, double *out);
@@ -151,9 +152,8 @@
 		const line_t *line = &g_array_index(own, line_t, i);
 
 		printf("%+9.3f %s%s\n", line->time_s - first_s, line->text,
-		       shows_gap(line->text) ?
-			       "  <- lines were left out here" :
-			       "");
+		       shows_gap(line->text) ? "  <- lines were left out here"
+					     : "");
 	}
 }
 
--- a/src/ctl/job.c
+++ b/src/ctl/job.c
@@ -16,8 +16,8 @@
 	long status;
 	bw_exit_t code;
 } exits[] = {
-	{ 200, BW_EXIT_OK },	      { 400, BW_EXIT_INVALID },
-	{ 404, BW_EXIT_NOT_FOUND },   { 503, BW_EXIT_UNAVAILABLE },
+	{ 200, BW_EXIT_OK },	    { 400, BW_EXIT_INVALID },
+	{ 404, BW_EXIT_NOT_FOUND }, { 503, BW_EXIT_UNAVAILABLE },
 	{ 504, BW_EXIT_UNKNOWN },
 };
 
@@ -123,7 +123,8 @@
 
 	printf("%-16s %-22s %6s %8s %6s %8s %12s\n", "pool", "owner", "jobs",
 	       "waiting", "tasks", "workers", "cpu used");
-	json_array_foreach(root, i, row) {
+	json_array_foreach(root, i, row)
+	{
 		printf("%-16s %-22s", text_of(row, "pool"),
 		       text_of(row, "owner"));
 		if (json_is_true(json_object_get(row, "here")))
@@ -160,15 +161,14 @@
 
 	if (!json_is_true(json_object_get(root, "here")))
 		printf("directed by %s\n", text_of(root, "directed_by"));
-	json_array_foreach(json_object_get(root, "waves"), i, row)
-		printf("wave %lld: %lld of %lld done, %lld at work, "
-		       "at most %lld at once%s\n",
-		       number_of(row, "wave"), number_of(row, "done"),
-		       number_of(row, "machines"), number_of(row, "reserved"),
-		       number_of(row, "at_once"),
-		       json_is_true(json_object_get(row, "completed")) ?
-			       ", completed" :
-			       "");
+	json_array_foreach(json_object_get(root, "waves"), i, row) printf(
+		"wave %lld: %lld of %lld done, %lld at work, "
+		"at most %lld at once%s\n",
+		number_of(row, "wave"), number_of(row, "done"),
+		number_of(row, "machines"), number_of(row, "reserved"),
+		number_of(row, "at_once"),
+		json_is_true(json_object_get(row, "completed")) ? ", completed"
+								: "");
 }
 
 /* Checks a job here, so that mistakes are told with their places. */
--- a/src/fleet/controller.c
+++ b/src/fleet/controller.c
@@ -417,6 +417,8 @@
 	move->from = g_strdup(machine->pool);
 	move->to = g_strdup(to);
 	g_hash_table_replace(c->moves, move->machine, move);
+	/* Its owner keeps it empty until the order is answered. */
+	bw_reports_order(c->reports, move->from, move->worker, BW_WORKER_EMPTY);
 	order_move(c, move, now_ms);
 }
 
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -239,8 +239,6 @@
 void sched_stop_task(bw_sched_t *s, task_t *task, int64_t now_ms);
 int64_t sched_grant_clock(const bw_sched_t *s, const worker_t *worker,
 			  int64_t now_ms);
-/** Stops what is left of a gang that lacks a member. */
-void sched_stop_gang(bw_sched_t *s, const task_t *task, int64_t now_ms);
 /** Frees tasks of workers whose grants have run out. */
 void sched_workers_expire(bw_sched_t *s, int64_t now_ms);
 void sched_workers_hold(bw_sched_t *s, int64_t now_ms);
--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -169,8 +169,7 @@
 		return 0;
 	if (state->left == 0)
 		return state->longest_ms;
-	return MAX(state->longest_ms,
-		   sched_estimate_ms(occurrence->job, spec));
+	return MAX(state->longest_ms, sched_estimate_ms(occurrence->job, spec));
 }
 
 void sched_set_objective(occurrence_t *occurrence)
@@ -276,8 +275,8 @@
 
 	learn_duration(task, now_ms);
 	if (task->answered_ms > 0)
-		state->longest_ms = MAX(state->longest_ms,
-					now_ms - task->answered_ms);
+		state->longest_ms =
+			MAX(state->longest_ms, now_ms - task->answered_ms);
 	if (task->state == TASK_WAITING)
 		state->waiting--;
 	task->done = true;
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -306,6 +306,17 @@
 	       (s->settled || !task->suspect);
 }
 
+/* Members that run while others wait would wait for them in vain. */
+static void stop_incomplete(bw_sched_t *s, task_t *tasks, uint32_t count,
+			    int64_t now_ms)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		if (tasks[i].at && !tasks[i].done)
+			sched_stop_task(s, &tasks[i], now_ms);
+}
+
 /* Places all tasks of a gang, or none. */
 static bool place_gang(bw_sched_t *s, GPtrArray *workers,
 		       occurrence_t *occurrence, uint32_t step, int64_t now_ms)
@@ -317,8 +328,10 @@
 	uint32_t placed;
 	uint32_t i;
 
-	if (state->waiting < count)
+	if (state->waiting < count) {
+		stop_incomplete(s, tasks, count, now_ms);
 		return true;
+	}
 	for (i = 0; i < count; i++) {
 		if (!startable(s, &tasks[i], now_ms))
 			return true;
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -108,19 +108,6 @@
 	send_stop(s, task, now_ms);
 }
 
-void sched_stop_gang(bw_sched_t *s, const task_t *task, int64_t now_ms)
-{
-	const bw_step_spec_t *step = sched_task_step(task);
-	task_t *first = &task->occurrence->tasks[sched_step_state(task)->first];
-	uint32_t i;
-
-	if (!step->gang)
-		return;
-	for (i = 0; i < step->count; i++)
-		if (first[i].at && !first[i].done)
-			sched_stop_task(s, &first[i], now_ms);
-}
-
 int64_t sched_grant_clock(const bw_sched_t *s, const worker_t *worker,
 			  int64_t now_ms)
 {
@@ -637,11 +624,10 @@
 		if (lists_run(answer, task))
 			continue;
 		if (task->state == TASK_STARTING && task->answered_ms < 0 &&
-		    now_ms - task->ordered_ms > DOUBT_MS) {
+		    now_ms - task->ordered_ms > DOUBT_MS)
 			sched_stop_task(s, task, now_ms);
-			sched_stop_gang(s, task, now_ms);
-		} else if (task->state == TASK_RUNNING &&
-			   task->answered_ms < answer->sent_ms) {
+		else if (task->state == TASK_RUNNING &&
+			 task->answered_ms < answer->sent_ms) {
 			sched_log(s, "run-missing",
 				  "job=%s step=%u index=%u "
 				  "run=%u worker=%s",
@@ -742,7 +728,6 @@
 	/* Refused, so this run can never begin. */
 	task->retry_ms = now_ms + ROOM_PAUSE_MS;
 	sched_task_wait(task);
-	sched_stop_gang(s, task, now_ms);
 }
 
 void bw_sched_stopped(bw_sched_t *s, int64_t now_ms, const char *id,
