Tell owners of stored jobs directly

Change: the node that stored a job or a cancellation tells the pool's owner over the inner protocol; the watch stays, and brings what a lost message did not. Ruled out: slow placement; the pool's lines show no waiting work before.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -52,6 +52,8 @@
 static const char *owner_of(void *ctx, const char *pool);
 static void answer_local(void *ctx, const char *pool, const char *job,
 			 const char *queue, bw_inquiry_answer_t *out);
+static void on_stored(void *ctx, const char *pool, const char *id,
+		      const uint8_t *record, size_t bytes);
 static bool is_store_good(void *ctx);
 static void on_frame(void *ctx, const Bramley__Frame *frame);
 static void send_order(void *ctx, const char *pool,
@@ -72,8 +74,13 @@
 static const bw_pool_ops_t pool_ops = { on_superseded, on_result,
 					on_pool_stopped };
 static const bw_directory_ops_t directory_ops = { on_directory, on_result };
-static const bw_service_ops_t service_ops = { owner_of, answer_local, on_result,
-					      is_store_good };
+static const bw_service_ops_t service_ops = {
+	.owner = owner_of,
+	.local = answer_local,
+	.result = on_result,
+	.stored = on_stored,
+	.store_good = is_store_good,
+};
 static const bw_controller_ops_t controller_ops = { send_order, on_result,
 						    on_controller_superseded };
 
@@ -570,6 +577,43 @@
 		bw_inquiry_send(f->inquiry, owner, frame);
 }
 
+static void take_notice(bw_fleet_t *f, const Bramley__JobNotice *notice)
+{
+	bw_pool_t *pool = g_hash_table_lookup(f->pools, notice->pool);
+
+	if (!pool || !bw_job_id_valid(notice->job))
+		return;
+	if (notice->cancelled)
+		bw_pool_cancel(pool, notice->job);
+	else
+		bw_pool_job(pool, notice->job, notice->record.data,
+			    notice->record.len);
+}
+
+/* Tells the owner, whose watch may be late. */
+static void on_stored(void *ctx, const char *pool, const char *id,
+		      const uint8_t *record, size_t bytes)
+{
+	bw_fleet_t *f = ctx;
+	const char *owner = owner_of(f, pool);
+	Bramley__JobNotice notice = BRAMLEY__JOB_NOTICE__INIT;
+	Bramley__Frame frame = BRAMLEY__FRAME__INIT;
+
+	if (!owner)
+		return;
+	notice.pool = (char *)pool;
+	notice.job = (char *)id;
+	notice.record.data = (uint8_t *)record;
+	notice.record.len = bytes;
+	notice.cancelled = record == NULL;
+	frame.body_case = BRAMLEY__FRAME__BODY_JOB_NOTICE;
+	frame.job_notice = &notice;
+	if (!strcmp(owner, f->env.settings->name))
+		take_notice(f, &notice);
+	else
+		bw_inquiry_send(f->inquiry, owner, &frame);
+}
+
 static void send_report(void *ctx, const Bramley__Frame *frame)
 {
 	bw_fleet_t *f = ctx;
@@ -586,7 +630,9 @@
 {
 	bw_fleet_t *f = ctx;
 
-	if (frame->body_case == BRAMLEY__FRAME__BODY_POOL_ORDER)
+	if (frame->body_case == BRAMLEY__FRAME__BODY_JOB_NOTICE)
+		take_notice(f, frame->job_notice);
+	else if (frame->body_case == BRAMLEY__FRAME__BODY_POOL_ORDER)
 		apply_order(f, frame->pool_order);
 	else if (frame->body_case == BRAMLEY__FRAME__BODY_POOL_REPORT &&
 		 f->controller)
--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -441,13 +441,13 @@
 	return true;
 }
 
-static void take_job(bw_pool_t *pool, const char *id, const bw_store_kv_t *kv)
+static void take_job(bw_pool_t *pool, const char *id, const uint8_t *data,
+		     size_t bytes)
 {
 	bw_job_record_t record;
 	int64_t now_ms = bw_clock_now_ms();
 
-	if (bw_job_record_unpack((const uint8_t *)kv->value, kv->bytes,
-				 &record) != BW_OK) {
+	if (bw_job_record_unpack(data, bytes, &record) != BW_OK) {
 		bw_event("pool", "job-unreadable", "pool=%s job=%s error=%s",
 			 pool->name, id, bw_status_message());
 		return;
@@ -475,11 +475,30 @@
 		return;
 	pool->dirty = true;
 	if (take_id(pool, kv->key, JOB_SUFFIX, id))
-		take_job(pool, id, kv);
+		take_job(pool, id, (const uint8_t *)kv->value, kv->bytes);
 	else if (take_id(pool, kv->key, CANCEL_SUFFIX, id))
 		take_cancel(pool, id);
 }
 
+/* Before all jobs have been read, the reading brings this one too. */
+void bw_pool_job(bw_pool_t *pool, const char *id, const uint8_t *record,
+		 size_t bytes)
+{
+	if (!pool->jobs_read ||
+	    bw_sched_job_state(pool->sched, id) != BW_JOB_UNKNOWN)
+		return;
+	pool->dirty = true;
+	take_job(pool, id, record, bytes);
+}
+
+void bw_pool_cancel(bw_pool_t *pool, const char *id)
+{
+	if (!pool->jobs_read)
+		return;
+	pool->dirty = true;
+	take_cancel(pool, id);
+}
+
 static void on_synced(void *ctx)
 {
 	bw_pool_t *pool = ctx;
--- a/src/fleet/pool.h
+++ b/src/fleet/pool.h
@@ -62,6 +62,13 @@
 /** The registrations of workers have been read. */
 void bw_pool_directory_read(bw_pool_t *pool);
 
+/** A job was stored; known jobs are ignored. */
+void bw_pool_job(bw_pool_t *pool, const char *id, const uint8_t *record,
+		 size_t bytes);
+
+/** A job's cancellation was stored. */
+void bw_pool_cancel(bw_pool_t *pool, const char *id);
+
 /** Something changed; decisions follow in this turn of the loop. */
 void bw_pool_wake(bw_pool_t *pool);
 
--- a/src/fleet/service.c
+++ b/src/fleet/service.c
@@ -420,6 +420,9 @@
 
 	s->ops.result(s->ctx, reply->status);
 	if (reply->status == BW_OK) {
+		if (reply->succeeded)
+			s->ops.stored(s->ctx, task->pool, task->id,
+				      task->record, task->record_bytes);
 		/* A failed condition means that the job is there already. */
 		finish_kind(task, BW_ANSWER_DONE, REASON_NONE);
 		return;
@@ -555,9 +558,12 @@
 	bw_service_t *s = task->s;
 
 	s->ops.result(s->ctx, reply->status);
-	if (reply->status == BW_OK)
+	if (reply->status == BW_OK) {
+		s->ops.stored(s->ctx, task->pool, task->id, NULL, 0);
 		finish_kind(task, BW_ANSWER_DONE, REASON_NONE);
-	else if (bw_clock_now_ms() + STORE_CALL_MS < task->until_ms)
+		return;
+	}
+	if (bw_clock_now_ms() + STORE_CALL_MS < task->until_ms)
 		later(task, cancel);
 	else
 		finish_kind(task, BW_ANSWER_UNKNOWN, REASON_STORE_SILENT);
--- a/src/fleet/service.h
+++ b/src/fleet/service.h
@@ -22,6 +22,9 @@
 	bw_inquiry_local_fn local;
 	/** A call to the store ended so. */
 	void (*result)(void *ctx, bw_status_t status);
+	/** A job, or with record NULL its cancellation, has been stored. */
+	void (*stored)(void *ctx, const char *pool, const char *id,
+		       const uint8_t *record, size_t bytes);
 	/** Whether the store has been answering. */
 	bool (*store_good)(void *ctx);
 } bw_service_ops_t;
--- a/src/wire/bramley.pb-c.c
+++ b/src/wire/bramley.pb-c.c
@@ -547,6 +547,51 @@
   assert(message->base.descriptor == &bramley__pool_order__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bramley__job_notice__init
+                     (Bramley__JobNotice         *message)
+{
+  static const Bramley__JobNotice init_value = BRAMLEY__JOB_NOTICE__INIT;
+  *message = init_value;
+}
+size_t bramley__job_notice__get_packed_size
+                     (const Bramley__JobNotice *message)
+{
+  assert(message->base.descriptor == &bramley__job_notice__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bramley__job_notice__pack
+                     (const Bramley__JobNotice *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bramley__job_notice__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bramley__job_notice__pack_to_buffer
+                     (const Bramley__JobNotice *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bramley__job_notice__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bramley__JobNotice *
+       bramley__job_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bramley__JobNotice *)
+     protobuf_c_message_unpack (&bramley__job_notice__descriptor,
+                                allocator, len, data);
+}
+void   bramley__job_notice__free_unpacked
+                     (Bramley__JobNotice *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bramley__job_notice__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bramley__frame__init
                      (Bramley__Frame         *message)
 {
@@ -1685,7 +1730,84 @@
   (ProtobufCMessageInit) bramley__pool_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__frame__field_descriptors[10] =
+static const ProtobufCFieldDescriptor bramley__job_notice__field_descriptors[4] =
+{
+  {
+    "pool",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__JobNotice, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__JobNotice, job),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "record",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__JobNotice, record),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cancelled",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__JobNotice, cancelled),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bramley__job_notice__field_indices_by_name[] = {
+  3,   /* field[3] = cancelled */
+  1,   /* field[1] = job */
+  0,   /* field[0] = pool */
+  2,   /* field[2] = record */
+};
+static const ProtobufCIntRange bramley__job_notice__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor bramley__job_notice__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bramley.JobNotice",
+  "JobNotice",
+  "Bramley__JobNotice",
+  "bramley",
+  sizeof(Bramley__JobNotice),
+  4,
+  bramley__job_notice__field_descriptors,
+  bramley__job_notice__field_indices_by_name,
+  1,  bramley__job_notice__number_ranges,
+  (ProtobufCMessageInit) bramley__job_notice__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bramley__frame__field_descriptors[11] =
 {
   {
     "hello",
@@ -1807,12 +1929,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "job_notice",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bramley__Frame, body_case),
+    offsetof(Bramley__Frame, job_notice),
+    &bramley__job_notice__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__frame__field_indices_by_name[] = {
   4,   /* field[4] = ask */
   5,   /* field[5] = document */
   1,   /* field[1] = heartbeat */
   0,   /* field[0] = hello */
+  10,   /* field[10] = job_notice */
   3,   /* field[3] = once */
   2,   /* field[2] = place */
   9,   /* field[9] = pool_order */
@@ -1823,7 +1958,7 @@
 static const ProtobufCIntRange bramley__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor bramley__frame__descriptor =
 {
@@ -1833,7 +1968,7 @@
   "Bramley__Frame",
   "bramley",
   sizeof(Bramley__Frame),
-  10,
+  11,
   bramley__frame__field_descriptors,
   bramley__frame__field_indices_by_name,
   1,  bramley__frame__number_ranges,
--- a/src/wire/bramley.pb-c.h
+++ b/src/wire/bramley.pb-c.h
@@ -27,6 +27,7 @@
 typedef struct Bramley__WorkerReport Bramley__WorkerReport;
 typedef struct Bramley__PoolReport Bramley__PoolReport;
 typedef struct Bramley__PoolOrder Bramley__PoolOrder;
+typedef struct Bramley__JobNotice Bramley__JobNotice;
 typedef struct Bramley__Frame Bramley__Frame;
 
 
@@ -303,6 +304,25 @@
     , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
+/*
+ * Tells the owner of a pool what was just stored; its watch tells it too.
+ */
+struct  Bramley__JobNotice
+{
+  ProtobufCMessage base;
+  char *pool;
+  char *job;
+  /*
+   * Of an accepted job.
+   */
+  ProtobufCBinaryData record;
+  protobuf_c_boolean cancelled;
+};
+#define BRAMLEY__JOB_NOTICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bramley__job_notice__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
+
+
 typedef enum {
   BRAMLEY__FRAME__BODY__NOT_SET = 0,
   BRAMLEY__FRAME__BODY_HELLO = 1,
@@ -314,7 +334,8 @@
   BRAMLEY__FRAME__BODY_STATE_ASK = 7,
   BRAMLEY__FRAME__BODY_STATE_ANSWER = 8,
   BRAMLEY__FRAME__BODY_POOL_REPORT = 9,
-  BRAMLEY__FRAME__BODY_POOL_ORDER = 10
+  BRAMLEY__FRAME__BODY_POOL_ORDER = 10,
+  BRAMLEY__FRAME__BODY_JOB_NOTICE = 11
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BRAMLEY__FRAME__BODY__CASE)
 } Bramley__Frame__BodyCase;
 
@@ -333,6 +354,7 @@
     Bramley__StateAnswer *state_answer;
     Bramley__PoolReport *pool_report;
     Bramley__PoolOrder *pool_order;
+    Bramley__JobNotice *job_notice;
   };
 };
 #define BRAMLEY__FRAME__INIT \
@@ -568,6 +590,25 @@
 void   bramley__pool_order__free_unpacked
                      (Bramley__PoolOrder *message,
                       ProtobufCAllocator *allocator);
+/* Bramley__JobNotice methods */
+void   bramley__job_notice__init
+                     (Bramley__JobNotice         *message);
+size_t bramley__job_notice__get_packed_size
+                     (const Bramley__JobNotice   *message);
+size_t bramley__job_notice__pack
+                     (const Bramley__JobNotice   *message,
+                      uint8_t             *out);
+size_t bramley__job_notice__pack_to_buffer
+                     (const Bramley__JobNotice   *message,
+                      ProtobufCBuffer     *buffer);
+Bramley__JobNotice *
+       bramley__job_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bramley__job_notice__free_unpacked
+                     (Bramley__JobNotice *message,
+                      ProtobufCAllocator *allocator);
 /* Bramley__Frame methods */
 void   bramley__frame__init
                      (Bramley__Frame         *message);
@@ -625,6 +666,9 @@
 typedef void (*Bramley__PoolOrder_Closure)
                  (const Bramley__PoolOrder *message,
                   void *closure_data);
+typedef void (*Bramley__JobNotice_Closure)
+                 (const Bramley__JobNotice *message,
+                  void *closure_data);
 typedef void (*Bramley__Frame_Closure)
                  (const Bramley__Frame *message,
                   void *closure_data);
@@ -646,6 +690,7 @@
 extern const ProtobufCMessageDescriptor bramley__worker_report__descriptor;
 extern const ProtobufCMessageDescriptor bramley__pool_report__descriptor;
 extern const ProtobufCMessageDescriptor bramley__pool_order__descriptor;
+extern const ProtobufCMessageDescriptor bramley__job_notice__descriptor;
 extern const ProtobufCMessageDescriptor bramley__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -149,6 +149,7 @@
 	bool good;
 	bw_answer_t answer;
 	uint32_t answers;
+	uint32_t told; /**< Owners: 1 for a job, 100 for a cancellation. */
 	char reason[64];
 } fake_store_t;
 
@@ -203,13 +204,23 @@
 	(void)status;
 }
 
+static void ignore_stored(void *ctx, const char *pool, const char *id,
+			  const uint8_t *record, size_t bytes)
+{
+	(void)pool;
+	(void)id;
+	(void)bytes;
+	((fake_store_t *)ctx)->told += record ? 1 : 100;
+}
+
 static bool fake_good(void *ctx)
 {
 	return ((fake_store_t *)ctx)->good;
 }
 
 static const bw_service_ops_t service_ops = { no_owner, no_answer,
-					      ignore_result, fake_good };
+					      ignore_result, ignore_stored,
+					      fake_good };
 
 static void on_answer(void *ctx, const bw_answer_t *answer)
 {
