Rescue late jobs before they are worth nothing

Cause: jobs that missed their objective waited behind all that could still reach theirs, until they were worth nothing; being served at all is what callers lose most. Change: within a quarter of the pool's room, late jobs with less than 2 s to spare go first.

--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -21,9 +21,15 @@
 /** Tasks of one lasting step that share a worker; more are spread. */
 #define LASTING_TOGETHER 2U
 
+/** A late job is rescued when it has less time than this to spare. */
+#define RESCUE_MS 2000
+/** Part of a pool's room that rescues may take at a time. */
+#define RESCUE_SHARE 0.25
+
 /** How a job stands towards its objective; the first class goes first. */
 typedef enum urgency {
 	URGENCY_LASTING,
+	URGENCY_RESCUE, /**< Late, and soon worth nothing. */
 	URGENCY_IN_TIME,
 	URGENCY_LATE, /**< Can't reach its objective, but is worth something. */
 	URGENCY_OVER,
@@ -36,6 +42,7 @@
 	uint32_t priority;
 	urgency_t urgency;
 	int64_t key; /**< Lower goes first. */
+	int64_t spare_ms; /**< Until it is worth nothing, if it starts now. */
 } candidate_t;
 
 static bool has_waiting(const occurrence_t *occurrence);
@@ -91,6 +98,7 @@
 	int64_t ready_ms = now_ms + chain_left_ms(at);
 
 	candidate->priority = at->job->queue->priority;
+	candidate->spare_ms = at->late_ms - ready_ms;
 	if (at->job->lasting) {
 		candidate->urgency = URGENCY_LASTING;
 		candidate->key = at->job->arrived_ms;
@@ -437,6 +445,46 @@
 	return list;
 }
 
+static int64_t waiting_millis(const occurrence_t *occurrence)
+{
+	const bw_job_spec_t *spec = occurrence->job->spec;
+	int64_t sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < spec->step_count; i++)
+		if (sched_step_ready(occurrence, i))
+			sum += spec->steps[i].need.cpu_millis *
+			       occurrence->steps[i].waiting;
+	return sum;
+}
+
+/*
+ * Being served at all counts more for callers than a little delay of others:
+ * late jobs that would soon be worth nothing go first, within a part of the
+ * room, so that a long overload does not make all jobs late.
+ */
+static void rescue(GArray *list, const GPtrArray *workers)
+{
+	int64_t room_millis = 0;
+	guint i;
+
+	for (i = 0; i < workers->len; i++) {
+		const worker_t *worker = g_ptr_array_index(workers, i);
+
+		room_millis += worker->room.cpu_millis;
+	}
+	room_millis = (int64_t)((double)room_millis * RESCUE_SHARE);
+	for (i = 0; i < list->len && room_millis > 0; i++) {
+		candidate_t *at = &g_array_index(list, candidate_t, i);
+
+		if (at->urgency != URGENCY_LATE || at->spare_ms > RESCUE_MS)
+			continue;
+		at->urgency = URGENCY_RESCUE;
+		room_millis -= waiting_millis(at->occurrence);
+	}
+	g_array_sort(list, compare);
+}
+
 void sched_place(bw_sched_t *s, int64_t now_ms)
 {
 	GArray *list = candidates(s, now_ms);
@@ -449,6 +497,7 @@
 		return;
 	}
 	workers = usable_workers(s, now_ms);
+	rescue(list, workers);
 	for (i = 0; i < list->len && workers->len > 0; i++) {
 		occurrence_t *at =
 			g_array_index(list, candidate_t, i).occurrence;
