--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -121,6 +121,37 @@
 	return memory ? memory->last : (bw_balance_state_t){ 0 };
 }
 
+/* Divides the machines there are by need, when pools want more than all. */
+static void ration(const bw_balance_pool_t *pools, uint32_t pool_count,
+		   state_t *states)
+{
+	uint32_t total = 0;
+	uint32_t wanted = 0;
+	uint32_t least = 0;
+	uint32_t i;
+
+	for (i = 0; i < pool_count; i++) {
+		total += states[i].have;
+		if (pools[i].standby)
+			continue;
+		wanted += states[i].wanted;
+		least += MIN(states[i].wanted, MACHINES_MIN);
+	}
+	if (wanted <= total || total <= least)
+		return;
+	for (i = 0; i < pool_count; i++) {
+		state_t *state = &states[i];
+		uint32_t base = MIN(state->wanted, MACHINES_MIN);
+
+		if (pools[i].standby)
+			continue;
+		state->wanted = base + (state->wanted - base) *
+					       (total - least) /
+					       (wanted - least);
+		state->needed = MIN(state->needed, state->wanted);
+	}
+}
+
 static bool could_give(const bw_balance_pool_t *pools, const state_t *states,
 		       const bw_balance_machine_t *machine)
 {
@@ -257,6 +288,7 @@
 	for (i = 0; i < pool_count; i++)
 		if (!pools[i].standby)
 			set_wanted(b, now_ms, &pools[i], &states[i]);
+	ration(pools, pool_count, states);
 	while (now_ms - b->started_ms >= WATCH_MS) {
 		uint32_t taker = pick_taker(pools, states, pool_count);
 		uint32_t giver;
