Split the largest new files by concern

worker.c into workers, orders and what workers list; fleet.c gives its messages to other nodes to exchange.c. No behaviour changed.

--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -43,6 +43,26 @@
 	bool left;
 };
 
+/* fleet.c */
+/** Owner of a pool, or NULL. */
+const char *fleet_owner_of(void *ctx, const char *pool);
+
+/* exchange.c */
+/**
+ * Once the node that owned a pool says that it does not any more, what it
+ * granted to workers out of reach runs out in a known time.
+ */
+void fleet_ask_predecessors(bw_fleet_t *f, int64_t now_ms);
+/** Sends an order to the owner of a pool; see bw_controller_ops_t. */
+void fleet_send_order(void *ctx, const char *pool, const Bramley__Frame *frame);
+/** Tells the owner of a stored job, whose watch may be late. */
+void fleet_on_stored(void *ctx, const char *pool, const char *id,
+		     const uint8_t *record, size_t bytes);
+/** Takes a message of another node. */
+void fleet_on_frame(void *ctx, const Bramley__Frame *frame);
+/** Tells the node that directs machines how the pools stand. */
+void fleet_exchange_reports(bw_fleet_t *f, int64_t now_ms);
+
 /** What operators are shown of a node; see bw_fleet_operators_create(). */
 extern const bw_fleet_operators_ops_t bw_fleet_show_ops;
 
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -229,20 +229,29 @@
 int64_t sched_chain_ms(const job_t *job, uint32_t step);
 int64_t sched_estimate_ms(const job_t *job, const bw_step_spec_t *step);
 
-/* worker.c */
-worker_t *sched_worker(bw_sched_t *s, const char *id);
-worker_t *sched_worker_new(bw_sched_t *s, const char *id, int64_t now_ms);
-void sched_worker_free(gpointer data);
+/* listing.c */
+/** A task of the job is known to have begun. */
+void sched_mark_begun(bw_sched_t *s, const task_t *task);
+
+/* order.c */
 void sched_attach(task_t *task, worker_t *worker);
 /** Takes a task off its worker, if it is on one. */
 void sched_detach(task_t *task);
 void sched_stop_task(bw_sched_t *s, task_t *task, int64_t now_ms);
 int64_t sched_grant_clock(const bw_sched_t *s, const worker_t *worker,
 			  int64_t now_ms);
-/** Frees tasks of workers whose grants have run out. */
-void sched_workers_expire(bw_sched_t *s, int64_t now_ms);
+void sched_take_clock(worker_t *worker, int64_t now_ms, int64_t clock_ms);
 void sched_workers_hold(bw_sched_t *s, int64_t now_ms);
 void sched_workers_stops(bw_sched_t *s, int64_t now_ms);
+
+/* worker.c */
+/** A new life of a worker runs nothing of the life before. */
+void sched_take_birth(bw_sched_t *s, worker_t *worker, int64_t born_ms);
+worker_t *sched_worker(bw_sched_t *s, const char *id);
+worker_t *sched_worker_new(bw_sched_t *s, const char *id, int64_t now_ms);
+void sched_worker_free(gpointer data);
+/** Frees tasks of workers whose grants have run out. */
+void sched_workers_expire(bw_sched_t *s, int64_t now_ms);
 /** Whether a worker answers and is to stay. */
 bool sched_worker_reachable(const worker_t *worker, int64_t now_ms);
 /** Whether tasks may be started on it now. */
--- /dev/null
+++ b/src/sched/order.c
@@ -0,0 +1,198 @@
+/* Orders to workers, and their answers. */
+#include "sched/internal.h"
+
+static void add_room(worker_t *worker, const task_t *task, int64_t sign)
+{
+	const bw_step_spec_t *step = sched_task_step(task);
+
+	if (!step->filler)
+		worker->used.cpu_millis += sign * step->need.cpu_millis;
+	worker->used.mem_mb += sign * step->need.mem_mb;
+	worker->used.gpus += sign * step->need.gpus;
+}
+
+void sched_attach(task_t *task, worker_t *worker)
+{
+	task->at = worker;
+	g_ptr_array_add(worker->tasks, task);
+	add_room(worker, task, 1);
+}
+
+void sched_detach(task_t *task)
+{
+	worker_t *worker = task->at;
+
+	if (!worker)
+		return;
+	add_room(worker, task, -1);
+	g_ptr_array_remove_fast(worker->tasks, task);
+	task->at = NULL;
+}
+
+static void send_stop(bw_sched_t *s, task_t *task, int64_t now_ms)
+{
+	bw_run_order_t order = {
+		.worker = task->at->id,
+		.address = task->at->address,
+		.run = task->run,
+		.fence = s->config.fence,
+	};
+
+	sched_task_name(task, &order.task);
+	task->stop_sent_ms = now_ms;
+	s->ops.stop(s->ctx, &order);
+}
+
+void sched_stop_task(bw_sched_t *s, task_t *task, int64_t now_ms)
+{
+	if (task->state == TASK_STOPPING && task->stop_sent_ms > 0)
+		return;
+	task->state = TASK_STOPPING;
+	task->stop_answered = false;
+	send_stop(s, task, now_ms);
+}
+
+int64_t sched_grant_clock(const bw_sched_t *s, const worker_t *worker,
+			  int64_t now_ms)
+{
+	if (worker->clock_ms == 0)
+		return 0;
+	return worker->clock_ms + (now_ms - worker->clock_at_ms) +
+	       s->config.grant_ms;
+}
+
+/* Whether a task that lasts is about to be at work. */
+static bool starts_up(const worker_t *worker)
+{
+	guint i;
+
+	for (i = 0; i < worker->tasks->len; i++) {
+		const task_t *task = g_ptr_array_index(worker->tasks, i);
+
+		if (sched_task_step(task)->lasting && !task->at_work)
+			return true;
+	}
+	return false;
+}
+
+static void hold(bw_sched_t *s, worker_t *worker, int64_t now_ms)
+{
+	bw_hold_order_t order = {
+		.worker = worker->id,
+		.address = worker->address,
+		.fence = s->config.fence,
+		.acked = worker->acked,
+		.now_ms = now_ms,
+	};
+
+	/* A silent worker's grant runs out, so that its tasks can move. */
+	if (worker->learned && now_ms - worker->heard_ms < GRANT_SILENT_MS)
+		order.grant_clock_ms = sched_grant_clock(s, worker, now_ms);
+	if (worker->learned && worker->seen == worker->acked)
+		order.wait_ms =
+			starts_up(worker) ? HOLD_SHORT_WAIT_MS : HOLD_WAIT_MS;
+	worker->granted_clock_ms =
+		MAX(worker->granted_clock_ms, order.grant_clock_ms);
+	worker->hold_out = true;
+	s->ops.hold(s->ctx, &order);
+}
+
+void sched_workers_hold(bw_sched_t *s, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		worker_t *worker = value;
+
+		if (!worker->hold_out && !worker->dead &&
+		    now_ms >= worker->hold_at_ms)
+			hold(s, worker, now_ms);
+	}
+}
+
+void sched_workers_stops(bw_sched_t *s, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	g_hash_table_iter_init(&iter, s->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		worker_t *worker = value;
+
+		for (i = 0; i < worker->tasks->len; i++) {
+			task_t *task = g_ptr_array_index(worker->tasks, i);
+
+			if (task->state == TASK_STOPPING &&
+			    !task->stop_answered &&
+			    now_ms - task->stop_sent_ms > STOP_AGAIN_MS)
+				send_stop(s, task, now_ms);
+		}
+	}
+}
+
+void sched_take_clock(worker_t *worker, int64_t now_ms, int64_t clock_ms)
+{
+	if (clock_ms <= 0)
+		return;
+	/* Answers overtake each other; the clock itself never goes back. */
+	if (worker->clock_ms > 0 && clock_ms < worker->clock_ms)
+		return;
+	worker->clock_ms = clock_ms;
+	worker->clock_at_ms = now_ms;
+}
+
+void bw_sched_started(bw_sched_t *s, int64_t now_ms, const char *id,
+		      const bw_task_name_t *name, uint32_t run,
+		      bw_order_result_t result, int64_t clock_ms)
+{
+	worker_t *worker = sched_worker(s, id);
+	task_t *task = sched_find_task(s, name);
+
+	sched_log(s, "started",
+		  "job=%s step=%u index=%u run=%u worker=%s result=%s",
+		  name->job, name->step, name->index, run, id,
+		  bw_order_result_name(result));
+	if (result == BW_ORDER_FENCED)
+		s->ops.superseded(s->ctx);
+	if (worker)
+		sched_take_clock(worker, now_ms, clock_ms);
+	if (worker && result == BW_ORDER_NO_ROOM)
+		worker->pause_until_ms = now_ms + ROOM_PAUSE_MS;
+	if (worker && result == BW_ORDER_UNHEALTHY)
+		worker->pause_until_ms = now_ms + UNHEALTHY_PAUSE_MS;
+	if (!task || task->at != worker || task->run != run)
+		return;
+	if (result == BW_ORDER_OK) {
+		sched_mark_begun(s, task);
+		task->answered_ms = now_ms;
+		if (task->state == TASK_STARTING)
+			task->state = TASK_RUNNING;
+		return;
+	}
+	if (result == BW_ORDER_LOST) {
+		task->answered_ms = -1;
+		return;
+	}
+	/* Refused, so this run can never begin. */
+	task->retry_ms = now_ms + ROOM_PAUSE_MS;
+	sched_task_wait(task);
+}
+
+void bw_sched_stopped(bw_sched_t *s, int64_t now_ms, const char *id,
+		      const bw_task_name_t *name, uint32_t run,
+		      bw_order_result_t result)
+{
+	worker_t *worker = sched_worker(s, id);
+	task_t *task = sched_find_task(s, name);
+
+	if (result == BW_ORDER_FENCED)
+		s->ops.superseded(s->ctx);
+	if (result != BW_ORDER_OK || !task || !worker || task->at != worker ||
+	    task->run != run || task->state != TASK_STOPPING)
+		return;
+	task->stop_answered = true;
+	task->stop_answered_ms = now_ms;
+}
