--- /dev/null
+++ b/test/test_adapter.c
@@ -0,0 +1,437 @@
+/*
+ * The adapter over HTTP: callers' requests at the front, and calls to a store
+ * and to workers that this test plays.
+ */
+#include "test.h"
+
+#include <string.h>
+
+#include <curl/curl.h>
+#include <ev.h>
+#include <glib.h>
+
+#include "net/httpcall.h"
+#include "net/simplehttp.h"
+#include "platform.h"
+
+#define FRONT		"127.0.8.140:18624"
+#define READY		"127.0.8.140:18622"
+#define OTHER		"127.0.8.140:18621"
+#define LONG_BODY_BYTES ((size_t)10 << 20)
+#define TIMEOUT_MS	3000
+
+/* The front. */
+
+typedef struct front_test {
+	struct ev_loop *loop;
+	bw_answer_t answer; /**< Given to all requests. */
+	bool ready;
+	uint32_t served;
+	uint32_t status;
+	char body[256];
+} front_test_t;
+
+static void serve(void *impl, const bw_request_t *request, bw_answer_fn done,
+		  void *ctx)
+{
+	front_test_t *t = impl;
+
+	(void)request;
+	t->served++;
+	done(ctx, &t->answer);
+}
+
+static bool is_ready(void *impl)
+{
+	return ((front_test_t *)impl)->ready;
+}
+
+static void on_answer(void *ctx, const bw_http_answer_t *answer)
+{
+	front_test_t *t = ctx;
+
+	t->status = answer->outcome == BW_HTTP_ANSWERED ? answer->status : 0;
+	g_strlcpy(t->body, answer->body, sizeof(t->body));
+	ev_break(t->loop, EVBREAK_ALL);
+}
+
+static void call(front_test_t *t, bw_http_client_t *client, const char *method,
+		 const char *url, const char *body, size_t bytes)
+{
+	bw_http_request_t request = { .method = method,
+				      .url = url,
+				      .body = body,
+				      .bytes = bytes,
+				      .timeout_ms = TIMEOUT_MS };
+
+	t->status = 0;
+	bw_http_call(client, &request, on_answer, t);
+	ev_run(t->loop, 0);
+}
+
+typedef struct front_case {
+	const char *name;
+	const char *method;
+	const char *body;
+	bw_answer_t answer;
+	uint32_t status;
+	uint32_t served;
+	const char *says;
+} front_case_t;
+
+#define GOOD_BODY "{\"spec\":\"t\",\"steps\":[{\"count\":1}]}"
+
+static const front_case_t front_cases[] = {
+	{ "accepted",
+	  "POST",
+	  GOOD_BODY,
+	  { .kind = BW_ANSWER_DONE },
+	  200,
+	  1,
+	  "{}" },
+	{ "refused",
+	  "POST",
+	  GOOD_BODY,
+	  { .kind = BW_ANSWER_REFUSED, .retry_after_s = 2, .reason = "why" },
+	  503,
+	  1,
+	  "why" },
+	{ "in doubt",
+	  "POST",
+	  GOOD_BODY,
+	  { .kind = BW_ANSWER_UNKNOWN },
+	  504,
+	  1,
+	  "{}" },
+	{ "no queue",
+	  "POST",
+	  GOOD_BODY,
+	  { .kind = BW_ANSWER_NO_QUEUE },
+	  404,
+	  1,
+	  "{}" },
+	{ "not JSON",
+	  "POST",
+	  "{",
+	  { .kind = BW_ANSWER_DONE },
+	  400,
+	  0,
+	  "not a job" },
+	{ "other method",
+	  "PUT",
+	  GOOD_BODY,
+	  { .kind = BW_ANSWER_DONE },
+	  400,
+	  0,
+	  "method" },
+	{ "state",
+	  "GET",
+	  NULL,
+	  { .kind = BW_ANSWER_STATE, .state = BW_JOB_RUNNING },
+	  200,
+	  1,
+	  "{\"state\":\"running\"}" },
+	{ "count",
+	  "GET",
+	  NULL,
+	  { .kind = BW_ANSWER_WAITING, .waiting = 12 },
+	  200,
+	  1,
+	  "{\"waiting\":12}" },
+	{ "no job",
+	  "DELETE",
+	  NULL,
+	  { .kind = BW_ANSWER_NO_JOB },
+	  410,
+	  1,
+	  "{}" },
+};
+
+static void test_front(void **state)
+{
+	front_test_t t = { .loop = ev_loop_new(0) };
+	bw_http_client_t *client = bw_http_client_create(t.loop, 4);
+	bw_request_port_t port = { &t, serve, is_ready };
+	platform_front_t *front;
+	char *long_body = g_strnfill(LONG_BODY_BYTES, 'x');
+	size_t i;
+
+	(void)state;
+	assert_int_equal(
+		platform_front_create(t.loop, FRONT, READY, &port, &front),
+		BW_OK);
+	for (i = 0; i < G_N_ELEMENTS(front_cases); i++) {
+		const front_case_t *c = &front_cases[i];
+
+		t.answer = c->answer;
+		t.served = 0;
+		call(&t, client, c->method, "http://" FRONT "/p/id", c->body,
+		     c->body ? strlen(c->body) : 0);
+		if (t.status != c->status || !strstr(t.body, c->says))
+			print_error("case: %s: %u %s\n", c->name, t.status,
+				    t.body);
+		assert_int_equal(t.status, c->status);
+		assert_int_equal(t.served, c->served);
+		assert_non_null(strstr(t.body, c->says));
+	}
+	/* A body of any length gets an answer, and others are served on. */
+	call(&t, client, "POST", "http://" FRONT "/p/id", long_body,
+	     LONG_BODY_BYTES);
+	assert_int_equal(t.status, 413);
+	t.answer.kind = BW_ANSWER_DONE;
+	call(&t, client, "POST", "http://" FRONT "/p/id", GOOD_BODY,
+	     strlen(GOOD_BODY));
+	assert_int_equal(t.status, 200);
+	call(&t, client, "GET", "http://" READY "/v1/readiness", NULL, 0);
+	assert_int_equal(t.status, 503);
+	t.ready = true;
+	call(&t, client, "GET", "http://" READY "/v1/readiness", NULL, 0);
+	assert_int_equal(t.status, 200);
+	assert_int_equal(platform_front_open(front), 0);
+	g_free(long_body);
+	bw_http_client_destroy(client);
+	platform_front_destroy(front);
+	ev_loop_destroy(t.loop);
+}
+
+/* The store and workers, which this test plays. */
+
+typedef struct served {
+	unsigned int status;
+	const char *body;
+	char path[256]; /**< Of the last call. */
+	char request[512];
+	uint32_t calls;
+} served_t;
+
+static enum MHD_Result play(void *ctx, bw_simple_request_t *r)
+{
+	served_t *s = ctx;
+
+	s->calls++;
+	g_strlcpy(s->path, r->path, sizeof(s->path));
+	g_strlcpy(s->request, r->body->str, sizeof(s->request));
+	return bw_simple_reply(r, s->status, "application/json", s->body,
+			       strlen(s->body));
+}
+
+typedef struct store_test {
+	struct ev_loop *loop;
+	bw_status_t status;
+	bool succeeded;
+	bool deleted;
+	int64_t revision;
+	size_t count;
+	char value[64];
+	bw_order_result_t result;
+	uint32_t runs;
+	uint32_t ends;
+} store_test_t;
+
+static void on_reply(void *ctx, const bw_store_reply_t *reply)
+{
+	store_test_t *t = ctx;
+
+	t->status = reply->status;
+	t->succeeded = reply->succeeded;
+	t->revision = reply->revision;
+	t->count = reply->kv_count;
+	if (reply->kv_count > 0) {
+		g_strlcpy(t->value, reply->kvs[0].value, sizeof(t->value));
+		t->deleted = reply->kvs[0].deleted;
+	}
+	ev_break(t->loop, EVBREAK_ALL);
+}
+
+typedef struct store_case {
+	const char *name;
+	unsigned int http;
+	const char *body;
+	bw_status_t status;
+	bool succeeded;
+} store_case_t;
+
+static const store_case_t txn_cases[] = {
+	{ "done", 200, "{\"revision\":7}", BW_OK, true },
+	{ "condition failed", 412,
+	  "{\"items\":[{\"key\":\"k\",\"value\":\"YQ==\",\"revision\":3}]}",
+	  BW_OK, false },
+	{ "no such lease", 404, "{}", BW_ENOTFOUND, false },
+	{ "busy", 503, "{}", BW_EUNAVAIL, false },
+	{ "over the rate", 429, "{}", BW_EUNAVAIL, false },
+	{ "forbidden", 403, "{}", BW_EINVAL, false },
+	{ "broken", 500, "{}", BW_ELOST, false },
+	{ "not JSON", 200, "<html>", BW_ELOST, false },
+};
+
+static void run_txn(store_test_t *t, const bw_store_t *store)
+{
+	bw_store_expect_t expect = { "k", 3 };
+	bw_store_write_t writes[] = { { "k", "a", 1, 0 },
+				      { "old", NULL, 0, 0 } };
+	bw_store_txn_t txn = { &expect, 1, writes, 2 };
+
+	store->ops->txn(store->impl, &txn, on_reply, t);
+	ev_run(t->loop, 0);
+}
+
+static void test_store(void **state)
+{
+	store_test_t t = { .loop = ev_loop_new(0) };
+	served_t served = { 0 };
+	bw_simple_config_t config = { OTHER, 65536, 16 };
+	bw_counters_t counters = { 0 };
+	bw_store_t store = platform_store_create(t.loop, OTHER, &counters);
+	bw_store_watch_t *watch;
+	bw_simplehttp_t *http;
+	size_t i;
+
+	(void)state;
+	/* Nobody listens: the call had no effect. */
+	run_txn(&t, &store);
+	assert_int_equal(t.status, BW_EUNAVAIL);
+	assert_int_equal(
+		bw_simplehttp_create(t.loop, &config, play, &served, &http),
+		BW_OK);
+	for (i = 0; i < G_N_ELEMENTS(txn_cases); i++) {
+		const store_case_t *c = &txn_cases[i];
+
+		served.status = c->http;
+		served.body = c->body;
+		run_txn(&t, &store);
+		if (t.status != c->status)
+			print_error("case: %s\n", c->name);
+		assert_int_equal(t.status, c->status);
+		assert_int_equal(t.succeeded, c->succeeded);
+	}
+	assert_string_equal(
+		served.request,
+		"{\"expected_rev\":[{\"key\":\"k\",\"revision\":3}],"
+		"\"writes\":[{\"key\":\"k\",\"value\":\"YQ==\",\"lease\":0}],"
+		"\"deletes\":[\"old\"]}");
+	served.status = 200;
+	served.body = "{\"events\":[{\"key\":\"k\",\"revision\":9,"
+		      "\"compacted\":true}],\"at_rev\":9}";
+	watch = store.ops->watch(store.impl, "k", 4, on_reply, &t);
+	ev_run(t.loop, 0);
+	assert_int_equal(t.status, BW_OK);
+	assert_true(t.deleted);
+	assert_int_equal(t.revision, 9);
+	served.status = 410;
+	served.body = "{}";
+	while (t.status == BW_OK)
+		ev_run(t.loop, 0);
+	assert_int_equal(t.status, BW_ESTALE);
+	(void)watch;
+	store.ops->destroy(store.impl);
+	bw_simplehttp_destroy(http);
+	ev_loop_destroy(t.loop);
+}
+
+static void on_started(void *ctx, bw_order_result_t result, int64_t clock_ms)
+{
+	store_test_t *t = ctx;
+
+	t->result = result;
+	t->revision = clock_ms;
+	ev_break(t->loop, EVBREAK_ALL);
+}
+
+static void on_held(void *ctx, const bw_hold_answer_t *answer)
+{
+	store_test_t *t = ctx;
+
+	t->result = answer->result;
+	t->runs = answer->run_count;
+	t->ends = answer->end_count;
+	ev_break(t->loop, EVBREAK_ALL);
+}
+
+typedef struct order_case {
+	unsigned int http;
+	const char *body;
+	bw_order_result_t result;
+} order_case_t;
+
+static const order_case_t order_cases[] = {
+	{ 200, "{\"clock_ms\":5}", BW_ORDER_OK },
+	{ 409, "{\"clock_ms\":5,\"reason\":\"fence\"}", BW_ORDER_FENCED },
+	{ 409, "{\"clock_ms\":5,\"reason\":\"old\"}", BW_ORDER_OLD_RUN },
+	{ 409, "{\"clock_ms\":5,\"reason\":\"late\"}", BW_ORDER_EXPIRED },
+	{ 409, "{\"clock_ms\":5,\"reason\":\"room\"}", BW_ORDER_NO_ROOM },
+	{ 409, "{\"clock_ms\":5,\"reason\":\"ticket\"}", BW_ORDER_NO_TICKET },
+	{ 409, "{\"reason\":\"new\"}", BW_ORDER_REFUSED },
+	{ 400, "{}", BW_ORDER_REFUSED },
+	{ 421, "{}", BW_ORDER_OTHER_BOOT },
+	{ 503, "{}", BW_ORDER_UNHEALTHY },
+	{ 429, "{}", BW_ORDER_UNHEALTHY },
+	{ 502, "{}", BW_ORDER_LOST },
+	{ 200, "oops", BW_ORDER_LOST },
+};
+
+static void test_workers(void **state)
+{
+	store_test_t t = { .loop = ev_loop_new(0) };
+	served_t served = { 0 };
+	bw_simple_config_t config = { OTHER, 65536, 16 };
+	bw_worker_port_t port = platform_workers_create(t.loop, NULL);
+	bw_start_order_t start = { .worker = "w1",
+				   .address = OTHER,
+				   .task = { "5c0e7a21d94b36f8", 0, 1, 2 },
+				   .run = 3,
+				   .text = "a \"text\"",
+				   .grant_clock_ms = 9,
+				   .fence = 7 };
+	bw_hold_order_t hold = {
+		.worker = "w1", .address = OTHER, .fence = 7, .acked = 4
+	};
+	bw_simplehttp_t *http;
+	size_t i;
+
+	(void)state;
+	assert_int_equal(
+		bw_simplehttp_create(t.loop, &config, play, &served, &http),
+		BW_OK);
+	for (i = 0; i < G_N_ELEMENTS(order_cases); i++) {
+		served.status = order_cases[i].http;
+		served.body = order_cases[i].body;
+		port.start(port.impl, &start, on_started, &t);
+		ev_run(t.loop, 0);
+		if (t.result != order_cases[i].result)
+			print_error("case: %u %s\n", served.status,
+				    served.body);
+		assert_int_equal(t.result, order_cases[i].result);
+	}
+	assert_string_equal(served.request,
+			    "{\"task\":\"5c0e7a21d94b36f8.0.1.2\",\"run\":3,"
+			    "\"spec\":\"a \\\"text\\\"\",\"deadline_ms\":9,"
+			    "\"fence_token\":7}");
+	/* Rows that can't be read are left out; the others hold. */
+	served.status = 200;
+	served.body = "{\"clock_ms\":5,\"running\":[[\"x\",1,\"\",3],"
+		      "[\"5c0e7a21d94b36f8.0.1.2\",1,\"\",41,7]],\"ended\":["
+		      "[1,\"5c0e7a21d94b36f8.0.1.2\",1,\"gone\",\"\"],7,"
+		      "[2,\"5c0e7a21d94b36f8.0.1.2\",1,\"done\",\"\"]]}";
+	port.hold(port.impl, &hold, on_held, &t);
+	ev_run(t.loop, 0);
+	assert_int_equal(t.result, BW_ORDER_OK);
+	assert_int_equal(t.runs, 1);
+	assert_int_equal(t.ends, 1);
+	assert_string_equal(served.request,
+			    "{\"fence_token\":7,\"last_seen\":4}");
+	platform_workers_destroy(&port);
+	bw_simplehttp_destroy(http);
+	ev_loop_destroy(t.loop);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_front),
+		cmocka_unit_test(test_store),
+		cmocka_unit_test(test_workers),
+	};
+
+	curl_global_init(CURL_GLOBAL_NOTHING);
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
