Mend what the sanitizers and the frame fuzzer found; keep a share of machines

Cause, from the last full run of the checks (159 passed, 4 failed): - an incomplete queue row of the configuration was overwritten and its strings leaked (test_platform under the leak check); - a restored task without failed runs called memcpy with a null source (test_sched, test_world under the undefined-behaviour check); - the frame fuzzer wrote a frame that can't be read again: the library takes an unknown field of number zero when its tag is written too long (85 00), and writes it as 05, which it then refuses. The new kinds of frame only moved the fuzzer's way to it. Only test_wire's own case was needed to see it fail first; ruled out: a fault of frame_write. - how many machines an idle pool keeps was an absolute number (7).

Change: rows without a name are released, counted and logged; failed runs are copied one by one; a frame with a field of number zero at any depth is bad; an idle pool keeps six tenths of the machines it had at first, tested with 40 machines (16 turned off, the old bound turned off 33).

--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -9,8 +9,11 @@
 /** Machines that a pool keeps beyond that. */
 #define SPARE_MACHINES 1
 /** A pool keeps at least so many machines. */
-#define MACHINES_MIN  3
-#define KEPT_MACHINES 7U
+#define MACHINES_MIN 3
+/** What a pool has is first watched for so long. */
+#define GIVEN_MS 3000
+/** Of the most machines that it had then, a pool keeps such a share. */
+#define KEPT_SHARE 0.6
 /** A pool that needs fewer machines keeps them for so long. */
 #define RELEASE_MS 1500
 /** After its start the load is watched for so long before a move. */
@@ -20,6 +23,8 @@
 typedef struct memory {
 	uint32_t wanted; /**< Machines, with the delay of releases. */
 	int64_t wanted_ms; /**< When so many were last needed. */
+	uint32_t given; /**< Most machines that it had at first. */
+	int64_t first_ms; /**< When its report was first known. */
 	bw_balance_state_t last; /**< At the last decision. */
 } memory_t;
 
@@ -29,6 +34,7 @@
 	int64_t room_millis; /**< Of all of them. */
 	uint32_t needed; /**< At present. */
 	uint32_t wanted;
+	uint32_t kept; /**< Machines that are not turned off. */
 } state_t;
 
 struct bw_balance {
@@ -100,6 +106,7 @@
 	if (!pool->known) {
 		state->wanted = state->have;
 		state->needed = state->have;
+		state->kept = state->have;
 		return;
 	}
 	state->needed = needed(pool, state);
@@ -108,6 +115,11 @@
 		memory->wanted = state->needed;
 		memory->wanted_ms = now_ms;
 	}
+	if (memory->first_ms == 0)
+		memory->first_ms = now_ms;
+	if (now_ms - memory->first_ms < GIVEN_MS)
+		memory->given = MAX(memory->given, state->have);
+	state->kept = (uint32_t)(memory->given * KEPT_SHARE);
 	state->wanted = memory->wanted;
 	memory->last.have = state->have;
 	memory->last.needed = state->needed;
@@ -238,7 +250,7 @@
 		const state_t *state = &states[machine->pool];
 
 		if (used[i] || pools[machine->pool].standby ||
-		    state->have <= MAX(state->wanted, KEPT_MACHINES) ||
+		    state->have <= MAX(state->wanted, state->kept) ||
 		    !could_give(pools, states, machine))
 			continue;
 		if (best == UINT32_MAX || machine->tasks < machines[best].tasks)
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -247,8 +247,10 @@
 		return;
 	}
 	bw_event("fleet", "config",
-		 "version=%" G_GINT64_FORMAT " queues=%u pools=%u",
-		 config->version, config->queue_count, config->pool_count);
+		 "version=%" G_GINT64_FORMAT
+		 " queues=%u pools=%u incomplete=%u",
+		 config->version, config->queue_count, config->pool_count,
+		 config->incomplete_count);
 	bw_service_configure(f->service, config);
 	if (f->controller)
 		bw_controller_configure(f->controller, config);
--- a/src/fleet/ports.c
+++ b/src/fleet/ports.c
@@ -1,19 +1,26 @@
 #include "fleet/ports.h"
 
+#include <string.h>
+
 #include <glib.h>
 
+void bw_queue_clear(bw_queue_t *queue)
+{
+	g_free(queue->name);
+	g_free(queue->host);
+	g_free(queue->prefix);
+	g_free(queue->pool);
+	memset(queue, 0, sizeof(*queue));
+}
+
 void bw_fleet_config_free(bw_fleet_config_t *config)
 {
 	uint32_t i;
 
 	if (!config)
 		return;
-	for (i = 0; i < config->queue_count; i++) {
-		g_free(config->queues[i].name);
-		g_free(config->queues[i].host);
-		g_free(config->queues[i].prefix);
-		g_free(config->queues[i].pool);
-	}
+	for (i = 0; i < config->queue_count; i++)
+		bw_queue_clear(&config->queues[i]);
 	for (i = 0; i < config->pool_count; i++)
 		g_free(config->pools[i].name);
 	g_free(config->queues);
--- a/src/fleet/ports.h
+++ b/src/fleet/ports.h
@@ -111,8 +111,12 @@
 	uint32_t queue_count;
 	bw_pool_config_t *pools;
 	uint32_t pool_count;
+	uint32_t incomplete_count; /**< Rows left out, as they lack a name. */
 } bw_fleet_config_t;
 
+/** Releases what a queue's row holds, and zeroes it. */
+void bw_queue_clear(bw_queue_t *queue);
+
 void bw_fleet_config_free(bw_fleet_config_t *config);
 
 /** A worker's registration; release with bw_registration_free(). */
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -211,9 +211,8 @@
 	task->suspect = record->placed;
 	task->run = record->run;
 	task->failures = record->failures;
-	memcpy(task->failed_runs, record->failed_runs,
-	       MIN(record->n_failed_runs, FAILED_RUNS_KEPT) *
-		       sizeof(*task->failed_runs));
+	for (i = 0; i < MIN(record->n_failed_runs, FAILED_RUNS_KEPT); i++)
+		task->failed_runs[i] = record->failed_runs[i];
 	task->checkpoint =
 		record->checkpoint[0] ? g_strdup(record->checkpoint) : NULL;
 	if (!record->done || task->done)
--- a/src/wire/frame.c
+++ b/src/wire/frame.c
@@ -1,6 +1,7 @@
 #include "wire/frame.h"
 
 #include <arpa/inet.h>
+#include <stdbool.h>
 #include <string.h>
 
 static const uint8_t magic[2] = { 'B', 'W' };
@@ -19,6 +20,64 @@
 	bramley__frame__pack(frame, (uint8_t *)out->str + at + sizeof(header));
 }
 
+static bool numbered(const ProtobufCMessage *message);
+
+/* Message of a field that isn't repeated, or of one of a repeated field. */
+static const ProtobufCMessage *message_at(const ProtobufCMessage *message,
+					  const ProtobufCFieldDescriptor *field,
+					  size_t index)
+{
+	const uint8_t *at = (const uint8_t *)message + field->offset;
+	const ProtobufCMessage *const *inner = (const void *)at;
+
+	if (field->label == PROTOBUF_C_LABEL_REPEATED)
+		inner = ((const ProtobufCMessage *const *const *)inner)[0] +
+			index;
+	return *inner;
+}
+
+static size_t messages_in(const ProtobufCMessage *message,
+			  const ProtobufCFieldDescriptor *field)
+{
+	const uint8_t *quantifier =
+		(const uint8_t *)message + field->quantifier_offset;
+
+	if (field->type != PROTOBUF_C_TYPE_MESSAGE)
+		return 0;
+	if (field->label == PROTOBUF_C_LABEL_REPEATED)
+		return *(const size_t *)(const void *)quantifier;
+	if (field->flags & PROTOBUF_C_FIELD_FLAG_ONEOF &&
+	    *(const uint32_t *)(const void *)quantifier != field->id)
+		return 0;
+	return message_at(message, field, 0) ? 1 : 0;
+}
+
+static bool field_numbered(const ProtobufCMessage *message,
+			   const ProtobufCFieldDescriptor *field)
+{
+	size_t count = messages_in(message, field);
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		if (!numbered(message_at(message, field, i)))
+			return false;
+	return true;
+}
+
+/* The library takes a field of number zero that it could not read again. */
+static bool numbered(const ProtobufCMessage *message)
+{
+	unsigned i;
+
+	for (i = 0; i < message->n_unknown_fields; i++)
+		if (message->unknown_fields[i].tag == 0)
+			return false;
+	for (i = 0; i < message->descriptor->n_fields; i++)
+		if (!field_numbered(message, &message->descriptor->fields[i]))
+			return false;
+	return true;
+}
+
 bw_frame_result_t bw_frame_read(const uint8_t *data, size_t bytes, size_t *used,
 				Bramley__Frame **frame)
 {
@@ -40,6 +99,11 @@
 					data + BW_FRAME_HEADER_BYTES);
 	if (!*frame)
 		return BW_FRAME_BAD;
+	if (!numbered(&(*frame)->base)) {
+		bramley__frame__free_unpacked(*frame, NULL);
+		*frame = NULL;
+		return BW_FRAME_BAD;
+	}
 	*used = BW_FRAME_HEADER_BYTES + length;
 	return BW_FRAME_OK;
 }
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -140,6 +140,34 @@
 	assert_int_equal(decide(pools, machines, actions), 2);
 }
 
+#define MANY 40
+
+/* A surge finds most of what operators gave a pool still in it. */
+static void test_idle_pool_keeps_its_share(void **state)
+{
+	bw_balance_pool_t pools[2] = { { .name = "a", .known = true },
+				       { .name = "off", .standby = true } };
+	bw_balance_machine_t machines[MANY];
+	bw_balance_action_t actions[MANY];
+	bw_balance_t *b = bw_balance_create();
+	uint32_t i;
+
+	(void)state;
+	memset(machines, 0, sizeof(machines));
+	for (i = 0; i < MANY; i++) {
+		machines[i].name = "m";
+		machines[i].room_millis = 32000;
+		machines[i].up = true;
+		machines[i].usable = true;
+		machines[i].free = true;
+	}
+	bw_balance_decide(b, 1000, pools, 2, machines, MANY, actions);
+	assert_int_equal(
+		bw_balance_decide(b, 60000, pools, 2, machines, MANY, actions),
+		16);
+	bw_balance_destroy(b);
+}
+
 /* Requests. */
 
 typedef struct fake_store {
@@ -501,6 +529,7 @@
 		cmocka_unit_test(test_arriving_work_counts),
 		cmocka_unit_test(test_what_is_held_stays),
 		cmocka_unit_test(test_unknown_pool_gives_nothing),
+		cmocka_unit_test(test_idle_pool_keeps_its_share),
 		cmocka_unit_test(test_requests),
 		cmocka_unit_test(test_doubt_is_not_refused),
 		cmocka_unit_test(test_longest_prefix),
--- a/test/test_wire.c
+++ b/test/test_wire.c
@@ -22,6 +22,11 @@
 	{ "too long", "BW\1\0\0\x20\0\1", 8, BW_FRAME_TOO_LONG },
 	{ "body of another kind", "BW\1\0\0\0\0\3\xff\xff\xff", 11,
 	  BW_FRAME_BAD },
+	{ "field of number zero", "BW\1\0\0\0\0\6\x85\0*\0\0\0", 14,
+	  BW_FRAME_BAD },
+	{ "field of number zero inside", "BW\1\0\0\0\0\x8\x2a\6\x85\0*\0\0\0",
+	  16, BW_FRAME_BAD },
+	{ "unknown field", "BW\1\0\0\0\0\3\xf8\1\1", 11, BW_FRAME_OK },
 };
 
 static void test_frame_table(void **state)
