--- a/test/world.c
+++ b/test/world.c
@@ -818,6 +818,12 @@
 	bool superseded;
 } save_t;
 
+static void save_free(save_t *save)
+{
+	g_bytes_unref(save->data);
+	g_free(save);
+}
+
 /* The last state is stored: the pool is free for a successor. */
 static void hand_over(world_t *w, node_t *node)
 {
@@ -854,8 +860,7 @@
 		if (node->sched)
 			run_node(w, node);
 	}
-	g_bytes_unref(save->data);
-	g_free(save);
+	save_free(save);
 }
 
 static void execute_save(world_t *w, save_t *save)
@@ -1517,7 +1522,26 @@
 	at(w, 1, on_look, NULL);
 }
 
-/* Calls that are still on their way are released with their answers. */
+/* Calls and saves that are still on their way belong to their event. */
+static void event_free(event_t *event)
+{
+	if (event->fn == on_call || event->fn == on_answer ||
+	    event->fn == on_late_call)
+		call_free(event->arg);
+	if (event->fn == on_save || event->fn == on_save_answer)
+		save_free(event->arg);
+	g_free(event);
+}
+
+static void clear_events(world_t *w)
+{
+	GSequenceIter *iter = g_sequence_get_begin_iter(w->events);
+
+	for (; !g_sequence_iter_is_end(iter); iter = g_sequence_iter_next(iter))
+		event_free(g_sequence_get(iter));
+	g_sequence_free(w->events);
+}
+
 static void world_clear(world_t *w)
 {
 	uint32_t i;
@@ -1527,7 +1551,7 @@
 			drop_sched(&w->nodes[i]);
 	if (w->state)
 		g_bytes_unref(w->state);
-	g_sequence_free(w->events);
+	clear_events(w);
 	g_ptr_array_free(w->workers, TRUE);
 	g_ptr_array_free(w->jobs, TRUE);
 	g_rand_free(w->rand);
@@ -1562,7 +1586,7 @@
 		g_sequence_remove(first);
 		w.now_ms = MAX(w.now_ms, event->at_ms);
 		if (w.now_ms > w.end_ms + LATE_MAX_MS) {
-			g_free(event);
+			event_free(event);
 			break;
 		}
 		if (w.now_ms > w.end_ms && event->fn == on_tick) {
