Count all machines of a pool for the share that it keeps

The log: a second after the start the director knew 6 workers of entry-gate's 11, as they register one by one, took six tenths of those as the pool's share, turned the others off as they appeared, and the first surge found 3 machines in each pool.

Change: the share is of the machines listed in the pool, usable or not; the watch of three seconds is needless and gone. The test now finds 6 of 40 at first: it failed (3 turned off), and passes.

--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -10,9 +10,7 @@
 #define SPARE_MACHINES 1
 /** A pool keeps at least so many machines. */
 #define MACHINES_MIN 3
-/** What a pool has is first watched for so long. */
-#define GIVEN_MS 3000
-/** Of the most machines that it had then, a pool keeps such a share. */
+/** Of the machines that it had when first seen, a pool keeps such a share. */
 #define KEPT_SHARE 0.6
 /** A pool that needs fewer machines keeps them for so long. */
 #define RELEASE_MS 1500
@@ -23,13 +21,13 @@
 typedef struct memory {
 	uint32_t wanted; /**< Machines, with the delay of releases. */
 	int64_t wanted_ms; /**< When so many were last needed. */
-	uint32_t given; /**< Most machines that it had at first. */
-	int64_t first_ms; /**< When its report was first known. */
+	uint32_t given; /**< Machines that it had when first seen. */
 	bw_balance_state_t last; /**< At the last decision. */
 } memory_t;
 
 /** A pool in one decision. */
 typedef struct state {
+	uint32_t listed; /**< Machines, usable or not. */
 	uint32_t have; /**< Usable machines, or those that soon are. */
 	int64_t room_millis; /**< Of all of them. */
 	uint32_t needed; /**< At present. */
@@ -91,6 +89,7 @@
 	uint32_t i;
 
 	for (i = 0; i < machine_count; i++) {
+		states[machines[i].pool].listed++;
 		if (!machines[i].usable)
 			continue;
 		states[machines[i].pool].have++;
@@ -115,10 +114,8 @@
 		memory->wanted = state->needed;
 		memory->wanted_ms = now_ms;
 	}
-	if (memory->first_ms == 0)
-		memory->first_ms = now_ms;
-	if (now_ms - memory->first_ms < GIVEN_MS)
-		memory->given = MAX(memory->given, state->have);
+	if (memory->given == 0)
+		memory->given = state->listed;
 	state->kept = (uint32_t)(memory->given * KEPT_SHARE);
 	state->wanted = memory->wanted;
 	memory->last.have = state->have;
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -158,10 +158,18 @@
 		machines[i].name = "m";
 		machines[i].room_millis = 32000;
 		machines[i].up = true;
-		machines[i].usable = true;
+		machines[i].usable = i < 6;
 		machines[i].free = true;
 	}
-	bw_balance_decide(b, 1000, pools, 2, machines, MANY, actions);
+	/* While its workers are found one by one, none is turned off. */
+	assert_int_equal(
+		bw_balance_decide(b, 1000, pools, 2, machines, MANY, actions),
+		0);
+	assert_int_equal(
+		bw_balance_decide(b, 10000, pools, 2, machines, MANY, actions),
+		0);
+	for (i = 0; i < MANY; i++)
+		machines[i].usable = true;
 	assert_int_equal(
 		bw_balance_decide(b, 60000, pools, 2, machines, MANY, actions),
 		16);
