A finished job keeps its last state

A job that was cancelled or had failed finished a second time when its last task, which was being stopped, ended well: its state became completed after callers had been told cancelled, and it was queued twice.

Change: a job finishes once.

Ruled out: an identifier taken twice (known jobs are ignored, and the trace of the freed job has one creation).

--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -316,6 +316,9 @@
 	guint i;
 	uint32_t k;
 
+	/* Tasks that end while they are stopped change nothing any more. */
+	if (job->finished_version > 0)
+		return;
 	sched_changed(s, true);
 	job->state = state;
 	job->finished_version = s->version;
--- a/test/test_sched.c
+++ b/test/test_sched.c
@@ -258,6 +258,32 @@
 	bw_sched_destroy(o.sched);
 }
 
+/* A cancelled job stays so when its last task ends well all the same. */
+static void test_cancelled_stays(void **state)
+{
+	bw_end_row_t end = {
+		.number = 1, .run = 1, .kind = BW_END_DONE, .checkpoint = ""
+	};
+	const char *ids[4];
+	orders_t o;
+
+	(void)state;
+	ready(&o);
+	add_job(&o, JOB_A, 1, false, 1000, 500);
+	run(&o, 10);
+	bw_sched_cancel(o.sched, o.now_ms, JOB_A);
+	save(&o);
+	end.task = o.starts[0].task;
+	o.now_ms += 500;
+	hold(&o, "w1", NULL, 0, &end, 1);
+	run(&o, 10);
+	save(&o);
+	assert_int_equal(bw_sched_job_state(o.sched, JOB_A), BW_JOB_CANCELLED);
+	o.now_ms += 200000;
+	assert_int_equal(bw_sched_over(o.sched, o.now_ms, ids, 4), 1);
+	bw_sched_destroy(o.sched);
+}
+
 static uint32_t over(orders_t *o, const char **id)
 {
 	*id = "";
@@ -455,6 +481,7 @@
 		cmocka_unit_test(test_start_in_doubt),
 		cmocka_unit_test(test_begun_is_known),
 		cmocka_unit_test(test_completed_is_stored),
+		cmocka_unit_test(test_cancelled_stays),
 		cmocka_unit_test(test_finished_is_forgotten),
 		cmocka_unit_test(test_successor_removes),
 		cmocka_unit_test(test_earlier_objective_first),
--- a/test/world.c
+++ b/test/world.c
@@ -68,6 +68,7 @@
 	int64_t stored_ms;
 	int64_t cancelled_ms; /**< 0: not. */
 	bool shown; /**< As completed. */
+	bool shown_cancelled;
 	int64_t removed_ms; /**< 0: still in the store. */
 	truth_t *tasks;
 } fake_job_t;
@@ -1457,7 +1458,11 @@
 	if (job->shown && state != BW_JOB_COMPLETED)
 		breach(w, "job %s was completed and is %s", job->id,
 		       bw_job_state_name(state));
+	if (job->shown_cancelled && state != BW_JOB_CANCELLED)
+		breach(w, "job %s was cancelled and is %s", job->id,
+		       bw_job_state_name(state));
 	job->shown |= state == BW_JOB_COMPLETED;
+	job->shown_cancelled |= state == BW_JOB_CANCELLED;
 	if (state == BW_JOB_COMPLETED && !all_done(job))
 		breach(w, "job %s is shown as completed too early", job->id);
 	if (state == BW_JOB_CANCELLED && job->cancelled_ms == 0)
