Name a request in progress for what it is; one way to ask of a job

Cause: reading the diff as a newcomer: task_t in the service was a request in progress, while a task is the unit of work everywhere else; two commands of bramleyctl were copies. Change: serving_t, and one function for both. No change of behaviour; tests of both parts pass unchanged.

--- a/src/ctl/job.c
+++ b/src/ctl/job.c
@@ -217,26 +217,25 @@
 	return show(c, root, code, print_answer);
 }
 
-bw_exit_t bw_ctl_job_show(bw_ctl_t *c, char **args)
+static bw_exit_t ask_of_job(bw_ctl_t *c, const char *method, char **args)
 {
 	char path[PATH_BYTES];
 	json_t *root;
 	bw_exit_t code;
 
 	job_path(path, args[0], args[1]);
-	code = ask(c, "GET", path, NULL, &root);
+	code = ask(c, method, path, NULL, &root);
 	return show(c, root, code, print_answer);
 }
 
-bw_exit_t bw_ctl_job_cancel(bw_ctl_t *c, char **args)
+bw_exit_t bw_ctl_job_show(bw_ctl_t *c, char **args)
 {
-	char path[PATH_BYTES];
-	json_t *root;
-	bw_exit_t code;
+	return ask_of_job(c, "GET", args);
+}
 
-	job_path(path, args[0], args[1]);
-	code = ask(c, "DELETE", path, NULL, &root);
-	return show(c, root, code, print_answer);
+bw_exit_t bw_ctl_job_cancel(bw_ctl_t *c, char **args)
+{
+	return ask_of_job(c, "DELETE", args);
 }
 
 bw_exit_t bw_ctl_job_list(bw_ctl_t *c, char **args)
--- a/src/fleet/service.c
+++ b/src/fleet/service.c
@@ -58,7 +58,7 @@
 };
 
 /** A request in progress. */
-typedef struct task {
+typedef struct serving {
 	bw_service_t *s;
 	bw_request_kind_t kind;
 	char *queue;
@@ -71,22 +71,23 @@
 	bool in_doubt; /**< A write has no answer. */
 	uint32_t attempts;
 	ev_timer timer;
-	void (*next)(struct task *task); /**< Called by the timer. */
+	void (*next)(struct serving *serving); /**< Called by the timer. */
 	bw_answer_fn done;
 	void *ctx;
-} task_t;
+} serving_t;
 
-static void submit(task_t *task);
+static void submit(serving_t *serving);
 static void on_submitted(void *ctx, const bw_store_reply_t *reply);
-static void ask_state(task_t *task);
+static void ask_state(serving_t *serving);
 static void on_state(void *ctx, const bw_inquiry_answer_t *answer);
-static void look_up(task_t *task);
+static void look_up(serving_t *serving);
 static void on_looked_up(void *ctx, const bw_store_reply_t *reply);
-static void cancel(task_t *task);
+static void cancel(serving_t *serving);
 static void on_cancelled(void *ctx, const bw_store_reply_t *reply);
 static void on_waiting(void *ctx, const bw_inquiry_answer_t *answer);
-static void finish(task_t *task, const bw_answer_t *answer);
-static void finish_kind(task_t *task, bw_answer_kind_t kind, reason_t reason);
+static void finish(serving_t *serving, const bw_answer_t *answer);
+static void finish_kind(serving_t *serving, bw_answer_kind_t kind,
+			reason_t reason);
 
 static const char *const answer_names[BW_ANSWER_KIND_COUNT] = {
 	[BW_ANSWER_DONE] = "done",	   [BW_ANSWER_STATE] = "state",
@@ -219,50 +220,51 @@
 
 static void on_timer(struct ev_loop *loop, ev_timer *timer, int revents)
 {
-	task_t *task = timer->data;
+	serving_t *serving = timer->data;
 
 	(void)loop;
 	(void)revents;
-	task->next(task);
+	serving->next(serving);
 }
 
 /* Repeats a step after a pause. */
-static void later(task_t *task, void (*next)(task_t *task))
+static void later(serving_t *serving, void (*next)(serving_t *serving))
 {
-	bw_metrics_count(BW_MC_RETRIES, task->kind, 0);
-	task->next = next;
-	ev_timer_init(&task->timer, on_timer, REPEAT_S, 0.0);
-	task->timer.data = task;
-	ev_timer_start(task->s->loop, &task->timer);
+	bw_metrics_count(BW_MC_RETRIES, serving->kind, 0);
+	serving->next = next;
+	ev_timer_init(&serving->timer, on_timer, REPEAT_S, 0.0);
+	serving->timer.data = serving;
+	ev_timer_start(serving->s->loop, &serving->timer);
 }
 
-static void task_free(task_t *task)
+static void serving_free(serving_t *serving)
 {
-	g_free(task->queue);
-	g_free(task->pool);
-	g_free(task->record);
-	g_free(task);
+	g_free(serving->queue);
+	g_free(serving->pool);
+	g_free(serving->record);
+	g_free(serving);
 }
 
-static void finish(task_t *task, const bw_answer_t *answer)
+static void finish(serving_t *serving, const bw_answer_t *answer)
 {
 	bw_event("service", "request",
 		 "kind=%s job=%s queue=%s pool=%s answer=%s state=%s "
 		 "reason=\"%s\" attempts=%u took_ms=%" G_GINT64_FORMAT,
-		 request_names[task->kind], task->id[0] ? task->id : "-",
-		 task->queue, task->pool, answer_names[answer->kind],
+		 request_names[serving->kind],
+		 serving->id[0] ? serving->id : "-", serving->queue,
+		 serving->pool, answer_names[answer->kind],
 		 bw_job_state_name(answer->state),
-		 answer->reason ? answer->reason : "", task->attempts,
-		 bw_clock_now_ms() - task->since_ms);
-	bw_metrics_count(BW_MC_REQUESTS, task->kind, answer->kind);
-	if (task->kind == BW_REQUEST_SUBMIT)
+		 answer->reason ? answer->reason : "", serving->attempts,
+		 bw_clock_now_ms() - serving->since_ms);
+	bw_metrics_count(BW_MC_REQUESTS, serving->kind, answer->kind);
+	if (serving->kind == BW_REQUEST_SUBMIT)
 		bw_metrics_observe(BW_MH_SUBMIT,
-				   bw_clock_now_ms() - task->since_ms);
-	if (task->kind == BW_REQUEST_STATE)
+				   bw_clock_now_ms() - serving->since_ms);
+	if (serving->kind == BW_REQUEST_STATE)
 		bw_metrics_observe(BW_MH_STATE,
-				   bw_clock_now_ms() - task->since_ms);
-	task->done(task->ctx, answer);
-	task_free(task);
+				   bw_clock_now_ms() - serving->since_ms);
+	serving->done(serving->ctx, answer);
+	serving_free(serving);
 }
 
 static const char *reason_text(reason_t reason)
@@ -270,7 +272,8 @@
 	return reason == REASON_NONE ? NULL : reasons[reason];
 }
 
-static void finish_kind(task_t *task, bw_answer_kind_t kind, reason_t reason)
+static void finish_kind(serving_t *serving, bw_answer_kind_t kind,
+			reason_t reason)
 {
 	bw_answer_t answer = { .kind = kind, .reason = reason_text(reason) };
 
@@ -278,17 +281,18 @@
 		bw_metrics_count(BW_MC_REFUSALS, reason, 0);
 
 	if (kind == BW_ANSWER_REFUSED)
-		answer.retry_after_s = task->s->ops.store_good(task->s->ctx)
-					       ? SOON_RETRY_S
-					       : OUTAGE_RETRY_S;
-	finish(task, &answer);
+		answer.retry_after_s =
+			serving->s->ops.store_good(serving->s->ctx)
+				? SOON_RETRY_S
+				: OUTAGE_RETRY_S;
+	finish(serving, &answer);
 }
 
-static void finish_state(task_t *task, bw_job_state_t state)
+static void finish_state(serving_t *serving, bw_job_state_t state)
 {
 	bw_answer_t answer = { .kind = BW_ANSWER_STATE, .state = state };
 
-	finish(task, &answer);
+	finish(serving, &answer);
 }
 
 static void refuse(bw_answer_fn done, void *ctx, bw_answer_kind_t kind,
@@ -304,44 +308,45 @@
 	done(ctx, &answer);
 }
 
-static task_t *task_new(bw_service_t *s, const bw_request_t *request,
-			const bw_queue_t *queue, bw_answer_fn done, void *ctx)
+static serving_t *serving_new(bw_service_t *s, const bw_request_t *request,
+			      const bw_queue_t *queue, bw_answer_fn done,
+			      void *ctx)
 {
-	task_t *task = g_new0(task_t, 1);
-
-	task->s = s;
-	task->kind = request->kind;
-	task->queue = g_strdup(queue->name);
-	task->pool = g_strdup(queue->pool);
-	task->since_ms = bw_clock_now_ms();
-	task->until_ms =
-		task->since_ms + request->patience_ms - ANSWER_MARGIN_MS;
-	task->done = done;
-	task->ctx = ctx;
-	return task;
+	serving_t *serving = g_new0(serving_t, 1);
+
+	serving->s = s;
+	serving->kind = request->kind;
+	serving->queue = g_strdup(queue->name);
+	serving->pool = g_strdup(queue->pool);
+	serving->since_ms = bw_clock_now_ms();
+	serving->until_ms =
+		serving->since_ms + request->patience_ms - ANSWER_MARGIN_MS;
+	serving->done = done;
+	serving->ctx = ctx;
+	return serving;
 }
 
-static void pack_record(task_t *task, bw_job_spec_t *spec)
+static void pack_record(serving_t *serving, bw_job_spec_t *spec)
 {
 	bw_job_record_t record = {
-		.queue = task->queue,
+		.queue = serving->queue,
 		.accepted_ms = bw_clock_wall_ms(),
 		.spec = spec,
 	};
 
-	task->record = bw_job_record_pack(&record, &task->record_bytes);
+	serving->record = bw_job_record_pack(&record, &serving->record_bytes);
 }
 
-static void begin(task_t *task)
+static void begin(serving_t *serving)
 {
-	static void (*const steps[BW_REQUEST_KIND_COUNT])(task_t *) = {
+	static void (*const steps[BW_REQUEST_KIND_COUNT])(serving_t *) = {
 		[BW_REQUEST_SUBMIT] = submit,
 		[BW_REQUEST_STATE] = ask_state,
 		[BW_REQUEST_CANCEL] = look_up,
 		[BW_REQUEST_QUEUE] = ask_state,
 	};
 
-	steps[task->kind](task);
+	steps[serving->kind](serving);
 }
 
 void bw_service_serve(bw_service_t *s, const bw_request_t *request,
@@ -349,7 +354,7 @@
 {
 	const bw_queue_t *queue;
 	const char *id;
-	task_t *task;
+	serving_t *serving;
 
 	if (!s->config) {
 		refuse(done, ctx, BW_ANSWER_REFUSED, REASON_NO_CONFIGURATION);
@@ -372,41 +377,42 @@
 		       REASON_BAD_ID);
 		return;
 	}
-	task = task_new(s, request, queue, done, ctx);
+	serving = serving_new(s, request, queue, done, ctx);
 	if (request->kind != BW_REQUEST_QUEUE)
-		g_strlcpy(task->id, id, sizeof(task->id));
+		g_strlcpy(serving->id, id, sizeof(serving->id));
 	if (request->kind == BW_REQUEST_SUBMIT)
-		pack_record(task, request->spec);
-	begin(task);
+		pack_record(serving, request->spec);
+	begin(serving);
 }
 
 /* Writes the job if its key is absent, in this and in former pools. */
-static void submit(task_t *task)
+static void submit(serving_t *serving)
 {
-	bw_service_t *s = task->s;
-	GPtrArray *former = g_hash_table_lookup(s->former, task->queue);
+	bw_service_t *s = serving->s;
+	GPtrArray *former = g_hash_table_lookup(s->former, serving->queue);
 	guint count = former ? former->len : 0;
 	bw_store_expect_t *expects = g_new0(bw_store_expect_t, count + 1);
-	char *key = bw_pool_job_key(task->pool, task->id);
-	bw_store_write_t write = { key, (const char *)task->record,
-				   task->record_bytes, 0 };
+	char *key = bw_pool_job_key(serving->pool, serving->id);
+	bw_store_write_t write = { key, (const char *)serving->record,
+				   serving->record_bytes, 0 };
 	bw_store_txn_t txn = { expects, count + 1, &write, 1 };
 	GPtrArray *keys = g_ptr_array_new_with_free_func(g_free);
 	guint i;
 
-	if (!s->ops.store_good(s->ctx) && !task->in_doubt) {
-		finish_kind(task, BW_ANSWER_REFUSED, REASON_STORE_OUT_OF_REACH);
+	if (!s->ops.store_good(s->ctx) && !serving->in_doubt) {
+		finish_kind(serving, BW_ANSWER_REFUSED,
+			    REASON_STORE_OUT_OF_REACH);
 	} else {
 		expects[0].key = key;
 		for (i = 0; i < count; i++) {
 			g_ptr_array_add(
 				keys,
 				bw_pool_job_key(g_ptr_array_index(former, i),
-						task->id));
+						serving->id));
 			expects[i + 1].key = g_ptr_array_index(keys, i);
 		}
-		task->attempts++;
-		s->store.ops->txn(s->store.impl, &txn, on_submitted, task);
+		serving->attempts++;
+		s->store.ops->txn(s->store.impl, &txn, on_submitted, serving);
 	}
 	g_ptr_array_free(keys, TRUE);
 	g_free(key);
@@ -415,89 +421,93 @@
 
 static void on_submitted(void *ctx, const bw_store_reply_t *reply)
 {
-	task_t *task = ctx;
-	bw_service_t *s = task->s;
+	serving_t *serving = ctx;
+	bw_service_t *s = serving->s;
 
 	s->ops.result(s->ctx, reply->status);
 	if (reply->status == BW_OK) {
 		if (reply->succeeded)
-			s->ops.stored(s->ctx, task->pool, task->id,
-				      task->record, task->record_bytes);
+			s->ops.stored(s->ctx, serving->pool, serving->id,
+				      serving->record, serving->record_bytes);
 		/* A failed condition means that the job is there already. */
-		finish_kind(task, BW_ANSWER_DONE, REASON_NONE);
+		finish_kind(serving, BW_ANSWER_DONE, REASON_NONE);
 		return;
 	}
 	if (reply->status == BW_ELOST)
-		task->in_doubt = true;
-	if (!task->in_doubt) {
-		finish_kind(task, BW_ANSWER_REFUSED, REASON_STORE_REFUSED);
+		serving->in_doubt = true;
+	if (!serving->in_doubt) {
+		finish_kind(serving, BW_ANSWER_REFUSED, REASON_STORE_REFUSED);
 		return;
 	}
-	if (bw_clock_now_ms() + STORE_CALL_MS >= task->until_ms) {
-		finish_kind(task, BW_ANSWER_UNKNOWN, REASON_STORE_SILENT);
+	if (bw_clock_now_ms() + STORE_CALL_MS >= serving->until_ms) {
+		finish_kind(serving, BW_ANSWER_UNKNOWN, REASON_STORE_SILENT);
 		return;
 	}
-	later(task, submit);
+	later(serving, submit);
 }
 
-static void ask_state(task_t *task)
+static void ask_state(serving_t *serving)
 {
-	bw_service_t *s = task->s;
+	bw_service_t *s = serving->s;
 	bw_inquiry_fn done =
-		task->kind == BW_REQUEST_QUEUE ? on_waiting : on_state;
-	const char *job = task->kind == BW_REQUEST_QUEUE ? NULL : task->id;
-	const char *queue = job ? NULL : task->queue;
-	const char *owner = s->ops.owner(s->ctx, task->pool);
+		serving->kind == BW_REQUEST_QUEUE ? on_waiting : on_state;
+	const char *job =
+		serving->kind == BW_REQUEST_QUEUE ? NULL : serving->id;
+	const char *queue = job ? NULL : serving->queue;
+	const char *owner = s->ops.owner(s->ctx, serving->pool);
 	bw_inquiry_answer_t answer = { 0 };
 
 	if (!owner) {
-		done(task, NULL);
+		done(serving, NULL);
 	} else if (!strcmp(owner, s->node)) {
-		s->ops.local(s->ctx, task->pool, job, queue, &answer);
-		done(task, &answer);
+		s->ops.local(s->ctx, serving->pool, job, queue, &answer);
+		done(serving, &answer);
 	} else {
-		bw_inquiry_ask(s->inquiry, owner, task->pool, job, queue, done,
-			       task);
+		bw_inquiry_ask(s->inquiry, owner, serving->pool, job, queue,
+			       done, serving);
 	}
 }
 
 static void on_waiting(void *ctx, const bw_inquiry_answer_t *answer)
 {
-	task_t *task = ctx;
+	serving_t *serving = ctx;
 	bw_answer_t out = { .kind = BW_ANSWER_WAITING };
 
 	if (!answer || !answer->owner) {
-		finish_kind(task, BW_ANSWER_REFUSED, REASON_OWNER_OUT_OF_REACH);
+		finish_kind(serving, BW_ANSWER_REFUSED,
+			    REASON_OWNER_OUT_OF_REACH);
 		return;
 	}
 	out.waiting = answer->waiting;
-	finish(task, &out);
+	finish(serving, &out);
 }
 
 static void on_state(void *ctx, const bw_inquiry_answer_t *answer)
 {
-	task_t *task = ctx;
+	serving_t *serving = ctx;
 
 	if (answer && answer->owner && answer->state != BW_JOB_UNKNOWN)
-		finish_state(task, answer->state);
+		finish_state(serving, answer->state);
 	else
-		look_up(task);
+		look_up(serving);
 }
 
 /* Reads whether a job is stored. */
-static void look_up(task_t *task)
+static void look_up(serving_t *serving)
 {
-	char *key = bw_pool_job_key(task->pool, task->id);
+	char *key = bw_pool_job_key(serving->pool, serving->id);
 
-	task->attempts++;
-	task->s->store.ops->get(task->s->store.impl, key, on_looked_up, task);
+	serving->attempts++;
+	serving->s->store.ops->get(serving->s->store.impl, key, on_looked_up,
+				   serving);
 	g_free(key);
 }
 
 /* Tries the next pool that the queue had before; false if there is none. */
-static bool look_in_former_pool(task_t *task)
+static bool look_in_former_pool(serving_t *serving)
 {
-	GPtrArray *former = g_hash_table_lookup(task->s->former, task->queue);
+	GPtrArray *former =
+		g_hash_table_lookup(serving->s->former, serving->queue);
 	guint i;
 
 	if (!former)
@@ -505,11 +515,12 @@
 	for (i = 0; i < former->len; i++) {
 		const char *pool = g_ptr_array_index(former, i);
 
-		if (!strcmp(pool, task->pool) || task->attempts > former->len)
+		if (!strcmp(pool, serving->pool) ||
+		    serving->attempts > former->len)
 			continue;
-		g_free(task->pool);
-		task->pool = g_strdup(pool);
-		begin(task);
+		g_free(serving->pool);
+		serving->pool = g_strdup(pool);
+		begin(serving);
 		return true;
 	}
 	return false;
@@ -517,54 +528,55 @@
 
 static void on_looked_up(void *ctx, const bw_store_reply_t *reply)
 {
-	task_t *task = ctx;
-	bw_service_t *s = task->s;
+	serving_t *serving = ctx;
+	bw_service_t *s = serving->s;
 
 	s->ops.result(s->ctx, reply->status);
 	if (reply->status == BW_ENOTFOUND) {
-		if (!look_in_former_pool(task))
-			finish_kind(task, BW_ANSWER_NO_JOB, REASON_NO_JOB);
+		if (!look_in_former_pool(serving))
+			finish_kind(serving, BW_ANSWER_NO_JOB, REASON_NO_JOB);
 		return;
 	}
 	if (reply->status == BW_OK) {
-		if (task->kind == BW_REQUEST_CANCEL)
-			cancel(task);
+		if (serving->kind == BW_REQUEST_CANCEL)
+			cancel(serving);
 		else
-			finish_state(task, BW_JOB_QUEUED);
+			finish_state(serving, BW_JOB_QUEUED);
 		return;
 	}
-	if (bw_clock_now_ms() + STORE_CALL_MS < task->until_ms &&
+	if (bw_clock_now_ms() + STORE_CALL_MS < serving->until_ms &&
 	    s->ops.store_good(s->ctx))
-		later(task, look_up);
+		later(serving, look_up);
 	else
 		/* Nothing was changed, so there is nothing in doubt. */
-		finish_kind(task, BW_ANSWER_REFUSED, REASON_STORE_SILENT);
+		finish_kind(serving, BW_ANSWER_REFUSED, REASON_STORE_SILENT);
 }
 
-static void cancel(task_t *task)
+static void cancel(serving_t *serving)
 {
-	char *key = bw_pool_cancel_key(task->pool, task->id);
+	char *key = bw_pool_cancel_key(serving->pool, serving->id);
 	bw_store_write_t write = { key, "1", 1, 0 };
 	bw_store_txn_t txn = { NULL, 0, &write, 1 };
 
-	task->attempts++;
-	task->s->store.ops->txn(task->s->store.impl, &txn, on_cancelled, task);
+	serving->attempts++;
+	serving->s->store.ops->txn(serving->s->store.impl, &txn, on_cancelled,
+				   serving);
 	g_free(key);
 }
 
 static void on_cancelled(void *ctx, const bw_store_reply_t *reply)
 {
-	task_t *task = ctx;
-	bw_service_t *s = task->s;
+	serving_t *serving = ctx;
+	bw_service_t *s = serving->s;
 
 	s->ops.result(s->ctx, reply->status);
 	if (reply->status == BW_OK) {
-		s->ops.stored(s->ctx, task->pool, task->id, NULL, 0);
-		finish_kind(task, BW_ANSWER_DONE, REASON_NONE);
+		s->ops.stored(s->ctx, serving->pool, serving->id, NULL, 0);
+		finish_kind(serving, BW_ANSWER_DONE, REASON_NONE);
 		return;
 	}
-	if (bw_clock_now_ms() + STORE_CALL_MS < task->until_ms)
-		later(task, cancel);
+	if (bw_clock_now_ms() + STORE_CALL_MS < serving->until_ms)
+		later(serving, cancel);
 	else
-		finish_kind(task, BW_ANSWER_UNKNOWN, REASON_STORE_SILENT);
+		finish_kind(serving, BW_ANSWER_UNKNOWN, REASON_STORE_SILENT);
 }
