Split the world test: events and checks, workers, nodes

Change: fake workers and the calls to them, and nodes with the store, in files of their own; what they share in world_internal.h. No check changed.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,8 @@
 LIB := $(BUILD)/libbramleywing.a
 PROGRAMS := $(patsubst cmd/%.c,$(BUILD)/%,$(wildcard cmd/*.c))
 TESTS := $(patsubst test/%.c,$(BUILD)/test/%,$(wildcard test/test_*.c))
+# The parts of the world test.
+WORLD_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard test/world*.c))
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/bench_*.c))
 FORMATTED := $(LIB_C) $(LIB_CXX) $(PLATFORM_C) $(wildcard platform/*.h) $(filter-out %.pb-c.h,$(wildcard src/*/*.h)) \
 	$(wildcard cmd/*.c test/*.c test/*.h bench/*.c bench/*.h fuzz/*.c fuzz/*.h)
@@ -55,10 +57,10 @@
 $(BUILD)/test/test_%: $(BUILD)/test/test_%.o $(BUILD)/test/fixture.o $(LIB)
 	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS) -lcmocka
 
-$(BUILD)/test/test_world: $(BUILD)/test/test_world.o $(BUILD)/test/world.o $(LIB)
+$(BUILD)/test/test_world: $(BUILD)/test/test_world.o $(WORLD_OBJ) $(LIB)
 	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS) -lcmocka
 
-$(BUILD)/test/play_world: $(BUILD)/test/play_world.o $(BUILD)/test/world.o $(LIB)
+$(BUILD)/test/play_world: $(BUILD)/test/play_world.o $(WORLD_OBJ) $(LIB)
 	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS)
 
 # Plays worlds with fresh seeds, or from FIRST on.
--- a/scripts/world-caught.sh
+++ b/scripts/world-caught.sh
@@ -15,7 +15,7 @@
 	read -r name seed file _ <<<"$1"
 	scripts/break.sh "$1" "$dir/$name.c" || return 1
 	gcc -std=gnu11 -O2 -w -D_GNU_SOURCE -Isrc $flags -c "$dir/$name.c" -o "$dir/$name.o" &&
-		gcc -o "$dir/$name" "$build/test/play_world.o" "$build/test/world.o" \
+		gcc -o "$dir/$name" "$build/test/play_world.o" "$build"/test/world*.o \
 			"$dir/$name.o" "$build/libbramleywing.a" $libs -lm ||
 		return 1
 	if "$dir/$name" "$seed" "$seeds" 1 >"$dir/$name.txt"; then
