Offer no job for removal before the earlier owner's runs are known

Traced: an owner took over at 5102, the job was cancelled, and one of its runs was on a worker that had not been heard yet. The pool's code asked for removals only once settled, the core did not know of that condition and the world met it bare.

Change: the condition stands in the core; the pool's copy is gone. The case in test_sched failed first (1 for 0).

--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -599,7 +599,7 @@
 		bw_metrics_observe(BW_MH_TAKEOVER,
 				   bw_clock_now_ms() - pool->since_ms);
 	}
-	if (!pool->closed && !pool->stopping && pool->settled)
+	if (!pool->closed && !pool->stopping)
 		bw_removal_run(pool->removal, bw_clock_now_ms(), pool->sched);
 	if (!pool->closed)
 		plan_save(pool);
--- a/src/sched/forget.c
+++ b/src/sched/forget.c
@@ -32,6 +32,9 @@
 	const GList *at;
 	uint32_t count = 0;
 
+	/* A run that an earlier owner started may not be known yet. */
+	if (!s->settled)
+		return 0;
 	for (at = s->over->head; at && count < max; at = at->next) {
 		const job_t *job = at->data;
 
--- a/test/test_sched.c
+++ b/test/test_sched.c
@@ -340,7 +340,11 @@
 			 BW_OK);
 	g_free(data);
 	assert_int_equal(over(&next, &id), 0);
+	/* Not before it knows all that the earlier owner has started. */
 	next.now_ms += 120000;
+	assert_int_equal(over(&next, &id), 0);
+	run(&next, 0);
+	assert_true(bw_sched_settled(next.sched));
 	assert_int_equal(over(&next, &id), 1);
 	assert_string_equal(id, JOB_A);
 	bw_sched_destroy(o.sched);
