Keep a cancellation when an old notice is left out; one copy of three things

A notice of a job that is too old was left to the store, but took the remembered cancellation with it; the watch brings the cancellation again, so no job is known to have run for it. test_old_notice failed first (the job was queued, not cancelled).

Change: an old notice returns before anything else. Whether an end is stored is asked in one place (sched_end_stored) instead of two; the balance gives a machine in one function instead of two loops; parameters that nothing used, and the version of the last packing, are gone.

--- a/src/fleet/balance.c
+++ b/src/fleet/balance.c
@@ -256,6 +256,19 @@
 	return best;
 }
 
+/* Takes a machine from its pool; it is emptied first if it has to be. */
+static void give(const bw_balance_machine_t *machines, uint32_t giver,
+		 uint32_t taker, state_t *states, bool *used,
+		 bw_balance_action_t *action)
+{
+	used[giver] = true;
+	states[machines[giver].pool].have--;
+	action->kind =
+		machines[giver].free ? BW_BALANCE_MOVE : BW_BALANCE_EMPTY;
+	action->machine = giver;
+	action->pool = taker;
+}
+
 /* Turns machines off that no pool needs. */
 static uint32_t park(const bw_balance_pool_t *pools, uint32_t pool_count,
 		     state_t *states, const bw_balance_machine_t *machines,
@@ -271,12 +284,7 @@
 
 		if (giver == UINT32_MAX)
 			break;
-		used[giver] = true;
-		states[machines[giver].pool].have--;
-		actions[count].kind = machines[giver].free ? BW_BALANCE_MOVE
-							   : BW_BALANCE_EMPTY;
-		actions[count].machine = giver;
-		actions[count++].pool = standby;
+		give(machines, giver, standby, states, used, &actions[count++]);
 	}
 	return count;
 }
@@ -308,13 +316,8 @@
 				   used);
 		if (giver == UINT32_MAX)
 			break;
-		used[giver] = true;
-		states[machines[giver].pool].have--;
+		give(machines, giver, taker, states, used, &actions[count++]);
 		states[taker].have++;
-		actions[count].kind = machines[giver].free ? BW_BALANCE_MOVE
-							   : BW_BALANCE_EMPTY;
-		actions[count].machine = giver;
-		actions[count++].pool = taker;
 	}
 	if (now_ms - b->started_ms >= WATCH_MS)
 		count += park(pools, pool_count, states, machines,
--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -461,12 +461,13 @@
 			 pool->name, id, bw_status_message());
 		return;
 	}
-	if (bw_clock_wall_ms() - record.accepted_ms <= age_max_ms)
-		bw_sched_job(pool->sched, now_ms, bw_clock_wall_ms(), id,
-			     &record);
-	else
+	if (bw_clock_wall_ms() - record.accepted_ms > age_max_ms) {
 		bw_event("pool", "notice-old", "pool=%s job=%s", pool->name,
 			 id);
+		bw_job_record_clear(&record);
+		return;
+	}
+	bw_sched_job(pool->sched, now_ms, bw_clock_wall_ms(), id, &record);
 	bw_job_record_clear(&record);
 	if (g_hash_table_remove(pool->cancelled, id))
 		bw_sched_cancel(pool->sched, now_ms, id);
--- a/src/sched/fill.c
+++ b/src/sched/fill.c
@@ -10,14 +10,11 @@
 /** A change of the share needs this long to show in the tail. */
 #define FILL_SETTLE_MS 700
 
-static void throttle(bw_sched_t *s, worker_t *worker, int64_t now_ms);
-
 /* Sets all fillers of a worker to its present share. */
-static void throttle(bw_sched_t *s, worker_t *worker, int64_t now_ms)
+static void throttle(bw_sched_t *s, worker_t *worker)
 {
 	guint i;
 
-	(void)now_ms;
 	for (i = 0; i < worker->tasks->len; i++) {
 		task_t *task = g_ptr_array_index(worker->tasks, i);
 		bw_run_order_t order = {
@@ -78,5 +75,5 @@
 		worker->fill_share = share;
 		worker->fill_changed_ms = now_ms;
 	}
-	throttle(s, worker, now_ms);
+	throttle(s, worker);
 }
--- a/src/sched/forget.c
+++ b/src/sched/forget.c
@@ -14,16 +14,12 @@
 	g_queue_push_tail(s->over, job);
 }
 
-static bool end_stored(const bw_sched_t *s, const job_t *job)
-{
-	return job->stored || job->finished_version <= s->saved_version;
-}
-
 /* The time is counted from when this owner knew it, so no wall clock counts. */
 static bool removable(const bw_sched_t *s, const job_t *job, int64_t now_ms)
 {
 	return job->removed_ms == 0 && job->occurrences->len == 0 &&
-	       end_stored(s, job) && now_ms - job->over_ms >= s->config.keep_ms;
+	       sched_end_stored(s, job) &&
+	       now_ms - job->over_ms >= s->config.keep_ms;
 }
 
 uint32_t bw_sched_over(const bw_sched_t *s, int64_t now_ms, const char **ids,
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -197,7 +197,6 @@
 	bool settled; /**< All that an earlier owner started is known. */
 	bool allowed;
 	uint64_t version;
-	uint64_t packed_version;
 	uint64_t saved_version;
 	uint64_t urgent_version;
 };
@@ -225,6 +224,8 @@
 /** Makes occurrences whose time has come. */
 void sched_jobs_due(bw_sched_t *s, int64_t now_ms, int64_t wall_ms);
 /** Releases the tasks of finished jobs once none is left anywhere. */
+/** Whether a successor would know that a job is finished. */
+bool sched_end_stored(const bw_sched_t *s, const job_t *job);
 void sched_jobs_reap(bw_sched_t *s);
 
 /* forget.c */
--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -338,6 +338,12 @@
 	}
 }
 
+bool sched_end_stored(const bw_sched_t *s, const job_t *job)
+{
+	return job->stored || (job->finished_version > 0 &&
+			       job->finished_version <= s->saved_version);
+}
+
 static bool runs_somewhere(const occurrence_t *occurrence)
 {
 	uint32_t i;
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -51,11 +51,9 @@
 static bool fits(const bw_room_t *need, const worker_t *worker, bool filler);
 static uint32_t count_same_step(const worker_t *worker, const task_t *task);
 static bool has_label(const worker_t *worker, const char *label);
-static bool allowed(bw_sched_t *s, const worker_t *worker, const task_t *task,
-		    int64_t now_ms);
+static bool allowed(const worker_t *worker, const task_t *task, int64_t now_ms);
 static double merit(const worker_t *worker, const task_t *task);
-static worker_t *pick(bw_sched_t *s, GPtrArray *workers, const task_t *task,
-		      int64_t now_ms);
+static worker_t *pick(GPtrArray *workers, const task_t *task, int64_t now_ms);
 static bool place_step(bw_sched_t *s, GPtrArray *workers,
 		       occurrence_t *occurrence, uint32_t step, int64_t now_ms);
 
@@ -172,8 +170,7 @@
 	return g_hash_table_lookup(state->tickets, worker->id);
 }
 
-static bool allowed(bw_sched_t *s, const worker_t *worker, const task_t *task,
-		    int64_t now_ms)
+static bool allowed(const worker_t *worker, const task_t *task, int64_t now_ms)
 {
 	const bw_step_spec_t *spec = sched_task_step(task);
 
@@ -184,7 +181,6 @@
 	if (spec->per_worker_max > 0 &&
 	    count_same_step(worker, task) >= spec->per_worker_max)
 		return false;
-	(void)s;
 	return !task->occurrence->job->queue->advised ||
 	       ticket_of(task, worker, now_ms) != NULL;
 }
@@ -236,8 +232,7 @@
 	return value;
 }
 
-static worker_t *pick(bw_sched_t *s, GPtrArray *workers, const task_t *task,
-		      int64_t now_ms)
+static worker_t *pick(GPtrArray *workers, const task_t *task, int64_t now_ms)
 {
 	worker_t *best = NULL;
 	double best_merit = 0.0;
@@ -247,7 +242,7 @@
 		worker_t *worker = g_ptr_array_index(workers, i);
 		double value;
 
-		if (!allowed(s, worker, task, now_ms))
+		if (!allowed(worker, task, now_ms))
 			continue;
 		value = merit(worker, task);
 		if (!best || value > best_merit) {
@@ -346,7 +341,7 @@
 		run = MAX(run, next_run(&tasks[i]));
 	}
 	for (placed = 0; placed < count; placed++) {
-		worker_t *worker = pick(s, workers, &tasks[placed], now_ms);
+		worker_t *worker = pick(workers, &tasks[placed], now_ms);
 
 		if (!worker)
 			break;
@@ -398,7 +393,7 @@
 
 		if (!startable(s, task, now_ms))
 			continue;
-		worker = pick(s, workers, task, now_ms);
+		worker = pick(workers, task, now_ms);
 		if (!worker)
 			return false;
 		reserve(task, worker, next_run(task), now_ms);
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -167,7 +167,6 @@
 	data = g_malloc(*bytes + 1);
 	bramley__pool_record__pack(&record, data);
 	g_ptr_array_free(p.arena, TRUE);
-	s->packed_version = s->version;
 	return data;
 }
 
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -204,8 +204,7 @@
 
 	if (!job)
 		return BW_JOB_UNKNOWN;
-	if (job->stored || (job->finished_version > 0 &&
-			    job->finished_version <= s->saved_version))
+	if (sched_end_stored(s, job))
 		return job->state;
 	/* A cancellation is stored before it comes here. */
 	if (job->state == BW_JOB_CANCELLED)
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "fleet/balance.h"
 #include "fleet/member.h"
+#include "fleet/pool.h"
 #include "fleet/removal.h"
 #include "fleet/service.h"
 #include "job/json.h"
@@ -378,6 +379,115 @@
 	bw_sched_destroy(sched);
 }
 
+/* A pool against a store that is empty and whose watch a test feeds. */
+
+typedef struct fed_store {
+	bw_store_done_fn event;
+	void *ctx;
+} fed_store_t;
+
+static void fed_get(void *impl, const char *key, bw_store_done_fn done,
+		    void *ctx)
+{
+	bw_store_reply_t reply = { .status = BW_ENOTFOUND };
+
+	(void)impl;
+	(void)key;
+	done(ctx, &reply);
+}
+
+static void fed_page(void *impl, const bw_store_page_t *page,
+		     bw_store_done_fn done, void *ctx)
+{
+	bw_store_reply_t reply = { .status = BW_OK, .revision = 1 };
+
+	(void)impl;
+	(void)page;
+	done(ctx, &reply);
+}
+
+static bw_store_watch_t *fed_watch(void *impl, const char *prefix,
+				   int64_t revision, bw_store_done_fn event,
+				   void *ctx)
+{
+	fed_store_t *f = impl;
+
+	(void)prefix;
+	(void)revision;
+	f->event = event;
+	f->ctx = ctx;
+	return impl;
+}
+
+static void fed_watch_end(void *impl, bw_store_watch_t *watch)
+{
+	(void)impl;
+	(void)watch;
+}
+
+static const bw_store_ops_t fed_ops = { .get = fed_get,
+					.page = fed_page,
+					.watch = fed_watch,
+					.watch_end = fed_watch_end };
+
+static void feed_key(fed_store_t *f, char *key, const uint8_t *record,
+		     size_t bytes)
+{
+	bw_store_kv_t kv = { .key = key,
+			     .value = (const char *)record,
+			     .bytes = bytes,
+			     .mod_revision = 2 };
+	bw_store_reply_t reply = {
+		.status = BW_OK, .revision = 2, .kvs = &kv, .kv_count = 1
+	};
+
+	f->event(f->ctx, &reply);
+	g_free(key);
+}
+
+static uint8_t *old_record(size_t *bytes)
+{
+	bw_job_record_t record = { .queue = g_strdup("q"),
+				   .accepted_ms = bw_clock_wall_ms() - 200000,
+				   .spec = bw_job_spec_new(1) };
+	uint8_t *data;
+
+	record.spec->text = g_strdup("text");
+	record.spec->steps[0].count = 1;
+	data = bw_job_record_pack(&record, bytes);
+	bw_job_record_clear(&record);
+	return data;
+}
+
+/* An old notice is left to the store, and takes no cancellation with it. */
+static void test_old_notice(void **state)
+{
+	static const char id[] = "00000000000000aa";
+	static const bw_pool_ops_t pool_ops = { .result = ignore_result };
+	bw_fleet_settings_t settings = { .keep_ms = 1000 };
+	fed_store_t f = { 0 };
+	struct ev_loop *loop = ev_loop_new(0);
+	bw_pool_env_t env = { .loop = loop,
+			      .store = { &fed_ops, &f },
+			      .settings = &settings };
+	bw_pool_t *pool = bw_pool_create(&env, "a", 7, &pool_ops, NULL);
+	size_t bytes;
+	uint8_t *record = old_record(&bytes);
+
+	(void)state;
+	assert_true(bw_pool_ready(pool));
+	bw_pool_cancel(pool, id);
+	bw_pool_job(pool, id, record, bytes);
+	assert_int_equal(bw_sched_job_state(bw_pool_sched(pool), id),
+			 BW_JOB_UNKNOWN);
+	feed_key(&f, bw_pool_job_key("a", id), record, bytes);
+	assert_int_equal(bw_sched_job_state(bw_pool_sched(pool), id),
+			 BW_JOB_CANCELLED);
+	g_free(record);
+	bw_pool_destroy(pool);
+	ev_loop_destroy(loop);
+}
+
 #define JOB "/p/00000000000000aa"
 
 typedef struct request_case {
@@ -616,6 +726,7 @@
 		cmocka_unit_test(test_unknown_pool_gives_nothing),
 		cmocka_unit_test(test_idle_pool_keeps_its_share),
 		cmocka_unit_test(test_removal),
+		cmocka_unit_test(test_old_notice),
 		cmocka_unit_test(test_requests),
 		cmocka_unit_test(test_doubt_is_not_refused),
 		cmocka_unit_test(test_longest_prefix),
