One table of event kinds; bound the event lines in bytes

Cause: events were named by strings at each call, so the page of their fields could drift; lines had a rate by kind but no bound for the process, and lines that met a full buffer were not told in the next line of their kind. Messages of libraries went to GLib's own writer, which may block. Ruled out: generating the page in the build; a test compares it, and the fields of each call, with the table, so neither can drift unseen. Change: bw_event_kind_t with its table (eventlist.c), classes of rates, the setting limits.log_bytes_s, a pure gate (loggate.c) with the time given, reasons counted apart, lines through GLib's structured logging, bramleyctl events. Conclusion: log and page say the same; volume has a bound that settings name.

--- a/cmd/bramley-fleetd.c
+++ b/cmd/bramley-fleetd.c
@@ -81,7 +81,7 @@
 	if (p->stop_ms > 0)
 		return;
 	p->stop_ms = bw_clock_now_ms();
-	bw_event("main", "stopping", "signal=%d", signal->signum);
+	bw_event(BW_EVENT_MAIN_STOPPING, "signal=%d", signal->signum);
 	platform_front_leave(p->front);
 	bw_fleet_leave(p->fleet);
 	ev_timer_init(&p->stop_poll, on_stop_poll, STOP_POLL_S, STOP_POLL_S);
@@ -97,7 +97,7 @@
 	(void)loop;
 	(void)revents;
 	/* Addresses and limits hold for a process; a new start takes others. */
-	bw_event("main", "reload", "settings=%s good=%d", option_settings,
+	bw_event(BW_EVENT_MAIN_RELOAD, "settings=%s good=%d", option_settings,
 		 read_settings(&fresh));
 	bw_fleet_settings_clear(&fresh);
 	(void)p;
@@ -134,7 +134,7 @@
 {
 	bw_request_port_t requests;
 
-	bw_event_init(p->loop);
+	bw_event_init(p->loop, p->settings.log_bytes_s);
 	if (create_fleet(p) != BW_OK) {
 		fprintf(stderr, "bramley-fleetd: %s\n", bw_status_message());
 		return EXIT_START;
@@ -149,10 +149,10 @@
 	watch_signal(p, &p->term, SIGTERM, on_stop);
 	watch_signal(p, &p->interrupt, SIGINT, on_stop);
 	watch_signal(p, &p->hangup, SIGHUP, on_hangup);
-	bw_event("main", "started", "node=%s zone=%s callers=%s",
+	bw_event(BW_EVENT_MAIN_STARTED, "node=%s zone=%s callers=%s",
 		 p->settings.name, p->settings.zone, p->settings.callers);
 	ev_run(p->loop, 0);
-	bw_event("main", "stopped", "left_out=%" G_GUINT64_FORMAT,
+	bw_event(BW_EVENT_MAIN_STOPPED, "left_out=%" G_GUINT64_FORMAT,
 		 bw_event_dropped());
 	bw_event_flush();
 	/* Connections and memory go with the process. */
--- a/cmd/bramleyctl.c
+++ b/cmd/bramleyctl.c
@@ -45,6 +45,7 @@
 	{ "pool", "show", 0, bw_ctl_pool_show, "pool show" },
 	{ "wave", "status", 0, bw_ctl_wave_status, "wave status" },
 	{ "explain", NULL, 1, bw_ctl_explain, "explain ID" },
+	{ "events", NULL, 0, bw_ctl_events, "events" },
 };
 
 static char *option_settings;
--- a/src/base/event.c
+++ b/src/base/event.c
@@ -3,42 +3,38 @@
 #include <fcntl.h>
 #include <stdarg.h>
 #include <stdbool.h>
+#include <string.h>
 #include <unistd.h>
 
 #include <ev.h>
-#include <glib.h>
 
 #include "base/clock.h"
+#include "base/loggate.h"
 
-#define BUFFER_BYTES_MAX ((size_t)256 << 10)
-#define FLUSH_S		 0.1
-/** Lines of one kind in a second; more are left out. */
-#define KIND_LINES_PER_S 400
-#define LINE_BYTES_MAX	 900
-
-/** Lines of one kind in the present second. */
-typedef struct kind {
-	int64_t second;
-	uint32_t lines;
-	uint32_t dropped;
-} kind_t;
+#define FLUSH_S 0.1
+/** Field of GLib's structured logging that holds the kind of an event. */
+#define KIND_FIELD "BRAMLEY_EVENT"
 
 static GString *buffer;
-static GHashTable *kinds;
-static uint64_t dropped;
+static bw_log_gate_t gate;
+static uint64_t lines_written;
+static uint64_t bytes_written;
 static ev_timer timer;
 
-static bool within_rate(const char *event, int64_t now_ms, uint32_t *missed);
 static void on_timer(struct ev_loop *loop, ev_timer *t, int revents);
+static GLogWriterOutput write_fields(GLogLevelFlags level,
+				     const GLogField *fields, gsize count,
+				     gpointer data);
 
-void bw_event_init(struct ev_loop *loop)
+void bw_event_init(struct ev_loop *loop, int64_t bytes_s)
 {
 	int flags = fcntl(STDOUT_FILENO, F_GETFL);
 
 	if (flags >= 0)
 		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
-	buffer = g_string_new(NULL);
-	kinds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	buffer = g_string_sized_new(BW_LOG_BACKLOG_BYTES_MAX);
+	gate.bytes_max = bytes_s;
+	g_log_set_writer_func(write_fields, NULL, NULL);
 	ev_timer_init(&timer, on_timer, FLUSH_S, FLUSH_S);
 	ev_timer_start(loop, &timer);
 	ev_unref(loop);
@@ -52,56 +48,106 @@
 	bw_event_flush();
 }
 
-static bool within_rate(const char *event, int64_t now_ms, uint32_t *missed)
+static bool admit(bw_event_kind_t kind)
 {
-	kind_t *kind = g_hash_table_lookup(kinds, event);
+	return bw_log_gate_admit(&gate, kind, bw_clock_now_ms(), buffer->len);
+}
 
-	*missed = 0;
-	if (!kind) {
-		kind = g_new0(kind_t, 1);
-		g_hash_table_insert(kinds, g_strdup(event), kind);
-	}
-	if (kind->second != now_ms / 1000) {
-		kind->second = now_ms / 1000;
-		kind->lines = 0;
-		*missed = kind->dropped;
-		kind->dropped = 0;
+static void append(bw_event_kind_t kind, const char *fields)
+{
+	const bw_event_spec_t *spec = bw_event_spec(kind);
+	uint32_t missed = bw_log_gate_missed(&gate, kind);
+	int64_t wall_ms = bw_clock_wall_ms();
+	gsize before = buffer->len;
+
+	g_string_append_printf(buffer, "%" G_GINT64_FORMAT ".%03d %s %s %s",
+			       wall_ms / 1000, (int)(wall_ms % 1000),
+			       spec->part, spec->name, fields);
+	if (missed > 0)
+		g_string_append_printf(buffer, " left_out=%u", missed);
+	g_string_append_c(buffer, '\n');
+	lines_written++;
+	bytes_written += buffer->len - before;
+	bw_log_gate_written(&gate, buffer->len - before);
+}
+
+/* A message of a library, which must not block the process either. */
+static void take_message(GLogLevelFlags level, const GLogField *fields,
+			 gsize count)
+{
+	const char *domain = "glib";
+	const char *text = "";
+	char line[BW_LOG_LINE_BYTES_MAX / 2];
+	gsize i;
+
+	for (i = 0; i < count; i++) {
+		if (!strcmp(fields[i].key, "GLIB_DOMAIN"))
+			domain = fields[i].value;
+		if (!strcmp(fields[i].key, "MESSAGE"))
+			text = fields[i].value;
 	}
-	kind->lines++;
-	if (kind->lines <= KIND_LINES_PER_S)
-		return true;
-	kind->dropped++;
-	return false;
+	if (!admit(BW_EVENT_MAIN_MESSAGE))
+		return;
+	g_snprintf(line, sizeof(line), "domain=%s level=%d text=\"%s\"", domain,
+		   (int)(level & G_LOG_LEVEL_MASK), text);
+	g_strdelimit(line, "\n", ' ');
+	append(BW_EVENT_MAIN_MESSAGE, line);
 }
 
-void bw_event(const char *part, const char *event, const char *fmt, ...)
+static GLogWriterOutput write_fields(GLogLevelFlags level,
+				     const GLogField *fields, gsize count,
+				     gpointer data)
 {
-	int64_t wall_ms = bw_clock_wall_ms();
-	char fields[LINE_BYTES_MAX];
-	uint32_t missed;
+	(void)data;
+	if (count > 1 && !strcmp(fields[0].key, KIND_FIELD))
+		append(*(const bw_event_kind_t *)fields[0].value,
+		       fields[1].value);
+	else
+		take_message(level, fields, count);
+	/* What ends the process must be read by somebody. */
+	if (level & G_LOG_FLAG_FATAL)
+		bw_event_flush();
+	return G_LOG_WRITER_HANDLED;
+}
+
+void bw_event(bw_event_kind_t kind, const char *fmt, ...)
+{
+	char text[BW_LOG_LINE_BYTES_MAX - 100];
+	GLogField fields[] = { { KIND_FIELD, &kind, sizeof(kind) },
+			       { "MESSAGE", text, -1 } };
 	va_list args;
 
-	if (!buffer)
-		return;
-	if (!within_rate(event, bw_clock_now_ms(), &missed) ||
-	    buffer->len > BUFFER_BYTES_MAX) {
-		dropped++;
+	if (!buffer || !admit(kind))
 		return;
-	}
 	va_start(args, fmt);
-	g_vsnprintf(fields, sizeof(fields), fmt, args);
+	g_vsnprintf(text, sizeof(text), fmt, args);
 	va_end(args);
-	g_string_append_printf(buffer, "%" G_GINT64_FORMAT ".%03d %s %s %s",
-			       wall_ms / 1000, (int)(wall_ms % 1000), part,
-			       event, fields);
-	if (missed > 0)
-		g_string_append_printf(buffer, " left_out=%u", missed);
-	g_string_append_c(buffer, '\n');
+	g_log_structured_array(G_LOG_LEVEL_INFO, fields, G_N_ELEMENTS(fields));
 }
 
 uint64_t bw_event_dropped(void)
 {
-	return dropped;
+	uint64_t all = 0;
+	int i;
+
+	for (i = 0; i < BW_EVENT_LOSS_COUNT; i++)
+		all += gate.lost[i];
+	return all;
+}
+
+uint64_t bw_event_lost(bw_event_loss_t loss)
+{
+	return gate.lost[loss];
+}
+
+uint64_t bw_event_lines(void)
+{
+	return lines_written;
+}
+
+uint64_t bw_event_bytes(void)
+{
+	return bytes_written;
 }
 
 void bw_event_flush(void)
--- a/src/ctl/explain.c
+++ b/src/ctl/explain.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/event.h"
 #include "ctl/ctl.h"
 
 #define LINE_BYTES 4096
@@ -180,3 +181,15 @@
 	g_array_free(all, TRUE);
 	return code;
 }
+
+bw_exit_t bw_ctl_events(bw_ctl_t *c, char **args)
+{
+	GString *table = g_string_new(NULL);
+
+	(void)c;
+	(void)args;
+	bw_event_print_table(table);
+	fputs(table->str, stdout);
+	g_string_free(table, TRUE);
+	return BW_EXIT_OK;
+}
--- a/src/fleet/controller.c
+++ b/src/fleet/controller.c
@@ -247,8 +247,9 @@
 
 	if (!move)
 		return;
-	bw_event("controller", "moved", "machine=%s from=%s to=%s result=%d",
-		 machine, move->from, move->to, result);
+	bw_event(BW_EVENT_CONTROLLER_MOVED,
+		 "machine=%s from=%s to=%s result=%d", machine, move->from,
+		 move->to, result);
 	move->call_out = false;
 	if (result == BW_MACHINE_OK)
 		move->ordered_ms = bw_clock_now_ms();
@@ -391,7 +392,7 @@
 		bw_balance_state_t state =
 			bw_balance_state(c->balance, pools[i].name);
 
-		bw_event("controller", "pool",
+		bw_event(BW_EVENT_CONTROLLER_POOL,
 			 "pool=%s known=%d used=%" G_GINT64_FORMAT
 			 " offered=%" G_GINT64_FORMAT
 			 " waiting=%" G_GINT64_FORMAT
--- a/src/fleet/directory.c
+++ b/src/fleet/directory.c
@@ -77,7 +77,8 @@
 
 	if (d->values->registration(kv->key, kv->value, kv->bytes, &r) !=
 	    BW_OK) {
-		bw_event("directory", "entry-unreadable", "key=%s", kv->key);
+		bw_event(BW_EVENT_DIRECTORY_ENTRY_UNREADABLE, "key=%s",
+			 kv->key);
 		return;
 	}
 	g_hash_table_replace(d->reading, r->id, r);
--- a/src/fleet/exchange.c
+++ b/src/fleet/exchange.c
@@ -26,7 +26,8 @@
 
 	if (answer && !answer->holds && pool &&
 	    bw_pool_fence(pool) == ask->fence && bw_pool_sched(pool)) {
-		bw_event("fleet", "predecessor-stopped", "pool=%s", ask->pool);
+		bw_event(BW_EVENT_FLEET_PREDECESSOR_STOPPED, "pool=%s",
+			 ask->pool);
 		bw_sched_predecessor_stopped(bw_pool_sched(pool),
 					     bw_clock_now_ms());
 	}
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -129,7 +129,7 @@
 	if (bw_fleet_operators_create(f->env.loop, address, &requests,
 				      &bw_fleet_show_ops, f,
 				      &f->operators) != BW_OK)
-		bw_event("fleet", "operators-unserved", "error=\"%s\"",
+		bw_event(BW_EVENT_FLEET_OPERATORS_UNSERVED, "error=\"%s\"",
 			 bw_status_message());
 	g_free(address);
 }
@@ -184,14 +184,14 @@
 		f->store_failures++;
 	}
 	if (good && !f->store_good)
-		bw_event("fleet", "store-regained", "node=%s",
+		bw_event(BW_EVENT_FLEET_STORE_REGAINED, "node=%s",
 			 f->env.settings->name);
 	if (good)
 		f->store_good = true;
 	else if (f->store_good && f->store_failures >= STORE_FAILURES &&
 		 now_ms - f->store_ok_ms > STORE_SILENT_MS / 2) {
 		f->store_good = false;
-		bw_event("fleet", "store-lost",
+		bw_event(BW_EVENT_FLEET_STORE_LOST,
 			 "node=%s failures=%u silent_ms=%" G_GINT64_FORMAT,
 			 f->env.settings->name, f->store_failures,
 			 now_ms - f->store_ok_ms);
@@ -236,17 +236,17 @@
 	if (kv->deleted || strcmp(kv->key, f->env.values->config_key) != 0)
 		return;
 	if (f->env.values->config(kv->value, kv->bytes, &config) != BW_OK) {
-		bw_event("fleet", "config-unreadable", "error=\"%s\"",
+		bw_event(BW_EVENT_FLEET_CONFIG_UNREADABLE, "error=\"%s\"",
 			 bw_status_message());
 		return;
 	}
 	if (f->config && config->version < f->config->version) {
-		bw_event("fleet", "config-older", "version=%" G_GINT64_FORMAT,
-			 config->version);
+		bw_event(BW_EVENT_FLEET_CONFIG_OLDER,
+			 "version=%" G_GINT64_FORMAT, config->version);
 		bw_fleet_config_free(config);
 		return;
 	}
-	bw_event("fleet", "config",
+	bw_event(BW_EVENT_FLEET_CONFIG,
 		 "version=%" G_GINT64_FORMAT
 		 " queues=%u pools=%u incomplete=%u",
 		 config->version, config->queue_count, config->pool_count,
@@ -283,7 +283,7 @@
 	if (f->env.values->wave(data, bytes, &order) == BW_OK)
 		bw_controller_wave(f->controller, order);
 	else
-		bw_event("fleet", "wave-unreadable", "error=\"%s\"",
+		bw_event(BW_EVENT_FLEET_WAVE_UNREADABLE, "error=\"%s\"",
 			 bw_status_message());
 }
 
@@ -296,7 +296,7 @@
 {
 	bw_fleet_t *f = ctx;
 
-	bw_event("fleet", "node", "name=%s address=%s", name,
+	bw_event(BW_EVENT_FLEET_NODE, "name=%s address=%s", name,
 		 address ? address : "-");
 	bw_inquiry_node(f->inquiry, name, address);
 }
@@ -367,7 +367,7 @@
 {
 	bw_fleet_t *f = ctx;
 
-	bw_event("fleet", "pool-lost", "pool=%s reason=%s", pool, reason);
+	bw_event(BW_EVENT_FLEET_POOL_LOST, "pool=%s reason=%s", pool, reason);
 	bw_metrics_count(BW_MC_OWNERSHIP, CHANGE_LOST, 0);
 	if (!strcmp(pool, BW_CONTROLLER_ROLE)) {
 		bw_controller_destroy(f->controller);
@@ -532,14 +532,14 @@
 		return;
 	f->left = true;
 	bw_fleet_member_end(f->member);
-	bw_event("fleet", "left", "node=%s", f->env.settings->name);
+	bw_event(BW_EVENT_FLEET_LEFT, "node=%s", f->env.settings->name);
 }
 
 static void on_pool_stopped(void *ctx, const char *pool)
 {
 	bw_fleet_t *f = ctx;
 
-	bw_event("fleet", "pool-handed-over", "pool=%s", pool);
+	bw_event(BW_EVENT_FLEET_POOL_HANDED_OVER, "pool=%s", pool);
 	bw_metrics_count(BW_MC_OWNERSHIP, CHANGE_HANDED_OVER, 0);
 	g_hash_table_remove(f->pools, pool);
 	end_if_left(f);
--- a/src/fleet/member.c
+++ b/src/fleet/member.c
@@ -301,7 +301,7 @@
 	m->ops.result(m->ctx, reply->status);
 	if (reply->status == BW_OK) {
 		m->phase = PHASE_REGISTERED;
-		bw_event("member", "registered",
+		bw_event(BW_EVENT_MEMBER_REGISTERED,
 			 "node=%s lease=%" G_GINT64_FORMAT, m->name, m->lease);
 	} else if (reply->status == BW_ENOTFOUND) {
 		m->phase = PHASE_NO_LEASE;
@@ -345,7 +345,7 @@
 	GList *pools = g_hash_table_get_keys(m->owned);
 	GList *at;
 
-	bw_event("member", "lease-lost", "node=%s lease=%" G_GINT64_FORMAT,
+	bw_event(BW_EVENT_MEMBER_LEASE_LOST, "node=%s lease=%" G_GINT64_FORMAT,
 		 m->name, m->lease);
 	for (at = pools; at; at = at->next)
 		drop(m, at->data, "lease-lost");
@@ -498,7 +498,7 @@
 	kept = g_new(int64_t, 1);
 	*kept = revision;
 	g_hash_table_replace(m->owned, g_strdup(claim->pool), kept);
-	bw_event("member", "claimed", "pool=%s fence=%" G_GINT64_FORMAT,
+	bw_event(BW_EVENT_MEMBER_CLAIMED, "pool=%s fence=%" G_GINT64_FORMAT,
 		 claim->pool, revision);
 	m->ops.gained(m->ctx, claim->pool, revision);
 }
@@ -579,7 +579,7 @@
 	owner->revision = kv->mod_revision;
 	g_hash_table_replace(m->owners, g_strdup(pool), owner);
 	g_hash_table_remove(m->absent, pool);
-	bw_event("member", "owner",
+	bw_event(BW_EVENT_MEMBER_OWNER,
 		 "pool=%s node=%s revision=%" G_GINT64_FORMAT, pool,
 		 owner->node, owner->revision);
 	bramley__owner_record__free_unpacked(record, NULL);
--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -169,7 +169,7 @@
 	(void)clock_ms;
 	bw_metrics_count(BW_MC_ORDERS, ORDER_THROTTLE, result);
 	if (result != BW_ORDER_OK)
-		bw_event("pool", "throttle-failed", "worker=%s result=%s",
+		bw_event(BW_EVENT_POOL_THROTTLE_FAILED, "worker=%s result=%s",
 			 order->worker, bw_order_result_name(result));
 	order_free(order);
 }
@@ -182,8 +182,8 @@
 	bw_metrics_count(BW_MC_ORDERS, ORDER_HOLD, answer->result);
 	if (!pool->closed) {
 		if (answer->result != BW_ORDER_OK)
-			bw_event("pool", "hold-failed", "worker=%s result=%s",
-				 order->worker,
+			bw_event(BW_EVENT_POOL_HOLD_FAILED,
+				 "worker=%s result=%s", order->worker,
 				 bw_order_result_name(answer->result));
 		bw_sched_held(pool->sched, bw_clock_now_ms(), order->worker,
 			      answer);
@@ -221,7 +221,7 @@
 {
 	bw_pool_t *pool = ctx;
 
-	bw_event("pool", "stop", "job=%s step=%u index=%u run=%u worker=%s",
+	bw_event(BW_EVENT_POOL_STOP, "job=%s step=%u index=%u run=%u worker=%s",
 		 order->task.job, order->task.step, order->task.index,
 		 order->run, order->worker);
 	pool->env.workers.stop(
@@ -260,11 +260,11 @@
 	give_up(ctx);
 }
 
-static void do_log(void *ctx, const char *event, const char *fields)
+static void do_log(void *ctx, bw_event_kind_t kind, const char *fields)
 {
 	const bw_pool_t *pool = ctx;
 
-	bw_event("sched", event, "pool=%s %s", pool->name, fields);
+	bw_event(kind, "pool=%s %s", pool->name, fields);
 }
 
 static const bw_sched_ops_t sched_ops = {
@@ -405,10 +405,11 @@
 		if (bw_sched_load(pool->sched, bw_clock_now_ms(),
 				  (const uint8_t *)reply->kvs[0].value,
 				  reply->kvs[0].bytes) != BW_OK)
-			bw_event("pool", "state-unreadable", "pool=%s error=%s",
-				 pool->name, bw_status_message());
+			bw_event(BW_EVENT_POOL_STATE_UNREADABLE,
+				 "pool=%s error=%s", pool->name,
+				 bw_status_message());
 	}
-	bw_event("pool", "loaded",
+	bw_event(BW_EVENT_POOL_LOADED,
 		 "pool=%s fence=%" G_GINT64_FORMAT
 		 " revision=%" G_GINT64_FORMAT,
 		 pool->name, pool->fence, pool->state_revision);
@@ -457,12 +458,13 @@
 	int64_t now_ms = bw_clock_now_ms();
 
 	if (bw_job_record_unpack(data, bytes, &record) != BW_OK) {
-		bw_event("pool", "job-unreadable", "pool=%s job=%s error=%s",
-			 pool->name, id, bw_status_message());
+		bw_event(BW_EVENT_POOL_JOB_UNREADABLE,
+			 "pool=%s job=%s error=%s", pool->name, id,
+			 bw_status_message());
 		return;
 	}
 	if (bw_clock_wall_ms() - record.accepted_ms > age_max_ms) {
-		bw_event("pool", "notice-old", "pool=%s job=%s", pool->name,
+		bw_event(BW_EVENT_POOL_NOTICE_OLD, "pool=%s job=%s", pool->name,
 			 id);
 		bw_job_record_clear(&record);
 		return;
@@ -700,8 +702,8 @@
 		pool->save_after_ms = 0;
 		take_conflict(pool, reply);
 	} else {
-		bw_event("pool", "save-failed", "pool=%s status=%s", pool->name,
-			 bw_status_name(reply->status));
+		bw_event(BW_EVENT_POOL_SAVE_FAILED, "pool=%s status=%s",
+			 pool->name, bw_status_name(reply->status));
 	}
 }
 
--- a/src/fleet/removal.c
+++ b/src/fleet/removal.c
@@ -66,7 +66,7 @@
 	r->next_ms =
 		now_ms + (done && r->count == JOBS_MAX ? FULL_GAP_MS : GAP_MS);
 	/* Not even a lost answer matters: removing again has no effect. */
-	bw_event("pool", "removed", "pool=%s jobs=%u status=%s done=%d",
+	bw_event(BW_EVENT_POOL_REMOVED, "pool=%s jobs=%u status=%s done=%d",
 		 r->pool, r->count, bw_status_name(reply->status), done);
 	for (i = 0; done && i < r->count; i++)
 		bw_sched_removed(r->sched, now_ms, r->ids[i]);
--- a/src/fleet/service.c
+++ b/src/fleet/service.c
@@ -247,7 +247,7 @@
 
 static void finish(serving_t *serving, const bw_answer_t *answer)
 {
-	bw_event("service", "request",
+	bw_event(BW_EVENT_SERVICE_REQUEST,
 		 "kind=%s job=%s queue=%s pool=%s answer=%s state=%s "
 		 "reason=\"%s\" attempts=%u took_ms=%" G_GINT64_FORMAT,
 		 request_names[serving->kind],
@@ -303,7 +303,7 @@
 	bw_metrics_count(BW_MC_REFUSALS, reason, 0);
 	if (kind == BW_ANSWER_REFUSED)
 		answer.retry_after_s = SOON_RETRY_S;
-	bw_event("service", "request-refused", "answer=%s reason=\"%s\"",
+	bw_event(BW_EVENT_SERVICE_REQUEST_REFUSED, "answer=%s reason=\"%s\"",
 		 answer_names[kind], reasons[reason]);
 	done(ctx, &answer);
 }
--- a/src/fleet/settings.h
+++ b/src/fleet/settings.h
@@ -32,6 +32,7 @@
 	int64_t holder_ms; /**< Between orders of two nodes to a machine. */
 	bool first_start; /**< The whole site starts for the first time. */
 	int64_t grace_ms; /**< Between a stop signal and the kill. */
+	int64_t log_bytes_s; /**< Event lines are bounded so. */
 } bw_fleet_settings_t;
 
 /**
--- a/src/fleet/show.c
+++ b/src/fleet/show.c
@@ -10,6 +10,7 @@
 static json_t *show_pools(void *ctx);
 static json_t *show_waves(void *ctx);
 static json_t *show_jobs(void *ctx, const char *pool);
+static void show_log(GString *out);
 static void show_gauges(void *ctx, GString *out);
 
 const bw_fleet_operators_ops_t bw_fleet_show_ops = {
@@ -147,6 +148,25 @@
 			 (double)stats.used.cpu_millis);
 }
 
+static void show_log(GString *out)
+{
+	char label[LABEL_BYTES];
+	int i;
+
+	bw_metrics_gauge(out, "bramley_log_lines_total", NULL,
+			 (double)bw_event_lines());
+	bw_metrics_gauge(out, "bramley_log_bytes_total", NULL,
+			 (double)bw_event_bytes());
+	for (i = 0; i < BW_EVENT_LOSS_COUNT; i++) {
+		bw_event_loss_t why = (bw_event_loss_t)i;
+
+		g_snprintf(label, sizeof(label), "reason=\"%s\"",
+			   bw_event_loss_name(why));
+		bw_metrics_gauge(out, "bramley_log_lines_left_out_total", label,
+				 (double)bw_event_lost(why));
+	}
+}
+
 static void show_gauges(void *ctx, GString *out)
 {
 	bw_fleet_t *f = ctx;
@@ -166,8 +186,7 @@
 		(double)(bw_fleet_member_until_ms(f->member) - now_ms));
 	bw_metrics_gauge(out, "bramley_configuration_version", NULL,
 			 f->config ? (double)f->config->version : 0.0);
-	bw_metrics_gauge(out, "bramley_log_lines_left_out", NULL,
-			 (double)bw_event_dropped());
+	show_log(out);
 	g_hash_table_iter_init(&iter, f->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &pool))
 		show_pool_gauges(pool, out);
--- a/src/fleet/upkeep.c
+++ b/src/fleet/upkeep.c
@@ -149,7 +149,7 @@
 	wave->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					      entry_free);
 	g_hash_table_insert(u->waves, &order->number, wave);
-	bw_event("upkeep", "wave",
+	bw_event(BW_EVENT_UPKEEP_WAVE,
 		 "wave=%" G_GINT64_FORMAT " machines=%u at_once=%u "
 		 "duration_ms=%" G_GINT64_FORMAT,
 		 order->number, g_strv_length(order->machines),
@@ -324,7 +324,7 @@
 	entry_t *entry =
 		g_hash_table_lookup(order->wave->entries, order->machine);
 
-	bw_event("upkeep", "ordered",
+	bw_event(BW_EVENT_UPKEEP_ORDERED,
 		 "wave=%" G_GINT64_FORMAT " machine=%s result=%s",
 		 order->wave->order->number, order->machine,
 		 result_names[result]);
@@ -399,7 +399,7 @@
 	wave->completed = reply->status == BW_OK;
 	wave->next_ms = bw_clock_now_ms() + CALL_AGAIN_MS;
 	if (wave->completed)
-		bw_event("upkeep", "completed", "wave=%" G_GINT64_FORMAT,
+		bw_event(BW_EVENT_UPKEEP_COMPLETED, "wave=%" G_GINT64_FORMAT,
 			 wave->order->number);
 }
 
@@ -497,7 +497,7 @@
 		slow += best_cost >= LASTING_COST;
 		machine = g_hash_table_lookup(wave->u->view->machines, best);
 		entry_add(wave, best, machine->worker, PROGRESS_RESERVED);
-		bw_event("upkeep", "reserve",
+		bw_event(BW_EVENT_UPKEEP_RESERVE,
 			 "wave=%" G_GINT64_FORMAT " machine=%s worker=%s "
 			 "tasks=%u reserved=%u",
 			 wave->order->number, best, machine->worker, best_cost,
@@ -539,7 +539,7 @@
 		    view->list_ms < entry->ordered_ms + ORDER_SHOWS_MS)
 			return;
 		entry->progress = PROGRESS_DONE;
-		bw_event("upkeep", "done",
+		bw_event(BW_EVENT_UPKEEP_DONE,
 			 "wave=%" G_GINT64_FORMAT " machine=%s worker=%s",
 			 wave->order->number, entry->machine, machine->worker);
 		return;
--- a/src/sched/evacuate.c
+++ b/src/sched/evacuate.c
@@ -58,7 +58,7 @@
 			continue;
 		if (!worker->draining && !may_stop(task, now_ms))
 			continue;
-		sched_log(s, "evacuate",
+		sched_log(s, BW_EVENT_SCHED_EVACUATE,
 			  "job=%s step=%u index=%u run=%u "
 			  "worker=%s",
 			  task->occurrence->job->id, task->step, task->index,
--- a/src/sched/fill.c
+++ b/src/sched/fill.c
@@ -69,7 +69,7 @@
 			share = MIN(share + FILL_STEP_UP, 100);
 	}
 	if (share != worker->fill_share) {
-		sched_log(s, "fill-share",
+		sched_log(s, BW_EVENT_SCHED_FILL_SHARE,
 			  "worker=%s share=%" G_GINT64_FORMAT " tail=%.2f",
 			  worker->id, share, worst);
 		worker->fill_share = share;
--- a/src/sched/forget.c
+++ b/src/sched/forget.c
@@ -64,7 +64,8 @@
 		if (job->removed_ms > 0 &&
 		    now_ms - job->removed_ms >= s->config.removed_ms) {
 			g_queue_delete_link(s->over, at);
-			sched_log(s, "job-forgotten", "job=%s", job->id);
+			sched_log(s, BW_EVENT_SCHED_JOB_FORGOTTEN, "job=%s",
+				  job->id);
 			g_hash_table_remove(s->jobs, job->id);
 			sched_changed(s, false);
 		}
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -202,7 +202,7 @@
 };
 
 /* sched.c */
-void sched_log(bw_sched_t *s, const char *event, const char *fmt, ...)
+void sched_log(bw_sched_t *s, bw_event_kind_t kind, const char *fmt, ...)
 	__attribute__((format(printf, 3, 4)));
 void sched_changed(bw_sched_t *s, bool urgent);
 
--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -299,7 +299,7 @@
 {
 	job_t *job = occurrence->job;
 
-	sched_log(s, "occurrence-done",
+	sched_log(s, BW_EVENT_SCHED_OCCURRENCE_DONE,
 		  "job=%s occurrence=%u took_ms=%" G_GINT64_FORMAT
 		  " objective_ms=%" G_GINT64_FORMAT,
 		  job->id, occurrence->number, now_ms - occurrence->due_ms,
@@ -325,7 +325,7 @@
 	g_ptr_array_remove(s->active, job);
 	g_ptr_array_add(s->ending, job);
 	sched_job_over(s, job, now_ms);
-	sched_log(s, "job-finished",
+	sched_log(s, BW_EVENT_SCHED_JOB_FINISHED,
 		  "job=%s queue=%s state=%s age_ms=%" G_GINT64_FORMAT, job->id,
 		  job->queue->name, bw_job_state_name(state),
 		  now_ms - job->arrived_ms);
@@ -483,7 +483,7 @@
 	/* Known before our first store: an earlier owner may have begun it. */
 	if (!s->fresh && !s->handed_over && s->saved_version == 0)
 		mark_suspect(job);
-	sched_log(s, "job",
+	sched_log(s, BW_EVENT_SCHED_JOB,
 		  "job=%s queue=%s tasks=%u repeats=%u lasting=%d"
 		  " age_ms=%" G_GINT64_FORMAT,
 		  job->id, job->queue->name, bw_job_spec_tasks(job->spec),
--- a/src/sched/listing.c
+++ b/src/sched/listing.c
@@ -89,7 +89,7 @@
 	task_t *task = sched_find_task(s, &end->task);
 	bool here;
 
-	sched_log(s, "end",
+	sched_log(s, BW_EVENT_SCHED_END,
 		  "job=%s step=%u index=%u run=%u worker=%s how=%s "
 		  "number=%" G_GUINT64_FORMAT " known=%d",
 		  end->task.job, end->task.step, end->task.index, end->run,
@@ -134,9 +134,9 @@
 		.fence = s->config.fence,
 	};
 
-	sched_log(s, "stop-unknown", "job=%s step=%u index=%u run=%u worker=%s",
-		  row->task.job, row->task.step, row->task.index, row->run,
-		  worker->id);
+	sched_log(s, BW_EVENT_SCHED_STOP_UNKNOWN,
+		  "job=%s step=%u index=%u run=%u worker=%s", row->task.job,
+		  row->task.step, row->task.index, row->run, worker->id);
 	worker->orphan_stop_ms = now_ms;
 	s->ops.stop(s->ctx, &order);
 }
@@ -153,9 +153,9 @@
 	task->at_work = row->progress == 100;
 	sched_mark_begun(s, task);
 	sched_attach(task, worker);
-	sched_log(s, "adopt", "job=%s step=%u index=%u run=%u worker=%s",
-		  row->task.job, row->task.step, row->task.index, row->run,
-		  worker->id);
+	sched_log(s, BW_EVENT_SCHED_ADOPT,
+		  "job=%s step=%u index=%u run=%u worker=%s", row->task.job,
+		  row->task.step, row->task.index, row->run, worker->id);
 }
 
 static void take_run(bw_sched_t *s, worker_t *worker, const bw_run_row_t *row,
@@ -225,7 +225,7 @@
 			sched_stop_task(s, task, now_ms);
 		else if (task->state == TASK_RUNNING &&
 			 task->answered_ms < answer->sent_ms) {
-			sched_log(s, "run-missing",
+			sched_log(s, BW_EVENT_SCHED_RUN_MISSING,
 				  "job=%s step=%u index=%u "
 				  "run=%u worker=%s",
 				  task->occurrence->job->id, task->step,
--- a/src/sched/order.c
+++ b/src/sched/order.c
@@ -151,7 +151,7 @@
 	worker_t *worker = sched_worker(s, id);
 	task_t *task = sched_find_task(s, name);
 
-	sched_log(s, "started",
+	sched_log(s, BW_EVENT_SCHED_STARTED,
 		  "job=%s step=%u index=%u run=%u worker=%s result=%s",
 		  name->job, name->step, name->index, run, id,
 		  bw_order_result_name(result));
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -295,7 +295,7 @@
 		job->ordered = true;
 		sched_changed(s, false);
 	}
-	sched_log(s, "start",
+	sched_log(s, BW_EVENT_SCHED_START,
 		  "job=%s step=%u index=%u run=%u worker=%s "
 		  "wait_ms=%" G_GINT64_FORMAT " heard_ms=%" G_GINT64_FORMAT,
 		  job->id, task->step, task->index, task->run, worker->id,
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -37,7 +37,7 @@
 	return end_kind_names[kind];
 }
 
-void sched_log(bw_sched_t *s, const char *event, const char *fmt, ...)
+void sched_log(bw_sched_t *s, bw_event_kind_t kind, const char *fmt, ...)
 {
 	char fields[512];
 	va_list args;
@@ -47,7 +47,7 @@
 	va_start(args, fmt);
 	g_vsnprintf(fields, sizeof(fields), fmt, args);
 	va_end(args);
-	s->ops.log(s->ctx, event, fields);
+	s->ops.log(s->ctx, kind, fields);
 }
 
 void sched_changed(bw_sched_t *s, bool urgent)
@@ -124,7 +124,7 @@
 void bw_sched_allow(bw_sched_t *s, bool allowed)
 {
 	if (s->allowed != allowed)
-		sched_log(s, "orders", "allowed=%d", allowed);
+		sched_log(s, BW_EVENT_SCHED_ORDERS, "allowed=%d", allowed);
 	s->allowed = allowed;
 }
 
@@ -168,7 +168,7 @@
 				return;
 	}
 	s->settled = true;
-	sched_log(s, "settled", "after_ms=%" G_GINT64_FORMAT,
+	sched_log(s, BW_EVENT_SCHED_SETTLED, "after_ms=%" G_GINT64_FORMAT,
 		  now_ms - s->created_ms);
 }
 
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -13,6 +13,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "base/event.h"
 #include "job/job.h"
 
 typedef struct bw_sched bw_sched_t;
@@ -163,7 +164,7 @@
 	/** Another owner has taken over. */
 	void (*superseded)(void *ctx);
 	/** One line for a decision; fields as "name=value". */
-	void (*log)(void *ctx, const char *event, const char *fields);
+	void (*log)(void *ctx, bw_event_kind_t kind, const char *fields);
 } bw_sched_ops_t;
 
 /** Numbers of a pool. */
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -58,7 +58,7 @@
 	while (worker->tasks->len > 0) {
 		task_t *task = g_ptr_array_index(worker->tasks, 0);
 
-		sched_log(s, "run-gone",
+		sched_log(s, BW_EVENT_SCHED_RUN_GONE,
 			  "job=%s step=%u index=%u run=%u "
 			  "worker=%s reason=%s",
 			  task->occurrence->job->id, task->step, task->index,
@@ -126,7 +126,7 @@
 	if (born_ms == 0 || worker->born_ms == born_ms)
 		return;
 	if (worker->born_ms != 0 && born_ms > worker->born_ms) {
-		sched_log(s, "worker-reborn",
+		sched_log(s, BW_EVENT_SCHED_WORKER_REBORN,
 			  "worker=%s born_ms=%" G_GINT64_FORMAT, worker->id,
 			  born_ms);
 		forget_runs(s, worker, "reborn");
@@ -146,8 +146,8 @@
 
 	if (!worker || worker->dead)
 		return;
-	sched_log(s, "worker-dead", "worker=%s tasks=%u reason=%s", id,
-		  worker->tasks->len, reason);
+	sched_log(s, BW_EVENT_SCHED_WORKER_DEAD, "worker=%s tasks=%u reason=%s",
+		  id, worker->tasks->len, reason);
 	worker->dead = true;
 	forget_runs(s, worker, reason);
 }
@@ -180,7 +180,7 @@
 		worker = sched_worker_new(s, info->id, now_ms);
 		sched_changed(s, true);
 		worker->stored_version = s->version;
-		sched_log(s, "worker",
+		sched_log(s, BW_EVENT_SCHED_WORKER,
 			  "worker=%s address=%s rack=%s machine=%s "
 			  "cpu=%" G_GINT64_FORMAT " mem_mb=%" G_GINT64_FORMAT,
 			  info->id, info->address,
@@ -200,8 +200,8 @@
 		set_labels(worker, info);
 	worker->registered = true;
 	if (info->draining && !worker->draining)
-		sched_log(s, "worker-draining", "worker=%s tasks=%u",
-			  worker->id, worker->tasks->len);
+		sched_log(s, BW_EVENT_SCHED_WORKER_DRAINING,
+			  "worker=%s tasks=%u", worker->id, worker->tasks->len);
 	worker->draining = info->draining;
 	bury_predecessors(s, worker);
 }
@@ -212,7 +212,7 @@
 
 	if (!worker || !worker->registered)
 		return;
-	sched_log(s, "worker-gone",
+	sched_log(s, BW_EVENT_SCHED_WORKER_GONE,
 		  "worker=%s tasks=%u silent_ms=%" G_GINT64_FORMAT, id,
 		  worker->tasks->len, now_ms - worker->heard_ms);
 	worker->registered = false;
