--- a/Makefile
+++ b/Makefile
@@ -70,7 +70,10 @@
 world: $(BUILD)/test/play_world
 	$< $(FIRST) $(SEEDS)
 
-$(BUILD)/bench/bench_%: $(BUILD)/bench/bench_%.o $(BUILD)/bench/fleet.o $(LIB)
+# What benches share: fleets to route over, a store and workers in memory.
+BENCH_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(filter-out bench/bench_%.c,$(wildcard bench/*.c)))
+
+$(BUILD)/bench/bench_%: $(BUILD)/bench/bench_%.o $(BENCH_OBJ) $(LIB)
 	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS)
 
 $(BUILD)/bench/%.o: CFLAGS += -Ibench
@@ -158,3 +161,7 @@
 .PHONY: bench-config
 bench-config: all
 	scripts/bench-config.sh
+
+.PHONY: bench-log
+bench-log: $(BUILD)/bench/bench_log
+	scripts/bench-log.sh
--- /dev/null
+++ b/bench/bench_log.c
@@ -0,0 +1,428 @@
+/*
+ * bench_log off|on [SECONDS] [JOBS_S]: one whole node with a store and workers
+ * in this process, under a steady load of jobs, with its log off or on.
+ * Standard output is the log; the results go to standard error.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <time.h>
+
+#include <ev.h>
+#include <glib.h>
+
+#include "base/clock.h"
+#include "base/event.h"
+#include "crew.h"
+#include "fleet/fleet.h"
+#include "job/json.h"
+#include "memstore.h"
+
+#define WORKERS	    400
+#define SECONDS	    6.0
+#define WARM_UP_S   2.0
+#define LOG_BYTES_S 131072
+#define TICK_S	    0.002
+#define TASK_MS	    300
+/** The log is flushed, and the call timed, each so many ticks. */
+#define FLUSH_TICKS   50
+#define BLOCKED_MS    20
+#define LATENCIES_MAX 200000
+/** Fewer than a kind may write in a second. */
+#define TIMED_LINES    300
+#define LEFT_OUT_LINES 1000000
+/** Ten times the jobs that a site's calm day submits in a second. */
+#define JOBS_S	    170
+#define WORKERS_KEY "workers/"
+
+typedef struct bench {
+	struct ev_loop *loop;
+	memstore_t *store;
+	crew_t *crew;
+	bw_fleet_t *fleet;
+	bw_request_port_t requests;
+	bw_fleet_settings_t settings;
+	bw_counters_t counters;
+	ev_timer tick;
+	int64_t begin_ms; /**< Of the measured time; 0: not yet. */
+	int64_t end_ms;
+	double owed; /**< Jobs to be submitted. */
+	int64_t owed_ms;
+	double jobs_s;
+	double seconds;
+	bool logs;
+	struct rusage before;
+	uint64_t lines_before;
+	uint64_t left_out_before;
+	uint64_t bytes_before;
+	uint32_t ticks;
+	uint32_t sent;
+	uint32_t accepted;
+	uint32_t refused;
+	uint64_t tasks_done;
+	uint32_t blocked;
+	int64_t *latencies_us;
+	uint32_t latency_count;
+} bench_t;
+
+/** A call to a worker, answered from the loop. */
+typedef struct hold_call {
+	bw_hold_done_fn done;
+	void *ctx;
+} hold_call_t;
+
+/* Values of operators and workers: as short as the bench needs them. */
+
+static bw_status_t read_config(const char *value, size_t bytes,
+			       bw_fleet_config_t **out)
+{
+	bw_fleet_config_t *config = g_new0(bw_fleet_config_t, 1);
+
+	(void)value;
+	(void)bytes;
+	config->version = 1;
+	config->queue_count = 1;
+	config->queues = g_new0(bw_queue_t, 1);
+	config->queues[0] = (bw_queue_t){ .name = g_strdup("q"),
+					  .host = g_strdup("h"),
+					  .prefix = g_strdup("/q/"),
+					  .pool = g_strdup("p"),
+					  .attempts_max = 4,
+					  .stretch = 1.6,
+					  .target_ms = 600 };
+	config->pool_count = 1;
+	config->pools = g_new0(bw_pool_config_t, 1);
+	config->pools[0].name = g_strdup("p");
+	*out = config;
+	return BW_OK;
+}
+
+static bw_status_t read_registration(const char *key, const char *value,
+				     size_t bytes, bw_registration_t **out)
+{
+	bw_registration_t *r = g_new0(bw_registration_t, 1);
+
+	(void)value;
+	(void)bytes;
+	r->id = g_strdup(key + strlen(WORKERS_KEY));
+	r->address = g_strdup(r->id);
+	r->pool = g_strdup("p");
+	r->info = (bw_worker_info_t){ .id = r->id,
+				      .address = r->address,
+				      .room = { 32000, 65536, 0 },
+				      .born_ms = 1 };
+	*out = r;
+	return BW_OK;
+}
+
+static const bw_values_port_t values = {
+	.config_key = "config",
+	.waves_prefix = "waves/",
+	.workers_prefix = WORKERS_KEY,
+	.config = read_config,
+	.registration = read_registration,
+};
+
+/* Workers. */
+
+static void worker_start(void *impl, const bw_start_order_t *order,
+			 bw_order_done_fn done, void *ctx)
+{
+	static const crew_work_t work = { .need = { 1800, 1800, 0 },
+					  .work_ms = TASK_MS };
+	bench_t *b = impl;
+	int64_t now_ms = bw_clock_now_ms();
+
+	done(ctx, crew_start(b->crew, now_ms, order, &work), now_ms);
+}
+
+static void worker_stop(void *impl, const bw_run_order_t *order,
+			bw_order_done_fn done, void *ctx)
+{
+	bench_t *b = impl;
+	int64_t now_ms = bw_clock_now_ms();
+
+	done(ctx, crew_stop(b->crew, now_ms, order), now_ms);
+}
+
+static void worker_hold(void *impl, const bw_hold_order_t *order,
+			bw_hold_done_fn done, void *ctx)
+{
+	bench_t *b = impl;
+	hold_call_t *call = g_new0(hold_call_t, 1);
+
+	call->done = done;
+	call->ctx = ctx;
+	crew_hold(b->crew, order, call);
+}
+
+static void on_held(void *ctx, const char *worker,
+		    const bw_hold_answer_t *answer, void *call)
+{
+	hold_call_t *hold = call;
+
+	(void)ctx;
+	(void)worker;
+	hold->done(hold->ctx, answer);
+	g_free(hold);
+}
+
+static void on_ended(void *ctx, const bw_task_name_t *task, bw_end_kind_t kind)
+{
+	(void)task;
+	(void)kind;
+	((bench_t *)ctx)->tasks_done++;
+}
+
+static const crew_ops_t crew_ops = { .held = on_held, .ended = on_ended };
+
+/* Callers. */
+
+typedef struct caller {
+	bench_t *b;
+	int64_t since_us;
+} caller_t;
+
+static void on_answer(void *ctx, const bw_answer_t *answer)
+{
+	caller_t *caller = ctx;
+	bench_t *b = caller->b;
+
+	if (answer->kind == BW_ANSWER_DONE)
+		b->accepted++;
+	else
+		b->refused++;
+	if (b->begin_ms > 0 && b->latency_count < LATENCIES_MAX)
+		b->latencies_us[b->latency_count++] =
+			g_get_monotonic_time() - caller->since_us;
+	g_free(caller);
+}
+
+static void submit(bench_t *b)
+{
+	static const char text[] =
+		"{\"text\": \"t\", \"steps\": ["
+		"{\"tasks\": 6, \"cpu_millis\": 1800, \"mem_mb\": 1800,"
+		" \"estimate_ms\": 300}, "
+		"{\"tasks\": 5, \"cpu_millis\": 1800, \"mem_mb\": 1800,"
+		" \"estimate_ms\": 300, \"after\": [0]}]}";
+	bw_findings_t *findings = bw_findings_create("job");
+	bw_request_t request = { .kind = BW_REQUEST_SUBMIT,
+				 .host = "h",
+				 .patience_ms = 3000 };
+	caller_t *caller = g_new0(caller_t, 1);
+	char path[64];
+
+	g_snprintf(path, sizeof(path), "/q/%016x", ++b->sent);
+	request.path = path;
+	if (bw_job_spec_from_json(text, strlen(text), findings,
+				  &request.spec) != BW_OK) {
+		bw_findings_print(findings, stderr);
+		exit(1);
+	}
+	bw_findings_destroy(findings);
+	caller->b = b;
+	caller->since_us = g_get_monotonic_time();
+	b->requests.serve(b->requests.impl, &request, on_answer, caller);
+}
+
+/* The run. */
+
+static void begin(bench_t *b, int64_t now_ms)
+{
+	b->begin_ms = now_ms;
+	b->end_ms = now_ms + (int64_t)(b->seconds * 1000.0);
+	b->lines_before = bw_event_lines();
+	b->left_out_before = bw_event_dropped();
+	b->bytes_before = bw_event_bytes();
+	getrusage(RUSAGE_SELF, &b->before);
+}
+
+static int64_t cpu_us(const struct rusage *from, const struct rusage *to)
+{
+	return ((int64_t)to->ru_utime.tv_sec - from->ru_utime.tv_sec +
+		to->ru_stime.tv_sec - from->ru_stime.tv_sec) *
+		       1000000 +
+	       to->ru_utime.tv_usec - from->ru_utime.tv_usec +
+	       to->ru_stime.tv_usec - from->ru_stime.tv_usec;
+}
+
+static void time_flush(bench_t *b)
+{
+	int64_t from_us = g_get_monotonic_time();
+
+	bw_event_flush();
+	if (g_get_monotonic_time() - from_us > BLOCKED_MS * 1000)
+		b->blocked++;
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	bench_t *b = timer->data;
+	int64_t now_ms = bw_clock_now_ms();
+
+	(void)revents;
+	crew_run(b->crew, now_ms);
+	if (++b->ticks % FLUSH_TICKS == 0)
+		time_flush(b);
+	if (!b->requests.ready(b->requests.impl))
+		return;
+	if (b->owed_ms == 0)
+		b->owed_ms = now_ms;
+	b->owed += (double)(now_ms - b->owed_ms) / 1000.0 * b->jobs_s;
+	b->owed_ms = now_ms;
+	for (; b->owed >= 1.0; b->owed -= 1.0)
+		submit(b);
+	if (b->begin_ms == 0 && b->sent >= (uint32_t)(WARM_UP_S * b->jobs_s))
+		begin(b, now_ms);
+	if (b->begin_ms > 0 && now_ms >= b->end_ms)
+		ev_break(loop, EVBREAK_ALL);
+}
+
+static int64_t thread_us(void)
+{
+	struct timespec time;
+
+	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+	return (int64_t)time.tv_sec * 1000000 + time.tv_nsec / 1000;
+}
+
+static void write_line(uint32_t number)
+{
+	bw_event(BW_EVENT_SCHED_START,
+		 "pool=%s job=%016x step=%u index=%u run=%u worker=%s "
+		 "wait_ms=%" G_GINT64_FORMAT " heard_ms=%" G_GINT64_FORMAT,
+		 "p", number, 0U, 3U, 1U, "w0123", (int64_t)12, (int64_t)345);
+}
+
+/*
+ * Processor time of a line that is written, and of one that is left out. Both
+ * are too small to show in the difference of two runs.
+ */
+static void time_lines(bench_t *b, double *written_us, double *left_out_us)
+{
+	uint64_t lines;
+	int64_t from_us;
+	uint32_t i;
+
+	bw_event_drop_backlog();
+	g_usleep(1100000);
+	ev_now_update(b->loop);
+	lines = bw_event_lines();
+	from_us = thread_us();
+	for (i = 0; i < TIMED_LINES; i++)
+		write_line(i);
+	*written_us = (double)(thread_us() - from_us) /
+		      (double)(bw_event_lines() - lines);
+	/* Its kind has had enough lines in this second by now. */
+	for (i = 0; i < TIMED_LINES; i++)
+		write_line(i);
+	from_us = thread_us();
+	for (i = 0; i < LEFT_OUT_LINES; i++)
+		write_line(i);
+	*left_out_us = (double)(thread_us() - from_us) / LEFT_OUT_LINES;
+}
+
+static int compare_latency(const void *a, const void *b)
+{
+	const int64_t *x = a;
+	const int64_t *y = b;
+
+	return (*x > *y) - (*x < *y);
+}
+
+static void print_result(bench_t *b)
+{
+	double lines_s = (double)(bw_event_lines() - b->lines_before);
+	double left_out_s = (double)(bw_event_dropped() - b->left_out_before);
+	double bytes_s = (double)(bw_event_bytes() - b->bytes_before);
+	double written_us = 0.0;
+	double left_out_us = 0.0;
+	double cpu_us_s;
+	struct rusage after;
+
+	getrusage(RUSAGE_SELF, &after);
+	cpu_us_s = (double)cpu_us(&b->before, &after) / b->seconds;
+	lines_s /= b->seconds;
+	left_out_s /= b->seconds;
+	if (b->logs)
+		time_lines(b, &written_us, &left_out_us);
+	qsort(b->latencies_us, b->latency_count, sizeof(*b->latencies_us),
+	      compare_latency);
+	fprintf(stderr,
+		"log=%s cpu_ms_s=%.2f answers=%u refused=%u tasks_s=%.0f "
+		"p50_us=%" G_GINT64_FORMAT " p99_us=%" G_GINT64_FORMAT
+		" lines_s=%.0f left_out_s=%.0f bytes_s=%.0f line_us=%.2f "
+		"left_out_us=%.3f log_cpu_pct=%.2f blocked=%u\n",
+		b->logs ? "on" : "off", cpu_us_s / 1000.0, b->latency_count,
+		b->refused, (double)b->tasks_done / (b->seconds + WARM_UP_S),
+		b->latencies_us[b->latency_count / 2],
+		b->latencies_us[b->latency_count * 99 / 100], lines_s,
+		left_out_s, bytes_s / b->seconds, written_us, left_out_us,
+		100.0 * (lines_s * written_us + left_out_s * left_out_us) /
+			cpu_us_s,
+		b->blocked);
+}
+
+static void create_node(bench_t *b)
+{
+	bw_fleet_env_t env = { .loop = b->loop,
+			       .settings = &b->settings,
+			       .store = memstore_port(b->store),
+			       .workers = { .impl = b,
+					    .start = worker_start,
+					    .stop = worker_stop,
+					    .hold = worker_hold },
+			       .values = &values,
+			       .counters = &b->counters };
+
+	b->settings = (bw_fleet_settings_t){ .name = (char *)"node",
+					     .zone = (char *)"z",
+					     .ip = (char *)"127.0.8.150",
+					     .peers_port = 17060,
+					     .metrics_port = 17061,
+					     .lease_min_ms = 1000,
+					     .grant_max_ms = 6000,
+					     .stop_ms = 400,
+					     .keep_ms = 120000,
+					     .first_start = true };
+	if (bw_fleet_create(&env, &b->fleet) != BW_OK) {
+		fprintf(stderr, "bench_log: %s\n", bw_status_message());
+		exit(1);
+	}
+	b->requests = bw_fleet_requests(b->fleet);
+}
+
+int main(int argc, char **argv)
+{
+	static bench_t bench;
+	bench_t *b = &bench;
+	bw_room_t room = { 32000, 65536, 0 };
+	uint32_t i;
+
+	b->loop = ev_default_loop(0);
+	b->logs = argc > 1 && !strcmp(argv[1], "on");
+	b->seconds = argc > 2 ? atof(argv[2]) : SECONDS;
+	b->jobs_s = argc > 3 ? atof(argv[3]) : JOBS_S;
+	b->latencies_us = g_new0(int64_t, LATENCIES_MAX);
+	if (b->logs)
+		bw_event_init(b->loop, LOG_BYTES_S);
+	b->store = memstore_create(b->loop);
+	b->crew = crew_create(&crew_ops, b);
+	memstore_put(b->store, values.config_key, "{}");
+	for (i = 0; i < WORKERS; i++) {
+		char key[32];
+
+		g_snprintf(key, sizeof(key), WORKERS_KEY "w%04u", i);
+		memstore_put(b->store, key, "{}");
+		crew_add(b->crew, key + strlen(WORKERS_KEY), &room);
+	}
+	create_node(b);
+	ev_timer_init(&b->tick, on_tick, TICK_S, TICK_S);
+	b->tick.data = b;
+	ev_timer_start(b->loop, &b->tick);
+	ev_run(b->loop, 0);
+	print_result(b);
+	return 0;
+}
--- a/src/base/event.c
+++ b/src/base/event.c
@@ -12,9 +12,12 @@
 #include "base/loggate.h"
 
 #define FLUSH_S 0.1
+/** Fields of a line; its time, part and end come on top. */
+#define TEXT_BYTES_MAX ((size_t)BW_LOG_LINE_BYTES_MAX - 100)
 /** Field of GLib's structured logging that holds the kind of an event. */
 #define KIND_FIELD "BRAMLEY_EVENT"
 
+static struct ev_loop *event_loop;
 static GString *buffer;
 static bw_log_gate_t gate;
 static uint64_t lines_written;
@@ -33,6 +36,7 @@
 	if (flags >= 0)
 		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 	buffer = g_string_sized_new(BW_LOG_BACKLOG_BYTES_MAX);
+	event_loop = loop;
 	gate.bytes_max = bytes_s;
 	g_log_set_writer_func(write_fields, NULL, NULL);
 	ev_timer_init(&timer, on_timer, FLUSH_S, FLUSH_S);
@@ -48,9 +52,12 @@
 	bw_event_flush();
 }
 
+/* By the time of the loop, which costs nothing to read. */
 static bool admit(bw_event_kind_t kind)
 {
-	return bw_log_gate_admit(&gate, kind, bw_clock_now_ms(), buffer->len);
+	int64_t now_ms = (int64_t)(ev_now(event_loop) * 1000.0);
+
+	return bw_log_gate_admit(&gate, kind, now_ms, buffer->len);
 }
 
 static void append(bw_event_kind_t kind, const char *fields)
@@ -110,19 +117,39 @@
 	return G_LOG_WRITER_HANDLED;
 }
 
-void bw_event(bw_event_kind_t kind, const char *fmt, ...)
+/* Formats after what @p text holds already, and sends the line. */
+static void send_line(bw_event_kind_t kind, char *text, size_t held,
+		      const char *fmt, va_list args)
 {
-	char text[BW_LOG_LINE_BYTES_MAX - 100];
 	GLogField fields[] = { { KIND_FIELD, &kind, sizeof(kind) },
 			       { "MESSAGE", text, -1 } };
+
+	g_vsnprintf(text + held, TEXT_BYTES_MAX - held, fmt, args);
+	g_log_structured_array(G_LOG_LEVEL_INFO, fields, G_N_ELEMENTS(fields));
+}
+
+void bw_event(bw_event_kind_t kind, const char *fmt, ...)
+{
+	char text[TEXT_BYTES_MAX];
 	va_list args;
 
 	if (!buffer || !admit(kind))
 		return;
 	va_start(args, fmt);
-	g_vsnprintf(text, sizeof(text), fmt, args);
+	send_line(kind, text, 0, fmt, args);
 	va_end(args);
-	g_log_structured_array(G_LOG_LEVEL_INFO, fields, G_N_ELEMENTS(fields));
+}
+
+void bw_event_of_pool(bw_event_kind_t kind, const char *pool, const char *fmt,
+		      va_list args)
+{
+	char text[TEXT_BYTES_MAX];
+	int held;
+
+	if (!buffer || !admit(kind))
+		return;
+	held = g_snprintf(text, sizeof(text), "pool=%s ", pool);
+	send_line(kind, text, MIN((size_t)held, sizeof(text) - 1), fmt, args);
 }
 
 uint64_t bw_event_dropped(void)
@@ -150,6 +177,11 @@
 	return bytes_written;
 }
 
+void bw_event_drop_backlog(void)
+{
+	g_string_truncate(buffer, 0);
+}
+
 void bw_event_flush(void)
 {
 	ssize_t n;
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -11,6 +11,7 @@
 #ifndef BW_BASE_EVENT_H
 #define BW_BASE_EVENT_H
 
+#include <stdarg.h>
 #include <stdint.h>
 
 #include <glib.h>
@@ -129,6 +130,10 @@
 void bw_event(bw_event_kind_t kind, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
 
+/** The same for a kind whose first field is the pool. */
+void bw_event_of_pool(bw_event_kind_t kind, const char *pool, const char *fmt,
+		      va_list args) __attribute__((format(printf, 3, 0)));
+
 /** Lines that were left out so far, for any reason. */
 uint64_t bw_event_dropped(void);
 
@@ -141,6 +146,9 @@
 /** Bytes of these lines. */
 uint64_t bw_event_bytes(void);
 
+/** Forgets what is buffered; for benches whose reader is gone. */
+void bw_event_drop_backlog(void);
+
 /** Writes what is buffered, as far as that is possible at once. */
 void bw_event_flush(void);
 
--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -260,11 +260,12 @@
 	give_up(ctx);
 }
 
-static void do_log(void *ctx, bw_event_kind_t kind, const char *fields)
+static void do_log(void *ctx, bw_event_kind_t kind, const char *fmt,
+		   va_list args)
 {
 	const bw_pool_t *pool = ctx;
 
-	bw_event(kind, "pool=%s %s", pool->name, fields);
+	bw_event_of_pool(kind, pool->name, fmt, args);
 }
 
 static const bw_sched_ops_t sched_ops = {
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -39,15 +39,13 @@
 
 void sched_log(bw_sched_t *s, bw_event_kind_t kind, const char *fmt, ...)
 {
-	char fields[512];
 	va_list args;
 
 	if (!s->ops.log)
 		return;
 	va_start(args, fmt);
-	g_vsnprintf(fields, sizeof(fields), fmt, args);
+	s->ops.log(s->ctx, kind, fmt, args);
 	va_end(args);
-	s->ops.log(s->ctx, kind, fields);
 }
 
 void sched_changed(bw_sched_t *s, bool urgent)
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -10,6 +10,7 @@
 #ifndef BW_SCHED_SCHED_H
 #define BW_SCHED_SCHED_H
 
+#include <stdarg.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -163,8 +164,9 @@
 		       const char *const *workers, uint32_t count);
 	/** Another owner has taken over. */
 	void (*superseded)(void *ctx);
-	/** One line for a decision; fields as "name=value". */
-	void (*log)(void *ctx, bw_event_kind_t kind, const char *fields);
+	/** One line for a decision; formats its fields as "name=value". */
+	void (*log)(void *ctx, bw_event_kind_t kind, const char *fmt,
+		    va_list args);
 } bw_sched_ops_t;
 
 /** Numbers of a pool. */
--- a/test/world_worker.c
+++ b/test/world_worker.c
@@ -567,13 +567,16 @@
 	world_at(node->w, 0, on_drop, node);
 }
 
-static void order_log(void *ctx, bw_event_kind_t kind, const char *fields)
+static void order_log(void *ctx, bw_event_kind_t kind, const char *fmt,
+		      va_list args)
 {
 	node_t *node = ctx;
+	char fields[500];
 	char text[700];
 
 	if (!g_getenv("WORLD_TRACE"))
 		return;
+	g_vsnprintf(fields, sizeof(fields), fmt, args);
 	g_snprintf(text, sizeof(text), "node%u %s %s", node->index,
 		   bw_event_spec(kind)->name, fields);
 	world_trace(node->w, "sched", text);
