Put tasks on the fullest worker that fits

Change: a worker's merit rises with its use instead of falling. Tests: test_tasks_share_workers failed first. Fewer workers are touched, and the others can leave sooner.

--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -213,8 +213,8 @@
 static double merit(const worker_t *worker, const task_t *task)
 {
 	const bw_step_spec_t *spec = sched_task_step(task);
-	double value = 1.0 - (double)worker->used.cpu_millis /
-				     (double)MAX(worker->room.cpu_millis, 1);
+	double value = (double)worker->used.cpu_millis /
+		       (double)MAX(worker->room.cpu_millis, 1);
 
 	if (spec->rack && !g_strcmp0(spec->rack, worker->rack))
 		value += MERIT_RACK;
--- a/test/test_sched.c
+++ b/test/test_sched.c
@@ -405,6 +405,68 @@
 	start_after(30000, JOB_B);
 }
 
+/* Workers that all may be used; "w1" to "w4". */
+static void ready_with_four(orders_t *o)
+{
+	static const char *const names[] = { "w1", "w2", "w3", "w4" };
+	size_t i;
+
+	begin(o);
+	for (i = 0; i < G_N_ELEMENTS(names); i++)
+		add_worker(o, names[i]);
+	for (i = 0; i < G_N_ELEMENTS(names); i++)
+		hold(o, names[i], NULL, 0, NULL, 0);
+	save(o);
+	run(o, 10);
+}
+
+/* Tasks share workers, so that the others can be moved to pools that surge. */
+static void test_tasks_share_workers(void **state)
+{
+	orders_t o;
+	uint32_t i;
+
+	(void)state;
+	ready_with_four(&o);
+	add_job(&o, JOB_A, 4, false, 1500, 500);
+	run(&o, 10);
+	assert_int_equal(o.start_count, 4);
+	for (i = 1; i < 4; i++)
+		assert_string_equal(o.starts[i].worker, o.starts[0].worker);
+	/* What no longer fits there goes to one other worker. */
+	add_job(&o, JOB_B, 2, false, 2500, 500);
+	run(&o, 10);
+	assert_int_equal(o.start_count, 6);
+	assert_string_not_equal(o.starts[4].worker, o.starts[0].worker);
+	assert_string_equal(o.starts[5].worker, o.starts[4].worker);
+	bw_sched_destroy(o.sched);
+}
+
+/* A worker on which tasks fail is used last, however full it is. */
+static void test_sick_worker_is_last(void **state)
+{
+	bw_end_row_t ends[3] = { 0 };
+	orders_t o;
+	uint32_t i;
+
+	(void)state;
+	ready_with_four(&o);
+	add_job(&o, JOB_A, 3, false, 1500, 500);
+	run(&o, 10);
+	for (i = 0; i < 3; i++)
+		ends[i] = (bw_end_row_t){ .number = i + 1,
+					  .task = o.starts[i].task,
+					  .run = 1,
+					  .kind = BW_END_FAILED };
+	hold(&o, o.starts[0].worker, NULL, 0, ends, 3);
+	add_job(&o, JOB_B, 1, false, 1500, 500);
+	run(&o, 100);
+	assert_int_equal(o.start_count, 7);
+	for (i = 3; i < 7; i++)
+		assert_string_not_equal(o.starts[i].worker, o.starts[0].worker);
+	bw_sched_destroy(o.sched);
+}
+
 /* A worker that refuses the token ends the ownership. */
 static void test_superseded(void **state)
 {
@@ -492,6 +554,8 @@
 		cmocka_unit_test(test_in_time_first),
 		cmocka_unit_test(test_late_is_rescued),
 		cmocka_unit_test(test_over_goes_last),
+		cmocka_unit_test(test_tasks_share_workers),
+		cmocka_unit_test(test_sick_worker_is_last),
 		cmocka_unit_test(test_superseded),
 		cmocka_unit_test(test_no_move_right_after_takeover),
 		cmocka_unit_test(test_bad_state),
