--- a/Makefile
+++ b/Makefile
@@ -165,3 +165,11 @@
 .PHONY: bench-log
 bench-log: $(BUILD)/bench/bench_log
 	scripts/bench-log.sh
+
+.PHONY: bench-place
+bench-place: $(BUILD)/bench/bench_place
+	$<
+
+.PHONY: bench-overload
+bench-overload: $(BUILD)/bench/bench_overload
+	$<
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -44,6 +44,15 @@
 typedef struct job job_t;
 typedef struct occurrence occurrence_t;
 typedef struct worker worker_t;
+typedef struct fit fit_t;
+
+/** How willingly a worker is used; the first class goes first. */
+typedef enum fit_class {
+	FIT_GOOD,
+	FIT_DUE, /**< For upkeep. */
+	FIT_SICK, /**< Tasks fail there. */
+	FIT_CLASS_COUNT
+} fit_class_t;
 
 typedef enum task_state {
 	TASK_WAITING,
@@ -130,6 +139,7 @@
 	bool ordered; /**< A start has been ordered. */
 	bool started; /**< A task is known to have begun. */
 	bool lasting; /**< Has a step whose tasks last. */
+	GHashTable *startable; /**< Of the scheduler. */
 	GPtrArray *occurrences; /**< Those that are due and not done. */
 	GArray *done; /**< Numbers of occurrences that are done. */
 };
@@ -155,6 +165,10 @@
 	bool has_orphans; /**< Runs what should not, and whose room is unknown.
 			   */
 	bool hold_out; /**< A hold is unanswered. */
+	fit_t *fit; /**< The orders that it is in. */
+	bool fitted; /**< Whether it is in them, by the next two. */
+	fit_class_t fit_class;
+	int64_t fit_free_millis; /**< Processor. */
 	int64_t born_ms;
 	int64_t first_seen_ms;
 	int64_t heard_ms;
@@ -186,6 +200,8 @@
 	GQueue *over; /**< Finished jobs in the order of their over_ms. */
 	GHashTable *progress; /**< Loaded, for jobs that were not seen yet. */
 	GHashTable *workers;
+	fit_t *fit; /**< Workers by their free room. */
+	GHashTable *startable; /**< Occurrences that may have tasks to start. */
 	int64_t created_ms;
 	double offered_work; /**< Arrived core-milliseconds, decayed. */
 	int64_t offered_ms; /**< When it was decayed last. */
@@ -210,8 +226,7 @@
 job_t *sched_job_new(bw_sched_t *s, const char *id, const char *queue);
 void sched_job_free(gpointer data);
 queue_t *sched_queue(bw_sched_t *s, const char *name);
-occurrence_t *sched_occurrence_new(bw_sched_t *s, job_t *job, uint32_t number,
-				   int64_t due_ms);
+occurrence_t *sched_occurrence_new(job_t *job, uint32_t number, int64_t due_ms);
 task_t *sched_find_task(bw_sched_t *s, const bw_task_name_t *name);
 void sched_task_name(const task_t *task, bw_task_name_t *out);
 const bw_step_spec_t *sched_task_step(const task_t *task);
@@ -228,6 +243,27 @@
 bool sched_end_stored(const bw_sched_t *s, const job_t *job);
 void sched_jobs_reap(bw_sched_t *s);
 
+/** An occurrence may have tasks to start from now on. */
+void sched_startable(const occurrence_t *occurrence);
+
+/* fit.c */
+fit_t *sched_fit_create(void);
+void sched_fit_destroy(fit_t *fit);
+/** Brings a worker to its place, after a change of its room or health. */
+void sched_fit_update(worker_t *worker);
+/** Takes a worker out, before a change of its labels or rack. */
+void sched_fit_leave(worker_t *worker);
+/** Workers with a label, or all; NULL if there are none. */
+GTree *sched_fit_tree(const fit_t *fit, const char *label);
+GTree *sched_fit_rack(const fit_t *fit, const char *rack);
+/**
+ * Walks over workers of a class with so much free processor, from the fullest.
+ * @param fn returns whether the walk ends at a worker
+ * @return that worker, or NULL
+ */
+worker_t *sched_fit_walk(GTree *tree, fit_class_t class, int64_t need_millis,
+			 bool (*fn)(void *ctx, worker_t *worker), void *ctx);
+
 /* forget.c */
 void sched_job_over(bw_sched_t *s, job_t *job, int64_t now_ms);
 /** Forgets jobs that have been gone from the store for long enough. */
--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -20,7 +20,7 @@
 static void occurrence_done(bw_sched_t *s, occurrence_t *occurrence,
 			    int64_t now_ms);
 static bool occurrence_known(const job_t *job, uint32_t number);
-static void job_due(bw_sched_t *s, job_t *job, int64_t now_ms, int64_t wall_ms);
+static void job_due(job_t *job, int64_t now_ms, int64_t wall_ms);
 
 queue_t *sched_queue(bw_sched_t *s, const char *name)
 {
@@ -44,6 +44,7 @@
 	g_strlcpy(job->id, id, sizeof(job->id));
 	job->queue = sched_queue(s, queue);
 	job->state = BW_JOB_QUEUED;
+	job->startable = s->startable;
 	job->occurrences = g_ptr_array_new_with_free_func(occurrence_free);
 	job->done = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	g_hash_table_insert(s->jobs, job->id, job);
@@ -71,6 +72,7 @@
 	occurrence_t *occurrence = data;
 	uint32_t i;
 
+	g_hash_table_remove(occurrence->job->startable, occurrence);
 	for (i = 0; i < occurrence->task_count; i++) {
 		sched_detach(&occurrence->tasks[i]);
 		g_free(occurrence->tasks[i].checkpoint);
@@ -106,12 +108,15 @@
 	}
 }
 
-occurrence_t *sched_occurrence_new(bw_sched_t *s, job_t *job, uint32_t number,
-				   int64_t due_ms)
+void sched_startable(const occurrence_t *occurrence)
+{
+	g_hash_table_add(occurrence->job->startable, (gpointer)occurrence);
+}
+
+occurrence_t *sched_occurrence_new(job_t *job, uint32_t number, int64_t due_ms)
 {
 	occurrence_t *occurrence = g_new0(occurrence_t, 1);
 
-	(void)s;
 	occurrence->job = job;
 	occurrence->number = number;
 	occurrence->task_count = bw_job_spec_tasks(job->spec);
@@ -122,6 +127,7 @@
 	occurrence->due_ms = due_ms;
 	sched_set_objective(occurrence);
 	g_ptr_array_add(job->occurrences, occurrence);
+	sched_startable(occurrence);
 	return occurrence;
 }
 
@@ -243,6 +249,7 @@
 	if (task->state != TASK_WAITING)
 		sched_step_state(task)->waiting++;
 	task->state = TASK_WAITING;
+	sched_startable(task->occurrence);
 	task->answered_ms = 0;
 	task->stop_sent_ms = 0;
 	task->stop_answered = false;
@@ -287,6 +294,8 @@
 		sched_stop_task(s, task, now_ms);
 	g_clear_pointer(&task->checkpoint, g_free);
 	state->left--;
+	if (state->left == 0)
+		sched_startable(occurrence);
 	occurrence->left--;
 	sched_set_objective(occurrence);
 	sched_changed(s, state->left == 0);
@@ -399,7 +408,7 @@
 	return false;
 }
 
-static void job_due(bw_sched_t *s, job_t *job, int64_t now_ms, int64_t wall_ms)
+static void job_due(job_t *job, int64_t now_ms, int64_t wall_ms)
 {
 	uint32_t made = 0;
 
@@ -411,7 +420,7 @@
 		if (wall_ms < due_ms)
 			return;
 		if (!occurrence_known(job, job->next_occurrence))
-			sched_occurrence_new(s, job, job->next_occurrence,
+			sched_occurrence_new(job, job->next_occurrence,
 					     now_ms - (wall_ms - due_ms));
 		job->next_occurrence++;
 		made++;
@@ -428,7 +437,7 @@
 		if (job->spec->repeats == 0)
 			continue;
 		reap_occurrences(job);
-		job_due(s, job, now_ms, wall_ms);
+		job_due(job, now_ms, wall_ms);
 	}
 }
 
@@ -453,7 +462,7 @@
 					 (int64_t)24 * 3600 * 1000);
 	g_ptr_array_add(s->active, job);
 	if (job->spec->repeats == 0)
-		sched_occurrence_new(s, job, 0, job->arrived_ms);
+		sched_occurrence_new(job, 0, job->arrived_ms);
 }
 
 static void mark_suspect(job_t *job)
--- a/src/sched/listing.c
+++ b/src/sched/listing.c
@@ -35,6 +35,7 @@
 
 	worker->failures = worker->failures * HEALTH_KEEP + 1.0;
 	worker->successes *= HEALTH_KEEP;
+	sched_fit_update(worker);
 	if (is_counted(task, run))
 		return;
 	task->failed_runs[task->failures % FAILED_RUNS_KEPT] = run;
@@ -53,6 +54,7 @@
 {
 	worker->failures *= HEALTH_KEEP;
 	worker->successes = worker->successes * HEALTH_KEEP + 1.0;
+	sched_fit_update(worker);
 }
 
 /* A task of the job is known to have begun. */
--- a/src/sched/order.c
+++ b/src/sched/order.c
@@ -9,6 +9,7 @@
 		worker->used.cpu_millis += sign * step->need.cpu_millis;
 	worker->used.mem_mb += sign * step->need.mem_mb;
 	worker->used.gpus += sign * step->need.gpus;
+	sched_fit_update(worker);
 }
 
 void sched_attach(task_t *task, worker_t *worker)
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -4,12 +4,7 @@
 
 /** Gap in run numbers after starts of an earlier owner that we can't know. */
 #define RUN_GAP 16
-/** A worker with this many recent failures is judged by its failure share. */
-#define SICK_FAILURES 2.5
-/** Share of failed runs above which a worker is used last. */
-#define SICK_SHARE 0.7
-
-/* Weights of a worker's merit for a task; free room counts up to 1. */
+/* Weights of a worker's merit for a task that lasts; use counts up to 1. */
 #define MERIT_RACK 2.0
 #define MERIT_DUE  3.0
 /** Tasks that last share workers, so that others can be emptied soon. */
@@ -52,10 +47,8 @@
 static uint32_t count_same_step(const worker_t *worker, const task_t *task);
 static bool has_label(const worker_t *worker, const char *label);
 static bool allowed(const worker_t *worker, const task_t *task, int64_t now_ms);
-static double merit(const worker_t *worker, const task_t *task);
-static worker_t *pick(GPtrArray *workers, const task_t *task, int64_t now_ms);
-static bool place_step(bw_sched_t *s, GPtrArray *workers,
-		       occurrence_t *occurrence, uint32_t step, int64_t now_ms);
+static bool place_step(bw_sched_t *s, occurrence_t *occurrence, uint32_t step,
+		       int64_t now_ms);
 
 bool sched_step_ready(const occurrence_t *occurrence, uint32_t step)
 {
@@ -125,7 +118,9 @@
 		return x->urgency < y->urgency ? -1 : 1;
 	if (x->key != y->key)
 		return x->key < y->key ? -1 : 1;
-	return strcmp(x->occurrence->job->id, y->occurrence->job->id);
+	if (x->occurrence->job != y->occurrence->job)
+		return strcmp(x->occurrence->job->id, y->occurrence->job->id);
+	return x->occurrence->number < y->occurrence->number ? -1 : 1;
 }
 
 static bool fits(const bw_room_t *need, const worker_t *worker, bool filler)
@@ -202,23 +197,18 @@
 	return false;
 }
 
-static bool is_sick(const worker_t *worker)
-{
-	double runs = worker->failures + worker->successes;
-
-	return worker->failures >= SICK_FAILURES &&
-	       worker->failures > SICK_SHARE * runs;
-}
-
 static double merit(const worker_t *worker, const task_t *task)
 {
 	const bw_step_spec_t *spec = sched_task_step(task);
 	double value = (double)worker->used.cpu_millis /
 		       (double)MAX(worker->room.cpu_millis, 1);
 
+	/* Fillers use what others leave. */
+	if (spec->filler)
+		value = -value;
 	if (spec->rack && !g_strcmp0(spec->rack, worker->rack))
 		value += MERIT_RACK;
-	if (worker->due)
+	if (worker->fit_class == FIT_DUE)
 		value -= MERIT_DUE;
 	if (spec->lasting && sched_count_lasting(worker) > 0 &&
 	    count_same_step(worker, task) < LASTING_TOGETHER)
@@ -227,32 +217,86 @@
 		value -= MERIT_DISTURBANCE;
 	if (task->failed_at == worker)
 		value -= MERIT_FAILED;
-	if (is_sick(worker))
+	if (worker->fit_class == FIT_SICK)
 		value -= MERIT_SICK;
 	return value;
 }
 
-static worker_t *pick(GPtrArray *workers, const task_t *task, int64_t now_ms)
+/* For tasks whose merit depends on what else a worker runs; they are few. */
+static worker_t *pick_by_merit(bw_sched_t *s, const task_t *task,
+			       int64_t now_ms)
 {
 	worker_t *best = NULL;
 	double best_merit = 0.0;
-	guint i;
+	GHashTableIter iter;
+	gpointer value;
 
-	for (i = 0; i < workers->len; i++) {
-		worker_t *worker = g_ptr_array_index(workers, i);
-		double value;
+	g_hash_table_iter_init(&iter, s->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		worker_t *worker = value;
+		double value_here;
 
-		if (!allowed(worker, task, now_ms))
+		if (!sched_worker_usable(s, worker, now_ms) ||
+		    !allowed(worker, task, now_ms))
 			continue;
-		value = merit(worker, task);
-		if (!best || value > best_merit) {
+		value_here = merit(worker, task);
+		if (!best || value_here > best_merit) {
 			best = worker;
-			best_merit = value;
+			best_merit = value_here;
 		}
 	}
 	return best;
 }
 
+/** A walk over workers that might take a task. */
+typedef struct search {
+	bw_sched_t *s;
+	const task_t *task;
+	int64_t now_ms;
+	worker_t *second; /**< Fits, but the task failed there before. */
+} search_t;
+
+static bool suits(void *ctx, worker_t *worker)
+{
+	search_t *search = ctx;
+
+	if (!sched_worker_usable(search->s, worker, search->now_ms) ||
+	    !allowed(worker, search->task, search->now_ms))
+		return false;
+	if (search->task->failed_at != worker)
+		return true;
+	search->second = worker;
+	return false;
+}
+
+/* The fullest worker that a task fits on, near its data if it can be. */
+static worker_t *pick(bw_sched_t *s, const task_t *task, int64_t now_ms)
+{
+	const bw_step_spec_t *spec = sched_task_step(task);
+	search_t search = { .s = s, .task = task, .now_ms = now_ms };
+	GTree *near = sched_fit_rack(s->fit, spec->rack);
+	GTree *all = sched_fit_tree(s->fit, spec->label);
+	worker_t *worker = NULL;
+	int class;
+
+	if (spec->lasting || spec->filler || spec->tail_ms_max > 0)
+		return pick_by_merit(s, task, now_ms);
+	for (class = FIT_GOOD; !worker && class < FIT_SICK; class ++) {
+		worker = sched_fit_walk(near, (fit_class_t) class,
+					spec->need.cpu_millis, suits, &search);
+		if (!worker)
+			worker = sched_fit_walk(all, (fit_class_t) class,
+						spec->need.cpu_millis, suits,
+						&search);
+	}
+	if (!worker)
+		worker = search.second;
+	if (!worker)
+		worker = sched_fit_walk(all, FIT_SICK, spec->need.cpu_millis,
+					suits, &search);
+	return worker ? worker : search.second;
+}
+
 static void reserve(task_t *task, worker_t *worker, uint32_t run,
 		    int64_t now_ms)
 {
@@ -321,8 +365,8 @@
 }
 
 /* Places all tasks of a gang, or none. */
-static bool place_gang(bw_sched_t *s, GPtrArray *workers,
-		       occurrence_t *occurrence, uint32_t step, int64_t now_ms)
+static bool place_gang(bw_sched_t *s, occurrence_t *occurrence, uint32_t step,
+		       int64_t now_ms)
 {
 	step_state_t *state = &occurrence->steps[step];
 	uint32_t count = occurrence->job->spec->steps[step].count;
@@ -341,7 +385,7 @@
 		run = MAX(run, next_run(&tasks[i]));
 	}
 	for (placed = 0; placed < count; placed++) {
-		worker_t *worker = pick(workers, &tasks[placed], now_ms);
+		worker_t *worker = pick(s, &tasks[placed], now_ms);
 
 		if (!worker)
 			break;
@@ -354,18 +398,33 @@
 	return placed == count;
 }
 
-static void ask_advice(bw_sched_t *s, GPtrArray *workers,
-		       occurrence_t *occurrence, uint32_t step, int64_t now_ms)
+static GPtrArray *usable_workers(bw_sched_t *s, int64_t now_ms)
+{
+	GPtrArray *workers = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (sched_worker_usable(s, value, now_ms))
+			g_ptr_array_add(workers, value);
+	return workers;
+}
+
+static void ask_advice(bw_sched_t *s, occurrence_t *occurrence, uint32_t step,
+		       int64_t now_ms)
 {
 	step_state_t *state = &occurrence->steps[step];
 	bw_task_name_t name = { .occurrence = occurrence->number,
 				.step = step };
+	GPtrArray *workers;
 	const char **ids;
 	guint i;
 
 	if (state->asked ||
 	    (state->tickets && now_ms < state->tickets_until_ms))
 		return;
+	workers = usable_workers(s, now_ms);
 	g_strlcpy(name.job, occurrence->job->id, sizeof(name.job));
 	ids = g_new0(const char *, workers->len + 1);
 	for (i = 0; i < workers->len; i++)
@@ -373,27 +432,28 @@
 	state->asked = true;
 	s->ops.advise(s->ctx, &name, ids, workers->len);
 	g_free(ids);
+	g_ptr_array_free(workers, TRUE);
 }
 
 /* Starts what fits of a step; false if a task found no worker. */
-static bool place_step(bw_sched_t *s, GPtrArray *workers,
-		       occurrence_t *occurrence, uint32_t step, int64_t now_ms)
+static bool place_step(bw_sched_t *s, occurrence_t *occurrence, uint32_t step,
+		       int64_t now_ms)
 {
 	const bw_step_spec_t *spec = &occurrence->job->spec->steps[step];
 	step_state_t *state = &occurrence->steps[step];
 	uint32_t i;
 
 	if (occurrence->job->queue->advised)
-		ask_advice(s, workers, occurrence, step, now_ms);
+		ask_advice(s, occurrence, step, now_ms);
 	if (spec->gang)
-		return place_gang(s, workers, occurrence, step, now_ms);
+		return place_gang(s, occurrence, step, now_ms);
 	for (i = 0; i < spec->count && state->waiting > 0; i++) {
 		task_t *task = &occurrence->tasks[state->first + i];
 		worker_t *worker;
 
 		if (!startable(s, task, now_ms))
 			continue;
-		worker = pick(workers, task, now_ms);
+		worker = pick(s, task, now_ms);
 		if (!worker)
 			return false;
 		reserve(task, worker, next_run(task), now_ms);
@@ -402,42 +462,52 @@
 	return true;
 }
 
-static GPtrArray *usable_workers(bw_sched_t *s, int64_t now_ms)
+static GArray *candidates(bw_sched_t *s, int64_t now_ms)
 {
-	GPtrArray *workers = g_ptr_array_new();
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(candidate_t));
 	GHashTableIter iter;
-	gpointer value;
+	gpointer key;
 
-	g_hash_table_iter_init(&iter, s->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (sched_worker_usable(s, value, now_ms))
-			g_ptr_array_add(workers, value);
-	return workers;
+	g_hash_table_iter_init(&iter, s->startable);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		candidate_t candidate = { .occurrence = key };
+
+		if (candidate.occurrence->job->finished_version > 0 ||
+		    !has_waiting(candidate.occurrence)) {
+			g_hash_table_iter_remove(&iter);
+			continue;
+		}
+		rank(&candidate, now_ms);
+		g_array_append_val(list, candidate);
+	}
+	g_array_sort(list, compare);
+	return list;
 }
 
-static GArray *candidates(bw_sched_t *s, int64_t now_ms)
+static bool any_late(const GArray *list)
 {
-	GArray *list = g_array_new(FALSE, FALSE, sizeof(candidate_t));
 	guint i;
-	guint k;
 
-	for (i = 0; i < s->active->len; i++) {
-		const job_t *job = g_ptr_array_index(s->active, i);
+	for (i = 0; i < list->len; i++)
+		if (g_array_index(list, candidate_t, i).urgency == URGENCY_LATE)
+			return true;
+	return false;
+}
+
+static int64_t usable_millis(bw_sched_t *s, int64_t now_ms)
+{
+	int64_t millis = 0;
+	GHashTableIter iter;
+	gpointer value;
 
-		for (k = 0; k < job->occurrences->len; k++) {
-			candidate_t candidate = {
-				.occurrence =
-					g_ptr_array_index(job->occurrences, k),
-			};
+	g_hash_table_iter_init(&iter, s->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const worker_t *worker = value;
 
-			if (!has_waiting(candidate.occurrence))
-				continue;
-			rank(&candidate, now_ms);
-			g_array_append_val(list, candidate);
-		}
+		if (sched_worker_usable(s, worker, now_ms))
+			millis += worker->room.cpu_millis;
 	}
-	g_array_sort(list, compare);
-	return list;
+	return millis;
 }
 
 static int64_t waiting_millis(const occurrence_t *occurrence)
@@ -458,17 +528,15 @@
  * late jobs that would soon be worth nothing go first, within a part of the
  * room, so that a long overload does not make all jobs late.
  */
-static void rescue(GArray *list, const GPtrArray *workers)
+static void rescue(bw_sched_t *s, GArray *list, int64_t now_ms)
 {
-	int64_t room_millis = 0;
+	int64_t room_millis;
 	guint i;
 
-	for (i = 0; i < workers->len; i++) {
-		const worker_t *worker = g_ptr_array_index(workers, i);
-
-		room_millis += worker->room.cpu_millis;
-	}
-	room_millis = (int64_t)((double)room_millis * RESCUE_SHARE);
+	if (!any_late(list))
+		return;
+	room_millis =
+		(int64_t)((double)usable_millis(s, now_ms) * RESCUE_SHARE);
 	for (i = 0; i < list->len && room_millis > 0; i++) {
 		candidate_t *at = &g_array_index(list, candidate_t, i);
 
@@ -483,26 +551,19 @@
 void sched_place(bw_sched_t *s, int64_t now_ms)
 {
 	GArray *list = candidates(s, now_ms);
-	GPtrArray *workers;
 	uint32_t step;
 	guint i;
 
-	if (list->len == 0) {
-		g_array_free(list, TRUE);
-		return;
-	}
-	workers = usable_workers(s, now_ms);
-	rescue(list, workers);
-	for (i = 0; i < list->len && workers->len > 0; i++) {
+	rescue(s, list, now_ms);
+	for (i = 0; i < list->len; i++) {
 		occurrence_t *at =
 			g_array_index(list, candidate_t, i).occurrence;
 
 		for (step = 0; step < at->job->spec->step_count; step++)
 			if (at->steps[step].waiting > 0 &&
 			    sched_step_ready(at, step))
-				place_step(s, workers, at, step, now_ms);
+				place_step(s, at, step, now_ms);
 	}
-	g_ptr_array_free(workers, TRUE);
 	g_array_free(list, TRUE);
 }
 
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -18,8 +18,8 @@
 static Bramley__JobProgress *pack_job(packer_t *p, const job_t *job);
 static void pack_jobs(packer_t *p, bw_sched_t *s, Bramley__PoolRecord *out);
 static void pack_workers(packer_t *p, bw_sched_t *s, Bramley__PoolRecord *out);
-static void load_task(bw_sched_t *s, job_t *job,
-		      const Bramley__TaskRecord *record, int64_t now_ms);
+static void load_task(job_t *job, const Bramley__TaskRecord *record,
+		      int64_t now_ms);
 
 static void *take(packer_t *p, size_t bytes)
 {
@@ -189,8 +189,8 @@
 	}
 }
 
-static void load_task(bw_sched_t *s, job_t *job,
-		      const Bramley__TaskRecord *record, int64_t now_ms)
+static void load_task(job_t *job, const Bramley__TaskRecord *record,
+		      int64_t now_ms)
 {
 	occurrence_t *at = NULL;
 	task_t *task;
@@ -202,7 +202,7 @@
 			at = NULL;
 	}
 	if (!at)
-		at = sched_occurrence_new(s, job, record->occurrence, now_ms);
+		at = sched_occurrence_new(job, record->occurrence, now_ms);
 	if (record->number >= at->task_count)
 		return;
 	task = &at->tasks[record->number];
@@ -237,7 +237,7 @@
 		job->occurrences_left--;
 	}
 	for (i = 0; i < progress->n_tasks; i++)
-		load_task(s, job, progress->tasks[i], now_ms);
+		load_task(job, progress->tasks[i], now_ms);
 	g_hash_table_remove(s->progress, job->id);
 }
 
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -21,6 +21,7 @@
 	worker->first_seen_ms = now_ms;
 	worker->hold_at_ms = now_ms;
 	worker->fill_share = 100;
+	worker->fit = s->fit;
 	worker->inherited = s->inherits_stops && s->saved_version == 0;
 	g_hash_table_insert(s->workers, worker->id, worker);
 	return worker;
@@ -30,6 +31,7 @@
 {
 	worker_t *worker = data;
 
+	sched_fit_leave(worker);
 	g_ptr_array_free(worker->tasks, TRUE);
 	g_strfreev(worker->labels);
 	g_free(worker->rack);
@@ -110,6 +112,7 @@
 {
 	uint32_t i;
 
+	sched_fit_leave(worker);
 	g_strfreev(worker->labels);
 	worker->labels = g_new0(char *, info->label_count + 1);
 	for (i = 0; i < info->label_count; i++)
@@ -150,6 +153,7 @@
 		  id, worker->tasks->len, reason);
 	worker->dead = true;
 	forget_runs(s, worker, reason);
+	sched_fit_update(worker);
 }
 
 /* A machine hosts one worker at a time: an older one on it has ended. */
@@ -203,6 +207,7 @@
 		sched_log(s, BW_EVENT_SCHED_WORKER_DRAINING,
 			  "worker=%s tasks=%u", worker->id, worker->tasks->len);
 	worker->draining = info->draining;
+	sched_fit_update(worker);
 	bury_predecessors(s, worker);
 }
 
@@ -216,6 +221,7 @@
 		  "worker=%s tasks=%u silent_ms=%" G_GINT64_FORMAT, id,
 		  worker->tasks->len, now_ms - worker->heard_ms);
 	worker->registered = false;
+	sched_fit_update(worker);
 }
 
 void bw_sched_workers(const bw_sched_t *s,
@@ -246,6 +252,8 @@
 {
 	worker_t *worker = sched_worker(s, id);
 
-	if (worker)
-		worker->due = due;
+	if (!worker)
+		return;
+	worker->due = due;
+	sched_fit_update(worker);
 }
--- a/test/test_sched.c
+++ b/test/test_sched.c
@@ -96,17 +96,22 @@
 	bw_sched_set_queue(o->sched, &queue);
 }
 
-static void add_worker(orders_t *o, const char *id)
+static void add_worker_with(orders_t *o, const char *id, int64_t cpu_millis)
 {
 	bw_worker_info_t info = { .id = id,
 				  .address = "10.0.0.1:1",
-				  .room = { 8000, 8000, 0 },
+				  .room = { cpu_millis, 8000, 0 },
 				  .machine = id,
 				  .born_ms = 5 };
 
 	bw_sched_worker_seen(o->sched, o->now_ms, &info);
 }
 
+static void add_worker(orders_t *o, const char *id)
+{
+	add_worker_with(o, id, 8000);
+}
+
 static void hold(orders_t *o, const char *id, const bw_run_row_t *runs,
 		 uint32_t run_count, const bw_end_row_t *ends,
 		 uint32_t end_count)
@@ -442,6 +447,63 @@
 	bw_sched_destroy(o.sched);
 }
 
+#define MANY_WORKERS 20
+
+/* By looking at all workers: the fullest that has so much room left. */
+static uint32_t fullest_that_fits(const int64_t *free_millis, int64_t need)
+{
+	uint32_t best = MANY_WORKERS;
+	uint32_t i;
+
+	for (i = 0; i < MANY_WORKERS; i++)
+		if (free_millis[i] >= need &&
+		    (best == MANY_WORKERS ||
+		     free_millis[i] < free_millis[best]))
+			best = i;
+	return best;
+}
+
+/* The order of workers by their room agrees with a look at all of them. */
+static void test_fullest_is_found(void **state)
+{
+	int64_t free_millis[MANY_WORKERS];
+	GRand *rand = g_rand_new_with_seed(4711);
+	uint32_t started = 0;
+	orders_t o;
+	char id[20];
+	uint32_t i;
+
+	(void)state;
+	begin(&o);
+	for (i = 0; i < MANY_WORKERS; i++) {
+		free_millis[i] = g_rand_int_range(rand, 4, 17) * 1000;
+		g_snprintf(id, sizeof(id), "w%02u", i);
+		add_worker_with(&o, id, free_millis[i]);
+		hold(&o, id, NULL, 0, NULL, 0);
+	}
+	save(&o);
+	run(&o, 10);
+	for (i = 1; i < ORDERS_MAX; i++) {
+		int64_t need = g_rand_int_range(rand, 1, 60) * 100;
+		uint32_t best = fullest_that_fits(free_millis, need);
+
+		g_snprintf(id, sizeof(id), "%016x", i);
+		add_job(&o, id, 1, false, need, 500);
+		run(&o, 1);
+		if (best == MANY_WORKERS) {
+			bw_sched_cancel(o.sched, o.now_ms, id);
+			continue;
+		}
+		assert_int_equal(o.start_count, ++started);
+		g_snprintf(id, sizeof(id), "w%02u", best);
+		assert_string_equal(o.starts[started - 1].worker, id);
+		free_millis[best] -= need;
+	}
+	assert_true(started > ORDERS_MAX / 2);
+	g_rand_free(rand);
+	bw_sched_destroy(o.sched);
+}
+
 /* A worker on which tasks fail is used last, however full it is. */
 static void test_sick_worker_is_last(void **state)
 {
@@ -555,6 +617,7 @@
 		cmocka_unit_test(test_late_is_rescued),
 		cmocka_unit_test(test_over_goes_last),
 		cmocka_unit_test(test_tasks_share_workers),
+		cmocka_unit_test(test_fullest_is_found),
 		cmocka_unit_test(test_sick_worker_is_last),
 		cmocka_unit_test(test_superseded),
 		cmocka_unit_test(test_no_move_right_after_takeover),
