--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -16,15 +16,9 @@
 /** Tasks of one lasting step that share a worker; more are spread. */
 #define LASTING_TOGETHER 2U
 
-/** A late job is rescued when it has less time than this to spare. */
-#define RESCUE_MS 2000
-/** Part of a pool's room that rescues may take at a time. */
-#define RESCUE_SHARE 0.25
-
 /** How a job stands towards its objective; the first class goes first. */
 typedef enum urgency {
 	URGENCY_LASTING,
-	URGENCY_RESCUE, /**< Late, and soon worth nothing. */
 	URGENCY_IN_TIME,
 	URGENCY_LATE, /**< Can't reach its objective, but is worth something. */
 	URGENCY_OVER,
@@ -37,7 +31,6 @@
 	uint32_t priority;
 	urgency_t urgency;
 	int64_t key; /**< Lower goes first. */
-	int64_t spare_ms; /**< Until it is worth nothing, if it starts now. */
 } candidate_t;
 
 static bool has_waiting(const occurrence_t *occurrence);
@@ -83,19 +76,47 @@
 	return 0;
 }
 
+/* Work of an occurrence that has not begun, in core-milliseconds. */
+static double work_waiting(const occurrence_t *occurrence)
+{
+	const job_t *job = occurrence->job;
+	double work = 0.0;
+	uint32_t i;
+
+	for (i = 0; i < job->spec->step_count; i++) {
+		const bw_step_spec_t *step = &job->spec->steps[i];
+
+		work += (double)occurrence->steps[i].waiting *
+			(double)step->need.cpu_millis / 1000.0 *
+			(double)sched_estimate_ms(job, step);
+	}
+	return work;
+}
+
+/*
+ * Of jobs that can be in time, the one with little work and little time goes
+ * first: by deadlines alone, a long overload makes all jobs late by a little;
+ * by work alone, jobs that had time get it too early.
+ */
+static int64_t in_time_key(const occurrence_t *occurrence, int64_t now_ms)
+{
+	double left_ms = (double)(occurrence->objective_ms - now_ms);
+
+	return (int64_t)(work_waiting(occurrence) * left_ms / 1000.0);
+}
+
 static void rank(candidate_t *candidate, int64_t now_ms)
 {
 	const occurrence_t *at = candidate->occurrence;
 	int64_t ready_ms = now_ms + chain_left_ms(at);
 
 	candidate->priority = at->job->queue->priority;
-	candidate->spare_ms = at->late_ms - ready_ms;
 	if (at->job->lasting) {
 		candidate->urgency = URGENCY_LASTING;
 		candidate->key = at->job->arrived_ms;
 	} else if (ready_ms <= at->objective_ms) {
 		candidate->urgency = URGENCY_IN_TIME;
-		candidate->key = at->objective_ms;
+		candidate->key = in_time_key(at, now_ms);
 	} else if (ready_ms <= at->late_ms) {
 		candidate->urgency = URGENCY_LATE;
 		candidate->key = at->late_ms;
@@ -484,77 +505,12 @@
 	return list;
 }
 
-static bool any_late(const GArray *list)
-{
-	guint i;
-
-	for (i = 0; i < list->len; i++)
-		if (g_array_index(list, candidate_t, i).urgency == URGENCY_LATE)
-			return true;
-	return false;
-}
-
-static int64_t usable_millis(bw_sched_t *s, int64_t now_ms)
-{
-	int64_t millis = 0;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, s->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const worker_t *worker = value;
-
-		if (sched_worker_usable(s, worker, now_ms))
-			millis += worker->room.cpu_millis;
-	}
-	return millis;
-}
-
-static int64_t waiting_millis(const occurrence_t *occurrence)
-{
-	const bw_job_spec_t *spec = occurrence->job->spec;
-	int64_t sum = 0;
-	uint32_t i;
-
-	for (i = 0; i < spec->step_count; i++)
-		if (sched_step_ready(occurrence, i))
-			sum += spec->steps[i].need.cpu_millis *
-			       occurrence->steps[i].waiting;
-	return sum;
-}
-
-/*
- * Being served at all counts more for callers than a little delay of others:
- * late jobs that would soon be worth nothing go first, within a part of the
- * room, so that a long overload does not make all jobs late.
- */
-static void rescue(bw_sched_t *s, GArray *list, int64_t now_ms)
-{
-	int64_t room_millis;
-	guint i;
-
-	if (!any_late(list))
-		return;
-	room_millis =
-		(int64_t)((double)usable_millis(s, now_ms) * RESCUE_SHARE);
-	for (i = 0; i < list->len && room_millis > 0; i++) {
-		candidate_t *at = &g_array_index(list, candidate_t, i);
-
-		if (at->urgency != URGENCY_LATE || at->spare_ms > RESCUE_MS)
-			continue;
-		at->urgency = URGENCY_RESCUE;
-		room_millis -= waiting_millis(at->occurrence);
-	}
-	g_array_sort(list, compare);
-}
-
 void sched_place(bw_sched_t *s, int64_t now_ms)
 {
 	GArray *list = candidates(s, now_ms);
 	uint32_t step;
 	guint i;
 
-	rescue(s, list, now_ms);
 	for (i = 0; i < list->len; i++) {
 		occurrence_t *at =
 			g_array_index(list, candidate_t, i).occurrence;
