--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -288,8 +288,6 @@
 		.stop_ms = settings->stop_ms,
 		.keep_ms = settings->keep_ms,
 		.removed_ms = STALE_MS,
-		.tail_patience_ms = settings->tail_patience_ms,
-		.early_ms = settings->early_ms,
 		.fence = (uint64_t)pool->fence,
 	};
 
--- a/src/fleet/settings.c
+++ b/src/fleet/settings.c
@@ -40,8 +40,6 @@
 	NUMBER("platform.lease_min_ms", lease_min_ms, 1, DAY_MS, 1000),
 	NUMBER("limits.grant_max_ms", grant_max_ms, 500, DAY_MS, 6000),
 	NUMBER("limits.stop_ms", stop_ms, 1, DAY_MS, 400),
-	NUMBER("limits.tail_patience_ms", tail_patience_ms, 1, DAY_MS, 4000),
-	NUMBER("limits.early_ms", early_ms, 0, DAY_MS, 0),
 	NUMBER("limits.holder_ms", holder_ms, 0, DAY_MS, 3000),
 	NUMBER("limits.log_bytes_s", log_bytes_s, 4096, 1 << 30, 262144),
 	SECONDS("limits.keep_s", keep_ms, 120000),
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -27,8 +27,6 @@
 	int64_t stop_ms; /**< A stop takes at most this long. */
 	int64_t keep_ms; /**< Finished jobs stay stored. */
 	int64_t removed_ms; /**< Jobs gone from the store stay known so long. */
-	int64_t tail_patience_ms; /**< A tail over its bound for so long. */
-	int64_t early_ms; /**< A scheduled start may be this early. */
 	uint64_t fence; /**< Fencing token of this ownership. */
 } bw_sched_config_t;
 
