Let nothing older than a claim end it; give back claims not acted on

Ruled out: the scheduler (the pool was settled and had taken its runs over), the new placement (the member's code is older than it), a late write of the store. Change: take_owner compares revisions also for deletions; a mirror's missing keys have the revision of the reading; a claim of this process that it does not hold is deleted. The store in memory of the benches becomes a stand-in with held watches. Tests: test_older_events_change_nothing and test_forgotten_claim_is_given_back failed first; test_newer_events_count passes before and after.

--- a/bench/bench_log.c
+++ b/bench/bench_log.c
@@ -17,7 +17,7 @@
 #include "crew.h"
 #include "fleet/fleet.h"
 #include "job/json.h"
-#include "memstore.h"
+#include "standin/memstore.h"
 
 #define WORKERS	    400
 #define SECONDS	    6.0
@@ -434,12 +434,12 @@
 		bw_event_init(b->loop, LOG_BYTES_S);
 	b->store = memstore_create(b->loop);
 	b->crew = crew_create(&crew_ops, b);
-	memstore_put(b->store, values.config_key, "{}");
+	memstore_put(b->store, values.config_key, "{}", 2);
 	for (i = 0; i < WORKERS; i++) {
 		char key[32];
 
 		g_snprintf(key, sizeof(key), WORKERS_KEY "w%04u", i);
-		memstore_put(b->store, key, "{}");
+		memstore_put(b->store, key, "{}", 2);
 		crew_add(b->crew, key + strlen(WORKERS_KEY), &room);
 	}
 	create_node(b);
--- a/src/base/eventlist.c
+++ b/src/base/eventlist.c
@@ -74,6 +74,11 @@
 	[BW_EVENT_MEMBER_OWNER] = { "member", "owner", BW_EVENT_BELIEF,
 				    "a node owns a pool",
 				    "pool node revision" },
+	[BW_EVENT_MEMBER_GIVEN_BACK] = { "member", "given-back",
+					 BW_EVENT_BELIEF,
+					 "a claim that is not acted on is "
+					 "deleted",
+					 "pool revision" },
 	[BW_EVENT_POOL_LOADED] = { "pool", "loaded", BW_EVENT_BELIEF,
 				   "the earlier owner's state was read",
 				   "pool fence revision" },
--- a/src/fleet/member.c
+++ b/src/fleet/member.c
@@ -92,6 +92,7 @@
 static void lease_lost(bw_fleet_member_t *m);
 static void try_claim(void *arg, const char *pool);
 static void send_claim(claim_t *claim);
+static void give_back(bw_fleet_member_t *m, const char *key, int64_t revision);
 static void on_claimed(void *ctx, const bw_store_reply_t *reply);
 static void on_changed(void *ctx, const bw_store_kv_t *kv);
 static void on_synced(void *ctx);
@@ -493,8 +494,10 @@
 	int64_t *kept;
 
 	if (m->leaving || m->phase != PHASE_REGISTERED ||
-	    m->lease != claim->lease)
+	    m->lease != claim->lease) {
+		give_back(m, claim->key, revision);
 		return;
+	}
 	kept = g_new(int64_t, 1);
 	*kept = revision;
 	g_hash_table_replace(m->owned, g_strdup(claim->pool), kept);
@@ -552,6 +555,36 @@
 	bramley__node_record__free_unpacked(record, NULL);
 }
 
+/* Whether the store has a claim of this process that it does not act on. */
+static bool is_forgotten(const bw_fleet_member_t *m, const char *pool,
+			 const owner_t *owner)
+{
+	return !strcmp(owner->node, m->name) &&
+	       owner->incarnation == m->incarnation &&
+	       !g_hash_table_contains(m->owned, pool) &&
+	       !g_hash_table_contains(m->claims, pool);
+}
+
+static void on_given_back(void *ctx, const bw_store_reply_t *reply)
+{
+	bw_fleet_member_t *m = ctx;
+
+	m->ops.result(m->ctx, reply->status);
+}
+
+/* Deletes a claim, so that any node may claim the pool. */
+static void give_back(bw_fleet_member_t *m, const char *key, int64_t revision)
+{
+	bw_store_expect_t expect = { key, revision };
+	bw_store_write_t write = { .key = key };
+	bw_store_txn_t txn = { &expect, 1, &write, 1 };
+
+	bw_event(BW_EVENT_MEMBER_GIVEN_BACK,
+		 "pool=%s revision=%" G_GINT64_FORMAT,
+		 key + strlen(OWNER_PREFIX), revision);
+	m->store.ops->txn(m->store.impl, &txn, on_given_back, m);
+}
+
 static void take_owner(bw_fleet_member_t *m, const bw_store_kv_t *kv)
 {
 	const char *pool = kv->key + strlen(OWNER_PREFIX);
@@ -562,7 +595,8 @@
 	if (owner)
 		g_hash_table_replace(m->before, g_strdup(pool),
 				     owner_copy(owner));
-	if (own && (kv->deleted || kv->mod_revision > *own))
+	/* A watch may tell after our claim what happened before it. */
+	if (own && kv->mod_revision > *own)
 		drop(m, pool, kv->deleted ? "claim-gone" : "claimed-away");
 	if (!kv->deleted)
 		record = bramley__owner_record__unpack(
@@ -583,6 +617,8 @@
 		 "pool=%s node=%s revision=%" G_GINT64_FORMAT, pool,
 		 owner->node, owner->revision);
 	bramley__owner_record__free_unpacked(record, NULL);
+	if (is_forgotten(m, pool, owner))
+		give_back(m, kv->key, owner->revision);
 }
 
 static void on_changed(void *ctx, const bw_store_kv_t *kv)
--- a/src/fleet/mirror.c
+++ b/src/fleet/mirror.c
@@ -133,7 +133,10 @@
 
 	g_hash_table_iter_init(&iter, m->known);
 	while (!m->destroyed && g_hash_table_iter_next(&iter, &key, NULL)) {
-		bw_store_kv_t kv = { .key = key, .value = "", .deleted = true };
+		bw_store_kv_t kv = { .key = key,
+				     .value = "",
+				     .mod_revision = m->from,
+				     .deleted = true };
 
 		if (g_hash_table_contains(m->found, key))
 			continue;
--- a/bench/memstore.c
+++ b/src/standin/memstore.c
@@ -1,4 +1,4 @@
-#include "memstore.h"
+#include "standin/memstore.h"
 
 #include <string.h>
 
@@ -37,13 +37,16 @@
 	GTree *entries;
 	GPtrArray *watches;
 	GQueue *pending;
+	GQueue *held; /**< What watches are told later. */
+	bool holding;
 	ev_timer timer;
 	int64_t revision;
 	int64_t leases;
-	uint64_t calls;
 };
 
 static void on_timer(struct ev_loop *loop, ev_timer *timer, int revents);
+static void watch_free(gpointer data);
+static void pending_free(pending_t *p);
 
 static gint compare_keys(gconstpointer a, gconstpointer b, gpointer data)
 {
@@ -66,17 +69,36 @@
 
 	s->loop = loop;
 	s->entries = g_tree_new_full(compare_keys, NULL, NULL, entry_free);
-	s->watches = g_ptr_array_new();
+	s->watches = g_ptr_array_new_with_free_func(watch_free);
 	s->pending = g_queue_new();
+	s->held = g_queue_new();
 	s->revision = 1;
 	ev_timer_init(&s->timer, on_timer, 0.0, 0.0);
 	s->timer.data = s;
 	return s;
 }
 
-uint64_t memstore_calls(const memstore_t *s)
+static void watch_free(gpointer data)
 {
-	return s->calls;
+	bw_store_watch_t *watch = data;
+
+	g_free(watch->prefix);
+	g_free(watch);
+}
+
+static void pending_drop(gpointer data)
+{
+	pending_free(data);
+}
+
+void memstore_destroy(memstore_t *s)
+{
+	ev_timer_stop(s->loop, &s->timer);
+	g_queue_free_full(s->pending, pending_drop);
+	g_queue_free_full(s->held, pending_drop);
+	g_ptr_array_free(s->watches, TRUE);
+	g_tree_unref(s->entries);
+	g_free(s);
 }
 
 static void add_kv(pending_t *p, const entry_t *entry, bool deleted)
@@ -91,7 +113,16 @@
 	g_array_append_val(p->kvs, kv);
 }
 
-static pending_t *answer_later(memstore_t *s, bw_store_done_fn done, void *ctx)
+static void push(memstore_t *s, pending_t *p)
+{
+	g_queue_push_tail(s->pending, p);
+	if (ev_is_active(&s->timer))
+		return;
+	ev_timer_set(&s->timer, 0.0, 0.0);
+	ev_timer_start(s->loop, &s->timer);
+}
+
+static pending_t *pending_new(memstore_t *s, bw_store_done_fn done, void *ctx)
 {
 	pending_t *p = g_new0(pending_t, 1);
 
@@ -99,11 +130,14 @@
 	p->ctx = ctx;
 	p->kvs = g_array_new(FALSE, TRUE, sizeof(bw_store_kv_t));
 	p->reply.revision = s->revision;
-	g_queue_push_tail(s->pending, p);
-	if (!ev_is_active(&s->timer)) {
-		ev_timer_set(&s->timer, 0.0, 0.0);
-		ev_timer_start(s->loop, &s->timer);
-	}
+	return p;
+}
+
+static pending_t *answer_later(memstore_t *s, bw_store_done_fn done, void *ctx)
+{
+	pending_t *p = pending_new(s, done, ctx);
+
+	push(s, p);
 	return p;
 }
 
@@ -143,20 +177,29 @@
 	}
 }
 
+static void tell_watch(memstore_t *s, bw_store_watch_t *watch,
+		       const entry_t *entry, bool deleted)
+{
+	pending_t *p = pending_new(s, watch->event, watch->ctx);
+
+	p->watch = watch;
+	add_kv(p, entry, deleted);
+	if (s->holding)
+		g_queue_push_tail(s->held, p);
+	else
+		push(s, p);
+}
+
 static void tell_watches(memstore_t *s, const entry_t *entry, bool deleted)
 {
 	guint i;
 
 	for (i = 0; i < s->watches->len; i++) {
 		bw_store_watch_t *watch = g_ptr_array_index(s->watches, i);
-		pending_t *p;
-
-		if (watch->ended ||
-		    !g_str_has_prefix(entry->key, watch->prefix))
-			continue;
-		p = answer_later(s, watch->event, watch->ctx);
-		p->watch = watch;
-		add_kv(p, entry, deleted);
+
+		if (!watch->ended &&
+		    g_str_has_prefix(entry->key, watch->prefix))
+			tell_watch(s, watch, entry, deleted);
 	}
 }
 
@@ -188,10 +231,25 @@
 	tell_watches(s, entry, false);
 }
 
-void memstore_put(memstore_t *s, const char *key, const char *value)
+void memstore_put(memstore_t *s, const char *key, const char *value,
+		  size_t bytes)
 {
 	s->revision++;
-	write_key(s, key, value, strlen(value));
+	write_key(s, key, value, bytes);
+}
+
+int64_t memstore_revision(const memstore_t *s, const char *key)
+{
+	const entry_t *entry = g_tree_lookup(s->entries, key);
+
+	return entry ? entry->mod_revision : 0;
+}
+
+void memstore_hold_watches(memstore_t *s, bool held)
+{
+	s->holding = held;
+	while (!held && !g_queue_is_empty(s->held))
+		push(s, g_queue_pop_head(s->held));
 }
 
 static void store_get(void *impl, const char *key, bw_store_done_fn done,
@@ -201,7 +259,6 @@
 	const entry_t *entry = g_tree_lookup(s->entries, key);
 	pending_t *p = answer_later(s, done, ctx);
 
-	s->calls++;
 	p->reply.status = entry ? BW_OK : BW_ENOTFOUND;
 	if (entry)
 		add_kv(p, entry, false);
@@ -236,7 +293,6 @@
 	memstore_t *s = impl;
 	walk_t walk = { .page = page, .answer = answer_later(s, done, ctx) };
 
-	s->calls++;
 	g_tree_foreach(s->entries, add_to_page, &walk);
 }
 
@@ -255,7 +311,6 @@
 	pending_t *p;
 	uint32_t i;
 
-	s->calls++;
 	for (i = 0; i < txn->expect_count; i++)
 		all = all && holds(s, &txn->expects[i]);
 	if (all) {
@@ -281,7 +336,6 @@
 	memstore_t *s = impl;
 	pending_t *p = answer_later(s, done, ctx);
 
-	s->calls++;
 	p->reply.lease_id = ++s->leases;
 	p->reply.ttl_ms = ttl_ms;
 }
@@ -292,25 +346,42 @@
 	memstore_t *s = impl;
 	pending_t *p = answer_later(s, done, ctx);
 
-	s->calls++;
 	p->reply.lease_id = lease_id;
 }
 
+/** What a new watch is told at once. */
+typedef struct since {
+	bw_store_watch_t *watch;
+	int64_t revision;
+} since_t;
+
+/* Keys that were deleted between a reading and its watch are not told. */
+static gboolean tell_written(gpointer key, gpointer value, gpointer data)
+{
+	const since_t *since = data;
+	const entry_t *entry = value;
+
+	if (entry->mod_revision >= since->revision &&
+	    g_str_has_prefix(key, since->watch->prefix))
+		tell_watch(since->watch->store, since->watch, entry, false);
+	return FALSE;
+}
+
 static bw_store_watch_t *store_watch(void *impl, const char *prefix,
 				     int64_t revision, bw_store_done_fn event,
 				     void *ctx)
 {
 	memstore_t *s = impl;
 	bw_store_watch_t *watch = g_new0(bw_store_watch_t, 1);
+	since_t since = { .revision = revision };
 
-	/* Nothing is written between a reading and its watch. */
-	(void)revision;
-	s->calls++;
 	watch->store = s;
 	watch->prefix = g_strdup(prefix);
 	watch->event = event;
 	watch->ctx = ctx;
 	g_ptr_array_add(s->watches, watch);
+	since.watch = watch;
+	g_tree_foreach(s->entries, tell_written, &since);
 	return watch;
 }
 
--- /dev/null
+++ b/test/test_member.c
@@ -0,0 +1,228 @@
+/* Ownership of pools against a store in memory. */
+#include "test.h"
+
+#include <string.h>
+
+#include <ev.h>
+#include <glib.h>
+
+#include "base/clock.h"
+#include "fleet/member.h"
+#include "standin/memstore.h"
+#include "wire/record.pb-c.h"
+
+#define POOL	    "p"
+#define SELF	    "self"
+#define INCARNATION 77
+#define LEASE_MS    2000
+#define ROUND_S	    0.02
+#define ROUNDS	    60
+
+typedef struct member_test {
+	struct ev_loop *loop;
+	memstore_t *store;
+	bw_fleet_member_t *member;
+	ev_timer timer;
+	uint32_t rounds;
+	bool wanted; /**< The pool is to have an owner. */
+	bool owned;
+	uint32_t gained;
+	uint32_t lost;
+	int64_t fence;
+	char reason[32];
+} member_test_t;
+
+static void on_node(void *ctx, const char *name, const char *address)
+{
+	(void)ctx;
+	(void)name;
+	(void)address;
+}
+
+static void on_gained(void *ctx, const char *pool, int64_t revision)
+{
+	member_test_t *t = ctx;
+
+	assert_string_equal(pool, POOL);
+	t->owned = true;
+	t->gained++;
+	t->fence = revision;
+}
+
+static void on_lost(void *ctx, const char *pool, const char *reason)
+{
+	member_test_t *t = ctx;
+
+	(void)pool;
+	t->owned = false;
+	t->lost++;
+	g_strlcpy(t->reason, reason, sizeof(t->reason));
+}
+
+static void each_pool(void *ctx, void (*fn)(void *arg, const char *pool),
+		      void *arg)
+{
+	if (((member_test_t *)ctx)->wanted)
+		fn(arg, POOL);
+}
+
+static void on_result(void *ctx, bw_status_t status)
+{
+	(void)ctx;
+	(void)status;
+}
+
+static const bw_fleet_member_ops_t ops = { .node = on_node,
+					   .gained = on_gained,
+					   .lost = on_lost,
+					   .pools = each_pool,
+					   .result = on_result };
+
+static void on_timer(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	member_test_t *t = timer->data;
+
+	(void)revents;
+	bw_fleet_member_tick(t->member, bw_clock_now_ms());
+	if (++t->rounds >= ROUNDS)
+		ev_break(loop, EVBREAK_ALL);
+}
+
+/* Lets calls be answered, with looks in between. */
+static void play(member_test_t *t)
+{
+	t->rounds = 0;
+	ev_run(t->loop, 0);
+}
+
+static void begin(member_test_t *t)
+{
+	bw_fleet_member_config_t config = { .name = SELF,
+					    .address = "127.0.0.1:1",
+					    .incarnation = INCARNATION,
+					    .lease_ms = LEASE_MS,
+					    .started_ms = 1 };
+	bw_store_t store;
+
+	memset(t, 0, sizeof(*t));
+	t->wanted = true;
+	t->loop = ev_loop_new(0);
+	t->store = memstore_create(t->loop);
+	store = memstore_port(t->store);
+	t->member = bw_fleet_member_create(t->loop, &store, &config, &ops, t);
+	ev_timer_init(&t->timer, on_timer, ROUND_S, ROUND_S);
+	t->timer.data = t;
+	ev_timer_start(t->loop, &t->timer);
+}
+
+static void end(member_test_t *t)
+{
+	ev_timer_stop(t->loop, &t->timer);
+	bw_fleet_member_destroy(t->member);
+	memstore_destroy(t->store);
+	ev_loop_destroy(t->loop);
+}
+
+/* Writes who owns the pool, or (NULL) that nobody does. */
+static void put_owner(member_test_t *t, const char *node, uint64_t incarnation)
+{
+	Bramley__OwnerRecord record = BRAMLEY__OWNER_RECORD__INIT;
+	char *key = bw_fleet_owner_key(POOL);
+	uint8_t data[256];
+
+	record.node = (char *)node;
+	record.incarnation = incarnation;
+	record.nonce = 5;
+	if (node)
+		memstore_put(t->store, key, (const char *)data,
+			     bramley__owner_record__pack(&record, data));
+	else
+		memstore_put(t->store, key, NULL, 0);
+	g_free(key);
+}
+
+static int64_t owner_revision(member_test_t *t)
+{
+	char *key = bw_fleet_owner_key(POOL);
+	int64_t revision = memstore_revision(t->store, key);
+
+	g_free(key);
+	return revision;
+}
+
+static void test_free_pool_is_claimed(void **state)
+{
+	member_test_t t;
+
+	(void)state;
+	begin(&t);
+	play(&t);
+	assert_true(t.owned);
+	assert_int_equal(t.fence, owner_revision(&t));
+	end(&t);
+}
+
+/* What happened before a claim was written does not end it, if told later. */
+static void test_older_events_change_nothing(void **state)
+{
+	member_test_t t;
+
+	(void)state;
+	begin(&t);
+	t.wanted = false;
+	play(&t);
+	memstore_hold_watches(t.store, true);
+	put_owner(&t, "other", 1);
+	put_owner(&t, NULL, 0);
+	t.wanted = true;
+	play(&t);
+	assert_true(t.owned);
+	memstore_hold_watches(t.store, false);
+	play(&t);
+	assert_true(t.owned);
+	assert_int_equal(t.lost, 0);
+	assert_int_equal(t.fence, owner_revision(&t));
+	end(&t);
+}
+
+/* What happened after it does. */
+static void test_newer_events_count(void **state)
+{
+	member_test_t t;
+
+	(void)state;
+	begin(&t);
+	play(&t);
+	assert_true(t.owned);
+	put_owner(&t, "other", 1);
+	play(&t);
+	assert_false(t.owned);
+	assert_string_equal(t.reason, "claimed-away");
+	end(&t);
+}
+
+/* A claim of this process that it does not know of is given back. */
+static void test_forgotten_claim_is_given_back(void **state)
+{
+	member_test_t t;
+
+	(void)state;
+	begin(&t);
+	put_owner(&t, SELF, INCARNATION);
+	play(&t);
+	assert_true(t.owned);
+	assert_int_equal(t.fence, owner_revision(&t));
+	end(&t);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_free_pool_is_claimed),
+		cmocka_unit_test(test_older_events_change_nothing),
+		cmocka_unit_test(test_newer_events_count),
+		cmocka_unit_test(test_forgotten_claim_is_given_back),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
