Forget removed jobs from a queue of their own; store no time of a finish

Cause, from the last reading: each round looked at every removed job that was not yet forgotten; and the pool's record had a time that nothing reads, for which packing took the wall clock.

--- a/bench/bench_overload.c
+++ b/bench/bench_overload.c
@@ -334,7 +334,7 @@
 	uint64_t version = bw_sched_version(sim->sched);
 	size_t bytes;
 
-	g_free(bw_sched_pack(sim->sched, sim->now_ms, &bytes));
+	g_free(bw_sched_pack(sim->sched, &bytes));
 	bw_sched_saved(sim->sched, sim->now_ms, version);
 }
 
--- a/bench/bench_place.c
+++ b/bench/bench_place.c
@@ -139,7 +139,7 @@
 	bw_sched_set_queue(b->s, &queue);
 	for (i = 0; i < workers; i++)
 		add_worker(b, i);
-	g_free(bw_sched_pack(b->s, NOW_MS, &bytes));
+	g_free(bw_sched_pack(b->s, &bytes));
 	bw_sched_saved(b->s, NOW_MS, bw_sched_version(b->s));
 	bw_sched_run(b->s, NOW_MS, NOW_MS);
 }
--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -649,7 +649,7 @@
 	if (pool->save_out)
 		return;
 	pool->final = pool->stopping;
-	data = bw_sched_pack(pool->sched, bw_clock_wall_ms(), &write.bytes);
+	data = bw_sched_pack(pool->sched, &write.bytes);
 	write.value = (const char *)data;
 	pool->saving = bw_sched_version(pool->sched);
 	pool->saved_at_ms = bw_clock_now_ms();
--- a/src/sched/forget.c
+++ b/src/sched/forget.c
@@ -17,8 +17,7 @@
 /* The time is counted from when this owner knew it, so no wall clock counts. */
 static bool removable(const bw_sched_t *s, const job_t *job, int64_t now_ms)
 {
-	return job->removed_ms == 0 && job->occurrences->len == 0 &&
-	       sched_end_stored(s, job) &&
+	return job->occurrences->len == 0 && sched_end_stored(s, job) &&
 	       now_ms - job->over_ms >= s->config.keep_ms;
 }
 
@@ -46,29 +45,24 @@
 {
 	job_t *job = g_hash_table_lookup(s->jobs, id);
 
-	if (job && job->finished_version > 0 && job->removed_ms == 0)
-		job->removed_ms = now_ms;
+	if (!job || job->finished_version == 0 || job->removed_ms > 0)
+		return;
+	job->removed_ms = now_ms;
+	/* It is near the head, as the longest over are removed first. */
+	g_queue_remove(s->over, job);
+	g_queue_push_tail(s->removed, job);
 }
 
 /* An old reading of the store may still show a removed job for a moment. */
 void sched_jobs_forget(bw_sched_t *s, int64_t now_ms)
 {
-	GList *at = s->over->head;
+	const job_t *job = g_queue_peek_head(s->removed);
 
-	while (at) {
-		GList *next = at->next;
-		job_t *job = at->data;
-
-		if (now_ms - job->over_ms < s->config.keep_ms)
-			break;
-		if (job->removed_ms > 0 &&
-		    now_ms - job->removed_ms >= s->config.removed_ms) {
-			g_queue_delete_link(s->over, at);
-			sched_log(s, BW_EVENT_SCHED_JOB_FORGOTTEN, "job=%s",
-				  job->id);
-			g_hash_table_remove(s->jobs, job->id);
-			sched_changed(s, false);
-		}
-		at = next;
+	while (job && now_ms - job->removed_ms >= s->config.removed_ms) {
+		sched_log(s, BW_EVENT_SCHED_JOB_FORGOTTEN, "job=%s", job->id);
+		g_queue_pop_head(s->removed);
+		g_hash_table_remove(s->jobs, job->id);
+		sched_changed(s, false);
+		job = g_queue_peek_head(s->removed);
 	}
 }
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -129,7 +129,6 @@
 	bw_job_spec_t *spec; /**< NULL once finished. */
 	bw_job_state_t state;
 	uint64_t finished_version; /**< Stored from this version on. */
-	int64_t finished_ms; /**< Unix time. */
 	int64_t over_ms; /**< When this owner knew that it is finished. */
 	int64_t removed_ms; /**< When it was gone from the store; 0 is not. */
 	int64_t arrived_ms;
@@ -198,6 +197,7 @@
 	GPtrArray *active; /**< Jobs that are not finished. */
 	GPtrArray *ending; /**< Finished jobs whose tasks still end. */
 	GQueue *over; /**< Finished jobs in the order of their over_ms. */
+	GQueue *removed; /**< Those gone from the store, by removed_ms. */
 	GHashTable *progress; /**< Loaded, for jobs that were not seen yet. */
 	GHashTable *workers;
 	fit_t *fit; /**< Workers by their free room. */
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -9,7 +9,6 @@
 /** A record under construction; the arena owns what it points to. */
 typedef struct packer {
 	GPtrArray *arena;
-	int64_t wall_ms;
 } packer_t;
 
 static void *take(packer_t *p, size_t bytes);
@@ -77,7 +76,6 @@
 	bramley__job_progress__init(record);
 	record->id = (char *)job->id;
 	record->state = job->state;
-	record->finished_ms = job->finished_ms;
 	record->started = job->started;
 	if (job->finished_version > 0)
 		return record;
@@ -96,10 +94,8 @@
 		take(p, (g_hash_table_size(s->jobs) + 1) * sizeof(*out->jobs));
 	g_hash_table_iter_init(&iter, s->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		job_t *job = value;
+		const job_t *job = value;
 
-		if (job->finished_version > 0 && job->finished_ms == 0)
-			job->finished_ms = p->wall_ms;
 		if (job->finished_version > 0 || job->ordered)
 			out->jobs[out->n_jobs++] = pack_job(p, job);
 	}
@@ -150,10 +146,10 @@
 	return false;
 }
 
-uint8_t *bw_sched_pack(bw_sched_t *s, int64_t wall_ms, size_t *bytes)
+uint8_t *bw_sched_pack(bw_sched_t *s, size_t *bytes)
 {
 	Bramley__PoolRecord record = BRAMLEY__POOL_RECORD__INIT;
-	packer_t p = { .wall_ms = wall_ms };
+	packer_t p = { 0 };
 	uint8_t *data;
 
 	p.arena = g_ptr_array_new_with_free_func(g_free);
@@ -256,7 +252,6 @@
 		job->state = progress->state;
 		job->finished_version = 1;
 		job->stored = true;
-		job->finished_ms = progress->finished_ms;
 		sched_job_over(s, job, now_ms);
 		return;
 	}
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -266,7 +266,7 @@
 bool bw_sched_urgent(const bw_sched_t *s);
 
 /** Encodes what is to be stored; release with g_free(). */
-uint8_t *bw_sched_pack(bw_sched_t *s, int64_t wall_ms, size_t *bytes);
+uint8_t *bw_sched_pack(bw_sched_t *s, size_t *bytes);
 
 /** A version has been stored. */
 void bw_sched_saved(bw_sched_t *s, int64_t now_ms, uint64_t version);
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -336,7 +336,7 @@
 		bw_sched_cancel(sched, 1000, id);
 	}
 	bw_sched_run(sched, 1000, 1000);
-	g_free(bw_sched_pack(sched, 1000, &bytes));
+	g_free(bw_sched_pack(sched, &bytes));
 	bw_sched_saved(sched, 1000, bw_sched_version(sched));
 	return sched;
 }
--- a/test/test_sched.c
+++ b/test/test_sched.c
@@ -133,7 +133,7 @@
 	size_t bytes;
 	uint64_t version = bw_sched_version(o->sched);
 
-	g_free(bw_sched_pack(o->sched, o->now_ms, &bytes));
+	g_free(bw_sched_pack(o->sched, &bytes));
 	bw_sched_saved(o->sched, o->now_ms, version);
 }
 
@@ -339,7 +339,7 @@
 	ready(&o);
 	add_job(&o, JOB_A, 1, false, 1000, 500);
 	bw_sched_cancel(o.sched, o.now_ms, JOB_A);
-	data = bw_sched_pack(o.sched, o.now_ms, &bytes);
+	data = bw_sched_pack(o.sched, &bytes);
 	begin(&next);
 	assert_int_equal(bw_sched_load(next.sched, next.now_ms, data, bytes),
 			 BW_OK);
@@ -598,7 +598,7 @@
 	ready(&before);
 	add_job(&before, JOB_A, 2, true, 1000, 0);
 	run(&before, 10);
-	data = bw_sched_pack(before.sched, before.now_ms, &bytes);
+	data = bw_sched_pack(before.sched, &bytes);
 	bw_sched_destroy(before.sched);
 	begin(&o);
 	assert_int_equal(bw_sched_load(o.sched, o.now_ms, data, bytes), BW_OK);
--- a/test/world_node.c
+++ b/test/world_node.c
@@ -104,7 +104,7 @@
 	    node->saving == bw_sched_version(node->sched) ||
 	    (!node->leaving && w->now_ms - node->saved_at_ms < SAVE_GAP_MS))
 		return;
-	data = bw_sched_pack(node->sched, w->now_ms, &bytes);
+	data = bw_sched_pack(node->sched, &bytes);
 	save = g_new0(save_t, 1);
 	save->node = node;
 	save->life = node->life;
