--- a/bench/bench_overload.c
+++ b/bench/bench_overload.c
@@ -14,6 +14,7 @@
 #include <glib.h>
 
 #include "crew.h"
+#include "poolsetup.h"
 #include "sched/sched.h"
 
 #define WORKERS	      12
@@ -22,8 +23,6 @@
 #define TRAFFIC_MS    40000
 #define SETTLE_MS     40000
 #define LATE_MULTIPLE 3
-#define STRETCH	      1.6
-#define TARGET_MS     600
 #define SAVE_GAP_MS   100
 #define TICK_MS	      100
 #define SLOT_MS	      100
@@ -175,7 +174,8 @@
 			      step->count / 1000;
 		chain_ms += longest_ms;
 	}
-	job->objective_ms = (int64_t)(STRETCH * (double)chain_ms) + TARGET_MS;
+	job->objective_ms = (int64_t)(POOLSETUP_STRETCH * (double)chain_ms) +
+			    POOLSETUP_TARGET_MS;
 }
 
 static double rate_at(int64_t at_ms, bool surges)
@@ -329,30 +329,6 @@
 	g_array_set_size(sim->answers, 0);
 }
 
-static void save(sim_t *sim)
-{
-	uint64_t version = bw_sched_version(sim->sched);
-	size_t bytes;
-
-	g_free(bw_sched_pack(sim->sched, &bytes));
-	bw_sched_saved(sim->sched, sim->now_ms, version);
-}
-
-static void create_sched(sim_t *sim)
-{
-	bw_sched_config_t config = { .grant_ms = 5000,
-				     .grant_ms_max = 5000,
-				     .outage_ms = 3500,
-				     .stop_ms = 400,
-				     .keep_ms = 120000,
-				     .removed_ms = 30000,
-				     .fence = 1 };
-	bw_queue_config_t queue = { "q", 0, 4, STRETCH, TARGET_MS, false };
-
-	sim->sched = bw_sched_create(&config, &sched_ops, sim, sim->now_ms);
-	bw_sched_set_queue(sim->sched, &queue);
-}
-
 static void submit(sim_t *sim, const job_t *job)
 {
 	bw_job_record_t record = { .queue = g_strdup("q"),
@@ -478,7 +454,7 @@
 		g_hash_table_insert(sim->by_id, job->id, job);
 	}
 	if (policy == POLICY_SCHED)
-		create_sched(sim);
+		sim->sched = poolsetup_create(&sched_ops, sim, sim->now_ms);
 	for (i = 0; i < WORKERS; i++) {
 		char id[16];
 		bw_worker_info_t info = {
@@ -536,7 +512,7 @@
 		}
 		deliver(sim);
 		if (sim->now_ms - saved_ms >= SAVE_GAP_MS) {
-			save(sim);
+			poolsetup_save(sim->sched, sim->now_ms);
 			saved_ms = sim->now_ms;
 		}
 		bw_sched_run(sim->sched, sim->now_ms, sim->now_ms);
--- a/bench/bench_place.c
+++ b/bench/bench_place.c
@@ -9,6 +9,7 @@
 
 #include <glib.h>
 
+#include "poolsetup.h"
 #include "sched/internal.h"
 
 #define TASKS	    8
@@ -134,24 +135,13 @@
 
 static void create(bench_t *b, uint32_t workers)
 {
-	bw_sched_config_t config = { .grant_ms = 5000,
-				     .grant_ms_max = 5000,
-				     .outage_ms = 3500,
-				     .stop_ms = 400,
-				     .keep_ms = 120000,
-				     .removed_ms = 30000,
-				     .fence = 1 };
-	bw_queue_config_t queue = { "q", 0, 3, 1.6, 600, false };
-	size_t bytes;
 	uint32_t i;
 
-	b->s = bw_sched_create(&config, &ops, b, NOW_MS);
+	b->s = poolsetup_create(&ops, b, NOW_MS);
 	b->jobs = g_queue_new();
-	bw_sched_set_queue(b->s, &queue);
 	for (i = 0; i < workers; i++)
 		add_worker(b, i);
-	g_free(bw_sched_pack(b->s, &bytes));
-	bw_sched_saved(b->s, NOW_MS, bw_sched_version(b->s));
+	poolsetup_save(b->s, NOW_MS);
 	bw_sched_run(b->s, NOW_MS, NOW_MS);
 }
 
