Give no longer grants to a worker whose answer is overdue

Holds are answered within 1 s. Ruled out: shorter grants, which must outlast a change of owner. Change: GRANT_SILENT_MS 1300, a hold's wait and what its answer may take. Tests: test_silent_worker_gets_no_grant failed first.

--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -27,8 +27,9 @@
 #define HOLD_UNSAVED_MS 300
 /** A worker that did not answer for this long gets no new tasks. */
 #define WORKER_SILENT_MS 1900
-/** A worker that did not answer for this long gets no longer grants. */
-#define GRANT_SILENT_MS 2200
+/** A worker whose answer is overdue gets no longer grants: HOLD_WAIT_MS and
+ *  what an answer may take on its way. */
+#define GRANT_SILENT_MS 1300
 /** Workers' clocks run at this share of ours at least. */
 #define CLOCK_RATE_MIN 0.98
 /** Added to bounds that compare clocks of two programs. */
--- a/test/test_sched.c
+++ b/test/test_sched.c
@@ -20,6 +20,7 @@
 	uint32_t start_count;
 	uint32_t stop_count;
 	uint32_t hold_count;
+	int64_t grant_clock_ms; /**< Of the last hold; 0: none. */
 	uint32_t superseded;
 	int64_t now_ms;
 } orders_t;
@@ -52,8 +53,10 @@
 
 static void on_hold(void *ctx, const bw_hold_order_t *order)
 {
-	(void)order;
-	((orders_t *)ctx)->hold_count++;
+	orders_t *o = ctx;
+
+	o->grant_clock_ms = order->grant_clock_ms;
+	o->hold_count++;
 }
 
 static void on_advise(void *ctx, const bw_task_name_t *step,
@@ -559,6 +562,34 @@
 	bw_sched_destroy(o.sched);
 }
 
+/*
+ * Load: a worker dies without a word. Its tasks wait until its grant is over,
+ * so it gets no longer one once an answer is overdue.
+ */
+static void test_silent_worker_gets_no_grant(void **state)
+{
+	bw_hold_answer_t lost = { .result = BW_ORDER_LOST };
+	orders_t o;
+	uint32_t holds;
+
+	(void)state;
+	ready(&o);
+	hold(&o, "w1", NULL, 0, NULL, 0);
+	run(&o, 10);
+	assert_true(o.grant_clock_ms > 0);
+	o.now_ms += 1400;
+	bw_sched_held(o.sched, o.now_ms, "w1", &lost);
+	holds = o.hold_count;
+	run(&o, 300);
+	assert_int_equal(o.hold_count, holds + 1);
+	assert_int_equal(o.grant_clock_ms, 0);
+	/* It has one again with its next answer. */
+	hold(&o, "w1", NULL, 0, NULL, 0);
+	run(&o, 10);
+	assert_true(o.grant_clock_ms > 0);
+	bw_sched_destroy(o.sched);
+}
+
 /* A worker that refuses the token ends the ownership. */
 static void test_superseded(void **state)
 {
@@ -650,6 +681,7 @@
 		cmocka_unit_test(test_tasks_share_workers),
 		cmocka_unit_test(test_fullest_is_found),
 		cmocka_unit_test(test_sick_worker_is_last),
+		cmocka_unit_test(test_silent_worker_gets_no_grant),
 		cmocka_unit_test(test_superseded),
 		cmocka_unit_test(test_no_move_right_after_takeover),
 		cmocka_unit_test(test_bad_state),
