One copy of waiting for an answer: bw_simple_wait and bw_simple_wake

Cause: the callers' front and the operators' server each kept whether a request waits and whether its answer has come. Change: both are fields of the request, in net/simplehttp. Conclusion: no change of behaviour.

--- a/src/fleet/operators.c
+++ b/src/fleet/operators.c
@@ -22,10 +22,7 @@
 
 /** A request about a job that waits for its answer. */
 typedef struct pending {
-	bw_simplehttp_t *http;
-	struct MHD_Connection *connection;
-	bool suspended;
-	bool answered;
+	bw_simple_request_t *request;
 	bw_answer_t answer;
 	char reason[160];
 } pending_t;
@@ -99,13 +96,11 @@
 {
 	pending_t *p = ctx;
 
-	p->answered = true;
 	p->answer = *answer;
 	if (answer->reason)
 		g_strlcpy(p->reason, answer->reason, sizeof(p->reason));
 	p->answer.reason = NULL;
-	if (p->suspended)
-		bw_simple_resume(p->http, p->connection);
+	bw_simple_wake(p->request);
 }
 
 /* Reads the job; mistakes become the answer. */
@@ -174,17 +169,12 @@
 
 	if (!p) {
 		p = g_new0(pending_t, 1);
-		p->http = o->http;
-		p->connection = r->connection;
+		p->request = r;
 		r->user = p;
 		r->user_free = g_free;
 		begin_job(o, r, p);
 	}
-	if (p->answered)
-		return reply_pending(r, p);
-	p->suspended = true;
-	bw_simple_suspend(r);
-	return MHD_YES;
+	return r->woken ? reply_pending(r, p) : bw_simple_wait(r);
 }
 
 static enum MHD_Result serve_jobs(bw_fleet_operators_t *o,
--- a/src/net/simplehttp.c
+++ b/src/net/simplehttp.c
@@ -121,6 +121,20 @@
 	bw_mhdev_resume(s->mhd, connection);
 }
 
+enum MHD_Result bw_simple_wait(bw_simple_request_t *r)
+{
+	r->waits = true;
+	bw_simple_suspend(r);
+	return MHD_YES;
+}
+
+void bw_simple_wake(bw_simple_request_t *r)
+{
+	r->woken = true;
+	if (r->waits)
+		bw_simple_resume(r->server, r->connection);
+}
+
 enum MHD_Result bw_simple_reply(bw_simple_request_t *r, unsigned int status,
 				const char *content_type, const char *body,
 				size_t bytes)
--- a/src/net/simplehttp.h
+++ b/src/net/simplehttp.h
@@ -23,6 +23,8 @@
 	void *user; /**< The handler's; NULL at the first call. */
 	void (*user_free)(void *user); /**< Called at the end, if set. */
 	uint32_t calls; /**< Calls of the handler before this one. */
+	bool waits; /**< Its connection is suspended by bw_simple_wait(). */
+	bool woken; /**< What it waits for has come. */
 } bw_simple_request_t;
 
 /**
@@ -53,6 +55,15 @@
 /** Resumes a suspended connection. */
 void bw_simple_resume(bw_simplehttp_t *s, struct MHD_Connection *connection);
 
+/**
+ * Lets a request wait until bw_simple_wake(); its handler is called again then.
+ * @return what the handler returns
+ */
+enum MHD_Result bw_simple_wait(bw_simple_request_t *r);
+
+/** What a request waits for, or would wait for, has come. */
+void bw_simple_wake(bw_simple_request_t *r);
+
 /** Queues an answer. */
 enum MHD_Result bw_simple_reply(bw_simple_request_t *r, unsigned int status,
 				const char *content_type, const char *body,
