Release the names of pools' earlier owners

The table of earlier owners released its entries without their names, one for each change of an owner that a node sees. Change: it releases them like the table of owners. Conclusion: found by the new test of ownership.

--- a/src/fleet/member.c
+++ b/src/fleet/member.c
@@ -145,8 +145,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->owners = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					  owner_free);
-	m->before =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	m->before = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					  owner_free);
 	m->owned =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->claims =
