Name the store in memory like the other stand-ins; put two comments right

Cause: the reading of the whole change: names in src begin with bw_, a comment stood before the wrong function, and one told a setting by a constant's name. Conclusion: no change of behaviour.

--- a/bench/bench_log.c
+++ b/bench/bench_log.c
@@ -41,7 +41,7 @@
 
 typedef struct bench {
 	struct ev_loop *loop;
-	memstore_t *store;
+	bw_memstore_t *store;
 	crew_t *crew;
 	bw_fleet_t *fleet;
 	bw_request_port_t requests;
@@ -393,7 +393,7 @@
 {
 	bw_fleet_env_t env = { .loop = b->loop,
 			       .settings = &b->settings,
-			       .store = memstore_port(b->store),
+			       .store = bw_memstore_port(b->store),
 			       .workers = { .impl = b,
 					    .start = worker_start,
 					    .stop = worker_stop,
@@ -432,14 +432,14 @@
 	b->latencies_us = g_new0(int64_t, LATENCIES_MAX);
 	if (b->logs)
 		bw_event_init(b->loop, LOG_BYTES_S);
-	b->store = memstore_create(b->loop);
+	b->store = bw_memstore_create(b->loop);
 	b->crew = crew_create(&crew_ops, b);
-	memstore_put(b->store, values.config_key, "{}", 2);
+	bw_memstore_put(b->store, values.config_key, "{}", 2);
 	for (i = 0; i < WORKERS; i++) {
 		char key[32];
 
 		g_snprintf(key, sizeof(key), WORKERS_KEY "w%04u", i);
-		memstore_put(b->store, key, "{}", 2);
+		bw_memstore_put(b->store, key, "{}", 2);
 		crew_add(b->crew, key + strlen(WORKERS_KEY), &room);
 	}
 	create_node(b);
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -27,8 +27,8 @@
 #define HOLD_UNSAVED_MS 300
 /** A worker that did not answer for this long gets no new tasks. */
 #define WORKER_SILENT_MS 1900
-/** A worker whose answer is overdue gets no longer grants: HOLD_WAIT_MS and
- *  what an answer may take on its way. */
+/** A worker whose answer is so late gets no longer grants: a hold's wait and
+ *  what its answer may take on the way. */
 #define GRANT_SILENT_MS 1300
 /** Workers' clocks run at this share of ours at least. */
 #define CLOCK_RATE_MIN 0.98
@@ -242,10 +242,9 @@
 /** Makes occurrences whose time has come. */
 void sched_jobs_due(bw_sched_t *s, int64_t now_ms, int64_t wall_ms);
 /** Releases the tasks of finished jobs once none is left anywhere. */
+void sched_jobs_reap(bw_sched_t *s);
 /** Whether a successor would know that a job is finished. */
 bool sched_end_stored(const bw_sched_t *s, const job_t *job);
-void sched_jobs_reap(bw_sched_t *s);
-
 /** An occurrence may have tasks to start from now on. */
 void sched_startable(const occurrence_t *occurrence);
 
--- a/src/standin/memstore.c
+++ b/src/standin/memstore.c
@@ -16,7 +16,7 @@
 } entry_t;
 
 struct bw_store_watch {
-	memstore_t *store;
+	bw_memstore_t *store;
 	char *prefix;
 	bw_store_done_fn event;
 	void *ctx;
@@ -32,7 +32,7 @@
 	GArray *kvs; /**< Copies, released with the answer. */
 } pending_t;
 
-struct memstore {
+struct bw_memstore {
 	struct ev_loop *loop;
 	GTree *entries;
 	GPtrArray *watches;
@@ -63,9 +63,9 @@
 	g_free(entry);
 }
 
-memstore_t *memstore_create(struct ev_loop *loop)
+bw_memstore_t *bw_memstore_create(struct ev_loop *loop)
 {
-	memstore_t *s = g_new0(memstore_t, 1);
+	bw_memstore_t *s = g_new0(bw_memstore_t, 1);
 
 	s->loop = loop;
 	s->entries = g_tree_new_full(compare_keys, NULL, NULL, entry_free);
@@ -91,7 +91,7 @@
 	pending_free(data);
 }
 
-void memstore_destroy(memstore_t *s)
+void bw_memstore_destroy(bw_memstore_t *s)
 {
 	ev_timer_stop(s->loop, &s->timer);
 	g_queue_free_full(s->pending, pending_drop);
@@ -113,7 +113,7 @@
 	g_array_append_val(p->kvs, kv);
 }
 
-static void push(memstore_t *s, pending_t *p)
+static void push(bw_memstore_t *s, pending_t *p)
 {
 	g_queue_push_tail(s->pending, p);
 	if (ev_is_active(&s->timer))
@@ -122,7 +122,8 @@
 	ev_timer_start(s->loop, &s->timer);
 }
 
-static pending_t *pending_new(memstore_t *s, bw_store_done_fn done, void *ctx)
+static pending_t *pending_new(bw_memstore_t *s, bw_store_done_fn done,
+			      void *ctx)
 {
 	pending_t *p = g_new0(pending_t, 1);
 
@@ -133,7 +134,8 @@
 	return p;
 }
 
-static pending_t *answer_later(memstore_t *s, bw_store_done_fn done, void *ctx)
+static pending_t *answer_later(bw_memstore_t *s, bw_store_done_fn done,
+			       void *ctx)
 {
 	pending_t *p = pending_new(s, done, ctx);
 
@@ -157,7 +159,7 @@
 
 static void on_timer(struct ev_loop *loop, ev_timer *timer, int revents)
 {
-	memstore_t *s = timer->data;
+	bw_memstore_t *s = timer->data;
 	guint count = g_queue_get_length(s->pending);
 
 	(void)loop;
@@ -177,7 +179,7 @@
 	}
 }
 
-static void tell_watch(memstore_t *s, bw_store_watch_t *watch,
+static void tell_watch(bw_memstore_t *s, bw_store_watch_t *watch,
 		       const entry_t *entry, bool deleted)
 {
 	pending_t *p = pending_new(s, watch->event, watch->ctx);
@@ -190,7 +192,7 @@
 		push(s, p);
 }
 
-static void tell_watches(memstore_t *s, const entry_t *entry, bool deleted)
+static void tell_watches(bw_memstore_t *s, const entry_t *entry, bool deleted)
 {
 	guint i;
 
@@ -203,7 +205,7 @@
 	}
 }
 
-static void write_key(memstore_t *s, const char *key, const char *value,
+static void write_key(bw_memstore_t *s, const char *key, const char *value,
 		      size_t bytes)
 {
 	entry_t *entry = g_tree_lookup(s->entries, key);
@@ -231,21 +233,21 @@
 	tell_watches(s, entry, false);
 }
 
-void memstore_put(memstore_t *s, const char *key, const char *value,
-		  size_t bytes)
+void bw_memstore_put(bw_memstore_t *s, const char *key, const char *value,
+		     size_t bytes)
 {
 	s->revision++;
 	write_key(s, key, value, bytes);
 }
 
-int64_t memstore_revision(const memstore_t *s, const char *key)
+int64_t bw_memstore_revision(const bw_memstore_t *s, const char *key)
 {
 	const entry_t *entry = g_tree_lookup(s->entries, key);
 
 	return entry ? entry->mod_revision : 0;
 }
 
-void memstore_hold_watches(memstore_t *s, bool held)
+void bw_memstore_hold_watches(bw_memstore_t *s, bool held)
 {
 	s->holding = held;
 	while (!held && !g_queue_is_empty(s->held))
@@ -255,7 +257,7 @@
 static void store_get(void *impl, const char *key, bw_store_done_fn done,
 		      void *ctx)
 {
-	memstore_t *s = impl;
+	bw_memstore_t *s = impl;
 	const entry_t *entry = g_tree_lookup(s->entries, key);
 	pending_t *p = answer_later(s, done, ctx);
 
@@ -290,13 +292,13 @@
 static void store_page(void *impl, const bw_store_page_t *page,
 		       bw_store_done_fn done, void *ctx)
 {
-	memstore_t *s = impl;
+	bw_memstore_t *s = impl;
 	walk_t walk = { .page = page, .answer = answer_later(s, done, ctx) };
 
 	g_tree_foreach(s->entries, add_to_page, &walk);
 }
 
-static bool holds(memstore_t *s, const bw_store_expect_t *expect)
+static bool holds(bw_memstore_t *s, const bw_store_expect_t *expect)
 {
 	const entry_t *entry = g_tree_lookup(s->entries, expect->key);
 
@@ -306,7 +308,7 @@
 static void store_txn(void *impl, const bw_store_txn_t *txn,
 		      bw_store_done_fn done, void *ctx)
 {
-	memstore_t *s = impl;
+	bw_memstore_t *s = impl;
 	bool all = true;
 	pending_t *p;
 	uint32_t i;
@@ -333,7 +335,7 @@
 static void store_lease_grant(void *impl, int64_t ttl_ms, bw_store_done_fn done,
 			      void *ctx)
 {
-	memstore_t *s = impl;
+	bw_memstore_t *s = impl;
 	pending_t *p = answer_later(s, done, ctx);
 
 	p->reply.lease_id = ++s->leases;
@@ -343,7 +345,7 @@
 static void store_lease_keepalive(void *impl, int64_t lease_id,
 				  bw_store_done_fn done, void *ctx)
 {
-	memstore_t *s = impl;
+	bw_memstore_t *s = impl;
 	pending_t *p = answer_later(s, done, ctx);
 
 	p->reply.lease_id = lease_id;
@@ -371,7 +373,7 @@
 				     int64_t revision, bw_store_done_fn event,
 				     void *ctx)
 {
-	memstore_t *s = impl;
+	bw_memstore_t *s = impl;
 	bw_store_watch_t *watch = g_new0(bw_store_watch_t, 1);
 	since_t since = { .revision = revision };
 
@@ -402,7 +404,7 @@
 	.get = store_get,
 };
 
-bw_store_t memstore_port(memstore_t *s)
+bw_store_t bw_memstore_port(bw_memstore_t *s)
 {
 	return (bw_store_t){ &ops, s };
 }
--- a/src/standin/memstore.h
+++ b/src/standin/memstore.h
@@ -10,23 +10,23 @@
 
 struct ev_loop;
 
-typedef struct memstore memstore_t;
+typedef struct bw_memstore bw_memstore_t;
 
-memstore_t *memstore_create(struct ev_loop *loop);
+bw_memstore_t *bw_memstore_create(struct ev_loop *loop);
 
 /** The store as a node sees it. */
-bw_store_t memstore_port(memstore_t *store);
+bw_store_t bw_memstore_port(bw_memstore_t *store);
 
-void memstore_destroy(memstore_t *store);
+void bw_memstore_destroy(bw_memstore_t *store);
 
 /** Writes a key as operators and workers do; NULL deletes it. */
-void memstore_put(memstore_t *store, const char *key, const char *value,
-		  size_t bytes);
+void bw_memstore_put(bw_memstore_t *store, const char *key, const char *value,
+		     size_t bytes);
 
 /** Revision of a key's last write; 0 if it does not exist. */
-int64_t memstore_revision(const memstore_t *store, const char *key);
+int64_t bw_memstore_revision(const bw_memstore_t *store, const char *key);
 
 /** Keeps what watches would tell until they are held no longer. */
-void memstore_hold_watches(memstore_t *store, bool held);
+void bw_memstore_hold_watches(bw_memstore_t *store, bool held);
 
 #endif
--- a/test/test_member.c
+++ b/test/test_member.c
@@ -20,7 +20,7 @@
 
 typedef struct member_test {
 	struct ev_loop *loop;
-	memstore_t *store;
+	bw_memstore_t *store;
 	bw_fleet_member_t *member;
 	ev_timer timer;
 	uint32_t rounds;
@@ -107,8 +107,8 @@
 	memset(t, 0, sizeof(*t));
 	t->wanted = true;
 	t->loop = ev_loop_new(0);
-	t->store = memstore_create(t->loop);
-	store = memstore_port(t->store);
+	t->store = bw_memstore_create(t->loop);
+	store = bw_memstore_port(t->store);
 	t->member = bw_fleet_member_create(t->loop, &store, &config, &ops, t);
 	ev_timer_init(&t->timer, on_timer, ROUND_S, ROUND_S);
 	t->timer.data = t;
@@ -119,7 +119,7 @@
 {
 	ev_timer_stop(t->loop, &t->timer);
 	bw_fleet_member_destroy(t->member);
-	memstore_destroy(t->store);
+	bw_memstore_destroy(t->store);
 	ev_loop_destroy(t->loop);
 }
 
@@ -134,17 +134,17 @@
 	record.incarnation = incarnation;
 	record.nonce = 5;
 	if (node)
-		memstore_put(t->store, key, (const char *)data,
-			     bramley__owner_record__pack(&record, data));
+		bw_memstore_put(t->store, key, (const char *)data,
+				bramley__owner_record__pack(&record, data));
 	else
-		memstore_put(t->store, key, NULL, 0);
+		bw_memstore_put(t->store, key, NULL, 0);
 	g_free(key);
 }
 
 static int64_t owner_revision(member_test_t *t)
 {
 	char *key = bw_fleet_owner_key(POOL);
-	int64_t revision = memstore_revision(t->store, key);
+	int64_t revision = bw_memstore_revision(t->store, key);
 
 	g_free(key);
 	return revision;
@@ -171,13 +171,13 @@
 	begin(&t);
 	t.wanted = false;
 	play(&t);
-	memstore_hold_watches(t.store, true);
+	bw_memstore_hold_watches(t.store, true);
 	put_owner(&t, "other", 1);
 	put_owner(&t, NULL, 0);
 	t.wanted = true;
 	play(&t);
 	assert_true(t.owned);
-	memstore_hold_watches(t.store, false);
+	bw_memstore_hold_watches(t.store, false);
 	play(&t);
 	assert_true(t.owned);
 	assert_int_equal(t.lost, 0);
