Log reads of the store and the lateness of a node's own loop

Each full read of a watch cache now writes one line at its end and one for each page that failed; a tick that is 200 ms late writes one, at most once a second, and the histogram bramley_loop_late_ms counts all.

--- a/src/base/eventlist.c
+++ b/src/base/eventlist.c
@@ -71,6 +71,15 @@
 	[BW_EVENT_FLEET_LEFT] = { "fleet", "left", BW_EVENT_SELDOM,
 				  "this node handed over all its pools",
 				  "node" },
+	[BW_EVENT_FLEET_READ] = { "fleet", "read", BW_EVENT_BELIEF,
+				  "a read of all keys with a prefix ended, or "
+				  "one of its pages failed and is read again",
+				  "prefix status keys pages took_ms" },
+	[BW_EVENT_FLEET_LATE] = { "fleet", "late", BW_EVENT_SELDOM,
+				  "the node's timer ran late, at most once a "
+				  "second: the process lacks processor time or "
+				  "was suspended",
+				  "node late_ms lease_left_ms" },
 	[BW_EVENT_MEMBER_REGISTERED] = { "member", "registered",
 					 BW_EVENT_SELDOM,
 					 "this node was granted a lease",
--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -34,6 +34,7 @@
 	[BW_MH_QUEUE_WAIT] = "bramley_queue_wait_ms",
 	[BW_MH_ACKNOWLEDGE] = "bramley_acknowledge_ms",
 	[BW_MH_TAKEOVER] = "bramley_takeover_ms",
+	[BW_MH_LATENESS] = "bramley_loop_late_ms",
 };
 
 static family_t families[BW_MC_FAMILY_COUNT];
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -36,6 +36,7 @@
 	/** From encoding a pool's state, with the ends of runs, to its save. */
 	BW_MH_ACKNOWLEDGE,
 	BW_MH_TAKEOVER, /**< From a pool's claim until all runs are known. */
+	BW_MH_LATENESS, /**< How late the node's timer ran. */
 	BW_MH_COUNT
 } bw_histogram_t;
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -6,7 +6,11 @@
 #include "base/event.h"
 #include "base/metrics.h"
 
-#define TICK_S 0.05
+#define TICK_S	0.05
+#define TICK_MS 50
+/** A tick that is later than this is logged, once an interval. */
+#define LATE_MS		 200
+#define LATE_INTERVAL_MS 1000
 /** The controller's orders for a pool expire without a newer one. */
 #define ORDER_TIMEOUT_MS 1500
 #define LEASE_MS	 2000
@@ -495,6 +499,26 @@
 		bw_pool_allow_orders(pool, allowed);
 }
 
+/* Records how late a tick is, since a starved node looks like slow peers. */
+static void record_lateness(bw_fleet_t *f, int64_t now_ms)
+{
+	int64_t late_ms = now_ms - f->last_tick_ms - TICK_MS;
+	bool first = f->last_tick_ms == 0;
+
+	f->last_tick_ms = now_ms;
+	if (first)
+		return;
+	bw_metrics_observe(BW_MH_LATENESS, MAX(late_ms, 0));
+	if (late_ms < LATE_MS || now_ms < f->next_late_event_ms)
+		return;
+	f->next_late_event_ms = now_ms + LATE_INTERVAL_MS;
+	bw_event(BW_EVENT_FLEET_LATE,
+		 "node=%s late_ms=%" G_GINT64_FORMAT
+		 " lease_left_ms=%" G_GINT64_FORMAT,
+		 f->env.settings->name, late_ms,
+		 bw_fleet_member_lease_end_ms(f->member) - now_ms);
+}
+
 static void on_tick(struct ev_loop *loop, ev_timer *timer, int revents)
 {
 	bw_fleet_t *f = timer->data;
@@ -502,6 +526,7 @@
 
 	(void)loop;
 	(void)revents;
+	record_lateness(f, now_ms);
 	bw_fleet_peers_set_store_reachable(f->peers, f->store_reachable);
 	bw_fleet_member_tick(f->member, now_ms);
 	bw_fleet_peers_tick(f->peers, now_ms);
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -34,6 +34,8 @@
 	GHashTable *last_orders; /**< Pool to time of the last order for it. */
 	GHashTable *pools; /**< Name to bw_pool_t. */
 	ev_timer tick;
+	int64_t last_tick_ms; /**< 0 before the first. */
+	int64_t next_late_event_ms;
 	int64_t last_report_ms;
 	int64_t next_predecessor_query_ms;
 	int64_t last_store_answer_ms;
--- a/src/fleet/watch_cache.c
+++ b/src/fleet/watch_cache.c
@@ -5,6 +5,9 @@
 #include <ev.h>
 #include <glib.h>
 
+#include "base/clock.h"
+#include "base/event.h"
+
 /** Delay before a failed call is repeated. */
 #define RETRY_S 0.15
 
@@ -18,6 +21,8 @@
 	GHashTable *read_keys; /**< Keys found by the full read in progress. */
 	bw_store_watch_t *watch;
 	ev_timer retry;
+	int64_t read_started_ms; /**< Of the full read. */
+	uint32_t pages; /**< Read by the full read. */
 	int64_t reported_revision; /**< Changes up to it were reported. */
 	bool full_read; /**< A full read is in progress or due. */
 	bool call_pending;
@@ -101,6 +106,8 @@
 static void start_full_read(bw_watch_cache_t *c)
 {
 	c->full_read = true;
+	c->read_started_ms = bw_clock_now_ms();
+	c->pages = 0;
 	c->reported_revision = 0;
 	g_hash_table_remove_all(c->read_keys);
 	read_page(c, NULL);
@@ -149,6 +156,16 @@
 	g_hash_table_remove_all(c->read_keys);
 }
 
+static void log_read(const bw_watch_cache_t *c, bw_status_t status)
+{
+	bw_event(BW_EVENT_FLEET_READ,
+		 "prefix=%s status=%s keys=%u pages=%u "
+		 "took_ms=%" G_GINT64_FORMAT,
+		 c->prefix, bw_status_name(status),
+		 g_hash_table_size(c->read_keys), c->pages,
+		 bw_clock_now_ms() - c->read_started_ms);
+}
+
 static void on_page(void *ctx, const bw_store_reply_t *reply)
 {
 	bw_watch_cache_t *c = ctx;
@@ -171,10 +188,12 @@
 
 	c->ops.store_result(c->ctx, reply->status);
 	if (reply->status != BW_OK) {
+		log_read(c, reply->status);
 		if (!c->destroyed)
 			retry_later(c);
 		return;
 	}
+	c->pages++;
 	/*
 	 * Pages are read at different revisions, so the watch starts at the
 	 * revision of the first one.
@@ -192,6 +211,7 @@
 		return;
 	}
 	c->full_read = false;
+	log_read(c, BW_OK);
 	report_missing(c);
 	if (c->destroyed)
 		return;
