End the store's calls by silence instead of by their length

Cause: platform/store.c ended a call 900 ms after its start. A page of jobs has up to 1 MB, and a link of 10 Mbit/s that carries nothing else needs 0.8 s for it; beside another page or a watch it never arrives in time.

Change: a call of src/net/httpcall may be limited by stall_ms, a time in which no byte is sent or received. Connecting, waiting for one of the host's connections, and waiting for the answer are silence, so a dead connection is noticed as soon as before; a request body that is sent counts as progress. A watch adds its wait until its answer's body begins. One timer per client, after the sockets in the loop's order, so that bytes that have arrived at a late loop count first.

Ruled out: libcurl's CURLOPT_LOW_SPEED_TIME, which has whole seconds and does not cover the connect.

Not covered: a request body that the kernel holds in its send buffer is silent while it drains.

Before: test_page_longer_than_a_timeout_arrives_whole and test_watch_may_wait_for_its_answer fail with BW_ELOST.

--- a/src/net/httpcall.c
+++ b/src/net/httpcall.c
@@ -1,21 +1,28 @@
 #include "net/httpcall.h"
 
-#include <string.h>
+#include <stdbool.h>
+#include <stdint.h>
 
 #include <curl/curl.h>
+#include <ev.h>
 #include <glib.h>
 
+#include "base/clock.h"
 #include "net/curlev.h"
 
 /** Size of a client's connection cache. */
 #define CACHED_CONNECTIONS_MAX 64L
 #define IDLE_HANDLES_MAX       32U
 #define RECEIVE_BYTES	       16384L
+#define MS_PER_S	       1000.0
 
 struct bw_http_client {
+	struct ev_loop *loop;
 	bw_curlev_t *driver;
 	GQueue *idle_handles; /**< Easy handles for reuse. */
 	GHashTable *calls; /**< Calls in progress. */
+	ev_timer stall; /**< Fires when the first silence may be too long. */
+	int64_t stall_check_ms; /**< When it fires; only while it is active. */
 };
 
 typedef struct call {
@@ -25,6 +32,10 @@
 	GString *answer;
 	bw_http_done_fn done;
 	void *ctx;
+	int64_t stall_ms; /**< 0 is none. */
+	int64_t wait_ms;
+	int64_t progress_ms; /**< When a byte was last sent or received. */
+	curl_off_t sent_bytes; /**< Of the request's body. */
 } call_t;
 
 static size_t on_body(char *data, size_t size, size_t count, void *ctx);
@@ -33,15 +44,43 @@
 static void call_free(call_t *call);
 static CURL *get_easy(bw_http_client_t *client);
 static void set_options(call_t *call, const bw_http_request_t *request);
+static void on_stall_check(struct ev_loop *loop, ev_timer *timer, int revents);
 
 static size_t on_body(char *data, size_t size, size_t count, void *ctx)
 {
 	call_t *call = ctx;
 
 	g_string_append_len(call->answer, data, (gssize)(size * count));
+	call->progress_ms = bw_clock_now_ms();
 	return size * count;
 }
 
+static size_t on_header(char *data, size_t size, size_t count, void *ctx)
+{
+	call_t *call = ctx;
+
+	(void)data;
+	call->progress_ms = bw_clock_now_ms();
+	return size * count;
+}
+
+/* Called by libcurl after each step of a transfer. */
+static int on_transfer_step(void *ctx, curl_off_t received_max,
+			    curl_off_t received, curl_off_t sent_max,
+			    curl_off_t sent)
+{
+	call_t *call = ctx;
+
+	(void)received_max;
+	(void)received;
+	(void)sent_max;
+	if (sent == call->sent_bytes)
+		return 0;
+	call->sent_bytes = sent;
+	call->progress_ms = bw_clock_now_ms();
+	return 0;
+}
+
 static bw_http_outcome_t outcome_of(CURL *easy, CURLcode result)
 {
 	curl_off_t connected_us = 0;
@@ -84,6 +123,69 @@
 	call_free(call);
 }
 
+/* Returns when a call ends unless a byte is sent or received before. */
+static int64_t stall_deadline_ms(const call_t *call)
+{
+	bool body_began = call->answer->len > 0;
+
+	return call->progress_ms + call->stall_ms +
+	       (body_began ? 0 : call->wait_ms);
+}
+
+static void check_stall_at(bw_http_client_t *client, int64_t at_ms,
+			   int64_t now_ms)
+{
+	double delay_s = (double)MAX(at_ms - now_ms, 0) / MS_PER_S;
+
+	if (ev_is_active(&client->stall) && client->stall_check_ms <= at_ms)
+		return;
+	ev_timer_stop(client->loop, &client->stall);
+	ev_timer_set(&client->stall, delay_s, 0.0);
+	ev_timer_start(client->loop, &client->stall);
+	client->stall_check_ms = at_ms;
+}
+
+/* Returns the calls that have been silent too long; plans the next check. */
+static GPtrArray *take_stalled(bw_http_client_t *client, int64_t now_ms)
+{
+	GPtrArray *stalled = g_ptr_array_new();
+	int64_t next_ms = INT64_MAX;
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, client->calls);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const call_t *call = key;
+
+		if (call->stall_ms == 0)
+			continue;
+		if (stall_deadline_ms(call) <= now_ms)
+			g_ptr_array_add(stalled, key);
+		else
+			next_ms = MIN(next_ms, stall_deadline_ms(call));
+	}
+	if (next_ms != INT64_MAX)
+		check_stall_at(client, next_ms, now_ms);
+	return stalled;
+}
+
+static void on_stall_check(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	bw_http_client_t *client = timer->data;
+	GPtrArray *stalled = take_stalled(client, bw_clock_now_ms());
+	guint i;
+
+	(void)loop;
+	(void)revents;
+	for (i = 0; i < stalled->len; i++) {
+		call_t *call = g_ptr_array_index(stalled, i);
+
+		bw_curlev_remove(client->driver, call->easy);
+		on_done(call, call->easy, CURLE_OPERATION_TIMEDOUT);
+	}
+	g_ptr_array_free(stalled, TRUE);
+}
+
 static CURL *get_easy(bw_http_client_t *client)
 {
 	CURL *easy = g_queue_pop_head(client->idle_handles);
@@ -112,11 +214,16 @@
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
 	if (!request->body)
 		return;
 	curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)request->bytes);
 	curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, request->body);
+	curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, on_transfer_step);
+	curl_easy_setopt(easy, CURLOPT_XFERINFODATA, call);
+	curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
 }
 
 bw_http_client_t *bw_http_client_create(struct ev_loop *loop,
@@ -125,6 +232,11 @@
 	bw_http_client_t *client = g_new0(bw_http_client_t, 1);
 	CURLM *multi;
 
+	client->loop = loop;
+	ev_timer_init(&client->stall, on_stall_check, 0.0, 0.0);
+	/* After the sockets, so that bytes that have arrived count first. */
+	ev_set_priority(&client->stall, EV_MINPRI);
+	client->stall.data = client;
 	client->idle_handles = g_queue_new();
 	client->calls = g_hash_table_new(NULL, NULL);
 	client->driver = bw_curlev_create(loop, on_done, NULL);
@@ -144,6 +256,7 @@
 
 	if (!client)
 		return;
+	ev_timer_stop(client->loop, &client->stall);
 	g_hash_table_iter_init(&iter, client->calls);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		call_t *call = key;
@@ -170,7 +283,13 @@
 	call->answer = g_string_new(NULL);
 	call->done = done;
 	call->ctx = ctx;
+	call->stall_ms = request->stall_ms;
+	call->wait_ms = request->wait_ms;
+	call->progress_ms = bw_clock_now_ms();
 	g_hash_table_add(client->calls, call);
 	set_options(call, request);
 	bw_curlev_add(client->driver, call->easy);
+	if (call->stall_ms > 0)
+		check_stall_at(client, stall_deadline_ms(call),
+			       call->progress_ms);
 }
--- a/src/net/httpcall.h
+++ b/src/net/httpcall.h
@@ -32,14 +32,20 @@
 /** Receives the answer of a call. */
 typedef void (*bw_http_done_fn)(void *ctx, const bw_http_answer_t *answer);
 
-/** One call; strings are copied. */
+/** One call; strings are copied. Its end needs one of the two limits. */
 typedef struct bw_http_request {
 	const char *method;
 	const char *url;
 	const char *const *headers; /**< "Name: value"; NULL-terminated. */
 	const char *body; /**< NULL is none. */
 	size_t bytes;
-	int64_t timeout_ms; /**< Of the whole call. */
+	int64_t timeout_ms; /**< Of the whole call; 0 is none. */
+	/**
+	 * Time in which no byte is sent or received after which the call ends;
+	 * 0 is none. Connecting, and waiting for a connection, are silence.
+	 */
+	int64_t stall_ms;
+	int64_t wait_ms; /**< Added to stall_ms until the body begins. */
 } bw_http_request_t;
 
 /**
