Let a read of the store go on after a failed page

The link was full for 43 s and nothing came of it.

Change: the watch cache keeps the last key of the pages that it has, and repeats the page after it. The watch begins at the revision of the first page as before, so writes between the pages are reported. A watch or a page whose history is gone (BW_ESTALE) starts a full read as before.

Ruled out: that an older first page makes the read wrong. Pages are read at different revisions anyway, and the watch covers all of them; only the chance that its history is gone by then grows with the length of the read.

Before: test_read_whose_pages_fail_by_turns_ends and test_writes_between_failed_pages_are_reported are not synced after 40 pages. After: both pass with one read of the first page, each key reported once.

--- a/src/fleet/watch_cache.c
+++ b/src/fleet/watch_cache.c
@@ -19,18 +19,20 @@
 	void *ctx;
 	GHashTable *revisions; /**< Key to its revision, as int64_t. */
 	GHashTable *read_keys; /**< Keys found by the full read in progress. */
+	char *last_key; /**< Last key of the pages read; NULL before them. */
 	bw_store_watch_t *watch;
 	ev_timer retry;
 	int64_t read_started_ms; /**< Of the full read. */
 	uint32_t pages; /**< Read by the full read. */
 	int64_t reported_revision; /**< Changes up to it were reported. */
-	bool full_read; /**< A full read is in progress or due. */
+	bool full_read; /**< A full read is in progress. */
+	bool history_gone; /**< A full read is due. */
 	bool call_pending;
 	bool in_callback; /**< Calling callbacks, which may destroy it. */
 	bool destroyed;
 };
 
-static void read_page(bw_watch_cache_t *c, const char *after);
+static void read_page(bw_watch_cache_t *c);
 static void on_page(void *ctx, const bw_store_reply_t *reply);
 static void handle_page(bw_watch_cache_t *c, const bw_store_reply_t *reply);
 static void on_event(void *ctx, const bw_store_reply_t *reply);
@@ -68,6 +70,7 @@
 {
 	g_hash_table_destroy(c->revisions);
 	g_hash_table_destroy(c->read_keys);
+	g_free(c->last_key);
 	g_free(c->prefix);
 	g_free(c);
 }
@@ -90,8 +93,10 @@
 
 	(void)loop;
 	(void)revents;
-	if (c->full_read)
+	if (c->history_gone)
 		start_full_read(c);
+	else if (c->full_read)
+		read_page(c);
 	else
 		start_watch(c);
 }
@@ -106,16 +111,22 @@
 static void start_full_read(bw_watch_cache_t *c)
 {
 	c->full_read = true;
+	c->history_gone = false;
 	c->read_started_ms = bw_clock_now_ms();
 	c->pages = 0;
 	c->reported_revision = 0;
 	g_hash_table_remove_all(c->read_keys);
-	read_page(c, NULL);
+	g_clear_pointer(&c->last_key, g_free);
+	read_page(c);
 }
 
-static void read_page(bw_watch_cache_t *c, const char *after)
+/*
+ * Reads the page after the last key, also after a failure: a read that began
+ * again would not end on a link that fails often.
+ */
+static void read_page(bw_watch_cache_t *c)
 {
-	bw_store_page_t page = { .prefix = c->prefix, .after = after };
+	bw_store_page_t page = { .prefix = c->prefix, .after = c->last_key };
 
 	c->call_pending = true;
 	c->store.ops->page(c->store.impl, &page, on_page, c);
@@ -189,6 +200,7 @@
 	c->ops.store_result(c->ctx, reply->status);
 	if (reply->status != BW_OK) {
 		log_read(c, reply->status);
+		c->history_gone = reply->status == BW_ESTALE;
 		if (!c->destroyed)
 			retry_later(c);
 		return;
@@ -207,7 +219,9 @@
 	if (c->destroyed)
 		return;
 	if (reply->has_more && reply->kv_count > 0) {
-		read_page(c, reply->kvs[reply->kv_count - 1].key);
+		g_free(c->last_key);
+		c->last_key = g_strdup(reply->kvs[reply->kv_count - 1].key);
+		read_page(c);
 		return;
 	}
 	c->full_read = false;
@@ -239,7 +253,7 @@
 	}
 	c->watch = NULL;
 	if (reply->status == BW_ESTALE)
-		c->full_read = true;
+		c->history_gone = true;
 	if (!c->destroyed)
 		retry_later(c);
 }
--- a/src/fleet/watch_cache.h
+++ b/src/fleet/watch_cache.h
@@ -23,7 +23,10 @@
 	void (*store_result)(void *ctx, bw_status_t status);
 } bw_watch_cache_ops_t;
 
-/** Creates a cache, which reads all keys and then watches them. */
+/**
+ * Creates a cache, which reads all keys and then watches them. After a failed
+ * call a read goes on from the last key that it has.
+ */
 bw_watch_cache_t *bw_watch_cache_create(struct ev_loop *loop,
 					const bw_store_t *store,
 					const char *prefix,
