Let a read of the registrations go on after a failed page

Change: the directory keeps the pages and the last key, and repeats the failed page. What a failed read left is forgotten when no tick came for 2 s, as on a node that owned no pool meanwhile. A failure counts for bw_directory_complete() as before.

Ruled out: that pages from before an outage are worse than starting again.

Before: test_directory_whose_pages_fail_by_turns_is_read is not loaded after 40 pages of a read of four. After: it passes with one read of the first page.

--- a/src/fleet/directory.c
+++ b/src/fleet/directory.c
@@ -10,6 +10,8 @@
 #define EXPECT_READ_INTERVAL_MS 200
 #define EXPECT_MS		700
 #define RETRY_MS		200
+/** Pages of a read that was left alone for so long are too old. */
+#define FORGET_MS 2000
 /** Registrations that expired in an outage are back this long after it. */
 #define REREGISTER_MS 2600
 
@@ -20,6 +22,7 @@
 	void *ctx;
 	GHashTable *registrations; /**< Identifier to bw_registration_t. */
 	GHashTable *partial; /**< Those of the read in progress. */
+	char *last_key; /**< Last key of that read; NULL before its pages. */
 	int64_t now_ms;
 	int64_t next_read_ms;
 	int64_t last_failure_ms; /**< When a call last failed; 0: never. */
@@ -28,7 +31,7 @@
 	bool loaded;
 };
 
-static void read_page(bw_directory_t *d, const char *after);
+static void read_page(bw_directory_t *d);
 static void on_page(void *ctx, const bw_store_reply_t *reply);
 static void add_registration(bw_directory_t *d, const bw_store_kv_t *kv);
 
@@ -59,13 +62,15 @@
 		return;
 	g_hash_table_destroy(d->registrations);
 	g_hash_table_destroy(d->partial);
+	g_free(d->last_key);
 	g_free(d);
 }
 
-static void read_page(bw_directory_t *d, const char *after)
+/* Reads the page after the last key that a failed read left, or the first. */
+static void read_page(bw_directory_t *d)
 {
 	bw_store_page_t page = { .prefix = d->values->workers_prefix,
-				 .after = after };
+				 .after = d->last_key };
 
 	d->call_pending = true;
 	d->store.ops->page(d->store.impl, &page, on_page, d);
@@ -84,6 +89,12 @@
 	g_hash_table_replace(d->partial, r->id, r);
 }
 
+static void forget_pages(bw_directory_t *d)
+{
+	g_hash_table_remove_all(d->partial);
+	g_clear_pointer(&d->last_key, g_free);
+}
+
 static void on_page(void *ctx, const bw_store_reply_t *reply)
 {
 	bw_directory_t *d = ctx;
@@ -95,32 +106,37 @@
 	if (reply->status != BW_OK) {
 		d->last_failure_ms = d->now_ms;
 		d->next_read_ms = d->now_ms + RETRY_MS;
-		g_hash_table_remove_all(d->partial);
 		return;
 	}
 	for (i = 0; i < reply->kv_count; i++)
 		add_registration(d, &reply->kvs[i]);
 	if (reply->has_more && reply->kv_count > 0) {
-		read_page(d, reply->kvs[reply->kv_count - 1].key);
+		g_free(d->last_key);
+		d->last_key = g_strdup(reply->kvs[reply->kv_count - 1].key);
+		read_page(d);
 		return;
 	}
 	old = d->registrations;
 	d->registrations = d->partial;
 	d->partial = old;
-	g_hash_table_remove_all(d->partial);
+	forget_pages(d);
 	d->loaded = true;
 	d->ops.loaded(d->ctx, d->now_ms);
 }
 
 void bw_directory_tick(bw_directory_t *d, int64_t now_ms)
 {
+	bool left_alone = now_ms - d->now_ms > FORGET_MS;
+
 	d->now_ms = now_ms;
 	if (d->call_pending || now_ms < d->next_read_ms)
 		return;
+	if (left_alone)
+		forget_pages(d);
 	d->next_read_ms =
 		now_ms + (now_ms < d->expect_until_ms ? EXPECT_READ_INTERVAL_MS
 						      : READ_INTERVAL_MS);
-	read_page(d, NULL);
+	read_page(d);
 }
 
 void bw_directory_expect_workers(bw_directory_t *d, int64_t now_ms)
--- a/src/fleet/directory.h
+++ b/src/fleet/directory.h
@@ -23,7 +23,10 @@
 				    const bw_directory_ops_t *ops, void *ctx);
 void bw_directory_destroy(bw_directory_t *d);
 
-/** Reads the registrations again if the last read is too old. */
+/**
+ * Reads the registrations again if the last read is too old. A read whose page
+ * failed goes on from there, if ticks have come in between.
+ */
 void bw_directory_tick(bw_directory_t *d, int64_t now_ms);
 
 /** Reads more often for a short time, since new workers are expected. */
