--- a/src/fleet/directory.h
+++ b/src/fleet/directory.h
@@ -23,7 +23,10 @@
 				    const bw_directory_ops_t *ops, void *ctx);
 void bw_directory_destroy(bw_directory_t *d);
 
-/** Reads the registrations again if the last read is too old. */
+/**
+ * Reads the registrations again if the last read is too old. A read whose page
+ * failed goes on from there, if ticks have come in between.
+ */
 void bw_directory_tick(bw_directory_t *d, int64_t now_ms);
 
 /** Reads more often for a short time, since new workers are expected. */
@@ -35,9 +38,9 @@
 /**
  * Returns whether a missing registration means that its worker has ended.
  * Registrations that expire during an outage of the store are back only a
- * moment after it.
+ * moment after it, so the last read must have started after that.
  */
-bool bw_directory_complete(const bw_directory_t *d, int64_t now_ms);
+bool bw_directory_complete(const bw_directory_t *d);
 
 /** Returns the registration of a worker, or NULL if there is none. */
 const bw_registration_t *bw_directory_find(const bw_directory_t *d,
