--- a/src/fleet/member.h
+++ b/src/fleet/member.h
@@ -10,6 +10,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "fleet/capacity.h"
 #include "store/store.h"
 
 struct ev_loop;
@@ -94,6 +95,7 @@
 	const char *name;
 	uint32_t owned; /**< Number of pools that it owns. */
 	int64_t started_ms; /**< Start of the process, in Unix time. */
+	bw_node_capacity_t capacity;
 } bw_claim_candidate_t;
 
 /**
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -18,9 +18,9 @@
 
 static void test_rank(void **state)
 {
-	bw_claim_candidate_t nodes[] = { { "a", 0, 0 },
-					 { "b", 0, 0 },
-					 { "c", 0, 0 } };
+	bw_claim_candidate_t nodes[] = { { .name = "a" },
+					 { .name = "b" },
+					 { .name = "c" } };
 	uint32_t ranks = 0;
 	uint32_t i;
 
