Settings and node records: what a node has

Nothing decides by them yet.

Tests: test_regress reads fleet settings: good, without capacity, and with mistakes.

--- a/src/conf/keys.c
+++ b/src/conf/keys.c
@@ -1,22 +1,31 @@
 #include "conf/keys.h"
 
 #include <inttypes.h>
+#include <math.h>
 #include <string.h>
 
 #include <glib.h>
 
 #include "base/address.h"
 
+/** Larger numbers than this have no thousandths in an int64_t. */
+#define NUMBER_END 1e15
+
 static const bw_key_spec_t *find_spec(const bw_keys_t *keys, const char *path);
 static void set_text(void *base, const bw_key_spec_t *spec,
 		     const bw_toml_item_t *item, bw_findings_t *f);
 static void set_number(void *base, const bw_key_spec_t *spec,
 		       const bw_toml_item_t *item, bw_findings_t *f);
-static void set_seconds(void *base, const bw_key_spec_t *spec,
-			const bw_toml_item_t *item, bw_findings_t *f);
+static void set_thousandths(void *base, const bw_key_spec_t *spec,
+			    const bw_toml_item_t *item, bw_findings_t *f);
 static void set_boolean(void *base, const bw_key_spec_t *spec,
 			const bw_toml_item_t *item, bw_findings_t *f);
 
+static bool is_in_thousandths(const bw_key_spec_t *spec)
+{
+	return spec->kind == BW_KEY_SECONDS || spec->kind == BW_KEY_FRACTION;
+}
+
 static const bw_key_spec_t *find_spec(const bw_keys_t *keys, const char *path)
 {
 	size_t i;
@@ -76,15 +85,18 @@
 	*field = item->integer;
 }
 
-static void set_seconds(void *base, const bw_key_spec_t *spec,
-			const bw_toml_item_t *item, bw_findings_t *f)
+static void set_thousandths(void *base, const bw_key_spec_t *spec,
+			    const bw_toml_item_t *item, bw_findings_t *f)
 {
 	bw_toml_item_t scaled = *item;
+	double number = item->type == BW_TOML_FLOAT ? item->number
+						    : (double)item->integer;
 
-	if (item->type == BW_TOML_FLOAT)
-		scaled.integer = (int64_t)(item->number * 1000.0);
+	/* Also false for not-a-number, which has no integer value. */
+	if (fabs(number) < NUMBER_END)
+		scaled.integer = llround(number * 1000.0);
 	else
-		scaled.integer = item->integer * 1000;
+		scaled.integer = INT64_MIN;
 	if (item->type == BW_TOML_FLOAT)
 		scaled.type = BW_TOML_INTEGER;
 	set_number(base, spec, &scaled, f);
@@ -102,13 +114,17 @@
 				"%s must be true or false", item->path);
 }
 
+static bool is_number(const bw_key_spec_t *spec)
+{
+	return spec->kind == BW_KEY_NUMBER || is_in_thousandths(spec);
+}
+
 void bw_keys_set_defaults(const bw_keys_t *keys, void *base)
 {
 	size_t i;
 
 	for (i = 0; i < keys->count; i++)
-		if (keys->specs[i].kind == BW_KEY_NUMBER ||
-		    keys->specs[i].kind == BW_KEY_SECONDS)
+		if (is_number(&keys->specs[i]))
 			*(int64_t *)((char *)base + keys->specs[i].offset) =
 				keys->specs[i].fallback;
 }
@@ -123,8 +139,8 @@
 				"%s", item->path);
 	else if (spec->kind == BW_KEY_NUMBER)
 		set_number(base, spec, item, f);
-	else if (spec->kind == BW_KEY_SECONDS)
-		set_seconds(base, spec, item, f);
+	else if (is_in_thousandths(spec))
+		set_thousandths(base, spec, item, f);
 	else if (spec->kind == BW_KEY_BOOLEAN)
 		set_boolean(base, spec, item, f);
 	else
--- a/src/conf/keys.h
+++ b/src/conf/keys.h
@@ -20,6 +20,7 @@
 	BW_KEY_TEXT,
 	BW_KEY_NUMBER,
 	BW_KEY_SECONDS, /**< Seconds, stored as milliseconds. */
+	BW_KEY_FRACTION, /**< Number, stored in thousandths. */
 	BW_KEY_BOOLEAN
 } bw_key_kind_t;
 
@@ -28,7 +29,8 @@
 	const char *path;
 	bw_key_kind_t kind;
 	size_t offset; /**< Of the field, a char *, int64_t or bool. */
-	int64_t min; /**< Of the stored number; milliseconds for seconds. */
+	int64_t min; /**< Of the stored number; thousandths for seconds and
+			fractions. */
 	int64_t max;
 	int64_t fallback; /**< Default of the stored number. */
 	bool required; /**< Only checked for text. */
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -107,6 +107,7 @@
 		.lease_ms = MAX(settings->lease_min_ms, (int64_t)LEASE_MS),
 		.started_ms = bw_clock_wall_ms(),
 		.first_start = settings->first_start,
+		.capacity = bw_fleet_settings_capacity(settings),
 	};
 
 	f->member = bw_fleet_member_create(f->env.loop, &f->env.store, &config,
--- a/src/fleet/member.c
+++ b/src/fleet/member.c
@@ -34,6 +34,7 @@
 
 /** A live node. */
 typedef struct node {
+	bw_node_capacity_t capacity;
 	int64_t started_ms;
 	uint64_t incarnation;
 } node_t;
@@ -62,6 +63,7 @@
 	char *address;
 	uint64_t incarnation;
 	int64_t lease_ms;
+	bw_node_capacity_t capacity;
 	bw_fleet_member_ops_t ops;
 	void *ctx;
 	bw_watch_cache_t *cache;
@@ -142,6 +144,7 @@
 	m->incarnation = config->incarnation;
 	m->lease_ms = config->lease_ms;
 	m->first_start = config->first_start;
+	m->capacity = config->capacity;
 	m->started_wall_ms = config->started_ms;
 	m->ops = *ops;
 	m->ctx = ctx;
@@ -280,6 +283,27 @@
 	register_node(m);
 }
 
+static void put_capacity(Bramley__NodeRecord *record,
+			 const bw_node_capacity_t *capacity)
+{
+	record->cpu_millis = capacity->amounts[BW_NODE_CPU_MILLIS];
+	record->memory_mb = capacity->amounts[BW_NODE_MEMORY_MB];
+	record->link_kbits = capacity->amounts[BW_NODE_LINK_KBITS];
+	record->descriptors = capacity->amounts[BW_NODE_DESCRIPTORS];
+}
+
+static bw_node_capacity_t get_capacity(const Bramley__NodeRecord *record)
+{
+	return (bw_node_capacity_t){
+		.amounts = {
+			[BW_NODE_CPU_MILLIS] = record->cpu_millis,
+			[BW_NODE_MEMORY_MB] = record->memory_mb,
+			[BW_NODE_LINK_KBITS] = record->link_kbits,
+			[BW_NODE_DESCRIPTORS] = record->descriptors,
+		},
+	};
+}
+
 static void register_node(bw_fleet_member_t *m)
 {
 	Bramley__NodeRecord record = BRAMLEY__NODE_RECORD__INIT;
@@ -292,6 +316,7 @@
 	record.incarnation = m->incarnation;
 	record.lease = m->lease_id;
 	record.started_ms = m->started_wall_ms;
+	put_capacity(&record, &m->capacity);
 	write.bytes = bramley__node_record__get_packed_size(&record);
 	data = g_malloc(write.bytes + 1);
 	bramley__node_record__pack(&record, data);
@@ -417,6 +442,7 @@
 		candidates[i].name = key;
 		candidates[i].owned = count_owned(m, key);
 		candidates[i].started_ms = ((node_t *)value)->started_ms;
+		candidates[i].capacity = ((node_t *)value)->capacity;
 		if (!strcmp(key, m->name))
 			self = i;
 		i++;
@@ -566,6 +592,7 @@
 	node = g_new0(node_t, 1);
 	node->started_ms = record->started_ms;
 	node->incarnation = record->incarnation;
+	node->capacity = get_capacity(record);
 	g_hash_table_replace(m->nodes, g_strdup(name), node);
 	m->ops.node_changed(m->ctx, name, record->address);
 	bramley__node_record__free_unpacked(record, NULL);
--- a/src/fleet/member.h
+++ b/src/fleet/member.h
@@ -24,6 +24,7 @@
 	int64_t lease_ms;
 	int64_t started_ms; /**< Start of the process, in Unix time. */
 	bool first_start; /**< All nodes of the site start at once. */
+	bw_node_capacity_t capacity; /**< Of this node. */
 } bw_fleet_member_config_t;
 
 typedef struct bw_fleet_member_ops {
--- a/src/fleet/settings.c
+++ b/src/fleet/settings.c
@@ -8,6 +8,11 @@
 #include "conf/keys.h"
 
 #define DAY_MS ((int64_t)86400000)
+/** Largest number in table capacity; fractions in thousandths. */
+#define AMOUNT_MAX	   ((int64_t)1000000000)
+#define FRACTION_MAX_MILLI ((int64_t)1000000000)
+/** Processor speed that counts when none is given: one core. */
+#define ONE_CORE_MILLIS 1000
 #define TEXT(path, kind, field, required)                                      \
 	{                                                                      \
 		path, kind, offsetof(bw_fleet_settings_t, field), 0, 0, 0,     \
@@ -23,6 +28,11 @@
 		path, BW_KEY_SECONDS, offsetof(bw_fleet_settings_t, field), 0, \
 			DAY_MS, fallback_ms, false                             \
 	}
+#define FRACTION(path, field, fallback)                                        \
+	{                                                                      \
+		path, BW_KEY_FRACTION, offsetof(bw_fleet_settings_t, field),   \
+			0, FRACTION_MAX_MILLI, fallback, false                 \
+	}
 
 static const bw_key_spec_t key_specs[] = {
 	TEXT("node.name", BW_KEY_NAME, name, true),
@@ -44,6 +54,11 @@
 	NUMBER("limits.log_bytes_s", log_bytes_s, 4096, 1 << 30, 262144),
 	SECONDS("limits.keep_s", retention_ms, 120000),
 	SECONDS("limits.grace_s", grace_ms, 6000),
+	FRACTION("capacity.core_share", core_share_milli, 0),
+	FRACTION("capacity.cores", cores_milli, ONE_CORE_MILLIS),
+	FRACTION("capacity.link_mbps", link_kbits, 0),
+	NUMBER("capacity.memory_mb", memory_mb, 0, AMOUNT_MAX, 0),
+	NUMBER("capacity.descriptors", descriptors, 0, AMOUNT_MAX, 0),
 };
 
 static const bw_keys_t keys = { key_specs, G_N_ELEMENTS(key_specs) };
@@ -70,6 +85,19 @@
 	return BW_OK;
 }
 
+bw_node_capacity_t bw_fleet_settings_capacity(const bw_fleet_settings_t *s)
+{
+	return (bw_node_capacity_t){
+		.amounts = {
+			[BW_NODE_CPU_MILLIS] =
+				s->core_share_milli * s->cores_milli / 1000,
+			[BW_NODE_MEMORY_MB] = s->memory_mb,
+			[BW_NODE_LINK_KBITS] = s->link_kbits,
+			[BW_NODE_DESCRIPTORS] = s->descriptors,
+		},
+	};
+}
+
 void bw_fleet_settings_clear(bw_fleet_settings_t *s)
 {
 	bw_keys_clear(&keys, s);
--- a/src/fleet/settings.h
+++ b/src/fleet/settings.h
@@ -10,6 +10,7 @@
 
 #include "base/findings.h"
 #include "base/status.h"
+#include "fleet/capacity.h"
 
 /** Settings; the structure owns its strings. */
 typedef struct bw_fleet_settings {
@@ -32,6 +33,11 @@
 	bool first_start; /**< The whole site is started for the first time. */
 	int64_t grace_ms; /**< Time from the stop signal to the kill. */
 	int64_t log_bytes_s; /**< Limit of the event log, in bytes a second. */
+	int64_t core_share_milli; /**< Share of each core; 0 if unknown. */
+	int64_t cores_milli;
+	int64_t memory_mb; /**< 0 if unknown, as the next two. */
+	int64_t link_kbits; /**< Of the node's link, in a second. */
+	int64_t descriptors; /**< Files and sockets that it may open. */
 } bw_fleet_settings_t;
 
 /**
@@ -41,6 +47,9 @@
 bw_status_t bw_fleet_settings_read(const char *path, bw_fleet_settings_t *s,
 				   bw_findings_t *findings);
 
+/** Returns what the node has, for bw_fleet_member_config_t. */
+bw_node_capacity_t bw_fleet_settings_capacity(const bw_fleet_settings_t *s);
+
 void bw_fleet_settings_clear(bw_fleet_settings_t *s);
 
 #endif
--- a/src/wire/record.pb-c.c
+++ b/src/wire/record.pb-c.c
@@ -1166,7 +1166,7 @@
   (ProtobufCMessageInit) bramley__pool_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__node_record__field_descriptors[4] =
+static const ProtobufCFieldDescriptor bramley__node_record__field_descriptors[8] =
 {
   {
     "address",
@@ -1216,17 +1216,69 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cpu_millis",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__NodeRecord, cpu_millis),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mb",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__NodeRecord, memory_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "link_kbits",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__NodeRecord, link_kbits),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "descriptors",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__NodeRecord, descriptors),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__node_record__field_indices_by_name[] = {
   0,   /* field[0] = address */
+  4,   /* field[4] = cpu_millis */
+  7,   /* field[7] = descriptors */
   1,   /* field[1] = incarnation */
   2,   /* field[2] = lease */
+  6,   /* field[6] = link_kbits */
+  5,   /* field[5] = memory_mb */
   3,   /* field[3] = started_ms */
 };
 static const ProtobufCIntRange bramley__node_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor bramley__node_record__descriptor =
 {
@@ -1236,7 +1288,7 @@
   "Bramley__NodeRecord",
   "bramley",
   sizeof(Bramley__NodeRecord),
-  4,
+  8,
   bramley__node_record__field_descriptors,
   bramley__node_record__field_indices_by_name,
   1,  bramley__node_record__number_ranges,
--- a/src/wire/record.pb-c.h
+++ b/src/wire/record.pb-c.h
@@ -179,10 +179,17 @@
    * Unix time.
    */
   int64_t started_ms;
+  /*
+   * Capacity of the node; 0 if unknown.
+   */
+  int64_t cpu_millis;
+  int64_t memory_mb;
+  int64_t link_kbits;
+  int64_t descriptors;
 };
 #define BRAMLEY__NODE_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__node_record__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/test/test_regress.c
+++ b/test/test_regress.c
@@ -12,6 +12,7 @@
 #include <glib.h>
 
 #include "conf/settings.h"
+#include "fleet/settings.h"
 #include "table/table.h"
 
 #define REGRESS_DIR "test/regress"
@@ -30,6 +31,25 @@
 	bw_settings_clear(&settings);
 }
 
+static void parse_fleet_settings(const char *path, const char *text,
+				 bw_findings_t *findings, GString *out)
+{
+	bw_fleet_settings_t settings;
+	bw_node_capacity_t capacity;
+	int i;
+
+	(void)text;
+	if (bw_fleet_settings_read(path, &settings, findings) == BW_OK) {
+		capacity = bw_fleet_settings_capacity(&settings);
+		g_string_append(out, "good\ncapacity");
+		for (i = 0; i < BW_NODE_RESOURCE_COUNT; i++)
+			g_string_append_printf(out, " %" G_GINT64_FORMAT,
+					       capacity.amounts[i]);
+		g_string_append(out, "\n");
+	}
+	bw_fleet_settings_clear(&settings);
+}
+
 static void parse_table(const char *path, const char *text,
 			bw_findings_t *findings, GString *out)
 {
@@ -79,6 +99,7 @@
 	parser_fn parse;
 } kinds[] = {
 	{ "settings", parse_settings },
+	{ "fleet-settings", parse_fleet_settings },
 	{ "table", parse_table },
 	{ "workers", parse_workers },
 	{ "csv", parse_csv },
