Claim pools by what nodes can carry

Cause: the rank of a claim looked at owned roles, start and hash only. Change: src/fleet/ownership.[ch], pure, ranks the candidates by their load with one more role, (owned + 1) / share, in powers of two, where the share is the least part that a node has of the largest amount of a resource; then by owned roles, start and hash. Each large node of the grown site gets a role before any gets two; a small one (10 of 200 Mbit/s) comes after large ones that own 15. For equal nodes the order is the old one (test_order_of_equal_nodes has an order that the old code gave). A rank waits at most one lease before it claims: with 43 nodes the last one waited 10.5 s. After a lease the nodes that died with the owner are not registered any more, so who still ranks before has a fault, and the store accepts one claim only. A node that learns late that a pool has no owner counts from then, and claims later. Ruled out: the load alone as order, since nearly equal nodes would not tie and the last started would not come first; ties within a power of two by start only, since then a large node gets its third role before another gets its second (the test failed so). A small node that owns a pool when larger ones come keeps it; that follows.

--- a/src/fleet/member.c
+++ b/src/fleet/member.c
@@ -3,10 +3,10 @@
 #include <string.h>
 
 #include <glib.h>
-#include <xxhash.h>
 
 #include "base/clock.h"
 #include "base/event.h"
+#include "fleet/ownership.h"
 #include "fleet/watch_cache.h"
 #include "wire/record.pb-c.h"
 
@@ -15,15 +15,10 @@
 #define OWNER_PREFIX  "bw/m/own/"
 /** The lease is renewed this many times in its length. */
 #define RENEWALS_PER_LEASE 5
-/** Each further rank waits this much longer before it claims. */
-#define RANK_STEP_MS 250
 /** On the first start of a site no node claims before this, so that the other
  * nodes can register. */
 #define FIRST_START_WAIT_MS 1500
 #define RETRY_MS	    150
-/** Nodes that started within this time of each other count as started
- * together. */
-#define SAME_START_MS 700
 
 typedef enum phase {
 	PHASE_NO_LEASE,
@@ -220,43 +215,6 @@
 	return g_strconcat(OWNER_PREFIX, pool, NULL);
 }
 
-/* Weight of a node for a pool in rendezvous hashing. */
-static uint64_t claim_weight(const char *pool, const char *name)
-{
-	g_assert(name != NULL);
-	return XXH64(name, strlen(name), XXH64(pool, strlen(pool), 0));
-}
-
-/* Returns whether candidate a ranks before b. */
-static bool ranks_before(const char *pool, const bw_claim_candidate_t *a,
-			 const bw_claim_candidate_t *b, uint32_t owned_max)
-{
-	bool a_full = a->owned >= owned_max;
-	bool b_full = b->owned >= owned_max;
-	int64_t start_diff_ms = a->started_ms - b->started_ms;
-
-	if (a_full != b_full)
-		return b_full;
-	if (start_diff_ms > SAME_START_MS || start_diff_ms < -SAME_START_MS)
-		return start_diff_ms > 0;
-	return claim_weight(pool, a->name) > claim_weight(pool, b->name);
-}
-
-uint32_t bw_fleet_claim_rank(const char *pool,
-			     const bw_claim_candidate_t *candidates,
-			     uint32_t count, uint32_t self, uint32_t roles)
-{
-	uint32_t owned_max = roles / MAX(count, 1U) + 1;
-	uint32_t rank = 0;
-	uint32_t i;
-
-	for (i = 0; i < count; i++)
-		if (i != self && ranks_before(pool, &candidates[i],
-					      &candidates[self], owned_max))
-			rank++;
-	return rank;
-}
-
 static void request_lease(bw_fleet_member_t *m, int64_t now_ms)
 {
 	m->phase = PHASE_LEASE_REQUESTED;
@@ -416,19 +374,12 @@
 	return count;
 }
 
-static void count_role(void *arg, const char *pool)
-{
-	(void)pool;
-	(*(uint32_t *)arg)++;
-}
-
 /* Returns UINT32_MAX until this node's own registration has been read. */
 static uint32_t own_claim_rank(bw_fleet_member_t *m, const char *pool)
 {
 	uint32_t count = g_hash_table_size(m->nodes);
-	bw_claim_candidate_t *candidates =
-		g_new0(bw_claim_candidate_t, count + 1);
-	uint32_t roles = 0;
+	bw_ownership_candidate_t *candidates =
+		g_new0(bw_ownership_candidate_t, count + 1);
 	uint32_t self = UINT32_MAX;
 	GHashTableIter iter;
 	gpointer key;
@@ -436,7 +387,6 @@
 	uint32_t rank = UINT32_MAX;
 	uint32_t i = 0;
 
-	m->ops.foreach_pool(m->ctx, count_role, &roles);
 	g_hash_table_iter_init(&iter, m->nodes);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		candidates[i].name = key;
@@ -448,8 +398,7 @@
 		i++;
 	}
 	if (self != UINT32_MAX)
-		rank = bw_fleet_claim_rank(pool, candidates, count, self,
-					   roles);
+		rank = bw_ownership_rank(pool, candidates, count, self);
 	g_free(candidates);
 	return rank;
 }
@@ -466,7 +415,9 @@
 		g_hash_table_insert(m->ownerless, g_strdup(pool), since_ms);
 	}
 	rank = own_claim_rank(m, pool);
-	return rank != UINT32_MAX && now_ms - *since_ms >= rank * RANK_STEP_MS;
+	return rank != UINT32_MAX &&
+	       now_ms - *since_ms >=
+		       bw_ownership_claim_delay_ms(rank, m->lease_ms);
 }
 
 static void try_claim(void *arg, const char *pool)
--- a/src/fleet/member.h
+++ b/src/fleet/member.h
@@ -91,24 +91,4 @@
 /** Gives up a pool that turned out to have another owner. */
 void bw_fleet_member_drop_pool(bw_fleet_member_t *m, const char *pool);
 
-/** A live node that may claim a pool. */
-typedef struct bw_claim_candidate {
-	const char *name;
-	uint32_t owned; /**< Number of pools that it owns. */
-	int64_t started_ms; /**< Start of the process, in Unix time. */
-	bw_node_capacity_t capacity;
-} bw_claim_candidate_t;
-
-/**
- * Returns a node's rank for claiming a pool; rank 0 claims first. Nodes that
- * already own their share of the roles come last. Otherwise the node that
- * started last comes first, since in a rolling restart it will not be
- * restarted again.
- * @param self index of the node
- * @param roles number of roles (pools and the controller) among all nodes
- */
-uint32_t bw_fleet_claim_rank(const char *pool,
-			     const bw_claim_candidate_t *candidates,
-			     uint32_t count, uint32_t self, uint32_t roles);
-
 #endif
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -8,7 +8,7 @@
 
 #include "base/clock.h"
 #include "fleet/balance.h"
-#include "fleet/member.h"
+#include "fleet/ownership.h"
 #include "fleet/pool.h"
 #include "fleet/removal.h"
 #include "fleet/service.h"
@@ -18,25 +18,25 @@
 
 static void test_rank(void **state)
 {
-	bw_claim_candidate_t nodes[] = { { .name = "a" },
-					 { .name = "b" },
-					 { .name = "c" } };
+	bw_ownership_candidate_t nodes[] = { { .name = "a" },
+					     { .name = "b" },
+					     { .name = "c" } };
 	uint32_t ranks = 0;
 	uint32_t i;
 
 	(void)state;
 	for (i = 0; i < 3; i++)
-		ranks |= 1U << bw_fleet_claim_rank("pool", nodes, 3, i, 5);
+		ranks |= 1U << bw_ownership_rank("pool", nodes, 3, i);
 	assert_int_equal(ranks, 7);
 	/*
 	 * The node that started last comes first: in a rolling restart it has
 	 * been restarted already.
 	 */
 	nodes[1].started_ms = 60000;
-	assert_int_equal(bw_fleet_claim_rank("pool", nodes, 3, 1, 5), 0);
+	assert_int_equal(bw_ownership_rank("pool", nodes, 3, 1), 0);
 	/* But it comes last once it owns its share of the pools. */
 	nodes[1].owned = 2;
-	assert_int_equal(bw_fleet_claim_rank("pool", nodes, 3, 1, 5), 2);
+	assert_int_equal(bw_ownership_rank("pool", nodes, 3, 1), 2);
 }
 
 /* Machines that pools need, and moves between pools. */
--- a/test/test_ownership.c
+++ b/test/test_ownership.c
@@ -3,10 +3,12 @@
 
 #include <glib.h>
 
-#include "fleet/member.h"
+#include "fleet/ownership.h"
 
-#define POOL  "pool"
-#define ROLES 6
+#define POOL	 "pool"
+#define LEASE_MS 2000
+/** Names a to i by rank, see test_order_of_equal_nodes(). */
+#define EQUAL_ORDER "higfedbca"
 /** Nodes of the grown site: a few large ones, many small ones. */
 #define LARGE 6
 #define SMALL 37
@@ -16,25 +18,25 @@
 static const bw_node_capacity_t small = { { 120, 160, 10000, 4100 } };
 
 /* Fills in the grown site's nodes, of which the first are large. */
-static void set_up_grown(bw_claim_candidate_t nodes[NODES], char names[][8])
+static void set_up_grown(bw_ownership_candidate_t nodes[NODES], char names[][8])
 {
 	uint32_t i;
 
 	for (i = 0; i < NODES; i++) {
 		g_snprintf(names[i], sizeof(names[i]), "n%u", i);
-		nodes[i] = (bw_claim_candidate_t){
+		nodes[i] = (bw_ownership_candidate_t){
 			.name = names[i], .capacity = i < LARGE ? large : small
 		};
 	}
 }
 
-static uint32_t first_to_claim(const bw_claim_candidate_t *nodes,
+static uint32_t first_to_claim(const bw_ownership_candidate_t *nodes,
 			       uint32_t count, const char *pool)
 {
 	uint32_t i;
 
 	for (i = 0; i < count; i++)
-		if (bw_fleet_claim_rank(pool, nodes, count, i, ROLES) == 0)
+		if (bw_ownership_rank(pool, nodes, count, i) == 0)
 			return i;
 	fail_msg("no node has rank 0");
 	return count;
@@ -46,7 +48,7 @@
  */
 static void test_small_node_does_not_claim_before_large_ones(void **state)
 {
-	bw_claim_candidate_t nodes[NODES];
+	bw_ownership_candidate_t nodes[NODES];
 	char names[NODES][8];
 	char pool[8];
 	uint32_t role;
@@ -65,11 +67,94 @@
 	}
 }
 
+/*
+ * The order of equal nodes: those without a role first, then the last started,
+ * then by rendezvous hashing. The expected names were ranked by the order that
+ * did not look at capacity.
+ */
+static void test_order_of_equal_nodes(void **state)
+{
+	static const char *const names[] = { "a", "b", "c", "d", "e",
+					     "f", "g", "h", "i" };
+	const bw_node_capacity_t capacities[] = { { { 0 } }, small, large };
+	bw_ownership_candidate_t nodes[G_N_ELEMENTS(names)];
+	char order[3][G_N_ELEMENTS(names) + 1] = { 0 };
+	uint32_t c;
+	uint32_t i;
+
+	(void)state;
+	for (c = 0; c < 3; c++) {
+		for (i = 0; i < G_N_ELEMENTS(names); i++)
+			nodes[i] = (bw_ownership_candidate_t){
+				.name = names[i],
+				.owned = i < 3 ? 1 : 0,
+				.started_ms = i >= 6 ? 60000 + i : i,
+				.capacity = capacities[c],
+			};
+		for (i = 0; i < G_N_ELEMENTS(names); i++)
+			order[c][bw_ownership_rank(POOL, nodes,
+						   G_N_ELEMENTS(names), i)] =
+				names[i][0];
+		assert_string_equal(order[c], EQUAL_ORDER);
+	}
+}
+
+/* An amount that is not known doesn't count against a node. */
+static void test_unknown_capacity_is_no_fault(void **state)
+{
+	bw_ownership_candidate_t nodes[] = {
+		{ .name = "a", .started_ms = 1, .capacity = large },
+		{ .name = "b", .started_ms = 60000 },
+		{ .name = "c", .started_ms = 90000, .capacity = small },
+	};
+
+	(void)state;
+	assert_int_equal(first_to_claim(nodes, 3, POOL), 1);
+	nodes[1].capacity.amounts[BW_NODE_CPU_MILLIS] = 500;
+	assert_int_equal(first_to_claim(nodes, 3, POOL), 1);
+	nodes[1].capacity.amounts[BW_NODE_CPU_MILLIS] = 100;
+	assert_int_equal(first_to_claim(nodes, 3, POOL), 0);
+}
+
+/* Nodes that are nearly as large as the largest count as equal to it. */
+static void test_nearly_equal_nodes_tie(void **state)
+{
+	bw_ownership_candidate_t nodes[] = {
+		{ .name = "a", .started_ms = 1, .capacity = large },
+		{ .name = "b", .started_ms = 60000, .capacity = large },
+	};
+
+	(void)state;
+	nodes[1].capacity.amounts[BW_NODE_MEMORY_MB] = 400;
+	assert_int_equal(first_to_claim(nodes, 2, POOL), 1);
+}
+
+/*
+ * A node that many others rank before claims a role after one lease at most:
+ * those that are alive have claimed it by then, and those that had died are not
+ * registered any more.
+ */
+static void test_last_rank_waits_one_lease(void **state)
+{
+	(void)state;
+	assert_int_equal(bw_ownership_claim_delay_ms(0, LEASE_MS), 0);
+	assert_true(bw_ownership_claim_delay_ms(1, LEASE_MS) <
+		    bw_ownership_claim_delay_ms(2, LEASE_MS));
+	assert_int_equal(bw_ownership_claim_delay_ms(NODES - 1, LEASE_MS),
+			 LEASE_MS);
+	assert_int_equal(bw_ownership_claim_delay_ms(UINT32_MAX - 1, LEASE_MS),
+			 LEASE_MS);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			test_small_node_does_not_claim_before_large_ones),
+		cmocka_unit_test(test_order_of_equal_nodes),
+		cmocka_unit_test(test_unknown_capacity_is_no_fault),
+		cmocka_unit_test(test_nearly_equal_nodes_tie),
+		cmocka_unit_test(test_last_rank_waits_one_lease),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
