--- a/src/fleet/member.c
+++ b/src/fleet/member.c
@@ -3,10 +3,10 @@
 #include <string.h>
 
 #include <glib.h>
-#include <xxhash.h>
 
 #include "base/clock.h"
 #include "base/event.h"
+#include "fleet/ownership.h"
 #include "fleet/watch_cache.h"
 #include "wire/record.pb-c.h"
 
@@ -15,15 +15,10 @@
 #define OWNER_PREFIX  "bw/m/own/"
 /** The lease is renewed this many times in its length. */
 #define RENEWALS_PER_LEASE 5
-/** Each further rank waits this much longer before it claims. */
-#define RANK_STEP_MS 250
 /** On the first start of a site no node claims before this, so that the other
  * nodes can register. */
 #define FIRST_START_WAIT_MS 1500
 #define RETRY_MS	    150
-/** Nodes that started within this time of each other count as started
- * together. */
-#define SAME_START_MS 700
 
 typedef enum phase {
 	PHASE_NO_LEASE,
@@ -34,6 +29,7 @@
 
 /** A live node. */
 typedef struct node {
+	bw_node_capacity_t capacity;
 	int64_t started_ms;
 	uint64_t incarnation;
 } node_t;
@@ -62,6 +58,7 @@
 	char *address;
 	uint64_t incarnation;
 	int64_t lease_ms;
+	bw_node_capacity_t capacity;
 	bw_fleet_member_ops_t ops;
 	void *ctx;
 	bw_watch_cache_t *cache;
@@ -142,6 +139,7 @@
 	m->incarnation = config->incarnation;
 	m->lease_ms = config->lease_ms;
 	m->first_start = config->first_start;
+	m->capacity = config->capacity;
 	m->started_wall_ms = config->started_ms;
 	m->ops = *ops;
 	m->ctx = ctx;
@@ -217,43 +215,6 @@
 	return g_strconcat(OWNER_PREFIX, pool, NULL);
 }
 
-/* Weight of a node for a pool in rendezvous hashing. */
-static uint64_t claim_weight(const char *pool, const char *name)
-{
-	g_assert(name != NULL);
-	return XXH64(name, strlen(name), XXH64(pool, strlen(pool), 0));
-}
-
-/* Returns whether candidate a ranks before b. */
-static bool ranks_before(const char *pool, const bw_claim_candidate_t *a,
-			 const bw_claim_candidate_t *b, uint32_t owned_max)
-{
-	bool a_full = a->owned >= owned_max;
-	bool b_full = b->owned >= owned_max;
-	int64_t start_diff_ms = a->started_ms - b->started_ms;
-
-	if (a_full != b_full)
-		return b_full;
-	if (start_diff_ms > SAME_START_MS || start_diff_ms < -SAME_START_MS)
-		return start_diff_ms > 0;
-	return claim_weight(pool, a->name) > claim_weight(pool, b->name);
-}
-
-uint32_t bw_fleet_claim_rank(const char *pool,
-			     const bw_claim_candidate_t *candidates,
-			     uint32_t count, uint32_t self, uint32_t roles)
-{
-	uint32_t owned_max = roles / MAX(count, 1U) + 1;
-	uint32_t rank = 0;
-	uint32_t i;
-
-	for (i = 0; i < count; i++)
-		if (i != self && ranks_before(pool, &candidates[i],
-					      &candidates[self], owned_max))
-			rank++;
-	return rank;
-}
-
 static void request_lease(bw_fleet_member_t *m, int64_t now_ms)
 {
 	m->phase = PHASE_LEASE_REQUESTED;
@@ -280,6 +241,27 @@
 	register_node(m);
 }
 
+static void put_capacity(Bramley__NodeRecord *record,
+			 const bw_node_capacity_t *capacity)
+{
+	record->cpu_millis = capacity->amounts[BW_NODE_CPU_MILLIS];
+	record->memory_mb = capacity->amounts[BW_NODE_MEMORY_MB];
+	record->link_kbits = capacity->amounts[BW_NODE_LINK_KBITS];
+	record->descriptors = capacity->amounts[BW_NODE_DESCRIPTORS];
+}
+
+static bw_node_capacity_t get_capacity(const Bramley__NodeRecord *record)
+{
+	return (bw_node_capacity_t){
+		.amounts = {
+			[BW_NODE_CPU_MILLIS] = record->cpu_millis,
+			[BW_NODE_MEMORY_MB] = record->memory_mb,
+			[BW_NODE_LINK_KBITS] = record->link_kbits,
+			[BW_NODE_DESCRIPTORS] = record->descriptors,
+		},
+	};
+}
+
 static void register_node(bw_fleet_member_t *m)
 {
 	Bramley__NodeRecord record = BRAMLEY__NODE_RECORD__INIT;
@@ -292,6 +274,7 @@
 	record.incarnation = m->incarnation;
 	record.lease = m->lease_id;
 	record.started_ms = m->started_wall_ms;
+	put_capacity(&record, &m->capacity);
 	write.bytes = bramley__node_record__get_packed_size(&record);
 	data = g_malloc(write.bytes + 1);
 	bramley__node_record__pack(&record, data);
@@ -391,19 +374,12 @@
 	return count;
 }
 
-static void count_role(void *arg, const char *pool)
-{
-	(void)pool;
-	(*(uint32_t *)arg)++;
-}
-
 /* Returns UINT32_MAX until this node's own registration has been read. */
 static uint32_t own_claim_rank(bw_fleet_member_t *m, const char *pool)
 {
 	uint32_t count = g_hash_table_size(m->nodes);
-	bw_claim_candidate_t *candidates =
-		g_new0(bw_claim_candidate_t, count + 1);
-	uint32_t roles = 0;
+	bw_ownership_candidate_t *candidates =
+		g_new0(bw_ownership_candidate_t, count + 1);
 	uint32_t self = UINT32_MAX;
 	GHashTableIter iter;
 	gpointer key;
@@ -411,19 +387,18 @@
 	uint32_t rank = UINT32_MAX;
 	uint32_t i = 0;
 
-	m->ops.foreach_pool(m->ctx, count_role, &roles);
 	g_hash_table_iter_init(&iter, m->nodes);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
 		candidates[i].name = key;
 		candidates[i].owned = count_owned(m, key);
 		candidates[i].started_ms = ((node_t *)value)->started_ms;
+		candidates[i].capacity = ((node_t *)value)->capacity;
 		if (!strcmp(key, m->name))
 			self = i;
 		i++;
 	}
 	if (self != UINT32_MAX)
-		rank = bw_fleet_claim_rank(pool, candidates, count, self,
-					   roles);
+		rank = bw_ownership_rank(pool, candidates, count, self);
 	g_free(candidates);
 	return rank;
 }
@@ -440,7 +415,9 @@
 		g_hash_table_insert(m->ownerless, g_strdup(pool), since_ms);
 	}
 	rank = own_claim_rank(m, pool);
-	return rank != UINT32_MAX && now_ms - *since_ms >= rank * RANK_STEP_MS;
+	return rank != UINT32_MAX &&
+	       now_ms - *since_ms >=
+		       bw_ownership_claim_delay_ms(rank, m->lease_ms);
 }
 
 static void try_claim(void *arg, const char *pool)
@@ -566,6 +543,7 @@
 	node = g_new0(node_t, 1);
 	node->started_ms = record->started_ms;
 	node->incarnation = record->incarnation;
+	node->capacity = get_capacity(record);
 	g_hash_table_replace(m->nodes, g_strdup(name), node);
 	m->ops.node_changed(m->ctx, name, record->address);
 	bramley__node_record__free_unpacked(record, NULL);
