--- a/test/test_slowlink.c
+++ b/test/test_slowlink.c
@@ -297,6 +297,35 @@
 	test_stop(t);
 }
 
+static void on_listed(void *ctx, bw_status_t status,
+		      const bw_machine_t *machines, uint32_t count)
+{
+	slow_test_t *t = ctx;
+
+	(void)machines;
+	t->replied = true;
+	t->status = status;
+	t->kv_count = count;
+	ev_break(t->loop, EVBREAK_ALL);
+}
+
+static void test_list_of_machines_may_take_long(void **state)
+{
+	slow_test_t *t = test_start(
+		answer_of("{\"machines\":[{\"machine\":\"m1\"},"
+			  "{\"machine\":\"m2\"}],\"next_token\":\"\"}"));
+	bw_machine_api_t api =
+		platform_machines_create(t->loop, t->server.address);
+
+	(void)state;
+	api.list(api.impl, on_listed, t);
+	run(t);
+	assert_int_equal(t->status, BW_OK);
+	assert_int_equal(t->kv_count, 2);
+	platform_machines_destroy(&api);
+	test_stop(t);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -306,6 +335,7 @@
 		cmocka_unit_test(test_watch_may_wait_for_its_answer),
 		cmocka_unit_test(test_watch_never_answered_is_lost),
 		cmocka_unit_test(test_lease_call_has_a_limit_in_all),
+		cmocka_unit_test(test_list_of_machines_may_take_long),
 	};
 
 	curl_global_init(CURL_GLOBAL_NOTHING);
