Watch the store's keys beside the read of them

Change: the watch begins with the first page, at its revision. A key that changes beside the read is not missing at its end, and the revision of a key that is deleted beside it is kept until then, since a page read before may still have the key. A watch that fails is begun again from the last event; a history that is gone starts the read again, as before.

Ruled out: that consumers need the last page before a change. Changes came before synced() in any case, from the pages; pools ignore deletions, the others keep their newest revision.

Before: test_read_longer_than_the_history_is_watched gets a watch whose history is gone, and three tests of orders of pages and events find no watch. After: all seven tests of test_watch_cache pass.

--- a/src/fleet/watch_cache.c
+++ b/src/fleet/watch_cache.c
@@ -18,7 +18,10 @@
 	bw_watch_cache_ops_t ops;
 	void *ctx;
 	GHashTable *revisions; /**< Key to its revision, as int64_t. */
-	GHashTable *read_keys; /**< Keys found by the full read in progress. */
+	/** Keys found by the full read in progress, or changed beside it. */
+	GHashTable *read_keys;
+	/** Keys deleted beside the full read, whose revisions are kept. */
+	GHashTable *deleted_keys;
 	char *last_key; /**< Last key of the pages read; NULL before them. */
 	bw_store_watch_t *watch;
 	ev_timer retry;
@@ -60,6 +63,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	c->read_keys =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	c->deleted_keys =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	ev_timer_init(&c->retry, on_retry, RETRY_S, 0.0);
 	c->retry.data = c;
 	start_full_read(c);
@@ -70,6 +75,7 @@
 {
 	g_hash_table_destroy(c->revisions);
 	g_hash_table_destroy(c->read_keys);
+	g_hash_table_destroy(c->deleted_keys);
 	g_free(c->last_key);
 	g_free(c->prefix);
 	g_free(c);
@@ -93,11 +99,11 @@
 
 	(void)loop;
 	(void)revents;
-	if (c->history_gone)
+	if (c->history_gone && !c->call_pending)
 		start_full_read(c);
-	else if (c->full_read)
+	else if (c->full_read && !c->call_pending)
 		read_page(c);
-	else
+	if (!c->watch && !c->history_gone && c->reported_revision > 0)
 		start_watch(c);
 }
 
@@ -115,6 +121,9 @@
 	c->read_started_ms = bw_clock_now_ms();
 	c->pages = 0;
 	c->reported_revision = 0;
+	if (c->watch)
+		c->store.ops->watch_end(c->store.impl, c->watch);
+	c->watch = NULL;
 	g_hash_table_remove_all(c->read_keys);
 	g_clear_pointer(&c->last_key, g_free);
 	read_page(c);
@@ -132,6 +141,19 @@
 	c->store.ops->page(c->store.impl, &page, on_page, c);
 }
 
+/*
+ * Notes a change while a full read is in progress. The revision of a deleted
+ * key is kept, since a page that was read before may still have the key.
+ */
+static void note_change(bw_watch_cache_t *c, const bw_store_kv_t *kv)
+{
+	g_hash_table_add(c->read_keys, g_strdup(kv->key));
+	if (kv->deleted)
+		g_hash_table_add(c->deleted_keys, g_strdup(kv->key));
+	else
+		g_hash_table_remove(c->deleted_keys, kv->key);
+}
+
 static void apply_change(bw_watch_cache_t *c, const bw_store_kv_t *kv)
 {
 	int64_t *revision = g_hash_table_lookup(c->revisions, kv->key);
@@ -141,11 +163,24 @@
 	revision = g_new(int64_t, 1);
 	*revision = kv->mod_revision;
 	g_hash_table_replace(c->revisions, g_strdup(kv->key), revision);
+	if (c->full_read)
+		note_change(c, kv);
 	c->ops.changed(c->ctx, kv);
-	if (kv->deleted)
+	if (kv->deleted && !c->full_read)
 		g_hash_table_remove(c->revisions, kv->key);
 }
 
+static void forget_deleted(bw_watch_cache_t *c)
+{
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, c->deleted_keys);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		g_hash_table_remove(c->revisions, key);
+	g_hash_table_remove_all(c->deleted_keys);
+}
+
 /* Reports keys as deleted that a full read did not find. */
 static void report_missing(bw_watch_cache_t *c)
 {
@@ -164,6 +199,7 @@
 		c->ops.changed(c->ctx, &kv);
 		g_hash_table_iter_remove(&iter);
 	}
+	forget_deleted(c);
 	g_hash_table_remove_all(c->read_keys);
 }
 
@@ -200,16 +236,18 @@
 	c->ops.store_result(c->ctx, reply->status);
 	if (reply->status != BW_OK) {
 		log_read(c, reply->status);
-		c->history_gone = reply->status == BW_ESTALE;
+		c->history_gone |= reply->status == BW_ESTALE;
 		if (!c->destroyed)
 			retry_later(c);
 		return;
 	}
+	if (c->destroyed)
+		return;
+	if (c->history_gone) {
+		retry_later(c);
+		return;
+	}
 	c->pages++;
-	/*
-	 * Pages are read at different revisions, so the watch starts at the
-	 * revision of the first one.
-	 */
 	if (c->reported_revision == 0)
 		c->reported_revision = reply->revision;
 	for (i = 0; i < reply->kv_count && !c->destroyed; i++) {
@@ -218,6 +256,13 @@
 	}
 	if (c->destroyed)
 		return;
+	/*
+	 * Pages are read at different revisions, so the watch starts at the
+	 * revision of the first one; it starts beside the read, which may take
+	 * longer than the store keeps its history.
+	 */
+	if (!c->watch)
+		start_watch(c);
 	if (reply->has_more && reply->kv_count > 0) {
 		g_free(c->last_key);
 		c->last_key = g_strdup(reply->kvs[reply->kv_count - 1].key);
@@ -227,10 +272,8 @@
 	c->full_read = false;
 	log_read(c, BW_OK);
 	report_missing(c);
-	if (c->destroyed)
-		return;
-	start_watch(c);
-	c->ops.synced(c->ctx);
+	if (!c->destroyed)
+		c->ops.synced(c->ctx);
 }
 
 static void start_watch(bw_watch_cache_t *c)
@@ -265,6 +308,6 @@
 	c->in_callback = true;
 	handle_events(c, reply);
 	c->in_callback = false;
-	if (c->destroyed)
+	if (c->destroyed && !c->call_pending)
 		cache_free(c);
 }
--- a/src/fleet/watch_cache.h
+++ b/src/fleet/watch_cache.h
@@ -24,8 +24,8 @@
 } bw_watch_cache_ops_t;
 
 /**
- * Creates a cache, which reads all keys and then watches them. After a failed
- * call a read goes on from the last key that it has.
+ * Creates a cache, which reads all keys and watches them from the first page
+ * on. After a failed call a read goes on from the last key that it has.
  */
 bw_watch_cache_t *bw_watch_cache_create(struct ev_loop *loop,
 					const bw_store_t *store,
