Show that heartbeats wait for starts

The test has two heartbeats, a stop and eight starts due in one round.

test_heartbeats_wait_for_no_start: 0x4 != 0x6 (heartbeats before the last start)

The stop is in front already.

--- a/test/test_sched.c
+++ b/test/test_sched.c
@@ -20,6 +20,8 @@
 	uint32_t start_count;
 	uint32_t stop_count;
 	uint32_t heartbeat_count;
+	uint32_t heartbeats_at_start; /**< Sent before the last start. */
+	uint32_t stops_at_start; /**< The same of stops. */
 	int64_t grant_clock_ms; /**< Of the last heartbeat; 0: none. */
 	uint32_t superseded;
 	int64_t now_ms;
@@ -32,6 +34,8 @@
 	assert_true(o->start_count < ORDERS_MAX);
 	o->starts[o->start_count].task = order->task;
 	o->starts[o->start_count].run = order->run;
+	o->heartbeats_at_start = o->heartbeat_count;
+	o->stops_at_start = o->stop_count;
 	g_strlcpy(o->starts[o->start_count++].worker, order->worker, 16);
 }
 
@@ -659,6 +663,37 @@
 	bw_sched_destroy(o.sched);
 }
 
+/*
+ * What keeps grants alive and what frees workers goes before starts, which are
+ * many and long: on a slow link all that is sent later waits for them.
+ */
+static void test_heartbeats_wait_for_no_start(void **state)
+{
+	orders_t o;
+	uint32_t heartbeats;
+
+	(void)state;
+	begin_with_four_workers(&o);
+	add_job(&o, JOB_EARLY, 1, false, 1500, 500);
+	run(&o, 10);
+	bw_sched_start_answered(o.sched, o.now_ms, o.starts[0].worker,
+				&o.starts[0].task, 1, BW_ORDER_OK, 0);
+	bw_sched_worker_cordon(o.sched, o.starts[0].worker, true);
+	run(&o, 10);
+	o.now_ms += 3500;
+	answer_heartbeat(&o, "w2", NULL, 0, NULL, 0);
+	answer_heartbeat(&o, "w3", NULL, 0, NULL, 0);
+	add_job(&o, JOB_A, 8, false, 1500, 500);
+	heartbeats = o.heartbeat_count;
+	run(&o, 0);
+	assert_int_equal(o.start_count, 9);
+	assert_int_equal(o.stop_count, 1);
+	assert_int_equal(o.stops_at_start, 1);
+	assert_int_equal(o.heartbeat_count, heartbeats + 2);
+	assert_int_equal(o.heartbeats_at_start, heartbeats + 2);
+	bw_sched_destroy(o.sched);
+}
+
 /* Data that is not a pool record is rejected. */
 static void test_bad_state(void **state)
 {
@@ -693,6 +728,7 @@
 		cmocka_unit_test(test_silent_worker_gets_no_grant),
 		cmocka_unit_test(test_superseded),
 		cmocka_unit_test(test_no_move_right_after_takeover),
+		cmocka_unit_test(test_heartbeats_wait_for_no_start),
 		cmocka_unit_test(test_bad_state),
 	};
 
