Send heartbeats before starts

Callers and operators saw a pool lose its owner in a surge: grants of its workers expired while megabytes of start orders were on the owner's link.

Cause: a round of the scheduler placed all tasks that fit and sent heartbeats last. Orders share the node's link in the order in which they are sent, and end without an answer after 0.7 s. Ruled out: stops, which went first already.

Heartbeats go before the starts of a round.

--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -194,9 +194,10 @@
 	sched_jobs_reap(s);
 	sched_jobs_discard(s, now_ms);
 	sched_evacuate(s, now_ms);
+	/* On a slow link all orders wait for those sent before them. */
+	sched_send_heartbeats(s, now_ms);
 	if (s->saved_version > 0)
 		sched_place(s, now_ms);
-	sched_send_heartbeats(s, now_ms);
 }
 
 uint64_t bw_sched_version(const bw_sched_t *s)
