Show that starts are sent without regard to what the link carries

The tests put starts on a link that carries one every 3 ms, with the timeout of an order, 0.7 s.

test_starts_are_not_lost_on_a_slow_link: 500 starts are sent at once, those that the link has not carried after 0.7 s are lost (lost is not 0) test_lasting_tasks_do_not_wait_for_others: all 500 starts are on the link when lasting tasks come

test_quick_answers_hold_nothing_back and test_gang_is_not_split pass and guard what a bound must not break. The arrays of the tests' orders become larger; test_fullest_is_found keeps its 63 jobs.

--- a/test/test_sched.c
+++ b/test/test_sched.c
@@ -7,7 +7,7 @@
 
 #include "sched/sched.h"
 
-#define ORDERS_MAX 64
+#define ORDERS_MAX 1024
 
 /** A scheduler and the orders that it sent. */
 typedef struct orders {
@@ -494,6 +494,7 @@
 }
 
 #define MANY_WORKERS 20
+#define MANY_JOBS    64
 
 /* Returns the worker with the least free processor that fits, by a scan. */
 static uint32_t best_worker(const int64_t *free_millis, int64_t need)
@@ -529,7 +530,7 @@
 	}
 	save(&o);
 	run(&o, 10);
-	for (i = 1; i < ORDERS_MAX; i++) {
+	for (i = 1; i < MANY_JOBS; i++) {
 		int64_t need = g_rand_int_range(rand, 1, 60) * 100;
 		uint32_t best = best_worker(free_millis, need);
 
@@ -545,7 +546,7 @@
 		assert_string_equal(o.starts[started - 1].worker, id);
 		free_millis[best] -= need;
 	}
-	assert_true(started > ORDERS_MAX / 2);
+	assert_true(started > MANY_JOBS / 2);
 	g_rand_free(rand);
 	bw_sched_destroy(o.sched);
 }
@@ -694,6 +695,180 @@
 	bw_sched_destroy(o.sched);
 }
 
+/** Timeout of an order to a worker. */
+#define ORDER_TIMEOUT_MS 700
+
+/** A link that carries the starts of an owner one after the other. */
+typedef struct link {
+	orders_t *o;
+	int64_t carry_ms; /**< Time for one start. */
+	int64_t free_ms; /**< When all starts so far are carried. */
+	uint32_t answered;
+	uint32_t lost;
+	int64_t due_ms[ORDERS_MAX]; /**< When the answer comes. */
+	bool carried[ORDERS_MAX]; /**< It comes before the timeout. */
+} link_t;
+
+/* Puts the starts that the scheduler sent since the last call on the link. */
+static void carry_starts(link_t *l, uint32_t sent_before)
+{
+	const orders_t *o = l->o;
+	uint32_t i;
+
+	for (i = sent_before; i < o->start_count; i++) {
+		l->free_ms = MAX(l->free_ms, o->now_ms) + l->carry_ms;
+		l->carried[i] = l->free_ms - o->now_ms < ORDER_TIMEOUT_MS;
+		l->due_ms[i] = l->carried[i] ? l->free_ms
+					     : o->now_ms + ORDER_TIMEOUT_MS;
+	}
+}
+
+/* Answers the starts that are due, in the order in which they were sent. */
+static void answer_starts(link_t *l)
+{
+	orders_t *o = l->o;
+
+	while (l->answered < o->start_count &&
+	       l->due_ms[l->answered] <= o->now_ms) {
+		uint32_t i = l->answered++;
+
+		l->lost += !l->carried[i];
+		bw_sched_start_answered(
+			o->sched, o->now_ms, o->starts[i].worker,
+			&o->starts[i].task, o->starts[i].run,
+			l->carried[i] ? BW_ORDER_OK : BW_ORDER_LOST, 0);
+	}
+}
+
+/* Answers a heartbeat with the runs that the worker has begun. */
+static void list_runs(link_t *l)
+{
+	orders_t *o = l->o;
+	bw_run_row_t *rows = g_new0(bw_run_row_t, ORDERS_MAX);
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < l->answered; i++) {
+		if (!l->carried[i])
+			continue;
+		rows[count].task = o->starts[i].task;
+		rows[count].run = o->starts[i].run;
+		rows[count++].checkpoint = "";
+	}
+	answer_heartbeat(o, "w1", rows, count, NULL, 0);
+	g_free(rows);
+}
+
+/* Runs the scheduler for a time; the worker answers each heartbeat. */
+static void run_with_link(link_t *l, int64_t ms)
+{
+	orders_t *o = l->o;
+	int64_t end_ms = o->now_ms + ms;
+
+	while (o->now_ms < end_ms) {
+		uint32_t sent = o->start_count;
+
+		run(o, 1);
+		carry_starts(l, sent);
+		answer_starts(l);
+		if (o->now_ms % 100 == 0)
+			list_runs(l);
+	}
+}
+
+static void begin_with_link(link_t *l, orders_t *o, int64_t carry_ms)
+{
+	memset(l, 0, sizeof(*l));
+	l->o = o;
+	l->carry_ms = carry_ms;
+	begin(o);
+	add_worker_with(o, "w1", 1000000);
+	answer_heartbeat(o, "w1", NULL, 0, NULL, 0);
+	save(o);
+	run(o, 10);
+}
+
+/*
+ * A backlog of starts that the node's link carries in 1.5 s goes out bit by
+ * bit, so that none waits until its timeout.
+ */
+static void test_starts_are_not_lost_on_a_slow_link(void **state)
+{
+	orders_t o;
+	link_t l;
+
+	(void)state;
+	begin_with_link(&l, &o, 3);
+	add_job(&o, JOB_A, 500, false, 1000, 60000);
+	run_with_link(&l, 890);
+	assert_int_equal(l.lost, 0);
+	run_with_link(&l, 1200);
+	assert_int_equal(l.lost, 0);
+	assert_int_equal(o.start_count, 500);
+	assert_int_equal(l.answered, 500);
+	bw_sched_destroy(o.sched);
+}
+
+/* Lasting tasks take the first places that become free behind a slow link. */
+static void test_lasting_tasks_do_not_wait_for_others(void **state)
+{
+	orders_t o;
+	link_t l;
+	uint32_t sent;
+	uint32_t i;
+
+	(void)state;
+	begin_with_link(&l, &o, 3);
+	add_job(&o, JOB_A, 500, false, 1000, 60000);
+	run_with_link(&l, 20);
+	sent = o.start_count;
+	assert_true(sent < 250);
+	add_job(&o, JOB_B, 24, true, 1000, 0);
+	run_with_link(&l, 400);
+	assert_true(o.start_count >= sent + 24);
+	for (i = sent; i < sent + 24; i++)
+		assert_string_equal(o.starts[i].task.job, JOB_B);
+	bw_sched_destroy(o.sched);
+}
+
+/* Where answers come at once, a backlog starts without a pause. */
+static void test_quick_answers_hold_nothing_back(void **state)
+{
+	orders_t o;
+	link_t l;
+
+	(void)state;
+	begin_with_link(&l, &o, 0);
+	add_job(&o, JOB_A, 500, false, 1000, 60000);
+	run_with_link(&l, 10);
+	assert_int_equal(o.start_count, 500);
+	assert_int_equal(l.lost, 0);
+	bw_sched_destroy(o.sched);
+}
+
+/* All tasks of a gang start together, however many starts are in flight. */
+static void test_gang_is_not_split(void **state)
+{
+	bw_job_record_t record = { .queue = g_strdup("q"),
+				   .spec = bw_job_spec_new(1) };
+	orders_t o;
+	link_t l;
+
+	(void)state;
+	begin_with_link(&l, &o, 3);
+	record.accepted_ms = o.now_ms;
+	record.spec->text = g_strdup("text");
+	record.spec->steps[0].count = 300;
+	record.spec->steps[0].gang = true;
+	record.spec->steps[0].need.cpu_millis = 100;
+	record.spec->steps[0].estimate_ms = 500;
+	bw_sched_add_job(o.sched, o.now_ms, o.now_ms, JOB_A, &record);
+	bw_job_record_clear(&record);
+	run(&o, 10);
+	assert_int_equal(o.start_count, 300);
+	bw_sched_destroy(o.sched);
+}
+
 /* Data that is not a pool record is rejected. */
 static void test_bad_state(void **state)
 {
@@ -729,6 +904,10 @@
 		cmocka_unit_test(test_superseded),
 		cmocka_unit_test(test_no_move_right_after_takeover),
 		cmocka_unit_test(test_heartbeats_wait_for_no_start),
+		cmocka_unit_test(test_starts_are_not_lost_on_a_slow_link),
+		cmocka_unit_test(test_lasting_tasks_do_not_wait_for_others),
+		cmocka_unit_test(test_quick_answers_hold_nothing_back),
+		cmocka_unit_test(test_gang_is_not_split),
 		cmocka_unit_test(test_bad_state),
 	};
 
