Bound the starts in flight by how quickly they are answered

Callers saw their jobs lost with the owner of a pool: on a small node the start orders of a surge filled the link, ended without an answer after 0.7 s, were stopped and sent again, and kept heartbeats and the lease waiting meanwhile.

Cause: all tasks that fit were started at once, whatever the node's link and processor carry. Ruled out: a fixed rate, since it would need the node's figures.

A window (src/sched/start_window) bounds the starts without an answer: it grows by steps while answers come within a quarter of the order's timeout, and is halved when over a half of a round's answers come later; late answers to heartbeats count as slow. Between 32 and 512, 64 at first. Tasks beyond it wait in the order of urgency, lasting ones first; a gang starts as a whole once the window is open.

--- a/bench/bench_place.c
+++ b/bench/bench_place.c
@@ -33,13 +33,36 @@
 	bw_sched_t *s;
 	GQueue *jobs; /**< Identifiers, in the order of submission. */
 	uint64_t last_job;
-	uint64_t starts;
+	GArray *starts; /**< Not answered yet. */
 } bench_t;
 
-static void count_start(void *ctx, const bw_start_order_t *order)
+/** A start that the workers have not answered. */
+typedef struct start {
+	char worker[16];
+	bw_task_name_t task;
+	uint32_t run;
+} start_t;
+
+static void record_start(void *ctx, const bw_start_order_t *order)
 {
-	(void)order;
-	((bench_t *)ctx)->starts++;
+	start_t start = { .task = order->task, .run = order->run };
+
+	g_strlcpy(start.worker, order->worker, sizeof(start.worker));
+	g_array_append_val(((bench_t *)ctx)->starts, start);
+}
+
+static void answer_starts(bench_t *b)
+{
+	guint i;
+
+	for (i = 0; i < b->starts->len; i++) {
+		const start_t *start = &g_array_index(b->starts, start_t, i);
+
+		bw_sched_start_answered(b->s, NOW_MS, start->worker,
+					&start->task, start->run, BW_ORDER_OK,
+					NOW_MS);
+	}
+	g_array_set_size(b->starts, 0);
 }
 
 static void ignore_run_order(void *ctx, const bw_run_order_t *order)
@@ -54,7 +77,7 @@
 	(void)order;
 }
 
-static const bw_sched_ops_t ops = { .start = count_start,
+static const bw_sched_ops_t ops = { .start = record_start,
 				    .stop = ignore_run_order,
 				    .throttle = ignore_run_order,
 				    .heartbeat = ignore_heartbeat };
@@ -145,6 +168,7 @@
 
 	b->s = sched_fixture_create(&ops, b, NOW_MS);
 	b->jobs = g_queue_new();
+	b->starts = g_array_new(FALSE, FALSE, sizeof(start_t));
 	for (i = 0; i < workers; i++)
 		add_worker(b, i);
 	sched_fixture_save(b->s, NOW_MS);
@@ -155,6 +179,7 @@
 {
 	bw_sched_destroy(b->s);
 	g_queue_free_full(b->jobs, g_free);
+	g_array_free(b->starts, TRUE);
 }
 
 /* Returns the mean time to place a task, in jobs submitted one by one. */
@@ -170,6 +195,7 @@
 		start_ns = thread_time_ns();
 		sched_place(b->s, NOW_MS);
 		total_ns += thread_time_ns() - start_ns;
+		answer_starts(b);
 		finish_oldest_job(b);
 	}
 	return (double)total_ns / 1000.0 / (double)(decisions / TASKS * TASKS);
@@ -212,9 +238,11 @@
 		double us;
 
 		create_pool(&b, workers);
-		for (k = 0; k < jobs + (full ? BACKLOG_JOBS : 0); k++)
+		for (k = 0; k < jobs + (full ? BACKLOG_JOBS : 0); k++) {
 			submit_job(&b);
-		sched_place(b.s, NOW_MS);
+			sched_place(b.s, NOW_MS);
+			answer_starts(&b);
+		}
 		us = time_placements(&b, DECISIONS);
 		best_us = MIN(best_us, us);
 		destroy_pool(&b);
--- a/src/sched/heartbeat.c
+++ b/src/sched/heartbeat.c
@@ -276,6 +276,9 @@
 		heartbeat_failed(s, worker, answer->result, now_ms);
 		return;
 	}
+	bw_start_window_heartbeat(s->start_window,
+				  now_ms - answer->sent_ms -
+					  worker->heartbeat_wait_ms);
 	sched_record_start_time(s, worker, answer->started_ms);
 	sched_record_clock(worker, now_ms, answer->clock_ms);
 	worker->last_heartbeat_ms = now_ms;
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "sched/sched.h"
+#include "sched/start_window.h"
 
 /** A start whose call failed is stopped unless the run is listed by then. */
 #define START_CONFIRM_MS 600
@@ -74,6 +75,7 @@
 	bool ready; /**< Lasting task: it has started up. */
 	bool maybe_running; /**< By a start of an earlier owner. */
 	bool stop_answered;
+	bool start_in_flight; /**< It counts in the window on starts. */
 	uint32_t run; /**< Number of the last start. */
 	uint32_t failures;
 	/** Last runs counted as failures; their ends may be reported again. */
@@ -167,9 +169,11 @@
 	bool has_orphans; /**< Runs tasks that it should not run; their resource
 			       use is unknown. */
 	bool heartbeat_pending; /**< A heartbeat is not answered yet. */
+	int64_t heartbeat_wait_ms; /**< That the last heartbeat asked for. */
 	GPtrArray *siblings; /**< Workers that run or ran on its machine, with
 				itself; NULL: machine not reported. */
 	capacity_index_t *index;
+	bw_start_window_t *start_window; /**< The scheduler's. */
 	bool indexed; /**< Is in the index under the next two. */
 	placement_class_t placement_class;
 	int64_t indexed_free_millis; /**< Free processor. */
@@ -207,6 +211,7 @@
 	GHashTable *workers;
 	GHashTable *machines; /**< Name to a GPtrArray of workers. */
 	capacity_index_t *index; /**< Workers by free processor. */
+	bw_start_window_t *start_window; /**< Bounds starts in flight. */
 	GHashTable *startable; /**< Occurrences that may have tasks to start. */
 	int64_t created_ms;
 	double arrival_rate; /**< Decayed, in thousandths of a core. */
--- a/src/sched/order.c
+++ b/src/sched/order.c
@@ -26,6 +26,9 @@
 
 	if (!worker)
 		return;
+	if (task->start_in_flight)
+		bw_start_window_dropped(worker->start_window);
+	task->start_in_flight = false;
 	add_usage(worker, task, -1);
 	g_ptr_array_remove_fast(worker->tasks, task);
 	task->worker = NULL;
@@ -98,6 +101,7 @@
 	worker->granted_clock_ms =
 		MAX(worker->granted_clock_ms, order.grant_clock_ms);
 	worker->heartbeat_pending = true;
+	worker->heartbeat_wait_ms = order.wait_ms;
 	s->ops.heartbeat(s->ctx, &order);
 }
 
@@ -170,6 +174,10 @@
 		worker->pause_until_ms = now_ms + UNHEALTHY_PAUSE_MS;
 	if (!task || task->worker != worker || task->run != run)
 		return;
+	if (task->start_in_flight)
+		bw_start_window_answered(s->start_window,
+					 now_ms - task->ordered_ms);
+	task->start_in_flight = false;
 	if (result == BW_ORDER_OK) {
 		sched_mark_started(s, task);
 		task->start_answered_ms = now_ms;
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -377,6 +377,8 @@
 		  job->id, task->step, task->index, task->run, worker->id,
 		  now_ms - task->occurrence->due_ms,
 		  now_ms - worker->last_heartbeat_ms);
+	task->start_in_flight = true;
+	bw_start_window_sent(s->start_window);
 	s->ops.start(s->ctx, &order);
 }
 
@@ -413,6 +415,8 @@
 		stop_incomplete(s, tasks, count, now_ms);
 		return true;
 	}
+	if (!bw_start_window_open(s->start_window))
+		return true;
 	for (i = 0; i < count; i++) {
 		if (!task_startable(s, &tasks[i], now_ms))
 			return true;
@@ -481,7 +485,9 @@
 		request_advice(s, occurrence, step, now_ms);
 	if (spec->gang)
 		return place_gang(s, occurrence, step, now_ms);
-	for (i = 0; i < spec->count && state->waiting > 0; i++) {
+	for (i = 0; i < spec->count && state->waiting > 0 &&
+		    bw_start_window_open(s->start_window);
+	     i++) {
 		task_t *task = &occurrence->tasks[state->first_task + i];
 		worker_t *worker;
 
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -20,6 +20,9 @@
 
 typedef struct bw_sched bw_sched_t;
 
+/** Timeout of an order; its worker may still carry it out. */
+#define BW_ORDER_TIMEOUT_MS 700
+
 /** Limits of a pool, from the settings. */
 typedef struct bw_sched_config {
 	int64_t grant_ms; /**< Duration of a grant on running tasks. */
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -22,6 +22,7 @@
 	worker->next_heartbeat_ms = now_ms;
 	worker->filler_percent = 100;
 	worker->index = s->index;
+	worker->start_window = s->start_window;
 	worker->inherited = s->inherits_stops && s->saved_version == 0;
 	g_hash_table_insert(s->workers, worker->id, worker);
 	return worker;
