Show that a backlog is ranked for each task that ends

Each turn of the loop in which anything happened ranks all jobs that wait and tries them.

The test has 200 jobs waiting and 100 tasks that end 1 ms apart. It fails: rounds in which tasks start are not below a quarter of the ends. test_short_queue_is_placed_at_once passes and guards the reaction of a pool with a short queue.

--- a/test/test_sched.c
+++ b/test/test_sched.c
@@ -705,6 +705,7 @@
 	int64_t free_ms; /**< When all starts so far are carried. */
 	uint32_t answered;
 	uint32_t lost;
+	uint32_t ended; /**< Runs, in the order of their starts. */
 	int64_t due_ms[ORDERS_MAX]; /**< When the answer comes. */
 	bool carried[ORDERS_MAX]; /**< It comes before the timeout. */
 } link_t;
@@ -741,21 +742,21 @@
 }
 
 /* Answers a heartbeat with the runs that the worker has begun. */
-static void list_runs(link_t *l)
+static void list_runs(link_t *l, const bw_end_row_t *end)
 {
 	orders_t *o = l->o;
 	bw_run_row_t *rows = g_new0(bw_run_row_t, ORDERS_MAX);
 	uint32_t count = 0;
 	uint32_t i;
 
-	for (i = 0; i < l->answered; i++) {
+	for (i = l->ended; i < l->answered; i++) {
 		if (!l->carried[i])
 			continue;
 		rows[count].task = o->starts[i].task;
 		rows[count].run = o->starts[i].run;
 		rows[count++].checkpoint = "";
 	}
-	answer_heartbeat(o, "w1", rows, count, NULL, 0);
+	answer_heartbeat(o, "w1", rows, count, end, end ? 1 : 0);
 	g_free(rows);
 }
 
@@ -772,7 +773,7 @@
 		carry_starts(l, sent);
 		answer_starts(l);
 		if (o->now_ms % 100 == 0)
-			list_runs(l);
+			list_runs(l, NULL);
 	}
 }
 
@@ -846,6 +847,80 @@
 	bw_sched_destroy(o.sched);
 }
 
+/** Jobs that wait while the pool is full. */
+#define BACKLOG_JOBS 200
+/** Runs that end, one each millisecond. */
+#define ENDING_RUNS 100
+
+/* Ends the run that was started first. */
+static void end_oldest_run(link_t *l)
+{
+	bw_end_row_t end = { .number = l->ended + 1,
+			     .task = l->o->starts[l->ended].task,
+			     .run = 1,
+			     .kind = BW_END_DONE };
+
+	l->ended++;
+	list_runs(l, &end);
+}
+
+/*
+ * Ranking a long backlog takes time that an overloaded owner lacks, so it is
+ * not done again for each task that ends, but for several together.
+ */
+static void test_backlog_is_not_ranked_for_each_end(void **state)
+{
+	orders_t o;
+	link_t l;
+	uint32_t rounds = 0;
+	uint32_t i;
+	char id[20];
+
+	(void)state;
+	begin_with_link(&l, &o, 0);
+	add_job(&o, JOB_A, 500, false, 2000, 60000);
+	run_with_link(&l, 10);
+	assert_int_equal(o.start_count, 500);
+	for (i = 0; i < BACKLOG_JOBS; i++) {
+		g_snprintf(id, sizeof(id), "%016x", i + 1);
+		add_job(&o, id, 1, false, 2000, 60000);
+	}
+	run_with_link(&l, 10);
+	for (i = 0; i < ENDING_RUNS; i++) {
+		uint32_t sent = o.start_count;
+
+		end_oldest_run(&l);
+		run_with_link(&l, 1);
+		rounds += o.start_count > sent;
+	}
+	assert_true(rounds > 0);
+	assert_true(rounds < ENDING_RUNS / 4);
+	run_with_link(&l, 50);
+	assert_int_equal(o.start_count, 500 + ENDING_RUNS);
+	bw_sched_destroy(o.sched);
+}
+
+/* Where little waits, a task that ends is replaced at once. */
+static void test_short_queue_is_placed_at_once(void **state)
+{
+	orders_t o;
+	link_t l;
+
+	(void)state;
+	begin_with_link(&l, &o, 0);
+	add_job(&o, JOB_A, 500, false, 2000, 60000);
+	run_with_link(&l, 10);
+	add_job(&o, JOB_B, 5, false, 2000, 60000);
+	run_with_link(&l, 2);
+	end_oldest_run(&l);
+	run_with_link(&l, 1);
+	assert_int_equal(o.start_count, 501);
+	end_oldest_run(&l);
+	run_with_link(&l, 1);
+	assert_int_equal(o.start_count, 502);
+	bw_sched_destroy(o.sched);
+}
+
 /* All tasks of a gang start together, however many starts are in flight. */
 static void test_gang_is_not_split(void **state)
 {
@@ -907,6 +982,8 @@
 		cmocka_unit_test(test_starts_are_not_lost_on_a_slow_link),
 		cmocka_unit_test(test_lasting_tasks_do_not_wait_for_others),
 		cmocka_unit_test(test_quick_answers_hold_nothing_back),
+		cmocka_unit_test(test_backlog_is_not_ranked_for_each_end),
+		cmocka_unit_test(test_short_queue_is_placed_at_once),
 		cmocka_unit_test(test_gang_is_not_split),
 		cmocka_unit_test(test_bad_state),
 	};
