Show that connections to workers are closed on large sites

The owner of the busiest pool has one heartbeat waiting on each of some 80 workers, and libcurl closes connections above 64 in all, those in use included: each start and each heartbeat connects anew.

The test calls 200 hosts twice.

test_connections_to_many_hosts_are_kept: 0x190 != 0xc8 (400 connections, not 200)

--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -6,6 +6,7 @@
 
 #include <string.h>
 
+#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <ev.h>
 #include <glib.h>
@@ -425,12 +426,77 @@
 	ev_loop_destroy(t.loop);
 }
 
+/** Server that all of the loopback's addresses reach. */
+#define ANY_HOST      "0.0.0.0:18626"
+#define ANY_HOST_PORT 18626
+/** More hosts than a pool of a large site has workers. */
+#define HOSTS 200U
+
+/** The connection that each host was called on last. */
+typedef struct many_hosts {
+	uint16_t client_ports[HOSTS];
+	uint32_t connections;
+} many_hosts_t;
+
+/* Counts a connection whose client port is not that of the last call. */
+static enum MHD_Result serve_host(void *ctx, bw_simple_request_t *r)
+{
+	many_hosts_t *m = ctx;
+	uint32_t host = (uint32_t)g_ascii_strtoull(r->path + 1, NULL, 10);
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		r->connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+	const struct sockaddr_in *client =
+		(const struct sockaddr_in *)(const void *)info->client_addr;
+
+	if (m->client_ports[host] != client->sin_port)
+		m->connections++;
+	m->client_ports[host] = client->sin_port;
+	return bw_simple_reply(r, 200, "application/json", "{}", 2);
+}
+
+static void call_all_hosts(front_test_t *t, bw_http_client_t *client)
+{
+	char url[64];
+	uint32_t i;
+
+	for (i = 0; i < HOSTS; i++) {
+		g_snprintf(url, sizeof(url), "http://127.0.9.%u:%u/%u", i + 1,
+			   ANY_HOST_PORT, i);
+		call(t, client, "GET", url, NULL, 0);
+		assert_int_equal(t->status, 200);
+	}
+}
+
+/* A call to a known host uses the connection that is open, whatever the number
+ * of hosts. */
+static void test_connections_to_many_hosts_are_kept(void **state)
+{
+	front_test_t t = { .loop = ev_loop_new(0) };
+	many_hosts_t hosts = { 0 };
+	bw_simple_config_t config = { ANY_HOST, 65536, 2 * HOSTS };
+	bw_http_client_t *client = bw_http_client_create(t.loop, 8);
+	bw_simplehttp_t *http;
+
+	(void)state;
+	assert_int_equal(bw_simplehttp_create(t.loop, &config, serve_host,
+					      &hosts, &http),
+			 BW_OK);
+	call_all_hosts(&t, client);
+	assert_int_equal(hosts.connections, HOSTS);
+	call_all_hosts(&t, client);
+	assert_int_equal(hosts.connections, HOSTS);
+	bw_http_client_destroy(client);
+	bw_simplehttp_destroy(http);
+	ev_loop_destroy(t.loop);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_front),
 		cmocka_unit_test(test_store),
 		cmocka_unit_test(test_workers),
+		cmocka_unit_test(test_connections_to_many_hosts_are_kept),
 	};
 
 	curl_global_init(CURL_GLOBAL_NOTHING);
