Keep connections to all workers open

Callers saw pools of the large site lose their workers' grants in surges: hundreds of heartbeats ended without an answer, though the workers were well.

Cause: the client of the workers kept at most 64 connections. libcurl counts those in use, and the owner of a pool of 80 workers has a heartbeat waiting on each, so each call that ended closed its connection, and each start and heartbeat connected anew: more packets and processor time, just when both were short.

The limit becomes 1024: above the workers of a pool, and a quarter of the 4,100 descriptors of a small node.

--- a/src/net/httpcall.c
+++ b/src/net/httpcall.c
@@ -7,8 +7,10 @@
 
 #include "net/curlev.h"
 
-/** Size of a client's connection cache. */
-#define CACHED_CONNECTIONS_MAX 64L
+/** Size of a client's connection cache. Connections in use count too, so it is
+ *  larger than the number of a pool's workers, and a quarter of the descriptors
+ *  of a small node. */
+#define CACHED_CONNECTIONS_MAX 1024L
 #define IDLE_HANDLES_MAX       32U
 #define RECEIVE_BYTES	       16384L
 
