Failing test: a small owner keeps its pool when large nodes come back

Cause: an owner keeps its pools until it leaves or its lease ends. Change: the interface of the decision, which still says no, and its tests: a small owner hands over once to a large node that has been registered for some seconds; equal nodes that are restarted in turn never do (passes); large nodes with 2 and 0 pools don't, with 4 and 0 they do. Seen: [ ERROR ] --- bw_ownership_find_better(POOL, nodes, 3, 0, STEADY_MS, &handover) [ FAILED ] test_small_owner_hands_over_to_large_node [ FAILED ] test_loads_of_large_nodes

--- a/src/fleet/ownership.c
+++ b/src/fleet/ownership.c
@@ -97,3 +97,17 @@
 {
 	return MIN((int64_t)rank * RANK_STEP_MS, lease_ms);
 }
+
+bool bw_ownership_find_better(const char *pool,
+			      const bw_ownership_candidate_t *candidates,
+			      uint32_t count, uint32_t self, int64_t now_ms,
+			      bw_handover_t *out)
+{
+	(void)pool;
+	(void)candidates;
+	(void)count;
+	(void)self;
+	(void)now_ms;
+	(void)out;
+	return false;
+}
--- a/src/fleet/ownership.h
+++ b/src/fleet/ownership.h
@@ -6,6 +6,7 @@
 #ifndef BW_FLEET_OWNERSHIP_H
 #define BW_FLEET_OWNERSHIP_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "fleet/capacity.h"
@@ -15,6 +16,7 @@
 	const char *name;
 	uint32_t owned; /**< Number of roles that it owns. */
 	int64_t started_ms; /**< Start of the process, in Unix time. */
+	int64_t seen_ms; /**< When this node learned of it, steady clock. */
 	bw_node_capacity_t capacity;
 } bw_ownership_candidate_t;
 
@@ -39,4 +41,25 @@
  */
 int64_t bw_ownership_claim_delay_ms(uint32_t rank, int64_t lease_ms);
 
+/** A planned handover of a pool to another node. */
+typedef struct bw_handover {
+	const char *to; /**< Node that will claim the pool first. */
+	double load; /**< Of the owner, with the pool. */
+	double to_load; /**< Of the other node, with the pool. */
+} bw_handover_t;
+
+/**
+ * Returns whether a pool's owner should hand it over: the node that ranks first
+ * has been registered for some seconds, and with the pool its load would be at
+ * most a quarter of the owner's. That node can't hand it back, as its load
+ * would have to be four times what the owner's was; and equal nodes of a fleet
+ * that is restarted in turn don't differ that much.
+ * @param self index of the owner
+ * @param out receives the handover
+ */
+bool bw_ownership_find_better(const char *pool,
+			      const bw_ownership_candidate_t *candidates,
+			      uint32_t count, uint32_t self, int64_t now_ms,
+			      bw_handover_t *out);
+
 #endif
--- a/test/test_ownership.c
+++ b/test/test_ownership.c
@@ -1,6 +1,8 @@
 /* Which node claims a pool. */
 #include "test.h"
 
+#include <string.h>
+
 #include <glib.h>
 
 #include "fleet/ownership.h"
@@ -146,6 +148,130 @@
 			 LEASE_MS);
 }
 
+/** Longer than a node must have been registered before it is handed pools. */
+#define STEADY_MS 10000
+
+/*
+ * A small node took a pool while no large one was there. It hands the pool over
+ * once a large one has been registered for some time, and then no more.
+ */
+static void test_small_owner_hands_over_to_large_node(void **state)
+{
+	bw_ownership_candidate_t nodes[] = {
+		{ .name = "a", .owned = 1, .capacity = small },
+		{ .name = "b", .capacity = small },
+		{ .name = "c", .capacity = large, .seen_ms = 1000 },
+	};
+	bw_handover_t handover;
+
+	(void)state;
+	assert_false(
+		bw_ownership_find_better(POOL, nodes, 3, 0, 1100, &handover));
+	assert_true(bw_ownership_find_better(POOL, nodes, 3, 0, STEADY_MS,
+					     &handover));
+	assert_string_equal(handover.to, "c");
+	assert_true(handover.to_load < handover.load);
+	nodes[0].owned = 0;
+	nodes[2].owned = 1;
+	assert_false(bw_ownership_find_better(POOL, nodes, 3, 2, STEADY_MS,
+					      &handover));
+}
+
+/*
+ * Returns whether any node would hand over a pool. A node without a role
+ * doesn't count.
+ */
+static bool any_hands_over(const bw_ownership_candidate_t *nodes,
+			   uint32_t count, int64_t now_ms)
+{
+	bw_handover_t handover;
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		if (nodes[i].owned > 0 &&
+		    bw_ownership_find_better(POOL, nodes, count, i, now_ms,
+					     &handover))
+			return true;
+	return false;
+}
+
+/* Lets the nodes claim some roles, one after the other. */
+static void claim_roles(bw_ownership_candidate_t *nodes, uint32_t count,
+			uint32_t roles)
+{
+	char role[8];
+	uint32_t i;
+
+	for (i = 0; i < roles; i++) {
+		g_snprintf(role, sizeof(role), "r%u", i);
+		nodes[first_to_claim(nodes, count, role)].owned++;
+	}
+}
+
+/* Stops the last node, whose roles are claimed, and starts it again. */
+static void restart_last(bw_ownership_candidate_t *nodes, uint32_t count,
+			 int64_t now_ms)
+{
+	bw_ownership_candidate_t *last = &nodes[count - 1];
+
+	claim_roles(nodes, count - 1, last->owned);
+	assert_false(any_hands_over(nodes, count - 1, now_ms));
+	last->owned = 0;
+	last->started_ms = now_ms;
+	last->seen_ms = now_ms;
+	assert_false(any_hands_over(nodes, count, now_ms + STEADY_MS));
+}
+
+/* Equal nodes keep their roles while they are restarted in turn. */
+static void test_equal_nodes_never_hand_over(void **state)
+{
+	static const uint32_t counts[] = { 3, 7, 9 };
+	bw_ownership_candidate_t nodes[9];
+	bw_ownership_candidate_t next;
+	char names[9][8];
+	uint32_t c;
+	uint32_t i;
+
+	(void)state;
+	for (c = 0; c < G_N_ELEMENTS(counts); c++) {
+		for (i = 0; i < counts[c]; i++) {
+			g_snprintf(names[i], sizeof(names[i]), "n%u", i);
+			nodes[i] =
+				(bw_ownership_candidate_t){ .name = names[i],
+							    .capacity = large };
+		}
+		claim_roles(nodes, counts[c], 6);
+		for (i = 0; i < 2 * counts[c]; i++) {
+			restart_last(nodes, counts[c], (i + 1) * STEADY_MS);
+			next = nodes[0];
+			memmove(&nodes[0], &nodes[1],
+				(counts[c] - 1) * sizeof(nodes[0]));
+			nodes[counts[c] - 1] = next;
+		}
+	}
+}
+
+/* A large node with two pools keeps them beside an idle one; with four, the
+ * loads differ by the factor that counts. */
+static void test_loads_of_large_nodes(void **state)
+{
+	bw_ownership_candidate_t nodes[] = {
+		{ .name = "a", .owned = 2, .capacity = large },
+		{ .name = "b", .capacity = large },
+	};
+	bw_handover_t handover;
+
+	(void)state;
+	assert_false(bw_ownership_find_better(POOL, nodes, 2, 0, STEADY_MS,
+					      &handover));
+	nodes[0].owned = 4;
+	assert_true(bw_ownership_find_better(POOL, nodes, 2, 0, STEADY_MS,
+					     &handover));
+	nodes[0].owned = 3;
+	nodes[1].owned = 1;
+	assert_false(any_hands_over(nodes, 2, STEADY_MS));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -155,6 +281,9 @@
 		cmocka_unit_test(test_unknown_capacity_is_no_fault),
 		cmocka_unit_test(test_nearly_equal_nodes_tie),
 		cmocka_unit_test(test_last_rank_waits_one_lease),
+		cmocka_unit_test(test_small_owner_hands_over_to_large_node),
+		cmocka_unit_test(test_equal_nodes_never_hand_over),
+		cmocka_unit_test(test_loads_of_large_nodes),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
