Hand pools over to nodes that can carry them better

Cause: an owner keeps its pools until it leaves or its lease ends. Only a steady owner does: its lease good, the store reachable, the pool recovered and owned for 3 s, the other node registered for 5 s; one pool at a time, 3 s between. It does not claim the pool again within a lease, and repeats a deletion that failed. The factor: equal nodes restarted in turn reach a ratio of three (three nodes, six roles), and after a handover the receiver's load would have to be four times the giver's to come back, which it can't be. An owner that could not read the jobs of its pool for 6 s hands it over too: it has started nothing, and an earlier owner that was cut off has stopped by then (3.5 s). A pool whose jobs are read but which has not recovered is kept, as the next owner would have to wait for the same workers. Left: while the store fails between stop and deletion nobody gives the pool orders, so its grants may expire.

--- a/src/base/eventlist.c
+++ b/src/base/eventlist.c
@@ -58,10 +58,14 @@
 	[BW_EVENT_FLEET_POOL_LOST] = { "fleet", "pool-lost", BW_EVENT_BELIEF,
 				       "this node no longer owns a pool",
 				       "pool reason" },
+	[BW_EVENT_FLEET_HANDOVER] = { "fleet", "handover", BW_EVENT_BELIEF,
+				      "this node starts to hand over a pool to "
+				      "a node that can carry it better",
+				      "pool to load to_load" },
 	[BW_EVENT_FLEET_POOL_HANDED_OVER] = { "fleet", "pool-handed-over",
 					      BW_EVENT_BELIEF,
 					      "this node gave up a pool in a "
-					      "graceful stop",
+					      "graceful stop or a handover",
 					      "pool" },
 	[BW_EVENT_FLEET_PREDECESSOR_STOPPED] = { "fleet", "predecessor-stopped",
 						 BW_EVENT_BELIEF,
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -382,6 +382,7 @@
 
 	bw_event(BW_EVENT_FLEET_POOL_LOST, "pool=%s reason=%s", pool, reason);
 	bw_metrics_count(BW_MC_OWNERSHIP, CHANGE_LOST, 0);
+	fleet_abandon_handover(f, pool);
 	if (!strcmp(pool, BW_CONTROLLER_ROLE)) {
 		bw_controller_destroy(f->controller);
 		f->controller = NULL;
@@ -533,6 +534,7 @@
 	bw_fleet_peers_tick(f->peers, now_ms);
 	allow_pools(f, now_ms);
 	fleet_query_predecessors(f, now_ms);
+	fleet_start_handover(f, now_ms);
 	if (owns_pools(f))
 		bw_directory_tick(f->directory, now_ms);
 	fleet_send_reports(f, now_ms);
@@ -576,6 +578,7 @@
 
 	bw_event(BW_EVENT_FLEET_POOL_HANDED_OVER, "pool=%s", pool);
 	bw_metrics_count(BW_MC_OWNERSHIP, CHANGE_HANDED_OVER, 0);
+	fleet_finish_handover(f, pool);
 	g_hash_table_remove(f->pools, pool);
 	finish_leaving(f);
 }
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -38,6 +38,9 @@
 	int64_t next_late_event_ms;
 	int64_t last_report_ms;
 	int64_t next_predecessor_query_ms;
+	char *handing_over; /**< Pool that is being handed over, or NULL. */
+	int64_t next_handover_check_ms;
+	int64_t last_handover_ms;
 	int64_t last_store_answer_ms;
 	uint32_t store_failures;
 	bool store_reachable;
@@ -49,6 +52,14 @@
 /** Returns the node that owns a pool, or NULL if there is none. */
 const char *fleet_pool_owner(void *ctx, const char *pool);
 
+/* handover.c */
+/** Starts to hand over a pool that another node should own. */
+void fleet_start_handover(bw_fleet_t *f, int64_t now_ms);
+/** Deletes the claim of a pool that has stopped, if it is handed over. */
+void fleet_finish_handover(bw_fleet_t *f, const char *pool);
+/** Ends a handover whose pool this node has lost before it stopped. */
+void fleet_abandon_handover(bw_fleet_t *f, const char *pool);
+
 /* messages.c */
 /**
  * Asks the previous owners of this node's pools whether they have stopped.
--- a/src/fleet/member.c
+++ b/src/fleet/member.c
@@ -6,7 +6,6 @@
 
 #include "base/clock.h"
 #include "base/event.h"
-#include "fleet/ownership.h"
 #include "fleet/watch_cache.h"
 #include "wire/record.pb-c.h"
 
@@ -19,6 +18,9 @@
  * nodes can register. */
 #define FIRST_START_WAIT_MS 1500
 #define RETRY_MS	    150
+/** Time after which the deletion of a claim is repeated: longer than a call to
+ * the store and the watch's event take. */
+#define RELEASE_RETRY_MS 1000
 
 typedef enum phase {
 	PHASE_NO_LEASE,
@@ -31,6 +33,7 @@
 typedef struct node {
 	bw_node_capacity_t capacity;
 	int64_t started_ms;
+	int64_t seen_ms; /**< When its registration was first read. */
 	uint64_t incarnation;
 } node_t;
 
@@ -42,6 +45,13 @@
 	int64_t revision;
 } owner_t;
 
+/** A pool that this node hands over; its claim may still be in the store. */
+typedef struct handed_over {
+	int64_t revision; /**< Of the claim. */
+	int64_t since_ms;
+	int64_t next_call_ms; /**< When its deletion is repeated. */
+} handed_over_t;
+
 /** A claim in progress. */
 typedef struct claim {
 	bw_fleet_member_t *m;
@@ -67,6 +77,7 @@
 	GHashTable *predecessors; /**< Pool to its previous owner_t. */
 	GHashTable *owned; /**< Pools of this node, to claim revision. */
 	GHashTable *claiming; /**< Pools that are being claimed. */
+	GHashTable *handed_over; /**< Pool to handed_over_t. */
 	GHashTable *ownerless; /**< Pool to when it was found ownerless. */
 	phase_t phase;
 	int64_t lease_id;
@@ -93,6 +104,8 @@
 static void send_claim(claim_t *claim);
 static void release_claim(bw_fleet_member_t *m, const char *key,
 			  int64_t revision);
+static void delete_handed_over(bw_fleet_member_t *m, const char *pool,
+			       handed_over_t *entry, int64_t now_ms);
 static void on_claimed(void *ctx, const bw_store_reply_t *reply);
 static void on_key_changed(void *ctx, const bw_store_kv_t *kv);
 static void on_synced(void *ctx);
@@ -153,6 +166,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->claiming =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	m->handed_over =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->ownerless =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->started_ms = bw_clock_now_ms();
@@ -171,6 +186,7 @@
 	g_hash_table_destroy(m->predecessors);
 	g_hash_table_destroy(m->owned);
 	g_hash_table_destroy(m->claiming);
+	g_hash_table_destroy(m->handed_over);
 	g_hash_table_destroy(m->ownerless);
 	g_free(m->name);
 	g_free(m->address);
@@ -374,35 +390,116 @@
 	return count;
 }
 
-/* Returns UINT32_MAX until this node's own registration has been read. */
-static uint32_t own_claim_rank(bw_fleet_member_t *m, const char *pool)
+/* Returns an array of the registered nodes; the caller frees it.
+ * @param self receives this node's index, or UINT32_MAX until its own
+ * registration has been read */
+static bw_ownership_candidate_t *
+list_candidates(bw_fleet_member_t *m, uint32_t *count, uint32_t *self)
 {
-	uint32_t count = g_hash_table_size(m->nodes);
-	bw_ownership_candidate_t *candidates =
-		g_new0(bw_ownership_candidate_t, count + 1);
-	uint32_t self = UINT32_MAX;
+	bw_ownership_candidate_t *candidates = g_new0(
+		bw_ownership_candidate_t, g_hash_table_size(m->nodes) + 1);
 	GHashTableIter iter;
 	gpointer key;
 	gpointer value;
-	uint32_t rank = UINT32_MAX;
 	uint32_t i = 0;
 
+	*self = UINT32_MAX;
 	g_hash_table_iter_init(&iter, m->nodes);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const node_t *node = value;
+
 		candidates[i].name = key;
 		candidates[i].owned = count_owned(m, key);
-		candidates[i].started_ms = ((node_t *)value)->started_ms;
-		candidates[i].capacity = ((node_t *)value)->capacity;
+		candidates[i].started_ms = node->started_ms;
+		candidates[i].seen_ms = node->seen_ms;
+		candidates[i].capacity = node->capacity;
 		if (!strcmp(key, m->name))
-			self = i;
+			*self = i;
 		i++;
 	}
+	*count = i;
+	return candidates;
+}
+
+/* Returns UINT32_MAX until this node's own registration has been read. */
+static uint32_t own_claim_rank(bw_fleet_member_t *m, const char *pool)
+{
+	uint32_t rank = UINT32_MAX;
+	uint32_t count;
+	uint32_t self;
+	bw_ownership_candidate_t *candidates =
+		list_candidates(m, &count, &self);
+
 	if (self != UINT32_MAX)
 		rank = bw_ownership_rank(pool, candidates, count, self);
 	g_free(candidates);
 	return rank;
 }
 
+bool bw_fleet_member_find_better(bw_fleet_member_t *m, const char *pool,
+				 int64_t now_ms, bw_handover_t *out)
+{
+	bool better = false;
+	uint32_t count;
+	uint32_t self;
+	bw_ownership_candidate_t *candidates =
+		list_candidates(m, &count, &self);
+
+	if (self != UINT32_MAX)
+		better = bw_ownership_find_better(pool, candidates, count, self,
+						  now_ms, out);
+	g_free(candidates);
+	return better;
+}
+
+void bw_fleet_member_hand_over(bw_fleet_member_t *m, const char *pool,
+			       int64_t now_ms)
+{
+	const int64_t *revision = g_hash_table_lookup(m->owned, pool);
+	handed_over_t *entry;
+
+	if (!revision)
+		return;
+	entry = g_new0(handed_over_t, 1);
+	entry->revision = *revision;
+	entry->since_ms = now_ms;
+	g_hash_table_replace(m->handed_over, g_strdup(pool), entry);
+	g_hash_table_remove(m->owned, pool);
+	delete_handed_over(m, pool, entry, now_ms);
+}
+
+/* Deletes the claim of a pool that was handed over. */
+static void delete_handed_over(bw_fleet_member_t *m, const char *pool,
+			       handed_over_t *entry, int64_t now_ms)
+{
+	char *key = bw_fleet_owner_key(pool);
+
+	entry->next_call_ms = now_ms + RELEASE_RETRY_MS;
+	release_claim(m, key, entry->revision);
+	g_free(key);
+}
+
+/* Repeats deletions that failed, and forgets those that were seen. */
+static void follow_handed_over(bw_fleet_member_t *m, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer pool;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, m->handed_over);
+	while (g_hash_table_iter_next(&iter, &pool, &value)) {
+		const owner_t *owner = g_hash_table_lookup(m->owners, pool);
+		handed_over_t *entry = value;
+
+		if (owner && owner->revision == entry->revision) {
+			if (now_ms >= entry->next_call_ms)
+				delete_handed_over(m, pool, entry, now_ms);
+		} else if (now_ms - entry->since_ms >= m->lease_ms) {
+			g_hash_table_iter_remove(&iter);
+		}
+	}
+}
+
 /* Returns whether this node's rank lets it claim an ownerless pool now. */
 static bool may_claim(bw_fleet_member_t *m, const char *pool, int64_t now_ms)
 {
@@ -428,6 +525,7 @@
 	if (g_hash_table_contains(m->owners, pool) ||
 	    g_hash_table_contains(m->claiming, pool) ||
 	    g_hash_table_contains(m->owned, pool) ||
+	    g_hash_table_contains(m->handed_over, pool) ||
 	    !may_claim(m, pool, bw_clock_now_ms()))
 		return;
 	claim = g_new0(claim_t, 1);
@@ -523,6 +621,7 @@
 {
 	const char *name = kv->key + strlen(NODE_PREFIX);
 	Bramley__NodeRecord *record = NULL;
+	const node_t *known = g_hash_table_lookup(m->nodes, name);
 	node_t *node;
 
 	if (!kv->deleted)
@@ -544,6 +643,9 @@
 	node->started_ms = record->started_ms;
 	node->incarnation = record->incarnation;
 	node->capacity = get_capacity(record);
+	node->seen_ms = known && known->incarnation == record->incarnation
+				? known->seen_ms
+				: bw_clock_now_ms();
 	g_hash_table_replace(m->nodes, g_strdup(name), node);
 	m->ops.node_changed(m->ctx, name, record->address);
 	bramley__node_record__free_unpacked(record, NULL);
@@ -655,6 +757,7 @@
 	    (m->first_start && now_ms - m->started_ms < FIRST_START_WAIT_MS) ||
 	    now_ms >= bw_fleet_member_lease_end_ms(m))
 		return;
+	follow_handed_over(m, now_ms);
 	m->ops.foreach_pool(m->ctx, try_claim, m);
 }
 
--- a/src/fleet/member.h
+++ b/src/fleet/member.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 
 #include "fleet/capacity.h"
+#include "fleet/ownership.h"
 #include "store/store.h"
 
 struct ev_loop;
@@ -88,6 +89,21 @@
 /** Revokes the lease, which ends this node's ownership of pools. */
 void bw_fleet_member_end_lease(bw_fleet_member_t *m);
 
+/**
+ * Returns whether another node should own a pool of this node, see
+ * bw_ownership_find_better().
+ * @param out receives the handover; its name is valid until the next tick
+ */
+bool bw_fleet_member_find_better(bw_fleet_member_t *m, const char *pool,
+				 int64_t now_ms, bw_handover_t *out);
+
+/**
+ * Deletes this node's claim of a pool so that another node claims it. This node
+ * does not claim it again within a lease.
+ */
+void bw_fleet_member_hand_over(bw_fleet_member_t *m, const char *pool,
+			       int64_t now_ms);
+
 /** Gives up a pool that turned out to have another owner. */
 void bw_fleet_member_drop_pool(bw_fleet_member_t *m, const char *pool);
 
--- a/src/fleet/ownership.c
+++ b/src/fleet/ownership.c
@@ -13,6 +13,21 @@
 /** Nodes that started within this time of each other count as started
  * together. */
 #define SAME_START_MS 700
+/** A pool is handed over only to a node that has been registered this long: it
+ * has renewed a lease of 2 s many times. */
+#define STEADY_MS 5000
+/** Time between two handovers by a node, and between a claim and a handover, so
+ * that the other nodes' views and the pool's workers settle in between. */
+#define PAUSE_MS 3000
+/** An owner that has not read the jobs of its pool after this time gives it up:
+ * longer than an earlier owner that was cut off may act, since the next owner
+ * only asks this one whether it has stopped. */
+#define UNREAD_MS 6000
+/** A handover needs two writes to the store, which may each be repeated. */
+#define LEASE_LEFT_MIN_MS 1000
+/** Ratio of loads from which a handover is worth its pause in starting tasks;
+ * equal nodes that are restarted in turn reach a ratio of three. */
+#define HANDOVER_FACTOR 4.0
 
 /* Returns the largest known amount of each resource. */
 static bw_node_capacity_t
@@ -45,12 +60,17 @@
 	return share;
 }
 
+static double load_of(const bw_ownership_candidate_t *c, uint32_t roles,
+		      const bw_node_capacity_t *largest)
+{
+	return (double)roles / share_of(&c->capacity, largest);
+}
+
 /* Returns the power of two of a node's load with one more role. */
 static int load_tier(const bw_ownership_candidate_t *c,
 		     const bw_node_capacity_t *largest)
 {
-	return ilogb(((double)c->owned + 1.0) /
-		     share_of(&c->capacity, largest));
+	return ilogb(load_of(c, c->owned + 1, largest));
 }
 
 /* Weight of a node for a role in rendezvous hashing. */
@@ -103,11 +123,35 @@
 			      uint32_t count, uint32_t self, int64_t now_ms,
 			      bw_handover_t *out)
 {
-	(void)pool;
-	(void)candidates;
-	(void)count;
-	(void)self;
-	(void)now_ms;
-	(void)out;
-	return false;
+	bw_node_capacity_t largest = find_largest(candidates, count);
+	const bw_ownership_candidate_t *owner = &candidates[self];
+	const bw_ownership_candidate_t *best = owner;
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		if (ranks_before(pool, &candidates[i], best, &largest))
+			best = &candidates[i];
+	if (best == owner || now_ms - best->seen_ms < STEADY_MS)
+		return false;
+	out->to = best->name;
+	out->load = load_of(owner, owner->owned, &largest);
+	out->to_load = load_of(best, best->owned + 1, &largest);
+	return out->load >= HANDOVER_FACTOR * out->to_load;
+}
+
+bool bw_ownership_may_hand_over(const bw_handover_state_t *state,
+				int64_t now_ms)
+{
+	int64_t owned_min_ms = state->jobs_loaded ? PAUSE_MS : UNREAD_MS;
+
+	if (state->leaving || state->in_progress || !state->store_reachable)
+		return false;
+	if (state->jobs_loaded && !state->recovered)
+		return false;
+	if (now_ms - state->owned_since_ms < owned_min_ms)
+		return false;
+	if (state->last_handover_ms != 0 &&
+	    now_ms - state->last_handover_ms < PAUSE_MS)
+		return false;
+	return state->lease_end_ms - now_ms >= LEASE_LEFT_MIN_MS;
 }
--- a/src/fleet/ownership.h
+++ b/src/fleet/ownership.h
@@ -62,4 +62,24 @@
 			      uint32_t count, uint32_t self, int64_t now_ms,
 			      bw_handover_t *out);
 
+/** What an owner knows about itself before it hands over a pool. */
+typedef struct bw_handover_state {
+	bool leaving;
+	bool in_progress; /**< It is handing over another pool. */
+	bool store_reachable;
+	bool jobs_loaded; /**< The pool's, see bw_pool_jobs_loaded(). */
+	bool recovered; /**< The pool's, see bw_sched_recovered(). */
+	int64_t lease_end_ms;
+	int64_t owned_since_ms; /**< Of the pool. */
+	int64_t last_handover_ms; /**< Of any pool by this node; 0 if none. */
+} bw_handover_state_t;
+
+/**
+ * Returns whether an owner is steady enough to hand over a pool now. A pool
+ * whose jobs can't be read is handed over too, as nothing can be lost: this
+ * owner has started nothing.
+ */
+bool bw_ownership_may_hand_over(const bw_handover_state_t *state,
+				int64_t now_ms);
+
 #endif
--- a/test/test_member.c
+++ b/test/test_member.c
@@ -17,6 +17,14 @@
 #define LEASE_MS    2000
 #define ROUND_S	    0.02
 #define ROUNDS	    60
+/** Limit of a wait for something that must come: 20 s. */
+#define ROUNDS_MAX 1000
+/** Longer than a node must have been registered to get a pool, and than the
+ * pause after which it gets one. */
+#define STEADY_MS 10000
+#define OTHER	  "other"
+
+static const bw_node_capacity_t small = { { 120, 160, 10000, 4100 } };
 
 typedef struct member_test {
 	struct ev_loop *loop;
@@ -95,13 +103,32 @@
 	ev_run(t->loop, 0);
 }
 
+/** Operations of the store, and the same with deletions that fail. */
+static bw_store_ops_t memstore_ops;
+static bw_store_ops_t failing_ops;
+static uint32_t deletions_to_fail;
+
+static void fail_deletions(void *impl, const bw_store_txn_t *txn,
+			   bw_store_done_fn done, void *ctx)
+{
+	bw_store_reply_t reply = { .status = BW_EUNAVAIL };
+
+	if (deletions_to_fail == 0 || txn->writes[0].value) {
+		memstore_ops.txn(impl, txn, done, ctx);
+		return;
+	}
+	deletions_to_fail--;
+	done(ctx, &reply);
+}
+
 static void set_up(member_test_t *t)
 {
 	bw_fleet_member_config_t config = { .name = SELF,
 					    .address = "127.0.0.1:1",
 					    .incarnation = INCARNATION,
 					    .lease_ms = LEASE_MS,
-					    .started_ms = 1 };
+					    .started_ms = 1,
+					    .capacity = small };
 	bw_store_t store;
 
 	memset(t, 0, sizeof(*t));
@@ -109,6 +136,11 @@
 	t->loop = ev_loop_new(0);
 	t->store = bw_memstore_create(t->loop);
 	store = bw_memstore_interface(t->store);
+	memstore_ops = *store.ops;
+	failing_ops = *store.ops;
+	failing_ops.txn = fail_deletions;
+	deletions_to_fail = 0;
+	store.ops = &failing_ops;
 	t->member = bw_fleet_member_create(t->loop, &store, &config, &ops, t);
 	ev_timer_init(&t->timer, on_timer, ROUND_S, ROUND_S);
 	t->timer.data = t;
@@ -218,6 +250,92 @@
 	tear_down(&t);
 }
 
+/* Registers a large node. */
+static void put_large_node(member_test_t *t)
+{
+	Bramley__NodeRecord record = BRAMLEY__NODE_RECORD__INIT;
+	uint8_t data[256];
+
+	record.address = (char *)"127.0.0.1:2";
+	record.incarnation = 1;
+	record.started_ms = 1;
+	record.cpu_millis = 500;
+	record.memory_mb = 512;
+	record.link_kbits = 200000;
+	record.descriptors = 8192;
+	bw_memstore_put(t->store, "bw/m/node/" OTHER, (const char *)data,
+			bramley__node_record__pack(&record, data));
+}
+
+/* Runs the loop until the pool has no owner in the store. */
+static void wait_for_deletion(member_test_t *t)
+{
+	uint32_t i;
+
+	for (i = 0; i < ROUNDS_MAX && owner_revision(t) != 0; i++) {
+		t->round = ROUNDS - 1;
+		ev_run(t->loop, 0);
+	}
+	assert_int_equal(owner_revision(t), 0);
+}
+
+static bool finds_better(member_test_t *t, int64_t later_ms,
+			 bw_handover_t *handover)
+{
+	return bw_fleet_member_find_better(
+		t->member, POOL, bw_clock_now_ms() + later_ms, handover);
+}
+
+/*
+ * A small owner finds a large node that has been registered for some time,
+ * deletes its claim, also if that fails at first, and leaves the pool to it.
+ */
+static void test_pool_is_handed_over(void **state)
+{
+	bw_handover_t handover;
+	member_test_t t;
+
+	(void)state;
+	set_up(&t);
+	run_rounds(&t);
+	assert_true(t.owned);
+	assert_false(finds_better(&t, STEADY_MS, &handover));
+	put_large_node(&t);
+	run_rounds(&t);
+	assert_true(finds_better(&t, STEADY_MS, &handover));
+	assert_string_equal(handover.to, OTHER);
+	deletions_to_fail = 2;
+	bw_fleet_member_hand_over(t.member, POOL, bw_clock_now_ms());
+	assert_int_not_equal(owner_revision(&t), 0);
+	wait_for_deletion(&t);
+	assert_int_equal(t.gained, 1);
+	put_owner(&t, OTHER, 1);
+	run_rounds(&t);
+	assert_int_equal(t.gained, 1);
+	assert_int_equal(t.lost, 0);
+	assert_false(finds_better(&t, STEADY_MS, &handover));
+	tear_down(&t);
+}
+
+/* If the other node doesn't claim the pool, this one does. */
+static void test_pool_that_nobody_takes_is_claimed_again(void **state)
+{
+	member_test_t t;
+	uint32_t i;
+
+	(void)state;
+	set_up(&t);
+	run_rounds(&t);
+	put_large_node(&t);
+	run_rounds(&t);
+	bw_fleet_member_hand_over(t.member, POOL, bw_clock_now_ms());
+	for (i = 0; i < ROUNDS_MAX / ROUNDS && t.gained < 2; i++)
+		run_rounds(&t);
+	assert_int_equal(t.gained, 2);
+	assert_int_equal(t.fencing_token, owner_revision(&t));
+	tear_down(&t);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -225,6 +343,8 @@
 		cmocka_unit_test(test_older_events_change_nothing),
 		cmocka_unit_test(test_newer_events_count),
 		cmocka_unit_test(test_forgotten_claim_is_given_back),
+		cmocka_unit_test(test_pool_is_handed_over),
+		cmocka_unit_test(test_pool_that_nobody_takes_is_claimed_again),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/test_ownership.c
+++ b/test/test_ownership.c
@@ -272,6 +272,69 @@
 	assert_false(any_hands_over(nodes, 2, STEADY_MS));
 }
 
+/** A change that keeps an owner from handing over, and its opposite. */
+typedef struct state_case {
+	const char *name;
+	bw_handover_state_t state;
+	bool allowed;
+} state_case_t;
+
+#define NOW_MS 100000
+/** An earlier owner may act this long, see fleet.c. */
+#define OUTAGE_MS 3500
+static const state_case_t state_cases[] = {
+	{ "steady",
+	  { false, false, true, true, true, NOW_MS + LEASE_MS, 0, 0 },
+	  true },
+	{ "leaving",
+	  { true, false, true, true, true, NOW_MS + LEASE_MS, 0, 0 },
+	  false },
+	{ "another pool",
+	  { false, true, true, true, true, NOW_MS + LEASE_MS, 0, 0 },
+	  false },
+	{ "store",
+	  { false, false, false, true, true, NOW_MS + LEASE_MS, 0, 0 },
+	  false },
+	{ "not recovered",
+	  { false, false, true, true, false, NOW_MS + LEASE_MS, 0, 0 },
+	  false },
+	{ "jobs not read for long",
+	  { false, false, true, false, false, NOW_MS + LEASE_MS,
+	    NOW_MS - STEADY_MS, 0 },
+	  true },
+	{ "jobs not read yet",
+	  { false, false, true, false, false, NOW_MS + LEASE_MS,
+	    NOW_MS - OUTAGE_MS, 0 },
+	  false },
+	{ "lease ends",
+	  { false, false, true, true, true, NOW_MS + 1, 0, 0 },
+	  false },
+	{ "just claimed",
+	  { false, false, true, true, true, NOW_MS + LEASE_MS, NOW_MS - 1, 0 },
+	  false },
+	{ "just handed over",
+	  { false, false, true, true, true, NOW_MS + LEASE_MS, 0, NOW_MS - 1 },
+	  false },
+	{ "long ago",
+	  { false, false, true, true, true, NOW_MS + LEASE_MS, 0,
+	    NOW_MS - STEADY_MS },
+	  true },
+};
+
+/* An owner that is not steady keeps its pool. */
+static void test_unsteady_owner_keeps_its_pool(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(state_cases); i++) {
+		const state_case_t *c = &state_cases[i];
+
+		if (bw_ownership_may_hand_over(&c->state, NOW_MS) != c->allowed)
+			fail_msg("%s", c->name);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -284,6 +347,7 @@
 		cmocka_unit_test(test_small_owner_hands_over_to_large_node),
 		cmocka_unit_test(test_equal_nodes_never_hand_over),
 		cmocka_unit_test(test_loads_of_large_nodes),
+		cmocka_unit_test(test_unsteady_owner_keeps_its_pool),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
