Failing test: a node claims all pools at once for which it ranks first

Cause: claims that are not seen on the watch yet don't count as roles of the node. It ranks first for several pools in the same tick and claims them all.

--- a/test/test_member.c
+++ b/test/test_member.c
@@ -25,6 +25,7 @@
 #define OTHER	  "other"
 
 static const bw_node_capacity_t small = { { 120, 160, 10000, 4100 } };
+static const bw_node_capacity_t large = { { 500, 512, 200000, 8192 } };
 
 typedef struct member_test {
 	struct ev_loop *loop;
@@ -32,7 +33,8 @@
 	bw_fleet_member_t *member;
 	ev_timer timer;
 	uint32_t round;
-	bool pool_needs_owner; /**< Whether list_pools() has the pool. */
+	bool pool_needs_owner; /**< Whether list_pools() has the pools. */
+	const char *pools[2]; /**< The second may be NULL. */
 	bool owned;
 	uint32_t gained;
 	uint32_t lost;
@@ -51,7 +53,8 @@
 {
 	member_test_t *t = ctx;
 
-	assert_string_equal(pool, POOL);
+	assert_true(g_strcmp0(pool, t->pools[0]) == 0 ||
+		    g_strcmp0(pool, t->pools[1]) == 0);
 	t->owned = true;
 	t->gained++;
 	t->fencing_token = revision;
@@ -70,8 +73,13 @@
 static void list_pools(void *ctx, void (*fn)(void *arg, const char *pool),
 		       void *arg)
 {
-	if (((member_test_t *)ctx)->pool_needs_owner)
-		fn(arg, POOL);
+	const member_test_t *t = ctx;
+
+	if (!t->pool_needs_owner)
+		return;
+	fn(arg, t->pools[0]);
+	if (t->pools[1])
+		fn(arg, t->pools[1]);
 }
 
 static void on_result(void *ctx, bw_status_t status)
@@ -107,12 +115,16 @@
 static bw_store_ops_t memstore_ops;
 static bw_store_ops_t failing_ops;
 static uint32_t deletions_to_fail;
+static uint32_t claims_sent;
 
-static void fail_deletions(void *impl, const bw_store_txn_t *txn,
+static void count_and_fail(void *impl, const bw_store_txn_t *txn,
 			   bw_store_done_fn done, void *ctx)
 {
 	bw_store_reply_t reply = { .status = BW_EUNAVAIL };
 
+	if (txn->writes[0].value &&
+	    g_str_has_prefix(txn->writes[0].key, "bw/m/own/"))
+		claims_sent++;
 	if (deletions_to_fail == 0 || txn->writes[0].value) {
 		memstore_ops.txn(impl, txn, done, ctx);
 		return;
@@ -133,13 +145,15 @@
 
 	memset(t, 0, sizeof(*t));
 	t->pool_needs_owner = true;
+	t->pools[0] = POOL;
 	t->loop = ev_loop_new(0);
 	t->store = bw_memstore_create(t->loop);
 	store = bw_memstore_interface(t->store);
 	memstore_ops = *store.ops;
 	failing_ops = *store.ops;
-	failing_ops.txn = fail_deletions;
+	failing_ops.txn = count_and_fail;
 	deletions_to_fail = 0;
+	claims_sent = 0;
 	store.ops = &failing_ops;
 	t->member = bw_fleet_member_create(t->loop, &store, &config, &ops, t);
 	ev_timer_init(&t->timer, on_timer, ROUND_S, ROUND_S);
@@ -250,8 +264,7 @@
 	tear_down(&t);
 }
 
-/* Registers a large node. */
-static void put_large_node(member_test_t *t)
+static void put_node(member_test_t *t, const bw_node_capacity_t *capacity)
 {
 	Bramley__NodeRecord record = BRAMLEY__NODE_RECORD__INIT;
 	uint8_t data[256];
@@ -259,10 +272,10 @@
 	record.address = (char *)"127.0.0.1:2";
 	record.incarnation = 1;
 	record.started_ms = 1;
-	record.cpu_millis = 500;
-	record.memory_mb = 512;
-	record.link_kbits = 200000;
-	record.descriptors = 8192;
+	record.cpu_millis = capacity->amounts[BW_NODE_CPU_MILLIS];
+	record.memory_mb = capacity->amounts[BW_NODE_MEMORY_MB];
+	record.link_kbits = capacity->amounts[BW_NODE_LINK_KBITS];
+	record.descriptors = capacity->amounts[BW_NODE_DESCRIPTORS];
 	bw_memstore_put(t->store, "bw/m/node/" OTHER, (const char *)data,
 			bramley__node_record__pack(&record, data));
 }
@@ -300,7 +313,7 @@
 	run_rounds(&t);
 	assert_true(t.owned);
 	assert_false(finds_better(&t, STEADY_MS, &handover));
-	put_large_node(&t);
+	put_node(&t, &large);
 	run_rounds(&t);
 	assert_true(finds_better(&t, STEADY_MS, &handover));
 	assert_string_equal(handover.to, OTHER);
@@ -326,7 +339,7 @@
 	(void)state;
 	set_up(&t);
 	run_rounds(&t);
-	put_large_node(&t);
+	put_node(&t, &large);
 	run_rounds(&t);
 	bw_fleet_member_hand_over(t.member, POOL, bw_clock_now_ms());
 	for (i = 0; i < ROUNDS_MAX / ROUNDS && t.gained < 2; i++)
@@ -336,6 +349,44 @@
 	tear_down(&t);
 }
 
+/* Finds a name of a pool that this node claims before an equal one; names with
+ * the numbers from first on are tried. */
+static uint32_t find_first_ranked(char name[8], uint32_t first)
+{
+	static const bw_ownership_candidate_t nodes[] = { { .name = SELF },
+							  { .name = OTHER } };
+	uint32_t i = first;
+
+	do
+		g_snprintf(name, 8, "p%u", i++);
+	while (bw_ownership_rank(name, nodes, 2, 0) != 0);
+	return i;
+}
+
+/*
+ * Two pools have no owner, as when a site starts. The one that this node claims
+ * counts as a role of its own at once, so that the other is left to the equal
+ * node, although this one ranks first for both.
+ */
+static void test_claims_in_flight_count_as_roles(void **state)
+{
+	member_test_t t;
+	char names[2][8];
+
+	(void)state;
+	set_up(&t);
+	t.pool_needs_owner = false;
+	find_first_ranked(names[1], find_first_ranked(names[0], 0));
+	t.pools[0] = names[0];
+	t.pools[1] = names[1];
+	put_node(&t, &small);
+	run_rounds(&t);
+	t.pool_needs_owner = true;
+	bw_fleet_member_tick(t.member, bw_clock_now_ms());
+	assert_int_equal(claims_sent, 1);
+	tear_down(&t);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -343,6 +394,7 @@
 		cmocka_unit_test(test_older_events_change_nothing),
 		cmocka_unit_test(test_newer_events_count),
 		cmocka_unit_test(test_forgotten_claim_is_given_back),
+		cmocka_unit_test(test_claims_in_flight_count_as_roles),
 		cmocka_unit_test(test_pool_is_handed_over),
 		cmocka_unit_test(test_pool_that_nobody_takes_is_claimed_again),
 	};
