Count claims in flight as roles of the node

What callers see: two of the six large nodes of the grown library site owned all six roles from the start. Cause: a node's owned roles were counted from the watch only, so it claimed every pool for which it ranked first in one tick. Change: for itself, a node counts claims from when they are sent. Ruled out: the hash (the names rank evenly; the six nodes now get one role each).

--- a/src/fleet/member.c
+++ b/src/fleet/member.c
@@ -390,6 +390,33 @@
 	return count;
 }
 
+/* Returns the size of a set of pools without those whose claims by this node
+ * the watch has reported. */
+static uint32_t count_unreported(const bw_fleet_member_t *m, GHashTable *pools)
+{
+	GHashTableIter iter;
+	gpointer pool;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, pools);
+	while (g_hash_table_iter_next(&iter, &pool, NULL)) {
+		const owner_t *owner = g_hash_table_lookup(m->owners, pool);
+
+		if (!owner || strcmp(owner->node, m->name) != 0)
+			count++;
+	}
+	return count;
+}
+
+/* Counts this node's claims from when they are sent, so that it does not claim
+ * every free pool for which it ranks first. A pool is either owned or being
+ * claimed. */
+static uint32_t count_own(const bw_fleet_member_t *m)
+{
+	return count_owned(m, m->name) + count_unreported(m, m->owned) +
+	       count_unreported(m, m->claiming);
+}
+
 /* Returns an array of the registered nodes; the caller frees it.
  * @param self receives this node's index, or UINT32_MAX until its own
  * registration has been read */
@@ -413,8 +440,10 @@
 		candidates[i].started_ms = node->started_ms;
 		candidates[i].seen_ms = node->seen_ms;
 		candidates[i].capacity = node->capacity;
-		if (!strcmp(key, m->name))
+		if (!strcmp(key, m->name)) {
+			candidates[i].owned = count_own(m);
 			*self = i;
+		}
 		i++;
 	}
 	*count = i;
