Failing test: a lost start teaches a queue the time since boot

Cause, by reading: task->start_answered_ms is -1 after a start without an answer, and learn_duration() leaves out only 0, so now + 1, the time since boot, is learned as the duration of the run when its end is reported. The queue's mean duration, and with it the arriving load, the objectives and the order of jobs, is off for the rest of the ownership. Seen: [ ERROR ] --- 0x5266534 != 0x3e8 [ LINE ] --- test/test_sched.c:267: error: Failure! that is, one task of a core and half a second offers 86,402 cores.

--- a/test/test_sched.c
+++ b/test/test_sched.c
@@ -170,6 +170,7 @@
 #define JOB_A	  "00000000000000aa"
 #define JOB_B	  "00000000000000bb"
 #define JOB_EARLY "00000000000000cc"
+#define DAY_MS	  ((int64_t)86400000)
 
 /* No task starts before the state with its workers is stored once. */
 static void test_nothing_before_the_first_store(void **state)
@@ -233,6 +234,40 @@
 	bw_sched_destroy(o.sched);
 }
 
+/*
+ * A lost start has no time of its answer, so the duration of its run is not
+ * known and must not be learned: as a time since boot it made a pool ask for a
+ * thousand times the machines that there are.
+ */
+static void test_lost_start_teaches_no_duration(void **state)
+{
+	bw_end_row_t end = {
+		.number = 1, .run = 1, .kind = BW_END_DONE, .checkpoint = ""
+	};
+	bw_pool_demand_t demand;
+	orders_t o;
+
+	(void)state;
+	begin_with_worker(&o);
+	o.now_ms += DAY_MS;
+	answer_heartbeat(&o, "w1", NULL, 0, NULL, 0);
+	add_job(&o, JOB_A, 1, false, 1000, 500);
+	run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	o.now_ms += 700;
+	bw_sched_start_answered(o.sched, o.now_ms, "w1", &o.starts[0].task, 1,
+				BW_ORDER_LOST, 0);
+	end.task = o.starts[0].task;
+	answer_heartbeat(&o, "w1", NULL, 0, &end, 1);
+	save(&o);
+	assert_int_equal(bw_sched_job_state(o.sched, JOB_A), BW_JOB_COMPLETED);
+	o.now_ms += DAY_MS;
+	add_job(&o, JOB_B, 1, false, 1000, 500);
+	bw_sched_demand(o.sched, o.now_ms, &demand);
+	assert_int_equal(demand.offered_millis, 1000);
+	bw_sched_destroy(o.sched);
+}
+
 /* A job is shown as running only once the start of a task is confirmed. */
 static void test_begun_is_known(void **state)
 {
@@ -955,6 +990,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_nothing_before_the_first_store),
 		cmocka_unit_test(test_start_in_doubt),
+		cmocka_unit_test(test_lost_start_teaches_no_duration),
 		cmocka_unit_test(test_begun_is_known),
 		cmocka_unit_test(test_completed_is_stored),
 		cmocka_unit_test(test_cancelled_stays),
