Learn no duration from a run whose start got no answer

Cause: -1 in start_answered_ms, a start without an answer, was taken as the time of the answer, so the time since boot was learned as the duration of the run. Ruled out: the arrival rate itself, whose decay and age limit hold; its estimate of a job's work was wrong. The ratio of actual to estimated duration is clamped to 10, the mean duration is not. Change: a run whose start got no answer, or none yet, teaches no duration. Its listing in a heartbeat still sets the time, as before.

--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -273,7 +273,7 @@
 	double duration_ms = (double)(now_ms - task->start_answered_ms);
 	double ratio;
 
-	if (step->lasting || task->start_answered_ms == 0 || task->checkpoint)
+	if (step->lasting || task->start_answered_ms <= 0 || task->checkpoint)
 		return;
 	if (queue->duration_ms <= 0.0)
 		queue->duration_ms = duration_ms;
