Failing test: a long write is silent while the kernel sends it

What callers saw: not seen by itself in the record; found by review of the calls that end by silence. A pool's whole state is one write; on a link of 10 Mbit/s that starts, heartbeats and reads share it takes longer than the 900 ms of silence. Cause: libcurl reports the bytes that the kernel has taken. A send buffer grows to 4 MB (tcp_wmem), so a whole state may be in it, and from then on the call counts as silent while the link still carries the request. It ends as lost and all of it is sent again: the same class as the reads that make no progress. Seen: [ ERROR ] --- 0x6 != 0 [ LINE ] --- test/test_slowlink.c:353: error: Failure!

--- a/test/test_slowlink.c
+++ b/test/test_slowlink.c
@@ -26,6 +26,11 @@
 #define LISTEN_COUNT   8
 #define NO_LIMIT       UINT32_MAX
 #define WATCH_ANSWER_S 1.4
+/** A value that a server with slow reads takes in about 2 s. */
+#define VALUE_BYTES	     ((size_t)450000)
+#define READ_S		     0.05
+#define READ_BYTES	     16384U
+#define RECEIVE_BUFFER_BYTES 32768
 
 /** A server that sends one answer in pieces. */
 typedef struct slow_server {
@@ -40,6 +45,9 @@
 	uint32_t pieces_max; /**< After these the server goes silent. */
 	uint32_t pieces;
 	double first_s; /**< Delay of the first piece. */
+	size_t request_bytes; /**< Read slowly before the answer; 0: none. */
+	size_t taken; /**< Bytes of the request read so far. */
+	ev_timer take;
 	char address[64];
 } slow_server_t;
 
@@ -72,12 +80,32 @@
 	s->pieces++;
 }
 
+/* Reads a long request bit by bit, as a slow link would deliver it. */
+static void on_take(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	slow_server_t *s = timer->data;
+	char buffer[READ_BYTES];
+	ssize_t bytes = recv(s->fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+
+	(void)revents;
+	s->taken += bytes > 0 ? (size_t)bytes : 0;
+	if (s->taken < s->request_bytes)
+		return;
+	ev_timer_stop(loop, timer);
+	ev_timer_start(loop, &s->send);
+}
+
 static void on_request(struct ev_loop *loop, ev_io *io, int revents)
 {
 	slow_server_t *s = io->data;
 	char buffer[REQUEST_BYTES];
 
 	(void)revents;
+	if (s->request_bytes > 0) {
+		ev_io_stop(loop, io);
+		ev_timer_start(loop, &s->take);
+		return;
+	}
 	assert_true(read(s->fd, buffer, sizeof(buffer)) >= 0);
 	ev_io_stop(loop, io);
 	ev_timer_set(&s->send, s->first_s, PIECE_S);
@@ -101,9 +129,13 @@
 {
 	struct sockaddr_in in = { .sin_family = AF_INET };
 	socklen_t bytes = sizeof(in);
+	int buffer_bytes = RECEIVE_BUFFER_BYTES;
 
 	in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	s->listen_fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	assert_int_equal(setsockopt(s->listen_fd, SOL_SOCKET, SO_RCVBUF,
+				    &buffer_bytes, sizeof(buffer_bytes)),
+			 0);
 	assert_int_equal(bind(s->listen_fd, (struct sockaddr *)&in, bytes), 0);
 	assert_int_equal(listen(s->listen_fd, LISTEN_COUNT), 0);
 	assert_int_equal(
@@ -122,6 +154,8 @@
 	ev_io_init(&s->accept, on_accept, s->listen_fd, EV_READ);
 	ev_io_init(&s->request, on_request, -1, EV_READ);
 	ev_timer_init(&s->send, on_send, PIECE_S, PIECE_S);
+	ev_timer_init(&s->take, on_take, READ_S, READ_S);
+	s->take.data = s;
 	s->accept.data = s;
 	s->request.data = s;
 	s->send.data = s;
@@ -133,6 +167,7 @@
 	ev_io_stop(s->loop, &s->accept);
 	ev_io_stop(s->loop, &s->request);
 	ev_timer_stop(s->loop, &s->send);
+	ev_timer_stop(s->loop, &s->take);
 	if (s->fd >= 0)
 		close(s->fd);
 	close(s->listen_fd);
@@ -301,6 +336,30 @@
 	test_stop(t);
 }
 
+/*
+ * What the kernel holds of a request has not been sent yet, so a long write,
+ * such as a pool's state, is not silent while the link carries it.
+ */
+static void test_long_write_is_not_silent_in_the_kernel(void **state)
+{
+	slow_test_t *t = test_start(answer_of("{\"revision\":9}"));
+	char *value = g_strnfill(VALUE_BYTES, 'v');
+	bw_store_write_t write = { .key = "k",
+				   .value = value,
+				   .bytes = VALUE_BYTES };
+	bw_store_txn_t txn = { .writes = &write, .write_count = 1 };
+
+	(void)state;
+	/* In base64. */
+	t->server.request_bytes = VALUE_BYTES / 3 * 4;
+	t->store.ops->txn(t->store.impl, &txn, on_reply, t);
+	run(t);
+	assert_int_equal(t->status, BW_OK);
+	assert_int_equal(t->revision, 9);
+	g_free(value);
+	test_stop(t);
+}
+
 static void on_listed(void *ctx, bw_status_t status,
 		      const bw_machine_t *machines, uint32_t count)
 {
@@ -339,6 +398,7 @@
 		cmocka_unit_test(test_watch_may_wait_for_its_answer),
 		cmocka_unit_test(test_watch_never_answered_is_lost),
 		cmocka_unit_test(test_lease_call_has_a_limit_in_all),
+		cmocka_unit_test(test_long_write_is_not_silent_in_the_kernel),
 		cmocka_unit_test(test_list_of_machines_may_take_long),
 	};
 
