Bound what the kernel holds of a request

Cause: bytes count as sent once the kernel has them, and its send buffer grows to 4 MB. Change: the sockets of calls have a send buffer of 64 KB (the kernel doubles it), so libcurl reports progress while the link takes the rest. A failure to set it is logged. A write still repeats as a whole when its connection breaks, and its size still grows with the pool.

--- a/src/net/httpcall.c
+++ b/src/net/httpcall.c
@@ -1,12 +1,18 @@
 #include "net/httpcall.h"
 
+#include <errno.h>
 #include <stdbool.h>
 #include <stdint.h>
+#include <string.h>
+#include <sys/socket.h>
 
 #include <curl/curl.h>
 #include <ev.h>
 #include <glib.h>
 
+#define BW_LOG_PART "net"
+#include "base/log.h"
+
 #include "base/clock.h"
 #include "net/curlev.h"
 
@@ -16,7 +22,11 @@
 #define CACHED_CONNECTIONS_MAX 1024L
 #define IDLE_HANDLES_MAX       32U
 #define RECEIVE_BYTES	       16384L
-#define MS_PER_S	       1000.0
+/** Send buffer of a connection. What the kernel holds counts as sent, so it is
+ *  less than a slow link's share carries in a stall's time; a round trip of 4
+ *  ms still carries 16 MB a second. */
+#define SEND_BUFFER_BYTES 65536
+#define MS_PER_S	  1000.0
 
 struct bw_http_client {
 	struct ev_loop *loop;
@@ -66,6 +76,18 @@
 	return size * count;
 }
 
+/* Called by libcurl when it has created a socket. */
+static int on_socket_created(void *ctx, curl_socket_t fd, curlsocktype purpose)
+{
+	int bytes = SEND_BUFFER_BYTES;
+
+	(void)ctx;
+	(void)purpose;
+	if (setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes)) < 0)
+		g_warning("Cannot limit a send buffer: %s.", strerror(errno));
+	return CURL_SOCKOPT_OK;
+}
+
 /* Called by libcurl after each step of a transfer. */
 static int on_transfer_step(void *ctx, curl_off_t received_max,
 			    curl_off_t received, curl_off_t sent_max,
@@ -218,6 +240,7 @@
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
+	curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_socket_created);
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
 	if (!request->body)
 		return;
