Test the time between long reads of the registrations

An owner reads all registrations each 0.8 s, and each 0.2 s while workers are expected, however long a read takes.

test_directory_leaves_time_after_a_long_read fails on this code: after a read of 2 s the next one starts 1 s later.

--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -219,6 +219,30 @@
 	tear_down(&t);
 }
 
+/* A read that takes as long as the time between reads would fill the link. */
+static void test_directory_leaves_time_after_a_long_read(void **state)
+{
+	directory_test_t t;
+	uint32_t calls;
+
+	(void)state;
+	set_up(&t);
+	tick(&t);
+	tick(&t);
+	tick(&t);
+	while (t.loaded == 0)
+		answer_page(&t);
+	calls = t.calls;
+	bw_directory_expect_workers(t.directory, t.now_ms);
+	tick(&t);
+	assert_int_equal(t.calls, calls);
+	tick(&t);
+	tick(&t);
+	tick(&t);
+	assert_int_equal(t.calls, calls + 1);
+	tear_down(&t);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -230,6 +254,7 @@
 			test_directory_is_complete_some_time_after_a_failure),
 		cmocka_unit_test(
 			test_directory_read_that_began_too_soon_is_not_complete),
+		cmocka_unit_test(test_directory_leaves_time_after_a_long_read),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
