Bound the pause after a long read of the registrations

A pause of up to 4 s would let an owner overlook a draining worker for longer than workers serve after they said so (2 s at the first sites) once a slow store is fast again. The longest pause is 1.5 s now; the reads of 0.2 to 0.3 s that the pause is for are followed by 0.4 to 0.6 s, as before. test_directory_pause_is_bounded fails with the earlier bound.

--- a/src/fleet/directory.c
+++ b/src/fleet/directory.c
@@ -12,8 +12,9 @@
 #define RETRY_MS		200
 /** Shortest pause after a read, in durations of it: the link has other use. */
 #define PAUSE_DURATIONS 2
-/** Longest pause, since a suspended node counts its sleep as a duration. */
-#define PAUSE_MAX_MS 4000
+/** Longest pause: a worker that drains or is new must be noticed in about 2 s,
+ * also after reads that were slow for a while. */
+#define PAUSE_MAX_MS 1500
 /** Pages of a read that was left alone for so long are too old. */
 #define FORGET_MS 2000
 /** Registrations that expired in an outage are back this long after it. */
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -243,6 +243,26 @@
 	tear_down(&t);
 }
 
+/* After a read that took very long, changes are noticed in time again. */
+static void test_directory_pause_is_bounded(void **state)
+{
+	directory_test_t t;
+	uint32_t calls;
+	uint32_t i;
+
+	(void)state;
+	set_up(&t);
+	for (i = 0; i < 20; i++)
+		tick(&t);
+	while (t.loaded == 0)
+		answer_page(&t);
+	calls = t.calls;
+	tick(&t);
+	tick(&t);
+	assert_int_equal(t.calls, calls + 1);
+	tear_down(&t);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -255,6 +275,7 @@
 		cmocka_unit_test(
 			test_directory_read_that_began_too_soon_is_not_complete),
 		cmocka_unit_test(test_directory_leaves_time_after_a_long_read),
+		cmocka_unit_test(test_directory_pause_is_bounded),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
