Test that bytes that are sent end a silence

test_bytes_that_are_sent_are_no_silence uploads 48 MB to a server that takes 256 KB in each 5 ms, with stall_ms 500.

--- a/test/test_slowlink.c
+++ b/test/test_slowlink.c
@@ -26,6 +26,11 @@
 #define LISTEN_COUNT   8
 #define NO_LIMIT       UINT32_MAX
 #define WATCH_ANSWER_S 1.4
+/** An upload that takes about a second, 256 KB in each 5 ms. */
+#define UPLOAD_BYTES	   ((size_t)48 << 20)
+#define UPLOAD_PIECE_BYTES ((size_t)256 << 10)
+#define UPLOAD_PIECE_S	   0.005
+#define UPLOAD_STALL_MS	   500
 
 /** A server that sends one answer in pieces. */
 typedef struct slow_server {
@@ -40,6 +45,7 @@
 	uint32_t pieces_max; /**< After these the server goes silent. */
 	uint32_t pieces;
 	double first_s; /**< Delay of the first piece. */
+	bool reads_slowly; /**< The test reads from the connection. */
 	char address[64];
 } slow_server_t;
 
@@ -92,6 +98,8 @@
 	s->fd = accept(s->listen_fd, NULL, NULL);
 	assert_true(s->fd >= 0);
 	ev_io_stop(loop, io);
+	if (s->reads_slowly)
+		return;
 	ev_io_set(&s->request, s->fd, EV_READ);
 	ev_io_start(loop, &s->request);
 }
@@ -330,6 +338,76 @@
 	test_stop(t);
 }
 
+typedef struct slow_reader {
+	slow_server_t *server;
+	ev_timer receive;
+	char *piece;
+	size_t received;
+} slow_reader_t;
+
+static void on_receive(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	static const char answer[] =
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+	slow_reader_t *r = timer->data;
+	ssize_t n;
+
+	(void)revents;
+	if (r->server->fd < 0)
+		return;
+	n = recv(r->server->fd, r->piece, UPLOAD_PIECE_BYTES, MSG_DONTWAIT);
+	r->received += n > 0 ? (size_t)n : 0;
+	if (n == 0)
+		ev_timer_stop(loop, timer);
+	/* The header makes it more than the body. */
+	if (n > 0 && r->received > UPLOAD_BYTES) {
+		ev_timer_stop(loop, timer);
+		assert_true(send(r->server->fd, answer, strlen(answer),
+				 MSG_NOSIGNAL) > 0);
+	}
+}
+
+static void on_uploaded(void *ctx, const bw_http_answer_t *answer)
+{
+	slow_test_t *t = ctx;
+
+	t->replied = true;
+	t->status = answer->outcome == BW_HTTP_ANSWERED ? BW_OK : BW_ELOST;
+	ev_break(t->loop, EVBREAK_ALL);
+}
+
+static void test_bytes_that_are_sent_are_no_silence(void **state)
+{
+	slow_test_t *t = test_start(g_string_new(NULL));
+	slow_reader_t reader = { .server = &t->server,
+				 .piece = g_malloc(UPLOAD_PIECE_BYTES) };
+	bw_http_client_t *client = bw_http_client_create(t->loop, 1);
+	char *body = g_strnfill(UPLOAD_BYTES, 'x');
+	char *url = g_strconcat("http://", t->server.address, "/", NULL);
+	bw_http_request_t request = { .method = "POST",
+				      .url = url,
+				      .body = body,
+				      .bytes = UPLOAD_BYTES,
+				      .stall_ms = UPLOAD_STALL_MS };
+
+	(void)state;
+	t->server.reads_slowly = true;
+	ev_timer_init(&reader.receive, on_receive, UPLOAD_PIECE_S,
+		      UPLOAD_PIECE_S);
+	reader.receive.data = &reader;
+	ev_timer_start(t->loop, &reader.receive);
+	bw_http_call(client, &request, on_uploaded, t);
+	run(t);
+	assert_int_equal(t->status, BW_OK);
+	assert_true(reader.received > UPLOAD_BYTES);
+	ev_timer_stop(t->loop, &reader.receive);
+	bw_http_client_destroy(client);
+	g_free(reader.piece);
+	g_free(body);
+	g_free(url);
+	test_stop(t);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -340,6 +418,7 @@
 		cmocka_unit_test(test_watch_never_answered_is_lost),
 		cmocka_unit_test(test_lease_call_has_a_limit_in_all),
 		cmocka_unit_test(test_list_of_machines_may_take_long),
+		cmocka_unit_test(test_bytes_that_are_sent_are_no_silence),
 	};
 
 	curl_global_init(CURL_GLOBAL_NOTHING);
