Failing test: an adopted run that ends is not replaced until the takeover is settled

Cause: a task that an earlier owner may have started is marked so, and the mark stays when its run is listed by its worker and taken over. When that run ends, the task waits until all workers have answered or all grants have expired, 9 s or more; the next planned stop of an owner starts that time again. Seen: [ ERROR ] --- 0 != 0x1 (starts after the end) test_unlisted_run_is_waited_for passes and must stay so.

--- a/test/test_sched.c
+++ b/test/test_sched.c
@@ -730,6 +730,77 @@
 	bw_sched_destroy(o.sched);
 }
 
+/* Takes over the pool of an owner whose job JOB_A has one lasting task, on w1.
+ * Worker w2 never answers the new owner. */
+static void take_over_beside_silent_worker(orders_t *o, bool in_order)
+{
+	orders_t before;
+	uint8_t *data;
+	size_t bytes;
+
+	begin_with_worker(&before);
+	add_worker(&before, "w2");
+	add_job(&before, JOB_A, 1, true, 1000, 0);
+	run(&before, 10);
+	assert_int_equal(before.start_count, 1);
+	assert_string_equal(before.starts[0].worker, "w1");
+	if (in_order)
+		bw_sched_hand_over(before.sched);
+	data = bw_sched_pack(before.sched, &bytes);
+	bw_sched_destroy(before.sched);
+	begin(o);
+	assert_int_equal(bw_sched_load(o->sched, o->now_ms, data, bytes),
+			 BW_OK);
+	g_free(data);
+	add_worker(o, "w1");
+	add_job(o, JOB_A, 1, true, 1000, 0);
+}
+
+/*
+ * A run that is listed after a takeover is the only one of its task, so the
+ * task is started again when it ends, though another worker is silent.
+ */
+static void test_run_that_ends_after_takeover_is_replaced(void **state)
+{
+	bw_end_row_t end = {
+		.number = 1, .run = 1, .kind = BW_END_STOPPED, .checkpoint = ""
+	};
+	bw_run_row_t row;
+	orders_t o;
+
+	(void)state;
+	take_over_beside_silent_worker(&o, false);
+	init_lasting_row(&row, 0);
+	answer_heartbeat(&o, "w1", &row, 1, NULL, 0);
+	save(&o);
+	run(&o, 10);
+	assert_int_equal(o.start_count, 0);
+	assert_false(bw_sched_recovered(o.sched));
+	end.task = row.task;
+	o.now_ms += 1000;
+	answer_heartbeat(&o, "w1", NULL, 0, &end, 1);
+	run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	assert_int_equal(o.starts[0].run, 2);
+	bw_sched_destroy(o.sched);
+}
+
+/* Before a worker's run is listed, it may still run: the task waits. */
+static void test_unlisted_run_is_waited_for(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	take_over_beside_silent_worker(&o, false);
+	answer_heartbeat(&o, "w1", NULL, 0, NULL, 0);
+	save(&o);
+	o.now_ms += 1000;
+	answer_heartbeat(&o, "w1", NULL, 0, NULL, 0);
+	run(&o, 10);
+	assert_int_equal(o.start_count, 0);
+	bw_sched_destroy(o.sched);
+}
+
 /** Timeout of an order to a worker. */
 #define ORDER_TIMEOUT_MS 700
 
@@ -1007,6 +1078,8 @@
 		cmocka_unit_test(test_silent_worker_gets_no_grant),
 		cmocka_unit_test(test_superseded),
 		cmocka_unit_test(test_no_move_right_after_takeover),
+		cmocka_unit_test(test_run_that_ends_after_takeover_is_replaced),
+		cmocka_unit_test(test_unlisted_run_is_waited_for),
 		cmocka_unit_test(test_heartbeats_wait_for_no_start),
 		cmocka_unit_test(test_starts_are_not_lost_on_a_slow_link),
 		cmocka_unit_test(test_lasting_tasks_do_not_wait_for_others),
