Replace an adopted run that ends without waiting for the takeover to settle

Change: taking over a listed run clears the mark of a run that is not known. The earlier owner starts another run of a task only once the last one has certainly ended, so a run that its worker lists as running, to the new fencing token, is the only one. Ruled out: clearing it also for an end that is listed without an adopted run; the earlier owner may have learned of that end and started the next run elsewhere.

--- a/src/sched/heartbeat.c
+++ b/src/sched/heartbeat.c
@@ -149,6 +149,8 @@
 	sched_step_state(task)->waiting--;
 	task->state = TASK_RUNNING;
 	task->run = row->run;
+	/* The earlier owner started no other run while this one went on. */
+	task->maybe_running = false;
 	task->ordered_ms = now_ms;
 	task->start_answered_ms = now_ms;
 	task->percent = PERCENT_UNKNOWN;
