Failing test: a successor waits for workers that are known to be gone

What callers saw: on the grown library site a pool's workers are moved to and fro by hundreds, so that in each planned stop of an owner some 50 workers of its record are gone. Cause: the record of a pool lists each worker that is not known to have ended, also one that is not registered any more and runs nothing.

--- a/test/test_sched.c
+++ b/test/test_sched.c
@@ -785,6 +785,67 @@
 	bw_sched_destroy(o.sched);
 }
 
+/*
+ * An owner that hands over in order knows which workers without a registration
+ * run nothing; its successor does not wait for them.
+ */
+static void test_gone_workers_are_not_handed_over(void **state)
+{
+	orders_t before;
+	orders_t o;
+	uint8_t *data;
+	size_t bytes;
+
+	(void)state;
+	begin_with_worker(&before);
+	add_worker(&before, "w2");
+	answer_heartbeat(&before, "w2", NULL, 0, NULL, 0);
+	bw_sched_worker_unregistered(before.sched, before.now_ms, "w2");
+	save(&before);
+	run(&before, 10);
+	bw_sched_hand_over(before.sched);
+	data = bw_sched_pack(before.sched, &bytes);
+	bw_sched_destroy(before.sched);
+	begin(&o);
+	assert_int_equal(bw_sched_load(o.sched, o.now_ms, data, bytes), BW_OK);
+	g_free(data);
+	add_worker(&o, "w1");
+	run(&o, 10);
+	assert_false(bw_sched_recovered(o.sched));
+	answer_heartbeat(&o, "w1", NULL, 0, NULL, 0);
+	run(&o, 10);
+	assert_true(bw_sched_recovered(o.sched));
+	bw_sched_destroy(o.sched);
+}
+
+/* A gone worker that may run something is handed over. */
+static void test_gone_worker_with_a_run_is_handed_over(void **state)
+{
+	orders_t before;
+	orders_t o;
+	uint8_t *data;
+	size_t bytes;
+
+	(void)state;
+	begin_with_worker(&before);
+	add_job(&before, JOB_A, 1, true, 1000, 0);
+	run(&before, 10);
+	assert_int_equal(before.start_count, 1);
+	bw_sched_worker_unregistered(before.sched, before.now_ms, "w1");
+	bw_sched_hand_over(before.sched);
+	data = bw_sched_pack(before.sched, &bytes);
+	bw_sched_destroy(before.sched);
+	begin(&o);
+	assert_int_equal(bw_sched_load(o.sched, o.now_ms, data, bytes), BW_OK);
+	g_free(data);
+	add_job(&o, JOB_A, 1, true, 1000, 0);
+	save(&o);
+	run(&o, 10);
+	assert_false(bw_sched_recovered(o.sched));
+	assert_int_equal(o.start_count, 0);
+	bw_sched_destroy(o.sched);
+}
+
 /* Before a worker's run is listed, it may still run: the task waits. */
 static void test_unlisted_run_is_waited_for(void **state)
 {
@@ -1079,6 +1140,8 @@
 		cmocka_unit_test(test_superseded),
 		cmocka_unit_test(test_no_move_right_after_takeover),
 		cmocka_unit_test(test_run_that_ends_after_takeover_is_replaced),
+		cmocka_unit_test(test_gone_workers_are_not_handed_over),
+		cmocka_unit_test(test_gone_worker_with_a_run_is_handed_over),
 		cmocka_unit_test(test_unlisted_run_is_waited_for),
 		cmocka_unit_test(test_heartbeats_wait_for_no_start),
 		cmocka_unit_test(test_starts_are_not_lost_on_a_slow_link),
