Hand over no workers that are gone and run nothing

Change: in an orderly handover the record leaves out workers that are not registered, have accepted this owner's fencing token, list no unknown run and have no task. Only the owner starts tasks, and each start without a certain end is a task of its worker, so nothing can run there. Should such a worker register again, it is new to the successor and is waited for. Ruled out: leaving them out of every save; after a crash the successor can't know what the owner started since.

--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -107,6 +107,18 @@
 	}
 }
 
+/*
+ * Returns whether a successor must wait for a worker's answer. In an orderly
+ * handover, a worker that is gone and runs nothing needs none.
+ */
+static bool must_list(const worker_t *worker, bool handed_over)
+{
+	if (worker->dead)
+		return false;
+	return !handed_over || worker->registered || !worker->synced ||
+	       worker->has_orphans || worker->tasks->len > 0;
+}
+
 static void pack_workers(packer_t *p, bw_sched_t *s, Bramley__PoolRecord *out)
 {
 	GHashTableIter iter;
@@ -119,7 +131,7 @@
 		worker_t *worker = value;
 		Bramley__WorkerRecord *record;
 
-		if (worker->dead)
+		if (!must_list(worker, out->handed_over))
 			continue;
 		record = alloc(p, sizeof(*record));
 		bramley__worker_record__init(record);
