Know that the owner that handed a pool over sends no more orders

Change: the last owner of a pool has ended if the pool's record says that just this owner, by its fencing token, handed it over in order. Ruled out: trusting the record alone. An owner in between may have loaded it, sent heartbeats that extend grants, and been cut off before its first save; its claim is another revision, so the comparison fails and the old bound holds. Figures: test_owner_that_handed_over_has_ended fails before (unregistered) and passes.

--- a/src/fleet/member.c
+++ b/src/fleet/member.c
@@ -213,12 +213,12 @@
 	const owner_t *previous = g_hash_table_lookup(m->predecessors, pool);
 	const node_t *current;
 
-	(void)handed_over_by;
 	if (!previous)
 		return BW_PREDECESSOR_UNKNOWN;
 	*node = previous->node;
 	/* An earlier ownership by this node itself has ended. */
-	if (!strcmp(previous->node, m->name))
+	if (!strcmp(previous->node, m->name) ||
+	    previous->revision == handed_over_by)
 		return BW_PREDECESSOR_ENDED;
 	current = g_hash_table_lookup(m->nodes, previous->node);
 	if (!current)
