--- a/src/fleet/member.c
+++ b/src/fleet/member.c
@@ -207,6 +207,7 @@
 
 bw_predecessor_t bw_fleet_member_predecessor(const bw_fleet_member_t *m,
 					     const char *pool,
+					     int64_t handed_over_by,
 					     const char **node)
 {
 	const owner_t *previous = g_hash_table_lookup(m->predecessors, pool);
@@ -216,7 +217,8 @@
 		return BW_PREDECESSOR_UNKNOWN;
 	*node = previous->node;
 	/* An earlier ownership by this node itself has ended. */
-	if (!strcmp(previous->node, m->name))
+	if (!strcmp(previous->node, m->name) ||
+	    previous->revision == handed_over_by)
 		return BW_PREDECESSOR_ENDED;
 	current = g_hash_table_lookup(m->nodes, previous->node);
 	if (!current)
