Failing test: saves of the state take the whole of a slow link

What callers saw: in the record, before its lease ended, the first pool's owner sent 0.6 to 1.2 MB in each second, its link's capacity, and used the 12 % of a core that it has; the renewals of its lease did not arrive. Cause, in part: the state of a pool is saved as a whole, every 50 to 100 ms, or back to back when a save takes longer, whatever its size and the link. The record does not divide what was sent, so how much of it were saves is not shown; it has 9 to 21 answered calls to the store a second of that owner from 1.0 to 5 s. The test compares the order of a timer and a save, not times.

--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -736,6 +736,126 @@
 	}
 }
 
+/* A pool whose saves the test answers at once. */
+
+/** A save of the smallest state takes longer on a link of 1 kbit a second. */
+#define EARLY_S		0.2
+#define SAVE_WATCHDOG_S 20.0
+
+typedef struct saving_store {
+	empty_store_t empty; /**< First: the other operations use it. */
+	struct ev_loop *loop;
+	bw_pool_t *pool;
+	ev_timer answer;
+	ev_timer early;
+	ev_timer watchdog;
+	bw_store_done_fn done;
+	void *ctx;
+	uint32_t saves;
+	uint32_t jobs;
+	bool early_passed; /**< Before the second save. */
+} saving_store_t;
+
+/* Changes the state of the pool. */
+static void change_state(saving_store_t *f)
+{
+	bw_job_record_t record = { .queue = g_strdup("q"),
+				   .accepted_ms = bw_clock_wall_ms(),
+				   .spec = bw_job_spec_new(1) };
+	char id[BW_JOB_ID_CHARS + 1];
+	size_t bytes;
+	uint8_t *data;
+
+	record.spec->text = g_strdup("text");
+	record.spec->steps[0].count = 1;
+	data = bw_job_record_pack(&record, &bytes);
+	g_snprintf(id, sizeof(id), "%016x", ++f->jobs);
+	bw_pool_add_job(f->pool, id, data, bytes);
+	bw_pool_cancel_job(f->pool, id);
+	g_free(data);
+	bw_job_record_clear(&record);
+}
+
+static void saving_txn(void *impl, const bw_store_txn_t *txn,
+		       bw_store_done_fn done, void *ctx)
+{
+	saving_store_t *f = impl;
+
+	(void)txn;
+	f->done = done;
+	f->ctx = ctx;
+	f->saves++;
+	if (f->saves == 1)
+		ev_timer_start(f->loop, &f->answer);
+	else
+		ev_break(f->loop, EVBREAK_ALL);
+}
+
+static void on_save_answer(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	saving_store_t *f = timer->data;
+	bw_store_reply_t reply = { .status = BW_OK,
+				   .succeeded = true,
+				   .revision = 2 };
+
+	(void)revents;
+	ev_timer_start(loop, &f->early);
+	change_state(f);
+	f->done(f->ctx, &reply);
+}
+
+static void on_early(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	(void)loop;
+	(void)revents;
+	((saving_store_t *)timer->data)->early_passed = true;
+}
+
+static void on_save_watchdog(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	(void)timer;
+	(void)revents;
+	ev_break(loop, EVBREAK_ALL);
+}
+
+static const bw_store_ops_t saving_ops = { .get = empty_get,
+					   .page = empty_page,
+					   .watch = empty_watch,
+					   .watch_end = empty_watch_end,
+					   .txn = saving_txn };
+
+/*
+ * The state is saved as a whole, so on a slow link a save leaves as much of the
+ * link as it takes to heartbeats, starts and the lease.
+ */
+static void test_saves_leave_room_on_a_slow_link(void **state)
+{
+	static const bw_pool_ops_t pool_ops = { .store_result = ignore_result };
+	bw_fleet_settings_t settings = { .retention_ms = 100000,
+					 .link_kbits = 1 };
+	saving_store_t f = { .loop = ev_loop_new(0) };
+	bw_pool_env_t env = { .loop = f.loop,
+			      .store = { &saving_ops, &f },
+			      .settings = &settings };
+
+	(void)state;
+	ev_timer_init(&f.answer, on_save_answer, 0.0, 0.0);
+	ev_timer_init(&f.early, on_early, EARLY_S, 0.0);
+	ev_timer_init(&f.watchdog, on_save_watchdog, SAVE_WATCHDOG_S, 0.0);
+	f.answer.data = &f;
+	f.early.data = &f;
+	ev_timer_start(f.loop, &f.watchdog);
+	f.pool = bw_pool_create(&env, "a", 7, &pool_ops, NULL);
+	bw_pool_set_directory_loaded(f.pool);
+	change_state(&f);
+	ev_run(f.loop, 0);
+	assert_int_equal(f.saves, 2);
+	assert_true(f.early_passed);
+	bw_pool_destroy(f.pool);
+	f.done(f.ctx, &(bw_store_reply_t){ .status = BW_ELOST });
+	ev_loop_destroy(f.loop);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -747,6 +867,7 @@
 		cmocka_unit_test(test_idle_pool_keeps_its_share),
 		cmocka_unit_test(test_removal),
 		cmocka_unit_test(test_old_notice),
+		cmocka_unit_test(test_saves_leave_room_on_a_slow_link),
 		cmocka_unit_test(test_requests),
 		cmocka_unit_test(test_doubt_is_not_refused),
 		cmocka_unit_test(test_longest_prefix),
