Leave half of a slow link free of saves

Cause, in part: saves of the whole state were spaced by a constant time, whatever their size and the link. Ruled out: a pause as long as the last save took, since that also slows the end of jobs down when the store answers slowly and the link is idle. Change: the time between saves is at least twice what the link of the node, known from its settings, needs for the last one; the last save of an owner that stops does not wait. On 200 Mbit/s this exceeds the 100 ms from a state of about 0.9 MB on (computed, not run). Nodes whose link is not known save as before. The state still grows with the jobs that are kept; a node that owns several pools can use half of its link for each.

--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -16,7 +16,12 @@
 #define SAVE_INTERVAL_MS	100
 #define SAVE_URGENT_INTERVAL_MS 50
 #define SAVE_RETRY_MS		200
-#define LOAD_RETRY_S		0.15
+/** Saves use at most this part of the link, as a divisor: the rest is left to
+ * heartbeats, starts and the lease. */
+#define SAVE_LINK_SHARE 2
+/** Bits of a byte of the state in a call to the store, in base64. */
+#define SAVE_BITS_PER_BYTE (8.0 * 4.0 / 3.0)
+#define LOAD_RETRY_S	   0.15
 /** The scheduler runs at least this often. */
 #define TICK_S	      0.1
 #define JOB_SUFFIX    "/job"
@@ -48,6 +53,7 @@
 	ev_prepare prepare;
 	uint64_t saving_version; /**< Version in the last save; 0: it failed. */
 	int64_t save_started_ms;
+	size_t save_bytes; /**< Size of the last save. */
 	int64_t save_not_before_ms;
 	uint32_t refs; /**< Held by the node and by each open call. */
 	bool jobs_loaded;
@@ -623,6 +629,18 @@
 	save(timer->data);
 }
 
+/* Returns the shortest time between saves that the node's link allows; the last
+ * save of an owner that stops does not wait. */
+static int64_t link_interval_ms(const bw_pool_t *pool)
+{
+	int64_t link_kbits = pool->env.settings->link_kbits;
+	double bits = (double)pool->save_bytes * SAVE_BITS_PER_BYTE;
+
+	if (link_kbits <= 0 || pool->stopping)
+		return 0;
+	return (int64_t)(bits / (double)link_kbits) * SAVE_LINK_SHARE;
+}
+
 /* Saves changes now, or once the shortest time between saves has passed. */
 static void schedule_save(bw_pool_t *pool)
 {
@@ -630,8 +648,9 @@
 	int64_t interval_ms = bw_sched_urgent(pool->sched)
 				      ? SAVE_URGENT_INTERVAL_MS
 				      : SAVE_INTERVAL_MS;
-	int64_t due_ms = MAX(pool->save_started_ms + interval_ms,
-			     pool->save_not_before_ms);
+	int64_t pause_ms = MAX(interval_ms, link_interval_ms(pool));
+	int64_t due_ms =
+		MAX(pool->save_started_ms + pause_ms, pool->save_not_before_ms);
 
 	if (pool->save_in_progress || pool->closed ||
 	    pool->saving_version == bw_sched_version(pool->sched))
@@ -663,6 +682,7 @@
 	write.value = (const char *)data;
 	pool->saving_version = bw_sched_version(pool->sched);
 	pool->save_started_ms = bw_clock_now_ms();
+	pool->save_bytes = write.bytes;
 	pool->save_in_progress = true;
 	pool->refs++;
 	pool->env.store.ops->txn(pool->env.store.impl, &txn, on_saved, pool);
