Test that starts leave the window however they end

What callers saw: nothing; a guard. A start that ends without leaving its place in the window would close the window of its pool for ever, and no task would start again. Change: a test in which all starts of the first window end with their worker, with its restart, by its list of ends, by cancellation, by refusal or without an answer, and their answers come late; the next window must still be open. A place that is given back twice because the flag of a detached task is kept is not noticed by it, nor by the others of test_sched; it needs the task to be found on another worker before it is started again. Conclusion: the current code passes; no fault was found on these ways.

--- a/test/test_sched.c
+++ b/test/test_sched.c
@@ -1104,6 +1104,121 @@
 	bw_sched_destroy(o.sched);
 }
 
+/* How the starts of a worker end before their answers. */
+typedef void (*end_starts_fn)(orders_t *o);
+
+static void end_with_worker(orders_t *o)
+{
+	bw_sched_worker_dead(o->sched, "w1", "test");
+}
+
+static void end_with_restart(orders_t *o)
+{
+	bw_heartbeat_answer_t answer = { .result = BW_ORDER_OK,
+					 .sent_ms = o->now_ms,
+					 .clock_ms = 100,
+					 .started_ms = 6 };
+
+	bw_sched_heartbeat_answered(o->sched, o->now_ms, "w1", &answer);
+}
+
+static void end_by_listing_ends(orders_t *o)
+{
+	bw_end_row_t *ends = g_new0(bw_end_row_t, o->start_count);
+	uint32_t i;
+
+	for (i = 0; i < o->start_count; i++)
+		ends[i] = (bw_end_row_t){ .number = i + 1,
+					  .task = o->starts[i].task,
+					  .run = o->starts[i].run,
+					  .kind = BW_END_FAILED,
+					  .checkpoint = "" };
+	answer_heartbeat(o, "w1", NULL, 0, ends, o->start_count);
+	g_free(ends);
+}
+
+/* Stops the tasks, and lists none once the stops have certainly ended. */
+static void end_by_cancelling(orders_t *o)
+{
+	uint32_t i;
+
+	bw_sched_cancel(o->sched, o->now_ms, JOB_A);
+	for (i = 0; i < o->stop_count; i++)
+		bw_sched_stop_answered(o->sched, o->now_ms, "w1",
+				       &o->stops[i].task, o->stops[i].run,
+				       BW_ORDER_OK);
+	o->now_ms += 1000;
+	answer_heartbeat(o, "w1", NULL, 0, NULL, 0);
+	run(o, 10);
+}
+
+static void answer_all_starts(orders_t *o, uint32_t count,
+			      bw_order_result_t result)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		bw_sched_start_answered(o->sched, o->now_ms,
+					o->starts[i].worker, &o->starts[i].task,
+					o->starts[i].run, result, 0);
+}
+
+static void end_by_refusal(orders_t *o)
+{
+	answer_all_starts(o, o->start_count, BW_ORDER_NO_RESOURCES);
+}
+
+static void end_by_loss(orders_t *o)
+{
+	answer_all_starts(o, o->start_count, BW_ORDER_LOST);
+}
+
+/*
+ * However a start in flight ends, it leaves its place in the window: a place
+ * that is kept would close the window for ever. Its late answer changes
+ * nothing.
+ */
+static void test_starts_leave_the_window_however_they_end(void **state)
+{
+	static const end_starts_fn ways[] = {
+		end_with_worker,   end_with_restart, end_by_listing_ends,
+		end_by_cancelling, end_by_refusal,   end_by_loss
+	};
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(ways); i++) {
+		orders_t o;
+		uint32_t first;
+		uint32_t second;
+
+		begin(&o);
+		add_worker_with(&o, "w1", 1000000);
+		answer_heartbeat(&o, "w1", NULL, 0, NULL, 0);
+		save(&o);
+		add_job(&o, JOB_A, 300, false, 1000, 60000);
+		run(&o, 10);
+		first = o.start_count;
+		assert_in_range(first, 1, 299);
+		ways[i](&o);
+		answer_all_starts(&o, first, BW_ORDER_LOST);
+		add_worker_with(&o, "w2", 1000000);
+		answer_heartbeat(&o, "w2", NULL, 0, NULL, 0);
+		save(&o);
+		add_job(&o, JOB_B, 300, false, 1000, 60000);
+		o.now_ms += 200;
+		answer_heartbeat(&o, "w2", NULL, 0, NULL, 0);
+		run(&o, 10);
+		second = o.start_count - first;
+		/* The window has shrunk at most once. */
+		assert_in_range(second, first / 2, 299);
+		answer_all_starts(&o, o.start_count, BW_ORDER_OK);
+		run(&o, 10);
+		assert_true(o.start_count > first + second);
+		bw_sched_destroy(o.sched);
+	}
+}
+
 /* Data that is not a pool record is rejected. */
 static void test_bad_state(void **state)
 {
@@ -1150,6 +1265,7 @@
 		cmocka_unit_test(test_freed_room_is_used_at_once),
 		cmocka_unit_test(test_short_queue_is_placed_at_once),
 		cmocka_unit_test(test_gang_is_not_split),
+		cmocka_unit_test(test_starts_leave_the_window_however_they_end),
 		cmocka_unit_test(test_bad_state),
 	};
 
