--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -408,6 +408,17 @@
 			    "{\"task\":\"5c0e7a21d94b36f8.0.1.2\",\"run\":3,"
 			    "\"spec\":\"a \\\"text\\\"\",\"deadline_ms\":9,"
 			    "\"fence_token\":7}");
+	/* The next start has its own text, checkpoint and ticket. */
+	start.text = "b \\ \xc3\xa4";
+	start.checkpoint = "c\"1";
+	start.ticket = "t";
+	api.start(api.impl, &start, on_started, &t);
+	ev_run(t.loop, 0);
+	assert_string_equal(server.request,
+			    "{\"task\":\"5c0e7a21d94b36f8.0.1.2\",\"run\":3,"
+			    "\"spec\":\"b \\\\ \xc3\xa4\",\"deadline_ms\":9,"
+			    "\"fence_token\":7,\"last_checkpoint\":\"c\\\"1\","
+			    "\"ticket\":\"t\"}");
 	/* Malformed rows are left out; the others are decoded. */
 	server.status = 200;
 	server.body = "{\"clock_ms\":5,\"running\":[[\"x\",1,\"\",3],"
