Test that a job's end is read from its stored record

A node that can't reach the owner of a pool reads a job's record from the store and answers queued whatever has become of the job. Fails on this code:

[ ERROR ] --- 0x1 != 0x3 [ LINE ] --- test/test_fleet.c:696: error: Failure! [ FAILED ] test_end_is_read_from_the_store

--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -193,6 +193,8 @@
 	bool succeeded[8];
 	uint32_t calls;
 	bool store_reachable;
+	const char *value; /**< That reads return; NULL: empty. */
+	size_t value_bytes;
 	bw_answer_t answer;
 	uint32_t answers;
 	uint32_t expects; /**< Conditions of the last transaction. */
@@ -204,7 +206,10 @@
 
 static void answer_call(fake_store_t *f, bw_store_done_fn done, void *ctx)
 {
-	bw_store_kv_t kv = { .key = "k", .value = "", .mod_revision = 1 };
+	bw_store_kv_t kv = { .key = "k",
+			     .value = f->value ? f->value : "",
+			     .bytes = f->value_bytes,
+			     .mod_revision = 1 };
 	bw_store_reply_t reply = { .status = f->results[f->calls],
 				   .succeeded = f->succeeded[f->calls],
 				   .kvs = &kv,
@@ -662,6 +667,36 @@
 	}
 }
 
+/** Short records of ended jobs as stored: version 1 and the state. */
+#define SHORT_COMPLETED "\x08\x01\x48\x03"
+#define SHORT_FAILED	"\x08\x01\x48\x04"
+#define SHORT_CANCELLED "\x08\x01\x48\x05"
+#define SHORT_BYTES	4
+
+/* A node that can't reach the owner knows the end from the stored record. */
+static void test_end_is_read_from_the_store(void **state)
+{
+	static const struct {
+		const char *value;
+		bw_job_state_t state;
+	} cases[] = { { SHORT_COMPLETED, BW_JOB_COMPLETED },
+		      { SHORT_FAILED, BW_JOB_FAILED },
+		      { SHORT_CANCELLED, BW_JOB_CANCELLED },
+		      { "\x08\x01\x48\x02", BW_JOB_QUEUED } };
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fake_store_t f = { .store_reachable = true,
+				   .value = cases[i].value,
+				   .value_bytes = SHORT_BYTES };
+
+		send_request(&f, BW_REQUEST_STATE, JOB, 3000);
+		assert_int_equal(f.answer.kind, BW_ANSWER_STATE);
+		assert_int_equal(f.answer.state, cases[i].state);
+	}
+}
+
 /*
  * A job that may have been stored must not be answered as refused: the first
  * call loses its answer and the retry is refused.
@@ -748,6 +783,7 @@
 		cmocka_unit_test(test_removal),
 		cmocka_unit_test(test_old_notice),
 		cmocka_unit_test(test_requests),
+		cmocka_unit_test(test_end_is_read_from_the_store),
 		cmocka_unit_test(test_doubt_is_not_refused),
 		cmocka_unit_test(test_longest_prefix),
 		cmocka_unit_test(test_operators_jobs),
