Answer a job's end from its stored record

Callers saw queued for a finished job whenever the node that they asked could not reach the owner of the pool, because the record in the store is what was accepted. The record of a job gets a field state; with it a record is short: version and final state, 4 bytes, no queue (nothing asks a finished job for it), text or steps. A node that reads such a record answers its state. A cancel of a finished job is answered as before. Nothing writes short records yet; an owner that reads one leaves the job out, as an older node does: there a record without steps does not unpack ("a job has 1 to 256 steps") and is logged as pool job-unreadable.

--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -469,6 +469,11 @@
 			 bw_status_message());
 		return;
 	}
+	/* A job that has ended is not run again. */
+	if (!record.spec) {
+		bw_job_record_clear(&record);
+		return;
+	}
 	if (bw_clock_wall_ms() - record.accepted_ms > age_max_ms) {
 		bw_event(BW_EVENT_POOL_NOTICE_OLD, "pool=%s job=%s", pool->name,
 			 id);
--- a/src/fleet/service.c
+++ b/src/fleet/service.c
@@ -541,6 +541,22 @@
 	return false;
 }
 
+/* A record that has no end, or that can't be decoded, tells only that the job
+ * was accepted. */
+static bw_job_state_t stored_state(const bw_store_reply_t *reply)
+{
+	bw_job_record_t record;
+	bw_job_state_t state = BW_JOB_UNKNOWN;
+
+	if (reply->kv_count > 0 &&
+	    bw_job_record_unpack((const uint8_t *)reply->kvs[0].value,
+				 reply->kvs[0].bytes, &record) == BW_OK) {
+		state = record.state;
+		bw_job_record_clear(&record);
+	}
+	return state == BW_JOB_UNKNOWN ? BW_JOB_QUEUED : state;
+}
+
 static void on_job_read(void *ctx, const bw_store_reply_t *reply)
 {
 	pending_request_t *pending = ctx;
@@ -556,7 +572,7 @@
 		if (pending->kind == BW_REQUEST_CANCEL)
 			cancel(pending);
 		else
-			finish_state(pending, BW_JOB_QUEUED);
+			finish_state(pending, stored_state(reply));
 		return;
 	}
 	if (bw_clock_now_ms() + STORE_CALL_MIN_MS < pending->deadline_ms &&
--- a/src/job/job.c
+++ b/src/job/job.c
@@ -36,6 +36,11 @@
 	return state_names[state];
 }
 
+bool bw_job_state_final(bw_job_state_t state)
+{
+	return state >= BW_JOB_COMPLETED && state < BW_JOB_STATE_COUNT;
+}
+
 bool bw_job_id_valid(const char *id)
 {
 	size_t i;
@@ -179,6 +184,19 @@
 	return data;
 }
 
+uint8_t *bw_job_record_pack_short(bw_job_state_t state, size_t *bytes)
+{
+	Bramley__JobRecord message = BRAMLEY__JOB_RECORD__INIT;
+	uint8_t *data;
+
+	message.version = RECORD_VERSION;
+	message.state = state;
+	*bytes = bramley__job_record__get_packed_size(&message);
+	data = g_malloc(*bytes + 1);
+	bramley__job_record__pack(&message, data);
+	return data;
+}
+
 static char *dup_nonempty(const char *text)
 {
 	return text[0] ? g_strdup(text) : NULL;
@@ -222,29 +240,43 @@
 	return spec;
 }
 
+/* Takes the contents of a record over; BW_EPARSE if they are not valid. */
+static bw_status_t take_contents(const Bramley__JobRecord *record,
+				 bw_job_record_t *out)
+{
+	if (record->version != RECORD_VERSION)
+		return bw_status_set(BW_EPARSE,
+				     "unknown version of a job record");
+	if (record->state != BW_JOB_UNKNOWN) {
+		if (!bw_job_state_final(record->state))
+			return bw_status_set(BW_EPARSE,
+					     "a job record's state %u is not "
+					     "final",
+					     record->state);
+		out->state = record->state;
+		return BW_OK;
+	}
+	out->queue = g_strdup(record->queue);
+	out->accepted_ms = record->accepted_ms;
+	out->spec = unpack_spec(record);
+	return bw_job_spec_check(out->spec) == BW_OK ? BW_OK : BW_EPARSE;
+}
+
 bw_status_t bw_job_record_unpack(const uint8_t *data, size_t bytes,
 				 bw_job_record_t *out)
 {
 	Bramley__JobRecord *record =
 		bramley__job_record__unpack(NULL, bytes, data);
+	bw_status_t status;
 
 	memset(out, 0, sizeof(*out));
 	if (!record)
 		return bw_status_set(BW_EPARSE, "not a job record");
-	if (record->version != RECORD_VERSION) {
-		bramley__job_record__free_unpacked(record, NULL);
-		return bw_status_set(BW_EPARSE,
-				     "unknown version of a job record");
-	}
-	out->queue = g_strdup(record->queue);
-	out->accepted_ms = record->accepted_ms;
-	out->spec = unpack_spec(record);
+	status = take_contents(record, out);
 	bramley__job_record__free_unpacked(record, NULL);
-	if (bw_job_spec_check(out->spec) != BW_OK) {
+	if (status != BW_OK)
 		bw_job_record_clear(out);
-		return BW_EPARSE;
-	}
-	return BW_OK;
+	return status;
 }
 
 void bw_job_record_clear(bw_job_record_t *record)
--- a/src/job/job.h
+++ b/src/job/job.h
@@ -56,13 +56,6 @@
 	int64_t interval_ms; /**< Time between occurrences. */
 } bw_job_spec_t;
 
-/** A job as stored. */
-typedef struct bw_job_record {
-	char *queue;
-	int64_t accepted_ms; /**< Unix time. */
-	bw_job_spec_t *spec;
-} bw_job_record_t;
-
 /** Identifies a task by indexes from 0. */
 typedef struct bw_task_name {
 	char job[BW_JOB_ID_CHARS + 1];
@@ -82,9 +75,21 @@
 	BW_JOB_STATE_COUNT
 } bw_job_state_t;
 
+/** A job as stored. Once it has ended a short record replaces it, which has
+ *  only the final state. */
+typedef struct bw_job_record {
+	char *queue;
+	int64_t accepted_ms; /**< Unix time. */
+	bw_job_spec_t *spec; /**< NULL in a short record. */
+	bw_job_state_t state; /**< BW_JOB_UNKNOWN unless the record is short. */
+} bw_job_record_t;
+
 /** Returns the name of a state as a static string. */
 const char *bw_job_state_name(bw_job_state_t state);
 
+/** Returns whether a job in this state has ended. */
+bool bw_job_state_final(bw_job_state_t state);
+
 /** Returns whether a string is a well-formed job identifier. */
 bool bw_job_id_valid(const char *id);
 
@@ -110,7 +115,14 @@
 uint8_t *bw_job_record_pack(const bw_job_record_t *record, size_t *bytes);
 
 /**
- * Decodes a record and checks its job.
+ * Encodes a short record.
+ * @param state final state of the job
+ * @return bytes to be released with g_free()
+ */
+uint8_t *bw_job_record_pack_short(bw_job_state_t state, size_t *bytes);
+
+/**
+ * Decodes a record and checks its job, or the state of a short record.
  * @param out receives the record, to be released with bw_job_record_clear()
  * @return BW_OK, or BW_EPARSE
  */
--- a/src/wire/record.pb-c.c
+++ b/src/wire/record.pb-c.c
@@ -651,7 +651,7 @@
   (ProtobufCMessageInit) bramley__step_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__job_record__field_descriptors[8] =
+static const ProtobufCFieldDescriptor bramley__job_record__field_descriptors[9] =
 {
   {
     "version",
@@ -749,6 +749,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "state",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__JobRecord, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__job_record__field_indices_by_name[] = {
   2,   /* field[2] = accepted_ms */
@@ -756,6 +768,7 @@
   7,   /* field[7] = interval_ms */
   1,   /* field[1] = queue */
   5,   /* field[5] = repeats */
+  8,   /* field[8] = state */
   4,   /* field[4] = steps */
   3,   /* field[3] = text */
   0,   /* field[0] = version */
@@ -763,7 +776,7 @@
 static const ProtobufCIntRange bramley__job_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor bramley__job_record__descriptor =
 {
@@ -773,7 +786,7 @@
   "Bramley__JobRecord",
   "bramley",
   sizeof(Bramley__JobRecord),
-  8,
+  9,
   bramley__job_record__field_descriptors,
   bramley__job_record__field_indices_by_name,
   1,  bramley__job_record__number_ranges,
--- a/src/wire/record.pb-c.h
+++ b/src/wire/record.pb-c.h
@@ -56,7 +56,7 @@
 
 
 /*
- * An accepted job.
+ * An accepted job. Once it has ended, version and state only.
  */
 struct  Bramley__JobRecord
 {
@@ -70,10 +70,14 @@
   uint32_t repeats;
   int64_t first_due_ms;
   int64_t interval_ms;
+  /*
+   * Final state; 0: not known to have ended.
+   */
+  uint32_t state;
 };
 #define BRAMLEY__JOB_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__job_record__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
