Test that a short record makes an ended job known

An owner that reads the short record of an ended job must not take the job for unknown: callers would be told queued, and a late notice of the accepting node would add and run it again.

--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -188,6 +188,12 @@
 
 /* Requests about jobs. */
 
+/** Short records of ended jobs as stored: version 1 and the state. */
+#define SHORT_COMPLETED "\x08\x01\x48\x03"
+#define SHORT_FAILED	"\x08\x01\x48\x04"
+#define SHORT_CANCELLED "\x08\x01\x48\x05"
+#define SHORT_BYTES	4
+
 typedef struct fake_store {
 	bw_status_t results[8]; /**< Results of calls, in order. */
 	bool succeeded[8];
@@ -462,10 +468,10 @@
 	g_free(key);
 }
 
-static uint8_t *old_record(size_t *bytes)
+static uint8_t *record_of_age(int64_t age_ms, size_t *bytes)
 {
 	bw_job_record_t record = { .queue = g_strdup("q"),
-				   .accepted_ms = bw_clock_wall_ms() - 200000,
+				   .accepted_ms = bw_clock_wall_ms() - age_ms,
 				   .spec = bw_job_spec_new(1) };
 	uint8_t *data;
 
@@ -493,7 +499,7 @@
 			      .settings = &settings };
 	bw_pool_t *pool = bw_pool_create(&env, "a", 7, &pool_ops, NULL);
 	size_t bytes;
-	uint8_t *record = old_record(&bytes);
+	uint8_t *record = record_of_age(200000, &bytes);
 
 	(void)state;
 	assert_true(bw_pool_jobs_loaded(pool));
@@ -509,6 +515,44 @@
 	ev_loop_destroy(loop);
 }
 
+static bw_pool_t *create_pool(struct ev_loop *loop, empty_store_t *f)
+{
+	static const bw_pool_ops_t pool_ops = { .store_result = ignore_result };
+	static const bw_fleet_settings_t settings = { .retention_ms = 120000 };
+	bw_pool_env_t env = { .loop = loop,
+			      .store = { &empty_ops, f },
+			      .settings = &settings };
+
+	return bw_pool_create(&env, "a", 7, &pool_ops, NULL);
+}
+
+/*
+ * An owner that reads a short record knows that the job has ended, even if the
+ * pool's value does not list it, and a late notice does not add the job.
+ */
+static void test_short_record_is_an_end(void **state)
+{
+	static const char id[] = "00000000000000aa";
+	empty_store_t f = { 0 };
+	struct ev_loop *loop = ev_loop_new(0);
+	bw_pool_t *pool = create_pool(loop, &f);
+	size_t bytes;
+	uint8_t *record = record_of_age(0, &bytes);
+
+	(void)state;
+	report_key(&f, bw_pool_job_key("a", id), (const uint8_t *)SHORT_FAILED,
+		   SHORT_BYTES);
+	assert_int_equal(bw_sched_job_state(bw_pool_sched(pool), id),
+			 BW_JOB_FAILED);
+	bw_pool_add_job(pool, id, record, bytes);
+	bw_pool_cancel_job(pool, id);
+	assert_int_equal(bw_sched_job_state(bw_pool_sched(pool), id),
+			 BW_JOB_FAILED);
+	g_free(record);
+	bw_pool_destroy(pool);
+	ev_loop_destroy(loop);
+}
+
 #define JOB "/p/00000000000000aa"
 
 typedef struct request_case {
@@ -667,12 +711,6 @@
 	}
 }
 
-/** Short records of ended jobs as stored: version 1 and the state. */
-#define SHORT_COMPLETED "\x08\x01\x48\x03"
-#define SHORT_FAILED	"\x08\x01\x48\x04"
-#define SHORT_CANCELLED "\x08\x01\x48\x05"
-#define SHORT_BYTES	4
-
 /* A node that can't reach the owner knows the end from the stored record. */
 static void test_end_is_read_from_the_store(void **state)
 {
@@ -782,6 +820,7 @@
 		cmocka_unit_test(test_idle_pool_keeps_its_share),
 		cmocka_unit_test(test_removal),
 		cmocka_unit_test(test_old_notice),
+		cmocka_unit_test(test_short_record_is_an_end),
 		cmocka_unit_test(test_requests),
 		cmocka_unit_test(test_end_is_read_from_the_store),
 		cmocka_unit_test(test_doubt_is_not_refused),
