Know ended jobs from their short records

An owner that read a short record left the job out, so callers were answered from the value of the pool alone. Now such a record makes the job known as ended, with its end stored: callers see its state, it is never run, a late notice or cancel changes nothing, and its retention time begins anew, as with ends from the value. If the job is active here it ends, as only a successor can have written the record.

--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -456,7 +456,7 @@
 	return true;
 }
 
-/* Adds a job unless it was accepted more than @p age_max_ms ago. */
+/* Adds a job unless it was accepted more than @p age_max_ms ago, or its end. */
 static void apply_job(bw_pool_t *pool, const char *id, const uint8_t *data,
 		      size_t bytes, int64_t age_max_ms)
 {
@@ -469,8 +469,9 @@
 			 bw_status_message());
 		return;
 	}
-	/* A job that has ended is not run again. */
 	if (!record.spec) {
+		bw_sched_add_ended(pool->sched, now_ms, id, record.state);
+		g_hash_table_remove(pool->pending_cancels, id);
 		bw_job_record_clear(&record);
 		return;
 	}
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -288,6 +288,9 @@
 
 /* retention.c */
 void sched_mark_finished(bw_sched_t *s, job_t *job, int64_t now_ms);
+/** Creates a job whose end an earlier owner has stored. */
+void sched_add_finished(bw_sched_t *s, const char *id, bw_job_state_t state,
+			int64_t now_ms);
 /** Drops jobs whose records were removed at least config.removed_ms ago. */
 void sched_jobs_discard(bw_sched_t *s, int64_t now_ms);
 
--- a/src/sched/retention.c
+++ b/src/sched/retention.c
@@ -15,6 +15,34 @@
 	g_queue_push_tail(s->finished, job);
 }
 
+void sched_add_finished(bw_sched_t *s, const char *id, bw_job_state_t state,
+			int64_t now_ms)
+{
+	job_t *job = sched_job_new(s, id, "");
+
+	job->state = state;
+	job->finished_version = 1;
+	job->end_stored = true;
+	sched_mark_finished(s, job, now_ms);
+}
+
+void bw_sched_add_ended(bw_sched_t *s, int64_t now_ms, const char *id,
+			bw_job_state_t state)
+{
+	job_t *job = g_hash_table_lookup(s->jobs, id);
+
+	if (!job) {
+		g_hash_table_remove(s->stored_progress, id);
+		sched_add_finished(s, id, state, now_ms);
+		return;
+	}
+	if (job->finished_version > 0)
+		return;
+	/* Only an owner writes short records: this one has a successor. */
+	sched_job_finish(s, job, state, now_ms);
+	job->end_stored = true;
+}
+
 /* Counted from when this owner learned of the end: needs no wall clock. */
 static bool removable(const bw_sched_t *s, const job_t *job, int64_t now_ms)
 {
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -251,17 +251,12 @@
 {
 	size_t bytes = bramley__job_progress__get_packed_size(progress);
 	uint8_t *data;
-	job_t *job;
 
 	if (progress->state >= BW_JOB_STATE_COUNT ||
 	    !bw_job_id_valid(progress->id))
 		return;
 	if (progress->state >= BW_JOB_COMPLETED) {
-		job = sched_job_new(s, progress->id, "");
-		job->state = progress->state;
-		job->finished_version = 1;
-		job->end_stored = true;
-		sched_mark_finished(s, job, now_ms);
+		sched_add_finished(s, progress->id, progress->state, now_ms);
 		return;
 	}
 	data = g_malloc(bytes + 1);
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -225,6 +225,14 @@
 void bw_sched_add_job(bw_sched_t *s, int64_t now_ms, int64_t wall_ms,
 		      const char *id, bw_job_record_t *record);
 
+/**
+ * Adds a job that has ended under an earlier owner, from its short record. A
+ * job that is known as active ends.
+ * @param state its final state
+ */
+void bw_sched_add_ended(bw_sched_t *s, int64_t now_ms, const char *id,
+			bw_job_state_t state);
+
 /**
  * Lists finished jobs whose records may be removed from the store: their end
  * is stored, none of their tasks runs, and this owner has known of the end for
