Test that records of ended jobs are short

The test ends 60 jobs of a pool on a store that accepts all writes; fails on this code:

[ ERROR ] --- 0 != 0x3c [ LINE ] --- test/test_fleet.c:625: error: Failure! [ FAILED ] test_records_of_ended_jobs_are_short

--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -407,6 +407,10 @@
 typedef struct empty_store {
 	bw_store_done_fn event;
 	void *ctx;
+	uint32_t short_records; /**< Written, all together. */
+	uint32_t long_records; /**< The same of other records of jobs. */
+	uint32_t entries_max; /**< Of one transaction. */
+	size_t state_bytes; /**< Of the pool's value. */
 } empty_store_t;
 
 static void empty_get(void *impl, const char *key, bw_store_done_fn done,
@@ -448,7 +452,36 @@
 	(void)watch;
 }
 
-static const bw_store_ops_t empty_ops = { .get = empty_get,
+/* Accepts a transaction of the owner and counts what it writes. */
+static void empty_txn(void *impl, const bw_store_txn_t *txn,
+		      bw_store_done_fn done, void *ctx)
+{
+	bw_store_reply_t reply = { .status = BW_OK,
+				   .revision = 1,
+				   .succeeded = true };
+	empty_store_t *f = impl;
+	uint32_t i;
+
+	assert_true(txn->expect_count > 0);
+	assert_int_equal(txn->expects[0].mod_revision, 7);
+	f->entries_max =
+		MAX(f->entries_max, txn->expect_count + txn->write_count);
+	for (i = 0; i < txn->write_count; i++) {
+		const bw_store_write_t *write = &txn->writes[i];
+
+		if (g_str_has_prefix(write->key, "bw/p/"))
+			f->state_bytes = write->bytes;
+		else if (write->bytes == SHORT_BYTES &&
+			 !memcmp(write->value, SHORT_CANCELLED, SHORT_BYTES))
+			f->short_records++;
+		else if (write->value)
+			f->long_records++;
+	}
+	done(ctx, &reply);
+}
+
+static const bw_store_ops_t empty_ops = { .txn = empty_txn,
+					  .get = empty_get,
 					  .page = empty_page,
 					  .watch = empty_watch,
 					  .watch_end = empty_watch_end };
@@ -553,6 +586,49 @@
 	ev_loop_destroy(loop);
 }
 
+/** Ended jobs, more than one transaction takes. */
+#define ENDED 60
+/** Rounds of the event loop, of at most 0.1 s, in which a pool does its work.
+ */
+#define ROUNDS_MAX 100
+
+/* Passes jobs to a pool and cancels them. */
+static void end_jobs(bw_pool_t *pool, empty_store_t *f)
+{
+	char id[BW_JOB_ID_CHARS + 1];
+	size_t bytes;
+	uint8_t *record = record_of_age(0, &bytes);
+	uint32_t i;
+
+	for (i = 0; i < ENDED; i++) {
+		g_snprintf(id, sizeof(id), "%016x", i);
+		report_key(f, bw_pool_job_key("a", id), record, bytes);
+		bw_pool_cancel_job(pool, id);
+	}
+	g_free(record);
+}
+
+/* What a successor reads is not what was done: an ended job's record is short.
+ */
+static void test_records_of_ended_jobs_are_short(void **state)
+{
+	empty_store_t f = { 0 };
+	struct ev_loop *loop = ev_loop_new(0);
+	bw_pool_t *pool = create_pool(loop, &f);
+	uint32_t i;
+
+	(void)state;
+	bw_pool_set_directory_loaded(pool);
+	end_jobs(pool, &f);
+	for (i = 0; i < ROUNDS_MAX && f.short_records < ENDED; i++)
+		ev_run(loop, EVRUN_ONCE);
+	assert_int_equal(f.short_records, ENDED);
+	assert_int_equal(f.long_records, 0);
+	assert_true(f.entries_max <= 32);
+	bw_pool_destroy(pool);
+	ev_loop_destroy(loop);
+}
+
 #define JOB "/p/00000000000000aa"
 
 typedef struct request_case {
@@ -821,6 +897,7 @@
 		cmocka_unit_test(test_removal),
 		cmocka_unit_test(test_old_notice),
 		cmocka_unit_test(test_short_record_is_an_end),
+		cmocka_unit_test(test_records_of_ended_jobs_are_short),
 		cmocka_unit_test(test_requests),
 		cmocka_unit_test(test_end_is_read_from_the_store),
 		cmocka_unit_test(test_doubt_is_not_refused),
