Replace records of ended jobs by short ones

A new owner reads all jobs that are stored, and most of them have ended.

A record that was removed must not come back, and a transaction cannot expect that a key exists.

A successor that takes a cancelled job over orders unlisted runs of it to be stopped and knows the job as ended before they have. So nothing is shortened while a worker lists a run that it should not have.

--- a/src/base/eventlist.c
+++ b/src/base/eventlist.c
@@ -128,6 +128,11 @@
 				    "a call to remove records of finished jobs "
 				    "ended (done: 1 on success)",
 				    "pool jobs status done" },
+	[BW_EVENT_POOL_SHORTENED] = { "pool", "shortened", BW_EVENT_BELIEF,
+				      "a call to replace records of ended jobs "
+				      "by short ones ended (done: 1 on "
+				      "success)",
+				      "pool jobs status done" },
 	[BW_EVENT_POOL_NOTICE_OLD] = { "pool", "notice-old", BW_EVENT_REQUEST,
 				       "a node announced a job too late; it is "
 				       "read from the store instead",
--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -11,6 +11,7 @@
 #include "fleet/member.h"
 #include "fleet/watch_cache.h"
 #include "fleet/removal.h"
+#include "fleet/shortening.h"
 
 /** Shortest time between two saves of the state. */
 #define SAVE_INTERVAL_MS	100
@@ -41,6 +42,7 @@
 	bw_sched_t *sched;
 	bw_watch_cache_t *job_cache;
 	bw_removal_t *removal; /**< Removes finished jobs. */
+	bw_shortening_t *shortening; /**< Shortens their records before. */
 	GHashTable *pending_cancels; /**< Cancelled jobs not read yet. */
 	ev_timer tick_timer;
 	ev_timer save_timer;
@@ -368,6 +370,7 @@
 	pool->closed = true;
 	bw_watch_cache_destroy(pool->job_cache);
 	bw_removal_destroy(pool->removal);
+	bw_shortening_destroy(pool->shortening);
 	ev_timer_stop(pool->env.loop, &pool->tick_timer);
 	ev_timer_stop(pool->env.loop, &pool->save_timer);
 	ev_timer_stop(pool->env.loop, &pool->load_timer);
@@ -423,6 +426,8 @@
 				      pool->queue_prefix, &cache_ops, pool);
 	pool->removal = bw_removal_create(&pool->env.store, pool->name,
 					  pool->owner_key, pool->fence);
+	pool->shortening = bw_shortening_create(&pool->env.store, pool->name,
+						pool->owner_key, pool->fence);
 	ev_timer_start(pool->env.loop, &pool->tick_timer);
 	ev_prepare_start(pool->env.loop, &pool->prepare);
 }
@@ -615,8 +620,11 @@
 		bw_metrics_observe(BW_MH_TAKEOVER,
 				   bw_clock_now_ms() - pool->since_ms);
 	}
-	if (!pool->closed && !pool->stopping)
+	if (!pool->closed && !pool->stopping) {
+		bw_shortening_run(pool->shortening, bw_clock_now_ms(),
+				  pool->sched);
 		bw_removal_run(pool->removal, bw_clock_now_ms(), pool->sched);
+	}
 	if (!pool->closed)
 		schedule_save(pool);
 	unref(pool);
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -57,6 +57,13 @@
 	PLACEMENT_CLASS_COUNT
 } placement_class_t;
 
+/** What is known of a job's short record. */
+typedef enum short_record {
+	SHORT_NONE,
+	SHORT_SENT, /**< It may be stored, and may still be written. */
+	SHORT_STORED
+} short_record_t;
+
 typedef enum task_state {
 	TASK_WAITING,
 	TASK_STARTING, /**< Start sent, not confirmed. */
@@ -139,6 +146,7 @@
 	int64_t arrived_ms;
 	uint32_t next_occurrence;
 	uint32_t occurrences_left;
+	short_record_t short_record;
 	bool end_stored; /**< An earlier owner has stored its end. */
 	bool start_ordered; /**< A start of one of its tasks was sent. */
 	bool started; /**< A run of one of its tasks is confirmed. */
@@ -206,6 +214,8 @@
 	GPtrArray *active; /**< Jobs that are not finished. */
 	GPtrArray *ending; /**< Finished jobs whose tasks may still run. */
 	GQueue *finished; /**< Finished jobs, ordered by finished_ms. */
+	GQueue *unshortened; /**< Jobs that ended under this owner and have no
+				short record yet. */
 	GQueue *removed; /**< Jobs removed from the store, by removed_ms. */
 	GHashTable *stored_progress; /**< Loaded, until the job is added. */
 	GHashTable *workers;
--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -343,6 +343,7 @@
 	g_ptr_array_remove(s->active, job);
 	g_ptr_array_add(s->ending, job);
 	sched_mark_finished(s, job, now_ms);
+	g_queue_push_tail(s->unshortened, job);
 	sched_log(s, BW_EVENT_SCHED_JOB_FINISHED,
 		  "job=%s queue=%s state=%s age_ms=%" G_GINT64_FORMAT, job->id,
 		  job->queue->name, bw_job_state_name(state),
--- a/src/sched/retention.c
+++ b/src/sched/retention.c
@@ -1,9 +1,11 @@
 /*
- * Retention of finished jobs: after the retention time their records may be
- * removed from the store, and some time later the scheduler drops them.
+ * Retention of finished jobs: their records may be replaced by short ones,
+ * after the retention time they may be removed from the store, and some time
+ * later the scheduler drops the jobs.
  *
  * Jobs finish as fast as they are accepted, so without removal the stored
- * records would grow without bound.
+ * records would grow without bound, and without short records a takeover would
+ * read mostly what was done.
  */
 #include "sched/internal.h"
 
@@ -34,19 +36,91 @@
 	if (!job) {
 		g_hash_table_remove(s->stored_progress, id);
 		sched_add_finished(s, id, state, now_ms);
-		return;
+		job = g_hash_table_lookup(s->jobs, id);
+	} else if (job->finished_version == 0) {
+		/* An owner has written the record, so this one has a
+		 * successor. */
+		sched_job_finish(s, job, state, now_ms);
+		g_queue_remove(s->unshortened, job);
+		job->end_stored = true;
+	}
+	/* Only the answer to its own call tells that no call is left. */
+	if (job->end_stored)
+		job->short_record = SHORT_STORED;
+}
+
+/*
+ * A record is removed only after the retention time and while no call may
+ * still write the short one, so that none is written after the removal.
+ */
+static bool shortenable(const bw_sched_t *s, const job_t *job, int64_t now_ms)
+{
+	return job->occurrences->len == 0 && sched_end_stored(s, job) &&
+	       (job->short_record == SHORT_SENT ||
+		now_ms - job->finished_ms < s->config.retention_ms);
+}
+
+/* Runs that a worker lists and should not run are being stopped. */
+static bool any_unknown_run(const bw_sched_t *s)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const worker_t *worker = value;
+
+		if (worker->has_orphans && !worker->dead)
+			return true;
+	}
+	return false;
+}
+
+uint32_t bw_sched_shortenable(const bw_sched_t *s, int64_t now_ms,
+			      bw_ended_job_t *out, uint32_t max)
+{
+	const GList *link;
+	uint32_t count = 0;
+
+	/* Before recovery, runs of an earlier owner may be unknown. */
+	if (!s->recovered || any_unknown_run(s))
+		return 0;
+	for (link = s->unshortened->head; link && count < max;
+	     link = link->next) {
+		const job_t *job = link->data;
+
+		if (!shortenable(s, job, now_ms))
+			continue;
+		out[count].id = job->id;
+		out[count++].state = job->state;
 	}
-	if (job->finished_version > 0)
+	return count;
+}
+
+void bw_sched_short_sent(bw_sched_t *s, const char *id)
+{
+	job_t *job = g_hash_table_lookup(s->jobs, id);
+
+	if (job && job->short_record == SHORT_NONE)
+		job->short_record = SHORT_SENT;
+}
+
+void bw_sched_short_stored(bw_sched_t *s, const char *id)
+{
+	job_t *job = g_hash_table_lookup(s->jobs, id);
+
+	if (!job || job->short_record != SHORT_SENT)
 		return;
-	/* Only an owner writes short records: this one has a successor. */
-	sched_job_finish(s, job, state, now_ms);
-	job->end_stored = true;
+	job->short_record = SHORT_STORED;
+	/* It is near the head, as is a removed job below. */
+	g_queue_remove(s->unshortened, job);
 }
 
 /* Counted from when this owner learned of the end: needs no wall clock. */
 static bool removable(const bw_sched_t *s, const job_t *job, int64_t now_ms)
 {
 	return job->occurrences->len == 0 && sched_end_stored(s, job) &&
+	       job->short_record != SHORT_SENT &&
 	       now_ms - job->finished_ms >= s->config.retention_ms;
 }
 
@@ -79,6 +153,7 @@
 	job->removed_ms = now_ms;
 	/* It is near the head: jobs are removed in the order of their end. */
 	g_queue_remove(s->finished, job);
+	g_queue_remove(s->unshortened, job);
 	g_queue_push_tail(s->removed, job);
 }
 
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -71,6 +71,7 @@
 	s->active = g_ptr_array_new();
 	s->ending = g_ptr_array_new();
 	s->finished = g_queue_new();
+	s->unshortened = g_queue_new();
 	s->removed = g_queue_new();
 	s->stored_progress = g_hash_table_new_full(g_str_hash, g_str_equal,
 						   g_free, sched_progress_free);
@@ -115,6 +116,7 @@
 	g_ptr_array_free(s->active, TRUE);
 	g_ptr_array_free(s->ending, TRUE);
 	g_queue_free(s->finished);
+	g_queue_free(s->unshortened);
 	g_queue_free(s->removed);
 	g_hash_table_destroy(s->stored_progress);
 	g_free(s);
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -233,6 +233,29 @@
 void bw_sched_add_ended(bw_sched_t *s, int64_t now_ms, const char *id,
 			bw_job_state_t state);
 
+/** A job that has ended. */
+typedef struct bw_ended_job {
+	const char *id; /**< Owned by the scheduler. */
+	bw_job_state_t state;
+} bw_ended_job_t;
+
+/**
+ * Lists jobs whose records may be replaced by short ones: they ended under this
+ * owner, their end is stored, none of their tasks runs, and their records are
+ * certain to be in the store, as none is removed before the short one is
+ * confirmed.
+ * @param out receives at most @p max jobs
+ * @return number of jobs
+ */
+uint32_t bw_sched_shortenable(const bw_sched_t *s, int64_t now_ms,
+			      bw_ended_job_t *out, uint32_t max);
+
+/** Records that a short record was sent; it may be stored from now on. */
+void bw_sched_short_sent(bw_sched_t *s, const char *id);
+
+/** Records that a short record is stored. */
+void bw_sched_short_stored(bw_sched_t *s, const char *id);
+
 /**
  * Lists finished jobs whose records may be removed from the store: their end
  * is stored, none of their tasks runs, and this owner has known of the end for
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -12,6 +12,7 @@
 #include "fleet/pool.h"
 #include "fleet/removal.h"
 #include "fleet/service.h"
+#include "fleet/shortening.h"
 #include "job/json.h"
 
 /* Ranks of nodes that claim a pool. */
@@ -333,10 +334,11 @@
 
 #define FINISHED 20
 
-static bw_sched_t *finished_jobs(void)
+static bw_sched_t *finished_jobs(int64_t retention_ms)
 {
 	static const bw_sched_ops_t no_ops = { 0 };
-	bw_sched_config_t limits = { .retention_ms = 1000, .removed_ms = 5000 };
+	bw_sched_config_t limits = { .retention_ms = retention_ms,
+				     .removed_ms = 5000 };
 	bw_sched_t *sched = bw_sched_create(&limits, &no_ops, NULL, 1000);
 	char id[BW_JOB_ID_CHARS + 1];
 	size_t bytes;
@@ -369,7 +371,7 @@
 	fake_store_t f = { .results = { BW_ELOST, BW_OK, BW_OK, BW_OK },
 			   .succeeded = { false, false, true, true } };
 	bw_store_t store = { &fake_ops, &f };
-	bw_sched_t *sched = finished_jobs();
+	bw_sched_t *sched = finished_jobs(1000);
 	bw_removal_t *r = bw_removal_create(&store, "a", "owner", 7);
 	const char *ids[FINISHED];
 	int64_t late_ms = bw_clock_now_ms() + 100000;
@@ -402,6 +404,59 @@
 	bw_sched_destroy(sched);
 }
 
+/* Lets due records wait for long enough to be sent. */
+static void send_due(bw_shortening_t *sh, int64_t *now_ms, bw_sched_t *sched)
+{
+	bw_shortening_run(sh, *now_ms, sched);
+	*now_ms += 1000;
+	bw_shortening_run(sh, *now_ms, sched);
+	*now_ms += 1000;
+}
+
+/*
+ * A lost answer or a superseded owner must not count as stored, and a record is
+ * not removed while a call may still write the short one.
+ */
+static void test_shortening(void **state)
+{
+	fake_store_t f = { .results = { BW_ELOST, BW_OK, BW_OK },
+			   .succeeded = { false, false, true } };
+	bw_store_t store = { &fake_ops, &f };
+	bw_sched_t *sched = finished_jobs(5000);
+	bw_shortening_t *sh = bw_shortening_create(&store, "a", "owner", 7);
+	bw_ended_job_t ended[FINISHED];
+	const char *ids[FINISHED];
+	int64_t late_ms = bw_clock_now_ms() + 100000;
+	uint32_t i;
+
+	(void)state;
+	/* A few jobs wait for others, for a second at most. */
+	bw_shortening_run(sh, 1000, sched);
+	bw_shortening_run(sh, 1900, sched);
+	assert_int_equal(f.calls, 0);
+	assert_int_equal(bw_sched_shortenable(sched, 1900, ended, FINISHED),
+			 FINISHED);
+	assert_int_equal(ended[0].state, BW_JOB_CANCELLED);
+	bw_shortening_run(sh, 2100, sched);
+	for (i = 0; i < 2; i++) {
+		assert_int_equal(f.calls, i + 1);
+		assert_int_equal(f.expects, 1);
+		assert_int_equal(f.writes, FINISHED);
+		assert_string_equal(f.first_key, "bw/q/a/0000000000000000/job");
+		assert_int_equal(
+			bw_sched_removable(sched, late_ms, ids, FINISHED), 0);
+		send_due(sh, &late_ms, sched);
+	}
+	assert_int_equal(bw_sched_shortenable(sched, late_ms, ended, FINISHED),
+			 0);
+	assert_int_equal(bw_sched_removable(sched, late_ms, ids, FINISHED),
+			 FINISHED);
+	send_due(sh, &late_ms, sched);
+	assert_int_equal(f.calls, 3);
+	bw_shortening_destroy(sh);
+	bw_sched_destroy(sched);
+}
+
 /* A pool on an empty store, whose watch events come from the test. */
 
 typedef struct empty_store {
@@ -895,6 +950,7 @@
 		cmocka_unit_test(test_unknown_pool_gives_nothing),
 		cmocka_unit_test(test_idle_pool_keeps_its_share),
 		cmocka_unit_test(test_removal),
+		cmocka_unit_test(test_shortening),
 		cmocka_unit_test(test_old_notice),
 		cmocka_unit_test(test_short_record_is_an_end),
 		cmocka_unit_test(test_records_of_ended_jobs_are_short),
--- a/test/test_sched.c
+++ b/test/test_sched.c
@@ -336,6 +336,113 @@
 	bw_sched_destroy(o.sched);
 }
 
+static uint32_t list_shortenable(const orders_t *o)
+{
+	bw_ended_job_t jobs[4];
+
+	return bw_sched_shortenable(o->sched, o->now_ms, jobs, 4);
+}
+
+/*
+ * A short record is written only while the job's record is certain to be in the
+ * store: a job that is removed must not come back.
+ */
+static void test_removed_is_not_shortened(void **state)
+{
+	const char *id;
+	orders_t o;
+
+	(void)state;
+	begin_with_worker(&o);
+	add_job(&o, JOB_A, 1, false, 1000, 500);
+	add_job(&o, JOB_B, 1, false, 1000, 500);
+	bw_sched_cancel(o.sched, o.now_ms, JOB_A);
+	bw_sched_cancel(o.sched, o.now_ms, JOB_B);
+	run(&o, 10);
+	/* Their end is not stored yet. */
+	assert_int_equal(list_shortenable(&o), 0);
+	save(&o);
+	assert_int_equal(list_shortenable(&o), 2);
+	bw_sched_short_sent(o.sched, JOB_A);
+	run(&o, 200000);
+	/* From now on a removal of B may be sent. */
+	assert_int_equal(list_shortenable(&o), 1);
+	assert_int_equal(list_removable(&o, &id), 1);
+	assert_string_equal(id, JOB_B);
+	bw_sched_job_removed(o.sched, o.now_ms, JOB_B);
+	/* The short record of A may still be written. */
+	assert_int_equal(list_removable(&o, &id), 0);
+	bw_sched_short_stored(o.sched, JOB_A);
+	assert_int_equal(list_shortenable(&o), 0);
+	assert_int_equal(list_removable(&o, &id), 1);
+	assert_string_equal(id, JOB_A);
+	bw_sched_destroy(o.sched);
+}
+
+/* The record of a job whose task may still run is not replaced. */
+static void test_stopping_job_is_not_shortened(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	begin_with_worker(&o);
+	add_job(&o, JOB_A, 1, false, 1000, 500);
+	run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	bw_sched_cancel(o.sched, o.now_ms, JOB_A);
+	save(&o);
+	run(&o, 10);
+	assert_int_equal(list_shortenable(&o), 0);
+	bw_sched_worker_dead(o.sched, "w1", "test");
+	run(&o, 10);
+	assert_int_equal(list_shortenable(&o), 1);
+	bw_sched_destroy(o.sched);
+}
+
+/* Nor while a worker lists a run that should have ended, of whichever job. */
+static void test_unknown_run_delays_short_records(void **state)
+{
+	bw_run_row_t row = { .task = { .job = JOB_A },
+			     .run = 1,
+			     .checkpoint = "" };
+	orders_t o;
+
+	(void)state;
+	begin_with_worker(&o);
+	add_job(&o, JOB_A, 1, false, 1000, 500);
+	bw_sched_cancel(o.sched, o.now_ms, JOB_A);
+	save(&o);
+	run(&o, 10);
+	assert_int_equal(list_shortenable(&o), 1);
+	answer_heartbeat(&o, "w1", &row, 1, NULL, 0);
+	assert_int_equal(o.stop_count, 1);
+	assert_int_equal(list_shortenable(&o), 0);
+	answer_heartbeat(&o, "w1", NULL, 0, NULL, 0);
+	assert_int_equal(list_shortenable(&o), 1);
+	bw_sched_destroy(o.sched);
+}
+
+/* A successor neither runs a job from its short record nor writes that again.
+ */
+static void test_ended_is_not_run_again(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	begin_with_worker(&o);
+	bw_sched_add_ended(o.sched, o.now_ms, JOB_A, BW_JOB_COMPLETED);
+	add_job(&o, JOB_A, 1, false, 1000, 500);
+	add_job(&o, JOB_B, 1, false, 1000, 500);
+	bw_sched_add_ended(o.sched, o.now_ms, JOB_B, BW_JOB_FAILED);
+	save(&o);
+	run(&o, 10);
+	assert_int_equal(o.start_count, 0);
+	assert_int_equal(bw_sched_job_state(o.sched, JOB_A), BW_JOB_COMPLETED);
+	assert_int_equal(bw_sched_job_state(o.sched, JOB_B), BW_JOB_FAILED);
+	assert_int_equal(list_shortenable(&o), 0);
+	bw_sched_destroy(o.sched);
+}
+
 /* A successor lists jobs that finished under an earlier owner. */
 static void test_successor_removes(void **state)
 {
@@ -966,6 +1073,10 @@
 		cmocka_unit_test(test_completed_is_stored),
 		cmocka_unit_test(test_cancelled_stays),
 		cmocka_unit_test(test_finished_is_forgotten),
+		cmocka_unit_test(test_removed_is_not_shortened),
+		cmocka_unit_test(test_stopping_job_is_not_shortened),
+		cmocka_unit_test(test_unknown_run_delays_short_records),
+		cmocka_unit_test(test_ended_is_not_run_again),
 		cmocka_unit_test(test_successor_removes),
 		cmocka_unit_test(test_earlier_objective_first),
 		cmocka_unit_test(test_in_time_first),
--- a/test/world_internal.h
+++ b/test/world_internal.h
@@ -35,6 +35,8 @@
 #define STUCK_AFTER_MS 30000
 /** Reads of the store may be this old. */
 #define STALE_MS 2000
+/** Records that are replaced in the store at a time. */
+#define SHORTENED_MAX 6
 /** Jobs that are removed from the store at a time. */
 #define REMOVED_MAX 4
 /** Limits lasting jobs, so that they use only a part of the capacity. */
@@ -82,6 +84,8 @@
 	int64_t cancelled_ms; /**< 0: not cancelled. */
 	bool shown_completed;
 	bool shown_cancelled;
+	int64_t short_ms; /**< When a short record replaced its record. */
+	bw_job_state_t short_state; /**< In the short record. */
 	int64_t removed_ms; /**< 0: still in the store. */
 	task_state_t *tasks;
 } fake_job_t;
--- a/test/world_node.c
+++ b/test/world_node.c
@@ -146,15 +146,26 @@
 		save_state(w, node);
 }
 
+static uint8_t *pack_stored(const fake_job_t *job, size_t *bytes)
+{
+	if (job->short_ms > 0)
+		return bw_job_record_pack_short(job->short_state, bytes);
+	return bw_job_record_pack(&job->record, bytes);
+}
+
 void world_add_job(world_t *w, node_t *node, const fake_job_t *job)
 {
 	size_t bytes;
-	uint8_t *data = bw_job_record_pack(&job->record, &bytes);
+	uint8_t *data = pack_stored(job, &bytes);
 	bw_job_record_t copy;
 
 	if (bw_job_record_unpack(data, bytes, &copy) == BW_OK) {
-		bw_sched_add_job(node->sched, w->now_ms, w->now_ms, job->id,
-				 &copy);
+		if (copy.spec)
+			bw_sched_add_job(node->sched, w->now_ms, w->now_ms,
+					 job->id, &copy);
+		else
+			bw_sched_add_ended(node->sched, w->now_ms, job->id,
+					   copy.state);
 		bw_job_record_clear(&copy);
 	} else {
 		world_violation(w, "a packed job record does not unpack");
@@ -180,15 +191,41 @@
 	}
 }
 
-/* Checks that a job that is removed has ended. */
-static void check_removed(world_t *w, const fake_job_t *job)
+/* Checks that a job that is removed, or whose record is replaced, has ended. */
+static void check_ended(world_t *w, const fake_job_t *job, const char *change)
 {
 	if (job->cancelled_ms == 0 && !world_all_done(job) &&
 	    !world_any_out_of_attempts(job))
-		world_violation(w, "job %s is removed and not finished",
-				job->id);
+		world_violation(w, "job %s is %s and not finished", job->id,
+				change);
 	if (world_any_running(job))
-		world_violation(w, "job %s is removed and runs", job->id);
+		world_violation(w, "job %s is %s and runs", job->id, change);
+}
+
+/* Replaces records by short ones; the answer to the node may be lost. */
+static void shorten_jobs(world_t *w, node_t *node)
+{
+	bw_ended_job_t ended[SHORTENED_MAX];
+	uint32_t count;
+	uint32_t i;
+
+	if (node->fence == 0 || node->fence != w->owner_fence)
+		return;
+	count = bw_sched_shortenable(node->sched, w->now_ms, ended,
+				     SHORTENED_MAX);
+	for (i = 0; i < count; i++) {
+		fake_job_t *job = world_find_job(w, ended[i].id);
+
+		check_ended(w, job, "shortened");
+		if (job->removed_ms > 0)
+			world_violation(w, "job %s is brought back", job->id);
+		if (job->short_ms == 0)
+			job->short_ms = w->now_ms;
+		job->short_state = ended[i].state;
+		bw_sched_short_sent(node->sched, ended[i].id);
+		if (!world_random_bool(w, w->config.lost_share))
+			bw_sched_short_stored(node->sched, job->id);
+	}
 }
 
 /* Removes finished jobs from the store; the answer to the node may be lost. */
@@ -204,7 +241,7 @@
 	for (i = 0; i < count; i++) {
 		fake_job_t *job = world_find_job(w, ids[i]);
 
-		check_removed(w, job);
+		check_ended(w, job, "removed");
 		if (job->removed_ms == 0)
 			job->removed_ms = w->now_ms;
 		if (!world_random_bool(w, w->config.lost_share))
@@ -250,6 +287,7 @@
 	    !node->store_unreachable) {
 		load_workers(w, node);
 		load_jobs(w, node);
+		shorten_jobs(w, node);
 		remove_jobs(w, node);
 		world_run_sched(w, node);
 	}
--- a/test/world_worker.c
+++ b/test/world_worker.c
@@ -134,6 +134,9 @@
 	if (job->removed_ms > 0)
 		world_violation(w, "job %s is started after its removal",
 				job->id);
+	if (job->short_ms > 0)
+		world_violation(w, "job %s is started after its short record",
+				job->id);
 	world_find_task(job, task)->running++;
 	w->result->starts++;
 	run.fails = worker->fails_runs ||
