Test that a pool's value leaves out ended jobs with a short record

The value of a pool lists every ended job until 30 s after its removal, 150 s in all, and is written whole up to 20 times a second. Fails on this code:

[ ERROR ] --- f.state_bytes < EMPTY_VALUE_BYTES [ LINE ] --- test/test_fleet.c:709: error: Failure! [ FAILED ] test_value_leaves_out_short_records

--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -648,15 +648,16 @@
 #define ROUNDS_MAX 100
 
 /* Passes jobs to a pool and cancels them. */
-static void end_jobs(bw_pool_t *pool, empty_store_t *f)
+static void end_jobs(bw_pool_t *pool, empty_store_t *f, uint32_t first,
+		     uint32_t count)
 {
 	char id[BW_JOB_ID_CHARS + 1];
 	size_t bytes;
 	uint8_t *record = record_of_age(0, &bytes);
 	uint32_t i;
 
-	for (i = 0; i < ENDED; i++) {
-		g_snprintf(id, sizeof(id), "%016x", i);
+	for (i = 0; i < count; i++) {
+		g_snprintf(id, sizeof(id), "%016x", first + i);
 		report_key(f, bw_pool_job_key("a", id), record, bytes);
 		bw_pool_cancel_job(pool, id);
 	}
@@ -674,7 +675,7 @@
 
 	(void)state;
 	bw_pool_set_directory_loaded(pool);
-	end_jobs(pool, &f);
+	end_jobs(pool, &f, 0, ENDED);
 	for (i = 0; i < ROUNDS_MAX && f.short_records < ENDED; i++)
 		ev_run(loop, EVRUN_ONCE);
 	assert_int_equal(f.short_records, ENDED);
@@ -684,6 +685,32 @@
 	ev_loop_destroy(loop);
 }
 
+/** More than a pool's value has without jobs. */
+#define EMPTY_VALUE_BYTES 100
+
+/* The pool's value does not carry ended jobs whose short record is stored. */
+static void test_value_leaves_out_short_records(void **state)
+{
+	empty_store_t f = { 0 };
+	struct ev_loop *loop = ev_loop_new(0);
+	bw_pool_t *pool = create_pool(loop, &f);
+	uint32_t i;
+
+	(void)state;
+	bw_pool_set_directory_loaded(pool);
+	end_jobs(pool, &f, 0, ENDED);
+	for (i = 0; i < ROUNDS_MAX && f.short_records < ENDED; i++)
+		ev_run(loop, EVRUN_ONCE);
+	assert_true(f.state_bytes > EMPTY_VALUE_BYTES);
+	/* It is written again with the next change. */
+	end_jobs(pool, &f, ENDED, 1);
+	for (i = 0; i < ROUNDS_MAX && f.short_records <= ENDED; i++)
+		ev_run(loop, EVRUN_ONCE);
+	assert_true(f.state_bytes < EMPTY_VALUE_BYTES);
+	bw_pool_destroy(pool);
+	ev_loop_destroy(loop);
+}
+
 #define JOB "/p/00000000000000aa"
 
 typedef struct request_case {
@@ -954,6 +981,7 @@
 		cmocka_unit_test(test_old_notice),
 		cmocka_unit_test(test_short_record_is_an_end),
 		cmocka_unit_test(test_records_of_ended_jobs_are_short),
+		cmocka_unit_test(test_value_leaves_out_short_records),
 		cmocka_unit_test(test_requests),
 		cmocka_unit_test(test_end_is_read_from_the_store),
 		cmocka_unit_test(test_doubt_is_not_refused),
