Leave ended jobs with a short record out of the pool's value

The value of a pool listed each ended job until 30 s after its removal, and is written whole with each change. A job whose short record is confirmed is now left out: a successor reads the value first and the records after it, so it finds the short one. After a lost answer the job is in both. Values of the older form are read as before.

Once the short record is removed nothing tells a successor that the job existed. That is safe because late notices are ignored 30 s after a job was accepted and reads of the store are never stale, but only if records are kept for 30 s or more; with a shorter limits.keep_s jobs stay in the value as before. The end of a job's 30 s in memory after its removal is no change of the value any more if the value did not list it.

Rolling upgrade: an older node that becomes the owner finds short records that it can't unpack (no steps); it logs pool job-unreadable, runs nothing, answers queries of these jobs as queued, and leaves the records in the store until a newer node owns the pool.

--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -301,6 +301,8 @@
 /** Creates a job whose end an earlier owner has stored. */
 void sched_add_finished(bw_sched_t *s, const char *id, bw_job_state_t state,
 			int64_t now_ms);
+/** Returns whether the pool's value must list a finished job. */
+bool sched_value_needs(const bw_sched_t *s, const job_t *job);
 /** Drops jobs whose records were removed at least config.removed_ms ago. */
 void sched_jobs_discard(bw_sched_t *s, int64_t now_ms);
 
--- a/src/sched/retention.c
+++ b/src/sched/retention.c
@@ -157,6 +157,17 @@
 	g_queue_push_tail(s->removed, job);
 }
 
+/*
+ * A successor reads the value first and the records after it, so it finds the
+ * short one unless that is removed, which a late notice of the job must not
+ * meet: such notices are ignored config.removed_ms after the job was accepted.
+ */
+bool sched_value_needs(const bw_sched_t *s, const job_t *job)
+{
+	return job->short_record != SHORT_STORED ||
+	       s->config.retention_ms < s->config.removed_ms;
+}
+
 /* Removed jobs stay known for a while, as stale reads may still list them. */
 void sched_jobs_discard(bw_sched_t *s, int64_t now_ms)
 {
@@ -165,8 +176,9 @@
 	while (job && now_ms - job->removed_ms >= s->config.removed_ms) {
 		sched_log(s, BW_EVENT_SCHED_JOB_FORGOTTEN, "job=%s", job->id);
 		g_queue_pop_head(s->removed);
+		if (sched_value_needs(s, job))
+			sched_changed(s, false);
 		g_hash_table_remove(s->jobs, job->id);
-		sched_changed(s, false);
 		job = g_queue_peek_head(s->removed);
 	}
 }
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -102,7 +102,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const job_t *job = value;
 
-		if (job->finished_version > 0 || job->start_ordered)
+		if (job->finished_version > 0 ? sched_value_needs(s, job)
+					      : job->start_ordered)
 			out->jobs[out->n_jobs++] = pack_job(p, job);
 	}
 }
--- a/test/test_sched.c
+++ b/test/test_sched.c
@@ -443,6 +443,42 @@
 	bw_sched_destroy(o.sched);
 }
 
+static size_t value_bytes(const orders_t *o)
+{
+	size_t bytes;
+
+	g_free(bw_sched_pack(o->sched, &bytes));
+	return bytes;
+}
+
+/*
+ * A job leaves the pool's value only when its short record is confirmed, and
+ * not at all where its record is removed while late notices may still come.
+ */
+static void test_ended_job_leaves_the_value(void **state)
+{
+	bw_sched_config_t config = { .retention_ms = 1000,
+				     .removed_ms = 30000 };
+	orders_t o;
+	size_t bytes;
+
+	(void)state;
+	begin_with_worker(&o);
+	add_job(&o, JOB_A, 1, false, 1000, 500);
+	bw_sched_cancel(o.sched, o.now_ms, JOB_A);
+	bytes = value_bytes(&o);
+	bw_sched_short_sent(o.sched, JOB_A);
+	assert_int_equal(value_bytes(&o), bytes);
+	bw_sched_short_stored(o.sched, JOB_A);
+	assert_true(value_bytes(&o) < bytes);
+	bw_sched_destroy(o.sched);
+	o.sched = bw_sched_create(&config, &ops, &o, o.now_ms);
+	bytes = value_bytes(&o);
+	bw_sched_add_ended(o.sched, o.now_ms, JOB_A, BW_JOB_COMPLETED);
+	assert_true(value_bytes(&o) > bytes);
+	bw_sched_destroy(o.sched);
+}
+
 /* A successor lists jobs that finished under an earlier owner. */
 static void test_successor_removes(void **state)
 {
@@ -1077,6 +1113,7 @@
 		cmocka_unit_test(test_stopping_job_is_not_shortened),
 		cmocka_unit_test(test_unknown_run_delays_short_records),
 		cmocka_unit_test(test_ended_is_not_run_again),
+		cmocka_unit_test(test_ended_job_leaves_the_value),
 		cmocka_unit_test(test_successor_removes),
 		cmocka_unit_test(test_earlier_objective_first),
 		cmocka_unit_test(test_in_time_first),
--- a/test/world_node.c
+++ b/test/world_node.c
@@ -202,7 +202,7 @@
 		world_violation(w, "job %s is %s and runs", job->id, change);
 }
 
-/* Replaces records by short ones; the answer to the node may be lost. */
+/* Replaces records by short ones; the call or its answer may be lost. */
 static void shorten_jobs(world_t *w, node_t *node)
 {
 	bw_ended_job_t ended[SHORTENED_MAX];
@@ -216,13 +216,15 @@
 	for (i = 0; i < count; i++) {
 		fake_job_t *job = world_find_job(w, ended[i].id);
 
+		bw_sched_short_sent(node->sched, ended[i].id);
+		if (world_random_bool(w, w->config.lost_share))
+			continue;
 		check_ended(w, job, "shortened");
 		if (job->removed_ms > 0)
 			world_violation(w, "job %s is brought back", job->id);
 		if (job->short_ms == 0)
 			job->short_ms = w->now_ms;
 		job->short_state = ended[i].state;
-		bw_sched_short_sent(node->sched, ended[i].id);
 		if (!world_random_bool(w, w->config.lost_share))
 			bw_sched_short_stored(node->sched, job->id);
 	}
