--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -102,7 +102,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const job_t *job = value;
 
-		if (job->finished_version > 0 || job->start_ordered)
+		if (job->finished_version > 0 ? sched_value_needs(s, job)
+					      : job->start_ordered)
 			out->jobs[out->n_jobs++] = pack_job(p, job);
 	}
 }
@@ -263,17 +264,12 @@
 {
 	size_t bytes = bramley__job_progress__get_packed_size(progress);
 	uint8_t *data;
-	job_t *job;
 
 	if (progress->state >= BW_JOB_STATE_COUNT ||
 	    !bw_job_id_valid(progress->id))
 		return;
 	if (progress->state >= BW_JOB_COMPLETED) {
-		job = sched_job_new(s, progress->id, "");
-		job->state = progress->state;
-		job->finished_version = 1;
-		job->end_stored = true;
-		sched_mark_finished(s, job, now_ms);
+		sched_add_finished(s, progress->id, progress->state, now_ms);
 		return;
 	}
 	data = g_malloc(bytes + 1);
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -12,6 +12,7 @@
 #include "fleet/pool.h"
 #include "fleet/removal.h"
 #include "fleet/service.h"
+#include "fleet/shortening.h"
 #include "job/json.h"
 
 /* Ranks of nodes that claim a pool. */
@@ -188,11 +189,19 @@
 
 /* Requests about jobs. */
 
+/** Short records of ended jobs as stored: version 1 and the state. */
+#define SHORT_COMPLETED "\x08\x01\x48\x03"
+#define SHORT_FAILED	"\x08\x01\x48\x04"
+#define SHORT_CANCELLED "\x08\x01\x48\x05"
+#define SHORT_BYTES	4
+
 typedef struct fake_store {
 	bw_status_t results[8]; /**< Results of calls, in order. */
 	bool succeeded[8];
 	uint32_t calls;
 	bool store_reachable;
+	const char *value; /**< That reads return; NULL: empty. */
+	size_t value_bytes;
 	bw_answer_t answer;
 	uint32_t answers;
 	uint32_t expects; /**< Conditions of the last transaction. */
@@ -204,7 +213,10 @@
 
 static void answer_call(fake_store_t *f, bw_store_done_fn done, void *ctx)
 {
-	bw_store_kv_t kv = { .key = "k", .value = "", .mod_revision = 1 };
+	bw_store_kv_t kv = { .key = "k",
+			     .value = f->value ? f->value : "",
+			     .bytes = f->value_bytes,
+			     .mod_revision = 1 };
 	bw_store_reply_t reply = { .status = f->results[f->calls],
 				   .succeeded = f->succeeded[f->calls],
 				   .kvs = &kv,
@@ -322,10 +334,11 @@
 
 #define FINISHED 20
 
-static bw_sched_t *finished_jobs(void)
+static bw_sched_t *finished_jobs(int64_t retention_ms)
 {
 	static const bw_sched_ops_t no_ops = { 0 };
-	bw_sched_config_t limits = { .retention_ms = 1000, .removed_ms = 5000 };
+	bw_sched_config_t limits = { .retention_ms = retention_ms,
+				     .removed_ms = 5000 };
 	bw_sched_t *sched = bw_sched_create(&limits, &no_ops, NULL, 1000);
 	char id[BW_JOB_ID_CHARS + 1];
 	size_t bytes;
@@ -358,7 +371,7 @@
 	fake_store_t f = { .results = { BW_ELOST, BW_OK, BW_OK, BW_OK },
 			   .succeeded = { false, false, true, true } };
 	bw_store_t store = { &fake_ops, &f };
-	bw_sched_t *sched = finished_jobs();
+	bw_sched_t *sched = finished_jobs(1000);
 	bw_removal_t *r = bw_removal_create(&store, "a", "owner", 7);
 	const char *ids[FINISHED];
 	int64_t late_ms = bw_clock_now_ms() + 100000;
@@ -391,11 +404,68 @@
 	bw_sched_destroy(sched);
 }
 
+/* Lets due records wait for long enough to be sent. */
+static void send_due(bw_shortening_t *sh, int64_t *now_ms, bw_sched_t *sched)
+{
+	bw_shortening_run(sh, *now_ms, sched);
+	*now_ms += 1000;
+	bw_shortening_run(sh, *now_ms, sched);
+	*now_ms += 1000;
+}
+
+/*
+ * A lost answer or a superseded owner must not count as stored, and a record is
+ * not removed while a call may still write the short one.
+ */
+static void test_shortening(void **state)
+{
+	fake_store_t f = { .results = { BW_ELOST, BW_OK, BW_OK },
+			   .succeeded = { false, false, true } };
+	bw_store_t store = { &fake_ops, &f };
+	bw_sched_t *sched = finished_jobs(5000);
+	bw_shortening_t *sh = bw_shortening_create(&store, "a", "owner", 7);
+	bw_ended_job_t ended[FINISHED];
+	const char *ids[FINISHED];
+	int64_t late_ms = bw_clock_now_ms() + 100000;
+	uint32_t i;
+
+	(void)state;
+	/* A few jobs wait for others, for a second at most. */
+	bw_shortening_run(sh, 1000, sched);
+	bw_shortening_run(sh, 1900, sched);
+	assert_int_equal(f.calls, 0);
+	assert_int_equal(bw_sched_shortenable(sched, 1900, ended, FINISHED),
+			 FINISHED);
+	assert_int_equal(ended[0].state, BW_JOB_CANCELLED);
+	bw_shortening_run(sh, 2100, sched);
+	for (i = 0; i < 2; i++) {
+		assert_int_equal(f.calls, i + 1);
+		assert_int_equal(f.expects, 1);
+		assert_int_equal(f.writes, FINISHED);
+		assert_string_equal(f.first_key, "bw/q/a/0000000000000000/job");
+		assert_int_equal(
+			bw_sched_removable(sched, late_ms, ids, FINISHED), 0);
+		send_due(sh, &late_ms, sched);
+	}
+	assert_int_equal(bw_sched_shortenable(sched, late_ms, ended, FINISHED),
+			 0);
+	assert_int_equal(bw_sched_removable(sched, late_ms, ids, FINISHED),
+			 FINISHED);
+	send_due(sh, &late_ms, sched);
+	assert_int_equal(f.calls, 3);
+	bw_shortening_destroy(sh);
+	bw_sched_destroy(sched);
+}
+
 /* A pool on an empty store, whose watch events come from the test. */
 
 typedef struct empty_store {
 	bw_store_done_fn event;
 	void *ctx;
+	uint32_t short_records; /**< Written, all together. */
+	uint32_t long_records; /**< The same of other records of jobs. */
+	uint32_t entries_max; /**< Of one transaction. */
+	size_t state_bytes; /**< Of the pool's value. */
 } empty_store_t;
 
 static void empty_get(void *impl, const char *key, bw_store_done_fn done,
@@ -437,7 +507,36 @@
 	(void)watch;
 }
 
-static const bw_store_ops_t empty_ops = { .get = empty_get,
+/* Accepts a transaction of the owner and counts what it writes. */
+static void empty_txn(void *impl, const bw_store_txn_t *txn,
+		      bw_store_done_fn done, void *ctx)
+{
+	bw_store_reply_t reply = { .status = BW_OK,
+				   .revision = 1,
+				   .succeeded = true };
+	empty_store_t *f = impl;
+	uint32_t i;
+
+	assert_true(txn->expect_count > 0);
+	assert_int_equal(txn->expects[0].mod_revision, 7);
+	f->entries_max =
+		MAX(f->entries_max, txn->expect_count + txn->write_count);
+	for (i = 0; i < txn->write_count; i++) {
+		const bw_store_write_t *write = &txn->writes[i];
+
+		if (g_str_has_prefix(write->key, "bw/p/"))
+			f->state_bytes = write->bytes;
+		else if (write->bytes == SHORT_BYTES &&
+			 !memcmp(write->value, SHORT_CANCELLED, SHORT_BYTES))
+			f->short_records++;
+		else if (write->value)
+			f->long_records++;
+	}
+	done(ctx, &reply);
+}
+
+static const bw_store_ops_t empty_ops = { .txn = empty_txn,
+					  .get = empty_get,
 					  .page = empty_page,
 					  .watch = empty_watch,
 					  .watch_end = empty_watch_end };
@@ -457,10 +556,10 @@
 	g_free(key);
 }
 
-static uint8_t *old_record(size_t *bytes)
+static uint8_t *record_of_age(int64_t age_ms, size_t *bytes)
 {
 	bw_job_record_t record = { .queue = g_strdup("q"),
-				   .accepted_ms = bw_clock_wall_ms() - 200000,
+				   .accepted_ms = bw_clock_wall_ms() - age_ms,
 				   .spec = bw_job_spec_new(1) };
 	uint8_t *data;
 
@@ -488,7 +587,7 @@
 			      .settings = &settings };
 	bw_pool_t *pool = bw_pool_create(&env, "a", 7, &pool_ops, NULL);
 	size_t bytes;
-	uint8_t *record = old_record(&bytes);
+	uint8_t *record = record_of_age(200000, &bytes);
 
 	(void)state;
 	assert_true(bw_pool_jobs_loaded(pool));
@@ -504,6 +603,114 @@
 	ev_loop_destroy(loop);
 }
 
+static bw_pool_t *create_pool(struct ev_loop *loop, empty_store_t *f)
+{
+	static const bw_pool_ops_t pool_ops = { .store_result = ignore_result };
+	static const bw_fleet_settings_t settings = { .retention_ms = 120000 };
+	bw_pool_env_t env = { .loop = loop,
+			      .store = { &empty_ops, f },
+			      .settings = &settings };
+
+	return bw_pool_create(&env, "a", 7, &pool_ops, NULL);
+}
+
+/*
+ * An owner that reads a short record knows that the job has ended, even if the
+ * pool's value does not list it, and a late notice does not add the job.
+ */
+static void test_short_record_is_an_end(void **state)
+{
+	static const char id[] = "00000000000000aa";
+	empty_store_t f = { 0 };
+	struct ev_loop *loop = ev_loop_new(0);
+	bw_pool_t *pool = create_pool(loop, &f);
+	size_t bytes;
+	uint8_t *record = record_of_age(0, &bytes);
+
+	(void)state;
+	report_key(&f, bw_pool_job_key("a", id), (const uint8_t *)SHORT_FAILED,
+		   SHORT_BYTES);
+	assert_int_equal(bw_sched_job_state(bw_pool_sched(pool), id),
+			 BW_JOB_FAILED);
+	bw_pool_add_job(pool, id, record, bytes);
+	bw_pool_cancel_job(pool, id);
+	assert_int_equal(bw_sched_job_state(bw_pool_sched(pool), id),
+			 BW_JOB_FAILED);
+	g_free(record);
+	bw_pool_destroy(pool);
+	ev_loop_destroy(loop);
+}
+
+/** Ended jobs, more than one transaction takes. */
+#define ENDED 60
+/** Rounds of the event loop, of at most 0.1 s, in which a pool does its work.
+ */
+#define ROUNDS_MAX 100
+
+/* Passes jobs to a pool and cancels them. */
+static void end_jobs(bw_pool_t *pool, empty_store_t *f, uint32_t first,
+		     uint32_t count)
+{
+	char id[BW_JOB_ID_CHARS + 1];
+	size_t bytes;
+	uint8_t *record = record_of_age(0, &bytes);
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		g_snprintf(id, sizeof(id), "%016x", first + i);
+		report_key(f, bw_pool_job_key("a", id), record, bytes);
+		bw_pool_cancel_job(pool, id);
+	}
+	g_free(record);
+}
+
+/* What a successor reads is not what was done: an ended job's record is short.
+ */
+static void test_records_of_ended_jobs_are_short(void **state)
+{
+	empty_store_t f = { 0 };
+	struct ev_loop *loop = ev_loop_new(0);
+	bw_pool_t *pool = create_pool(loop, &f);
+	uint32_t i;
+
+	(void)state;
+	bw_pool_set_directory_loaded(pool);
+	end_jobs(pool, &f, 0, ENDED);
+	for (i = 0; i < ROUNDS_MAX && f.short_records < ENDED; i++)
+		ev_run(loop, EVRUN_ONCE);
+	assert_int_equal(f.short_records, ENDED);
+	assert_int_equal(f.long_records, 0);
+	assert_true(f.entries_max <= 32);
+	bw_pool_destroy(pool);
+	ev_loop_destroy(loop);
+}
+
+/** More than a pool's value has without jobs. */
+#define EMPTY_VALUE_BYTES 100
+
+/* The pool's value does not carry ended jobs whose short record is stored. */
+static void test_value_leaves_out_short_records(void **state)
+{
+	empty_store_t f = { 0 };
+	struct ev_loop *loop = ev_loop_new(0);
+	bw_pool_t *pool = create_pool(loop, &f);
+	uint32_t i;
+
+	(void)state;
+	bw_pool_set_directory_loaded(pool);
+	end_jobs(pool, &f, 0, ENDED);
+	for (i = 0; i < ROUNDS_MAX && f.short_records < ENDED; i++)
+		ev_run(loop, EVRUN_ONCE);
+	assert_true(f.state_bytes > EMPTY_VALUE_BYTES);
+	/* It is written again with the next change. */
+	end_jobs(pool, &f, ENDED, 1);
+	for (i = 0; i < ROUNDS_MAX && f.short_records <= ENDED; i++)
+		ev_run(loop, EVRUN_ONCE);
+	assert_true(f.state_bytes < EMPTY_VALUE_BYTES);
+	bw_pool_destroy(pool);
+	ev_loop_destroy(loop);
+}
+
 #define JOB "/p/00000000000000aa"
 
 typedef struct request_case {
@@ -662,6 +869,30 @@
 	}
 }
 
+/* A node that can't reach the owner knows the end from the stored record. */
+static void test_end_is_read_from_the_store(void **state)
+{
+	static const struct {
+		const char *value;
+		bw_job_state_t state;
+	} cases[] = { { SHORT_COMPLETED, BW_JOB_COMPLETED },
+		      { SHORT_FAILED, BW_JOB_FAILED },
+		      { SHORT_CANCELLED, BW_JOB_CANCELLED },
+		      { "\x08\x01\x48\x02", BW_JOB_QUEUED } };
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fake_store_t f = { .store_reachable = true,
+				   .value = cases[i].value,
+				   .value_bytes = SHORT_BYTES };
+
+		send_request(&f, BW_REQUEST_STATE, JOB, 3000);
+		assert_int_equal(f.answer.kind, BW_ANSWER_STATE);
+		assert_int_equal(f.answer.state, cases[i].state);
+	}
+}
+
 /*
  * A job that may have been stored must not be answered as refused: the first
  * call loses its answer and the retry is refused.
@@ -866,9 +1097,14 @@
 		cmocka_unit_test(test_unknown_pool_gives_nothing),
 		cmocka_unit_test(test_idle_pool_keeps_its_share),
 		cmocka_unit_test(test_removal),
+		cmocka_unit_test(test_shortening),
 		cmocka_unit_test(test_old_notice),
 		cmocka_unit_test(test_saves_leave_room_on_a_slow_link),
+		cmocka_unit_test(test_short_record_is_an_end),
+		cmocka_unit_test(test_records_of_ended_jobs_are_short),
+		cmocka_unit_test(test_value_leaves_out_short_records),
 		cmocka_unit_test(test_requests),
+		cmocka_unit_test(test_end_is_read_from_the_store),
 		cmocka_unit_test(test_doubt_is_not_refused),
 		cmocka_unit_test(test_longest_prefix),
 		cmocka_unit_test(test_operators_jobs),
