Let other nodes register before claiming pools

Change: no claim for 0.4 s after a registration: VMs of a site start within 0.3 s of each other. Ruled out: handing pools over sooner, since each handover costs more than the wait.

--- a/src/fleet/member.c
+++ b/src/fleet/member.c
@@ -17,7 +17,10 @@
 /** On the first start of a site no node claims before this, so that the other
  * nodes can register. */
 #define FIRST_START_WAIT_MS 1500
-#define RETRY_MS	    150
+/** No claims for this long after a registration: nodes that lost power together
+ * start within 0.3 s of each other and take a moment to register. */
+#define REGISTERED_WAIT_MS 400
+#define RETRY_MS	   150
 /** Time after which the deletion of a claim is repeated: longer than a call to
  * the store and the watch's event take. */
 #define RELEASE_RETRY_MS 1000
@@ -84,6 +87,7 @@
 	int64_t sent_ms; /**< When the last call about the lease was sent. */
 	int64_t renewed_ms; /**< Sending time of the last good renewal. */
 	int64_t next_call_ms;
+	int64_t registered_ms; /**< When the registration was answered. */
 	int64_t started_ms;
 	int64_t started_wall_ms;
 	bool call_pending;
@@ -311,6 +315,7 @@
 	m->ops.store_result(m->ctx, reply->status);
 	if (reply->status == BW_OK) {
 		m->phase = PHASE_REGISTERED;
+		m->registered_ms = bw_clock_now_ms();
 		bw_event(BW_EVENT_MEMBER_REGISTERED,
 			 "node=%s lease=%" G_GINT64_FORMAT, m->name,
 			 m->lease_id);
@@ -785,6 +790,7 @@
 			renew_lease(m, now_ms);
 	}
 	if (m->leaving || !m->synced || m->phase != PHASE_REGISTERED ||
+	    now_ms - m->registered_ms < REGISTERED_WAIT_MS ||
 	    (m->first_start && now_ms - m->started_ms < FIRST_START_WAIT_MS) ||
 	    now_ms >= bw_fleet_member_lease_end_ms(m))
 		return;
