Hand over in order before a takeover is settled, and use the ends it tells of

Change: (1) after an orderly handover the run in the record is the only one that may go on, so its end frees the task. (2) An owner that is not settled itself, but whose predecessor has stopped, hands over in order: the record says of each task whether its run is known or whether an earlier owner may have started a later one (field unsure of TaskRecord), and lists the workers that have not answered. Only the last save carries this, so that others don't grow.

--- a/src/sched/heartbeat.c
+++ b/src/sched/heartbeat.c
@@ -108,6 +108,8 @@
 			sched_task_wait(task);
 		return;
 	}
+	if (!task->worker && task->run_known && end->run >= task->run)
+		task->maybe_running = false;
 	if (!task->worker)
 		task->run = MAX(task->run, end->run);
 	if (end->kind == BW_END_DONE && !sched_task_step(task)->lasting) {
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -81,6 +81,8 @@
 	bool done; /**< Another run of it may still be stopping. */
 	bool ready; /**< Lasting task: it has started up. */
 	bool maybe_running; /**< By a start of an earlier owner. */
+	bool run_known; /**< Only this run may go on, if maybe_running is set.
+			 */
 	bool stop_answered;
 	bool start_in_flight; /**< It counts in the window on starts. */
 	uint32_t run; /**< Number of the last start. */
--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -489,8 +489,10 @@
 		occurrence_t *occurrence =
 			g_ptr_array_index(job->occurrences, i);
 
-		for (k = 0; k < occurrence->task_count; k++)
+		for (k = 0; k < occurrence->task_count; k++) {
 			occurrence->tasks[k].maybe_running = true;
+			occurrence->tasks[k].run_known = false;
+		}
 	}
 }
 
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -15,11 +15,12 @@
 static void *alloc(packer_t *p, size_t bytes);
 static Bramley__TaskRecord *pack_task(packer_t *p, const task_t *task,
 				      uint32_t number);
-static Bramley__JobProgress *pack_job(packer_t *p, const job_t *job);
+static Bramley__JobProgress *pack_job(packer_t *p, const bw_sched_t *s,
+				      const job_t *job);
 static void pack_jobs(packer_t *p, bw_sched_t *s, Bramley__PoolRecord *out);
 static void pack_workers(packer_t *p, bw_sched_t *s, Bramley__PoolRecord *out);
 static void load_task(job_t *job, const Bramley__TaskRecord *record,
-		      int64_t now_ms);
+		      bool handed_over, int64_t now_ms);
 
 static void *alloc(packer_t *p, size_t bytes)
 {
@@ -42,13 +43,22 @@
 	record->failed_runs = (uint32_t *)task->failed_runs;
 	record->n_failed_runs = MIN(task->failures, FAILED_RUNS_KEPT);
 	record->done = task->done;
-	record->placed = task->worker != NULL;
+	record->placed = task->worker != NULL || task->maybe_running;
+	record->unsure = task->maybe_running && !task->run_known;
 	if (task->checkpoint)
 		record->checkpoint = task->checkpoint;
 	return record;
 }
 
-static void pack_tasks(packer_t *p, const job_t *job, Bramley__JobProgress *out)
+/* Whether a successor must know of a task; until this owner is settled it hands
+ * on which tasks may run. */
+static bool has_progress(const bw_sched_t *s, const task_t *task)
+{
+	return task->run > 0 || (s->handing_over && task->maybe_running);
+}
+
+static void pack_tasks(packer_t *p, const bw_sched_t *s, const job_t *job,
+		       Bramley__JobProgress *out)
 {
 	size_t total = 0;
 	guint i;
@@ -68,13 +78,14 @@
 		for (k = 0;
 		     occurrence->remaining > 0 && k < occurrence->task_count;
 		     k++)
-			if (occurrence->tasks[k].run > 0)
+			if (has_progress(s, &occurrence->tasks[k]))
 				out->tasks[out->n_tasks++] =
 					pack_task(p, &occurrence->tasks[k], k);
 	}
 }
 
-static Bramley__JobProgress *pack_job(packer_t *p, const job_t *job)
+static Bramley__JobProgress *pack_job(packer_t *p, const bw_sched_t *s,
+				      const job_t *job)
 {
 	Bramley__JobProgress *record = alloc(p, sizeof(*record));
 
@@ -84,13 +95,20 @@
 	record->started = job->started;
 	if (job->finished_version > 0)
 		return record;
-	pack_tasks(p, job, record);
+	pack_tasks(p, s, job, record);
 	record->occurrences_done =
 		(uint32_t *)(void *)job->occurrences_done->data;
 	record->n_occurrences_done = job->occurrences_done->len;
 	return record;
 }
 
+static bool must_pack(const bw_sched_t *s, const job_t *job)
+{
+	if (job->finished_version > 0)
+		return sched_value_needs(s, job);
+	return job->start_ordered || (s->handing_over && !s->recovered);
+}
+
 static void pack_jobs(packer_t *p, bw_sched_t *s, Bramley__PoolRecord *out)
 {
 	GHashTableIter iter;
@@ -102,9 +120,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const job_t *job = value;
 
-		if (job->finished_version > 0 ? sched_value_needs(s, job)
-					      : job->start_ordered)
-			out->jobs[out->n_jobs++] = pack_job(p, job);
+		if (must_pack(s, job))
+			out->jobs[out->n_jobs++] = pack_job(p, s, job);
 	}
 }
 
@@ -174,8 +191,11 @@
 	p.arena = g_ptr_array_new_with_free_func(g_free);
 	record.version = RECORD_VERSION;
 	record.fence = s->config.fence;
-	record.handed_over = s->handing_over && s->recovered;
-	record.stopping = any_stopping(s);
+	/* Before it is settled, it knows which runs it doesn't know, unless the
+	 * earlier owner may still act. */
+	record.handed_over = s->handing_over &&
+			     (s->recovered || s->predecessor_stopped_ms > 0);
+	record.stopping = any_stopping(s) || !s->recovered;
 	pack_workers(&p, s, &record);
 	pack_jobs(&p, s, &record);
 	*bytes = bramley__pool_record__get_packed_size(&record);
@@ -206,7 +226,7 @@
 }
 
 static void load_task(job_t *job, const Bramley__TaskRecord *record,
-		      int64_t now_ms)
+		      bool handed_over, int64_t now_ms)
 {
 	occurrence_t *occurrence = NULL;
 	task_t *task;
@@ -223,7 +243,8 @@
 	if (record->number >= occurrence->task_count)
 		return;
 	task = &occurrence->tasks[record->number];
-	task->maybe_running = record->placed;
+	task->maybe_running = record->placed || record->unsure;
+	task->run_known = handed_over && !record->unsure;
 	task->run = record->run;
 	task->failures = record->failures;
 	for (i = 0; i < MIN(record->n_failed_runs, FAILED_RUNS_KEPT); i++)
@@ -255,7 +276,7 @@
 		job->occurrences_left--;
 	}
 	for (i = 0; i < progress->n_tasks; i++)
-		load_task(job, progress->tasks[i], now_ms);
+		load_task(job, progress->tasks[i], s->handed_over, now_ms);
 	g_hash_table_remove(s->stored_progress, job->id);
 }
 
--- a/src/wire/record.pb-c.c
+++ b/src/wire/record.pb-c.c
@@ -793,7 +793,7 @@
   (ProtobufCMessageInit) bramley__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__task_record__field_descriptors[8] =
+static const ProtobufCFieldDescriptor bramley__task_record__field_descriptors[9] =
 {
   {
     "occurrence",
@@ -891,6 +891,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unsure",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__TaskRecord, unsure),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__task_record__field_indices_by_name[] = {
   6,   /* field[6] = checkpoint */
@@ -901,11 +913,12 @@
   0,   /* field[0] = occurrence */
   7,   /* field[7] = placed */
   2,   /* field[2] = run */
+  8,   /* field[8] = unsure */
 };
 static const ProtobufCIntRange bramley__task_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor bramley__task_record__descriptor =
 {
@@ -915,7 +928,7 @@
   "Bramley__TaskRecord",
   "bramley",
   sizeof(Bramley__TaskRecord),
-  8,
+  9,
   bramley__task_record__field_descriptors,
   bramley__task_record__field_indices_by_name,
   1,  bramley__task_record__number_ranges,
--- a/src/wire/record.pb-c.h
+++ b/src/wire/record.pb-c.h
@@ -107,10 +107,14 @@
    * Ordered on a worker; its end is not confirmed.
    */
   protobuf_c_boolean placed;
+  /*
+   * An earlier owner may have started a later run.
+   */
+  protobuf_c_boolean unsure;
 };
 #define BRAMLEY__TASK_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__task_record__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Bramley__JobProgress
@@ -121,7 +125,7 @@
   size_t n_tasks;
   Bramley__TaskRecord **tasks;
   /*
-   * Unix time.
+   * Not written any more.
    */
   int64_t finished_ms;
   protobuf_c_boolean started;
