Remove no record while a worker lists unknown runs

Short records had the same fault and wait for unknown runs since they were added; the removal now uses the same check.

--- a/src/sched/retention.c
+++ b/src/sched/retention.c
@@ -60,20 +60,25 @@
 		now_ms - job->finished_ms < s->config.retention_ms);
 }
 
-/* Runs that a worker lists and should not run are being stopped. */
-static bool any_unknown_run(const bw_sched_t *s)
+/*
+ * Before recovery, runs of an earlier owner may be unknown; after it, those
+ * that a worker lists and should not run are being stopped.
+ */
+static bool runs_known(const bw_sched_t *s)
 {
 	GHashTableIter iter;
 	gpointer value;
 
+	if (!s->recovered)
+		return false;
 	g_hash_table_iter_init(&iter, s->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const worker_t *worker = value;
 
 		if (worker->has_orphans && !worker->dead)
-			return true;
+			return false;
 	}
-	return false;
+	return true;
 }
 
 uint32_t bw_sched_shortenable(const bw_sched_t *s, int64_t now_ms,
@@ -82,8 +87,7 @@
 	const GList *link;
 	uint32_t count = 0;
 
-	/* Before recovery, runs of an earlier owner may be unknown. */
-	if (!s->recovered || any_unknown_run(s))
+	if (!runs_known(s))
 		return 0;
 	for (link = s->unshortened->head; link && count < max;
 	     link = link->next) {
@@ -130,8 +134,7 @@
 	const GList *link;
 	uint32_t count = 0;
 
-	/* Before recovery, runs of an earlier owner may be unknown. */
-	if (!s->recovered)
+	if (!runs_known(s))
 		return 0;
 	for (link = s->finished->head; link && count < max; link = link->next) {
 		const job_t *job = link->data;
--- a/test/test_sched.c
+++ b/test/test_sched.c
@@ -405,6 +405,7 @@
 	bw_run_row_t row = { .task = { .job = JOB_A },
 			     .run = 1,
 			     .checkpoint = "" };
+	const char *id;
 	orders_t o;
 
 	(void)state;
@@ -419,6 +420,13 @@
 	assert_int_equal(list_shortenable(&o), 0);
 	answer_heartbeat(&o, "w1", NULL, 0, NULL, 0);
 	assert_int_equal(list_shortenable(&o), 1);
+	/* Nor is it removed. */
+	o.now_ms += 120000;
+	assert_int_equal(list_removable(&o, &id), 1);
+	answer_heartbeat(&o, "w1", &row, 1, NULL, 0);
+	assert_int_equal(list_removable(&o, &id), 0);
+	answer_heartbeat(&o, "w1", NULL, 0, NULL, 0);
+	assert_int_equal(list_removable(&o, &id), 1);
 	bw_sched_destroy(o.sched);
 }
 
