Ignore a late answer to a start on a worker that is gone

What callers saw: nothing big: a task that waits was held back 0.15 s by the refusal of an earlier start. Found by review. Cause: neither the worker nor the task's worker is known then, and the two unknowns counted as equal, so the answer was applied to the waiting task. Figures: test_late_refusal_of_a_gone_worker_is_ignored failed before (no second start), passes now.

--- a/src/sched/order.c
+++ b/src/sched/order.c
@@ -172,7 +172,7 @@
 		worker->pause_until_ms = now_ms + NO_RESOURCES_PAUSE_MS;
 	if (worker && result == BW_ORDER_UNHEALTHY)
 		worker->pause_until_ms = now_ms + UNHEALTHY_PAUSE_MS;
-	if (!task || task->worker != worker || task->run != run)
+	if (!task || !worker || task->worker != worker || task->run != run)
 		return;
 	if (task->start_in_flight)
 		bw_start_window_answered(s->start_window,
--- a/test/test_sched.c
+++ b/test/test_sched.c
@@ -268,6 +268,32 @@
 	bw_sched_destroy(o.sched);
 }
 
+/* A late refusal of a start on a worker that is gone concerns no waiting task.
+ */
+static void test_late_refusal_of_a_gone_worker_is_ignored(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	begin_with_worker(&o);
+	add_job(&o, JOB_A, 1, false, 1000, 500);
+	run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	bw_sched_worker_dead(o.sched, "w1", "test");
+	bw_sched_worker_unregistered(o.sched, o.now_ms, "w1");
+	o.now_ms += 5000;
+	answer_heartbeat(&o, "w1", NULL, 0, NULL, 0);
+	run(&o, 10);
+	add_worker(&o, "w2");
+	answer_heartbeat(&o, "w2", NULL, 0, NULL, 0);
+	save(&o);
+	bw_sched_start_answered(o.sched, o.now_ms, "w1", &o.starts[0].task, 1,
+				BW_ORDER_NO_RESOURCES, 0);
+	run(&o, 10);
+	assert_int_equal(o.start_count, 2);
+	bw_sched_destroy(o.sched);
+}
+
 /* A job is shown as running only once the start of a task is confirmed. */
 static void test_begun_is_known(void **state)
 {
@@ -1513,6 +1539,7 @@
 		cmocka_unit_test(test_nothing_before_the_first_store),
 		cmocka_unit_test(test_start_in_doubt),
 		cmocka_unit_test(test_lost_start_teaches_no_duration),
+		cmocka_unit_test(test_late_refusal_of_a_gone_worker_is_ignored),
 		cmocka_unit_test(test_begun_is_known),
 		cmocka_unit_test(test_completed_is_stored),
 		cmocka_unit_test(test_cancelled_stays),
