--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -11,8 +11,6 @@
 /** A tick that is later than this is logged, once an interval. */
 #define LATE_MS		 200
 #define LATE_INTERVAL_MS 1000
-/** The controller's orders for a pool expire without a newer one. */
-#define ORDER_TIMEOUT_MS 1500
 #define LEASE_MS	 2000
 /** An owner that was cut off from the store may act for this long after its
  * claim is gone: the lease, plus the time until heartbeats of other nodes
