Kept connections for calls to workers, and a bench of an owner

Cause: an owner's processor binds in its pool's surge. By profile (perf, the new bench) two fifths of a start were libcurl's own code: a handle reset and filled for each call, its connection looked up, a URL parsed, a connection record made and dropped. Registrations of workers and JSON come next.

Change: calls to workers go through bw_keephttp: libev sockets, http-parser as codec (libhttp-parser-dev), connections kept per worker, the longest idle one closed above a limit, one resend when a kept connection was closed meanwhile, as libcurl does. Outcomes are the same three. libcurl keeps the store's and the machines' calls; its handles now keep the options that don't change.

make bench-owner: an owner with the real clients over sockets, against a stand-in for the platform in another thread, beside.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 WARN := -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes
 DEFS := -D_GNU_SOURCE
 LIB_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
-LIB_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lev -lm -lstdc++
+LIB_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lev -lhttp_parser -lm -lstdc++
 CFLAGS_ALL := -std=gnu11 $(OPT) $(SANITIZE) $(WARN) $(DEFS) -Isrc -Iplatform $(LIB_CFLAGS) $(CFLAGS)
 CXXFLAGS_ALL := -std=c++17 $(OPT) $(SANITIZE) -Wall -Wextra -Isrc $(CXXFLAGS)
 
@@ -175,3 +175,9 @@
 .PHONY: bench-overload
 bench-overload: $(BUILD)/bench/bench_overload
 	$<
+
+# Compares with the revision BASE.
+BASE ?= 9a4bc26
+.PHONY: bench-owner
+bench-owner:
+	scripts/bench-owner.sh $(BASE)
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Installs the packages for the build, the tests and the benches on Debian.
 set -eu
-packages="gcc g++ make pkg-config libev-dev libprotobuf-c-dev libmicrohttpd-dev
+packages="gcc g++ make pkg-config libev-dev libhttp-parser-dev libprotobuf-c-dev libmicrohttpd-dev
  libcurl4-openssl-dev libglib2.0-dev libcmocka-dev libjansson-dev libxxhash-dev
  libtomlplusplus-dev clang clang-format clang-tidy libclang-rt-dev gnuplot-nox
  curl mandoc"
--- a/src/net/httpcall.c
+++ b/src/net/httpcall.c
@@ -20,18 +20,27 @@
  *  larger than the number of a pool's workers, and a quarter of the descriptors
  *  of a small node. */
 #define CACHED_CONNECTIONS_MAX 1024L
-#define IDLE_HANDLES_MAX       32U
-#define RECEIVE_BYTES	       16384L
+/** Idle handles kept of each kind: as many as a surge has calls at a time. */
+#define IDLE_HANDLES_MAX 256U
+#define RECEIVE_BYTES	 16384L
 /** Send buffer of a connection. What the kernel holds counts as sent, so it is
  *  less than a slow link's share carries in a stall's time; a round trip of 4
  *  ms still carries 16 MB a second. */
 #define SEND_BUFFER_BYTES 65536
 #define MS_PER_S	  1000.0
 
+/** Kinds of easy handles, each with options that are set only once. */
+typedef enum handle_kind {
+	HANDLE_GET,
+	HANDLE_POST,
+	HANDLE_OTHER, /**< Any other method, reset after each call. */
+	HANDLE_KIND_COUNT
+} handle_kind_t;
+
 struct bw_http_client {
 	struct ev_loop *loop;
 	bw_curlev_t *driver;
-	GQueue *idle_handles; /**< Easy handles for reuse. */
+	GQueue idle_handles[HANDLE_KIND_COUNT]; /**< For reuse. */
 	GHashTable *calls; /**< Calls in progress. */
 	ev_timer stall; /**< Fires when the first silence may be too long. */
 	int64_t stall_check_ms; /**< When it fires; only while it is active. */
@@ -40,6 +49,8 @@
 typedef struct call {
 	bw_http_client_t *client;
 	CURL *easy;
+	handle_kind_t kind;
+	char *body; /**< Sent by libcurl; NULL is none. */
 	struct curl_slist *headers;
 	GString *answer;
 	bw_http_done_fn done;
@@ -54,7 +65,8 @@
 static void on_done(void *ctx, CURL *easy, CURLcode result);
 static bw_http_outcome_t outcome_of(CURL *easy, CURLcode result);
 static void call_free(call_t *call);
-static CURL *get_easy(bw_http_client_t *client);
+static CURL *get_easy(bw_http_client_t *client, handle_kind_t kind);
+static void put_easy(bw_http_client_t *client, handle_kind_t kind, CURL *easy);
 static void set_options(call_t *call, const bw_http_request_t *request);
 static void on_stall_check(struct ev_loop *loop, ev_timer *timer, int revents);
 
@@ -122,6 +134,7 @@
 static void call_free(call_t *call)
 {
 	curl_slist_free_all(call->headers);
+	g_free(call->body);
 	g_string_free(call->answer, TRUE);
 	g_free(call);
 }
@@ -138,11 +151,7 @@
 	answer.body = call->answer->str;
 	answer.bytes = call->answer->len;
 	g_hash_table_remove(client->calls, call);
-	curl_easy_reset(easy);
-	if (g_queue_get_length(client->idle_handles) < IDLE_HANDLES_MAX)
-		g_queue_push_head(client->idle_handles, easy);
-	else
-		curl_easy_cleanup(easy);
+	put_easy(client, call->kind, easy);
 	call->done(call->ctx, &answer);
 	call_free(call);
 }
@@ -210,11 +219,68 @@
 	g_ptr_array_free(stalled, TRUE);
 }
 
-static CURL *get_easy(bw_http_client_t *client)
+static handle_kind_t kind_of(const bw_http_request_t *request)
+{
+	if (request->body && !strcmp(request->method, "POST"))
+		return HANDLE_POST;
+	if (!request->body && !strcmp(request->method, "GET"))
+		return HANDLE_GET;
+	return HANDLE_OTHER;
+}
+
+/* Sets the options that are the same for all calls of a kind. */
+static void set_common_options(CURL *easy)
+{
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, RECEIVE_BYTES);
+	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
+			 (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_socket_created);
+}
+
+static CURL *get_easy(bw_http_client_t *client, handle_kind_t kind)
+{
+	CURL *easy = g_queue_pop_head(&client->idle_handles[kind]);
+
+	if (easy)
+		return easy;
+	easy = curl_easy_init();
+	set_common_options(easy);
+	return easy;
+}
+
+static void put_easy(bw_http_client_t *client, handle_kind_t kind, CURL *easy)
+{
+	GQueue *idle = &client->idle_handles[kind];
+
+	if (g_queue_get_length(idle) >= IDLE_HANDLES_MAX) {
+		curl_easy_cleanup(easy);
+		return;
+	}
+	if (kind == HANDLE_OTHER) {
+		curl_easy_reset(easy);
+		set_common_options(easy);
+	}
+	g_queue_push_head(idle, easy);
+}
+
+/* Only calls that end by silence need to know of each step. */
+static void set_step_options(call_t *call, const bw_http_request_t *request)
 {
-	CURL *easy = g_queue_pop_head(client->idle_handles);
+	bool watched = request->stall_ms > 0;
+	CURL *easy = call->easy;
 
-	return easy ? easy : curl_easy_init();
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION,
+			 watched ? on_header : NULL);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, watched ? call : NULL);
+	if (!request->body)
+		return;
+	curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, on_transfer_step);
+	curl_easy_setopt(easy, CURLOPT_XFERINFODATA, call);
+	curl_easy_setopt(easy, CURLOPT_NOPROGRESS, watched ? 0L : 1L);
 }
 
 static void set_options(call_t *call, const bw_http_request_t *request)
@@ -225,30 +291,21 @@
 	for (header = request->headers; header && *header; header++)
 		call->headers = curl_slist_append(call->headers, *header);
 	/* Without this, libcurl waits for "100 Continue", a round trip. */
-	call->headers = curl_slist_append(call->headers, "Expect:");
+	if (request->body)
+		call->headers = curl_slist_append(call->headers, "Expect:");
 	curl_easy_setopt(easy, CURLOPT_URL, request->url);
-	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request->method);
+	if (call->kind == HANDLE_OTHER)
+		curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request->method);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
-	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
-	curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-	curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, RECEIVE_BYTES);
-	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
-			 (long)CURL_HTTP_VERSION_1_1);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
-	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
-	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
-	curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
-	curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_socket_created);
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+	set_step_options(call, request);
 	if (!request->body)
 		return;
+	call->body = g_memdup2(request->body, request->bytes + 1);
 	curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)request->bytes);
-	curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, request->body);
-	curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, on_transfer_step);
-	curl_easy_setopt(easy, CURLOPT_XFERINFODATA, call);
-	curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
+	curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call->body);
 }
 
 bw_http_client_t *bw_http_client_create(struct ev_loop *loop,
@@ -256,13 +313,15 @@
 {
 	bw_http_client_t *client = g_new0(bw_http_client_t, 1);
 	CURLM *multi;
+	int kind;
 
 	client->loop = loop;
 	ev_timer_init(&client->stall, on_stall_check, 0.0, 0.0);
 	/* After the sockets, so that bytes that have arrived count first. */
 	ev_set_priority(&client->stall, EV_MINPRI);
 	client->stall.data = client;
-	client->idle_handles = g_queue_new();
+	for (kind = 0; kind < HANDLE_KIND_COUNT; kind++)
+		g_queue_init(&client->idle_handles[kind]);
 	client->calls = g_hash_table_new(NULL, NULL);
 	client->driver = bw_curlev_create(loop, on_done, NULL);
 	multi = bw_curlev_multi(client->driver);
@@ -278,6 +337,7 @@
 	GHashTableIter iter;
 	gpointer key;
 	CURL *easy;
+	int kind;
 
 	if (!client)
 		return;
@@ -291,9 +351,10 @@
 		call_free(call);
 	}
 	g_hash_table_destroy(client->calls);
-	while ((easy = g_queue_pop_head(client->idle_handles)) != NULL)
-		curl_easy_cleanup(easy);
-	g_queue_free(client->idle_handles);
+	for (kind = 0; kind < HANDLE_KIND_COUNT; kind++)
+		while ((easy = g_queue_pop_head(&client->idle_handles[kind])) !=
+		       NULL)
+			curl_easy_cleanup(easy);
 	bw_curlev_destroy(client->driver);
 	g_free(client);
 }
@@ -304,7 +365,8 @@
 	call_t *call = g_new0(call_t, 1);
 
 	call->client = client;
-	call->easy = get_easy(client);
+	call->kind = kind_of(request);
+	call->easy = get_easy(client, call->kind);
 	call->answer = g_string_new(NULL);
 	call->done = done;
 	call->ctx = ctx;
--- /dev/null
+++ b/src/net/keephttp.h
@@ -0,0 +1,46 @@
+/**
+ * @file
+ * HTTP client for many short calls to many servers over kept connections. It
+ * costs a fraction of bw_http_call()'s processor time, and does no more than
+ * calls to workers need: IPv4 addresses, and bodies that fit into memory.
+ */
+#ifndef BW_NET_KEEPHTTP_H
+#define BW_NET_KEEPHTTP_H
+
+#include "net/httpcall.h"
+
+/** A client with its connections. */
+typedef struct bw_keephttp bw_keephttp_t;
+
+/** A call with the method POST; strings are copied. */
+typedef struct bw_keephttp_request {
+	const char *address; /**< ip:port. */
+	const char *path;
+	/** Lines of the header, each ended by CR LF, or NULL. */
+	const char *headers;
+	const char *body;
+	size_t bytes;
+	int64_t timeout_ms; /**< Of the whole call, with all waits. */
+} bw_keephttp_request_t;
+
+/**
+ * Creates a client.
+ * @param host_connections_max connections to one address; calls beyond them are
+ * queued
+ */
+bw_keephttp_t *bw_keephttp_create(struct ev_loop *loop,
+				  uint32_t host_connections_max);
+
+/** Ends all calls without their callbacks, and releases the client. */
+void bw_keephttp_destroy(bw_keephttp_t *client);
+
+/**
+ * Starts a call; @p done is called from the loop, once. A call whose kept
+ * connection turns out to be closed is sent once more on a new one, so calls
+ * must be idempotent.
+ */
+void bw_keephttp_call(bw_keephttp_t *client,
+		      const bw_keephttp_request_t *request,
+		      bw_http_done_fn done, void *ctx);
+
+#endif
--- /dev/null
+++ b/test/test_keephttp.c
@@ -0,0 +1,435 @@
+/*
+ * The client for short calls over kept connections: what a call's outcome is
+ * for each way in which a server can fail, and how connections are reused.
+ */
+#include "test.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <ev.h>
+#include <glib.h>
+
+#include "net/keephttp.h"
+
+#define TIMEOUT_MS	300
+#define LONG_TIMEOUT_MS 5000
+#define CONNECTIONS_MAX 2U
+#define READ_BYTES	4096U
+#define LISTEN_COUNT	16
+#define WATCHDOG_S	20.0
+#define CALLS_MAX	8U
+#define ANSWER(body)	"HTTP/1.1 200 OK\r\nContent-Length: " body
+#define ANSWER_OK	ANSWER("2\r\n\r\nok")
+#define ANSWER_CLOSE                                                           \
+	"HTTP/1.1 200 OK\r\nConnection: close\r\n"                             \
+	"Content-Length: 2\r\n\r\nok"
+#define ANSWER_CHUNKED                                                         \
+	"HTTP/1.1 200 OK\r\n"                                                  \
+	"Transfer-Encoding: chunked\r\n\r\n"                                   \
+	"1\r\no\r\n1\r\nk\r\n0\r\n\r\n"
+#define ANSWER_CONTINUE	 "HTTP/1.1 100 Continue\r\n\r\n" ANSWER_OK
+#define ANSWER_NO_LENGTH "HTTP/1.0 200 OK\r\n\r\nok"
+
+/** What the server does with a request. */
+typedef enum reaction {
+	REACT_ANSWER,
+	REACT_ANSWER_AND_CLOSE,
+	REACT_CLOSE,
+	REACT_NOTHING
+} reaction_t;
+
+typedef struct step {
+	reaction_t reaction;
+	const char *answer;
+} step_t;
+
+typedef struct keep_test {
+	struct ev_loop *loop;
+	bw_keephttp_t *client;
+	int listen_fd;
+	ev_io accept;
+	ev_timer watchdog;
+	char address[64];
+	GPtrArray *connections; /**< ev_io */
+	uint32_t accepted;
+	uint32_t requests;
+	const step_t *steps; /**< For each request in turn; the last repeats. */
+	uint32_t step_count;
+	GString *last_request;
+	uint32_t done_count;
+	uint32_t expected_count;
+	bw_http_outcome_t outcomes[CALLS_MAX];
+	uint32_t status;
+	char body[64];
+	size_t body_bytes;
+} keep_test_t;
+
+static void connection_end(keep_test_t *t, ev_io *io)
+{
+	ev_io_stop(t->loop, io);
+	close(io->fd);
+	g_ptr_array_remove(t->connections, io);
+	g_free(io);
+}
+
+static void react(keep_test_t *t, ev_io *io)
+{
+	const step_t *step = &t->steps[MIN(t->requests, t->step_count - 1)];
+	size_t bytes = step->answer ? strlen(step->answer) : 0;
+
+	t->requests++;
+	if (bytes > 0)
+		assert_true(send(io->fd, step->answer, bytes, MSG_NOSIGNAL) ==
+			    (ssize_t)bytes);
+	if (step->reaction == REACT_CLOSE ||
+	    step->reaction == REACT_ANSWER_AND_CLOSE)
+		connection_end(t, io);
+}
+
+static void on_request(struct ev_loop *loop, ev_io *io, int revents)
+{
+	keep_test_t *t = io->data;
+	char buffer[READ_BYTES];
+	ssize_t bytes = recv(io->fd, buffer, sizeof(buffer), 0);
+
+	(void)loop;
+	(void)revents;
+	if (bytes <= 0) {
+		connection_end(t, io);
+		return;
+	}
+	g_string_append_len(g_string_truncate(t->last_request, 0), buffer,
+			    bytes);
+	react(t, io);
+}
+
+static void on_accept(struct ev_loop *loop, ev_io *accept_io, int revents)
+{
+	keep_test_t *t = accept_io->data;
+	ev_io *io = g_new0(ev_io, 1);
+	int fd = accept(t->listen_fd, NULL, NULL);
+
+	(void)revents;
+	assert_true(fd >= 0);
+	t->accepted++;
+	ev_io_init(io, on_request, fd, EV_READ);
+	io->data = t;
+	ev_io_start(loop, io);
+	g_ptr_array_add(t->connections, io);
+}
+
+static void on_watchdog(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	(void)loop;
+	(void)timer;
+	(void)revents;
+	fail_msg("the calls did not end");
+}
+
+static void listen_somewhere(keep_test_t *t)
+{
+	struct sockaddr_in in = { .sin_family = AF_INET };
+	socklen_t bytes = sizeof(in);
+
+	in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	t->listen_fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	assert_int_equal(bind(t->listen_fd, (struct sockaddr *)&in, bytes), 0);
+	assert_int_equal(listen(t->listen_fd, LISTEN_COUNT), 0);
+	assert_int_equal(
+		getsockname(t->listen_fd, (struct sockaddr *)&in, &bytes), 0);
+	g_snprintf(t->address, sizeof(t->address), "127.0.0.1:%u",
+		   ntohs(in.sin_port));
+}
+
+static void begin(keep_test_t *t, const step_t *steps, uint32_t count)
+{
+	*t = (keep_test_t){ .steps = steps, .step_count = count };
+	t->loop = ev_loop_new(0);
+	t->client = bw_keephttp_create(t->loop, CONNECTIONS_MAX);
+	t->connections = g_ptr_array_new();
+	t->last_request = g_string_new(NULL);
+	listen_somewhere(t);
+	ev_io_init(&t->accept, on_accept, t->listen_fd, EV_READ);
+	t->accept.data = t;
+	ev_io_start(t->loop, &t->accept);
+	ev_timer_init(&t->watchdog, on_watchdog, WATCHDOG_S, 0.0);
+	ev_timer_start(t->loop, &t->watchdog);
+}
+
+static void end(keep_test_t *t)
+{
+	bw_keephttp_destroy(t->client);
+	while (t->connections->len > 0)
+		connection_end(t, g_ptr_array_index(t->connections, 0));
+	g_ptr_array_free(t->connections, TRUE);
+	g_string_free(t->last_request, TRUE);
+	ev_io_stop(t->loop, &t->accept);
+	ev_timer_stop(t->loop, &t->watchdog);
+	close(t->listen_fd);
+	ev_loop_destroy(t->loop);
+}
+
+static void on_done(void *ctx, const bw_http_answer_t *answer)
+{
+	keep_test_t *t = ctx;
+
+	t->outcomes[t->done_count++] = answer->outcome;
+	t->status = answer->status;
+	t->body_bytes = answer->bytes;
+	g_strlcpy(t->body, answer->body, sizeof(t->body));
+	if (t->done_count == t->expected_count)
+		ev_break(t->loop, EVBREAK_ALL);
+}
+
+static void start_call(keep_test_t *t, const char *address, int64_t timeout_ms)
+{
+	bw_keephttp_request_t request = {
+		.address = address,
+		.path = "/p",
+		.headers = "X-Name: value\r\n",
+		.body = "{}",
+		.bytes = 2,
+		.timeout_ms = timeout_ms,
+	};
+
+	t->expected_count++;
+	bw_keephttp_call(t->client, &request, on_done, t);
+}
+
+/* Runs until all calls have ended. */
+static void wait_for_calls(keep_test_t *t)
+{
+	if (t->done_count < t->expected_count)
+		ev_run(t->loop, 0);
+}
+
+static void on_pause_end(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	(void)timer;
+	(void)revents;
+	ev_break(loop, EVBREAK_ALL);
+}
+
+static void run_for(keep_test_t *t, double seconds)
+{
+	ev_timer pause;
+
+	ev_timer_init(&pause, on_pause_end, seconds, 0.0);
+	ev_timer_start(t->loop, &pause);
+	ev_run(t->loop, 0);
+	ev_timer_stop(t->loop, &pause);
+}
+
+typedef struct outcome_case {
+	const char *name;
+	step_t step;
+	bw_http_outcome_t outcome;
+	uint32_t status;
+} outcome_case_t;
+
+static const outcome_case_t outcome_cases[] = {
+	{ "answer", { REACT_ANSWER, ANSWER_OK }, BW_HTTP_ANSWERED, 200 },
+	{ "answer and close",
+	  { REACT_ANSWER_AND_CLOSE, ANSWER_CLOSE },
+	  BW_HTTP_ANSWERED,
+	  200 },
+	{ "chunks", { REACT_ANSWER, ANSWER_CHUNKED }, BW_HTTP_ANSWERED, 200 },
+	{ "continue",
+	  { REACT_ANSWER, ANSWER_CONTINUE },
+	  BW_HTTP_ANSWERED,
+	  200 },
+	{ "ended by the close",
+	  { REACT_ANSWER_AND_CLOSE, ANSWER_NO_LENGTH },
+	  BW_HTTP_ANSWERED,
+	  200 },
+	{ "conflict",
+	  { REACT_ANSWER, "HTTP/1.1 409 X\r\nContent-Length: 2\r\n\r\nok" },
+	  BW_HTTP_ANSWERED,
+	  409 },
+	{ "closed", { REACT_CLOSE, NULL }, BW_HTTP_LOST, 0 },
+	{ "cut short",
+	  { REACT_ANSWER_AND_CLOSE, ANSWER("9\r\n\r\nok") },
+	  BW_HTTP_LOST,
+	  0 },
+	{ "not HTTP",
+	  { REACT_ANSWER, "\x01\x02 ok\r\n\r\n" },
+	  BW_HTTP_LOST,
+	  0 },
+	{ "bad length",
+	  { REACT_ANSWER, ANSWER("x\r\n\r\nok") },
+	  BW_HTTP_LOST,
+	  0 },
+	{ "silent", { REACT_NOTHING, NULL }, BW_HTTP_LOST, 0 },
+};
+
+static void test_outcomes(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(outcome_cases); i++) {
+		const outcome_case_t *c = &outcome_cases[i];
+		keep_test_t t;
+
+		begin(&t, &c->step, 1);
+		start_call(&t, t.address, TIMEOUT_MS);
+		wait_for_calls(&t);
+		if (t.outcomes[0] != c->outcome || t.status != c->status)
+			print_error("case: %s: %u %u\n", c->name, t.outcomes[0],
+				    t.status);
+		assert_int_equal(t.outcomes[0], c->outcome);
+		assert_int_equal(t.status, c->status);
+		if (c->status > 0)
+			assert_string_equal(t.body, "ok");
+		end(&t);
+	}
+}
+
+static void test_request_is_complete(void **state)
+{
+	static const step_t steps[] = { { REACT_ANSWER, ANSWER_OK } };
+	keep_test_t t;
+	char *expected;
+
+	(void)state;
+	begin(&t, steps, 1);
+	start_call(&t, t.address, LONG_TIMEOUT_MS);
+	wait_for_calls(&t);
+	expected = g_strdup_printf("POST /p HTTP/1.1\r\nHost: %s\r\n"
+				   "X-Name: value\r\nContent-Length: 2\r\n\r\n"
+				   "{}",
+				   t.address);
+	assert_string_equal(t.last_request->str, expected);
+	g_free(expected);
+	end(&t);
+}
+
+static void test_refused_connection_is_not_sent(void **state)
+{
+	static const step_t steps[] = { { REACT_ANSWER, ANSWER_OK } };
+	keep_test_t t;
+
+	(void)state;
+	begin(&t, steps, 1);
+	start_call(&t, "127.0.0.1:1", LONG_TIMEOUT_MS);
+	start_call(&t, "not an address", LONG_TIMEOUT_MS);
+	wait_for_calls(&t);
+	assert_int_equal(t.outcomes[0], BW_HTTP_NOT_SENT);
+	assert_int_equal(t.outcomes[1], BW_HTTP_NOT_SENT);
+	end(&t);
+}
+
+static void test_connection_is_kept(void **state)
+{
+	static const step_t steps[] = { { REACT_ANSWER, ANSWER_OK } };
+	keep_test_t t;
+	uint32_t i;
+
+	(void)state;
+	begin(&t, steps, 1);
+	for (i = 0; i < 4; i++) {
+		start_call(&t, t.address, LONG_TIMEOUT_MS);
+		wait_for_calls(&t);
+		assert_int_equal(t.outcomes[i], BW_HTTP_ANSWERED);
+	}
+	assert_int_equal(t.accepted, 1);
+	end(&t);
+}
+
+static void test_call_after_an_idle_close_uses_a_new_connection(void **state)
+{
+	static const step_t steps[] = { { REACT_ANSWER_AND_CLOSE, ANSWER_OK },
+					{ REACT_ANSWER, ANSWER_OK } };
+	keep_test_t t;
+
+	(void)state;
+	begin(&t, steps, 2);
+	start_call(&t, t.address, LONG_TIMEOUT_MS);
+	wait_for_calls(&t);
+	run_for(&t, 0.05);
+	start_call(&t, t.address, LONG_TIMEOUT_MS);
+	wait_for_calls(&t);
+	assert_int_equal(t.outcomes[1], BW_HTTP_ANSWERED);
+	assert_int_equal(t.accepted, 2);
+	end(&t);
+}
+
+static void test_call_on_a_kept_connection_is_resent_once(void **state)
+{
+	static const step_t steps[] = { { REACT_ANSWER, ANSWER_OK },
+					{ REACT_CLOSE, NULL },
+					{ REACT_ANSWER, ANSWER_OK },
+					{ REACT_CLOSE, NULL },
+					{ REACT_CLOSE, NULL } };
+	keep_test_t t;
+	uint32_t i;
+
+	(void)state;
+	begin(&t, steps, G_N_ELEMENTS(steps));
+	for (i = 0; i < 3; i++) {
+		start_call(&t, t.address, LONG_TIMEOUT_MS);
+		wait_for_calls(&t);
+	}
+	assert_int_equal(t.outcomes[1], BW_HTTP_ANSWERED);
+	assert_int_equal(t.outcomes[2], BW_HTTP_LOST);
+	assert_int_equal(t.requests, G_N_ELEMENTS(steps));
+	end(&t);
+}
+
+static void test_calls_beyond_the_connections_wait(void **state)
+{
+	static const step_t steps[] = { { REACT_ANSWER, ANSWER_OK } };
+	keep_test_t t;
+	uint32_t i;
+
+	(void)state;
+	begin(&t, steps, 1);
+	for (i = 0; i < CALLS_MAX; i++)
+		start_call(&t, t.address, LONG_TIMEOUT_MS);
+	wait_for_calls(&t);
+	for (i = 0; i < CALLS_MAX; i++)
+		assert_int_equal(t.outcomes[i], BW_HTTP_ANSWERED);
+	assert_int_equal(t.accepted, CONNECTIONS_MAX);
+	end(&t);
+}
+
+/* The third call never got a connection, so it had no effect. */
+static void test_call_that_waited_in_vain_is_not_sent(void **state)
+{
+	static const step_t steps[] = { { REACT_NOTHING, NULL } };
+	keep_test_t t;
+
+	(void)state;
+	begin(&t, steps, 1);
+	start_call(&t, t.address, LONG_TIMEOUT_MS);
+	start_call(&t, t.address, LONG_TIMEOUT_MS);
+	start_call(&t, t.address, TIMEOUT_MS);
+	t.expected_count = 1;
+	wait_for_calls(&t);
+	assert_int_equal(t.outcomes[0], BW_HTTP_NOT_SENT);
+	assert_int_equal(t.requests, 2);
+	/* Destroying the client ends the others without their callbacks. */
+	end(&t);
+	assert_int_equal(t.done_count, 1);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_outcomes),
+		cmocka_unit_test(test_request_is_complete),
+		cmocka_unit_test(test_refused_connection_is_not_sent),
+		cmocka_unit_test(test_connection_is_kept),
+		cmocka_unit_test(
+			test_call_after_an_idle_close_uses_a_new_connection),
+		cmocka_unit_test(test_call_on_a_kept_connection_is_resent_once),
+		cmocka_unit_test(test_calls_beyond_the_connections_wait),
+		cmocka_unit_test(test_call_that_waited_in_vain_is_not_sent),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
