--- a/bench/http_platform.c
+++ b/bench/http_platform.c
@@ -21,8 +21,10 @@
 #define ADDRESS_BYTES 32U
 #define ID_BYTES      32U
 #define TASK_BYTES    80U
-/** Time between writes of a worker's registration. */
-#define REGISTER_S 1.5
+/** Time between writes of a worker's registration, and that between writes of
+ *  a part of them. */
+#define REGISTER_S	3.0
+#define REGISTER_PART_S 0.1
 /** Keys on a page of the store. */
 #define PAGE_KEYS 500U
 #define MS_PER_S  1000.0
@@ -55,6 +57,8 @@
 	int fd;
 	ev_io io;
 	ev_timer wait; /**< Of a watch. */
+	int64_t watch_after;
+	bool watches_workers;
 	GString *in;
 } connection_t;
 
@@ -69,7 +73,8 @@
 	uint32_t registrations;
 	int64_t task_ms;
 	int64_t revision;
-	int64_t sequence; /**< Of the registrations; grows with each write. */
+	int64_t *registered; /**< Revision of each registration. */
+	uint32_t next_registered;
 	GPtrArray *connections;
 	http_platform_counts_t counts;
 };
@@ -264,7 +269,7 @@
 		"\"machine\":\"m-%05u\",\"clock_ms\":%" G_GINT64_FORMAT "}",
 		i < p->worker_count ? "pool" : "other",
 		i < p->worker_count ? p->workers[i].address : "127.0.0.1:1",
-		p->sequence, i / 20, i, bw_clock_now_ms());
+		p->registered[i], i / 20, i, bw_clock_now_ms());
 	char *encoded = g_base64_encode((const guchar *)value, strlen(value));
 
 	g_string_append_printf(body,
@@ -299,15 +304,20 @@
 	g_string_free(body, TRUE);
 }
 
-/* Sends what a watch has after its wait: changes of registrations, if any. */
+/* Sends what a watch has after its wait: the registrations written since. */
 static void reply_watch(connection_t *c)
 {
 	http_platform_t *p = c->endpoint->platform;
-	char *body = g_strdup_printf(
-		"{\"events\":[],\"at_rev\":%" G_GINT64_FORMAT "}", p->revision);
+	GString *body = g_string_new("{\"events\":[");
+	uint32_t i;
 
-	reply(c, 200, body);
-	g_free(body);
+	for (i = 0; c->watches_workers && i < p->registrations; i++)
+		if (p->registered[i] > c->watch_after)
+			append_registration(p, body, i);
+	g_string_append_printf(body, "],\"at_rev\":%" G_GINT64_FORMAT "}",
+			       p->revision);
+	reply(c, 200, body->str);
+	g_string_free(body, TRUE);
 }
 
 static void on_watch_wait(struct ev_loop *loop, ev_timer *timer, int revents)
@@ -326,6 +336,8 @@
 	if (strstr(line, "/v1/kv-range")) {
 		serve_page(c, line);
 	} else if (strstr(line, "/v1/kv-watch")) {
+		c->watch_after = get_number(line, "after=");
+		c->watches_workers = strstr(line, "prefix=servers") != NULL;
 		ev_timer_set(&c->wait,
 			     (double)get_number(line, "wait_ms=") / MS_PER_S,
 			     0.0);
@@ -457,11 +469,16 @@
 static void on_registrations(struct ev_loop *loop, ev_timer *timer, int revents)
 {
 	http_platform_t *p = timer->data;
+	uint32_t count =
+		(uint32_t)(p->registrations * REGISTER_PART_S / REGISTER_S);
 
 	(void)loop;
 	(void)revents;
-	p->sequence++;
-	p->revision++;
+	for (; count > 0; count--) {
+		p->registered[p->next_registered] = ++p->revision;
+		p->next_registered =
+			(p->next_registered + 1) % p->registrations;
+	}
 }
 
 static void on_stop(struct ev_loop *loop, ev_async *async, int revents)
@@ -490,6 +507,7 @@
 	p->revision = 1;
 	p->connections = g_ptr_array_new();
 	p->workers = g_new0(endpoint_t, pool_workers);
+	p->registered = g_new0(int64_t, registrations);
 	p->store.is_store = true;
 	endpoint_open(p, &p->store);
 	for (i = 0; i < pool_workers; i++) {
@@ -498,8 +516,8 @@
 	}
 	ev_async_init(&p->stop, on_stop);
 	ev_async_start(p->loop, &p->stop);
-	ev_timer_init(&p->registrations_timer, on_registrations, REGISTER_S,
-		      REGISTER_S);
+	ev_timer_init(&p->registrations_timer, on_registrations,
+		      REGISTER_PART_S, REGISTER_PART_S);
 	p->registrations_timer.data = p;
 	ev_timer_start(p->loop, &p->registrations_timer);
 	p->thread = g_thread_new("platform", run_thread, p);
@@ -522,6 +540,7 @@
 	ev_async_stop(p->loop, &p->stop);
 	ev_loop_destroy(p->loop);
 	g_free(p->workers);
+	g_free(p->registered);
 	g_free(p);
 }
 
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -13,8 +13,8 @@
 } packer_t;
 
 static void *alloc(packer_t *p, size_t bytes);
-static Bramley__TaskRecord *pack_task(packer_t *p, const task_t *task,
-				      uint32_t number);
+static void pack_task(const task_t *task, uint32_t number,
+		      Bramley__TaskRecord *record);
 static Bramley__JobProgress *pack_job(packer_t *p, const bw_sched_t *s,
 				      const job_t *job);
 static void pack_jobs(packer_t *p, bw_sched_t *s, Bramley__PoolRecord *out);
@@ -30,11 +30,9 @@
 	return data;
 }
 
-static Bramley__TaskRecord *pack_task(packer_t *p, const task_t *task,
-				      uint32_t number)
+static void pack_task(const task_t *task, uint32_t number,
+		      Bramley__TaskRecord *record)
 {
-	Bramley__TaskRecord *record = alloc(p, sizeof(*record));
-
 	bramley__task_record__init(record);
 	record->occurrence = task->occurrence->number;
 	record->number = number;
@@ -47,7 +45,6 @@
 	record->unsure = task->maybe_running && !task->run_known;
 	if (task->checkpoint)
 		record->checkpoint = task->checkpoint;
-	return record;
 }
 
 /* Whether a successor must know of a task; until this owner is settled it hands
@@ -60,6 +57,7 @@
 static void pack_tasks(packer_t *p, const bw_sched_t *s, const job_t *job,
 		       Bramley__JobProgress *out)
 {
+	Bramley__TaskRecord *records;
 	size_t total = 0;
 	guint i;
 	uint32_t k;
@@ -71,6 +69,7 @@
 		total += occurrence->task_count;
 	}
 	out->tasks = alloc(p, total * sizeof(*out->tasks) + 1);
+	records = alloc(p, total * sizeof(*records) + 1);
 	for (i = 0; i < job->occurrences->len; i++) {
 		const occurrence_t *occurrence =
 			g_ptr_array_index(job->occurrences, i);
@@ -78,9 +77,10 @@
 		for (k = 0;
 		     occurrence->remaining > 0 && k < occurrence->task_count;
 		     k++)
-			if (has_progress(s, &occurrence->tasks[k]))
-				out->tasks[out->n_tasks++] =
-					pack_task(p, &occurrence->tasks[k], k);
+			if (has_progress(s, &occurrence->tasks[k])) {
+				pack_task(&occurrence->tasks[k], k, records);
+				out->tasks[out->n_tasks++] = records++;
+			}
 	}
 }
 
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -122,6 +122,13 @@
 	/** Reads one page of the keys with a prefix. */
 	void (*page)(void *impl, const bw_store_page_t *page,
 		     bw_store_done_fn done, void *ctx);
+	/**
+	 * Reads the changes of keys with a prefix after a revision; the reply's
+	 * revision is where the next call continues. BW_ESTALE when the store
+	 * no longer has them all. NULL in adapters without it.
+	 */
+	void (*changes)(void *impl, const char *prefix, int64_t after,
+			bw_store_done_fn done, void *ctx);
 	/** Reads one key; BW_ENOTFOUND when it does not exist. */
 	void (*get)(void *impl, const char *key, bw_store_done_fn done,
 		    void *ctx);
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -13,7 +13,11 @@
 /** Registrations that expired in an outage are back after this. */
 #define REREGISTER_MS 2600
 #define PAGES	      4U
-#define CALLS_MAX     40U
+/** Of the store at the first page; it grows by one with each page. */
+#define FIRST_REVISION 50
+#define CALLS_MAX      40U
+/** A value that can't be parsed. */
+#define UNREADABLE "?"
 
 typedef struct directory_test {
 	bw_directory_t *directory;
@@ -25,6 +29,8 @@
 	uint32_t first_page_calls;
 	uint32_t loaded;
 	bool complete; /**< At the last load. */
+	int64_t changes_after; /**< Of the last call for changes. */
+	uint32_t changes_calls;
 } directory_test_t;
 
 static void page(void *impl, const bw_store_page_t *request,
@@ -42,16 +48,33 @@
 		t->first_page_calls++;
 }
 
+static void changes(void *impl, const char *prefix, int64_t after,
+		    bw_store_done_fn done, void *ctx)
+{
+	directory_test_t *t = impl;
+
+	assert_null(t->done);
+	assert_string_equal(prefix, PREFIX);
+	t->changes_after = after;
+	t->done = done;
+	t->done_ctx = ctx;
+	t->changes_calls++;
+}
+
 static const bw_store_ops_t store_ops = { .page = page };
+static const bw_store_ops_t changes_ops = { .page = page, .changes = changes };
 
 static bw_status_t parse(const char *key, const char *value, size_t bytes,
 			 bw_registration_t **out)
 {
-	bw_registration_t *r = g_new0(bw_registration_t, 1);
+	bw_registration_t *r;
 
-	(void)value;
 	(void)bytes;
-	r->id = g_strdup(key);
+	if (!strcmp(value, UNREADABLE))
+		return BW_EPARSE;
+	r = g_new0(bw_registration_t, 1);
+	r->id = g_strdup(key + strlen(PREFIX));
+	r->address = g_strdup(value);
 	*out = r;
 	return BW_OK;
 }
@@ -78,15 +101,20 @@
 
 static const bw_directory_ops_t directory_ops = { on_loaded, on_result };
 
-static void set_up(directory_test_t *t)
+static void set_up_with(directory_test_t *t, const bw_store_ops_t *ops)
 {
-	bw_store_t store = { &store_ops, t };
+	bw_store_t store = { ops, t };
 
 	memset(t, 0, sizeof(*t));
 	t->now_ms = 1000000;
 	t->directory = bw_directory_create(&store, &values, &directory_ops, t);
 }
 
+static void set_up(directory_test_t *t)
+{
+	set_up_with(t, &store_ops);
+}
+
 static void tear_down(directory_test_t *t)
 {
 	bw_directory_destroy(t->directory);
@@ -115,9 +143,12 @@
 	uint32_t last = t->after[0] ? (uint32_t)(t->after[2] - '0') : 0;
 	char key[] = PREFIX "0";
 	bw_store_kv_t kv = { .key = key, .value = "", .mod_revision = 1 };
-	bw_store_reply_t reply = { .kvs = &kv, .kv_count = 1 };
+	bw_store_reply_t reply = { .kvs = &kv,
+				   .kv_count = 1,
+				   .revision = FIRST_REVISION + last };
 
 	key[2] = (char)('0' + last + 1);
+	kv.mod_revision = FIRST_REVISION + last;
 	reply.has_more = last + 1 < PAGES;
 	answer(t, &reply);
 }
@@ -140,7 +171,7 @@
 static void test_directory_whose_pages_fail_by_turns_is_read(void **state)
 {
 	directory_test_t t;
-	char key[] = PREFIX "0";
+	char key[] = "0";
 	uint32_t i;
 
 	(void)state;
@@ -158,7 +189,7 @@
 	assert_int_equal(t.first_page_calls, 1);
 	assert_false(t.complete);
 	for (i = 1; i <= PAGES; i++) {
-		key[2] = (char)('0' + i);
+		key[0] = (char)('0' + i);
 		assert_non_null(bw_directory_find(t.directory, key));
 	}
 	tear_down(&t);
@@ -263,6 +294,139 @@
 	tear_down(&t);
 }
 
+/* A directory that has read all pages, w/1 to w/PAGES. */
+static void set_up_loaded(directory_test_t *t)
+{
+	set_up_with(t, &changes_ops);
+	read_all(t);
+}
+
+static void answer_changes(directory_test_t *t, const bw_store_kv_t *kvs,
+			   size_t count, int64_t revision)
+{
+	bw_store_reply_t reply = { .kvs = kvs,
+				   .kv_count = count,
+				   .revision = revision };
+
+	answer(t, &reply);
+}
+
+static void assert_address(directory_test_t *t, const char *id,
+			   const char *address)
+{
+	const bw_registration_t *r = bw_directory_find(t->directory, id);
+
+	assert_non_null(r);
+	assert_string_equal(r->address, address);
+}
+
+static void test_directory_reads_only_changes_after_the_first_read(void **state)
+{
+	const bw_store_kv_t kvs[] = {
+		{ .key = PREFIX "2", .value = "new", .mod_revision = 60 },
+		{ .key = PREFIX "7", .value = "added", .mod_revision = 61 },
+		{ .key = PREFIX "3", .mod_revision = 62, .deleted = true },
+		{ .key = PREFIX "4", .value = UNREADABLE, .mod_revision = 63 },
+	};
+	directory_test_t t;
+	uint32_t pages;
+
+	(void)state;
+	set_up_loaded(&t);
+	pages = t.calls;
+	tick(&t);
+	assert_int_equal(t.changes_after, FIRST_REVISION);
+	answer_changes(&t, kvs, G_N_ELEMENTS(kvs), 70);
+	assert_int_equal(t.loaded, 2);
+	assert_address(&t, "1", "");
+	assert_address(&t, "2", "new");
+	assert_address(&t, "7", "added");
+	assert_null(bw_directory_find(t.directory, "3"));
+	assert_null(bw_directory_find(t.directory, "4"));
+	tick(&t);
+	assert_int_equal(t.changes_after, 70);
+	assert_int_equal(t.calls, pages);
+	tear_down(&t);
+}
+
+/* The changes begin at the first page's revision; later pages are newer. */
+static void test_directory_ignores_changes_older_than_a_page(void **state)
+{
+	const bw_store_kv_t kvs[] = {
+		{ .key = PREFIX "4",
+		  .mod_revision = FIRST_REVISION + 1,
+		  .deleted = true },
+		{ .key = PREFIX "3",
+		  .value = "older",
+		  .mod_revision = FIRST_REVISION + 2 },
+	};
+	directory_test_t t;
+
+	(void)state;
+	set_up_loaded(&t);
+	tick(&t);
+	answer_changes(&t, kvs, G_N_ELEMENTS(kvs), 70);
+	assert_address(&t, "4", "");
+	assert_address(&t, "3", "");
+	tear_down(&t);
+}
+
+static void test_directory_reads_all_when_the_history_is_gone(void **state)
+{
+	bw_store_reply_t stale = { .status = BW_ESTALE };
+	directory_test_t t;
+
+	(void)state;
+	set_up_loaded(&t);
+	tick(&t);
+	answer(&t, &stale);
+	tick(&t);
+	assert_int_equal(t.first_page_calls, 2);
+	while (t.loaded < 2)
+		answer_page(&t);
+	tick(&t);
+	assert_int_equal(t.changes_after, FIRST_REVISION);
+	tear_down(&t);
+}
+
+static void test_directory_asks_again_for_changes_that_failed(void **state)
+{
+	directory_test_t t;
+
+	(void)state;
+	set_up_loaded(&t);
+	tick(&t);
+	answer_changes(&t, NULL, 0, 70);
+	assert_true(t.complete);
+	tick(&t);
+	fail_page(&t);
+	assert_int_equal(t.loaded, 2);
+	tick(&t);
+	assert_int_equal(t.changes_after, 70);
+	answer_changes(&t, NULL, 0, 80);
+	assert_false(t.complete);
+	t.now_ms += REREGISTER_MS - TICK_MS;
+	tick(&t);
+	answer_changes(&t, NULL, 0, 90);
+	assert_true(t.complete);
+	tear_down(&t);
+}
+
+/* A node that owned no pool for a while begins anew. */
+static void test_directory_left_alone_reads_all(void **state)
+{
+	directory_test_t t;
+
+	(void)state;
+	set_up_loaded(&t);
+	tick(&t);
+	answer_changes(&t, NULL, 0, 70);
+	t.now_ms += 60 * TICK_MS;
+	tick(&t);
+	assert_int_equal(t.first_page_calls, 2);
+	tear_down(&t);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -276,6 +440,15 @@
 			test_directory_read_that_began_too_soon_is_not_complete),
 		cmocka_unit_test(test_directory_leaves_time_after_a_long_read),
 		cmocka_unit_test(test_directory_pause_is_bounded),
+		cmocka_unit_test(
+			test_directory_reads_only_changes_after_the_first_read),
+		cmocka_unit_test(
+			test_directory_ignores_changes_older_than_a_page),
+		cmocka_unit_test(
+			test_directory_reads_all_when_the_history_is_gone),
+		cmocka_unit_test(
+			test_directory_asks_again_for_changes_that_failed),
+		cmocka_unit_test(test_directory_left_alone_reads_all),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
