--- a/src/net/keephttp.c
+++ b/src/net/keephttp.c
@@ -10,8 +10,8 @@
 #include "base/clock.h"
 #include "net/keepconn.h"
 
-/** Connections above which one that is idle is closed for a new one; a quarter
- *  of the descriptors of a small node. */
+/** Connections of a client above which one that is idle is closed for a new
+ * one; a quarter of the descriptors of a small node. */
 #define CONNECTIONS_MAX 1024U
 #define ADDRESS_BYTES	46
 /** Room for the first lines of a request. */
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -229,6 +229,7 @@
 	double arrival_rate; /**< Decayed, in thousandths of a core. */
 	int64_t arrival_rate_updated_ms;
 	int64_t predecessor_stopped_ms; /**< 0: it may still send orders. */
+	int64_t next_sweep_ms; /**< Of all tasks and workers. */
 	bool handing_over; /**< What is packed from now on is final. */
 	bool inherits_stops; /**< The earlier owner may have sent stops. */
 	bool handed_over; /**< The earlier owner ended in order. */
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -3,6 +3,9 @@
 
 #include <stdarg.h>
 
+/** Least time between sweeps; short against all times that they check. */
+#define SWEEP_INTERVAL_MS 20
+
 static const char *const order_result_names[BW_ORDER_RESULT_COUNT] = {
 	[BW_ORDER_OK] = "ok",
 	[BW_ORDER_FENCED] = "fenced",
@@ -192,13 +195,23 @@
 		  now_ms - s->created_ms);
 }
 
+/* Looks at all tasks and workers for what is due; in a surge the scheduler runs
+ * a thousand times a second. */
+static void sweep(bw_sched_t *s, int64_t now_ms)
+{
+	if (now_ms < s->next_sweep_ms)
+		return;
+	s->next_sweep_ms = now_ms + SWEEP_INTERVAL_MS;
+	sched_workers_expire(s, now_ms);
+	sched_resend_stops(s, now_ms);
+}
+
 void bw_sched_run(bw_sched_t *s, int64_t now_ms, int64_t wall_ms)
 {
 	if (!s->orders_allowed)
 		return;
 	check_recovered(s, now_ms);
-	sched_workers_expire(s, now_ms);
-	sched_resend_stops(s, now_ms);
+	sweep(s, now_ms);
 	sched_create_due_occurrences(s, now_ms, wall_ms);
 	sched_jobs_reap(s);
 	sched_jobs_discard(s, now_ms);
