--- a/src/fleet/directory.c
+++ b/src/fleet/directory.c
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 
+#include "base/clock.h"
 #include "base/event.h"
 
 /** Time between reads of the registrations. */
@@ -38,6 +39,7 @@
 	int64_t revision; /**< Changes up to it are known; 0: a full read is
 			     due or in progress. */
 	int64_t first_page_revision; /**< Of that full read. */
+	uint32_t pages; /**< Read by it. */
 	char *last_key; /**< Last key of that read; NULL before its pages. */
 	int64_t now_ms;
 	int64_t next_read_ms;
@@ -153,11 +155,23 @@
 {
 	g_hash_table_remove_all(d->partial);
 	d->reading_ms = 0;
+	d->pages = 0;
 	g_clear_pointer(&d->last_key, g_free);
 }
 
-static void call_failed(bw_directory_t *d)
+static void log_read(const bw_directory_t *d, bw_status_t status)
 {
+	bw_event(BW_EVENT_FLEET_READ,
+		 "prefix=%s status=%s keys=%u pages=%u "
+		 "took_ms=%" G_GINT64_FORMAT,
+		 d->values->workers_prefix, bw_status_name(status),
+		 g_hash_table_size(d->partial), d->pages,
+		 bw_clock_now_ms() - d->read_started_ms);
+}
+
+static void call_failed(bw_directory_t *d, bw_status_t status)
+{
+	log_read(d, status);
 	d->last_failure_ms = d->now_ms;
 	d->next_read_ms = d->now_ms + RETRY_MS;
 }
@@ -178,6 +192,7 @@
 {
 	GHashTable *old = d->registrations;
 
+	log_read(d, BW_OK);
 	d->registrations = d->partial;
 	d->partial = old;
 	if (d->store.ops->changes)
@@ -193,10 +208,11 @@
 	d->call_pending = false;
 	d->ops.store_result(d->ctx, reply->status);
 	if (reply->status != BW_OK) {
-		call_failed(d);
+		call_failed(d, reply->status);
 		return;
 	}
 	d->reading_ms += d->now_ms - d->call_sent_ms;
+	d->pages++;
 	if (!d->last_key)
 		d->first_page_revision = reply->revision;
 	for (i = 0; i < reply->kv_count; i++)
@@ -218,9 +234,8 @@
 	d->call_pending = false;
 	d->ops.store_result(d->ctx, reply->status);
 	if (reply->status != BW_OK) {
-		if (reply->status == BW_ESTALE)
-			d->revision = 0;
-		call_failed(d);
+		d->revision = 0;
+		call_failed(d, reply->status);
 		return;
 	}
 	d->reading_ms = d->now_ms - d->call_sent_ms;
--- a/src/fleet/reports.c
+++ b/src/fleet/reports.c
@@ -232,41 +232,56 @@
 	}
 }
 
-static bool contains(char *const *ids, size_t count, const char *id)
+/** Context while a pool's order is carried out: the workers of each list. */
+typedef struct order_ctx {
+	bw_sched_t *sched;
+	GHashTable *workers[BW_WORKER_ORDER_COUNT];
+} order_ctx_t;
+
+/* Returns the set of a list's identifiers, which stay the list's. */
+static GHashTable *set_of(char *const *ids, size_t count)
 {
+	GHashTable *set = g_hash_table_new(g_str_hash, g_str_equal);
 	size_t i;
 
 	for (i = 0; i < count; i++)
-		if (!strcmp(ids[i], id))
-			return true;
-	return false;
+		g_hash_table_add(set, ids[i]);
+	return set;
 }
 
-/** Context while a pool's order is carried out. */
-typedef struct order_ctx {
-	bw_sched_t *sched;
-	const Bramley__PoolOrder *order;
-} order_ctx_t;
-
 static void apply_worker(void *ctx, const char *id, bool registered)
 {
 	order_ctx_t *a = ctx;
-	const Bramley__PoolOrder *order = a->order;
 
 	(void)registered;
-	bw_sched_worker_cordon(a->sched, id,
-			       contains(order->empty, order->n_empty, id));
-	bw_sched_worker_maintenance_due(a->sched, id,
-					contains(order->due, order->n_due, id));
-	if (contains(order->dead, order->n_dead, id))
+	bw_sched_worker_cordon(
+		a->sched, id,
+		g_hash_table_contains(a->workers[BW_WORKER_CORDON], id));
+	bw_sched_worker_maintenance_due(
+		a->sched, id,
+		g_hash_table_contains(a->workers[BW_WORKER_MAINTENANCE_DUE],
+				      id));
+	if (g_hash_table_contains(a->workers[BW_WORKER_DEAD], id))
 		bw_sched_worker_dead(a->sched, id, "upkeep-or-move");
 }
 
 void bw_reports_apply_order(bw_sched_t *sched, const Bramley__PoolOrder *order)
 {
-	order_ctx_t a = { sched, order };
+	order_ctx_t a = {
+		.sched = sched,
+		.workers = {
+			[BW_WORKER_CORDON] =
+				set_of(order->empty, order->n_empty),
+			[BW_WORKER_MAINTENANCE_DUE] =
+				set_of(order->due, order->n_due),
+			[BW_WORKER_DEAD] = set_of(order->dead, order->n_dead),
+		},
+	};
+	int i;
 
 	bw_sched_workers(sched, apply_worker, &a);
+	for (i = 0; i < BW_WORKER_ORDER_COUNT; i++)
+		g_hash_table_destroy(a.workers[i]);
 }
 
 static void uncordon_worker(void *ctx, const char *id, bool registered)
