Maintenance waves: machines with lasting tasks drained at the pace of the deadline

Besides, ten ordinary tasks counted as a lasting one, and choosing the cheapest machine again for each reservation took time that grew with the square of the wave.

A lasting task counts as 1,000 others.

--- a/src/fleet/maintenance.c
+++ b/src/fleet/maintenance.c
@@ -6,13 +6,12 @@
 
 #include "base/clock.h"
 #include "base/event.h"
+#include "fleet/wave_pace.h"
 #include "wire/record.pb-c.h"
 
 #define RECORD_VERSION 1
 /** Cost of moving a lasting task, in other tasks. */
-#define LASTING_COST 10U
-/** Most machines with lasting tasks that are drained at a time. */
-#define LASTING_MACHINES_MAX 4U
+#define LASTING_COST 1000U
 /** Age from which a wave's record is read from the store again. */
 #define RECORD_MAX_AGE_MS 2000
 #define ORDER_RETRY_MS	  400
@@ -45,6 +44,7 @@
 	GHashTable *entries; /**< Machine to entry_t. */
 	int64_t revision;
 	int64_t read_ms;
+	int64_t begin_ms; /**< When this node first ticked it; 0: not yet. */
 	int64_t next_ms; /**< No store call before this time. */
 	bool record_read; /**< The record has been read. */
 	bool call_pending;
@@ -486,39 +486,85 @@
 	return count;
 }
 
+/** A machine that may be reserved. */
+typedef struct candidate {
+	const char *machine;
+	uint32_t cost;
+} candidate_t;
+
+static int compare_costs(gconstpointer a, gconstpointer b)
+{
+	const candidate_t *x = a;
+	const candidate_t *y = b;
+
+	return (x->cost > y->cost) - (x->cost < y->cost);
+}
+
+/* Returns the machines that may be reserved, those of least cost first. */
+static GArray *list_candidates(const wave_t *wave)
+{
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(candidate_t));
+	char **name;
+
+	for (name = wave->order->machines; *name; name++) {
+		candidate_t candidate = { *name, drain_cost(wave, *name) };
+
+		if (candidate.cost != UINT32_MAX)
+			g_array_append_val(list, candidate);
+	}
+	g_array_sort(list, compare_costs);
+	return list;
+}
+
+static uint32_t count_candidates_with_lasting(const GArray *candidates)
+{
+	uint32_t count = 0;
+	guint i;
+
+	for (i = 0; i < candidates->len; i++)
+		if (g_array_index(candidates, candidate_t, i).cost >=
+		    LASTING_COST)
+			count++;
+	return count;
+}
+
+static void reserve_machine(wave_t *wave, const candidate_t *candidate,
+			    uint32_t reserved)
+{
+	const bw_machine_t *machine = g_hash_table_lookup(
+		wave->m->view->machines, candidate->machine);
+
+	entry_add(wave, candidate->machine, machine->worker, PROGRESS_RESERVED);
+	bw_event(BW_EVENT_UPKEEP_RESERVE,
+		 "wave=%" G_GINT64_FORMAT " machine=%s worker=%s "
+		 "tasks=%u reserved=%u",
+		 wave->order->number, candidate->machine, machine->worker,
+		 candidate->cost, reserved);
+}
+
 /* Reserves machines up to the wave's limit, those of least cost first. */
 static void reserve(wave_t *wave)
 {
+	GArray *candidates = list_candidates(wave);
 	uint32_t reserved = count_reserved(wave);
 	uint32_t costly = count_costly(wave);
-
-	while (reserved < wave->order->at_once_max) {
-		const bw_machine_t *machine;
-		const char *best = NULL;
-		uint32_t best_cost = UINT32_MAX;
-		char **name;
-
-		for (name = wave->order->machines; *name; name++) {
-			uint32_t cost = drain_cost(wave, *name);
-
-			if (cost < best_cost) {
-				best_cost = cost;
-				best = *name;
-			}
-		}
-		if (!best || (best_cost >= LASTING_COST &&
-			      costly >= LASTING_MACHINES_MAX))
+	uint32_t costly_max =
+		bw_wave_pace(costly + count_candidates_with_lasting(candidates),
+			     wave->m->view->now_ms - wave->begin_ms,
+			     wave->order->duration_ms);
+	guint i;
+
+	for (i = 0; i < candidates->len && reserved < wave->order->at_once_max;
+	     i++) {
+		const candidate_t *candidate =
+			&g_array_index(candidates, candidate_t, i);
+
+		if (candidate->cost >= LASTING_COST && costly >= costly_max)
 			break;
-		costly += best_cost >= LASTING_COST;
-		machine = g_hash_table_lookup(wave->m->view->machines, best);
-		entry_add(wave, best, machine->worker, PROGRESS_RESERVED);
-		bw_event(BW_EVENT_UPKEEP_RESERVE,
-			 "wave=%" G_GINT64_FORMAT " machine=%s worker=%s "
-			 "tasks=%u reserved=%u",
-			 wave->order->number, best, machine->worker, best_cost,
-			 reserved);
-		reserved++;
+		costly += candidate->cost >= LASTING_COST;
+		reserve_machine(wave, candidate, reserved++);
 	}
+	g_array_free(candidates, TRUE);
 }
 
 /* Returns whether a machine runs no tasks and gets no new ones. */
@@ -637,6 +683,8 @@
 {
 	if (wave->completed)
 		return;
+	if (wave->begin_ms == 0)
+		wave->begin_ms = now_ms;
 	advance_machines(wave);
 	if (wave->call_pending || wave->status_pending ||
 	    now_ms < wave->next_ms)
