Machines asked for by a forecast of the arriving work

In a surge that grows for two seconds the pool asked for 69 machines at 0.7 s and 197 at 1.3 s, while what arrived then took 200 from 2 s on; jobs of the first three seconds were late.

Change: bw_arrivals, a decision of its own without a clock: two rates with different decay tell the slope, and the demand that a pool reports is the rate at the time at which an ordered machine can be used. Growth within one standard deviation of what single arrivals explain does not count. Two deviations were tried and forecast nothing in a surge.

--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 
+#include "sched/arrivals.h"
 #include "sched/sched.h"
 #include "sched/start_window.h"
 
@@ -226,8 +227,7 @@
 	bw_start_window_t *start_window; /**< Bounds starts in flight. */
 	GHashTable *startable; /**< Occurrences that may have tasks to start. */
 	int64_t created_ms;
-	double arrival_rate; /**< Decayed, in thousandths of a core. */
-	int64_t arrival_rate_updated_ms;
+	bw_arrivals_t *arrivals;
 	int64_t predecessor_stopped_ms; /**< 0: it may still send orders. */
 	int64_t next_sweep_ms; /**< Of all tasks and workers. */
 	bool handing_over; /**< What is packed from now on is final. */
--- a/src/sched/report.c
+++ b/src/sched/report.c
@@ -1,10 +1,9 @@
 /* Reports on the demand, the workers and the jobs of a pool. */
 #include "sched/internal.h"
 
-#include <math.h>
-
-/** Time constant of the decay of the arrival rate. */
-#define ARRIVAL_TIME_CONSTANT_MS 500.0
+/** A machine that is ordered can be used after this time: a move, and until its
+ *  worker is registered and has answered. */
+#define FORECAST_MS 1800
 /** Older jobs don't count as arrivals. */
 #define ARRIVAL_AGE_MAX_MS 1500
 
@@ -53,31 +52,22 @@
 	}
 }
 
-static double decayed_arrival_rate(const bw_sched_t *s, int64_t now_ms)
-{
-	return s->arrival_rate *
-	       exp(-(double)(now_ms - s->arrival_rate_updated_ms) /
-		   ARRIVAL_TIME_CONSTANT_MS);
-}
-
 void sched_record_arrival(bw_sched_t *s, const job_t *job, int64_t now_ms)
 {
+	double work = 0.0;
 	uint32_t i;
 
 	if (now_ms - job->arrived_ms > ARRIVAL_AGE_MAX_MS ||
 	    job->spec->repeats > 0)
 		return;
-	s->arrival_rate = decayed_arrival_rate(s, now_ms);
-	s->arrival_rate_updated_ms = now_ms;
 	for (i = 0; i < job->spec->step_count; i++) {
 		const bw_step_spec_t *step = &job->spec->steps[i];
 
 		if (!step->lasting && !step->filler)
-			s->arrival_rate +=
-				(double)step->need.cpu_millis * step->count *
-				(double)sched_estimate_ms(job, step) /
-				ARRIVAL_TIME_CONSTANT_MS;
+			work += (double)step->need.cpu_millis * step->count *
+				(double)sched_estimate_ms(job, step);
 	}
+	bw_arrivals_add(s->arrivals, now_ms, work);
 }
 
 void bw_sched_demand(const bw_sched_t *s, int64_t now_ms, bw_pool_demand_t *out)
@@ -88,7 +78,8 @@
 	guint k;
 
 	*out = (bw_pool_demand_t){
-		.offered_millis = (int64_t)decayed_arrival_rate(s, now_ms),
+		.offered_millis = (int64_t)bw_arrivals_forecast(
+			s->arrivals, now_ms, FORECAST_MS),
 	};
 	g_hash_table_iter_init(&iter, s->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -84,6 +84,7 @@
 					    (GDestroyNotify)g_ptr_array_unref);
 	s->index = sched_index_create();
 	s->start_window = bw_start_window_create(BW_ORDER_TIMEOUT_MS);
+	s->arrivals = bw_arrivals_create();
 	s->startable = g_hash_table_new(NULL, NULL);
 	s->created_ms = now_ms;
 	s->first_owner = true;
@@ -112,6 +113,7 @@
 	g_hash_table_destroy(s->startable);
 	sched_index_destroy(s->index);
 	bw_start_window_destroy(s->start_window);
+	bw_arrivals_destroy(s->arrivals);
 	g_hash_table_iter_init(&iter, s->queues);
 	while (g_hash_table_iter_next(&iter, NULL, &queue))
 		queue_free(queue);
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -353,7 +353,8 @@
 	int64_t used_millis;
 	int64_t waiting_millis; /**< Of tasks that could start now. */
 	int64_t lasting_millis; /**< Part of used_millis. */
-	int64_t offered_millis; /**< Rate of arriving work; without lasting
+	int64_t offered_millis; /**< Rate of arriving work when machines that
+				   are ordered now can be used; without lasting
 				   tasks, fillers and scheduled jobs. */
 } bw_pool_demand_t;
 
