The last attempt of a task waits for the ends that an earlier owner may not have counted

Adoption proves that no other run goes on, not that none has failed.

Change: until the takeover is settled, a task whose earlier runs this owner does not know is not started when its run number has reached the attempts: no more runs can have failed than were numbered.

test_last_attempt_waits_for_ends_of_the_earlier_owner fails on the parent (one start).

--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -82,6 +82,8 @@
 	bool done; /**< Another run of it may still be stopping. */
 	bool ready; /**< Lasting task: it has started up. */
 	bool maybe_running; /**< By a start of an earlier owner. */
+	bool ends_unknown; /**< An earlier owner may have started runs that
+			      failed and are not counted yet. */
 	bool run_known; /**< Only this run may go on, if maybe_running is set.
 			 */
 	bool stop_answered;
--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -491,6 +491,7 @@
 
 		for (k = 0; k < occurrence->task_count; k++) {
 			occurrence->tasks[k].maybe_running = true;
+			occurrence->tasks[k].ends_unknown = true;
 			occurrence->tasks[k].run_known = false;
 		}
 	}
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -382,11 +382,26 @@
 	s->ops.start(s->ctx, &order);
 }
 
+/*
+ * Whether the failures that are not known yet may be the last that the queue
+ * allows. Runs are numbered from 1, so that no more have failed than the number
+ * of the last one.
+ */
+static bool may_lack_attempts(const task_t *task)
+{
+	uint32_t attempts_max = task->occurrence->job->queue->attempts_max;
+
+	return task->ends_unknown && !sched_task_step(task)->lasting &&
+	       attempts_max > 0 && task->run >= attempts_max;
+}
+
 static bool task_startable(const bw_sched_t *s, const task_t *task,
 			   int64_t now_ms)
 {
-	return task->state == TASK_WAITING && now_ms >= task->retry_ms &&
-	       (s->recovered || !task->maybe_running);
+	if (task->state != TASK_WAITING || now_ms < task->retry_ms)
+		return false;
+	return s->recovered ||
+	       (!task->maybe_running && !may_lack_attempts(task));
 }
 
 /* Stops the running members of a gang: they can't work without the others. */
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -245,6 +245,7 @@
 	task = &occurrence->tasks[record->number];
 	task->maybe_running = record->placed || record->unsure;
 	task->run_known = handed_over && !record->unsure;
+	task->ends_unknown = task->maybe_running && !task->run_known;
 	task->run = record->run;
 	task->failures = record->failures;
 	for (i = 0; i < MIN(record->n_failed_runs, FAILED_RUNS_KEPT); i++)
--- a/test/test_sched.c
+++ b/test/test_sched.c
@@ -907,9 +907,10 @@
 	bw_sched_destroy(o.sched);
 }
 
-/* Takes over the pool of an owner whose job JOB_A has one lasting task, on w1.
- * Worker w2 never answers the new owner. */
-static void take_over_beside_silent_worker(orders_t *o, bool in_order)
+/* Takes over the pool of an owner whose job JOB_A has one task, on w1. Worker
+ * w2 does not answer the new owner. */
+static void take_over_job_beside_silent_worker(orders_t *o, bool lasting,
+					       bool in_order)
 {
 	orders_t before;
 	uint8_t *data;
@@ -917,7 +918,7 @@
 
 	begin_with_worker(&before);
 	add_worker(&before, "w2");
-	add_job(&before, JOB_A, 1, true, 1000, 0);
+	add_job(&before, JOB_A, 1, lasting, 1000, 0);
 	run(&before, 10);
 	assert_int_equal(before.start_count, 1);
 	assert_string_equal(before.starts[0].worker, "w1");
@@ -930,7 +931,12 @@
 			 BW_OK);
 	g_free(data);
 	add_worker(o, "w1");
-	add_job(o, JOB_A, 1, true, 1000, 0);
+	add_job(o, JOB_A, 1, lasting, 1000, 0);
+}
+
+static void take_over_beside_silent_worker(orders_t *o, bool in_order)
+{
+	take_over_job_beside_silent_worker(o, true, in_order);
 }
 
 /*
@@ -1005,6 +1011,48 @@
 	bw_sched_destroy(o.sched);
 }
 
+/*
+ * Each run but the last may have failed on a worker that has not answered the
+ * new owner yet. When the runs reach the attempts, the task waits for these
+ * ends.
+ */
+static void test_last_attempt_waits_for_ends_of_the_earlier_owner(void **state)
+{
+	bw_end_row_t first = {
+		.number = 1, .run = 1, .kind = BW_END_FAILED, .checkpoint = ""
+	};
+	bw_end_row_t second = first;
+	bw_end_row_t third = first;
+	bw_run_row_t row;
+	orders_t o;
+
+	(void)state;
+	take_over_job_beside_silent_worker(&o, false, false);
+	init_lasting_row(&row, 0);
+	row.run = 3;
+	first.task = row.task;
+	second.task = row.task;
+	second.run = 2;
+	third.task = row.task;
+	third.run = 3;
+	third.number = 2;
+	answer_heartbeat(&o, "w1", &row, 1, &first, 1);
+	save(&o);
+	run(&o, 10);
+	o.now_ms += 1000;
+	answer_heartbeat(&o, "w1", NULL, 0, &third, 1);
+	run(&o, 100);
+	assert_false(bw_sched_recovered(o.sched));
+	assert_int_equal(o.start_count, 0);
+	answer_heartbeat(&o, "w2", NULL, 0, &second, 1);
+	run(&o, 100);
+	assert_true(bw_sched_recovered(o.sched));
+	assert_int_equal(o.start_count, 0);
+	save(&o);
+	assert_int_equal(bw_sched_job_state(o.sched, JOB_A), BW_JOB_FAILED);
+	bw_sched_destroy(o.sched);
+}
+
 /* Hands the pool of an owner over in order, with its jobs and worker w1. */
 static void hand_on(orders_t *from, orders_t *to)
 {
@@ -1562,6 +1610,8 @@
 		cmocka_unit_test(test_superseded),
 		cmocka_unit_test(test_no_move_right_after_takeover),
 		cmocka_unit_test(test_run_that_ends_after_takeover_is_replaced),
+		cmocka_unit_test(
+			test_last_attempt_waits_for_ends_of_the_earlier_owner),
 		cmocka_unit_test(
 			test_end_after_orderly_handover_frees_its_task),
 		cmocka_unit_test(test_end_after_crash_frees_no_task),
