Claims and handovers of pools in a file of their own

member.c had grown to 814 lines with two concerns: this node's registration, and the claims of pools. The second moves to member_claim.c; their state is in member_internal.h.

--- a/src/fleet/member.c
+++ b/src/fleet/member.c
@@ -1,17 +1,15 @@
-#include "fleet/member.h"
+/* Registration of this node under its lease, and what the store says of nodes
+ * and owners. */
+#include "fleet/member_internal.h"
 
 #include <string.h>
 
-#include <glib.h>
-
 #include "base/clock.h"
 #include "base/event.h"
-#include "fleet/watch_cache.h"
 #include "wire/record.pb-c.h"
 
 #define MEMBER_PREFIX "bw/m/"
 #define NODE_PREFIX   "bw/m/node/"
-#define OWNER_PREFIX  "bw/m/own/"
 /** The lease is renewed this many times in its length. */
 #define RENEWALS_PER_LEASE 5
 /** On the first start of a site no node claims before this, so that the other
@@ -21,81 +19,6 @@
  * start within 0.3 s of each other and take a moment to register. */
 #define REGISTERED_WAIT_MS 400
 #define RETRY_MS	   150
-/** Time after which the deletion of a claim is repeated: longer than a call to
- * the store and the watch's event take. */
-#define RELEASE_RETRY_MS 1000
-
-typedef enum phase {
-	PHASE_NO_LEASE,
-	PHASE_LEASE_REQUESTED,
-	PHASE_REGISTERING,
-	PHASE_REGISTERED
-} phase_t;
-
-/** A live node. */
-typedef struct node {
-	bw_node_capacity_t capacity;
-	int64_t started_ms;
-	int64_t seen_ms; /**< When its registration was first read. */
-	uint64_t incarnation;
-} node_t;
-
-/** A pool's owner, as recorded in the store. */
-typedef struct owner {
-	char *node;
-	uint64_t incarnation;
-	uint64_t nonce;
-	int64_t revision;
-} owner_t;
-
-/** A pool that this node hands over; its claim may still be in the store. */
-typedef struct handed_over {
-	int64_t revision; /**< Of the claim. */
-	int64_t since_ms;
-	int64_t next_call_ms; /**< When its deletion is repeated. */
-} handed_over_t;
-
-/** A claim in progress. */
-typedef struct claim {
-	bw_fleet_member_t *m;
-	char *pool;
-	char *key;
-	uint64_t nonce;
-	int64_t lease_id;
-	bool in_doubt; /**< An earlier attempt got no answer. */
-} claim_t;
-
-struct bw_fleet_member {
-	bw_store_t store;
-	char *name;
-	char *address;
-	uint64_t incarnation;
-	int64_t lease_ms;
-	bw_node_capacity_t capacity;
-	bw_fleet_member_ops_t ops;
-	void *ctx;
-	bw_watch_cache_t *cache;
-	GHashTable *nodes; /**< Name to node_t. */
-	GHashTable *owners; /**< Pool to owner_t. */
-	GHashTable *predecessors; /**< Pool to its previous owner_t. */
-	GHashTable *owned; /**< Pools of this node, to claim revision. */
-	GHashTable *claiming; /**< Pools that are being claimed. */
-	GHashTable *handed_over; /**< Pool to handed_over_t. */
-	GHashTable *ownerless; /**< Pool to when it was found ownerless. */
-	phase_t phase;
-	int64_t lease_id;
-	int64_t sent_ms; /**< When the last call about the lease was sent. */
-	int64_t renewed_ms; /**< Sending time of the last good renewal. */
-	int64_t next_call_ms;
-	int64_t registered_ms; /**< When the registration was answered. */
-	int64_t started_ms;
-	int64_t started_wall_ms;
-	bool call_pending;
-	bool synced;
-	bool first_start;
-	bool leaving;
-	bool ended;
-};
 
 static void request_lease(bw_fleet_member_t *m, int64_t now_ms);
 static void on_granted(void *ctx, const bw_store_reply_t *reply);
@@ -104,13 +27,6 @@
 static void renew_lease(bw_fleet_member_t *m, int64_t now_ms);
 static void on_renewed(void *ctx, const bw_store_reply_t *reply);
 static void handle_lease_lost(bw_fleet_member_t *m);
-static void try_claim(void *arg, const char *pool);
-static void send_claim(claim_t *claim);
-static void release_claim(bw_fleet_member_t *m, const char *key,
-			  int64_t revision);
-static void delete_handed_over(bw_fleet_member_t *m, const char *pool,
-			       handed_over_t *entry, int64_t now_ms);
-static void on_claimed(void *ctx, const bw_store_reply_t *reply);
 static void on_key_changed(void *ctx, const bw_store_kv_t *kv);
 static void on_synced(void *ctx);
 static void on_store_result(void *ctx, bw_status_t status);
@@ -232,11 +148,6 @@
 		       : BW_PREDECESSOR_ENDED;
 }
 
-char *bw_fleet_owner_key(const char *pool)
-{
-	return g_strconcat(OWNER_PREFIX, pool, NULL);
-}
-
 static void request_lease(bw_fleet_member_t *m, int64_t now_ms)
 {
 	m->phase = PHASE_LEASE_REQUESTED;
@@ -377,282 +288,6 @@
 	drop_pool(m, pool, "superseded");
 }
 
-static void claim_free(claim_t *claim)
-{
-	g_free(claim->pool);
-	g_free(claim->key);
-	g_free(claim);
-}
-
-static uint32_t count_owned(const bw_fleet_member_t *m, const char *node)
-{
-	GHashTableIter iter;
-	gpointer value;
-	uint32_t count = 0;
-
-	g_hash_table_iter_init(&iter, m->owners);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (!strcmp(((owner_t *)value)->node, node))
-			count++;
-	return count;
-}
-
-/* Returns the size of a set of pools without those whose claims by this node
- * the watch has reported. */
-static uint32_t count_unreported(const bw_fleet_member_t *m, GHashTable *pools)
-{
-	GHashTableIter iter;
-	gpointer pool;
-	uint32_t count = 0;
-
-	g_hash_table_iter_init(&iter, pools);
-	while (g_hash_table_iter_next(&iter, &pool, NULL)) {
-		const owner_t *owner = g_hash_table_lookup(m->owners, pool);
-
-		if (!owner || strcmp(owner->node, m->name) != 0)
-			count++;
-	}
-	return count;
-}
-
-/* Counts this node's claims from when they are sent, so that it does not claim
- * every free pool for which it ranks first. A pool is either owned or being
- * claimed. */
-static uint32_t count_own(const bw_fleet_member_t *m)
-{
-	return count_owned(m, m->name) + count_unreported(m, m->owned) +
-	       count_unreported(m, m->claiming);
-}
-
-/* Returns an array of the registered nodes; the caller frees it.
- * @param self receives this node's index, or UINT32_MAX until its own
- * registration has been read */
-static bw_ownership_candidate_t *
-list_candidates(bw_fleet_member_t *m, uint32_t *count, uint32_t *self)
-{
-	bw_ownership_candidate_t *candidates = g_new0(
-		bw_ownership_candidate_t, g_hash_table_size(m->nodes) + 1);
-	GHashTableIter iter;
-	gpointer key;
-	gpointer value;
-	uint32_t i = 0;
-
-	*self = UINT32_MAX;
-	g_hash_table_iter_init(&iter, m->nodes);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		const node_t *node = value;
-
-		candidates[i].name = key;
-		candidates[i].owned = count_owned(m, key);
-		candidates[i].started_ms = node->started_ms;
-		candidates[i].seen_ms = node->seen_ms;
-		candidates[i].capacity = node->capacity;
-		if (!strcmp(key, m->name)) {
-			candidates[i].owned = count_own(m);
-			*self = i;
-		}
-		i++;
-	}
-	*count = i;
-	return candidates;
-}
-
-/* Returns UINT32_MAX until this node's own registration has been read. */
-static uint32_t own_claim_rank(bw_fleet_member_t *m, const char *pool)
-{
-	uint32_t rank = UINT32_MAX;
-	uint32_t count;
-	uint32_t self;
-	bw_ownership_candidate_t *candidates =
-		list_candidates(m, &count, &self);
-
-	if (self != UINT32_MAX)
-		rank = bw_ownership_rank(pool, candidates, count, self);
-	g_free(candidates);
-	return rank;
-}
-
-bool bw_fleet_member_find_better(bw_fleet_member_t *m, const char *pool,
-				 int64_t now_ms, bw_handover_t *out)
-{
-	bool better = false;
-	uint32_t count;
-	uint32_t self;
-	bw_ownership_candidate_t *candidates =
-		list_candidates(m, &count, &self);
-
-	if (self != UINT32_MAX)
-		better = bw_ownership_find_better(pool, candidates, count, self,
-						  now_ms, out);
-	g_free(candidates);
-	return better;
-}
-
-void bw_fleet_member_hand_over(bw_fleet_member_t *m, const char *pool,
-			       int64_t now_ms)
-{
-	const int64_t *revision = g_hash_table_lookup(m->owned, pool);
-	handed_over_t *entry;
-
-	if (!revision)
-		return;
-	entry = g_new0(handed_over_t, 1);
-	entry->revision = *revision;
-	entry->since_ms = now_ms;
-	g_hash_table_replace(m->handed_over, g_strdup(pool), entry);
-	g_hash_table_remove(m->owned, pool);
-	delete_handed_over(m, pool, entry, now_ms);
-}
-
-/* Deletes the claim of a pool that was handed over. */
-static void delete_handed_over(bw_fleet_member_t *m, const char *pool,
-			       handed_over_t *entry, int64_t now_ms)
-{
-	char *key = bw_fleet_owner_key(pool);
-
-	entry->next_call_ms = now_ms + RELEASE_RETRY_MS;
-	release_claim(m, key, entry->revision);
-	g_free(key);
-}
-
-/* Repeats deletions that failed, and forgets those that were seen. */
-static void follow_handed_over(bw_fleet_member_t *m, int64_t now_ms)
-{
-	GHashTableIter iter;
-	gpointer pool;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, m->handed_over);
-	while (g_hash_table_iter_next(&iter, &pool, &value)) {
-		const owner_t *owner = g_hash_table_lookup(m->owners, pool);
-		handed_over_t *entry = value;
-
-		if (owner && owner->revision == entry->revision) {
-			if (now_ms >= entry->next_call_ms)
-				delete_handed_over(m, pool, entry, now_ms);
-		} else if (now_ms - entry->since_ms >= m->lease_ms) {
-			g_hash_table_iter_remove(&iter);
-		}
-	}
-}
-
-/* Returns whether this node's rank lets it claim an ownerless pool now. */
-static bool may_claim(bw_fleet_member_t *m, const char *pool, int64_t now_ms)
-{
-	int64_t *since_ms = g_hash_table_lookup(m->ownerless, pool);
-	uint32_t rank;
-
-	if (!since_ms) {
-		since_ms = g_new(int64_t, 1);
-		*since_ms = now_ms;
-		g_hash_table_insert(m->ownerless, g_strdup(pool), since_ms);
-	}
-	rank = own_claim_rank(m, pool);
-	return rank != UINT32_MAX &&
-	       now_ms - *since_ms >=
-		       bw_ownership_claim_delay_ms(rank, m->lease_ms);
-}
-
-static void try_claim(void *arg, const char *pool)
-{
-	bw_fleet_member_t *m = arg;
-	claim_t *claim;
-
-	if (g_hash_table_contains(m->owners, pool) ||
-	    g_hash_table_contains(m->claiming, pool) ||
-	    g_hash_table_contains(m->owned, pool) ||
-	    g_hash_table_contains(m->handed_over, pool) ||
-	    !may_claim(m, pool, bw_clock_now_ms()))
-		return;
-	claim = g_new0(claim_t, 1);
-	claim->m = m;
-	claim->pool = g_strdup(pool);
-	claim->key = bw_fleet_owner_key(pool);
-	claim->lease_id = m->lease_id;
-	claim->nonce = ((uint64_t)g_random_int() << 32) | g_random_int();
-	g_hash_table_add(m->claiming, g_strdup(pool));
-	send_claim(claim);
-}
-
-static void send_claim(claim_t *claim)
-{
-	bw_fleet_member_t *m = claim->m;
-	Bramley__OwnerRecord record = BRAMLEY__OWNER_RECORD__INIT;
-	bw_store_expect_t expect = { claim->key, 0 };
-	bw_store_write_t write = { .key = claim->key,
-				   .lease_id = claim->lease_id };
-	bw_store_txn_t txn = { &expect, 1, &write, 1 };
-	uint8_t *data;
-
-	record.node = m->name;
-	record.incarnation = m->incarnation;
-	record.nonce = claim->nonce;
-	write.bytes = bramley__owner_record__get_packed_size(&record);
-	data = g_malloc(write.bytes + 1);
-	bramley__owner_record__pack(&record, data);
-	write.value = (const char *)data;
-	m->store.ops->txn(m->store.impl, &txn, on_claimed, claim);
-	g_free(data);
-}
-
-/* Returns the revision of this node's claim if an earlier attempt, whose answer
- * was lost, has written it; otherwise 0. */
-static int64_t own_revision(const claim_t *claim, const bw_store_reply_t *reply)
-{
-	Bramley__OwnerRecord *record;
-	int64_t revision = 0;
-
-	if (reply->kv_count == 0 || reply->kvs[0].mod_revision == 0)
-		return 0;
-	record = bramley__owner_record__unpack(
-		NULL, reply->kvs[0].bytes,
-		(const uint8_t *)reply->kvs[0].value);
-	if (record && record->nonce == claim->nonce)
-		revision = reply->kvs[0].mod_revision;
-	if (record)
-		bramley__owner_record__free_unpacked(record, NULL);
-	return revision;
-}
-
-static void acquire_pool(bw_fleet_member_t *m, const claim_t *claim,
-			 int64_t revision)
-{
-	int64_t *held_revision;
-
-	if (m->leaving || m->phase != PHASE_REGISTERED ||
-	    m->lease_id != claim->lease_id) {
-		release_claim(m, claim->key, revision);
-		return;
-	}
-	held_revision = g_new(int64_t, 1);
-	*held_revision = revision;
-	g_hash_table_replace(m->owned, g_strdup(claim->pool), held_revision);
-	bw_event(BW_EVENT_MEMBER_CLAIMED, "pool=%s fence=%" G_GINT64_FORMAT,
-		 claim->pool, revision);
-	m->ops.gained(m->ctx, claim->pool, revision);
-}
-
-static void on_claimed(void *ctx, const bw_store_reply_t *reply)
-{
-	claim_t *claim = ctx;
-	bw_fleet_member_t *m = claim->m;
-	int64_t revision = 0;
-
-	m->ops.store_result(m->ctx, reply->status);
-	if (reply->status == BW_ELOST && m->lease_id == claim->lease_id) {
-		/* Sending the claim again shows whether it was written. */
-		send_claim(claim);
-		return;
-	}
-	if (reply->status == BW_OK)
-		revision = reply->succeeded ? reply->revision
-					    : own_revision(claim, reply);
-	g_hash_table_remove(m->claiming, claim->pool);
-	if (revision > 0)
-		acquire_pool(m, claim, revision);
-	claim_free(claim);
-}
-
 static void apply_node(bw_fleet_member_t *m, const bw_store_kv_t *kv)
 {
 	const char *name = kv->key + strlen(NODE_PREFIX);
@@ -697,27 +332,6 @@
 	       !g_hash_table_contains(m->claiming, pool);
 }
 
-static void on_claim_released(void *ctx, const bw_store_reply_t *reply)
-{
-	bw_fleet_member_t *m = ctx;
-
-	m->ops.store_result(m->ctx, reply->status);
-}
-
-/* Deletes a claim so that any node can claim the pool. */
-static void release_claim(bw_fleet_member_t *m, const char *key,
-			  int64_t revision)
-{
-	bw_store_expect_t expect = { key, revision };
-	bw_store_write_t write = { .key = key };
-	bw_store_txn_t txn = { &expect, 1, &write, 1 };
-
-	bw_event(BW_EVENT_MEMBER_GIVEN_BACK,
-		 "pool=%s revision=%" G_GINT64_FORMAT,
-		 key + strlen(OWNER_PREFIX), revision);
-	m->store.ops->txn(m->store.impl, &txn, on_claim_released, m);
-}
-
 static void apply_owner(bw_fleet_member_t *m, const bw_store_kv_t *kv)
 {
 	const char *pool = kv->key + strlen(OWNER_PREFIX);
@@ -752,7 +366,7 @@
 		 owner->node, owner->revision);
 	bramley__owner_record__free_unpacked(record, NULL);
 	if (is_abandoned_claim(m, pool, owner))
-		release_claim(m, kv->key, owner->revision);
+		member_release_claim(m, kv->key, owner->revision);
 }
 
 static void on_key_changed(void *ctx, const bw_store_kv_t *kv)
@@ -794,8 +408,8 @@
 	    (m->first_start && now_ms - m->started_ms < FIRST_START_WAIT_MS) ||
 	    now_ms >= bw_fleet_member_lease_end_ms(m))
 		return;
-	follow_handed_over(m, now_ms);
-	m->ops.foreach_pool(m->ctx, try_claim, m);
+	member_follow_handed_over(m, now_ms);
+	m->ops.foreach_pool(m->ctx, member_try_claim, m);
 }
 
 void bw_fleet_member_stop_claiming(bw_fleet_member_t *m)
