--- a/Makefile
+++ b/Makefile
@@ -58,6 +58,10 @@
 $(BUILD)/test/test_%: $(BUILD)/test/test_%.o $(BUILD)/test/fixture.o $(LIB)
 	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS) -lcmocka
 
+SCHED_TESTS := $(BUILD)/test/test_sched $(BUILD)/test/test_takeover $(BUILD)/test/test_starts
+$(SCHED_TESTS): $(BUILD)/test/test_%: $(BUILD)/test/test_%.o $(BUILD)/test/sched_orders.o $(LIB)
+	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS) -lcmocka
+
 $(BUILD)/test/test_world: $(BUILD)/test/test_world.o $(WORLD_OBJ) $(LIB)
 	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS) -lcmocka
 
--- /dev/null
+++ b/test/sched_orders.c
@@ -0,0 +1,166 @@
+#include "sched_orders.h"
+
+#include "test.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+static void on_start(void *ctx, const bw_start_order_t *order)
+{
+	orders_t *o = ctx;
+
+	assert_true(o->start_count < ORDERS_MAX);
+	o->starts[o->start_count].task = order->task;
+	o->starts[o->start_count].run = order->run;
+	o->heartbeats_at_start = o->heartbeat_count;
+	o->stops_at_start = o->stop_count;
+	g_strlcpy(o->starts[o->start_count++].worker, order->worker, 16);
+}
+
+static void on_stop(void *ctx, const bw_run_order_t *order)
+{
+	orders_t *o = ctx;
+
+	assert_true(o->stop_count < ORDERS_MAX);
+	o->stops[o->stop_count].task = order->task;
+	o->stops[o->stop_count].run = order->run;
+	g_strlcpy(o->stops[o->stop_count++].worker, order->worker, 16);
+}
+
+static void on_throttle(void *ctx, const bw_run_order_t *order)
+{
+	(void)ctx;
+	(void)order;
+}
+
+static void on_heartbeat(void *ctx, const bw_heartbeat_order_t *order)
+{
+	orders_t *o = ctx;
+
+	o->grant_clock_ms = order->grant_clock_ms;
+	o->heartbeat_count++;
+}
+
+static void on_advise(void *ctx, const bw_task_name_t *step,
+		      const char *const *workers, uint32_t count)
+{
+	(void)ctx;
+	(void)step;
+	(void)workers;
+	(void)count;
+}
+
+static void on_superseded(void *ctx)
+{
+	((orders_t *)ctx)->superseded++;
+}
+
+const bw_sched_ops_t orders_ops = {
+	.start = on_start,
+	.stop = on_stop,
+	.throttle = on_throttle,
+	.heartbeat = on_heartbeat,
+	.advise = on_advise,
+	.superseded = on_superseded,
+};
+
+void orders_begin(orders_t *o)
+{
+	bw_sched_config_t config = { .grant_ms = 5000,
+				     .grant_ms_max = 5000,
+				     .outage_ms = 3500,
+				     .stop_ms = 400,
+				     .retention_ms = 120000,
+				     .removed_ms = 30000,
+				     .fence = 7 };
+	bw_queue_config_t queue = { "q", 0, 3, 1.6, 600, false };
+
+	memset(o, 0, sizeof(*o));
+	o->now_ms = 1000;
+	o->sched = bw_sched_create(&config, &orders_ops, o, o->now_ms);
+	bw_sched_set_queue(o->sched, &queue);
+}
+
+void orders_add_worker_with(orders_t *o, const char *id, int64_t cpu_millis)
+{
+	bw_worker_info_t info = { .id = id,
+				  .address = "10.0.0.1:1",
+				  .capacity = { cpu_millis, 8000, 0 },
+				  .machine = id,
+				  .started_ms = 5 };
+
+	bw_sched_worker_registered(o->sched, o->now_ms, &info);
+}
+
+void orders_add_worker(orders_t *o, const char *id)
+{
+	orders_add_worker_with(o, id, 8000);
+}
+
+void orders_answer_heartbeat(orders_t *o, const char *id,
+			     const bw_run_row_t *runs, uint32_t run_count,
+			     const bw_end_row_t *ends, uint32_t end_count)
+{
+	bw_heartbeat_answer_t answer = { .result = BW_ORDER_OK,
+					 .sent_ms = o->now_ms,
+					 .clock_ms = o->now_ms + 100,
+					 .started_ms = 5,
+					 .runs = runs,
+					 .run_count = run_count,
+					 .ends = ends,
+					 .end_count = end_count };
+
+	bw_sched_heartbeat_answered(o->sched, o->now_ms, id, &answer);
+}
+
+void orders_save(orders_t *o)
+{
+	size_t bytes;
+	uint64_t version = bw_sched_version(o->sched);
+
+	g_free(bw_sched_pack(o->sched, &bytes));
+	bw_sched_saved(o->sched, o->now_ms, version);
+}
+
+void orders_run(orders_t *o, int64_t ms)
+{
+	o->now_ms += ms;
+	bw_sched_run(o->sched, o->now_ms, o->now_ms);
+}
+
+void orders_add_job(orders_t *o, const char *id, uint32_t tasks, bool lasting,
+		    int64_t cpu_millis, uint32_t estimate_ms)
+{
+	bw_job_record_t record = { .queue = g_strdup("q"),
+				   .accepted_ms = o->now_ms,
+				   .spec = bw_job_spec_new(1) };
+
+	record.spec->text = g_strdup("text");
+	record.spec->steps[0].count = tasks;
+	record.spec->steps[0].lasting = lasting;
+	record.spec->steps[0].away_max = 1;
+	record.spec->steps[0].need.cpu_millis = cpu_millis;
+	record.spec->steps[0].estimate_ms = estimate_ms;
+	bw_sched_add_job(o->sched, o->now_ms, o->now_ms, id, &record);
+	bw_job_record_clear(&record);
+}
+
+void orders_begin_with_worker(orders_t *o)
+{
+	orders_begin(o);
+	orders_add_worker(o, "w1");
+	orders_answer_heartbeat(o, "w1", NULL, 0, NULL, 0);
+	orders_save(o);
+	orders_run(o, 10);
+}
+
+void orders_init_lasting_row(bw_run_row_t *row, uint32_t index)
+{
+	memset(row, 0, sizeof(*row));
+	g_strlcpy(row->task.job, JOB_A, sizeof(row->task.job));
+	row->task.index = index;
+	row->run = 1;
+	row->checkpoint = "";
+	row->progress = 100;
+}
--- /dev/null
+++ b/test/sched_orders.h
@@ -0,0 +1,66 @@
+/**
+ * @file
+ * A pool's scheduler whose orders are recorded, for tests that answer them.
+ */
+#ifndef BW_TEST_SCHED_ORDERS_H
+#define BW_TEST_SCHED_ORDERS_H
+
+#include "sched/sched.h"
+
+#define ORDERS_MAX 1024
+#define JOB_A	   "00000000000000aa"
+#define JOB_B	   "00000000000000bb"
+#define JOB_EARLY  "00000000000000cc"
+#define DAY_MS	   ((int64_t)86400000)
+
+/** A scheduler and the orders that it sent. */
+typedef struct orders {
+	bw_sched_t *sched;
+	struct {
+		bw_task_name_t task;
+		uint32_t run;
+		char worker[16];
+	} starts[ORDERS_MAX], stops[ORDERS_MAX];
+	uint32_t start_count;
+	uint32_t stop_count;
+	uint32_t heartbeat_count;
+	uint32_t heartbeats_at_start; /**< Sent before the last start. */
+	uint32_t stops_at_start; /**< The same of stops. */
+	int64_t grant_clock_ms; /**< Of the last heartbeat; 0: none. */
+	uint32_t superseded;
+	int64_t now_ms;
+} orders_t;
+
+/** Callbacks that record the orders in an orders_t. */
+extern const bw_sched_ops_t orders_ops;
+
+/** Creates a scheduler with the queue "q", which allows three attempts. */
+void orders_begin(orders_t *o);
+
+/** The same with one worker, w1, in its stored state. */
+void orders_begin_with_worker(orders_t *o);
+
+void orders_add_worker_with(orders_t *o, const char *id, int64_t cpu_millis);
+
+/** Adds a worker with eight cores. */
+void orders_add_worker(orders_t *o, const char *id);
+
+/** Answers a heartbeat that was sent just now. */
+void orders_answer_heartbeat(orders_t *o, const char *id,
+			     const bw_run_row_t *runs, uint32_t run_count,
+			     const bw_end_row_t *ends, uint32_t end_count);
+
+/** Stores the scheduler's state. */
+void orders_save(orders_t *o);
+
+/** Lets time pass, then runs the scheduler. */
+void orders_run(orders_t *o, int64_t ms);
+
+/** Adds a job of one step. */
+void orders_add_job(orders_t *o, const char *id, uint32_t tasks, bool lasting,
+		    int64_t cpu_millis, uint32_t estimate_ms);
+
+/** Fills in the row of a run of a lasting task of JOB_A that is at work. */
+void orders_init_lasting_row(bw_run_row_t *row, uint32_t index);
+
+#endif
