Late jobs with their last chance go first, within bounds

Change: a late job that must start within 500 ms to meet its deadline goes before those in time, on at most an eighth of the pool's processor, and only while the waiting jobs that can be in time need less than 0.6 s of the pool.

--- a/bench/bench_overload.c
+++ b/bench/bench_overload.c
@@ -719,6 +719,7 @@
 	double ratio[POLICY_COUNT]; /**< Worth earned over its bound. */
 	/** Lowest share of large jobs served over that of all jobs. */
 	double large_share;
+	double served; /**< Share of jobs served at all, by the scheduler. */
 	uint32_t runs;
 } totals_t;
 
@@ -743,10 +744,11 @@
 		printf(" %s=%.3f served=%.3f large=%.3f", policy_names[policy],
 		       score.worth / bound_worth, score.served,
 		       score.served_large);
-		if (policy == POLICY_SCHED)
-			totals->large_share =
-				MIN(totals->large_share,
-				    score.served_large / score.served);
+		if (policy != POLICY_SCHED)
+			continue;
+		totals->served += score.served;
+		totals->large_share = MIN(totals->large_share,
+					  score.served_large / score.served);
 	}
 	printf("\n");
 	totals->runs++;
@@ -765,6 +767,7 @@
 			run_policies(&profiles[i], load, surges, seed, &totals);
 	for (policy = 0; policy < POLICY_COUNT; policy++)
 		totals.ratio[policy] /= totals.runs;
+	totals.served /= totals.runs;
 	return totals;
 }
 
@@ -778,12 +781,14 @@
 	printf("worth_ratio_60=%.3f worth_ratio_90=%.3f worth_ratio_120=%.3f "
 	       "worth_ratio_surges=%.3f first_come_90=%.3f "
 	       "first_come_120=%.3f shortest_90=%.3f shortest_120=%.3f "
-	       "large_share=%.3f\n",
+	       "large_share=%.3f served_90=%.4f served_120=%.4f "
+	       "served_surges=%.4f\n",
 	       at_60.ratio[POLICY_SCHED], at_90.ratio[POLICY_SCHED],
 	       at_120.ratio[POLICY_SCHED], surges.ratio[POLICY_SCHED],
 	       at_90.ratio[POLICY_FIRST_COME], at_120.ratio[POLICY_FIRST_COME],
 	       at_90.ratio[POLICY_SHORTEST], at_120.ratio[POLICY_SHORTEST],
 	       MIN(MIN(at_90.large_share, at_120.large_share),
-		   surges.large_share));
+		   surges.large_share),
+	       at_90.served, at_120.served, surges.served);
 	return 0;
 }
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -125,6 +125,7 @@
 	int64_t due_ms; /**< Earliest start. */
 	int64_t objective_ms; /**< Target for its end; updated as steps end. */
 	int64_t deadline_ms; /**< Finishing later has no value. */
+	bool last_chance; /**< It went before jobs that are in time. */
 };
 
 typedef struct queue {
@@ -230,6 +231,9 @@
 	GHashTable *startable; /**< Occurrences that may have tasks to start. */
 	int64_t created_ms;
 	bw_arrivals_t *arrivals;
+	/* As of the last sweep, in thousandths of a core. */
+	int64_t capacity_millis;
+	int64_t last_chance_millis; /**< Used by jobs with a last chance. */
 	int64_t predecessor_stopped_ms; /**< 0: it may still send orders. */
 	int64_t next_sweep_ms; /**< Of all tasks and workers. */
 	bool handing_over; /**< What is packed from now on is final. */
@@ -366,6 +370,8 @@
 /* place.c */
 /** Returns whether the steps that a step depends on are done. */
 bool sched_step_ready(const occurrence_t *occurrence, uint32_t step);
+/** Adds up the pool's processor, and what jobs with a last chance use of it. */
+void sched_measure_last_chances(bw_sched_t *s);
 /** Starts waiting tasks on workers, in the order of their urgency. */
 void sched_place(bw_sched_t *s, int64_t now_ms);
 
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -14,12 +14,22 @@
 #define SCORE_FAILED_BEFORE    20.0
 #define SCORE_FAILING	       30.0
 
+/** A late job that must start within this time has its last chance. */
+#define LAST_CHANCE_MS 500
+/** Part of the pool's processor for such jobs, as a divisor: callers who are
+ *  served late are served at all, but all others come before most of them. */
+#define LAST_CHANCE_SHARE 8
+/** With more work waiting that can be in time, an overload goes on. */
+#define BACKLOG_MAX_MS 600.0
+
 /** Tasks of one lasting step that prefer to share a worker; more are spread. */
 #define LASTING_PER_WORKER 2U
 
 /** State of a job relative to its objective, in the order of placement. */
 typedef enum urgency {
 	URGENCY_LASTING,
+	URGENCY_LAST_CHANCE, /**< Late, and must start now or miss its deadline.
+			      */
 	URGENCY_ON_TIME,
 	URGENCY_LATE, /**< Will miss its objective but not its deadline. */
 	URGENCY_EXPIRED, /**< Will miss its deadline. */
@@ -32,6 +42,7 @@
 	uint32_t priority;
 	urgency_t urgency;
 	int64_t key; /**< The lowest is placed first. */
+	bool last_chance; /**< Late, and it can't wait any more. */
 } candidate_t;
 
 static bool has_waiting(const occurrence_t *occurrence);
@@ -123,6 +134,8 @@
 	} else if (end_ms <= occurrence->deadline_ms) {
 		candidate->urgency = URGENCY_LATE;
 		candidate->key = occurrence->deadline_ms;
+		candidate->last_chance =
+			end_ms + LAST_CHANCE_MS > occurrence->deadline_ms;
 	} else {
 		candidate->urgency = URGENCY_EXPIRED;
 		candidate->key = occurrence->due_ms;
@@ -539,12 +552,98 @@
 	return list;
 }
 
+/* Returns the processor of the tasks that a job could start now. */
+static int64_t startable_millis(const occurrence_t *occurrence)
+{
+	const bw_job_spec_t *spec = occurrence->job->spec;
+	int64_t millis = 0;
+	uint32_t i;
+
+	for (i = 0; i < spec->step_count; i++)
+		if (sched_step_ready(occurrence, i))
+			millis += spec->steps[i].need.cpu_millis *
+				  occurrence->steps[i].waiting;
+	return millis;
+}
+
+/* Returns how long the pool would need for the waiting jobs that are in time.
+ */
+static double on_time_backlog_ms(const bw_sched_t *s, const GArray *list)
+{
+	double work = 0.0;
+	guint i;
+
+	for (i = 0; i < list->len; i++) {
+		const candidate_t *candidate =
+			&g_array_index(list, candidate_t, i);
+
+		if (candidate->urgency == URGENCY_ON_TIME)
+			work += waiting_work(candidate->occurrence);
+	}
+	return 1000.0 * work / (double)MAX(s->capacity_millis, 1);
+}
+
+/* Lets jobs with their last chance go first, as far as their share reaches. */
+static void promote_last_chances(bw_sched_t *s, GArray *list)
+{
+	int64_t left_millis =
+		s->capacity_millis / LAST_CHANCE_SHARE - s->last_chance_millis;
+	bool promoted = false;
+	guint i;
+
+	if (on_time_backlog_ms(s, list) > BACKLOG_MAX_MS)
+		return;
+	for (i = 0; i < list->len && left_millis > 0; i++) {
+		candidate_t *candidate = &g_array_index(list, candidate_t, i);
+		int64_t millis;
+
+		if (!candidate->last_chance)
+			continue;
+		millis = startable_millis(candidate->occurrence);
+		if (millis > left_millis)
+			continue;
+		left_millis -= millis;
+		candidate->occurrence->last_chance = true;
+		candidate->urgency = URGENCY_LAST_CHANCE;
+		promoted = true;
+	}
+	if (promoted)
+		g_array_sort(list, compare_candidates);
+}
+
+/* Adds up the pool's processor, and the part that last chances use. */
+void sched_measure_last_chances(bw_sched_t *s)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	s->capacity_millis = 0;
+	s->last_chance_millis = 0;
+	g_hash_table_iter_init(&iter, s->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const worker_t *worker = value;
+
+		if (worker->registered && !worker->dead)
+			s->capacity_millis += worker->capacity.cpu_millis;
+		for (i = 0; i < worker->tasks->len; i++) {
+			const task_t *task =
+				g_ptr_array_index(worker->tasks, i);
+
+			if (task->occurrence->last_chance)
+				s->last_chance_millis +=
+					sched_task_step(task)->need.cpu_millis;
+		}
+	}
+}
+
 void sched_place(bw_sched_t *s, int64_t now_ms)
 {
 	GArray *list = list_candidates(s, now_ms);
 	uint32_t step;
 	guint i;
 
+	promote_last_chances(s, list);
 	for (i = 0; i < list->len; i++) {
 		occurrence_t *occurrence =
 			g_array_index(list, candidate_t, i).occurrence;
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -206,6 +206,7 @@
 	s->next_sweep_ms = now_ms + SWEEP_INTERVAL_MS;
 	sched_workers_expire(s, now_ms);
 	sched_resend_stops(s, now_ms);
+	sched_measure_last_chances(s);
 }
 
 void bw_sched_run(bw_sched_t *s, int64_t now_ms, int64_t wall_ms)
--- a/test/test_sched.c
+++ b/test/test_sched.c
@@ -457,6 +457,104 @@
 	check_second_start(12500, JOB_B);
 }
 
+/* A pool of 16 workers that is full, for jobs of one task and 3 s each. */
+static void begin_full_pool(orders_t *o, uint32_t late_jobs)
+{
+	char id[BW_JOB_ID_CHARS + 1];
+	uint32_t i;
+
+	orders_begin(o);
+	for (i = 0; i < 16; i++) {
+		g_snprintf(id, sizeof(id), "w%u", i);
+		orders_add_worker(o, id);
+		orders_answer_heartbeat(o, id, NULL, 0, NULL, 0);
+	}
+	orders_save(o);
+	orders_add_job(o, JOB_A, 16, false, 8000, 3000);
+	orders_run(o, 10);
+	assert_int_equal(o->start_count, 16);
+	for (i = 0; i < late_jobs; i++) {
+		g_snprintf(id, sizeof(id), "%016x", 0xe0 + i);
+		orders_add_job(o, id, 1, false, 8000, 3000);
+	}
+}
+
+/* Lets all 16 tasks end without answers to their starts, so that the estimates
+ * learn no duration. */
+static void free_pool(orders_t *o)
+{
+	uint32_t i;
+
+	for (i = 0; i < 16; i++) {
+		bw_end_row_t end = { .number = 1,
+				     .task = o->starts[i].task,
+				     .run = 1,
+				     .kind = BW_END_DONE,
+				     .checkpoint = "" };
+
+		orders_answer_heartbeat(o, o->starts[i].worker, NULL, 0, &end,
+					1);
+	}
+	orders_run(o, 30);
+}
+
+/*
+ * After a surge: two jobs are late and miss their deadline if they wait any
+ * longer, and a few are in time. The late ones go first, since the others
+ * hardly wait for them.
+ */
+static void test_last_chance_goes_first(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	begin_full_pool(&o, 2);
+	o.now_ms += 12900;
+	orders_add_job(&o, JOB_B, 1, false, 8000, 3000);
+	free_pool(&o);
+	assert_int_equal(o.start_count, 19);
+	assert_string_not_equal(o.starts[16].task.job, JOB_B);
+	assert_string_not_equal(o.starts[17].task.job, JOB_B);
+	assert_string_equal(o.starts[18].task.job, JOB_B);
+	bw_sched_destroy(o.sched);
+}
+
+/* Of many such jobs an eighth of the pool goes first, here two workers. */
+static void test_last_chances_have_a_share(void **state)
+{
+	orders_t o;
+	uint32_t i;
+
+	(void)state;
+	begin_full_pool(&o, 20);
+	o.now_ms += 12900;
+	orders_add_job(&o, JOB_B, 1, false, 8000, 3000);
+	free_pool(&o);
+	assert_int_equal(o.start_count, 32);
+	for (i = 16; i < 18; i++)
+		assert_string_not_equal(o.starts[i].task.job, JOB_B);
+	assert_string_equal(o.starts[18].task.job, JOB_B);
+	bw_sched_destroy(o.sched);
+}
+
+/* While more waits that can be in time than the pool does soon, late jobs wait.
+ */
+static void test_no_last_chance_while_the_overload_goes_on(void **state)
+{
+	orders_t o;
+	uint32_t i;
+
+	(void)state;
+	begin_full_pool(&o, 2);
+	o.now_ms += 12900;
+	orders_add_job(&o, JOB_B, 14, false, 8000, 3000);
+	free_pool(&o);
+	assert_int_equal(o.start_count, 32);
+	for (i = 16; i < 30; i++)
+		assert_string_equal(o.starts[i].task.job, JOB_B);
+	bw_sched_destroy(o.sched);
+}
+
 /*
  * A small job that arrives after a large one starts first: it would miss its
  * objective if it waited, while the large one still meets its own.
@@ -719,6 +817,10 @@
 		cmocka_unit_test(test_earlier_objective_first),
 		cmocka_unit_test(test_in_time_first),
 		cmocka_unit_test(test_late_waits_to_the_end),
+		cmocka_unit_test(test_last_chance_goes_first),
+		cmocka_unit_test(test_last_chances_have_a_share),
+		cmocka_unit_test(
+			test_no_last_chance_while_the_overload_goes_on),
 		cmocka_unit_test(test_little_work_first),
 		cmocka_unit_test(test_over_goes_last),
 		cmocka_unit_test(test_tasks_share_workers),
