--- a/src/fleet/wave_pace.h
+++ b/src/fleet/wave_pace.h
@@ -2,8 +2,8 @@
  * @file
  * Pace of a maintenance wave: how many machines with lasting tasks are drained
  * at a time. Each of them takes capacity out of use until its tasks have moved
- * one by one, so there are few, but enough for the wave to end in time. It reads
- * no clock.
+ * one by one, so there are few, but enough for the wave to end in time. It
+ * reads no clock.
  */
 #ifndef BW_FLEET_WAVE_PACE_H
 #define BW_FLEET_WAVE_PACE_H
