Look for last chances before adding up the backlog

Cause: a reading of the diff. The work of all waiting jobs was added up in each run of the scheduler, also when no job is late. Change: only when one has its last chance. No decision changes; test_sched passes; no figure was measured.

--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -583,6 +583,16 @@
 	return 1000.0 * work / (double)MAX(s->capacity_millis, 1);
 }
 
+static bool any_last_chance(const GArray *list)
+{
+	guint i;
+
+	for (i = 0; i < list->len; i++)
+		if (g_array_index(list, candidate_t, i).last_chance)
+			return true;
+	return false;
+}
+
 /* Lets jobs with their last chance go first, as far as their share reaches. */
 static void promote_last_chances(bw_sched_t *s, GArray *list)
 {
@@ -591,7 +601,8 @@
 	bool promoted = false;
 	guint i;
 
-	if (on_time_backlog_ms(s, list) > BACKLOG_MAX_MS)
+	if (!any_last_chance(list) ||
+	    on_time_backlog_ms(s, list) > BACKLOG_MAX_MS)
 		return;
 	for (i = 0; i < list->len && left_millis > 0; i++) {
 		candidate_t *candidate = &g_array_index(list, candidate_t, i);
