Owners in a row number their runs apart

Change: the pool's record counts its owners. Each stores its term before its first start, and numbers such runs from 64 for each earlier owner on. A node of an older version leaves the term out, after which it begins anew.

test_owners_in_a_row_number_runs_apart fails on the parent.

--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -239,6 +239,8 @@
 	bool handing_over; /**< What is packed from now on is final. */
 	bool inherits_stops; /**< The earlier owner may have sent stops. */
 	bool handed_over; /**< The earlier owner ended in order. */
+	uint64_t term; /**< Number of owners up to this one; stored before its
+			first start. */
 	uint64_t loaded_fence; /**< Of the owner that saved the loaded state. */
 	bool first_owner; /**< No earlier owner has stored anything. */
 	bool recovered; /**< All runs of earlier owners are known. */
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -5,6 +5,9 @@
 
 /** Run numbers skipped because starts of an earlier owner may be unknown. */
 #define RUN_GAP 16
+/** Run numbers kept apart for each owner, whose starts the next one may not
+ * know; more than the gap, so that a number tells who gave it. */
+#define RUNS_PER_TERM 64
 /* Weights of a worker's score for a task; its processor use counts up to 1. */
 #define SCORE_SAME_RACK	      2.0
 #define SCORE_MAINTENANCE_DUE 3.0
@@ -356,9 +359,15 @@
 	sched_attach(task, worker);
 }
 
-static uint32_t next_run(const task_t *task)
+/* Two owners in a row must not give the same number to a task of which neither
+ * has stored a run: the failures of both would count as one. */
+static uint32_t next_run(const bw_sched_t *s, const task_t *task)
 {
-	return task->run + 1 + (task->maybe_running ? RUN_GAP : 0);
+	uint32_t first = (uint32_t)(s->term - 1) * RUNS_PER_TERM + 1;
+
+	if (!task->maybe_running)
+		return task->run + 1;
+	return MAX(task->run + 1 + RUN_GAP, first);
 }
 
 static void order_start(bw_sched_t *s, task_t *task, int64_t now_ms)
@@ -448,7 +457,7 @@
 	for (i = 0; i < count; i++) {
 		if (!task_startable(s, &tasks[i], now_ms))
 			return true;
-		run = MAX(run, next_run(&tasks[i]));
+		run = MAX(run, next_run(s, &tasks[i]));
 	}
 	for (placed = 0; placed < count; placed++) {
 		worker_t *worker = pick_worker(s, &tasks[placed], now_ms);
@@ -524,7 +533,7 @@
 		worker = pick_worker(s, task, now_ms);
 		if (!worker)
 			return false;
-		reserve(task, worker, next_run(task), now_ms);
+		reserve(task, worker, next_run(s, task), now_ms);
 		order_start(s, task, now_ms);
 	}
 	return true;
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -191,6 +191,7 @@
 	p.arena = g_ptr_array_new_with_free_func(g_free);
 	record.version = RECORD_VERSION;
 	record.fence = s->config.fence;
+	record.term = s->term;
 	/* Before it is settled, it knows which runs it doesn't know, unless the
 	 * earlier owner may still act. */
 	record.handed_over = s->handing_over &&
@@ -318,6 +319,7 @@
 	s->first_owner = false;
 	s->handed_over = record->handed_over;
 	s->loaded_fence = record->fence;
+	s->term = record->term + 1;
 	s->inherits_stops = !record->handed_over || record->stopping;
 	for (i = 0; i < record->n_jobs; i++)
 		load_job(s, record->jobs[i], now_ms);
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -88,6 +88,7 @@
 	s->startable = g_hash_table_new(NULL, NULL);
 	s->created_ms = now_ms;
 	s->first_owner = true;
+	s->term = 1;
 	s->orders_allowed = true;
 	s->version = 1;
 	s->urgent_version = 1;
--- a/src/wire/record.pb-c.c
+++ b/src/wire/record.pb-c.c
@@ -1089,7 +1089,7 @@
   (ProtobufCMessageInit) bramley__worker_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__pool_record__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bramley__pool_record__field_descriptors[7] =
 {
   {
     "version",
@@ -1163,19 +1163,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "term",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__PoolRecord, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__pool_record__field_indices_by_name[] = {
   1,   /* field[1] = fence */
   4,   /* field[4] = handed_over */
   3,   /* field[3] = jobs */
   5,   /* field[5] = stopping */
+  6,   /* field[6] = term */
   0,   /* field[0] = version */
   2,   /* field[2] = workers */
 };
 static const ProtobufCIntRange bramley__pool_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bramley__pool_record__descriptor =
 {
@@ -1185,7 +1198,7 @@
   "Bramley__PoolRecord",
   "bramley",
   sizeof(Bramley__PoolRecord),
-  6,
+  7,
   bramley__pool_record__field_descriptors,
   bramley__pool_record__field_indices_by_name,
   1,  bramley__pool_record__number_ranges,
--- a/src/wire/record.pb-c.h
+++ b/src/wire/record.pb-c.h
@@ -168,10 +168,14 @@
    * Tasks are being stopped.
    */
   protobuf_c_boolean stopping;
+  /*
+   * Number of owners so far that have stored this.
+   */
+  uint64_t term;
 };
 #define BRAMLEY__POOL_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__pool_record__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/test/test_takeover.c
+++ b/test/test_takeover.c
@@ -347,6 +347,55 @@
 	bw_sched_destroy(o.sched);
 }
 
+/*
+ * Takes over with a stored state, and starts the task of JOB_A, which nobody
+ * has stored yet.
+ * @param data replaced by the state that was stored before the start
+ * @return the run's number
+ */
+static uint32_t start_unstored(uint8_t **data, size_t *bytes)
+{
+	orders_t o;
+	uint32_t run;
+
+	orders_begin(&o);
+	assert_int_equal(bw_sched_load(o.sched, o.now_ms, *data, *bytes),
+			 BW_OK);
+	g_free(*data);
+	orders_add_worker(&o, "w1");
+	orders_add_job(&o, JOB_A, 1, false, 1000, 500);
+	orders_answer_heartbeat(&o, "w1", NULL, 0, NULL, 0);
+	*data = bw_sched_pack(o.sched, bytes);
+	orders_save(&o);
+	orders_run(&o, 1000);
+	orders_answer_heartbeat(&o, "w1", NULL, 0, NULL, 0);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	run = o.starts[0].run;
+	bw_sched_destroy(o.sched);
+	return run;
+}
+
+/* Failures are counted by run number, so those of two owners must differ. */
+static void test_owners_in_a_row_number_runs_apart(void **state)
+{
+	orders_t first;
+	uint32_t second_run;
+	uint32_t third_run;
+	uint8_t *data;
+	size_t bytes;
+
+	(void)state;
+	orders_begin_with_worker(&first);
+	data = bw_sched_pack(first.sched, &bytes);
+	bw_sched_destroy(first.sched);
+	second_run = start_unstored(&data, &bytes);
+	third_run = start_unstored(&data, &bytes);
+	assert_true(second_run > 1);
+	assert_true(third_run > second_run);
+	g_free(data);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -364,6 +413,7 @@
 		cmocka_unit_test(test_gone_workers_are_not_handed_over),
 		cmocka_unit_test(test_gone_worker_with_a_run_is_handed_over),
 		cmocka_unit_test(test_unlisted_run_is_waited_for),
+		cmocka_unit_test(test_owners_in_a_row_number_runs_apart),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
