An owner that was suspended starts nothing until a save succeeds

Change: a gap of 400 ms between runs of the scheduler, whose timer fires every 100, counts as a suspension. Nothing is started then until a state packed after it has been saved; each save is conditional on the claim. The world's nodes do the same.

--- a/src/base/eventlist.c
+++ b/src/base/eventlist.c
@@ -206,6 +206,11 @@
 				    "the pool's owner may, or may no longer, "
 				    "send orders",
 				    "pool allowed" },
+	[BW_EVENT_SCHED_SUSPENDED] = { "sched", "suspended", BW_EVENT_BELIEF,
+				       "the process was suspended or starved: "
+				       "no starts until a save proves that the "
+				       "pool is still its own",
+				       "pool gap_ms" },
 	[BW_EVENT_SCHED_SETTLED] = { "sched", "settled", BW_EVENT_BELIEF,
 				     "recovery is complete: all runs of "
 				     "earlier owners are known",
--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -24,7 +24,9 @@
 #define SAVE_BITS_PER_BYTE (8.0 * 4.0 / 3.0)
 #define LOAD_RETRY_S	   0.15
 /** The scheduler runs at least this often. */
-#define TICK_S	      0.1
+#define TICK_S 0.1
+/** A longer time without a tick is a suspension. */
+#define SUSPENDED_MS  400
 #define JOB_SUFFIX    "/job"
 #define CANCEL_SUFFIX "/cancel"
 /** Length of a grant to a worker: the time of a failover plus a margin. */
@@ -53,6 +55,7 @@
 	ev_timer save_timer;
 	ev_timer load_timer;
 	ev_prepare prepare;
+	int64_t last_run_ms; /**< Of the scheduler; 0: never. */
 	uint64_t saving_version; /**< Version in the last save; 0: it failed. */
 	int64_t save_started_ms;
 	size_t save_bytes; /**< Size of the last save. */
@@ -608,6 +611,18 @@
 	((bw_pool_t *)timer->data)->dirty = true;
 }
 
+/* Events that waited during a suspension come before any timer, so the gap is
+ * looked for here, before orders are sent for them. */
+static void run_sched(bw_pool_t *pool, int64_t now_ms)
+{
+	int64_t gap_ms = now_ms - pool->last_run_ms;
+
+	if (pool->last_run_ms > 0 && gap_ms > SUSPENDED_MS)
+		bw_sched_suspended(pool->sched, gap_ms);
+	pool->last_run_ms = now_ms;
+	bw_sched_run(pool->sched, now_ms, bw_clock_wall_ms());
+}
+
 static void on_prepare(struct ev_loop *loop, ev_prepare *prepare, int revents)
 {
 	bw_pool_t *pool = prepare->data;
@@ -620,7 +635,7 @@
 	if (!pool->jobs_loaded || !pool->directory_loaded)
 		return;
 	pool->refs++;
-	bw_sched_run(pool->sched, bw_clock_now_ms(), bw_clock_wall_ms());
+	run_sched(pool, bw_clock_now_ms());
 	if (!pool->recovered && bw_sched_recovered(pool->sched)) {
 		pool->recovered = true;
 		bw_metrics_observe(BW_MH_TAKEOVER,
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -248,6 +248,7 @@
 	uint64_t version;
 	uint64_t saved_version;
 	uint64_t urgent_version;
+	uint64_t confirm_version; /**< No start before it is saved. */
 };
 
 /* sched.c */
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -92,6 +92,7 @@
 	s->orders_allowed = true;
 	s->version = 1;
 	s->urgent_version = 1;
+	s->confirm_version = 1;
 	return s;
 }
 
@@ -146,6 +147,14 @@
 	s->orders_allowed = allowed;
 }
 
+void bw_sched_suspended(bw_sched_t *s, int64_t gap_ms)
+{
+	sched_log(s, BW_EVENT_SCHED_SUSPENDED, "gap_ms=%" G_GINT64_FORMAT,
+		  gap_ms);
+	sched_changed(s, true);
+	s->confirm_version = s->version;
+}
+
 void bw_sched_hand_over(bw_sched_t *s)
 {
 	bw_sched_allow_orders(s, false);
@@ -222,7 +231,8 @@
 	sched_evacuate(s, now_ms);
 	/* On a slow link all orders wait for those sent before them. */
 	sched_send_heartbeats(s, now_ms);
-	if (s->saved_version > 0)
+	/* A save proves that the pool is still this owner's. */
+	if (s->saved_version >= s->confirm_version)
 		sched_place(s, now_ms);
 }
 
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -296,6 +296,13 @@
 		      const char *const *workers, const char *const *tickets,
 		      uint32_t count, int64_t valid_ms);
 
+/**
+ * Records that the process was suspended or starved for a time, in which the
+ * pool may have got another owner, whatever the lease said. Nothing is started
+ * until a state that is packed after this has been saved.
+ */
+void bw_sched_suspended(bw_sched_t *s, int64_t gap_ms);
+
 /** Sets whether orders may be sent; see bw_sched_config_t.outage_ms. */
 void bw_sched_allow_orders(bw_sched_t *s, bool allowed);
 
--- a/test/test_sched.c
+++ b/test/test_sched.c
@@ -741,6 +741,36 @@
 }
 
 /* A worker that rejects the fencing token ends the ownership. */
+/*
+ * An owner that was suspended may have been replaced, though its lease would
+ * last: it starts nothing until a save has shown that it was not.
+ */
+static void test_nothing_starts_after_a_suspension_before_a_save(void **state)
+{
+	uint64_t version;
+	size_t bytes;
+	orders_t o;
+
+	(void)state;
+	orders_begin_with_worker(&o);
+	version = bw_sched_version(o.sched);
+	g_free(bw_sched_pack(o.sched, &bytes));
+	o.now_ms += 1000;
+	bw_sched_suspended(o.sched, 1000);
+	orders_add_job(&o, JOB_A, 1, false, 1000, 500);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 0);
+	/* The answer to a save of before proves nothing. */
+	bw_sched_saved(o.sched, o.now_ms, version);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 0);
+	assert_true(bw_sched_urgent(o.sched));
+	orders_save(&o);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	bw_sched_destroy(o.sched);
+}
+
 static void test_superseded(void **state)
 {
 	bw_heartbeat_answer_t answer = { .result = BW_ORDER_FENCED };
@@ -827,6 +857,8 @@
 		cmocka_unit_test(test_fullest_is_found),
 		cmocka_unit_test(test_sick_worker_is_last),
 		cmocka_unit_test(test_silent_worker_gets_no_grant),
+		cmocka_unit_test(
+			test_nothing_starts_after_a_suspension_before_a_save),
 		cmocka_unit_test(test_superseded),
 		cmocka_unit_test(test_heartbeats_wait_for_no_start),
 		cmocka_unit_test(test_bad_state),
--- a/test/test_world.c
+++ b/test/test_world.c
@@ -26,6 +26,7 @@
 	{ 295, "a finished job was shown as queued after a takeover" },
 	{ 359, "the resources of unknown runs were not counted" },
 	{ 555, "a pool was handed over before all its runs were known" },
+	{ 1796620289, "an owner that was suspended started a job" },
 	{ 1797001646, "two owners gave one number to two runs" },
 };
 
--- a/test/world_internal.h
+++ b/test/world_internal.h
@@ -25,7 +25,9 @@
 #define STARTUP_MS	      300
 #define TICK_INTERVAL_MS      100
 #define DIRECTORY_INTERVAL_MS 800
-#define CALL_TIMEOUT_MS	      700
+/** A node whose scheduler did not run for longer was suspended. */
+#define SUSPENDED_MS	400
+#define CALL_TIMEOUT_MS 700
 /** Longest delay of a call that is executed after its caller gave up. */
 #define DELAYED_CALL_MAX_MS	12000
 #define SAVE_INTERVAL_MS	60
@@ -140,6 +142,7 @@
 	bool save_pending;
 	bool handing_over; /**< Its pool; the next save is the last. */
 	int64_t last_save_ms;
+	int64_t last_run_ms; /**< Of its scheduler; 0: never. */
 } node_t;
 
 struct world {
--- a/test/world_node.c
+++ b/test/world_node.c
@@ -141,6 +141,10 @@
 		bw_sched_allow_orders(node->sched,
 				      w->now_ms < node->lease_end_ms ||
 					      w->store_down);
+	if (node->last_run_ms > 0 &&
+	    w->now_ms - node->last_run_ms > SUSPENDED_MS)
+		bw_sched_suspended(node->sched, w->now_ms - node->last_run_ms);
+	node->last_run_ms = w->now_ms;
 	bw_sched_run(node->sched, w->now_ms, w->now_ms);
 	if (node->sched && node->fence != 0)
 		save_state(w, node);
@@ -322,6 +326,7 @@
 	node->lease_end_ms = w->owner_lease_end_ms;
 	node->saved_version = 0;
 	node->last_save_ms = 0;
+	node->last_run_ms = 0;
 	config.fence = node->fence;
 	node->sched =
 		bw_sched_create(&config, &world_sched_ops, node, w->now_ms);
