No order is sent twice by the client of the workers

Cause: found in reading. If the first copy was carried out and its run has ended, the second is refused as old, which the scheduler takes for a start that never began: it starts the task again.

Change: such a call is lost, and the scheduler asks the worker, as for any other lost answer.

--- a/src/net/keepconn.c
+++ b/src/net/keepconn.c
@@ -30,7 +30,6 @@
 	size_t sent; /**< Bytes of the request. */
 	GString *body; /**< Of the answer; NULL when none is awaited. */
 	bool connected;
-	bool answer_began;
 	bool answered; /**< The answer is complete. */
 	bool too_long;
 };
@@ -158,7 +157,6 @@
 	c->request = request;
 	c->sent = 0;
 	c->body = g_string_new(NULL);
-	c->answer_began = false;
 	c->answered = false;
 	if (c->connected)
 		send_request(c);
@@ -169,11 +167,6 @@
 	return c->connected;
 }
 
-bool bw_keepconn_answer_began(const bw_keepconn_t *c)
-{
-	return c->answer_began;
-}
-
 static void on_failure(struct ev_loop *loop, ev_timer *timer, int revents)
 {
 	bw_keepconn_t *c = timer->data;
@@ -242,7 +235,6 @@
 		c->ops.ended(c->ctx);
 		return;
 	}
-	c->answer_began |= bytes > 0;
 	decode(c, buffer, (size_t)bytes);
 }
 
--- a/src/net/keepconn.h
+++ b/src/net/keepconn.h
@@ -51,7 +51,4 @@
 /** Returns whether it was established. */
 bool bw_keepconn_connected(const bw_keepconn_t *c);
 
-/** Returns whether a byte of the present answer was received. */
-bool bw_keepconn_answer_began(const bw_keepconn_t *c);
-
 #endif
--- a/src/net/keephttp.c
+++ b/src/net/keephttp.c
@@ -38,7 +38,6 @@
 	void *ctx;
 	ev_timer timeout;
 	int64_t deadline_ms;
-	bool resent;
 } call_t;
 
 /** A connection of a host. */
@@ -46,7 +45,6 @@
 	host_t *host;
 	bw_keepconn_t *conn;
 	call_t *call; /**< NULL while idle. */
-	bool used; /**< It has carried an answer. */
 	GList host_node; /**< In the host's idle or busy connections. */
 	GList client_node; /**< In the client's idle ones. */
 } link_t;
@@ -125,7 +123,6 @@
 static void make_idle(link_t *link)
 {
 	link->call = NULL;
-	link->used = true;
 	g_queue_unlink(&link->host->busy, &link->host_node);
 	g_queue_push_head_link(&link->host->idle, &link->host_node);
 	g_queue_push_head_link(&link->host->client->idle, &link->client_node);
@@ -215,8 +212,7 @@
 static void fail_call(call_t *call, bool sent)
 {
 	bw_http_answer_t answer = {
-		.outcome =
-			sent || call->resent ? BW_HTTP_LOST : BW_HTTP_NOT_SENT,
+		.outcome = sent ? BW_HTTP_LOST : BW_HTTP_NOT_SENT,
 		.body = "",
 	};
 
@@ -243,34 +239,18 @@
 	g_string_free(body, TRUE);
 }
 
-/* A kept connection may have been closed before the request arrived. */
-static bool may_resend(const link_t *link)
-{
-	return link->used && !link->call->resent &&
-	       !bw_keepconn_answer_began(link->conn);
-}
-
 static void on_ended(void *ctx)
 {
 	link_t *link = ctx;
 	host_t *host = link->host;
 	call_t *call = link->call;
 	bool sent = bw_keepconn_connected(link->conn);
-	bool resend = call && may_resend(link);
 
 	link_close(link);
-	if (!call) {
-		release_host(host);
-		return;
-	}
-	if (!resend) {
+	if (call)
 		fail_call(call, sent);
-		return;
-	}
-	call->resent = true;
-	call->link = NULL;
-	g_queue_push_head(&host->waiting, call);
-	dispatch(host);
+	else
+		release_host(host);
 }
 
 static void arm_timeout(call_t *call, int64_t now_ms)
--- a/src/net/keephttp.h
+++ b/src/net/keephttp.h
@@ -35,9 +35,9 @@
 void bw_keephttp_destroy(bw_keephttp_t *client);
 
 /**
- * Starts a call; @p done is called from the loop, once. A call whose kept
- * connection turns out to be closed is sent once more on a new one, so calls
- * must be idempotent.
+ * Starts a call; @p done is called from the loop, once. No call is sent again,
+ * also when a kept connection turns out to be closed: the first copy may have
+ * been carried out.
  */
 void bw_keephttp_call(bw_keephttp_t *client,
 		      const bw_keephttp_request_t *request,
