--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -17,11 +17,12 @@
 #include "base/address.h"
 #include "place/share.h"
 
-#define LISTEN_BACKLOG		 128
-#define READ_BUFFER_BYTES	 65536
-#define OUTPUT_BYTES_MAX	 ((size_t)8 << 20)
-#define RECONNECT_DELAY_US	 200000
-#define INCOMING_CONNECTIONS_MAX 256
+#define LISTEN_BACKLOG	   128
+#define READ_BUFFER_BYTES  65536
+#define OUTPUT_BYTES_MAX   ((size_t)8 << 20)
+#define RECONNECT_DELAY_US 200000
+/** More than a site has nodes: a node that is refused tries again at once. */
+#define INCOMING_CONNECTIONS_MAX 1024
 
 /** A peer and the connection made to it, used only to send. */
 typedef struct link {
--- /dev/null
+++ b/test/test_peer.c
@@ -0,0 +1,104 @@
+/* The connections that peers make to an entry. */
+#include "test.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <ev.h>
+#include <glib.h>
+
+#include "peer/peer.h"
+
+#define LISTEN	    "127.0.8.160:18660"
+#define LISTEN_IP   "127.0.8.160"
+#define LISTEN_PORT 18660
+/** Nodes of a site of some hundred. */
+#define NODES	  400U
+#define SILENCE_S 5
+#define SETTLE_S  0.3
+
+static void on_end(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	(void)timer;
+	(void)revents;
+	ev_break(loop, EVBREAK_ALL);
+}
+
+static void run_for(struct ev_loop *loop, double seconds)
+{
+	ev_timer end;
+
+	ev_timer_init(&end, on_end, seconds, 0.0);
+	ev_timer_start(loop, &end);
+	ev_run(loop, 0);
+	ev_timer_stop(loop, &end);
+}
+
+static int connect_node(void)
+{
+	struct sockaddr_in in = { .sin_family = AF_INET,
+				  .sin_port = htons(LISTEN_PORT) };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+
+	assert_true(fd >= 0);
+	assert_int_equal(inet_pton(AF_INET, LISTEN_IP, &in.sin_addr), 1);
+	assert_true(connect(fd, (struct sockaddr *)&in, sizeof(in)) == 0 ||
+		    errno == EINPROGRESS);
+	return fd;
+}
+
+static bool is_open(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_PEEK) < 0 && errno == EAGAIN;
+}
+
+/* A node that is refused connects again at once, all day long. */
+static void test_some_hundred_nodes_are_accepted(void **state)
+{
+	static const bw_peers_ops_t ops = { 0 };
+	bw_peers_config_t config = {
+		.name = "n",
+		.site = "s",
+		.listen = LISTEN,
+		.incarnation = 1,
+		.silence_timeout_us = SILENCE_S * G_USEC_PER_SEC,
+	};
+	struct ev_loop *loop = ev_loop_new(0);
+	bw_counters_t counters = { 0 };
+	uint32_t open_count = 0;
+	bw_peers_t *peers;
+	int fds[NODES];
+	uint32_t i;
+
+	(void)state;
+	assert_int_equal(
+		bw_peers_create(loop, &config, &ops, NULL, &counters, &peers),
+		BW_OK);
+	for (i = 0; i < NODES; i++) {
+		fds[i] = connect_node();
+		if (i % 64 == 63)
+			run_for(loop, 0.05);
+	}
+	run_for(loop, SETTLE_S);
+	for (i = 0; i < NODES; i++)
+		open_count += is_open(fds[i]);
+	assert_int_equal(open_count, NODES);
+	for (i = 0; i < NODES; i++)
+		close(fds[i]);
+	bw_peers_destroy(peers);
+	ev_loop_destroy(loop);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_some_hundred_nodes_are_accepted),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
