Read on at once when many registrations have changed

Change: after an answer with 200 changes or more the next call is not delayed. test_directory_asks_at_once_after_many_changes fails on the parent. The users' sites have 30 to 150 changes a call, where nothing changes.

--- a/src/fleet/directory.c
+++ b/src/fleet/directory.c
@@ -18,6 +18,9 @@
 /** Longest pause: a worker that drains or is new must be noticed in about 2 s,
  * also after reads that were slow for a while. */
 #define PAUSE_MAX_MS 1500
+/** After an answer with so many changes there may be more: the store limits
+ * what it sends at a time, and the next ones must not wait. */
+#define CHANGES_MANY 200U
 /** Pages of a read that was left alone for so long are too old. */
 #define FORGET_MS 2000
 /** Registrations that expired in an outage are back this long after it. */
@@ -243,6 +246,10 @@
 		apply_change(d, &reply->kvs[i]);
 	d->revision = MAX(d->revision, reply->revision);
 	finish_read(d);
+	if (reply->kv_count < CHANGES_MANY)
+		return;
+	d->next_read_ms = d->now_ms;
+	d->pause_until_ms = d->now_ms;
 }
 
 /* Reading again costs less than the changes of a long time. */
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -16,6 +16,8 @@
 /** Of the store at the first page; it grows by one with each page. */
 #define FIRST_REVISION 50
 #define CALLS_MAX      40U
+/** An answer that the store has cut. */
+#define MANY_CHANGES 200U
 /** A value that can't be parsed. */
 #define UNREADABLE "?"
 
@@ -417,6 +419,32 @@
 	tear_down(&t);
 }
 
+/* On a large site more changes come than the store sends at a time. */
+static void test_directory_asks_at_once_after_many_changes(void **state)
+{
+	bw_store_kv_t *kvs = g_new0(bw_store_kv_t, MANY_CHANGES);
+	directory_test_t t;
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < MANY_CHANGES; i++) {
+		kvs[i].key = PREFIX "1";
+		kvs[i].value = "new";
+		kvs[i].mod_revision = 60 + i;
+	}
+	set_up_loaded(&t);
+	tick(&t);
+	answer_changes(&t, kvs, MANY_CHANGES, 300);
+	bw_directory_tick(t.directory, t.now_ms + 1);
+	assert_int_equal(t.changes_calls, 2);
+	assert_int_equal(t.changes_after, 300);
+	answer_changes(&t, kvs, 1, 301);
+	bw_directory_tick(t.directory, t.now_ms + 2);
+	assert_int_equal(t.changes_calls, 2);
+	tear_down(&t);
+	g_free(kvs);
+}
+
 /* A node that owned no pool for a while begins anew. */
 static void test_directory_left_alone_reads_all(void **state)
 {
@@ -453,6 +481,8 @@
 			test_directory_reads_all_when_the_history_is_gone),
 		cmocka_unit_test(
 			test_directory_reads_all_after_changes_that_failed),
+		cmocka_unit_test(
+			test_directory_asks_at_once_after_many_changes),
 		cmocka_unit_test(test_directory_left_alone_reads_all),
 	};
 
