Keep two connections to each worker whatever their number

With more workers than half of the limit of 1,024 connections each call would have closed a connection that the next one needs. 600 workers in a pool are more, 131 are not.

Change: connections are closed only above two for each worker; the limit is an argument. test_connections_to_many_servers_are_kept fails without the bound.

--- a/src/net/keephttp.c
+++ b/src/net/keephttp.c
@@ -10,10 +10,9 @@
 #include "base/clock.h"
 #include "net/keepconn.h"
 
-/** Connections of a client above which one that is idle is closed for a new
- * one; a quarter of the descriptors of a small node. */
-#define CONNECTIONS_MAX 1024U
-#define ADDRESS_BYTES	46
+/** Connections that are kept for each server, whatever the limit. */
+#define KEPT_PER_HOST 2U
+#define ADDRESS_BYTES 46
 /** Room for the first lines of a request. */
 #define HEADER_BYTES ((size_t)256)
 #define MS_PER_S     1000.0
@@ -52,6 +51,7 @@
 struct bw_keephttp {
 	struct ev_loop *loop;
 	uint32_t host_connections_max;
+	uint32_t connections_max;
 	uint32_t open_count;
 	GHashTable *hosts; /**< Address to host_t. */
 	GQueue idle; /**< link_t, the longest idle last. */
@@ -153,13 +153,16 @@
 	g_free(link);
 }
 
-/* Closes the connection that was idle longest if there are too many. */
+/* Closes the connection that was idle longest if there are too many. With more
+ * servers than the limit has places, each call would close one that is needed.
+ */
 static void make_room(bw_keephttp_t *client)
 {
 	link_t *oldest = g_queue_peek_tail(&client->idle);
+	uint32_t kept = KEPT_PER_HOST * g_hash_table_size(client->hosts);
 	host_t *host;
 
-	if (client->open_count < CONNECTIONS_MAX || !oldest)
+	if (!oldest || client->open_count < MAX(client->connections_max, kept))
 		return;
 	host = oldest->host;
 	link_close(oldest);
@@ -297,12 +300,14 @@
 }
 
 bw_keephttp_t *bw_keephttp_create(struct ev_loop *loop,
-				  uint32_t host_connections_max)
+				  uint32_t host_connections_max,
+				  uint32_t connections_max)
 {
 	bw_keephttp_t *client = g_new0(bw_keephttp_t, 1);
 
 	client->loop = loop;
 	client->host_connections_max = host_connections_max;
+	client->connections_max = connections_max;
 	client->hosts =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, host_free);
 	g_queue_init(&client->idle);
--- a/src/net/keephttp.h
+++ b/src/net/keephttp.h
@@ -27,9 +27,12 @@
  * Creates a client.
  * @param host_connections_max connections to one address; calls beyond them are
  * queued
+ * @param connections_max in all, above which the one that is idle longest is
+ * closed for a new one; two for each address are kept in any case
  */
 bw_keephttp_t *bw_keephttp_create(struct ev_loop *loop,
-				  uint32_t host_connections_max);
+				  uint32_t host_connections_max,
+				  uint32_t connections_max);
 
 /** Ends all calls without their callbacks, and releases the client. */
 void bw_keephttp_destroy(bw_keephttp_t *client);
--- a/test/test_keephttp.c
+++ b/test/test_keephttp.c
@@ -15,8 +15,11 @@
 
 #include "net/keephttp.h"
 
-#define TIMEOUT_MS	300
-#define LONG_TIMEOUT_MS 5000
+#define TIMEOUT_MS	    300
+#define LONG_TIMEOUT_MS	    5000
+#define ALL_CONNECTIONS_MAX 2U
+/** Addresses of the loopback that reach the server. */
+#define SERVERS		4U
 #define CONNECTIONS_MAX 2U
 #define READ_BYTES	4096U
 #define LISTEN_COUNT	16
@@ -54,6 +57,7 @@
 	ev_io accept;
 	ev_timer watchdog;
 	char address[64];
+	uint32_t port;
 	GPtrArray *connections; /**< ev_io */
 	uint32_t accepted;
 	uint32_t requests;
@@ -135,21 +139,22 @@
 	struct sockaddr_in in = { .sin_family = AF_INET };
 	socklen_t bytes = sizeof(in);
 
-	in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	in.sin_addr.s_addr = htonl(INADDR_ANY);
 	t->listen_fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 	assert_int_equal(bind(t->listen_fd, (struct sockaddr *)&in, bytes), 0);
 	assert_int_equal(listen(t->listen_fd, LISTEN_COUNT), 0);
 	assert_int_equal(
 		getsockname(t->listen_fd, (struct sockaddr *)&in, &bytes), 0);
-	g_snprintf(t->address, sizeof(t->address), "127.0.0.1:%u",
-		   ntohs(in.sin_port));
+	t->port = ntohs(in.sin_port);
+	g_snprintf(t->address, sizeof(t->address), "127.0.0.1:%u", t->port);
 }
 
 static void begin(keep_test_t *t, const step_t *steps, uint32_t count)
 {
 	*t = (keep_test_t){ .steps = steps, .step_count = count };
 	t->loop = ev_loop_new(0);
-	t->client = bw_keephttp_create(t->loop, CONNECTIONS_MAX);
+	t->client = bw_keephttp_create(t->loop, CONNECTIONS_MAX,
+				       ALL_CONNECTIONS_MAX);
 	t->connections = g_ptr_array_new();
 	t->last_request = g_string_new(NULL);
 	listen_somewhere(t);
@@ -396,6 +401,27 @@
 	end(&t);
 }
 
+/* More servers than the limit has places: each keeps its connection. */
+static void test_connections_to_many_servers_are_kept(void **state)
+{
+	static const step_t steps[] = { { REACT_ANSWER, ANSWER_OK } };
+	keep_test_t t;
+	char address[64];
+	uint32_t i;
+
+	(void)state;
+	begin(&t, steps, 1);
+	for (i = 0; i < 2 * SERVERS; i++) {
+		g_snprintf(address, sizeof(address), "127.0.0.%u:%u",
+			   1 + i % SERVERS, t.port);
+		start_call(&t, address, LONG_TIMEOUT_MS);
+		wait_for_calls(&t);
+		assert_int_equal(t.outcomes[i], BW_HTTP_ANSWERED);
+	}
+	assert_int_equal(t.accepted, SERVERS);
+	end(&t);
+}
+
 /* The third call never got a connection, so it had no effect. */
 static void test_call_that_waited_in_vain_is_not_sent(void **state)
 {
@@ -428,6 +454,7 @@
 		cmocka_unit_test(
 			test_call_on_a_kept_connection_that_closes_is_lost),
 		cmocka_unit_test(test_calls_beyond_the_connections_wait),
+		cmocka_unit_test(test_connections_to_many_servers_are_kept),
 		cmocka_unit_test(test_call_that_waited_in_vain_is_not_sent),
 	};
 
