Tests of workers that restart under their identifier, and of starts refused as old

A worker restarts under its identifier; a start that was under way reaches its next boot with the end of a grant by the earlier clock, which the worker caps at 10 s from then.

--- a/test/sched_orders.c
+++ b/test/sched_orders.c
@@ -39,6 +39,7 @@
 	orders_t *o = ctx;
 
 	o->grant_clock_ms = order->grant_clock_ms;
+	o->acked = order->acked;
 	o->heartbeat_count++;
 }
 
--- /dev/null
+++ b/test/test_restart.c
@@ -0,0 +1,346 @@
+/* Workers that restart under their identifier: what their next boot may have
+ * received, and which answers still count. */
+#include "test.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "sched_orders.h"
+
+#define FIRST_BOOT_MS  5
+#define SECOND_BOOT_MS 6
+/** Clock of a worker that has been up for a while. */
+#define OLD_CLOCK_MS 90000
+
+/** What a boot of w1 says in an answer to a heartbeat. */
+typedef struct boot_answer {
+	int64_t started_ms;
+	int64_t clock_ms;
+	const bw_run_row_t *runs;
+	uint32_t run_count;
+	const bw_end_row_t *ends;
+	uint32_t end_count;
+} boot_answer_t;
+
+static void answer_as_boot(orders_t *o, const boot_answer_t *boot)
+{
+	bw_heartbeat_answer_t answer = {
+		.result = BW_ORDER_OK,
+		.sent_ms = o->now_ms,
+		.clock_ms = boot->clock_ms,
+		.started_ms = boot->started_ms,
+		.runs = boot->runs,
+		.run_count = boot->run_count,
+		.ends = boot->ends,
+		.end_count = boot->end_count,
+	};
+
+	bw_sched_heartbeat_answered(o->sched, o->now_ms, "w1", &answer);
+}
+
+static void fail_heartbeat(orders_t *o, const char *id)
+{
+	bw_heartbeat_answer_t answer = { .result = BW_ORDER_LOST };
+
+	bw_sched_heartbeat_answered(o->sched, o->now_ms, id, &answer);
+}
+
+static void register_boot(orders_t *o, int64_t started_ms)
+{
+	bw_worker_info_t info = { .id = "w1",
+				  .address = "10.0.0.1:1",
+				  .capacity = { 8000, 8000, 0 },
+				  .machine = "w1",
+				  .started_ms = started_ms };
+
+	bw_sched_worker_registered(o->sched, o->now_ms, &info);
+}
+
+/* Starts the only task of JOB_A on w1, then adds an idle worker w2. */
+static void begin_with_start(orders_t *o)
+{
+	orders_begin_with_worker(o);
+	answer_as_boot(o, &(boot_answer_t){ .started_ms = FIRST_BOOT_MS,
+					    .clock_ms = OLD_CLOCK_MS });
+	orders_add_job(o, JOB_A, 1, false, 1000, 500);
+	orders_run(o, 10);
+	assert_int_equal(o->start_count, 1);
+	orders_add_worker(o, "w2");
+	orders_answer_heartbeat(o, "w2", NULL, 0, NULL, 0);
+	orders_save(o);
+}
+
+static void init_run(const orders_t *o, bw_run_row_t *row)
+{
+	memset(row, 0, sizeof(*row));
+	row->task = o->starts[0].task;
+	row->run = o->starts[0].run;
+	row->checkpoint = "";
+}
+
+static void init_end(const orders_t *o, bw_end_row_t *end, bw_end_kind_t kind)
+{
+	memset(end, 0, sizeof(*end));
+	end->number = 1;
+	end->task = o->starts[0].task;
+	end->run = o->starts[0].run;
+	end->kind = kind;
+	end->checkpoint = "";
+}
+
+/* Lets time pass in which only w2 answers. */
+static void pass_without_w1(orders_t *o, int64_t ms)
+{
+	int64_t end_ms = o->now_ms + ms;
+
+	while (o->now_ms < end_ms) {
+		orders_run(o, 100);
+		orders_answer_heartbeat(o, "w2", NULL, 0, NULL, 0);
+		fail_heartbeat(o, "w1");
+	}
+}
+
+static void test_start_that_reached_the_next_boot_is_not_repeated(void **state)
+{
+	bw_run_row_t row;
+	orders_t o;
+
+	(void)state;
+	begin_with_start(&o);
+	o.now_ms += 100;
+	register_boot(&o, SECOND_BOOT_MS);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	init_run(&o, &row);
+	answer_as_boot(&o, &(boot_answer_t){ .started_ms = SECOND_BOOT_MS,
+					     .clock_ms = 50,
+					     .runs = &row,
+					     .run_count = 1 });
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	assert_int_equal(o.stop_count, 0);
+	bw_sched_destroy(o.sched);
+}
+
+static void test_run_that_a_restart_ended_is_started_again(void **state)
+{
+	bw_run_row_t row;
+	orders_t o;
+
+	(void)state;
+	begin_with_start(&o);
+	init_run(&o, &row);
+	answer_as_boot(&o, &(boot_answer_t){ .started_ms = FIRST_BOOT_MS,
+					     .clock_ms = OLD_CLOCK_MS + 20,
+					     .runs = &row,
+					     .run_count = 1 });
+	o.now_ms += 100;
+	register_boot(&o, SECOND_BOOT_MS);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 2);
+	assert_string_equal(o.starts[1].worker, "w2");
+	bw_sched_destroy(o.sched);
+}
+
+static void test_unconfirmed_start_lost_by_a_restart_is_repeated(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	begin_with_start(&o);
+	bw_sched_start_answered(o.sched, o.now_ms, "w1", &o.starts[0].task, 1,
+				BW_ORDER_OK, 0);
+	o.now_ms += 100;
+	register_boot(&o, SECOND_BOOT_MS);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	o.now_ms += 10;
+	answer_as_boot(&o, &(boot_answer_t){ .started_ms = SECOND_BOOT_MS,
+					     .clock_ms = 50 });
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 2);
+	bw_sched_destroy(o.sched);
+}
+
+/* A worker caps a grant by its earlier clock at the longest that it accepts. */
+static void test_grant_by_the_earlier_clock_outlives_a_restart(void **state)
+{
+	bw_run_row_t row;
+	orders_t o;
+
+	(void)state;
+	begin_with_start(&o);
+	init_run(&o, &row);
+	o.now_ms += 100;
+	answer_as_boot(&o, &(boot_answer_t){ .started_ms = SECOND_BOOT_MS,
+					     .clock_ms = 50,
+					     .runs = &row,
+					     .run_count = 1 });
+	pass_without_w1(&o, 9800);
+	assert_int_equal(o.start_count, 1);
+	pass_without_w1(&o, 20000);
+	assert_int_equal(o.start_count, 2);
+	assert_string_equal(o.starts[1].worker, "w2");
+	bw_sched_destroy(o.sched);
+}
+
+static void
+test_late_answer_of_an_earlier_boot_acknowledges_nothing(void **state)
+{
+	bw_end_row_t end = {
+		.number = 57, .run = 1, .kind = BW_END_DONE, .checkpoint = ""
+	};
+	orders_t o;
+
+	(void)state;
+	orders_begin_with_worker(&o);
+	g_strlcpy(end.task.job, JOB_B, sizeof(end.task.job));
+	register_boot(&o, SECOND_BOOT_MS);
+	answer_as_boot(&o, &(boot_answer_t){ .started_ms = FIRST_BOOT_MS,
+					     .clock_ms = OLD_CLOCK_MS,
+					     .ends = &end,
+					     .end_count = 1 });
+	orders_save(&o);
+	orders_run(&o, 400);
+	assert_int_equal(o.acked, 0);
+	answer_as_boot(&o, &(boot_answer_t){ .started_ms = SECOND_BOOT_MS,
+					     .clock_ms = 50 });
+	orders_save(&o);
+	orders_run(&o, 400);
+	assert_int_equal(o.acked, 0);
+	assert_int_equal(o.grant_clock_ms, 50 + 400 + 5000);
+	bw_sched_destroy(o.sched);
+}
+
+static void
+test_late_answer_of_a_start_keeps_the_clock_of_the_boot(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	begin_with_start(&o);
+	answer_as_boot(&o, &(boot_answer_t){ .started_ms = SECOND_BOOT_MS,
+					     .clock_ms = 50 });
+	bw_sched_start_answered(o.sched, o.now_ms, "w1", &o.starts[0].task, 1,
+				BW_ORDER_OK, OLD_CLOCK_MS);
+	orders_run(&o, 10);
+	assert_int_equal(o.grant_clock_ms, 50 + 10 + 5000);
+	bw_sched_destroy(o.sched);
+}
+
+/* The worker may have restarted, and would forget ends that were not read. */
+static void test_heartbeat_after_a_failure_acknowledges_nothing(void **state)
+{
+	bw_end_row_t end;
+	orders_t o;
+
+	(void)state;
+	begin_with_start(&o);
+	init_end(&o, &end, BW_END_DONE);
+	answer_as_boot(&o, &(boot_answer_t){ .started_ms = FIRST_BOOT_MS,
+					     .clock_ms = OLD_CLOCK_MS + 20,
+					     .ends = &end,
+					     .end_count = 1 });
+	orders_save(&o);
+	bw_sched_worker_unregistered(o.sched, o.now_ms, "w2");
+	bw_sched_worker_dead(o.sched, "w2", "test");
+	orders_run(&o, 10);
+	assert_int_equal(o.acked, 1);
+	fail_heartbeat(&o, "w1");
+	orders_run(&o, 300);
+	assert_int_equal(o.acked, 0);
+	assert_int_equal(o.grant_clock_ms, 0);
+	answer_as_boot(&o, &(boot_answer_t){ .started_ms = FIRST_BOOT_MS,
+					     .clock_ms = OLD_CLOCK_MS + 400 });
+	orders_run(&o, 10);
+	assert_int_equal(o.acked, 1);
+	assert_true(o.grant_clock_ms > 0);
+	bw_sched_destroy(o.sched);
+}
+
+static void
+test_nothing_starts_between_a_failed_heartbeat_and_an_answer(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	orders_begin_with_worker(&o);
+	fail_heartbeat(&o, "w1");
+	orders_add_job(&o, JOB_A, 1, false, 1000, 500);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 0);
+	answer_as_boot(&o, &(boot_answer_t){ .started_ms = FIRST_BOOT_MS,
+					     .clock_ms = OLD_CLOCK_MS });
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	bw_sched_destroy(o.sched);
+}
+
+/* The run has ended, and its end is still to be listed. */
+static void test_start_refused_as_old_is_not_taken_for_never_run(void **state)
+{
+	bw_end_row_t end;
+	orders_t o;
+
+	(void)state;
+	begin_with_start(&o);
+	bw_sched_start_answered(o.sched, o.now_ms, "w1", &o.starts[0].task, 1,
+				BW_ORDER_OLD_RUN, 0);
+	orders_run(&o, 500);
+	assert_int_equal(o.start_count, 1);
+	init_end(&o, &end, BW_END_DONE);
+	answer_as_boot(&o, &(boot_answer_t){ .started_ms = FIRST_BOOT_MS,
+					     .clock_ms = OLD_CLOCK_MS + 510,
+					     .ends = &end,
+					     .end_count = 1 });
+	orders_save(&o);
+	orders_run(&o, 500);
+	assert_int_equal(o.start_count, 1);
+	assert_int_equal(bw_sched_job_state(o.sched, JOB_A), BW_JOB_COMPLETED);
+	bw_sched_destroy(o.sched);
+}
+
+static void test_start_refused_as_old_and_not_listed_is_repeated(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	begin_with_start(&o);
+	bw_sched_start_answered(o.sched, o.now_ms, "w1", &o.starts[0].task, 1,
+				BW_ORDER_OLD_RUN, 0);
+	orders_run(&o, 10);
+	answer_as_boot(&o, &(boot_answer_t){ .started_ms = FIRST_BOOT_MS,
+					     .clock_ms = OLD_CLOCK_MS + 20 });
+	orders_run(&o, 200);
+	assert_int_equal(o.start_count, 2);
+	bw_sched_destroy(o.sched);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+			test_start_that_reached_the_next_boot_is_not_repeated),
+		cmocka_unit_test(
+			test_run_that_a_restart_ended_is_started_again),
+		cmocka_unit_test(
+			test_unconfirmed_start_lost_by_a_restart_is_repeated),
+		cmocka_unit_test(
+			test_grant_by_the_earlier_clock_outlives_a_restart),
+		cmocka_unit_test(
+			test_late_answer_of_an_earlier_boot_acknowledges_nothing),
+		cmocka_unit_test(
+			test_late_answer_of_a_start_keeps_the_clock_of_the_boot),
+		cmocka_unit_test(
+			test_heartbeat_after_a_failure_acknowledges_nothing),
+		cmocka_unit_test(
+			test_nothing_starts_between_a_failed_heartbeat_and_an_answer),
+		cmocka_unit_test(
+			test_start_refused_as_old_is_not_taken_for_never_run),
+		cmocka_unit_test(
+			test_start_refused_as_old_and_not_listed_is_repeated),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
