Ignore what an earlier boot of a worker still answers

What callers saw: a task that had ended could be started again although its end was acknowledged (class: a number that belongs to one boot used for another).

Cause: bw_sched_heartbeat_answered() recorded the numbers of ends, the clock and the runs of an answer whose start time sched_record_start_time() had just ignored as older. The next heartbeat acknowledged as many ends of the new boot, which forgot them unread; and the earlier clock, being higher, stayed recorded for good.

Change: an answer with an earlier start time than the known one, and a failure of a request that was sent before the restart was known, change nothing; the next heartbeat follows at once. The time of a restart is kept with the worker.

--- a/src/sched/heartbeat.c
+++ b/src/sched/heartbeat.c
@@ -264,6 +264,18 @@
 	bw_sched_worker_dead(s, worker->id, "other-boot");
 }
 
+/* Whether a worker has restarted since it gave an answer; an answer without a
+ * start time counts as earlier if its request was sent before that was known.
+ */
+static bool is_of_earlier_boot(const worker_t *worker,
+			       const bw_heartbeat_answer_t *answer)
+{
+	if (answer->result == BW_ORDER_OK && answer->started_ms > 0)
+		return answer->started_ms < worker->started_ms;
+	return worker->restarted_ms > 0 &&
+	       answer->sent_ms <= worker->restarted_ms;
+}
+
 void bw_sched_heartbeat_answered(bw_sched_t *s, int64_t now_ms,
 				 const char *worker_id,
 				 const bw_heartbeat_answer_t *answer)
@@ -276,6 +288,10 @@
 	worker->heartbeat_pending = false;
 	if (worker->dead)
 		return;
+	if (is_of_earlier_boot(worker, answer)) {
+		worker->next_heartbeat_ms = now_ms;
+		return;
+	}
 	if (answer->result != BW_ORDER_OK) {
 		heartbeat_failed(s, worker, answer->result, now_ms);
 		return;
@@ -283,7 +299,7 @@
 	bw_start_window_heartbeat(s->start_window,
 				  now_ms - answer->sent_ms -
 					  worker->heartbeat_wait_ms);
-	sched_record_start_time(s, worker, answer->started_ms);
+	sched_record_start_time(s, worker, now_ms, answer->started_ms);
 	sched_record_clock(worker, now_ms, answer->clock_ms);
 	worker->last_heartbeat_ms = now_ms;
 	for (i = 0; i < answer->end_count; i++) {
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -192,6 +192,8 @@
 	placement_class_t placement_class;
 	int64_t indexed_free_millis; /**< Free processor. */
 	int64_t started_ms; /**< Unix time; 0: unknown. */
+	int64_t restarted_ms; /**< When a restart under its identifier became
+				 known; 0: none did. */
 	int64_t first_seen_ms;
 	int64_t last_heartbeat_ms; /**< Last answered heartbeat. */
 	int64_t synced_ms;
@@ -338,7 +340,7 @@
 /* worker.c */
 /** Records when a worker started; a later time means that it restarted, which
  *  ended its runs. */
-void sched_record_start_time(bw_sched_t *s, worker_t *worker,
+void sched_record_start_time(bw_sched_t *s, worker_t *worker, int64_t now_ms,
 			     int64_t started_ms);
 worker_t *sched_worker(bw_sched_t *s, const char *id);
 worker_t *sched_worker_new(bw_sched_t *s, const char *id, int64_t now_ms);
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -147,24 +147,31 @@
 	worker->rack = g_strdup(info->rack);
 }
 
-void sched_record_start_time(bw_sched_t *s, worker_t *worker,
+/* Forgets what only the earlier boot of a worker knew. */
+static void restart_worker(bw_sched_t *s, worker_t *worker, int64_t now_ms)
+{
+	release_runs(s, worker, "reborn");
+	worker->restarted_ms = now_ms;
+	worker->synced = false;
+	worker->clock_ms = 0;
+	worker->granted_clock_ms = 0;
+	worker->ends_processed = 0;
+	worker->ends_packed = 0;
+	worker->ends_acked = 0;
+}
+
+void sched_record_start_time(bw_sched_t *s, worker_t *worker, int64_t now_ms,
 			     int64_t started_ms)
 {
-	if (started_ms == 0 || worker->started_ms == started_ms)
+	if (started_ms == 0 || started_ms <= worker->started_ms)
 		return;
-	if (worker->started_ms != 0 && started_ms > worker->started_ms) {
+	if (worker->started_ms != 0) {
 		sched_log(s, BW_EVENT_SCHED_WORKER_REBORN,
 			  "worker=%s born_ms=%" G_GINT64_FORMAT, worker->id,
 			  started_ms);
-		release_runs(s, worker, "reborn");
-		worker->synced = false;
-		worker->clock_ms = 0;
-		worker->granted_clock_ms = 0;
-		worker->ends_processed = 0;
-		worker->ends_packed = 0;
-		worker->ends_acked = 0;
+		restart_worker(s, worker, now_ms);
 	}
-	worker->started_ms = MAX(worker->started_ms, started_ms);
+	worker->started_ms = started_ms;
 }
 
 void bw_sched_worker_dead(bw_sched_t *s, const char *id, const char *reason)
@@ -217,7 +224,7 @@
 		g_free(worker->address);
 		worker->address = g_strdup(info->address);
 	}
-	sched_record_start_time(s, worker, info->started_ms);
+	sched_record_start_time(s, worker, now_ms, info->started_ms);
 	if (worker->dead)
 		return;
 	worker->capacity = info->capacity;
