A grant by the clock before a restart is reckoned with until it is over

Cause: a worker that restarts under its identifier has a new clock. The owner forgot at the restart what it had granted and counted its own 5 s: after 5612 ms without an answer it took the grant for over, while the worker still held it, with the run or with an end that nobody had read. Class: two parties that count the same lease by different clocks.

Change: after a restart, grants count as over only once an order of before, which may still be carried out, would have reached the end of the longest grant. The bound comes from the settings (limits.grant_max_ms) and the longest delay of an order. Until then a silent worker that restarted keeps its tasks.

--- a/bench/sched_fixture.c
+++ b/bench/sched_fixture.c
@@ -7,6 +7,7 @@
 {
 	static const bw_sched_config_t config = { .grant_ms = 5000,
 						  .grant_ms_max = 5000,
+						  .grant_cap_ms = 10000,
 						  .outage_ms = 3500,
 						  .stop_ms = 400,
 						  .retention_ms = 120000,
--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -300,6 +300,7 @@
 	bw_sched_config_t config = {
 		.grant_ms = MIN(settings->grant_max_ms, GRANT_MS),
 		.grant_ms_max = MIN(settings->grant_max_ms, GRANT_MS),
+		.grant_cap_ms = settings->grant_max_ms,
 		.outage_ms = pool->env.outage_ms,
 		.stop_ms = settings->stop_ms,
 		.retention_ms = settings->retention_ms,
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -34,6 +34,8 @@
 #define GRANT_SILENT_MS 1300
 /** Lowest assumed rate of a worker's clock relative to the local one. */
 #define CLOCK_RATE_MIN 0.98
+/** An order without an answer is not carried out any more after this time. */
+#define ORDER_DELAY_MAX_MS 12000
 /** Added to bounds that compare the clocks of two processes. */
 #define CLOCK_MARGIN_MS 500
 /** No starts on a worker for this long after it lacked the resources for one;
@@ -204,6 +206,8 @@
 	int64_t clock_ms; /**< Its clock at clock_at_ms; 0: unknown. */
 	int64_t clock_at_ms;
 	int64_t granted_clock_ms; /**< Latest end of a grant ever sent. */
+	/** A grant by the clock before a restart may last until then. */
+	int64_t earlier_grant_until_ms;
 	int64_t orphan_stop_ms;
 	uint64_t ends_processed; /**< Number of the last end processed. */
 	uint64_t ends_packed; /**< The same when the state was last packed. */
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -27,6 +27,7 @@
 typedef struct bw_sched_config {
 	int64_t grant_ms; /**< Duration of a grant on running tasks. */
 	int64_t grant_ms_max; /**< Longest grant of any owner. */
+	int64_t grant_cap_ms; /**< Workers shorten longer grants to this. */
 	/** An earlier owner may act this long after its claim is gone. */
 	int64_t outage_ms;
 	int64_t stop_ms; /**< Longest time that a worker takes to stop a run. */
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -50,6 +50,8 @@
 {
 	double clock_ms;
 
+	if (now_ms < worker->earlier_grant_until_ms)
+		return false;
 	if (!worker->synced || worker->clock_ms == 0)
 		return s->recovered;
 	clock_ms = (double)worker->clock_ms +
@@ -170,11 +172,24 @@
 	}
 }
 
+/*
+ * Returns until when a grant may last whose end is a time of the clock before a
+ * restart: the next boot takes it, whenever it arrives, for the longest grant.
+ */
+static int64_t earlier_grant_end_ms(const bw_sched_t *s, int64_t now_ms)
+{
+	int64_t longest_ms = ORDER_DELAY_MAX_MS + s->config.grant_cap_ms;
+
+	return now_ms + CLOCK_MARGIN_MS +
+	       (int64_t)((double)longest_ms / CLOCK_RATE_MIN);
+}
+
 /* Forgets what only the earlier boot of a worker knew. */
 static void restart_worker(bw_sched_t *s, worker_t *worker, int64_t now_ms)
 {
 	release_listed_runs(s, worker);
 	worker->restarted_ms = now_ms;
+	worker->earlier_grant_until_ms = earlier_grant_end_ms(s, now_ms);
 	worker->synced = false;
 	worker->clock_ms = 0;
 	worker->granted_clock_ms = 0;
--- a/test/sched_orders.c
+++ b/test/sched_orders.c
@@ -70,6 +70,7 @@
 {
 	bw_sched_config_t config = { .grant_ms = 5000,
 				     .grant_ms_max = 5000,
+				     .grant_cap_ms = 10000,
 				     .outage_ms = 3500,
 				     .stop_ms = 400,
 				     .retention_ms = 120000,
--- a/test/world_internal.h
+++ b/test/world_internal.h
@@ -17,6 +17,8 @@
 /** Lease of the pool's owner. */
 #define LEASE_MS 2000
 #define GRANT_MS 5000
+/** Workers shorten longer grants to this. */
+#define GRANT_CAP_MS 10000
 /** An owner may give orders for this long past its lease. */
 #define OUTAGE_MS 3500
 /** Longest time that a worker takes to stop a run. */
--- a/test/world_node.c
+++ b/test/world_node.c
@@ -308,6 +308,7 @@
 	bw_sched_config_t config = {
 		.grant_ms = GRANT_MS,
 		.grant_ms_max = GRANT_MS,
+		.grant_cap_ms = GRANT_CAP_MS,
 		.outage_ms = OUTAGE_MS,
 		.stop_ms = STOP_MS,
 		.retention_ms = w->config.retention_ms,
--- a/test/world_worker.c
+++ b/test/world_worker.c
@@ -58,7 +58,7 @@
 static void extend_grant(world_t *w, fake_worker_t *worker,
 			 int64_t grant_clock_ms)
 {
-	int64_t limit = worker_clock_ms(w, worker) + 10000;
+	int64_t limit = worker_clock_ms(w, worker) + GRANT_CAP_MS;
 
 	grant_clock_ms = MIN(grant_clock_ms, limit);
 	if (grant_clock_ms <= worker->grant_clock_ms)
