After a failed heartbeat the next one only asks which boot answers

What callers saw: a task that had ended was started again although its end was acknowledged; or two runs of one task.

Cause: heartbeats name a worker by its identifier. One that followed a failure still acknowledged ends by the numbers of the earlier boot and granted time by its clock. If the worker had restarted meanwhile, it forgot its first ends unread and took a grant of up to the longest length. Starts were sent to it too, until it had been silent for 1.9 s.

Change: a failed heartbeat marks the boot as unsure. Until an answer, heartbeats acknowledge nothing, grant nothing and do not wait, and nothing is started there. The first such heartbeat follows the failure at once, so that a connection that was merely reset costs one round trip.

--- a/src/sched/heartbeat.c
+++ b/src/sched/heartbeat.c
@@ -255,7 +255,9 @@
 static void heartbeat_failed(bw_sched_t *s, worker_t *worker,
 			     bw_order_result_t result, int64_t now_ms)
 {
-	worker->next_heartbeat_ms = now_ms + HEARTBEAT_RETRY_MS;
+	worker->next_heartbeat_ms =
+		worker->boot_unsure ? now_ms + HEARTBEAT_RETRY_MS : now_ms;
+	worker->boot_unsure = true;
 	if (result == BW_ORDER_FENCED) {
 		s->ops.superseded(s->ctx);
 		return;
@@ -304,6 +306,7 @@
 	sched_record_start_time(s, worker, now_ms, answer->started_ms);
 	sched_record_clock(worker, now_ms, answer->clock_ms);
 	worker->last_heartbeat_ms = now_ms;
+	worker->boot_unsure = false;
 	for (i = 0; i < answer->end_count; i++) {
 		if (answer->ends[i].number <= worker->ends_processed)
 			continue;
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -186,6 +186,8 @@
 	bool has_orphans; /**< Runs tasks that it should not run; their resource
 			       use is unknown. */
 	bool heartbeat_pending; /**< A heartbeat is not answered yet. */
+	bool boot_unsure; /**< The last heartbeat failed, so the worker may have
+			     restarted since. */
 	int64_t heartbeat_wait_ms; /**< That the last heartbeat asked for. */
 	GPtrArray *siblings; /**< Workers that run or ran on its machine, with
 				itself; NULL: machine not reported. */
--- a/src/sched/order.c
+++ b/src/sched/order.c
@@ -86,15 +86,18 @@
 		.worker = worker->id,
 		.address = worker->address,
 		.fence = s->config.fence,
-		.acked = worker->ends_acked,
 		.now_ms = now_ms,
 	};
 
+	/* Numbers of ends and times of the clock are those of one boot. */
+	if (!worker->boot_unsure)
+		order.acked = worker->ends_acked;
 	/* A silent worker's grant is left to expire, so its tasks can move. */
-	if (worker->synced &&
+	if (worker->synced && !worker->boot_unsure &&
 	    now_ms - worker->last_heartbeat_ms < GRANT_SILENT_MS)
 		order.grant_clock_ms = sched_grant_clock(s, worker, now_ms);
-	if (worker->synced && worker->ends_processed == worker->ends_acked)
+	if (worker->synced && !worker->boot_unsure &&
+	    worker->ends_processed == worker->ends_acked)
 		order.wait_ms = has_starting_lasting_task(worker)
 					? HEARTBEAT_SHORT_WAIT_MS
 					: HEARTBEAT_WAIT_MS;
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -116,7 +116,8 @@
 	    now_ms - worker->synced_ms < s->config.stop_ms + STOP_MARGIN_MS)
 		return false;
 	return sched_worker_reachable(worker, now_ms) && !worker->cordoned &&
-	       !worker->has_orphans && now_ms >= worker->pause_until_ms;
+	       !worker->boot_unsure && !worker->has_orphans &&
+	       now_ms >= worker->pause_until_ms;
 }
 
 static void set_machine(bw_sched_t *s, worker_t *worker, const char *machine)
