A start refused as old is no proof that the run did not happen

Cause: a worker refuses a run as old when that run, or a later one of the task, has ended there. The scheduler took each refusal for a start that never began.

Change: after this refusal the task stays on its worker until the next list, which has the run's end or shows that there is none. All other refusals say that the worker did nothing, and stay as they are.

--- a/src/sched/order.c
+++ b/src/sched/order.c
@@ -155,6 +155,15 @@
 	worker->clock_at_ms = now_ms;
 }
 
+/* The run may have ended before its start was refused as old. The next list of
+ * the worker has its end, or shows that there is none. */
+static void await_list(task_t *task, int64_t now_ms)
+{
+	task->start_answered_ms = now_ms;
+	if (task->state == TASK_STARTING)
+		task->state = TASK_RUNNING;
+}
+
 void bw_sched_start_answered(bw_sched_t *s, int64_t now_ms,
 			     const char *worker_id, const bw_task_name_t *name,
 			     uint32_t run, bw_order_result_t result,
@@ -193,6 +202,10 @@
 		task->start_answered_ms = -1;
 		return;
 	}
+	if (result == BW_ORDER_OLD_RUN) {
+		await_list(task, now_ms);
+		return;
+	}
 	/* The start was refused, so this run can never begin. */
 	task->retry_ms = now_ms + NO_RESOURCES_PAUSE_MS;
 	sched_task_wait(task);
