A list of ends that may be incomplete proves nothing about what it leaves out

What callers saw: a finished task started again, at once and by the same owner, or by a new owner after a takeover.

Cause: a worker lists 500 ends at a time. A task that is neither among them nor among the runs was taken for missing and started again; and a new owner took the first such list for all that there is to know (recovered). After an outage of the store, in which nothing is acknowledged, more ends can wait.

Change: the adapter says when a list is full; then no task counts as missing and the worker not as synced, until a list that is not full. Grants no longer wait for that, so that what runs there goes on.

--- a/src/sched/heartbeat.c
+++ b/src/sched/heartbeat.c
@@ -218,9 +218,9 @@
 }
 
 /*
- * Handles tasks that an answer does not list. That proves that a run has ended
- * only if the request was sent after the start was answered or, for a stopped
- * run, later than the longest stop after the stop was answered.
+ * Handles tasks that an answer with all ends does not list. That proves that a
+ * run has ended only if the request was sent after the start was answered or,
+ * for a stopped run, later than the longest stop after the stop was answered.
  */
 static void check_unlisted(bw_sched_t *s, worker_t *worker,
 			   const bw_heartbeat_answer_t *answer, int64_t now_ms)
@@ -268,6 +268,13 @@
 	bw_sched_worker_dead(s, worker->id, "other-boot");
 }
 
+static void mark_synced(worker_t *worker, int64_t now_ms)
+{
+	if (!worker->synced)
+		worker->synced_ms = now_ms;
+	worker->synced = true;
+}
+
 /* Whether a worker has restarted since it gave an answer; an answer without a
  * start time counts as earlier if its request was sent before that was known.
  */
@@ -317,10 +324,10 @@
 	for (i = 0; i < answer->run_count; i++)
 		handle_run(s, worker, &answer->runs[i], answer->sent_ms,
 			   now_ms);
-	check_unlisted(s, worker, answer, now_ms);
-	if (!worker->synced)
-		worker->synced_ms = now_ms;
-	worker->synced = true;
+	if (!answer->more_ends) {
+		check_unlisted(s, worker, answer, now_ms);
+		mark_synced(worker, now_ms);
+	}
 	sched_adjust_fillers(s, worker, now_ms);
 	worker->next_heartbeat_ms = now_ms;
 	if (worker->ends_processed > worker->ends_acked)
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -182,7 +182,8 @@
 	bool maintenance_due;
 	bool dead; /**< Known to have ended, with all its runs. */
 	bool inherited; /**< May still carry out stops of an earlier owner. */
-	bool synced; /**< Has accepted our fencing token and listed its runs. */
+	bool synced; /**< Has accepted our fencing token and listed its runs
+			and ends. */
 	bool has_orphans; /**< Runs tasks that it should not run; their resource
 			       use is unknown. */
 	bool heartbeat_pending; /**< A heartbeat is not answered yet. */
--- a/src/sched/order.c
+++ b/src/sched/order.c
@@ -93,7 +93,7 @@
 	if (!worker->boot_unsure)
 		order.acked = worker->ends_acked;
 	/* A silent worker's grant is left to expire, so its tasks can move. */
-	if (worker->synced && !worker->boot_unsure &&
+	if (!worker->boot_unsure &&
 	    now_ms - worker->last_heartbeat_ms < GRANT_SILENT_MS)
 		order.grant_clock_ms = sched_grant_clock(s, worker, now_ms);
 	if (worker->synced && !worker->boot_unsure &&
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -124,6 +124,7 @@
 	uint32_t run_count;
 	const bw_end_row_t *ends;
 	uint32_t end_count;
+	bool more_ends; /**< Others wait until these are acknowledged. */
 } bw_heartbeat_answer_t;
 
 /** Order to start a run. */
--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -203,6 +203,7 @@
 	char path[256]; /**< Of the last call. */
 	char request[512];
 	uint32_t calls;
+	char *long_body; /**< Owned; for a body that a test builds. */
 } canned_server_t;
 
 static enum MHD_Result serve_canned(void *ctx, bw_simple_request_t *r)
@@ -227,6 +228,7 @@
 	bw_order_result_t result;
 	uint32_t runs;
 	uint32_t ends;
+	bool more_ends;
 } store_test_t;
 
 static void on_reply(void *ctx, const bw_store_reply_t *reply)
@@ -346,6 +348,7 @@
 	t->result = answer->result;
 	t->runs = answer->run_count;
 	t->ends = answer->end_count;
+	t->more_ends = answer->more_ends;
 	ev_break(t->loop, EVBREAK_ALL);
 }
 
@@ -371,6 +374,23 @@
 	{ 200, "oops", BW_ORDER_LOST },
 };
 
+/* Lets the server answer with a list of ends. */
+static void answer_with_ends(canned_server_t *server, uint32_t count)
+{
+	GString *body = g_string_new("{\"clock_ms\":5,\"ended\":[");
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		g_string_append_printf(
+			body,
+			"%s[%u,\"5c0e7a21d94b36f8.0.1.2\",1,\"done\",\"\"]",
+			i > 0 ? "," : "", i + 1);
+	g_string_append(body, "]}");
+	g_free(server->long_body);
+	server->long_body = g_string_free(body, FALSE);
+	server->body = server->long_body;
+}
+
 static void test_workers(void **state)
 {
 	store_test_t t = { .loop = ev_loop_new(0) };
@@ -430,8 +450,19 @@
 	assert_int_equal(t.result, BW_ORDER_OK);
 	assert_int_equal(t.runs, 1);
 	assert_int_equal(t.ends, 1);
+	assert_false(t.more_ends);
 	assert_string_equal(server.request,
 			    "{\"fence_token\":7,\"last_seen\":4}");
+	answer_with_ends(&server, 499);
+	api.heartbeat(api.impl, &heartbeat, on_heartbeat, &t);
+	ev_run(t.loop, 0);
+	assert_false(t.more_ends);
+	answer_with_ends(&server, 500);
+	api.heartbeat(api.impl, &heartbeat, on_heartbeat, &t);
+	ev_run(t.loop, 0);
+	assert_int_equal(t.ends, 500);
+	assert_true(t.more_ends);
+	g_free(server.long_body);
 	platform_workers_destroy(&api);
 	bw_simplehttp_destroy(http);
 	ev_loop_destroy(t.loop);
