Runs and ends of a job that is not read yet wait for the job

What callers saw: a finished task run again after a change of owner, its end acknowledged; or a run stopped and started anew.

Cause: an owner that no longer owns the pool, but does not know yet, may be told of a new job and start it, while its successor has listed the jobs already. The successor met the end of a job that it did not know, passed over its number and acknowledged it; when the job came by the watch, it was started again. A run of such a job was stopped at once. Class: a message about something that a reader learns of by another way.

Change: rows of jobs that are not known are kept with the worker (unread.c), an end is not acknowledged, and a run not stopped, for 3 s. When the job is read, they are handled before anything of it is started. Then they are dropped as before.

--- a/src/job/job.c
+++ b/src/job/job.c
@@ -41,6 +41,12 @@
 	return state >= BW_JOB_COMPLETED && state < BW_JOB_STATE_COUNT;
 }
 
+bool bw_task_name_equal(const bw_task_name_t *a, const bw_task_name_t *b)
+{
+	return a->step == b->step && a->index == b->index &&
+	       a->occurrence == b->occurrence && !strcmp(a->job, b->job);
+}
+
 bool bw_job_id_valid(const char *id)
 {
 	size_t i;
--- a/src/job/job.h
+++ b/src/job/job.h
@@ -64,6 +64,9 @@
 	uint32_t index;
 } bw_task_name_t;
 
+/** Returns whether two names are of one task. */
+bool bw_task_name_equal(const bw_task_name_t *a, const bw_task_name_t *b);
+
 /** State of a job as reported to callers. */
 typedef enum bw_job_state {
 	BW_JOB_UNKNOWN,
--- a/src/sched/heartbeat.c
+++ b/src/sched/heartbeat.c
@@ -1,8 +1,6 @@
 /* Handles answers to heartbeats: the runs and ends that workers list. */
 #include "sched/internal.h"
 
-#include <string.h>
-
 /** Decay factor of a worker's failure and success counts, per run. */
 #define HEALTH_DECAY 0.9
 /** Delay before a failed task is started again. */
@@ -85,8 +83,8 @@
 			sched_task_done(s, &first[i], now_ms);
 }
 
-static void handle_end(bw_sched_t *s, worker_t *worker, const bw_end_row_t *end,
-		       int64_t now_ms)
+void sched_handle_end(bw_sched_t *s, worker_t *worker, const bw_end_row_t *end,
+		      int64_t now_ms)
 {
 	task_t *task = sched_find_task(s, &end->task);
 	bool current;
@@ -98,8 +96,10 @@
 		  worker->id, bw_end_kind_name(end->kind), end->number,
 		  task != NULL);
 	sched_changed(s, false);
-	if (!task)
+	if (!task) {
+		sched_defer_end(s, worker, end, now_ms);
 		return;
+	}
 	/* The job has started, even if an earlier owner did not store that. */
 	sched_mark_started(s, task);
 	current = task->worker == worker && task->run == end->run;
@@ -165,8 +165,8 @@
 		  row->task.step, row->task.index, row->run, worker->id);
 }
 
-static void handle_run(bw_sched_t *s, worker_t *worker, const bw_run_row_t *row,
-		       int64_t sent_ms, int64_t now_ms)
+void sched_handle_run(bw_sched_t *s, worker_t *worker, const bw_run_row_t *row,
+		      int64_t sent_ms, int64_t now_ms)
 {
 	task_t *task = sched_find_task(s, &row->task);
 
@@ -194,6 +194,8 @@
 		return;
 	}
 	worker->has_orphans = true;
+	if (!task && sched_defer_run(s, worker, row, now_ms))
+		return;
 	if (now_ms - worker->orphan_stop_ms >= STOP_RETRY_MS ||
 	    worker->orphan_stop_ms == now_ms)
 		stop_orphan(s, worker, row, now_ms);
@@ -205,15 +207,10 @@
 	uint32_t i;
 
 	sched_task_name(task, &name);
-	for (i = 0; i < answer->run_count; i++) {
-		const bw_run_row_t *row = &answer->runs[i];
-
-		if (row->run == task->run && row->task.step == name.step &&
-		    row->task.index == name.index &&
-		    row->task.occurrence == name.occurrence &&
-		    !strcmp(row->task.job, name.job))
+	for (i = 0; i < answer->run_count; i++)
+		if (answer->runs[i].run == task->run &&
+		    bw_task_name_equal(&answer->runs[i].task, &name))
 			return true;
-	}
 	return false;
 }
 
@@ -317,13 +314,14 @@
 	for (i = 0; i < answer->end_count; i++) {
 		if (answer->ends[i].number <= worker->ends_processed)
 			continue;
-		handle_end(s, worker, &answer->ends[i], now_ms);
+		sched_handle_end(s, worker, &answer->ends[i], now_ms);
 		worker->ends_processed = answer->ends[i].number;
 	}
 	worker->has_orphans = false;
 	for (i = 0; i < answer->run_count; i++)
-		handle_run(s, worker, &answer->runs[i], answer->sent_ms,
-			   now_ms);
+		sched_handle_run(s, worker, &answer->runs[i], answer->sent_ms,
+				 now_ms);
+	sched_drop_unread(s, worker, now_ms);
 	if (!answer->more_ends) {
 		check_unlisted(s, worker, answer, now_ms);
 		mark_synced(worker, now_ms);
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -174,6 +174,7 @@
 	bw_resources_t capacity;
 	bw_resources_t used;
 	GPtrArray *tasks; /**< Tasks whose worker is this one. */
+	GArray *unread; /**< Its runs and ends of unread jobs; NULL: none. */
 	bool registered;
 	bool stored; /**< Is in the stored state, which a successor loads. */
 	uint64_t stored_version;
@@ -332,6 +333,26 @@
 /* heartbeat.c */
 /** Records that a run of one of the job's tasks is confirmed. */
 void sched_mark_started(bw_sched_t *s, const task_t *task);
+/** Handle a row of a worker's list; the request was sent at @p sent_ms. */
+void sched_handle_end(bw_sched_t *s, worker_t *worker, const bw_end_row_t *end,
+		      int64_t now_ms);
+void sched_handle_run(bw_sched_t *s, worker_t *worker, const bw_run_row_t *row,
+		      int64_t sent_ms, int64_t now_ms);
+
+/* unread.c */
+/** Keep a listed end or run of a job that is not read yet; false if it is read,
+ *  or was waited for long enough. */
+bool sched_defer_end(bw_sched_t *s, worker_t *worker, const bw_end_row_t *end,
+		     int64_t now_ms);
+bool sched_defer_run(bw_sched_t *s, worker_t *worker, const bw_run_row_t *row,
+		     int64_t now_ms);
+/** Returns up to which number the worker may drop its ends once what was
+ *  processed is stored. */
+uint64_t sched_ackable(const worker_t *worker);
+/** Drops what is not waited for any more, after a list has been handled. */
+void sched_drop_unread(bw_sched_t *s, worker_t *worker, int64_t now_ms);
+/** Handles what was kept of a job that has just been read. */
+void sched_apply_unread(bw_sched_t *s, const char *job, int64_t now_ms);
 
 /* order.c */
 void sched_attach(task_t *task, worker_t *worker);
--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -519,6 +519,7 @@
 		  " age_ms=%" G_GINT64_FORMAT,
 		  job->id, job->queue->name, bw_job_spec_tasks(job->spec),
 		  job->spec->repeats, job->lasting, now_ms - job->arrived_ms);
+	sched_apply_unread(s, job->id, now_ms);
 }
 
 void bw_sched_cancel(bw_sched_t *s, int64_t now_ms, const char *id)
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -155,7 +155,7 @@
 		bramley__worker_record__init(record);
 		record->id = worker->id;
 		record->address = worker->address;
-		worker->ends_packed = worker->ends_processed;
+		worker->ends_packed = sched_ackable(worker);
 		out->workers[out->n_workers++] = record;
 	}
 }
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -36,6 +36,7 @@
 	if (worker->siblings)
 		g_ptr_array_remove_fast(worker->siblings, worker);
 	g_ptr_array_free(worker->tasks, TRUE);
+	g_clear_pointer(&worker->unread, g_array_unref);
 	g_strfreev(worker->labels);
 	g_free(worker->rack);
 	g_free(worker->machine);
@@ -189,6 +190,7 @@
 static void restart_worker(bw_sched_t *s, worker_t *worker, int64_t now_ms)
 {
 	release_listed_runs(s, worker);
+	g_clear_pointer(&worker->unread, g_array_unref);
 	worker->restarted_ms = now_ms;
 	worker->earlier_grant_until_ms = earlier_grant_end_ms(s, now_ms);
 	worker->synced = false;
--- a/test/test_ends.c
+++ b/test/test_ends.c
@@ -142,6 +142,7 @@
 
 static void test_end_of_a_job_that_never_comes_is_acknowledged(void **state)
 {
+	uint64_t version;
 	bw_end_row_t end;
 	orders_t o;
 
@@ -149,8 +150,13 @@
 	take_over(&o);
 	init_done(&end, JOB_B, 1);
 	answer_with_list(&o, &(list_t){ .ends = &end, .end_count = 1 });
+	orders_save(&o);
+	version = bw_sched_version(o.sched);
 	o.now_ms += 4000;
 	answer_with_list(&o, &(list_t){ .ends = &end, .end_count = 1 });
+	/* Ends are acknowledged when a state is saved, so there is a new one.
+	 */
+	assert_true(bw_sched_version(o.sched) > version);
 	orders_save(&o);
 	orders_run(&o, 300);
 	assert_int_equal(o.acked, 1);
