World: workers restart under the same id, late answers

Cause: a crashed worker came back under a new id only, so that no call of an owner and no answer ever met another boot of the worker that it was meant for. The workers' interface allows a restart under the same id.

Change: a share of the crashed workers restarts under its id and address 100 ms to 3 s after the crash, with a new start time and clock, no fencing token, no runs and ends from 1. Calls name the id only and reach the boot that has it when they arrive. A share of the answers takes up to 2 s; one that would pass its call's timeout is lost. Both draw from a generator of their own. test_world plays its seeds without the later faults, as before.

--- a/test/test_world.c
+++ b/test/test_world.c
@@ -39,6 +39,7 @@
 	world_result_t result;
 
 	world_draw_config(seed, &config);
+	world_clear_later_faults(&config);
 	if (retain)
 		config.retention_ms = RETENTION_MS;
 	world_play(&config, &result);
--- a/test/world.c
+++ b/test/world.c
@@ -59,6 +59,16 @@
 	return g_rand_int_range(w->rand, (gint32)low, (gint32)high + 1);
 }
 
+bool world_fault_bool(world_t *w, double probability)
+{
+	return g_rand_double(w->fault_rand) < probability;
+}
+
+int64_t world_fault_between(world_t *w, int64_t low, int64_t high)
+{
+	return g_rand_int_range(w->fault_rand, (gint32)low, (gint32)high + 1);
+}
+
 void world_task_text(const bw_task_name_t *task, char *out, size_t bytes)
 {
 	g_snprintf(out, bytes, "%s.%u.%u.%u", task->job, task->occurrence,
@@ -78,6 +88,19 @@
 	return NULL;
 }
 
+fake_worker_t *world_find_worker(world_t *w, const char *id)
+{
+	guint i = w->workers->len;
+
+	while (i-- > 0) {
+		fake_worker_t *worker = g_ptr_array_index(w->workers, i);
+
+		if (!strcmp(worker->id, id))
+			return worker;
+	}
+	return NULL;
+}
+
 task_state_t *world_find_task(fake_job_t *job, const bw_task_name_t *task)
 {
 	uint32_t first = 0;
@@ -90,7 +113,7 @@
 
 /* Faults. */
 
-static void start_worker(world_t *w, uint32_t machine)
+static void start_worker(world_t *w, uint32_t machine, const char *id)
 {
 	fake_worker_t *worker = g_new0(fake_worker_t, 1);
 
@@ -98,8 +121,7 @@
 	worker->alive = true;
 	worker->started_ms = w->now_ms;
 	worker->clock_rate = 0.98 + 0.02 * g_rand_double(w->rand);
-	g_snprintf(worker->id, sizeof(worker->id), "w%u-%u", machine,
-		   w->workers_started++);
+	g_strlcpy(worker->id, id, sizeof(worker->id));
 	g_snprintf(worker->name, sizeof(worker->name), "m%u", machine);
 	worker->runs = g_array_new(FALSE, TRUE, sizeof(run_t));
 	worker->ends = g_array_new(FALSE, TRUE, sizeof(fake_end_t));
@@ -108,6 +130,14 @@
 	g_ptr_array_add(w->workers, worker);
 }
 
+static void start_new_worker(world_t *w, uint32_t machine)
+{
+	char id[32];
+
+	g_snprintf(id, sizeof(id), "w%u-%u", machine, w->workers_started++);
+	start_worker(w, machine, id);
+}
+
 /* Returns the first live worker from a random position, or NULL. */
 static fake_worker_t *random_live_worker(world_t *w)
 {
@@ -127,12 +157,21 @@
 
 static void on_worker_restart(world_t *w, void *arg)
 {
-	start_worker(w, GPOINTER_TO_UINT(arg));
+	start_new_worker(w, GPOINTER_TO_UINT(arg));
+}
+
+static void on_same_id_restart(world_t *w, void *arg)
+{
+	const fake_worker_t *worker = arg;
+
+	world_trace(w, "restart", worker->id);
+	start_worker(w, worker->machine, worker->id);
 }
 
 static void crash_worker(world_t *w)
 {
 	fake_worker_t *worker = random_live_worker(w);
+	int64_t restart_ms;
 	guint i;
 
 	if (!worker)
@@ -147,8 +186,13 @@
 			->running--;
 	}
 	g_array_set_size(worker->runs, 0);
-	world_schedule(w, world_random_between(w, 500, 8000), on_worker_restart,
-		       GUINT_TO_POINTER(worker->machine));
+	restart_ms = world_random_between(w, 500, 8000);
+	if (world_fault_bool(w, w->config.same_id_share))
+		world_schedule(w, world_fault_between(w, 100, 3000),
+			       on_same_id_restart, worker);
+	else
+		world_schedule(w, restart_ms, on_worker_restart,
+			       GUINT_TO_POINTER(worker->machine));
 }
 
 /* Ends every fault of a worker that is not a crash. */
@@ -530,6 +574,7 @@
 	uint32_t i;
 
 	w->rand = g_rand_new_with_seed(w->config.seed);
+	w->fault_rand = g_rand_new_with_seed(w->config.seed ^ 0xfa17);
 	w->events = g_sequence_new(NULL);
 	w->workers = g_ptr_array_new_with_free_func(worker_free);
 	w->jobs = g_ptr_array_new_with_free_func(job_free);
@@ -544,7 +589,7 @@
 			world_on_directory, &w->nodes[i]);
 	}
 	for (i = 0; i < WORKER_COUNT; i++)
-		start_worker(w, i);
+		start_new_worker(w, i);
 	draw_jobs(w);
 	for (i = 0; i < w->config.faults; i++)
 		world_schedule(
@@ -584,6 +629,24 @@
 	g_ptr_array_free(w->workers, TRUE);
 	g_ptr_array_free(w->jobs, TRUE);
 	g_rand_free(w->rand);
+	g_rand_free(w->fault_rand);
+}
+
+/* Draws a share, which is zero in half of the seeds. */
+static double draw_share(GRand *rand, double max)
+{
+	double share = max * g_rand_double(rand);
+
+	return g_rand_boolean(rand) ? share : 0.0;
+}
+
+static void draw_later_faults(uint32_t seed, world_config_t *out)
+{
+	GRand *rand = g_rand_new_with_seed(seed ^ 0xb007);
+
+	out->same_id_share = draw_share(rand, 1.0);
+	out->late_answer_share = draw_share(rand, 0.1);
+	g_rand_free(rand);
 }
 
 void world_draw_config(uint32_t seed, world_config_t *out)
@@ -601,6 +664,13 @@
 		.retention_ms = g_rand_int_range(rand, 0, 3000),
 	};
 	g_rand_free(rand);
+	draw_later_faults(seed, out);
+}
+
+void world_clear_later_faults(world_config_t *config)
+{
+	config->same_id_share = 0.0;
+	config->late_answer_share = 0.0;
 }
 
 void world_play(const world_config_t *config, world_result_t *out)
--- a/test/world.h
+++ b/test/world.h
@@ -19,6 +19,9 @@
 	double delayed_share; /**< Share of those that are executed later. */
 	uint32_t faults; /**< Number of faults of nodes, workers and store. */
 	int64_t retention_ms; /**< Finished jobs stay stored for this long. */
+	double same_id_share; /**< Share of crashed workers that restart under
+				 the same id. */
+	double late_answer_share; /**< Share of answers that take up to 2 s. */
 } world_config_t;
 
 /** Result of a simulation. */
@@ -33,6 +36,9 @@
 /** Draws the load and the faults from a seed. */
 void world_draw_config(uint32_t seed, world_config_t *out);
 
+/** Switches off the faults that were added after the first regressions. */
+void world_clear_later_faults(world_config_t *config);
+
 /** Runs a simulation to its end. */
 void world_play(const world_config_t *config, world_result_t *out);
 
--- a/test/world_internal.h
+++ b/test/world_internal.h
@@ -43,6 +43,9 @@
 #define SHORTENED_MAX 6
 /** Jobs that are removed from the store at a time. */
 #define REMOVED_MAX 4
+/** Longest delay of a late answer; its caller gives up before at its timeout.
+ */
+#define LATE_ANSWER_MAX_MS 2000
 /** Limits lasting jobs, so that they use only a part of the capacity. */
 #define LASTING_JOBS_MAX 2
 
@@ -102,10 +105,10 @@
 	bw_end_kind_t kind;
 } fake_end_t;
 
-/** A worker; a restart creates another one on the same machine. */
+/** One boot of a worker; a restart creates another one on the same machine. */
 typedef struct fake_worker {
 	uint32_t machine;
-	char id[32]; /**< New at each restart. */
+	char id[32]; /**< A restart may keep it. */
 	char name[32]; /**< Of its machine. */
 	bool alive;
 	bool silent_when_dead; /**< Calls to it time out after its crash;
@@ -151,6 +154,8 @@
 	world_config_t config;
 	world_result_t *result;
 	GRand *rand;
+	GRand *fault_rand; /**< For later faults, so that the draws of earlier
+			      ones stay the same. */
 	GSequence *events;
 	uint64_t last_sequence;
 	int64_t now_ms;
@@ -178,6 +183,13 @@
 /** Draws true with a probability. */
 bool world_random_bool(world_t *w, double probability);
 
+/** The same for the later faults, from a generator of their own. */
+int64_t world_fault_between(world_t *w, int64_t low, int64_t high);
+bool world_fault_bool(world_t *w, double probability);
+
+/** Returns the newest boot of a worker, or NULL. */
+fake_worker_t *world_find_worker(world_t *w, const char *id);
+
 /** Records a violated rule; the text of the first one is kept. */
 void world_violation(world_t *w, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
--- a/test/world_node.c
+++ b/test/world_node.c
@@ -274,6 +274,9 @@
 			.started_ms = worker->started_ms + 1000000,
 		};
 
+		/* A later boot under its id has replaced its registration. */
+		if (world_find_worker(w, worker->id) != worker)
+			continue;
 		if (worker->alive)
 			worker->registered_until_ms = w->now_ms + 4500;
 		if (w->now_ms < worker->registered_until_ms)
--- a/test/world_worker.c
+++ b/test/world_worker.c
@@ -197,6 +197,7 @@
 	int64_t grant_clock_ms;
 	uint64_t acked; /**< Number of the last end that is acknowledged. */
 	int64_t sent_ms;
+	int64_t wait_ms; /**< Of a long poll; its timeout is later by this. */
 	bool answer_lost;
 	bool delayed; /**< Executed after its caller gave up. */
 	bw_order_result_t result;
@@ -427,10 +428,33 @@
 	call->started_ms = worker->started_ms + 1000000;
 }
 
+/* A call names only the id, so it reaches the boot that has it by now. */
+static fake_worker_t *newest_boot(world_t *w, call_t *call)
+{
+	call->worker = world_find_worker(w, call->worker_id);
+	return call->worker;
+}
+
+/* Sends an answer; one that arrives after the call's timeout is lost. */
+static void send_answer(world_t *w, call_t *call)
+{
+	int64_t delay_ms = world_random_between(w, 1, 3);
+	int64_t left_ms =
+		call->sent_ms + CALL_TIMEOUT_MS + call->wait_ms - w->now_ms;
+
+	if (world_fault_bool(w, w->config.late_answer_share))
+		delay_ms = world_fault_between(w, 4, LATE_ANSWER_MAX_MS);
+	if (delay_ms > left_ms) {
+		call->result = BW_ORDER_LOST;
+		delay_ms = MAX(left_ms, 1);
+	}
+	world_schedule(w, delay_ms, on_answer, call);
+}
+
 static void on_call(world_t *w, void *arg)
 {
 	call_t *call = arg;
-	fake_worker_t *worker = call->worker;
+	fake_worker_t *worker = newest_boot(w, call);
 	bool reached =
 		worker->alive && !worker->unreachable_from[call->node->index];
 
@@ -449,7 +473,7 @@
 		world_schedule(w, CALL_TIMEOUT_MS, on_answer, call);
 		return;
 	}
-	world_schedule(w, world_random_between(w, 1, 3), on_answer, call);
+	send_answer(w, call);
 }
 
 /* Event: executes a call whose caller has given up; no answer is sent. */
@@ -458,24 +482,11 @@
 	call_t *call = arg;
 
 	call->delayed = true;
-	if (call->worker->alive)
+	if (newest_boot(w, call)->alive)
 		execute_call(w, call);
 	call_free(call);
 }
 
-static fake_worker_t *find_worker(world_t *w, const char *id)
-{
-	guint i = w->workers->len;
-
-	while (i-- > 0) {
-		fake_worker_t *worker = g_ptr_array_index(w->workers, i);
-
-		if (!strcmp(worker->id, id))
-			return worker;
-	}
-	return NULL;
-}
-
 static void send_call(node_t *node, call_t *call)
 {
 	world_t *w = node->w;
@@ -486,7 +497,7 @@
 	call->node = node;
 	call->incarnation = node->incarnation;
 	call->sent_ms = w->now_ms;
-	call->worker = find_worker(w, call->worker_id);
+	call->worker = world_find_worker(w, call->worker_id);
 	if (lost && world_random_bool(w, w->config.delayed_share)) {
 		delayed = g_memdup2(call, sizeof(*call));
 		world_schedule(
@@ -540,13 +551,14 @@
 {
 	node_t *node = ctx;
 	call_t *call = g_new0(call_t, 1);
-	fake_worker_t *worker = find_worker(node->w, order->worker);
+	fake_worker_t *worker = world_find_worker(node->w, order->worker);
 
 	call->kind = CALL_HEARTBEAT;
 	g_strlcpy(call->worker_id, order->worker, sizeof(call->worker_id));
 	call->fence = order->fence;
 	call->grant_clock_ms = order->grant_clock_ms;
 	call->acked = order->acked;
+	call->wait_ms = order->wait_ms;
 	/* A long poll is simulated by a short one, whose answer is not lost. */
 	if (order->wait_ms > 0 && worker->ends->len == 0) {
 		call->node = node;
