World: machines are cut off from all nodes for 3 to 9 s

Cause: a partition cut a worker from some nodes at a time, by chance, and often for less than a grant lasts; nothing cut a worker off that had just restarted.

Workers run on; calls that were delayed arrive after the cut.

--- a/test/world.c
+++ b/test/world.c
@@ -160,12 +160,40 @@
 	start_new_worker(w, GPOINTER_TO_UINT(arg));
 }
 
+/* Event: cuts a machine off; its worker runs on and its grant may expire. */
+static void on_cut(world_t *w, void *arg)
+{
+	uint32_t machine = GPOINTER_TO_UINT(arg);
+	char text[32];
+
+	g_snprintf(text, sizeof(text), "m%u", machine);
+	world_trace(w, "cut", text);
+	w->cut_until_ms[machine] =
+		w->now_ms + world_fault_between(w, 3000, 9000);
+}
+
+static void draw_cuts(world_t *w)
+{
+	uint32_t i;
+
+	for (i = 0; i < w->config.cuts; i++) {
+		int64_t delay_ms =
+			world_fault_between(w, 100, w->config.traffic_ms);
+		int64_t machine = world_fault_between(w, 0, WORKER_COUNT - 1);
+
+		world_schedule(w, delay_ms, on_cut, GUINT_TO_POINTER(machine));
+	}
+}
+
 static void on_same_id_restart(world_t *w, void *arg)
 {
 	const fake_worker_t *worker = arg;
 
 	world_trace(w, "restart", worker->id);
 	start_worker(w, worker->machine, worker->id);
+	if (w->config.cuts > 0 && world_fault_bool(w, 0.4))
+		world_schedule(w, world_fault_between(w, 5, 1500), on_cut,
+			       GUINT_TO_POINTER(worker->machine));
 }
 
 static void crash_worker(world_t *w)
@@ -591,6 +619,7 @@
 	for (i = 0; i < WORKER_COUNT; i++)
 		start_new_worker(w, i);
 	draw_jobs(w);
+	draw_cuts(w);
 	for (i = 0; i < w->config.faults; i++)
 		world_schedule(
 			w, world_random_between(w, 100, w->config.traffic_ms),
@@ -646,6 +675,9 @@
 
 	out->same_id_share = draw_share(rand, 1.0);
 	out->late_answer_share = draw_share(rand, 0.1);
+	out->cuts = g_rand_boolean(rand)
+			    ? (uint32_t)g_rand_int_range(rand, 1, 5)
+			    : 0;
 	g_rand_free(rand);
 }
 
@@ -671,6 +703,7 @@
 {
 	config->same_id_share = 0.0;
 	config->late_answer_share = 0.0;
+	config->cuts = 0;
 }
 
 void world_play(const world_config_t *config, world_result_t *out)
--- a/test/world.h
+++ b/test/world.h
@@ -21,6 +21,7 @@
 	int64_t retention_ms; /**< Finished jobs stay stored for this long. */
 	double same_id_share; /**< Share of crashed workers that restart under
 				 the same id. */
+	uint32_t cuts; /**< Of a machine from all nodes, for 3 to 9 s. */
 	double late_answer_share; /**< Share of answers that take up to 2 s. */
 } world_config_t;
 
--- a/test/world_internal.h
+++ b/test/world_internal.h
@@ -161,6 +161,7 @@
 	uint64_t last_sequence;
 	int64_t now_ms;
 	node_t nodes[NODE_COUNT];
+	int64_t cut_until_ms[WORKER_COUNT]; /**< Machines, from all nodes. */
 	GPtrArray *workers; /**< Crashed ones included. */
 	GPtrArray *jobs;
 	bool store_down;
--- a/test/world_worker.c
+++ b/test/world_worker.c
@@ -468,11 +468,12 @@
 {
 	call_t *call = arg;
 	fake_worker_t *worker = newest_boot(w, call);
-	bool reached =
-		worker->alive && !worker->unreachable_from[call->node->index];
+	bool cut = w->now_ms < w->cut_until_ms[worker->machine];
+	bool reached = worker->alive && !cut &&
+		       !worker->unreachable_from[call->node->index];
 
 	if (!reached) {
-		call->result = worker->alive || worker->silent_when_dead
+		call->result = worker->alive || cut || worker->silent_when_dead
 				       ? BW_ORDER_LOST
 				       : BW_ORDER_NOT_SENT;
 		world_schedule(
@@ -493,9 +494,18 @@
 static void on_delayed_call(world_t *w, void *arg)
 {
 	call_t *call = arg;
+	fake_worker_t *worker;
+	int64_t cut_ms;
 
 	call->delayed = true;
-	if (newest_boot(w, call)->alive)
+	worker = newest_boot(w, call);
+	cut_ms = w->cut_until_ms[worker->machine] - w->now_ms;
+	if (cut_ms > 0) {
+		world_schedule(w, cut_ms + world_fault_between(w, 1, 300),
+			       on_delayed_call, call);
+		return;
+	}
+	if (worker->alive)
 		execute_call(w, call);
 	call_free(call);
 }
