World: the trace shows runs and calls that meet another boot

Cause: a trace showed the scheduler's events only, so that a run on the wrong boot could not be seen.

Change: with WORLD_TRACE, lines for the start, the end and the acknowledgement of each run with the worker's boot, clock and grant, for calls that a later boot executes, and for answers of an earlier boot.

--- a/test/world_worker.c
+++ b/test/world_worker.c
@@ -11,6 +11,24 @@
 				worker->clock_rate);
 }
 
+/* Prints what a worker does, with its boot and clock, if WORLD_TRACE is set. */
+static void trace_run(world_t *w, const fake_worker_t *worker,
+		      const char *event, const bw_task_name_t *task,
+		      uint32_t run, const char *detail)
+{
+	char text[200];
+
+	if (!g_getenv("WORLD_TRACE"))
+		return;
+	g_snprintf(text, sizeof(text),
+		   "%s.%u.%u run=%u worker=%s boot=%" G_GINT64_FORMAT
+		   " clock=%" G_GINT64_FORMAT " grant=%" G_GINT64_FORMAT " %s",
+		   task->job, task->step, task->index, run, worker->id,
+		   worker->started_ms, worker_clock_ms(w, worker),
+		   worker->grant_clock_ms, detail);
+	world_trace(w, event, text);
+}
+
 static void end_run(world_t *w, fake_worker_t *worker, guint index,
 		    bw_end_kind_t kind)
 {
@@ -21,6 +39,8 @@
 			   kind, false };
 	char text[80];
 
+	trace_run(w, worker, "run-end", &run->task, run->number,
+		  bw_end_kind_name(kind));
 	task_state->running--;
 	if (kind == BW_END_DONE)
 		task_state->done = true;
@@ -142,6 +162,7 @@
 	const bw_step_spec_t *step = &job->record.spec->steps[task->step];
 	run_t run = { .task = *task, .number = number, .need = step->need };
 
+	trace_run(w, worker, "run-start", task, number, "");
 	check_start_rules(w, worker, job, task);
 	if (job->removed_ms > 0)
 		world_violation(w, "job %s is started after its removal",
@@ -219,6 +240,25 @@
 	GArray *ends;
 } call_t;
 
+/* Prints calls that reach a later boot, and late answers of an earlier one. */
+static void trace_boot(world_t *w, const char *event, const call_t *call)
+{
+	static const char *const kinds[] = { "start", "stop", "heartbeat" };
+	char text[200];
+
+	if (!g_getenv("WORLD_TRACE"))
+		return;
+	g_snprintf(text, sizeof(text),
+		   "%s %s.%u.%u run=%u worker=%s node%u sent=%" G_GINT64_FORMAT
+		   " grant=%" G_GINT64_FORMAT " acked=%" G_GUINT64_FORMAT
+		   " result=%s",
+		   kinds[call->kind], call->task.job, call->task.step,
+		   call->task.index, call->run, call->worker_id,
+		   call->node->index, call->sent_ms, call->grant_clock_ms,
+		   call->acked, bw_order_result_name(call->result));
+	world_trace(w, event, text);
+}
+
 static void call_free(call_t *call)
 {
 	if (call->runs)
@@ -262,6 +302,9 @@
 			       call);
 		return;
 	}
+	if (call->result == BW_ORDER_OK &&
+	    call->worker != world_find_worker(w, call->worker_id))
+		trace_boot(w, "answer-of-earlier-boot", call);
 	if (node->alive && node->incarnation == call->incarnation &&
 	    node->sched) {
 		if (call->kind == CALL_START)
@@ -386,6 +429,8 @@
 
 		if (end->number > acked)
 			return;
+		trace_run(w, worker, "run-acknowledged", &end->task, end->run,
+			  end->lapsed ? "lapsed" : "");
 		acknowledge_end(w, end);
 		g_array_remove_index(worker->ends, 0);
 	}
@@ -439,6 +484,8 @@
 	}
 	call->clock_ms = worker_clock_ms(w, worker);
 	call->started_ms = worker->started_ms + 1000000;
+	if (call->sent_ms < worker->started_ms)
+		trace_boot(w, "call-to-later-boot", call);
 }
 
 /* A call names only the id, so it reaches the boot that has it by now. */
