World: a start after an end that is acknowledged later breaks the rule

Cause: a start after an end was checked only if the end had been acknowledged by then. The users' rule counts ends that are acknowledged then or later.

Change: at the acknowledgement of an end whose grant has not expired, a start of the task since that end is a violation.

--- a/test/world_internal.h
+++ b/test/world_internal.h
@@ -76,6 +76,7 @@
 	uint32_t running; /**< Runs on live workers. */
 	bool done;
 	bool done_acked; /**< The scheduler has acknowledged the end. */
+	int64_t started_ms; /**< Its last start. */
 	bool unavailable; /**< Lasting: was stopped by an order, and no run of
 			    it is ready since. */
 	uint32_t failed_acked;
@@ -103,6 +104,7 @@
 	bw_task_name_t task;
 	uint32_t run;
 	bw_end_kind_t kind;
+	int64_t ended_ms;
 	bool lapsed; /**< The worker's grant has expired since. */
 } fake_end_t;
 
--- a/test/world_worker.c
+++ b/test/world_worker.c
@@ -35,8 +35,13 @@
 	run_t *run = &g_array_index(worker->runs, run_t, index);
 	fake_job_t *job = world_find_job(w, run->task.job);
 	task_state_t *task_state = world_find_task(job, &run->task);
-	fake_end_t end = { ++worker->last_end_number, run->task, run->number,
-			   kind, false };
+	fake_end_t end = {
+		.number = ++worker->last_end_number,
+		.task = run->task,
+		.run = run->number,
+		.kind = kind,
+		.ended_ms = w->now_ms,
+	};
 	char text[80];
 
 	trace_run(w, worker, "run-end", &run->task, run->number,
@@ -171,6 +176,7 @@
 		world_violation(w, "job %s is started after its short record",
 				job->id);
 	world_find_task(job, task)->running++;
+	world_find_task(job, task)->started_ms = w->now_ms;
 	w->result->starts++;
 	run.fails = worker->fails_runs ||
 		    (job->always_fails && task->index == 0) ||
@@ -414,8 +420,15 @@
 	task_state_t *task_state =
 		world_find_task(world_find_job(w, end->task.job), &end->task);
 
-	if (end->kind == BW_END_DONE && !end->lapsed)
+	if (end->kind == BW_END_DONE && !end->lapsed) {
 		task_state->done_acked = true;
+		if (task_state->started_ms > end->ended_ms)
+			world_violation(
+				w,
+				"task %s.%u.%u was started after an end that "
+				"is acknowledged now",
+				end->task.job, end->task.step, end->task.index);
+	}
 	if (end->kind == BW_END_FAILED)
 		task_state->failed_acked++;
 }
