World: an answer to a heartbeat lists a page of the ends

Cause: every answer listed all ends, while a worker lists a limited number a call and the rest in later answers.

--- a/test/world.h
+++ b/test/world.h
@@ -22,6 +22,7 @@
 	double same_id_share; /**< Share of crashed workers that restart under
 				 the same id. */
 	uint32_t cuts; /**< Of a machine from all nodes, for 3 to 9 s. */
+	uint32_t ends_page; /**< Ends in an answer at most; 0: all. */
 	double late_answer_share; /**< Share of answers that take up to 2 s. */
 } world_config_t;
 
--- a/test/world_internal.h
+++ b/test/world_internal.h
@@ -46,6 +46,8 @@
 /** Longest delay of a late answer; its caller gives up before at its timeout.
  */
 #define LATE_ANSWER_MAX_MS 2000
+/** Ends in one answer; small, so that ends often wait for a later one. */
+#define ENDS_PAGE 5
 /** Limits lasting jobs, so that they use only a part of the capacity. */
 #define LASTING_JOBS_MAX 2
 
--- a/test/world_worker.c
+++ b/test/world_worker.c
@@ -452,6 +452,7 @@
 static void execute_heartbeat(world_t *w, call_t *call)
 {
 	fake_worker_t *worker = call->worker;
+	guint ends;
 	guint i;
 
 	record_lapse(w, worker);
@@ -468,7 +469,10 @@
 
 		g_array_append_val(call->runs, row);
 	}
-	for (i = 0; i < worker->ends->len; i++) {
+	ends = worker->ends->len;
+	if (w->config.ends_page > 0)
+		ends = MIN(ends, w->config.ends_page);
+	for (i = 0; i < ends; i++) {
 		const fake_end_t *end =
 			&g_array_index(worker->ends, fake_end_t, i);
 		bw_end_row_t row = { end->number, end->task, end->run,
