--- a/test/world_worker.c
+++ b/test/world_worker.c
@@ -244,6 +244,7 @@
 	int64_t started_ms; /**< Unix time of the worker's start. */
 	GArray *runs;
 	GArray *ends;
+	bool more_ends; /**< The list of ends is full. */
 } call_t;
 
 /* Prints calls that reach a later boot, and late answers of an earlier one. */
@@ -293,6 +294,7 @@
 		answer.run_count = call->runs->len;
 		answer.ends = (const bw_end_row_t *)(void *)call->ends->data;
 		answer.end_count = call->ends->len;
+		answer.more_ends = call->more_ends;
 	}
 	bw_sched_heartbeat_answered(node->sched, w->now_ms, call->worker_id,
 				    &answer);
@@ -472,6 +474,7 @@
 	ends = worker->ends->len;
 	if (w->config.ends_page > 0)
 		ends = MIN(ends, w->config.ends_page);
+	call->more_ends = ends > 0 && ends == w->config.ends_page;
 	for (i = 0; i < ends; i++) {
 		const fake_end_t *end =
 			&g_array_index(worker->ends, fake_end_t, i);
