Orders from before a worker's restart are fenced off

What callers saw: a start that its worker left unanswered is carried out seconds later, by the next boot under the same identifier, after the task was started and even finished elsewhere: two runs, or a start after an acknowledged end.

Cause: an answered stop bars the run, but only on the boot that answered. The next boot knows nothing of it, and takes an order with the owner's fencing token as the first one that it sees. Class: the order outlives what it was meant for.

Change: after a restart, orders to the worker carry a higher token: the revision of the last save of the owner's state. The save proves that the pool was still this owner's, so a later owner's token is higher yet. A restart is saved without delay. Refusals of this owner's own earlier orders are not taken for a takeover.

What remains: an order that arrives before the first contact with the next boot.

Test: test_start_from_before_a_restart_is_fenced_off fails with 0x7 != 0x64 if the token is not raised.

--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -750,6 +750,7 @@
 		pool->state_revision = reply->revision;
 		bw_metrics_observe(BW_MH_ACKNOWLEDGE,
 				   bw_clock_now_ms() - pool->save_started_ms);
+		bw_sched_owned_at(pool->sched, (uint64_t)reply->revision);
 		bw_sched_saved(pool->sched, bw_clock_now_ms(), version);
 		/* The next owner learns of later changes from the workers. */
 		if (pool->stopping && pool->final_save)
--- a/src/sched/filler.c
+++ b/src/sched/filler.c
@@ -27,7 +27,7 @@
 			.address = worker->address,
 			.run = task->run,
 			.percent = (uint32_t)worker->filler_percent,
-			.fence = s->config.fence,
+			.fence = worker->fence,
 		};
 
 		if (!sched_task_step(task)->filler ||
--- a/src/sched/heartbeat.c
+++ b/src/sched/heartbeat.c
@@ -135,7 +135,7 @@
 		.address = worker->address,
 		.task = row->task,
 		.run = row->run,
-		.fence = s->config.fence,
+		.fence = worker->fence,
 	};
 
 	sched_log(s, BW_EVENT_SCHED_STOP_UNKNOWN,
@@ -256,7 +256,7 @@
 		worker->boot_unsure ? now_ms + HEARTBEAT_RETRY_MS : now_ms;
 	worker->boot_unsure = true;
 	if (result == BW_ORDER_FENCED) {
-		s->ops.superseded(s->ctx);
+		sched_order_fenced(s, worker, now_ms);
 		return;
 	}
 	if (result != BW_ORDER_OTHER_BOOT)
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -32,6 +32,9 @@
 /** The grant of a worker that did not answer for this long is not renewed: the
  *  wait of a heartbeat plus what its answer may take on the network. */
 #define GRANT_SILENT_MS 1300
+/** Orders that were sent before a fencing token was raised are answered within
+ *  this time. */
+#define FENCE_SETTLE_MS 2000
 /** Lowest assumed rate of a worker's clock relative to the local one. */
 #define CLOCK_RATE_MIN 0.98
 /** An order without an answer is not carried out any more after this time. */
@@ -188,6 +191,7 @@
 	bool has_orphans; /**< Runs tasks that it should not run; their resource
 			       use is unknown. */
 	bool heartbeat_pending; /**< A heartbeat is not answered yet. */
+	bool fence_outdated; /**< Orders to its earlier boot had the same. */
 	bool boot_unsure; /**< The last heartbeat failed, so the worker may have
 			     restarted since. */
 	int64_t heartbeat_wait_ms; /**< That the last heartbeat asked for. */
@@ -199,6 +203,8 @@
 	placement_class_t placement_class;
 	int64_t indexed_free_millis; /**< Free processor. */
 	int64_t started_ms; /**< Unix time; 0: unknown. */
+	uint64_t fence; /**< Fencing token of the orders to it. */
+	int64_t fence_raised_ms; /**< When it was raised; 0: never. */
 	int64_t restarted_ms; /**< When a restart under its identifier became
 				 known; 0: none did. */
 	int64_t first_seen_ms;
@@ -256,6 +262,7 @@
 	bool first_owner; /**< No earlier owner has stored anything. */
 	bool recovered; /**< All runs of earlier owners are known. */
 	bool orders_allowed;
+	uint64_t owned_at; /**< Highest revision at which it was the owner. */
 	uint64_t version;
 	uint64_t saved_version;
 	uint64_t urgent_version;
@@ -363,6 +370,8 @@
 int64_t sched_grant_clock(const bw_sched_t *s, const worker_t *worker,
 			  int64_t now_ms);
 void sched_record_clock(worker_t *worker, int64_t now_ms, int64_t clock_ms);
+/** Handles an order that was refused for a higher fencing token. */
+void sched_order_fenced(bw_sched_t *s, const worker_t *worker, int64_t now_ms);
 void sched_send_heartbeats(bw_sched_t *s, int64_t now_ms);
 void sched_resend_stops(bw_sched_t *s, int64_t now_ms);
 
--- a/src/sched/order.c
+++ b/src/sched/order.c
@@ -34,13 +34,35 @@
 	task->worker = NULL;
 }
 
+/*
+ * An order that a worker's earlier boot has not carried out may still reach the
+ * next one, which refuses it once it has seen a higher token.
+ */
+static void raise_fence(const bw_sched_t *s, worker_t *worker, int64_t now_ms)
+{
+	if (!worker->fence_outdated || s->owned_at <= worker->fence)
+		return;
+	worker->fence = s->owned_at;
+	worker->fence_raised_ms = now_ms;
+	worker->fence_outdated = false;
+}
+
+void sched_order_fenced(bw_sched_t *s, const worker_t *worker, int64_t now_ms)
+{
+	/* An order of this owner, sent before the token was raised. */
+	if (worker && worker->fence_raised_ms > 0 &&
+	    now_ms - worker->fence_raised_ms < FENCE_SETTLE_MS)
+		return;
+	s->ops.superseded(s->ctx);
+}
+
 static void send_stop(bw_sched_t *s, task_t *task, int64_t now_ms)
 {
 	bw_run_order_t order = {
 		.worker = task->worker->id,
 		.address = task->worker->address,
 		.run = task->run,
-		.fence = s->config.fence,
+		.fence = task->worker->fence,
 	};
 
 	sched_task_name(task, &order.task);
@@ -85,10 +107,11 @@
 	bw_heartbeat_order_t order = {
 		.worker = worker->id,
 		.address = worker->address,
-		.fence = s->config.fence,
 		.now_ms = now_ms,
 	};
 
+	raise_fence(s, worker, now_ms);
+	order.fence = worker->fence;
 	/* Numbers of ends and times of the clock are those of one boot. */
 	if (!worker->boot_unsure)
 		order.acked = worker->ends_acked;
@@ -177,7 +200,7 @@
 		  name->job, name->step, name->index, run, worker_id,
 		  bw_order_result_name(result));
 	if (result == BW_ORDER_FENCED)
-		s->ops.superseded(s->ctx);
+		sched_order_fenced(s, worker, now_ms);
 	if (worker && result == BW_ORDER_NO_RESOURCES)
 		worker->pause_until_ms = now_ms + NO_RESOURCES_PAUSE_MS;
 	if (worker && result == BW_ORDER_UNHEALTHY)
@@ -219,7 +242,7 @@
 	task_t *task = sched_find_task(s, name);
 
 	if (result == BW_ORDER_FENCED)
-		s->ops.superseded(s->ctx);
+		sched_order_fenced(s, worker, now_ms);
 	if (result != BW_ORDER_OK || !task || !worker ||
 	    task->worker != worker || task->run != run ||
 	    task->state != TASK_STOPPING)
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -381,7 +381,7 @@
 		.run = task->run,
 		.text = job->spec->text,
 		.grant_clock_ms = sched_grant_clock(s, worker, now_ms),
-		.fence = s->config.fence,
+		.fence = worker->fence,
 		.checkpoint = task->checkpoint,
 		.ticket = ticket_of(task, worker, now_ms),
 		.waited_ms = now_ms - task->occurrence->due_ms,
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -236,6 +236,11 @@
 		sched_place(s, now_ms);
 }
 
+void bw_sched_owned_at(bw_sched_t *s, uint64_t revision)
+{
+	s->owned_at = MAX(s->owned_at, revision);
+}
+
 uint64_t bw_sched_version(const bw_sched_t *s)
 {
 	return s->version;
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -334,6 +334,13 @@
 /** Encodes the state to store; release with g_free(). */
 uint8_t *bw_sched_pack(bw_sched_t *s, size_t *bytes);
 
+/**
+ * Records a revision of the store at which the pool was still this owner's. It
+ * may serve as a higher fencing token, as that of any later owner is higher
+ * yet.
+ */
+void bw_sched_owned_at(bw_sched_t *s, uint64_t revision);
+
 /** Records that a version has been stored. */
 void bw_sched_saved(bw_sched_t *s, int64_t now_ms, uint64_t version);
 
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -18,6 +18,7 @@
 
 	worker->id = g_strdup(id);
 	worker->tasks = g_ptr_array_new();
+	worker->fence = s->config.fence;
 	worker->first_seen_ms = now_ms;
 	worker->next_heartbeat_ms = now_ms;
 	worker->filler_percent = 100;
@@ -192,6 +193,8 @@
 	release_listed_runs(s, worker);
 	g_clear_pointer(&worker->unread, g_array_unref);
 	worker->restarted_ms = now_ms;
+	worker->fence_outdated = true;
+	sched_changed(s, true);
 	worker->earlier_grant_until_ms = earlier_grant_end_ms(s, now_ms);
 	worker->synced = false;
 	worker->clock_ms = 0;
--- a/test/sched_orders.c
+++ b/test/sched_orders.c
@@ -40,6 +40,7 @@
 
 	o->grant_clock_ms = order->grant_clock_ms;
 	o->acked = order->acked;
+	o->fence = order->fence;
 	o->heartbeat_count++;
 }
 
--- a/test/sched_orders.h
+++ b/test/sched_orders.h
@@ -28,6 +28,7 @@
 	uint32_t stops_at_start; /**< The same of stops. */
 	int64_t grant_clock_ms; /**< Of the last heartbeat; 0: none. */
 	uint64_t acked; /**< The same of its acknowledged end. */
+	uint64_t fence; /**< The same of its fencing token. */
 	uint32_t superseded;
 	int64_t now_ms;
 } orders_t;
--- a/test/test_restart.c
+++ b/test/test_restart.c
@@ -277,6 +277,37 @@
 	bw_sched_destroy(o.sched);
 }
 
+/* A start without an answer would still be carried out by the next boot. */
+static void test_start_from_before_a_restart_is_fenced_off(void **state)
+{
+	bw_heartbeat_answer_t fenced = { .result = BW_ORDER_FENCED };
+	uint64_t version;
+	orders_t o;
+
+	(void)state;
+	begin_with_start(&o);
+	assert_int_equal(o.fence, 7);
+	bw_sched_owned_at(o.sched, 100);
+	orders_run(&o, 400);
+	assert_int_equal(o.fence, 7);
+	version = bw_sched_version(o.sched);
+	register_boot(&o, SECOND_BOOT_MS);
+	assert_true(bw_sched_version(o.sched) > version);
+	answer_as_boot(&o, &(boot_answer_t){ .started_ms = SECOND_BOOT_MS,
+					     .clock_ms = 50 });
+	orders_run(&o, 10);
+	assert_int_equal(o.fence, 100);
+	/* The refusal of this owner's earlier order is no takeover. */
+	bw_sched_start_answered(o.sched, o.now_ms, "w1", &o.starts[0].task, 1,
+				BW_ORDER_FENCED, 0);
+	assert_int_equal(o.superseded, 0);
+	o.now_ms += 2500;
+	fenced.sent_ms = o.now_ms;
+	bw_sched_heartbeat_answered(o.sched, o.now_ms, "w1", &fenced);
+	assert_int_equal(o.superseded, 1);
+	bw_sched_destroy(o.sched);
+}
+
 /* The run has ended, and its end is still to be listed. */
 static void test_start_refused_as_old_is_not_taken_for_never_run(void **state)
 {
@@ -336,6 +367,8 @@
 			test_heartbeat_after_a_failure_acknowledges_nothing),
 		cmocka_unit_test(
 			test_nothing_starts_between_a_failed_heartbeat_and_an_answer),
+		cmocka_unit_test(
+			test_start_from_before_a_restart_is_fenced_off),
 		cmocka_unit_test(
 			test_start_refused_as_old_is_not_taken_for_never_run),
 		cmocka_unit_test(
--- a/test/world_node.c
+++ b/test/world_node.c
@@ -58,6 +58,8 @@
 			node->state_rev = save->revision;
 		if (!save->answer_lost && save->executed) {
 			node->saved_version = save->version;
+			bw_sched_owned_at(node->sched,
+					  (uint64_t)save->revision);
 			bw_sched_saved(node->sched, w->now_ms, save->version);
 			if (save->final)
 				finish_hand_over(w, node);
