World: a job's notice may go to an earlier owner

The way in which an owner could meet a run before its job was drawn as a full read that misses jobs of the last second. What can happen: a node that accepts a job tells the earlier owner, which has not learned of its successor; the successor reads the job later. That is drawn now. And a call that a cut delays obeys the longest delay of a call.

--- a/test/world.c
+++ b/test/world.c
@@ -416,16 +416,34 @@
 	}
 }
 
-static void on_job_accepted(world_t *w, void *arg)
+/* Returns an earlier owner that has not learned of its successor, or NULL. */
+static node_t *earlier_owner(world_t *w)
+{
+	uint32_t i;
+
+	for (i = 0; i < NODE_COUNT; i++) {
+		node_t *node = &w->nodes[i];
+
+		if (node->sched && node->fence != 0 &&
+		    node->fence != w->owner_fence &&
+		    world_node_running(w, node))
+			return node;
+	}
+	return NULL;
+}
+
+/* Tells the owner of a job, or one that others take for the owner still. */
+static void notify_of_job(world_t *w, const fake_job_t *job)
 {
-	fake_job_t *job = arg;
 	node_t *owner = &w->nodes[w->owner_node];
+	node_t *earlier = earlier_owner(w);
 
-	job->stored_ms = w->now_ms;
-	job->record.accepted_ms = w->now_ms;
-	if (world_random_bool(w, 0.1))
-		world_schedule(w, world_random_between(w, 5, 4000),
-			       on_job_cancelled, job);
+	if (earlier && world_fault_bool(w, w->config.stale_notice_share)) {
+		world_trace(w, "notice-to-earlier-owner", job->id);
+		world_add_job(w, earlier, job);
+		world_run_sched(w, earlier);
+		return;
+	}
 	if (owner->sched && owner->fence == w->owner_fence &&
 	    world_node_running(w, owner) && !owner->store_unreachable &&
 	    !w->store_down) {
@@ -434,6 +452,18 @@
 	}
 }
 
+static void on_job_accepted(world_t *w, void *arg)
+{
+	fake_job_t *job = arg;
+
+	job->stored_ms = w->now_ms;
+	job->record.accepted_ms = w->now_ms;
+	if (world_random_bool(w, 0.1))
+		world_schedule(w, world_random_between(w, 5, 4000),
+			       on_job_cancelled, job);
+	notify_of_job(w, job);
+}
+
 bool world_all_done(const fake_job_t *job)
 {
 	uint32_t i;
@@ -679,6 +709,7 @@
 			    ? (uint32_t)g_rand_int_range(rand, 1, 5)
 			    : 0;
 	out->ends_page = g_rand_int_range(rand, 0, 8) == 0 ? ENDS_PAGE : 0;
+	out->stale_notice_share = draw_share(rand, 1.0);
 	g_rand_free(rand);
 }
 
@@ -706,6 +737,7 @@
 	config->late_answer_share = 0.0;
 	config->cuts = 0;
 	config->ends_page = 0;
+	config->stale_notice_share = 0.0;
 }
 
 void world_play(const world_config_t *config, world_result_t *out)
--- a/test/world.h
+++ b/test/world.h
@@ -23,6 +23,9 @@
 				 the same id. */
 	uint32_t cuts; /**< Of a machine from all nodes, for 3 to 9 s. */
 	uint32_t ends_page; /**< Ends in an answer at most; 0: all. */
+	/** Share of notices of jobs that go to an earlier owner, if one has not
+	 *  learned of its successor; the owner reads the job later. */
+	double stale_notice_share;
 	double late_answer_share; /**< Share of answers that take up to 2 s. */
 } world_config_t;
 
--- a/test/world_worker.c
+++ b/test/world_worker.c
@@ -567,12 +567,13 @@
 	call->delayed = true;
 	worker = newest_boot(w, call);
 	cut_ms = w->cut_until_ms[worker->machine] - w->now_ms;
-	if (cut_ms > 0) {
+	if (cut_ms > 0 &&
+	    w->now_ms + cut_ms - call->sent_ms <= DELAYED_CALL_MAX_MS) {
 		world_schedule(w, cut_ms + world_fault_between(w, 1, 300),
 			       on_delayed_call, call);
 		return;
 	}
-	if (worker->alive)
+	if (worker->alive && cut_ms <= 0)
 		execute_call(w, call);
 	call_free(call);
 }
