A list that was requested before a start says nothing about its run

What callers saw: work thrown away, and lasting tasks stopped while others of their step were away, after a pause of their owner.

Cause: a start without an answer is stopped once a list lacks its run. The list was not asked for its age: after a pause the calls of starts are given up first, and then an answer is read that the worker gave before the starts reached it. All runs of that moment were stopped. Class: an answer that is handled after newer events.

Change: only a list that was requested after the start counts.

Test: test_run_is_not_stopped_for_a_list_from_before_its_start failed with 0x1 != 0.

--- a/src/sched/heartbeat.c
+++ b/src/sched/heartbeat.c
@@ -231,6 +231,7 @@
 			continue;
 		if (task->state == TASK_STARTING &&
 		    task->start_answered_ms < 0 &&
+		    answer->sent_ms > task->ordered_ms &&
 		    now_ms - task->ordered_ms > START_CONFIRM_MS)
 			sched_stop_task(s, task, now_ms);
 		else if (task->state == TASK_RUNNING &&
--- a/test/test_ends.c
+++ b/test/test_ends.c
@@ -1,4 +1,4 @@
-/* Ends of runs that a list leaves out, or that come before their job. */
+/* What the list of a worker's runs and ends proves, and what it does not. */
 #include "test.h"
 
 #include <string.h>
@@ -14,13 +14,14 @@
 	const bw_end_row_t *ends;
 	uint32_t end_count;
 	bool more_ends;
+	int64_t age_ms; /**< Since it was requested. */
 } list_t;
 
 static void answer_with_list(orders_t *o, const list_t *list)
 {
 	bw_heartbeat_answer_t answer = {
 		.result = BW_ORDER_OK,
-		.sent_ms = o->now_ms,
+		.sent_ms = o->now_ms - list->age_ms,
 		.clock_ms = o->now_ms + 100,
 		.started_ms = 5,
 		.runs = list->runs,
@@ -199,6 +200,26 @@
 	bw_sched_destroy(o.sched);
 }
 
+/* The owner was paused with the answer in its socket. */
+static void
+test_run_is_not_stopped_for_a_list_from_before_its_start(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	orders_begin_with_worker(&o);
+	orders_add_job(&o, JOB_A, 1, true, 1000, 500);
+	orders_run(&o, 10);
+	o.now_ms += 800;
+	bw_sched_start_answered(o.sched, o.now_ms, "w1", &o.starts[0].task, 1,
+				BW_ORDER_LOST, 0);
+	answer_with_list(&o, &(list_t){ .age_ms = 900 });
+	assert_int_equal(o.stop_count, 0);
+	answer_with_list(&o, &(list_t){ .age_ms = 0 });
+	assert_int_equal(o.stop_count, 1);
+	bw_sched_destroy(o.sched);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -213,6 +234,8 @@
 		cmocka_unit_test(
 			test_run_that_comes_before_its_job_is_not_doubled),
 		cmocka_unit_test(test_run_of_a_job_that_never_comes_is_stopped),
+		cmocka_unit_test(
+			test_run_is_not_stopped_for_a_list_from_before_its_start),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
