World: late answers end with the traffic

Cause: answers stayed late to the end of a simulation, in which calls are no longer lost and all jobs must end.

Change: only answers within the traffic's time are late.

--- a/test/world_worker.c
+++ b/test/world_worker.c
@@ -522,7 +522,8 @@
 	int64_t left_ms =
 		call->sent_ms + CALL_TIMEOUT_MS + call->wait_ms - w->now_ms;
 
-	if (world_fault_bool(w, w->config.late_answer_share))
+	if (w->now_ms < w->config.traffic_ms &&
+	    world_fault_bool(w, w->config.late_answer_share))
 		delay_ms = world_fault_between(w, 4, LATE_ANSWER_MAX_MS);
 	if (delay_ms > left_ms) {
 		call->result = BW_ORDER_LOST;
