Test that a changed capacity is read and passed on

Cause: none found. Nothing compares a registration with the one before: the directory replaces an entry of a higher revision, and each read is passed to the scheduler whole.

Change: test_directory with a capacity that shrinks and grows while all else stays, test_platform with capacities that are missing (read as 0), broken, zero and negative.

--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -77,6 +77,7 @@
 	r = g_new0(bw_registration_t, 1);
 	r->id = g_strdup(key + strlen(PREFIX));
 	r->address = g_strdup(value);
+	r->info.capacity.cpu_millis = g_ascii_strtoll(value, NULL, 10);
 	*out = r;
 	return BW_OK;
 }
@@ -351,6 +352,37 @@
 	tear_down(&t);
 }
 
+static void assert_capacity(directory_test_t *t, const char *id,
+			    int64_t cpu_millis)
+{
+	const bw_registration_t *r = bw_directory_find(t->directory, id);
+
+	assert_non_null(r);
+	assert_int_equal(r->info.capacity.cpu_millis, cpu_millis);
+}
+
+/* Each read is passed on, so that a change of the capacity alone is, too. */
+static void test_directory_keeps_a_capacity_that_changed(void **state)
+{
+	bw_store_kv_t kv = { .key = PREFIX "2",
+			     .value = "8000",
+			     .mod_revision = 60 };
+	directory_test_t t;
+	uint32_t i;
+
+	(void)state;
+	set_up_loaded(&t);
+	for (i = 0; i < 3; i++) {
+		tick(&t);
+		kv.value = i == 1 ? "3000" : "8000";
+		kv.mod_revision = 60 + i;
+		answer_changes(&t, &kv, 1, 60 + i);
+		assert_int_equal(t.loaded, 2 + i);
+		assert_capacity(&t, "2", i == 1 ? 3000 : 8000);
+	}
+	tear_down(&t);
+}
+
 /* The changes begin at the first page's revision; later pages are newer. */
 static void test_directory_ignores_changes_older_than_a_page(void **state)
 {
@@ -475,6 +507,7 @@
 		cmocka_unit_test(test_directory_pause_is_bounded),
 		cmocka_unit_test(
 			test_directory_reads_only_changes_after_the_first_read),
+		cmocka_unit_test(test_directory_keeps_a_capacity_that_changed),
 		cmocka_unit_test(
 			test_directory_ignores_changes_older_than_a_page),
 		cmocka_unit_test(
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -149,6 +149,50 @@
 	}
 }
 
+/** A capacity, and what is read from it. */
+typedef struct capacity_case {
+	const char *capacity;
+	bw_status_t status;
+	bw_resources_t read;
+} capacity_case_t;
+
+static const capacity_case_t capacity_cases[] = {
+	{ "{\"cpu\":8000,\"mem_mb\":512,\"gpu\":1}", BW_OK, { 8000, 512, 1 } },
+	{ "{\"cpu\":7999.9,\"mem_mb\":511.5}", BW_OK, { 7999, 511, 0 } },
+	{ "{\"mem_mb\":512}", BW_OK, { 0, 512, 0 } },
+	{ "{\"cpu\":0,\"mem_mb\":0,\"gpu\":0}", BW_OK, { 0, 0, 0 } },
+	{ "{}", BW_OK, { 0, 0, 0 } },
+	{ "{\"cpu\":-1000}", BW_OK, { -1000, 0, 0 } },
+	{ "8000", BW_EPARSE, { 0, 0, 0 } },
+	{ "null", BW_EPARSE, { 0, 0, 0 } },
+};
+
+static void test_registration_reads_a_larger_capacity(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(capacity_cases); i++) {
+		const capacity_case_t *c = &capacity_cases[i];
+		char *text = g_strdup_printf(
+			"{\"service\":\"s\",\"address\":\"x\",\"state\":"
+			"\"ready\",\"labels\":[],\"capacity\":%s}",
+			c->capacity);
+		bw_registration_t *r = NULL;
+		bw_status_t status = platform_value_format.parse_registration(
+			"servers/w1", text, strlen(text), &r);
+
+		if (status != c->status)
+			print_error("case: %s\n", c->capacity);
+		assert_int_equal(status, c->status);
+		if (r)
+			assert_memory_equal(&r->info.capacity, &c->read,
+					    sizeof(c->read));
+		bw_registration_free(r);
+		g_free(text);
+	}
+}
+
 static void test_task_names(void **state)
 {
 	static const char *const bad[] = {
@@ -230,6 +274,7 @@
 		cmocka_unit_test(test_bodies),
 		cmocka_unit_test(test_body_fields),
 		cmocka_unit_test(test_registrations),
+		cmocka_unit_test(test_registration_reads_a_larger_capacity),
 		cmocka_unit_test(test_task_names),
 		cmocka_unit_test(test_waves),
 		cmocka_unit_test(test_configuration),
