Read no worker from a capacity of another type

Cause: an amount that is no number was read as 0, so that an entry of another writer named a worker without capacity: its owner calls it, and settles only when it has answered or all grants are over.

Change: such an entry is unreadable, as one without a capacity was. A missing amount stays 0.

Evidence: on the parent case: {"cpu":"8000","mem_mb":512} 0 != 0x2, test/test_platform.c:190 [ FAILED ] test_registration_reads_a_larger_capacity

--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -165,6 +165,9 @@
 	{ "{\"cpu\":-1000}", BW_OK, { -1000, 0, 0 } },
 	{ "8000", BW_EPARSE, { 0, 0, 0 } },
 	{ "null", BW_EPARSE, { 0, 0, 0 } },
+	{ "{\"cpu\":\"8000\",\"mem_mb\":512}", BW_EPARSE, { 0, 0, 0 } },
+	{ "{\"cpu\":8000,\"mem_mb\":null}", BW_EPARSE, { 0, 0, 0 } },
+	{ "{\"cpu\":8000,\"gpu\":[]}", BW_EPARSE, { 0, 0, 0 } },
 };
 
 static void test_registration_reads_a_larger_capacity(void **state)
