Start nothing on a restarted worker before its capacity is read

Cause: a heartbeat's answer tells that a worker has started again under its identifier, and takes its runs off it; its capacity stayed that of the earlier start until its registration was read, 0.8 s later or more. The registration of the earlier start, read after that, counted too.

Change: a restarted worker is not used before a registration of that start has been read.

--- a/Makefile
+++ b/Makefile
@@ -59,7 +59,7 @@
 	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS) -lcmocka
 
 SCHED_TESTS := $(BUILD)/test/test_sched $(BUILD)/test/test_takeover $(BUILD)/test/test_starts \
-SCHED_TESTS := $(BUILD)/test/test_restart $(BUILD)/test/test_ends $(BUILD)/test/test_capacity
+	$(BUILD)/test/test_restart $(BUILD)/test/test_ends $(BUILD)/test/test_capacity
 $(SCHED_TESTS): $(BUILD)/test/test_%: $(BUILD)/test/test_%.o $(BUILD)/test/sched_orders.o $(LIB)
 	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS) -lcmocka
 
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -179,6 +179,7 @@
 	GPtrArray *tasks; /**< Tasks whose worker is this one. */
 	GArray *unread; /**< Its runs and ends of unread jobs; NULL: none. */
 	bool registered;
+	bool described; /**< Its capacity is that of its present start. */
 	bool stored; /**< Is in the stored state, which a successor loads. */
 	uint64_t stored_version;
 	bool draining;
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -117,9 +117,9 @@
 	if (worker->inherited &&
 	    now_ms - worker->synced_ms < s->config.stop_ms + STOP_MARGIN_MS)
 		return false;
-	return sched_worker_reachable(worker, now_ms) && !worker->cordoned &&
-	       !worker->boot_unsure && !worker->has_orphans &&
-	       now_ms >= worker->pause_until_ms;
+	return sched_worker_reachable(worker, now_ms) && worker->described &&
+	       !worker->cordoned && !worker->boot_unsure &&
+	       !worker->has_orphans && now_ms >= worker->pause_until_ms;
 }
 
 static void set_machine(bw_sched_t *s, worker_t *worker, const char *machine)
@@ -191,6 +191,7 @@
 static void restart_worker(bw_sched_t *s, worker_t *worker, int64_t now_ms)
 {
 	release_listed_runs(s, worker);
+	worker->described = false;
 	g_clear_pointer(&worker->unread, g_array_unref);
 	worker->restarted_ms = now_ms;
 	worker->fence_outdated = true;
@@ -231,6 +232,17 @@
 	sched_index_update(worker);
 }
 
+/* A worker may have less after a restart, and what was said before it may be
+ * read after the restart is known. */
+static void set_capacity(worker_t *worker, const bw_worker_info_t *info)
+{
+	if (!worker->described && info->started_ms > 0 &&
+	    info->started_ms < worker->started_ms)
+		return;
+	worker->capacity = info->capacity;
+	worker->described = true;
+}
+
 /* A machine hosts one worker at a time, so an older one on it has ended. */
 static void mark_predecessors_dead(bw_sched_t *s, const worker_t *worker)
 {
@@ -271,7 +283,7 @@
 	sched_record_start_time(s, worker, now_ms, info->started_ms);
 	if (worker->dead)
 		return;
-	worker->capacity = info->capacity;
+	set_capacity(worker, info);
 	if (!worker->labels || !worker->registered) {
 		set_labels(worker, info);
 		set_machine(s, worker, info->machine);
--- a/test/test_capacity.c
+++ b/test/test_capacity.c
@@ -413,6 +413,70 @@
 	bw_sched_destroy(o.sched);
 }
 
+static void answer_as_boot(orders_t *o, const char *id, int64_t started_ms)
+{
+	bw_heartbeat_answer_t answer = { .result = BW_ORDER_OK,
+					 .sent_ms = o->now_ms,
+					 .clock_ms = 1000,
+					 .started_ms = started_ms };
+
+	bw_sched_heartbeat_answered(o->sched, o->now_ms, id, &answer);
+}
+
+static void say_of_boot(orders_t *o, const char *label, int64_t cpu_millis,
+			int64_t started_ms)
+{
+	const char *const labels[] = { label };
+	bw_worker_info_t info = { .id = "w1",
+				  .address = "10.0.0.1:1",
+				  .capacity = { cpu_millis, MEM_8_GB, 4 },
+				  .labels = labels,
+				  .label_count = 1,
+				  .rack = label,
+				  .machine = "w1",
+				  .started_ms = started_ms };
+
+	bw_sched_worker_registered(o->sched, o->now_ms, &info);
+}
+
+/* It answers before its registration is read again. */
+static void test_restarted_worker_starts_at_its_earlier_capacity(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	begin(&o);
+	answer_as_boot(&o, "w1", 9);
+	add_task(&o, JOB_A, &half);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 0);
+	say_capacity(&o, "w1", &whole);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 0);
+	say_of_boot(&o, "a", 3000, 9);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 0);
+	say_of_boot(&o, "a", 4000, 9);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	bw_sched_destroy(o.sched);
+}
+
+/* A restart that the registration tells first is answered for later. */
+static void test_restarted_worker_is_never_used_again(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	begin(&o);
+	say_of_boot(&o, "a", 4000, 9);
+	answer_as_boot(&o, "w1", 9);
+	add_task(&o, JOB_A, &half);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	bw_sched_destroy(o.sched);
+}
+
 static void test_pool_reports_its_earlier_capacity(void **state)
 {
 	const bw_resources_t shrunken = { 3000, 2000, 0 };
@@ -450,6 +514,9 @@
 			test_successor_starts_at_the_capacity_of_before),
 		cmocka_unit_test(
 			test_start_beside_unknown_runs_on_a_shrunken_worker),
+		cmocka_unit_test(
+			test_restarted_worker_starts_at_its_earlier_capacity),
+		cmocka_unit_test(test_restarted_worker_is_never_used_again),
 		cmocka_unit_test(test_pool_reports_its_earlier_capacity),
 	};
 
