Read the labels of a worker again after a restart

Cause: labels and rack were taken when a worker was registered for the first time; a worker that starts again under its identifier while it stays registered may be of another kind, and tasks that need the earlier label started there.

Change: they are read again with the first registration of each start.

--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -263,6 +263,7 @@
 				const bw_worker_info_t *info)
 {
 	worker_t *worker = sched_worker(s, info->id);
+	bool described;
 
 	if (!worker) {
 		worker = sched_worker_new(s, info->id, now_ms);
@@ -283,8 +284,10 @@
 	sched_record_start_time(s, worker, now_ms, info->started_ms);
 	if (worker->dead)
 		return;
+	described = worker->described;
 	set_capacity(worker, info);
-	if (!worker->labels || !worker->registered) {
+	/* Labels change with a start only, unlike the capacity. */
+	if (!described || !worker->registered) {
 		set_labels(worker, info);
 		set_machine(s, worker, info->machine);
 	}
--- a/test/test_capacity.c
+++ b/test/test_capacity.c
@@ -46,6 +46,7 @@
 
 	record.spec->text = g_strdup("text");
 	record.spec->steps[0] = *step;
+	record.spec->steps[0].label = g_strdup(step->label);
 	record.spec->steps[0].estimate_ms = 500;
 	bw_sched_add_job(o->sched, o->now_ms, o->now_ms, id, &record);
 	bw_job_record_clear(&record);
@@ -477,6 +478,31 @@
 	bw_sched_destroy(o.sched);
 }
 
+/* Its kind may have changed; a task needs the label of one. */
+static void test_restarted_worker_keeps_its_earlier_labels(void **state)
+{
+	char a[] = "a";
+	char b[] = "b";
+	bw_step_spec_t needs_a = { .count = 1, .label = a };
+	bw_step_spec_t needs_b = { .count = 1, .label = b };
+	orders_t o;
+
+	(void)state;
+	orders_begin(&o);
+	say_of_boot(&o, a, CORES_8, 5);
+	answer_as_boot(&o, "w1", 9);
+	say_of_boot(&o, b, CORES_8, 9);
+	orders_save(&o);
+	add_step(&o, JOB_A, &needs_a);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 0);
+	add_step(&o, JOB_B, &needs_b);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	assert_string_equal(o.starts[0].task.job, JOB_B);
+	bw_sched_destroy(o.sched);
+}
+
 static void test_pool_reports_its_earlier_capacity(void **state)
 {
 	const bw_resources_t shrunken = { 3000, 2000, 0 };
@@ -517,6 +543,8 @@
 		cmocka_unit_test(
 			test_restarted_worker_starts_at_its_earlier_capacity),
 		cmocka_unit_test(test_restarted_worker_is_never_used_again),
+		cmocka_unit_test(
+			test_restarted_worker_keeps_its_earlier_labels),
 		cmocka_unit_test(test_pool_reports_its_earlier_capacity),
 	};
 
