Wait for a read of the registrations after a long suspension

Cause: found in reading. An owner that was suspended starts tasks again as soon as a save has succeeded, by the workers as they were before: 3 s and more after one of them has written that it has less, if the lease lasts so long. The answer to a read may also have waited since before.

Change: after a suspension nothing is started until a read of the registrations that began at most 2 s before its end has been passed on. The directory reads every 0.8 s, so an owner that is held up for half a second does not wait.

--- a/src/fleet/directory.c
+++ b/src/fleet/directory.c
@@ -304,6 +304,11 @@
 		d->loaded_read_ms - d->last_failure_ms > REREGISTER_MS);
 }
 
+int64_t bw_directory_read_began_ms(const bw_directory_t *d)
+{
+	return d->loaded_read_ms;
+}
+
 const bw_registration_t *bw_directory_find(const bw_directory_t *d,
 					   const char *id)
 {
--- a/src/fleet/directory.h
+++ b/src/fleet/directory.h
@@ -45,6 +45,9 @@
  */
 bool bw_directory_complete(const bw_directory_t *d);
 
+/** Returns when the last read that is complete began; 0: none is. */
+int64_t bw_directory_read_began_ms(const bw_directory_t *d);
+
 /** Returns the registration of a worker, or NULL if there is none. */
 const bw_registration_t *bw_directory_find(const bw_directory_t *d,
 					   const char *id);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -468,6 +468,8 @@
 	if (!bw_pool_sched(pool))
 		return;
 	bw_directory_foreach(f->directory, register_worker, &update);
+	bw_sched_registrations_read(bw_pool_sched(pool),
+				    bw_directory_read_began_ms(f->directory));
 	if (bw_directory_complete(f->directory))
 		bw_sched_workers(bw_pool_sched(pool), unregister_if_missing,
 				 &update);
--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -619,7 +619,7 @@
 	int64_t gap_ms = now_ms - pool->last_run_ms;
 
 	if (pool->last_run_ms > 0 && gap_ms > SUSPENDED_MS)
-		bw_sched_suspended(pool->sched, gap_ms);
+		bw_sched_suspended(pool->sched, now_ms, gap_ms);
 	pool->last_run_ms = now_ms;
 	bw_sched_run(pool->sched, now_ms, bw_clock_wall_ms());
 }
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -268,6 +268,10 @@
 	uint64_t saved_version;
 	uint64_t urgent_version;
 	uint64_t confirm_version; /**< No start before it is saved. */
+	int64_t registrations_ms; /**< When their last read began; 0: not
+				     reported. */
+	int64_t registrations_from_ms; /**< No start before a read that began
+					  then or later. */
 };
 
 /* sched.c */
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -5,6 +5,10 @@
 
 /** Least time between sweeps; short against all times that they check. */
 #define SWEEP_INTERVAL_MS 20
+/** After a suspension an older read of the registrations does not count. A
+ * change must be known 3 s after it was written; the save and the starts take a
+ * part. */
+#define REGISTRATIONS_AGE_MAX_MS 2000
 
 static const char *const order_result_names[BW_ORDER_RESULT_COUNT] = {
 	[BW_ORDER_OK] = "ok",
@@ -147,12 +151,27 @@
 	s->orders_allowed = allowed;
 }
 
-void bw_sched_suspended(bw_sched_t *s, int64_t gap_ms)
+void bw_sched_suspended(bw_sched_t *s, int64_t now_ms, int64_t gap_ms)
 {
 	sched_log(s, BW_EVENT_SCHED_SUSPENDED, "gap_ms=%" G_GINT64_FORMAT,
 		  gap_ms);
 	sched_changed(s, true);
 	s->confirm_version = s->version;
+	s->registrations_from_ms = now_ms - REGISTRATIONS_AGE_MAX_MS;
+}
+
+void bw_sched_registrations_read(bw_sched_t *s, int64_t began_ms)
+{
+	s->registrations_ms = began_ms;
+}
+
+/* A save proves that the pool is still this owner's; what was read of its
+ * workers before a long suspension proves nothing. */
+static bool may_place(const bw_sched_t *s)
+{
+	return s->saved_version >= s->confirm_version &&
+	       (s->registrations_ms == 0 ||
+		s->registrations_ms >= s->registrations_from_ms);
 }
 
 void bw_sched_hand_over(bw_sched_t *s)
@@ -231,8 +250,7 @@
 	sched_evacuate(s, now_ms);
 	/* On a slow link all orders wait for those sent before them. */
 	sched_send_heartbeats(s, now_ms);
-	/* A save proves that the pool is still this owner's. */
-	if (s->saved_version >= s->confirm_version)
+	if (may_place(s))
 		sched_place(s, now_ms);
 }
 
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -303,7 +303,15 @@
  * pool may have got another owner, whatever the lease said. Nothing is started
  * until a state that is packed after this has been saved.
  */
-void bw_sched_suspended(bw_sched_t *s, int64_t gap_ms);
+void bw_sched_suspended(bw_sched_t *s, int64_t now_ms, int64_t gap_ms);
+
+/**
+ * Records that the workers are registered as a read of the registrations found
+ * them. After a suspension nothing is started until a recent one is reported;
+ * an owner that reports none does not wait.
+ * @param began_ms when the read began
+ */
+void bw_sched_registrations_read(bw_sched_t *s, int64_t began_ms);
 
 /** Sets whether orders may be sent; see bw_sched_config_t.outage_ms. */
 void bw_sched_allow_orders(bw_sched_t *s, bool allowed);
--- a/test/test_capacity.c
+++ b/test/test_capacity.c
@@ -503,6 +503,50 @@
 	bw_sched_destroy(o.sched);
 }
 
+/*
+ * A worker may have shrunk while its owner was suspended; the registrations
+ * that are read first may have been on their way before.
+ */
+static void
+test_start_after_a_suspension_at_the_capacity_of_before(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	begin(&o);
+	bw_sched_registrations_read(o.sched, o.now_ms);
+	o.now_ms += 3000;
+	bw_sched_suspended(o.sched, o.now_ms, 3000);
+	bw_sched_registrations_read(o.sched, o.now_ms - 3000);
+	orders_answer_heartbeat(&o, "w1", NULL, 0, NULL, 0);
+	add_task(&o, JOB_A, &half);
+	orders_save(&o);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 0);
+	bw_sched_registrations_read(o.sched, o.now_ms);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	bw_sched_destroy(o.sched);
+}
+
+/* An owner on a busy node is suspended often, for a moment. */
+static void test_start_waits_for_a_read_after_a_short_suspension(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	begin(&o);
+	bw_sched_registrations_read(o.sched, o.now_ms);
+	o.now_ms += 1000;
+	bw_sched_suspended(o.sched, o.now_ms, 500);
+	orders_answer_heartbeat(&o, "w1", NULL, 0, NULL, 0);
+	add_task(&o, JOB_A, &half);
+	orders_save(&o);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	bw_sched_destroy(o.sched);
+}
+
 static void test_pool_reports_its_earlier_capacity(void **state)
 {
 	const bw_resources_t shrunken = { 3000, 2000, 0 };
@@ -545,6 +589,10 @@
 		cmocka_unit_test(test_restarted_worker_is_never_used_again),
 		cmocka_unit_test(
 			test_restarted_worker_keeps_its_earlier_labels),
+		cmocka_unit_test(
+			test_start_after_a_suspension_at_the_capacity_of_before),
+		cmocka_unit_test(
+			test_start_waits_for_a_read_after_a_short_suspension),
 		cmocka_unit_test(test_pool_reports_its_earlier_capacity),
 	};
 
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -383,6 +383,22 @@
 	tear_down(&t);
 }
 
+/* What is read shows the store of the read's beginning, however late. */
+static void test_directory_read_counts_from_its_end(void **state)
+{
+	directory_test_t t;
+	int64_t began_ms;
+
+	(void)state;
+	set_up_loaded(&t);
+	tick(&t);
+	began_ms = t.now_ms;
+	tick(&t);
+	answer_changes(&t, NULL, 0, 70);
+	assert_int_equal(bw_directory_read_began_ms(t.directory), began_ms);
+	tear_down(&t);
+}
+
 /* The changes begin at the first page's revision; later pages are newer. */
 static void test_directory_ignores_changes_older_than_a_page(void **state)
 {
@@ -508,6 +524,7 @@
 		cmocka_unit_test(
 			test_directory_reads_only_changes_after_the_first_read),
 		cmocka_unit_test(test_directory_keeps_a_capacity_that_changed),
+		cmocka_unit_test(test_directory_read_counts_from_its_end),
 		cmocka_unit_test(
 			test_directory_ignores_changes_older_than_a_page),
 		cmocka_unit_test(
--- a/test/test_sched.c
+++ b/test/test_sched.c
@@ -756,7 +756,7 @@
 	version = bw_sched_version(o.sched);
 	g_free(bw_sched_pack(o.sched, &bytes));
 	o.now_ms += 1000;
-	bw_sched_suspended(o.sched, 1000);
+	bw_sched_suspended(o.sched, o.now_ms, 1000);
 	orders_add_job(&o, JOB_A, 1, false, 1000, 500);
 	orders_run(&o, 10);
 	assert_int_equal(o.start_count, 0);
--- a/test/world_node.c
+++ b/test/world_node.c
@@ -145,7 +145,8 @@
 					      w->store_down);
 	if (node->last_run_ms > 0 &&
 	    w->now_ms - node->last_run_ms > SUSPENDED_MS)
-		bw_sched_suspended(node->sched, w->now_ms - node->last_run_ms);
+		bw_sched_suspended(node->sched, w->now_ms,
+				   w->now_ms - node->last_run_ms);
 	node->last_run_ms = w->now_ms;
 	bw_sched_run(node->sched, w->now_ms, w->now_ms);
 	if (node->sched && node->fence != 0)
