Give up tasks that crash their workers

No crash was counted against anything.

Change: src/sched/crashes.c. A crash (a restart, or another worker on the machine or at the address; neither our order nor the end of a worker that drains or is cordoned) counts against the runs on its worker, but not against a lasting task that was ready, as ended. The count is stored with the task's progress (TaskRecord fields 10 and 11; starts without an answer are counted apart). Runs that the worker had not listed 100 ms after their start are suspects, and any task with two crashes. A suspect starts on a worker without other new runs or suspects, for 1 s only where the machine has not crashed in the last minute; nothing starts beside it until it is listed. After 4 s it starts wherever there is room. A task is given up after two crashes if nothing else on the worker may have caused the last one, else after four; its job fails. Runs whose grant expired on a silent worker are kept for a minute and charged when the worker proves to have crashed; crashes and open cases together never exceed four. A lasting task that was ready for a minute is cleared.

--- a/src/base/eventlist.c
+++ b/src/base/eventlist.c
@@ -235,6 +235,16 @@
 					   BW_EVENT_BELIEF,
 					   "a worker restarted",
 					   "pool worker born_ms" },
+	[BW_EVENT_SCHED_SUSPECTED] = { "sched", "suspected", BW_EVENT_REQUEST,
+				       "a worker crashed under a task, which "
+				       "may be the cause",
+				       "pool job step index run worker crashes "
+				       "unsure" },
+	[BW_EVENT_SCHED_GIVEN_UP] = { "sched", "given-up", BW_EVENT_REQUEST,
+				      "a task crashes its workers, so that "
+				      "its job fails",
+				      "pool job step index run crashes "
+				      "unsure" },
 	[BW_EVENT_CONTROLLER_POOL] = { "controller", "pool", BW_EVENT_BELIEF,
 				       "twice a second: the figures that "
 				       "machine moves depend on",
--- /dev/null
+++ b/src/sched/crashes.c
@@ -0,0 +1,492 @@
+/*
+ * Tasks that crash their workers: which tasks a crash is counted against, where
+ * suspects run next, and when a task is given up.
+ *
+ * A crash ends all runs on its worker, and most of them are not its cause. A
+ * run that its worker has listed some time after the start is hardly the cause;
+ * the others are suspects. A suspect starts again where nothing else has
+ * started lately, so that a second crash leaves nothing else to blame.
+ */
+#include "sched/internal.h"
+
+#include <string.h>
+
+/** A run that is listed this long after its start was ordered has survived the
+ *  start; earlier a list may just have been faster than the crash. */
+#define SURVIVED_MS 100
+/** A task with as many crashes is suspected though it survived its starts. */
+#define CRASHES_SUSPECT 2
+/** Crashes after which a task that crashed its worker alone is given up. */
+#define CRASHES_ALONE 2
+/** Crashes after which a task is given up in any case: two less than the
+ *  starts that callers tolerate, as a change of owner may hide one. */
+#define CRASHES_MAX 4
+/** A machine is avoided by suspects for this long after a crash. */
+#define CRASHED_LATELY_MS 60000
+/** A suspect waits this long for a machine that has not crashed lately. */
+#define SOUND_MACHINE_WAIT_MS 1000
+/** A suspect waits this long for a worker on which a crash tells it alone; then
+ *  it starts beside others. */
+#define ISOLATION_WAIT_MS 4000
+/** A suspect starts only while less than this part of the workers, as a
+ *  divisor, waits for other suspects. */
+#define TRIALS_SHARE 2
+/** A lasting task that was ready for this long is cleared. */
+#define CLEARED_MS 60000
+/** A worker that is silent for this long is not known to have crashed. */
+#define LAPSE_KEPT_MS 60000
+
+/** A run whose grant expired on a silent worker. */
+typedef struct lapse {
+	char *worker;
+	char *machine; /**< NULL: not known. */
+	int64_t started_ms; /**< Of the worker. */
+	int64_t since_ms;
+	bw_task_name_t task;
+	uint32_t run;
+	bool survived; /**< As in task_t. */
+	bool accepted; /**< The worker has confirmed the start. */
+	bool alone; /**< No other run on the worker may have been the cause. */
+} lapse_t;
+
+static void lapse_free(gpointer data);
+static const char *machine_of(const worker_t *worker);
+static bool crashed_lately(const bw_sched_t *s, const worker_t *worker,
+			   int64_t now_ms);
+static bool same_gang(const task_t *a, const task_t *b);
+static bool is_alone(const worker_t *worker, const task_t *task);
+static bool is_exempt(const task_t *task);
+static lapse_t *lapse_new(const task_t *task, const worker_t *worker,
+			  int64_t now_ms);
+static void charge(bw_sched_t *s, task_t *task, const lapse_t *crash,
+		   GPtrArray *given_up);
+static void charge_lapses(bw_sched_t *s, const worker_t *worker,
+			  bool (*matches)(const lapse_t *lapse,
+					  const worker_t *worker),
+			  GPtrArray *given_up);
+static bool is_of_worker(const lapse_t *lapse, const worker_t *worker);
+static bool is_of_machine(const lapse_t *lapse, const worker_t *worker);
+
+static void lapse_free(gpointer data)
+{
+	lapse_t *lapse = data;
+
+	g_free(lapse->worker);
+	g_free(lapse->machine);
+	g_free(lapse);
+}
+
+void sched_crashes_init(bw_sched_t *s)
+{
+	s->crashed_machines =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s->lapses = g_ptr_array_new_with_free_func(lapse_free);
+}
+
+void sched_crashes_clear(bw_sched_t *s)
+{
+	g_hash_table_destroy(s->crashed_machines);
+	g_ptr_array_free(s->lapses, TRUE);
+}
+
+bool sched_is_suspect(const task_t *task)
+{
+	return task->suspect ||
+	       task->crashes + task->unsure_crashes >= CRASHES_SUSPECT;
+}
+
+static const char *machine_of(const worker_t *worker)
+{
+	return worker->machine ? worker->machine : worker->id;
+}
+
+static void record_machine(bw_sched_t *s, const worker_t *worker,
+			   int64_t now_ms)
+{
+	int64_t *at_ms = g_new(int64_t, 1);
+
+	*at_ms = now_ms;
+	g_hash_table_replace(s->crashed_machines, g_strdup(machine_of(worker)),
+			     at_ms);
+}
+
+static bool crashed_lately(const bw_sched_t *s, const worker_t *worker,
+			   int64_t now_ms)
+{
+	const int64_t *at_ms =
+		g_hash_table_lookup(s->crashed_machines, machine_of(worker));
+
+	return at_ms && now_ms - *at_ms < CRASHED_LATELY_MS;
+}
+
+/* Members of a gang can run only together. */
+static bool same_gang(const task_t *a, const task_t *b)
+{
+	return a->occurrence == b->occurrence && a->step == b->step &&
+	       sched_task_step(a)->gang;
+}
+
+/* Whether no run of another job on a task's worker may have crashed it. */
+static bool is_alone(const worker_t *worker, const task_t *task)
+{
+	guint i;
+
+	for (i = 0; i < worker->tasks->len; i++) {
+		const task_t *other = g_ptr_array_index(worker->tasks, i);
+
+		if (!other->survived &&
+		    other->occurrence->job != task->occurrence->job)
+			return false;
+	}
+	return true;
+}
+
+/* Whether a crash is no evidence against a task, or matters no more. */
+static bool is_exempt(const task_t *task)
+{
+	return task->done || task->occurrence->job->finished_version > 0 ||
+	       (task->ready && sched_task_step(task)->lasting);
+}
+
+static lapse_t *lapse_new(const task_t *task, const worker_t *worker,
+			  int64_t now_ms)
+{
+	lapse_t *lapse = g_new0(lapse_t, 1);
+
+	lapse->worker = g_strdup(worker->id);
+	lapse->machine = g_strdup(worker->machine);
+	lapse->started_ms = worker->started_ms;
+	lapse->since_ms = now_ms;
+	sched_task_name(task, &lapse->task);
+	lapse->run = task->run;
+	lapse->survived = task->survived;
+	lapse->accepted = task->survived || task->start_answered_ms > 0;
+	lapse->alone = is_alone(worker, task);
+	return lapse;
+}
+
+/* Counts a crash of a worker under a run of a task. */
+static void charge(bw_sched_t *s, task_t *task, const lapse_t *crash,
+		   GPtrArray *given_up)
+{
+	if (crash->accepted)
+		task->crashes++;
+	else
+		task->unsure_crashes++;
+	task->suspect |= !crash->survived;
+	sched_changed(s, false);
+	if (sched_is_suspect(task))
+		sched_log(s, BW_EVENT_SCHED_SUSPECTED,
+			  "job=%s step=%u index=%u run=%u worker=%s "
+			  "crashes=%u unsure=%u",
+			  task->occurrence->job->id, task->step, task->index,
+			  crash->run, crash->worker, task->crashes,
+			  task->unsure_crashes);
+	if ((crash->alone && crash->accepted && !crash->survived &&
+	     task->crashes >= CRASHES_ALONE) ||
+	    task->crashes + task->unsure_crashes >= CRASHES_MAX)
+		g_ptr_array_add(given_up, task);
+}
+
+static bool is_of_worker(const lapse_t *lapse, const worker_t *worker)
+{
+	return !strcmp(lapse->worker, worker->id);
+}
+
+/* A machine hosts one worker at a time, so an older one on it has ended. */
+static bool is_of_machine(const lapse_t *lapse, const worker_t *worker)
+{
+	return !g_strcmp0(lapse->machine, worker->machine) &&
+	       lapse->started_ms > 0 && lapse->started_ms < worker->started_ms;
+}
+
+/* Counts a crash against the runs whose grants expired before it was known. */
+static void charge_lapses(bw_sched_t *s, const worker_t *worker,
+			  bool (*matches)(const lapse_t *lapse,
+					  const worker_t *worker),
+			  GPtrArray *given_up)
+{
+	guint i = s->lapses->len;
+
+	while (i-- > 0) {
+		lapse_t *lapse = g_ptr_array_index(s->lapses, i);
+		task_t *task;
+
+		if (!matches(lapse, worker))
+			continue;
+		task = sched_find_task(s, &lapse->task);
+		/* A run that survived its start may have ended by itself. */
+		lapse->accepted &= !lapse->survived;
+		if (task && !task->done &&
+		    task->occurrence->job->finished_version == 0)
+			charge(s, task, lapse, given_up);
+		g_ptr_array_remove_index(s->lapses, i);
+	}
+}
+
+GPtrArray *sched_charge_crash(bw_sched_t *s, const worker_t *worker,
+			      bool restarted, int64_t now_ms)
+{
+	GPtrArray *given_up = g_ptr_array_new();
+	guint i;
+
+	record_machine(s, worker, now_ms);
+	charge_lapses(s, worker, is_of_worker, given_up);
+	for (i = 0; i < worker->tasks->len; i++) {
+		task_t *task = g_ptr_array_index(worker->tasks, i);
+		lapse_t *crash;
+
+		if (is_exempt(task))
+			continue;
+		crash = lapse_new(task, worker, now_ms);
+		crash->accepted &= !restarted || task->listed;
+		charge(s, task, crash, given_up);
+		lapse_free(crash);
+	}
+	return given_up;
+}
+
+void sched_charge_machine(bw_sched_t *s, const worker_t *worker, int64_t now_ms)
+{
+	GPtrArray *given_up;
+
+	if (s->lapses->len == 0 || !worker->machine)
+		return;
+	given_up = g_ptr_array_new();
+	charge_lapses(s, worker, is_of_machine, given_up);
+	sched_give_up(s, given_up, now_ms);
+}
+
+void sched_give_up(bw_sched_t *s, GPtrArray *tasks, int64_t now_ms)
+{
+	guint i;
+
+	for (i = 0; i < tasks->len; i++) {
+		const task_t *task = g_ptr_array_index(tasks, i);
+		job_t *job = task->occurrence->job;
+
+		if (job->finished_version > 0)
+			continue;
+		sched_log(s, BW_EVENT_SCHED_GIVEN_UP,
+			  "job=%s step=%u index=%u run=%u crashes=%u unsure=%u",
+			  job->id, task->step, task->index, task->run,
+			  task->crashes, task->unsure_crashes);
+		sched_job_finish(s, job, BW_JOB_FAILED, now_ms);
+	}
+	g_ptr_array_free(tasks, TRUE);
+}
+
+void sched_note_lapses(bw_sched_t *s, const worker_t *worker, int64_t now_ms)
+{
+	guint i;
+
+	if (worker->dead || worker->draining || worker->cordoned)
+		return;
+	for (i = 0; i < worker->tasks->len; i++) {
+		task_t *task = g_ptr_array_index(worker->tasks, i);
+
+		if (is_exempt(task))
+			continue;
+		task->suspect |= !task->survived;
+		g_ptr_array_add(s->lapses, lapse_new(task, worker, now_ms));
+	}
+}
+
+void sched_drop_lapses(bw_sched_t *s, const char *worker)
+{
+	guint i = s->lapses->len;
+
+	while (i-- > 0) {
+		const lapse_t *lapse = g_ptr_array_index(s->lapses, i);
+
+		if (!strcmp(lapse->worker, worker))
+			g_ptr_array_remove_index(s->lapses, i);
+	}
+}
+
+void sched_forget_lapses(bw_sched_t *s, int64_t now_ms)
+{
+	guint i = s->lapses->len;
+
+	while (i-- > 0) {
+		const lapse_t *lapse = g_ptr_array_index(s->lapses, i);
+
+		if (now_ms - lapse->since_ms >= LAPSE_KEPT_MS)
+			g_ptr_array_remove_index(s->lapses, i);
+	}
+}
+
+bool sched_crashes_pending(const bw_sched_t *s, const task_t *task)
+{
+	uint32_t count = task->crashes + task->unsure_crashes;
+	bw_task_name_t name;
+	uint32_t open = 0;
+	guint i;
+
+	if (s->lapses->len == 0)
+		return false;
+	sched_task_name(task, &name);
+	for (i = 0; i < s->lapses->len; i++) {
+		const lapse_t *lapse = g_ptr_array_index(s->lapses, i);
+
+		open += !strcmp(lapse->task.job, name.job) &&
+			lapse->task.occurrence == name.occurrence &&
+			lapse->task.step == name.step &&
+			lapse->task.index == name.index;
+	}
+	return open > 0 && count + open >= CRASHES_MAX;
+}
+
+void sched_begin_run(task_t *task, worker_t *worker)
+{
+	task->survived = false;
+	task->ready_since_ms = 0;
+	task->trial = sched_is_suspect(task);
+	worker->trials += task->trial;
+}
+
+void sched_end_trial(task_t *task)
+{
+	if (!task->trial)
+		return;
+	task->trial = false;
+	task->worker->trials--;
+}
+
+/* Clears a lasting task that has been at work for long. */
+static void clear_lasting(bw_sched_t *s, task_t *task, int64_t now_ms)
+{
+	if (!task->ready || !sched_task_step(task)->lasting) {
+		task->ready_since_ms = 0;
+		return;
+	}
+	if (task->ready_since_ms == 0)
+		task->ready_since_ms = now_ms;
+	if (now_ms - task->ready_since_ms < CLEARED_MS)
+		return;
+	task->suspect = false;
+	if (task->crashes + task->unsure_crashes == 0)
+		return;
+	task->crashes = 0;
+	task->unsure_crashes = 0;
+	sched_changed(s, false);
+}
+
+void sched_run_listed(bw_sched_t *s, task_t *task, int64_t now_ms)
+{
+	if (now_ms - task->ordered_ms >= SURVIVED_MS) {
+		task->survived = true;
+		sched_end_trial(task);
+	}
+	clear_lasting(s, task, now_ms);
+}
+
+bool sched_is_on_trial(const worker_t *worker, const task_t *task)
+{
+	guint i;
+
+	if (worker->trials == 0)
+		return false;
+	for (i = 0; i < worker->tasks->len; i++) {
+		const task_t *other = g_ptr_array_index(worker->tasks, i);
+
+		if (other->trial && !same_gang(other, task))
+			return true;
+	}
+	return false;
+}
+
+/* Whether a crash of a worker would be blamed on a new task alone. */
+static bool is_isolated(const worker_t *worker, const task_t *task)
+{
+	guint i;
+
+	for (i = 0; i < worker->tasks->len; i++) {
+		const task_t *other = g_ptr_array_index(worker->tasks, i);
+
+		if ((!other->survived || sched_is_suspect(other)) &&
+		    !same_gang(other, task))
+			return false;
+	}
+	return true;
+}
+
+/** How well a worker suits a suspect; the lowest is the best. */
+typedef enum isolation {
+	ISOLATION_SOUND,
+	ISOLATION_CRASHED_LATELY,
+	ISOLATION_NONE, /**< A crash would tell little. */
+	ISOLATION_COUNT
+} isolation_t;
+
+/** The best workers for a suspect, and the state of the pool. */
+typedef struct isolation_search {
+	worker_t *best[ISOLATION_COUNT];
+	uint32_t usable;
+	uint32_t on_trial;
+	uint32_t sound; /**< Usable ones that have not crashed lately. */
+} isolation_search_t;
+
+/* Whether a worker is preferred to another of the same isolation. */
+static bool is_better(const worker_t *worker, const worker_t *best,
+		      const task_t *task)
+{
+	bool failed = task->failed_worker == worker;
+
+	if (!best)
+		return true;
+	if (failed != (task->failed_worker == best))
+		return !failed;
+	if (worker->placement_class != best->placement_class)
+		return worker->placement_class < best->placement_class;
+	return worker->tasks->len < best->tasks->len;
+}
+
+static void search_isolated(bw_sched_t *s, const task_t *task, int64_t now_ms,
+			    isolation_search_t *out)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		worker_t *worker = value;
+		bool crashed = crashed_lately(s, worker, now_ms);
+		isolation_t isolation =
+			crashed ? ISOLATION_CRASHED_LATELY : ISOLATION_SOUND;
+
+		if (!sched_worker_usable(s, worker, now_ms))
+			continue;
+		out->usable++;
+		out->on_trial += worker->trials > 0;
+		out->sound += !crashed;
+		if (!sched_is_allowed(worker, task, now_ms))
+			continue;
+		if (!is_isolated(worker, task))
+			isolation = ISOLATION_NONE;
+		if (is_better(worker, out->best[isolation], task))
+			out->best[isolation] = worker;
+	}
+}
+
+worker_t *sched_pick_isolated(bw_sched_t *s, task_t *task, int64_t now_ms)
+{
+	isolation_search_t search = { 0 };
+	int64_t waited_ms;
+	worker_t *worker;
+
+	if (task->isolate_since_ms == 0)
+		task->isolate_since_ms = now_ms;
+	waited_ms = now_ms - task->isolate_since_ms;
+	search_isolated(s, task, now_ms, &search);
+	worker = search.best[ISOLATION_SOUND];
+	if (!worker &&
+	    (search.sound == 0 || waited_ms >= SOUND_MACHINE_WAIT_MS))
+		worker = search.best[ISOLATION_CRASHED_LATELY];
+	if (waited_ms >= ISOLATION_WAIT_MS)
+		return worker ? worker : search.best[ISOLATION_NONE];
+	/* Sound tasks need workers meanwhile. */
+	return search.on_trial * TRIALS_SHARE >= MAX(search.usable, 2U)
+		       ? NULL
+		       : worker;
+}
--- a/src/sched/heartbeat.c
+++ b/src/sched/heartbeat.c
@@ -160,6 +160,8 @@
 	task->ready = row->progress == 100;
 	sched_mark_started(s, task);
 	sched_attach(task, worker);
+	task->survived = true;
+	task->ready_since_ms = 0;
 	sched_log(s, BW_EVENT_SCHED_ADOPT,
 		  "job=%s step=%u index=%u run=%u worker=%s", row->task.job,
 		  row->task.step, row->task.index, row->run, worker->id);
@@ -181,6 +183,7 @@
 		    task->stop_answered_ms < sent_ms - s->config.stop_ms)
 			task->stop_answered = false;
 		task->ready = row->progress == 100;
+		sched_run_listed(s, task, now_ms);
 		if (sched_task_step(task)->tail_ms_max > 0)
 			task->tail_latency_ms = row->tail_ms;
 		record_checkpoint(task, row->checkpoint);
@@ -263,7 +266,7 @@
 	if (result != BW_ORDER_OTHER_BOOT)
 		return;
 	/* Its address belongs to another worker, so this one has ended. */
-	bw_sched_worker_dead(s, worker->id, "other-boot");
+	sched_worker_crashed(s, worker, "other-boot", now_ms);
 }
 
 static void mark_synced(worker_t *worker, int64_t now_ms)
@@ -309,6 +312,9 @@
 				  now_ms - answer->sent_ms -
 					  worker->heartbeat_wait_ms);
 	sched_record_start_time(s, worker, now_ms, answer->started_ms);
+	/* It has ended its runs itself; those of an earlier start are charged.
+	 */
+	sched_drop_lapses(s, worker->id);
 	sched_record_clock(worker, now_ms, answer->clock_ms);
 	worker->last_heartbeat_ms = now_ms;
 	worker->boot_unsure = false;
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -94,6 +94,16 @@
 	bool stop_answered;
 	bool start_in_flight; /**< It counts in the window on starts. */
 	bool listed; /**< The worker has listed this run as running. */
+	bool survived; /**< The worker has listed the run, some time after its
+			  start. */
+	bool trial; /**< A run of a suspect that has not survived yet. */
+	bool suspect; /**< May have crashed a worker by its start. */
+	uint32_t crashes; /**< Workers that crashed under a run of it. */
+	uint32_t unsure_crashes; /**< Those of which the run may have ended
+				    or may not have begun before. */
+	int64_t isolate_since_ms; /**< Since when a suspect waits for a worker
+				     of its own; 0: it does not. */
+	int64_t ready_since_ms; /**< Lasting task: of this run; 0: not ready. */
 	uint32_t run; /**< Number of the last start. */
 	uint32_t failures;
 	/** Last runs counted as failures; their ends may be reported again. */
@@ -178,6 +188,7 @@
 	bw_resources_t used;
 	GPtrArray *tasks; /**< Tasks whose worker is this one. */
 	GArray *unread; /**< Its runs and ends of unread jobs; NULL: none. */
+	uint32_t trials; /**< Tasks on it with the flag of that name. */
 	bool registered;
 	bool described; /**< Its capacity is that of its present start. */
 	bool stored; /**< Is in the stored state, which a successor loads. */
@@ -244,6 +255,8 @@
 	GHashTable *stored_progress; /**< Loaded, until the job is added. */
 	GHashTable *workers;
 	GHashTable *machines; /**< Name to a GPtrArray of workers. */
+	GHashTable *crashed_machines; /**< Name to the time of a crash. */
+	GPtrArray *lapses; /**< Runs whose grant expired on silent workers. */
 	capacity_index_t *index; /**< Workers by free processor. */
 	bw_start_window_t *start_window; /**< Bounds starts in flight. */
 	GHashTable *startable; /**< Occurrences that may have tasks to start. */
@@ -385,6 +398,9 @@
  *  ended its runs. */
 void sched_record_start_time(bw_sched_t *s, worker_t *worker, int64_t now_ms,
 			     int64_t started_ms);
+/** Records that a worker has ended, with all its runs, by no order. */
+void sched_worker_crashed(bw_sched_t *s, worker_t *worker, const char *reason,
+			  int64_t now_ms);
 worker_t *sched_worker(bw_sched_t *s, const char *id);
 worker_t *sched_worker_new(bw_sched_t *s, const char *id, int64_t now_ms);
 void sched_worker_free(gpointer data);
@@ -397,6 +413,44 @@
 bool sched_worker_usable(const bw_sched_t *s, const worker_t *worker,
 			 int64_t now_ms);
 
+/* crashes.c */
+/** Creates the state of the module. */
+void sched_crashes_init(bw_sched_t *s);
+void sched_crashes_clear(bw_sched_t *s);
+/**
+ * Counts a crash against the tasks that run on a worker or may have run there.
+ * @param restarted a run that was not listed may be one of its next boot
+ * @return tasks to give up, for sched_give_up(), once their runs are released
+ */
+GPtrArray *sched_charge_crash(bw_sched_t *s, const worker_t *worker,
+			      bool restarted, int64_t now_ms);
+/** Ends the jobs of tasks that are given up as failed; releases the array. */
+void sched_give_up(bw_sched_t *s, GPtrArray *tasks, int64_t now_ms);
+/** Keeps the runs of a worker whose grants have expired: it may prove to have
+ *  crashed. */
+void sched_note_lapses(bw_sched_t *s, const worker_t *worker, int64_t now_ms);
+/** Forgets these runs of a worker that has not crashed. */
+void sched_drop_lapses(bw_sched_t *s, const char *worker);
+/** Forgets such runs of workers that have been silent for long. */
+void sched_forget_lapses(bw_sched_t *s, int64_t now_ms);
+/** Counts a crash against the runs of earlier workers of a machine whose grants
+ *  expired before. */
+void sched_charge_machine(bw_sched_t *s, const worker_t *worker,
+			  int64_t now_ms);
+/** Records that a worker lists a task's run. */
+void sched_run_listed(bw_sched_t *s, task_t *task, int64_t now_ms);
+/** Records where a task is being started. */
+void sched_begin_run(task_t *task, worker_t *worker);
+/** Records that a task's run on its worker is over or survived its start. */
+void sched_end_trial(task_t *task);
+bool sched_is_suspect(const task_t *task);
+/** Whether a start on a worker has to wait for a suspect that starts there. */
+bool sched_is_on_trial(const worker_t *worker, const task_t *task);
+/** Whether more starts might crash more workers than is allowed. */
+bool sched_crashes_pending(const bw_sched_t *s, const task_t *task);
+/** Returns the worker on which a crash would tell most; NULL to wait. */
+worker_t *sched_pick_isolated(bw_sched_t *s, task_t *task, int64_t now_ms);
+
 /* evacuate.c */
 /** Moves tasks off workers that are cordoned or draining. */
 void sched_evacuate(bw_sched_t *s, int64_t now_ms);
@@ -416,6 +470,9 @@
 uint32_t sched_count_lasting(const worker_t *worker);
 
 /* place.c */
+/** Returns whether a worker has the resources for a task and may run it. */
+bool sched_is_allowed(const worker_t *worker, const task_t *task,
+		      int64_t now_ms);
 /** Returns whether the steps that a step depends on are done. */
 bool sched_step_ready(const occurrence_t *occurrence, uint32_t step);
 /** Adds up the pool's processor, and what jobs with a last chance use of it. */
--- a/src/sched/order.c
+++ b/src/sched/order.c
@@ -29,6 +29,7 @@
 	if (task->start_in_flight)
 		bw_start_window_dropped(worker->start_window);
 	task->start_in_flight = false;
+	sched_end_trial(task);
 	add_usage(worker, task, -1);
 	g_ptr_array_remove_fast(worker->tasks, task);
 	task->worker = NULL;
@@ -121,9 +122,10 @@
 		order.grant_clock_ms = sched_grant_clock(s, worker, now_ms);
 	if (worker->synced && !worker->boot_unsure &&
 	    worker->ends_processed == worker->ends_acked)
-		order.wait_ms = has_starting_lasting_task(worker)
-					? HEARTBEAT_SHORT_WAIT_MS
-					: HEARTBEAT_WAIT_MS;
+		order.wait_ms =
+			worker->trials > 0 || has_starting_lasting_task(worker)
+				? HEARTBEAT_SHORT_WAIT_MS
+				: HEARTBEAT_WAIT_MS;
 	worker->granted_clock_ms =
 		MAX(worker->granted_clock_ms, order.grant_clock_ms);
 	worker->heartbeat_pending = true;
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -55,8 +55,6 @@
 		 bool filler);
 static uint32_t count_same_step(const worker_t *worker, const task_t *task);
 static bool has_label(const worker_t *worker, const char *label);
-static bool is_allowed(const worker_t *worker, const task_t *task,
-		       int64_t now_ms);
 static bool place_step(bw_sched_t *s, occurrence_t *occurrence, uint32_t step,
 		       int64_t now_ms);
 
@@ -206,8 +204,8 @@
 	return g_hash_table_lookup(state->tickets, worker->id);
 }
 
-static bool is_allowed(const worker_t *worker, const task_t *task,
-		       int64_t now_ms)
+bool sched_is_allowed(const worker_t *worker, const task_t *task,
+		      int64_t now_ms)
 {
 	const bw_step_spec_t *spec = sched_task_step(task);
 
@@ -215,6 +213,8 @@
 		return false;
 	if (spec->label && !has_label(worker, spec->label))
 		return false;
+	if (sched_is_on_trial(worker, task))
+		return false;
 	if (spec->per_worker_max > 0 &&
 	    count_same_step(worker, task) >= spec->per_worker_max)
 		return false;
@@ -279,7 +279,7 @@
 		double worker_score;
 
 		if (!sched_worker_usable(s, worker, now_ms) ||
-		    !is_allowed(worker, task, now_ms))
+		    !sched_is_allowed(worker, task, now_ms))
 			continue;
 		worker_score = score_worker(worker, task);
 		if (!best || worker_score > best_score) {
@@ -303,7 +303,7 @@
 	search_t *search = ctx;
 
 	if (!sched_worker_usable(search->s, worker, search->now_ms) ||
-	    !is_allowed(worker, search->task, search->now_ms))
+	    !sched_is_allowed(worker, search->task, search->now_ms))
 		return false;
 	if (search->task->failed_worker != worker)
 		return true;
@@ -315,7 +315,7 @@
  * Returns the worker with the least free processor that a task fits on, if
  * possible in the rack of its data; NULL if there is none.
  */
-static worker_t *pick_worker(bw_sched_t *s, const task_t *task, int64_t now_ms)
+static worker_t *pick_worker(bw_sched_t *s, task_t *task, int64_t now_ms)
 {
 	const bw_step_spec_t *spec = sched_task_step(task);
 	search_t search = { .s = s, .task = task, .now_ms = now_ms };
@@ -324,6 +324,8 @@
 	worker_t *worker = NULL;
 	int class;
 
+	if (sched_is_suspect(task))
+		return sched_pick_isolated(s, task, now_ms);
 	if (spec->lasting || spec->filler || spec->tail_ms_max > 0)
 		return pick_by_score(s, task, now_ms);
 	for (class = PLACEMENT_NORMAL; !worker && class < PLACEMENT_FAILING;
@@ -358,6 +360,7 @@
 	task->listed = false;
 	task->ready = false;
 	sched_attach(task, worker);
+	sched_begin_run(task, worker);
 }
 
 /* Two owners in a row must not give the same number to a task of which neither
@@ -387,6 +390,7 @@
 		.waited_ms = now_ms - task->occurrence->due_ms,
 	};
 
+	task->isolate_since_ms = 0;
 	sched_task_name(task, &order.task);
 	worker->granted_clock_ms =
 		MAX(worker->granted_clock_ms, order.grant_clock_ms);
@@ -421,7 +425,8 @@
 static bool task_startable(const bw_sched_t *s, const task_t *task,
 			   int64_t now_ms)
 {
-	if (task->state != TASK_WAITING || now_ms < task->retry_ms)
+	if (task->state != TASK_WAITING || now_ms < task->retry_ms ||
+	    sched_crashes_pending(s, task))
 		return false;
 	return s->recovered ||
 	       (!task->maybe_running && !may_lack_attempts(task));
@@ -532,6 +537,8 @@
 		if (!task_startable(s, task, now_ms))
 			continue;
 		worker = pick_worker(s, task, now_ms);
+		if (!worker && sched_is_suspect(task))
+			continue;
 		if (!worker)
 			return false;
 		reserve(task, worker, next_run(s, task), now_ms);
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -38,6 +38,8 @@
 	record->number = number;
 	record->run = task->run;
 	record->failures = task->failures;
+	record->crashes = task->crashes;
+	record->unsure_crashes = task->unsure_crashes;
 	record->failed_runs = (uint32_t *)task->failed_runs;
 	record->n_failed_runs = MIN(task->failures, FAILED_RUNS_KEPT);
 	record->done = task->done;
@@ -249,6 +251,10 @@
 	task->ends_unknown = task->maybe_running && !task->run_known;
 	task->run = record->run;
 	task->failures = record->failures;
+	task->crashes = record->crashes;
+	task->unsure_crashes = record->unsure_crashes;
+	/* Whether it survived its starts is not stored. */
+	task->suspect = record->crashes + record->unsure_crashes > 0;
 	for (i = 0; i < MIN(record->n_failed_runs, FAILED_RUNS_KEPT); i++)
 		task->failed_runs[i] = record->failed_runs[i];
 	task->checkpoint =
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -207,7 +207,7 @@
 void bw_sched_worker_unregistered(bw_sched_t *s, int64_t now_ms,
 				  const char *id);
 
-/** Records that a worker has ended, with all its runs. */
+/** Records that an order of the fleet has ended a worker, with all its runs. */
 void bw_sched_worker_dead(bw_sched_t *s, const char *id, const char *reason);
 
 /** Calls a function for each worker. */
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 static void release_runs(bw_sched_t *s, worker_t *worker, const char *why);
+static void mark_dead(bw_sched_t *s, worker_t *worker, const char *reason);
 static bool grants_expired(const bw_sched_t *s, const worker_t *worker,
 			   int64_t now_ms);
 
@@ -79,11 +80,54 @@
 			    why);
 }
 
+/*
+ * Takes the tasks off a worker that the boot before its restart had listed as
+ * running. The start of any other may have reached the next boot, or may still
+ * do so; that boot's list decides, and a stop counts only if it has answered
+ * it.
+ */
+static void release_listed_runs(bw_sched_t *s, worker_t *worker,
+				const char *why)
+{
+	guint i = worker->tasks->len;
+
+	while (i-- > 0) {
+		task_t *task = g_ptr_array_index(worker->tasks, i);
+
+		if (task->listed)
+			release_run(s, worker, task, why);
+		else
+			task->stop_answered = false;
+	}
+}
+
+/* Counts the end of a worker's runs against their tasks, and takes them off; of
+ * one that restarted under its identifier, those that it had listed. */
+static void end_crashed_runs(bw_sched_t *s, worker_t *worker, const char *why,
+			     bool restarted, int64_t now_ms)
+{
+	GPtrArray *given_up = NULL;
+
+	/* Runs of a worker that is being emptied may have been ended by an
+	 * order. */
+	if (worker->draining || worker->cordoned)
+		sched_drop_lapses(s, worker->id);
+	else
+		given_up = sched_charge_crash(s, worker, restarted, now_ms);
+	if (restarted)
+		release_listed_runs(s, worker, why);
+	else
+		release_runs(s, worker, why);
+	if (given_up)
+		sched_give_up(s, given_up, now_ms);
+}
+
 void sched_workers_expire(bw_sched_t *s, int64_t now_ms)
 {
 	GHashTableIter iter;
 	gpointer value;
 
+	sched_forget_lapses(s, now_ms);
 	g_hash_table_iter_init(&iter, s->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		worker_t *worker = value;
@@ -92,8 +136,10 @@
 		    (now_ms - worker->last_heartbeat_ms < WORKER_SILENT_MS ||
 		     !grants_expired(s, worker, now_ms)))
 			continue;
-		if (worker->tasks->len > 0)
+		if (worker->tasks->len > 0) {
+			sched_note_lapses(s, worker, now_ms);
 			release_runs(s, worker, "grant-over");
+		}
 		/* A dead worker is kept until its registration is removed. */
 		if (!worker->registered && !worker->heartbeat_pending)
 			g_hash_table_iter_remove(&iter);
@@ -155,26 +201,6 @@
 	worker->rack = g_strdup(info->rack);
 }
 
-/*
- * Takes the tasks off a worker that the boot before its restart had listed as
- * running. The start of any other may have reached the next boot, or may still
- * do so; that boot's list decides, and a stop counts only if it has answered
- * it.
- */
-static void release_listed_runs(bw_sched_t *s, worker_t *worker)
-{
-	guint i = worker->tasks->len;
-
-	while (i-- > 0) {
-		task_t *task = g_ptr_array_index(worker->tasks, i);
-
-		if (task->listed)
-			release_run(s, worker, task, "reborn");
-		else
-			task->stop_answered = false;
-	}
-}
-
 /*
  * Returns until when a grant may last whose end is a time of the clock before a
  * restart: the next boot takes it, whenever it arrives, for the longest grant.
@@ -190,7 +216,7 @@
 /* Forgets what only the earlier boot of a worker knew. */
 static void restart_worker(bw_sched_t *s, worker_t *worker, int64_t now_ms)
 {
-	release_listed_runs(s, worker);
+	end_crashed_runs(s, worker, "reborn", true, now_ms);
 	worker->described = false;
 	g_clear_pointer(&worker->unread, g_array_unref);
 	worker->restarted_ms = now_ms;
@@ -219,17 +245,32 @@
 	worker->started_ms = started_ms;
 }
 
+static void mark_dead(bw_sched_t *s, worker_t *worker, const char *reason)
+{
+	sched_log(s, BW_EVENT_SCHED_WORKER_DEAD, "worker=%s tasks=%u reason=%s",
+		  worker->id, worker->tasks->len, reason);
+	worker->dead = true;
+	sched_index_update(worker);
+}
+
 void bw_sched_worker_dead(bw_sched_t *s, const char *id, const char *reason)
 {
 	worker_t *worker = sched_worker(s, id);
 
+	sched_drop_lapses(s, id);
 	if (!worker || worker->dead)
 		return;
-	sched_log(s, BW_EVENT_SCHED_WORKER_DEAD, "worker=%s tasks=%u reason=%s",
-		  id, worker->tasks->len, reason);
-	worker->dead = true;
+	mark_dead(s, worker, reason);
 	release_runs(s, worker, reason);
-	sched_index_update(worker);
+}
+
+void sched_worker_crashed(bw_sched_t *s, worker_t *worker, const char *reason,
+			  int64_t now_ms)
+{
+	if (worker->dead)
+		return;
+	mark_dead(s, worker, reason);
+	end_crashed_runs(s, worker, reason, false, now_ms);
 }
 
 /* A worker may have less after a restart, and what was said before it may be
@@ -244,19 +285,22 @@
 }
 
 /* A machine hosts one worker at a time, so an older one on it has ended. */
-static void mark_predecessors_dead(bw_sched_t *s, const worker_t *worker)
+static void mark_predecessors_dead(bw_sched_t *s, const worker_t *worker,
+				   int64_t now_ms)
 {
 	guint i;
 
 	if (!worker->siblings || worker->started_ms == 0)
 		return;
 	for (i = 0; i < worker->siblings->len; i++) {
-		const worker_t *other = g_ptr_array_index(worker->siblings, i);
+		worker_t *other = g_ptr_array_index(worker->siblings, i);
 
 		if (other != worker && other->started_ms > 0 &&
 		    other->started_ms < worker->started_ms)
-			bw_sched_worker_dead(s, other->id, "machine-reused");
+			sched_worker_crashed(s, other, "machine-reused",
+					     now_ms);
 	}
+	sched_charge_machine(s, worker, now_ms);
 }
 
 void bw_sched_worker_registered(bw_sched_t *s, int64_t now_ms,
@@ -297,7 +341,7 @@
 			  "worker=%s tasks=%u", worker->id, worker->tasks->len);
 	worker->draining = info->draining;
 	sched_index_update(worker);
-	mark_predecessors_dead(s, worker);
+	mark_predecessors_dead(s, worker, now_ms);
 }
 
 void bw_sched_worker_unregistered(bw_sched_t *s, int64_t now_ms, const char *id)
--- a/src/wire/record.pb-c.c
+++ b/src/wire/record.pb-c.c
@@ -793,7 +793,7 @@
   (ProtobufCMessageInit) bramley__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__task_record__field_descriptors[9] =
+static const ProtobufCFieldDescriptor bramley__task_record__field_descriptors[11] =
 {
   {
     "occurrence",
@@ -903,9 +903,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashes",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__TaskRecord, crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unsure_crashes",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__TaskRecord, unsure_crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__task_record__field_indices_by_name[] = {
   6,   /* field[6] = checkpoint */
+  9,   /* field[9] = crashes */
   5,   /* field[5] = done */
   4,   /* field[4] = failed_runs */
   3,   /* field[3] = failures */
@@ -914,11 +939,12 @@
   7,   /* field[7] = placed */
   2,   /* field[2] = run */
   8,   /* field[8] = unsure */
+  10,   /* field[10] = unsure_crashes */
 };
 static const ProtobufCIntRange bramley__task_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor bramley__task_record__descriptor =
 {
@@ -928,7 +954,7 @@
   "Bramley__TaskRecord",
   "bramley",
   sizeof(Bramley__TaskRecord),
-  9,
+  11,
   bramley__task_record__field_descriptors,
   bramley__task_record__field_indices_by_name,
   1,  bramley__task_record__number_ranges,
--- a/src/wire/record.pb-c.h
+++ b/src/wire/record.pb-c.h
@@ -111,10 +111,18 @@
    * An earlier owner may have started a later run.
    */
   protobuf_c_boolean unsure;
+  /*
+   * Workers that crashed under a run of it.
+   */
+  uint32_t crashes;
+  /*
+   * Workers that may have.
+   */
+  uint32_t unsure_crashes;
 };
 #define BRAMLEY__TASK_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__task_record__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Bramley__JobProgress
--- a/test/sched_orders.c
+++ b/test/sched_orders.c
@@ -104,11 +104,18 @@
 void orders_answer_heartbeat(orders_t *o, const char *id,
 			     const bw_run_row_t *runs, uint32_t run_count,
 			     const bw_end_row_t *ends, uint32_t end_count)
+{
+	orders_answer_as_boot(o, id, 5, runs, run_count, ends, end_count);
+}
+
+void orders_answer_as_boot(orders_t *o, const char *id, int64_t started_ms,
+			   const bw_run_row_t *runs, uint32_t run_count,
+			   const bw_end_row_t *ends, uint32_t end_count)
 {
 	bw_heartbeat_answer_t answer = { .result = BW_ORDER_OK,
 					 .sent_ms = o->now_ms,
 					 .clock_ms = o->now_ms + 100,
-					 .started_ms = 5,
+					 .started_ms = started_ms,
 					 .runs = runs,
 					 .run_count = run_count,
 					 .ends = ends,
--- a/test/sched_orders.h
+++ b/test/sched_orders.h
@@ -52,6 +52,11 @@
 			     const bw_run_row_t *runs, uint32_t run_count,
 			     const bw_end_row_t *ends, uint32_t end_count);
 
+/** The same for a worker with another start time than 5. */
+void orders_answer_as_boot(orders_t *o, const char *id, int64_t started_ms,
+			   const bw_run_row_t *runs, uint32_t run_count,
+			   const bw_end_row_t *ends, uint32_t end_count);
+
 /** Stores the scheduler's state. */
 void orders_save(orders_t *o);
 
