Give up only after an isolated run

Change: only a crash of a suspect's isolated run gives a task up before the fourth crash; a run that survived its start makes a worker unfit for a suspect only from its second crash on.

Evidence: test_crash_without_suspicion_gives_up failed before: 0x4 != 0x2.

--- a/src/sched/crashes.c
+++ b/src/sched/crashes.c
@@ -46,7 +46,8 @@
 	uint32_t run;
 	bool survived; /**< As in task_t. */
 	bool accepted; /**< The worker has confirmed the start. */
-	bool alone; /**< No other run on the worker may have been the cause. */
+	bool isolated; /**< It was started as a suspect's, and no other run on
+			  the worker may have been the cause. */
 } lapse_t;
 
 static void lapse_free(gpointer data);
@@ -161,7 +162,7 @@
 	lapse->run = task->run;
 	lapse->survived = task->survived;
 	lapse->accepted = task->survived || task->start_answered_ms > 0;
-	lapse->alone = is_alone(worker, task);
+	lapse->isolated = task->trial && is_alone(worker, task);
 	return lapse;
 }
 
@@ -182,7 +183,7 @@
 			  task->occurrence->job->id, task->step, task->index,
 			  crash->run, crash->worker, task->crashes,
 			  task->unsure_crashes);
-	if ((crash->alone && crash->accepted && !crash->survived &&
+	if ((crash->isolated && crash->accepted &&
 	     task->crashes >= CRASHES_ALONE) ||
 	    task->crashes + task->unsure_crashes >= CRASHES_MAX)
 		g_ptr_array_add(given_up, task);
@@ -396,6 +397,15 @@
 	return false;
 }
 
+/* Whether a crash may be the work of a task that runs on the worker. */
+static bool may_crash(const task_t *task)
+{
+	if (!task->survived)
+		return true;
+	return !is_exempt(task) &&
+	       task->crashes + task->unsure_crashes >= CRASHES_SUSPECT;
+}
+
 /* Whether a crash of a worker would be blamed on a new task alone. */
 static bool is_isolated(const worker_t *worker, const task_t *task)
 {
@@ -404,8 +414,7 @@
 	for (i = 0; i < worker->tasks->len; i++) {
 		const task_t *other = g_ptr_array_index(worker->tasks, i);
 
-		if ((!other->survived || sched_is_suspect(other)) &&
-		    !same_gang(other, task))
+		if (may_crash(other) && !same_gang(other, task))
 			return false;
 	}
 	return true;
--- a/test/test_crashes.c
+++ b/test/test_crashes.c
@@ -569,6 +569,24 @@
 	end(&p);
 }
 
+/* The first crash tells nothing of a task that had survived its start. */
+static void test_crash_without_suspicion_gives_up(void **state)
+{
+	pool_t p;
+
+	(void)state;
+	begin(&p, 6);
+	orders_add_job(&p.o, JOB_A, 1, false, 1000, 500);
+	play(&p, 1000);
+	crash(&p, machine_of(&p, JOB_A));
+	play(&p, BACK_MS + 2 * STEP_MS);
+	assert_int_equal(starts_of(&p, JOB_A), 2);
+	crash(&p, machine_of(&p, JOB_A));
+	play(&p, BACK_MS + 4 * STEP_MS);
+	assert_int_equal(state_of(&p, JOB_A), BW_JOB_RUNNING);
+	end(&p);
+}
+
 /** Jobs of a day with drawn crashes. */
 #define DAY_JOBS    200
 #define DAYS	    20
@@ -650,6 +668,7 @@
 		cmocka_unit_test(test_ready_lasting_task_is_blamed),
 		cmocka_unit_test(test_long_ready_lasting_task_stays_suspect),
 		cmocka_unit_test(test_late_crashes_go_on),
+		cmocka_unit_test(test_crash_without_suspicion_gives_up),
 		cmocka_unit_test(test_day_of_crashes_fails_sound_jobs),
 	};
 
