Simulate tasks that crash their workers

Change: test/world_crash.c. Checks: such a task is not started three times after three crashes; a job is shown as failed only after all attempts or two crashes under one of its tasks. The stop of a lasting task is not checked against the number that may be away when its job is given up, as it is not for a cancelled one.

--- a/test/world.h
+++ b/test/world.h
@@ -27,6 +27,9 @@
 	 *  learned of its successor; the owner reads the job later. */
 	double stale_notice_share;
 	double late_answer_share; /**< Share of answers that take up to 2 s. */
+	double crashing_share; /**< Share of jobs with a task that crashes each
+				  worker that starts it. */
+	uint32_t worker_crashes; /**< Other crashes, of few machines. */
 } world_config_t;
 
 /** Result of a simulation. */
@@ -35,6 +38,8 @@
 	uint32_t violations;
 	uint32_t completed; /**< Jobs. */
 	uint32_t starts; /**< Runs that were started on a worker. */
+	uint32_t crashing_failed; /**< Jobs that crash workers and failed. */
+	uint32_t sound_failed; /**< Others that failed with attempts left. */
 	char first_violation[256]; /**< Its time and text. */
 } world_result_t;
 
--- a/test/world_internal.h
+++ b/test/world_internal.h
@@ -2,7 +2,7 @@
  * @file
  * Parts of the simulation: events, jobs, faults and checks (world.c), fake
  * workers and the calls to them (world_worker.c), nodes and the store
- * (world_node.c).
+ * (world_node.c), tasks that crash their workers (world_crash.c).
  */
 #ifndef BW_TEST_WORLD_INTERNAL_H
 #define BW_TEST_WORLD_INTERNAL_H
@@ -50,6 +50,8 @@
 #define ENDS_PAGE 5
 /** Limits lasting jobs, so that they use only a part of the capacity. */
 #define LASTING_JOBS_MAX 2
+/** Machines on which crashes without a cause are drawn. */
+#define FLAPPING_MACHINES 2U
 
 typedef struct world world_t;
 typedef void (*event_fn)(world_t *w, void *arg);
@@ -83,6 +85,8 @@
 			    it is ready since. */
 	uint32_t failed_acked;
 	uint32_t failed;
+	uint32_t crashes; /**< Workers that crashed under a run of it. */
+	uint32_t starts_after_crashes; /**< That should not have been. */
 } task_state_t;
 
 /** A job and the states that callers were shown. */
@@ -94,6 +98,9 @@
 	int64_t cancelled_ms; /**< 0: not cancelled. */
 	bool shown_completed;
 	bool shown_cancelled;
+	bool shown_failed;
+	bool crashes_workers; /**< By the first task of a step. */
+	uint32_t crashing_step;
 	int64_t short_ms; /**< When a short record replaced its record. */
 	bw_job_state_t short_state; /**< In the short record. */
 	int64_t removed_ms; /**< 0: still in the store. */
@@ -161,6 +168,7 @@
 	GRand *rand;
 	GRand *fault_rand; /**< For later faults, so that the draws of earlier
 			      ones stay the same. */
+	GRand *crash_rand;
 	GSequence *events;
 	uint64_t last_sequence;
 	int64_t now_ms;
@@ -254,4 +262,30 @@
 /** Callbacks of a node's scheduler; their context is the node. */
 extern const bw_sched_ops_t world_sched_ops;
 
+/** Ends a worker with its runs; another one starts on its machine later. */
+void world_crash_worker(world_t *w, fake_worker_t *worker, bool silent,
+			int64_t back_ms);
+
+/** Draws which jobs crash workers, and crashes that have no such cause. */
+void world_init_crashes(world_t *w);
+
+/** Records a crash under each run of a worker. */
+void world_record_crash(world_t *w, const fake_worker_t *worker);
+
+/**
+ * Checks the start of a task and, if it crashes its workers, schedules that.
+ * @param delayed whether the order is carried out late
+ */
+void world_start_crashing(world_t *w, fake_worker_t *worker,
+			  const bw_task_name_t *task, bool delayed);
+
+/** Returns whether several workers have crashed under a task of a job. */
+bool world_any_crashed_workers(const fake_job_t *job);
+
+/** Counts a job that is shown as failed. */
+void world_count_failed(world_t *w, fake_job_t *job);
+
+/** Draws the part of a configuration that concerns crashes. */
+void world_draw_crashes(uint32_t seed, world_config_t *out);
+
 #endif
