--- /dev/null
+++ b/test/test_unknowns.c
@@ -0,0 +1,449 @@
+/* What an owner does not know after a takeover, a full list of ends, or a restart
+ * of a worker under its identifier. */
+#include "test.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "sched_orders.h"
+
+static void answer_full_list(orders_t *o, const bw_run_row_t *run)
+{
+	bw_heartbeat_answer_t answer = {
+		.result = BW_ORDER_OK,
+		.sent_ms = o->now_ms,
+		.clock_ms = o->now_ms + 100,
+		.started_ms = 5,
+		.runs = run,
+		.run_count = 1,
+		.more_ends = true,
+	};
+
+	bw_sched_heartbeat_answered(o->sched, o->now_ms, "w1", &answer);
+}
+
+static void add_scheduled_job(orders_t *o, const char *id, uint32_t repeats,
+			      int64_t first_due_ms)
+{
+	bw_job_record_t record = { .queue = g_strdup("q"),
+				   .accepted_ms = o->now_ms,
+				   .spec = bw_job_spec_new(1) };
+
+	record.spec->text = g_strdup("text");
+	record.spec->repeats = repeats;
+	record.spec->first_due_ms = first_due_ms;
+	record.spec->interval_ms = 60000;
+	record.spec->steps[0].count = 1;
+	record.spec->steps[0].need.cpu_millis = 1000;
+	record.spec->steps[0].estimate_ms = 500;
+	bw_sched_add_job(o->sched, o->now_ms, o->now_ms, id, &record);
+	bw_job_record_clear(&record);
+}
+
+/* Takes over a pool with JOB_A on w1, and with w2, from an owner that crashed.
+ */
+static void take_over(orders_t *o, bool lasting)
+{
+	orders_t before;
+	uint8_t *data;
+	size_t bytes;
+
+	orders_begin_with_worker(&before);
+	orders_add_worker(&before, "w2");
+	orders_add_job(&before, JOB_A, 1, lasting, 1000, 500);
+	orders_run(&before, 10);
+	assert_int_equal(before.start_count, 1);
+	assert_string_equal(before.starts[0].worker, "w1");
+	data = bw_sched_pack(before.sched, &bytes);
+	bw_sched_destroy(before.sched);
+	orders_begin(o);
+	assert_int_equal(bw_sched_load(o->sched, o->now_ms, data, bytes),
+			 BW_OK);
+	g_free(data);
+	orders_add_worker(o, "w1");
+	orders_add_worker(o, "w2");
+	orders_add_job(o, JOB_A, 1, lasting, 1000, 500);
+}
+
+/* Whether JOB_B was started. */
+static bool is_b_started(const orders_t *o)
+{
+	uint32_t i;
+
+	for (i = 0; i < o->start_count; i++)
+		if (!strcmp(o->starts[i].task.job, JOB_B))
+			return true;
+	return false;
+}
+
+/* Lets the time pass in which stops of the earlier owner may go on, so that w1
+ * is used; w2 does not answer. */
+static void pass_with_w1(orders_t *o)
+{
+	int i;
+
+	for (i = 0; i < 15; i++) {
+		orders_run(o, 100);
+		orders_answer_heartbeat(o, "w1", NULL, 0, NULL, 0);
+		orders_save(o);
+	}
+	orders_run(o, 10);
+}
+
+/* A worker that is not synced has a grant too, since its list is full. */
+static void test_grant_beside_a_full_list_is_reckoned_with(void **state)
+{
+	bw_run_row_t row;
+	int64_t end_ms;
+	orders_t o;
+
+	(void)state;
+	take_over(&o, true);
+	orders_init_lasting_row(&row, 0);
+	end_ms = o.now_ms + 12000;
+	while (o.now_ms < end_ms) {
+		orders_run(&o, 100);
+		answer_full_list(&o, &row);
+		orders_answer_heartbeat(&o, "w2", NULL, 0, NULL, 0);
+		orders_save(&o);
+	}
+	orders_run(&o, 10);
+	assert_true(bw_sched_recovered(o.sched));
+	assert_int_equal(o.start_count, 0);
+	/* w1 is silent; its grant lasts for 5 s from the last heartbeat. */
+	end_ms = o.now_ms + 3000;
+	while (o.now_ms < end_ms) {
+		orders_run(&o, 100);
+		orders_answer_heartbeat(&o, "w2", NULL, 0, NULL, 0);
+	}
+	assert_int_equal(o.start_count, 0);
+	bw_sched_destroy(o.sched);
+}
+
+/* As test_end_that_comes_before_its_job_is_not_lost, for an occurrence. */
+static void test_end_before_its_scheduled_job_is_not_lost(void **state)
+{
+	bw_end_row_t end = {
+		.number = 1, .run = 1, .kind = BW_END_DONE, .checkpoint = ""
+	};
+	orders_t o;
+
+	(void)state;
+	take_over(&o, false);
+	orders_run(&o, 10);
+	g_strlcpy(end.task.job, JOB_B, sizeof(end.task.job));
+	orders_answer_heartbeat(&o, "w1", NULL, 0, &end, 1);
+	orders_answer_heartbeat(&o, "w2", NULL, 0, NULL, 0);
+	orders_save(&o);
+	add_scheduled_job(&o, JOB_B, 1, o.now_ms - 500);
+	orders_run(&o, 10);
+	pass_with_w1(&o);
+	assert_false(is_b_started(&o));
+	assert_int_equal(bw_sched_job_state(o.sched, JOB_B), BW_JOB_COMPLETED);
+	bw_sched_destroy(o.sched);
+}
+
+/* The control for the next: a job without occurrences, known at the takeover.
+ */
+static void test_job_known_at_takeover_waits_for_all_lists(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	take_over(&o, false);
+	orders_add_job(&o, JOB_B, 1, false, 1000, 500);
+	orders_run(&o, 10);
+	orders_answer_heartbeat(&o, "w1", NULL, 0, NULL, 0);
+	orders_save(&o);
+	pass_with_w1(&o);
+	assert_false(bw_sched_recovered(o.sched));
+	assert_false(is_b_started(&o));
+	bw_sched_destroy(o.sched);
+}
+
+/* The earlier owner may have started a due occurrence on w2 and not stored it.
+ */
+static void test_occurrence_waits_for_all_lists_after_takeover(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	take_over(&o, false);
+	add_scheduled_job(&o, JOB_B, 2, o.now_ms - 500);
+	orders_run(&o, 10);
+	orders_answer_heartbeat(&o, "w1", NULL, 0, NULL, 0);
+	orders_save(&o);
+	pass_with_w1(&o);
+	assert_false(bw_sched_recovered(o.sched));
+	assert_false(is_b_started(&o));
+	bw_sched_destroy(o.sched);
+}
+
+/* An earlier owner that still acts may have started a new job on w2, of which
+ * this owner reads after its first save. */
+static void test_job_read_after_first_save_waits_for_all_lists(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	take_over(&o, false);
+	orders_run(&o, 10);
+	orders_answer_heartbeat(&o, "w1", NULL, 0, NULL, 0);
+	orders_save(&o);
+	orders_add_job(&o, JOB_B, 1, false, 1000, 500);
+	pass_with_w1(&o);
+	assert_false(bw_sched_recovered(o.sched));
+	assert_false(is_b_started(&o));
+	bw_sched_destroy(o.sched);
+}
+
+/* A worker that died may start again under its identifier. */
+static void test_dead_worker_that_restarts_is_used(void **state)
+{
+	bw_worker_info_t info = { .id = "w1",
+				  .address = "10.0.0.2:1",
+				  .capacity = { 8000, 8000, 0 },
+				  .machine = "w1",
+				  .started_ms = 6 };
+	bw_heartbeat_answer_t other = { .result = BW_ORDER_OTHER_BOOT };
+	bw_heartbeat_answer_t answer = { .result = BW_ORDER_OK,
+					 .clock_ms = 50,
+					 .started_ms = 6 };
+	orders_t o;
+
+	(void)state;
+	orders_begin_with_worker(&o);
+	other.sent_ms = o.now_ms;
+	bw_sched_heartbeat_answered(o.sched, o.now_ms, "w1", &other);
+	orders_run(&o, 100);
+	bw_sched_worker_registered(o.sched, o.now_ms, &info);
+	orders_run(&o, 300);
+	answer.sent_ms = o.now_ms;
+	bw_sched_heartbeat_answered(o.sched, o.now_ms, "w1", &answer);
+	orders_save(&o);
+	orders_add_job(&o, JOB_A, 1, false, 1000, 500);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	bw_sched_destroy(o.sched);
+}
+
+/* A ticket is valid during one life of a worker. */
+static void test_ticket_of_an_earlier_boot_is_not_used(void **state)
+{
+	bw_queue_config_t queue = { "q", 0, 3, 1.6, 600, true };
+	bw_worker_info_t info = { .id = "w1",
+				  .address = "10.0.0.1:1",
+				  .capacity = { 1000, 8000, 0 },
+				  .machine = "w1",
+				  .started_ms = 6 };
+	bw_heartbeat_answer_t answer = { .result = BW_ORDER_OK,
+					 .clock_ms = 50,
+					 .started_ms = 6 };
+	const char *worker = "w1";
+	const char *ticket = "t";
+	bw_task_name_t step = { 0 };
+	orders_t o;
+
+	(void)state;
+	orders_begin(&o);
+	orders_add_worker_with(&o, "w1", 1000);
+	orders_answer_heartbeat(&o, "w1", NULL, 0, NULL, 0);
+	orders_save(&o);
+	bw_sched_set_queue(o.sched, &queue);
+	orders_add_job(&o, JOB_A, 2, false, 1000, 500);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 0);
+	g_strlcpy(step.job, JOB_A, sizeof(step.job));
+	bw_sched_advised(o.sched, o.now_ms, &step, &worker, &ticket, 1, 60000);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	bw_sched_worker_registered(o.sched, o.now_ms, &info);
+	orders_run(&o, 300);
+	answer.sent_ms = o.now_ms;
+	bw_sched_heartbeat_answered(o.sched, o.now_ms, "w1", &answer);
+	bw_sched_start_answered(o.sched, o.now_ms, "w1", &o.starts[0].task, 1,
+				BW_ORDER_NO_TICKET, 0);
+	orders_save(&o);
+	o.start_count = 0;
+	orders_run(&o, 200);
+	assert_int_equal(o.start_count, 0);
+	bw_sched_destroy(o.sched);
+}
+
+/* A worker that restarted may hold a longer grant than its owner's; the next
+ * owner must reckon with it too. */
+static void test_grant_by_the_earlier_clock_is_handed_over(void **state)
+{
+	bw_worker_info_t info = { .id = "w1",
+				  .address = "10.0.0.1:1",
+				  .capacity = { 8000, 8000, 0 },
+				  .machine = "w1",
+				  .started_ms = 6 };
+	bw_run_row_t row;
+	bw_heartbeat_answer_t answer = { .result = BW_ORDER_OK,
+					 .clock_ms = 50,
+					 .started_ms = 6,
+					 .runs = &row,
+					 .run_count = 1 };
+	uint8_t *data;
+	size_t bytes;
+	int64_t end_ms;
+	orders_t before;
+	orders_t o;
+
+	(void)state;
+	orders_begin_with_worker(&before);
+	orders_add_worker(&before, "w2");
+	orders_add_job(&before, JOB_A, 1, true, 1000, 500);
+	orders_run(&before, 10);
+	assert_int_equal(before.start_count, 1);
+	/* The start reached the next boot, which holds it for up to 10 s. */
+	bw_sched_worker_registered(before.sched, before.now_ms, &info);
+	orders_init_lasting_row(&row, 0);
+	before.now_ms += 10;
+	answer.sent_ms = before.now_ms;
+	bw_sched_heartbeat_answered(before.sched, before.now_ms, "w1", &answer);
+	orders_answer_heartbeat(&before, "w2", NULL, 0, NULL, 0);
+	orders_save(&before);
+	bw_sched_hand_over(before.sched);
+	data = bw_sched_pack(before.sched, &bytes);
+	bw_sched_destroy(before.sched);
+	orders_begin(&o);
+	assert_int_equal(bw_sched_load(o.sched, o.now_ms, data, bytes), BW_OK);
+	g_free(data);
+	bw_sched_predecessor_stopped(o.sched, o.now_ms);
+	bw_sched_worker_registered(o.sched, o.now_ms, &info);
+	orders_add_worker(&o, "w2");
+	orders_add_job(&o, JOB_A, 1, true, 1000, 500);
+	end_ms = o.now_ms + 9500;
+	while (o.now_ms < end_ms) {
+		orders_run(&o, 100);
+		orders_answer_heartbeat(&o, "w2", NULL, 0, NULL, 0);
+		orders_save(&o);
+	}
+	assert_int_equal(o.start_count, 0);
+	bw_sched_destroy(o.sched);
+}
+
+/* The heartbeat that shows a restart acknowledged ends of the earlier boot, so
+ * that the next boot's list leaves out its own first ends. */
+static void
+test_list_after_a_foreign_acknowledgement_proves_nothing(void **state)
+{
+	bw_end_row_t end = {
+		.number = 57, .run = 1, .kind = BW_END_DONE, .checkpoint = ""
+	};
+	bw_heartbeat_answer_t answer = { .result = BW_ORDER_OK,
+					 .clock_ms = 50,
+					 .started_ms = 6 };
+	orders_t o;
+
+	(void)state;
+	orders_begin_with_worker(&o);
+	g_strlcpy(end.task.job, JOB_EARLY, sizeof(end.task.job));
+	orders_answer_heartbeat(&o, "w1", NULL, 0, &end, 1);
+	o.now_ms += 3500;
+	orders_answer_heartbeat(&o, "w1", NULL, 0, &end, 1);
+	orders_save(&o);
+	orders_add_job(&o, JOB_A, 1, false, 1000, 20);
+	orders_run(&o, 10);
+	assert_int_equal(o.acked, 57);
+	assert_int_equal(o.start_count, 1);
+	bw_sched_start_answered(o.sched, o.now_ms, "w1", &o.starts[0].task, 1,
+				BW_ORDER_OK, 0);
+	orders_answer_heartbeat(&o, "w1", NULL, 0, NULL, 0);
+	orders_run(&o, 10);
+	assert_int_equal(o.acked, 57);
+	/* The heartbeat with 57 reached the next boot, as did the start, whose
+	 * run has ended there as end 1. */
+	answer.sent_ms = o.now_ms;
+	o.now_ms += 20;
+	bw_sched_heartbeat_answered(o.sched, o.now_ms, "w1", &answer);
+	orders_save(&o);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	bw_sched_destroy(o.sched);
+}
+
+/* Once the next boot has taken a higher fencing token, no order of before can
+ * arrive any more: what it granted ends within the longest grant from then. A
+ * lasting task should not be away for 23 s. */
+static void test_worker_lost_after_a_restart_frees_its_tasks(void **state)
+{
+	bw_worker_info_t info = { .id = "w1",
+				  .address = "10.0.0.1:1",
+				  .capacity = { 8000, 8000, 0 },
+				  .machine = "w1",
+				  .started_ms = 6 };
+	bw_run_row_t row;
+	bw_heartbeat_answer_t answer = { .result = BW_ORDER_OK,
+					 .clock_ms = 50,
+					 .started_ms = 6 };
+	bw_heartbeat_answer_t lost = { .result = BW_ORDER_LOST };
+	int64_t end_ms;
+	orders_t o;
+
+	(void)state;
+	orders_begin_with_worker(&o);
+	bw_sched_owned_at(o.sched, 100);
+	bw_sched_worker_registered(o.sched, o.now_ms, &info);
+	answer.sent_ms = o.now_ms;
+	bw_sched_heartbeat_answered(o.sched, o.now_ms, "w1", &answer);
+	orders_run(&o, 10);
+	assert_int_equal(o.fence, 100);
+	answer.sent_ms = o.now_ms;
+	answer.clock_ms += 10;
+	o.now_ms += 5;
+	bw_sched_heartbeat_answered(o.sched, o.now_ms, "w1", &answer);
+	orders_save(&o);
+	orders_add_job(&o, JOB_A, 1, true, 1000, 500);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	orders_init_lasting_row(&row, 0);
+	answer.runs = &row;
+	answer.run_count = 1;
+	answer.clock_ms += 20;
+	o.now_ms += 10;
+	answer.sent_ms = o.now_ms;
+	bw_sched_heartbeat_answered(o.sched, o.now_ms, "w1", &answer);
+	orders_add_worker(&o, "w2");
+	orders_answer_heartbeat(&o, "w2", NULL, 0, NULL, 0);
+	orders_save(&o);
+	bw_sched_worker_unregistered(o.sched, o.now_ms, "w1");
+	end_ms = o.now_ms + 11500;
+	while (o.now_ms < end_ms) {
+		orders_run(&o, 100);
+		orders_answer_heartbeat(&o, "w2", NULL, 0, NULL, 0);
+		lost.sent_ms = o.now_ms;
+		bw_sched_heartbeat_answered(o.sched, o.now_ms, "w1", &lost);
+		orders_save(&o);
+	}
+	assert_int_equal(o.start_count, 2);
+	bw_sched_destroy(o.sched);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+			test_grant_beside_a_full_list_is_reckoned_with),
+		cmocka_unit_test(test_end_before_its_scheduled_job_is_not_lost),
+		cmocka_unit_test(
+			test_job_known_at_takeover_waits_for_all_lists),
+		cmocka_unit_test(
+			test_occurrence_waits_for_all_lists_after_takeover),
+		cmocka_unit_test(
+			test_job_read_after_first_save_waits_for_all_lists),
+		cmocka_unit_test(
+			test_grant_by_the_earlier_clock_is_handed_over),
+		cmocka_unit_test(
+			test_list_after_a_foreign_acknowledgement_proves_nothing),
+		cmocka_unit_test(
+			test_worker_lost_after_a_restart_frees_its_tasks),
+		cmocka_unit_test(test_dead_worker_that_restarts_is_used),
+		cmocka_unit_test(test_ticket_of_an_earlier_boot_is_not_used),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
