Test of a foreign acknowledgement: a worker that could take the start

On the merged tree the test passed only since no worker was left to start on: a restarted one is not used before its capacity is read.

--- a/test/test_unknowns.c
+++ b/test/test_unknowns.c
@@ -355,6 +355,9 @@
 	orders_answer_heartbeat(&o, "w1", NULL, 0, NULL, 0);
 	orders_run(&o, 10);
 	assert_int_equal(o.acked, 57);
+	orders_add_worker(&o, "w2");
+	orders_answer_heartbeat(&o, "w2", NULL, 0, NULL, 0);
+	orders_save(&o);
 	/* The heartbeat with 57 reached the next boot, as did the start, whose
 	 * run has ended there as end 1. */
 	answer.sent_ms = o.now_ms;
