Reckon with the grant of a worker whose list of ends is full

Cause: since a worker gets grants before it is synced; once all other grants were over (recovered), it still counted as having none, so that its tasks were started elsewhere after 1.9 s of silence.

Change: a known clock means that grants are counted by it.

--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -55,7 +55,9 @@
 
 	if (now_ms < worker->earlier_grant_until_ms)
 		return false;
-	if (!worker->synced || worker->clock_ms == 0)
+	if (!worker->synced && !s->recovered)
+		return false;
+	if (worker->clock_ms == 0)
 		return s->recovered;
 	clock_ms = (double)worker->clock_ms +
 		   (double)(now_ms - worker->clock_at_ms) * CLOCK_RATE_MIN;
