Occurrences that are created after a takeover may run too

Cause: only the occurrences that existed when a job was added were marked as maybe started by the earlier owner. One that became due right after a takeover was started although the earlier owner might run it on a worker that had not listed its runs.

Change: until all runs of earlier owners are known, a new occurrence is marked.

--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -22,7 +22,8 @@
 static void occurrence_done(bw_sched_t *s, occurrence_t *occurrence,
 			    int64_t now_ms);
 static bool occurrence_exists(const job_t *job, uint32_t number);
-static void create_due(job_t *job, int64_t now_ms, int64_t wall_ms);
+static void create_due(const bw_sched_t *s, job_t *job, int64_t now_ms,
+		       int64_t wall_ms);
 
 queue_t *sched_queue(bw_sched_t *s, const char *name)
 {
@@ -422,8 +423,22 @@
 	return false;
 }
 
-static void create_due(job_t *job, int64_t now_ms, int64_t wall_ms)
+/* An earlier owner may run any task of an occurrence. */
+static void mark_occurrence(occurrence_t *occurrence)
 {
+	uint32_t k;
+
+	for (k = 0; k < occurrence->task_count; k++) {
+		occurrence->tasks[k].maybe_running = true;
+		occurrence->tasks[k].ends_unknown = true;
+		occurrence->tasks[k].run_known = false;
+	}
+}
+
+static void create_due(const bw_sched_t *s, job_t *job, int64_t now_ms,
+		       int64_t wall_ms)
+{
+	bool unsure = !s->first_owner && !s->handed_over && !s->recovered;
 	uint32_t created = 0;
 
 	while (job->next_occurrence < job->spec->repeats &&
@@ -433,9 +448,14 @@
 
 		if (wall_ms < due_ms)
 			return;
-		if (!occurrence_exists(job, job->next_occurrence))
-			sched_occurrence_new(job, job->next_occurrence,
-					     now_ms - (wall_ms - due_ms));
+		if (!occurrence_exists(job, job->next_occurrence)) {
+			occurrence_t *occurrence = sched_occurrence_new(
+				job, job->next_occurrence,
+				now_ms - (wall_ms - due_ms));
+
+			if (unsure)
+				mark_occurrence(occurrence);
+		}
 		job->next_occurrence++;
 		created++;
 	}
@@ -452,7 +472,7 @@
 		if (job->spec->repeats == 0)
 			continue;
 		reap_occurrences(job);
-		create_due(job, now_ms, wall_ms);
+		create_due(s, job, now_ms, wall_ms);
 	}
 }
 
@@ -483,18 +503,9 @@
 static void mark_maybe_running(job_t *job)
 {
 	guint i;
-	uint32_t k;
 
-	for (i = 0; i < job->occurrences->len; i++) {
-		occurrence_t *occurrence =
-			g_ptr_array_index(job->occurrences, i);
-
-		for (k = 0; k < occurrence->task_count; k++) {
-			occurrence->tasks[k].maybe_running = true;
-			occurrence->tasks[k].ends_unknown = true;
-			occurrence->tasks[k].run_known = false;
-		}
-	}
+	for (i = 0; i < job->occurrences->len; i++)
+		mark_occurrence(g_ptr_array_index(job->occurrences, i));
 }
 
 void bw_sched_add_job(bw_sched_t *s, int64_t now_ms, int64_t wall_ms,
--- a/test/test_unknowns.c
+++ b/test/test_unknowns.c
@@ -1,5 +1,5 @@
-/* What an owner does not know after a takeover, a full list of ends, or a restart
- * of a worker under its identifier. */
+/* What an owner does not know after a takeover, a full list of ends, or a
+ * restart of a worker under its identifier. */
 #include "test.h"
 
 #include <string.h>
