A reported run or end of an occurrence that is not due here yet is not lost

Cause: rows that came before their job were handled when it was read, but the occurrences of a scheduled job are created later, so that the row had no task: the end was dropped and acknowledged, and the occurrence started again.

Change: a row of a known scheduled job creates its occurrence.

--- a/src/sched/heartbeat.c
+++ b/src/sched/heartbeat.c
@@ -86,7 +86,7 @@
 void sched_handle_end(bw_sched_t *s, worker_t *worker, const bw_end_row_t *end,
 		      int64_t now_ms)
 {
-	task_t *task = sched_find_task(s, &end->task);
+	task_t *task = sched_reported_task(s, &end->task, now_ms);
 	bool current;
 
 	sched_log(s, BW_EVENT_SCHED_END,
@@ -170,7 +170,7 @@
 void sched_handle_run(bw_sched_t *s, worker_t *worker, const bw_run_row_t *row,
 		      int64_t sent_ms, int64_t now_ms)
 {
-	task_t *task = sched_find_task(s, &row->task);
+	task_t *task = sched_reported_task(s, &row->task, now_ms);
 
 	if (task && task->worker == worker && task->run == row->run) {
 		task->listed = true;
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -299,6 +299,10 @@
 queue_t *sched_queue(bw_sched_t *s, const char *name);
 occurrence_t *sched_occurrence_new(job_t *job, uint32_t number, int64_t due_ms);
 task_t *sched_find_task(bw_sched_t *s, const bw_task_name_t *name);
+/** The same for a task that a worker reports: an occurrence that is not due
+ * here yet was due for an earlier owner, and is created. */
+task_t *sched_reported_task(bw_sched_t *s, const bw_task_name_t *name,
+			    int64_t now_ms);
 void sched_task_name(const task_t *task, bw_task_name_t *out);
 const bw_step_spec_t *sched_task_step(const task_t *task);
 step_state_t *sched_step_state(const task_t *task);
--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -476,6 +476,18 @@
 	}
 }
 
+task_t *sched_reported_task(bw_sched_t *s, const bw_task_name_t *name,
+			    int64_t now_ms)
+{
+	job_t *job = g_hash_table_lookup(s->jobs, name->job);
+
+	if (job && job->spec && job->finished_version == 0 &&
+	    name->occurrence < job->spec->repeats &&
+	    !occurrence_exists(job, name->occurrence))
+		sched_occurrence_new(job, name->occurrence, now_ms);
+	return sched_find_task(s, name);
+}
+
 static bool has_lasting_step(const bw_job_spec_t *spec)
 {
 	uint32_t i;
