An earlier grant is bounded once the next boot has a raised fencing token

Cause: after a restart an owner reckoned with orders of before for 12 s and their grant for 10 s more, also when the next boot had answered with the raised token and so took none of them any more: a worker lost after its restart kept its tasks away for 23 s. Found by a review.

Change: from the first answer to the raised token on, the longest grant remains.

--- a/src/sched/heartbeat.c
+++ b/src/sched/heartbeat.c
@@ -316,6 +316,7 @@
 	 */
 	sched_drop_lapses(s, worker->id);
 	sched_record_clock(worker, now_ms, answer->clock_ms);
+	sched_bound_earlier_grant(s, worker, answer->sent_ms, now_ms);
 	worker->last_heartbeat_ms = now_ms;
 	worker->boot_unsure = false;
 	for (i = 0; i < answer->end_count; i++) {
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -405,6 +405,10 @@
 /** Records that a worker has ended, with all its runs, by no order. */
 void sched_worker_crashed(bw_sched_t *s, worker_t *worker, const char *reason,
 			  int64_t now_ms);
+/** Handles an answer to a heartbeat: once a worker that restarted has seen the
+ *  raised fencing token, it takes no order of before any more. */
+void sched_bound_earlier_grant(const bw_sched_t *s, worker_t *worker,
+			       int64_t sent_ms, int64_t now_ms);
 worker_t *sched_worker(bw_sched_t *s, const char *id);
 worker_t *sched_worker_new(bw_sched_t *s, const char *id, int64_t now_ms);
 void sched_worker_free(gpointer data);
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -205,14 +205,22 @@
 
 /*
  * Returns until when a grant may last whose end is a time of the clock before a
- * restart: the next boot takes it, whenever it arrives, for the longest grant.
+ * restart: the next boot takes it for the longest grant from its arrival.
  */
-static int64_t earlier_grant_end_ms(const bw_sched_t *s, int64_t now_ms)
+static int64_t earlier_grant_end_ms(const bw_sched_t *s, int64_t arrival_ms)
 {
-	int64_t longest_ms = ORDER_DELAY_MAX_MS + s->config.grant_cap_ms;
+	return arrival_ms + CLOCK_MARGIN_MS +
+	       (int64_t)((double)s->config.grant_cap_ms / CLOCK_RATE_MIN);
+}
 
-	return now_ms + CLOCK_MARGIN_MS +
-	       (int64_t)((double)longest_ms / CLOCK_RATE_MIN);
+void sched_bound_earlier_grant(const bw_sched_t *s, worker_t *worker,
+			       int64_t sent_ms, int64_t now_ms)
+{
+	if (worker->fence_raised_ms <= worker->restarted_ms ||
+	    sent_ms < worker->fence_raised_ms)
+		return;
+	worker->earlier_grant_until_ms = MIN(worker->earlier_grant_until_ms,
+					     earlier_grant_end_ms(s, now_ms));
 }
 
 /* Forgets what only the earlier boot of a worker knew. */
@@ -224,7 +232,8 @@
 	worker->restarted_ms = now_ms;
 	worker->fence_outdated = true;
 	sched_changed(s, true);
-	worker->earlier_grant_until_ms = earlier_grant_end_ms(s, now_ms);
+	worker->earlier_grant_until_ms =
+		earlier_grant_end_ms(s, now_ms + ORDER_DELAY_MAX_MS);
 	worker->synced = false;
 	worker->clock_ms = 0;
 	worker->granted_clock_ms = 0;
