A successor reckons with a grant by the clock before a restart

Cause: the owner that learned of a worker's restart reckoned with grants by the earlier clock, but did not store that. Its successor counted 5 s for a worker that held 10, if the worker was silent to it.

Change: the worker's record says so (a field added; older nodes ignore it), and the successor takes the pool as recovered only once such a grant is over too.

--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -228,7 +228,8 @@
 	int64_t clock_ms; /**< Its clock at clock_at_ms; 0: unknown. */
 	int64_t clock_at_ms;
 	int64_t granted_clock_ms; /**< Latest end of a grant ever sent. */
-	/** A grant by the clock before a restart may last until then. */
+	/** A grant by the clock before a restart may last until then; 0: none.
+	 */
 	int64_t earlier_grant_until_ms;
 	int64_t orphan_stop_ms;
 	uint64_t ends_processed; /**< Number of the last end processed. */
@@ -405,6 +406,10 @@
 /** Records that a worker has ended, with all its runs, by no order. */
 void sched_worker_crashed(bw_sched_t *s, worker_t *worker, const char *reason,
 			  int64_t now_ms);
+/** Records that orders by a worker's clock before its restart may still reach
+ *  it. */
+void sched_expect_earlier_grant(const bw_sched_t *s, worker_t *worker,
+				int64_t now_ms);
 /** Handles an answer to a heartbeat: once a worker that restarted has seen the
  *  raised fencing token, it takes no order of before any more. */
 void sched_bound_earlier_grant(const bw_sched_t *s, worker_t *worker,
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -157,6 +157,7 @@
 		bramley__worker_record__init(record);
 		record->id = worker->id;
 		record->address = worker->address;
+		record->earlier_grant = worker->earlier_grant_until_ms > 0;
 		worker->ends_packed = sched_ackable(worker);
 		out->workers[out->n_workers++] = record;
 	}
@@ -335,6 +336,8 @@
 
 		worker->address = g_strdup(record->workers[i]->address);
 		worker->stored = true;
+		if (record->workers[i]->earlier_grant)
+			sched_expect_earlier_grant(s, worker, now_ms);
 	}
 	bramley__pool_record__free_unpacked(record, NULL);
 	return BW_OK;
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -216,12 +216,15 @@
 
 	if (s->recovered)
 		return;
-	if (!s->first_owner && now_ms < bound_ms) {
-		g_hash_table_iter_init(&iter, s->workers);
-		while (g_hash_table_iter_next(&iter, NULL, &value))
-			if (!((worker_t *)value)->synced &&
-			    !((worker_t *)value)->dead)
-				return;
+	g_hash_table_iter_init(&iter, s->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const worker_t *worker = value;
+
+		if (worker->synced || worker->dead)
+			continue;
+		if ((!s->first_owner && now_ms < bound_ms) ||
+		    now_ms < worker->earlier_grant_until_ms)
+			return;
 	}
 	s->recovered = true;
 	sched_log(s, BW_EVENT_SCHED_SETTLED, "after_ms=%" G_GINT64_FORMAT,
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -134,6 +134,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		worker_t *worker = value;
 
+		if (now_ms >= worker->earlier_grant_until_ms)
+			worker->earlier_grant_until_ms = 0;
 		if (!worker->dead &&
 		    (now_ms - worker->last_heartbeat_ms < WORKER_SILENT_MS ||
 		     !grants_expired(s, worker, now_ms)))
@@ -213,6 +215,13 @@
 	       (int64_t)((double)s->config.grant_cap_ms / CLOCK_RATE_MIN);
 }
 
+void sched_expect_earlier_grant(const bw_sched_t *s, worker_t *worker,
+				int64_t now_ms)
+{
+	worker->earlier_grant_until_ms =
+		earlier_grant_end_ms(s, now_ms + ORDER_DELAY_MAX_MS);
+}
+
 void sched_bound_earlier_grant(const bw_sched_t *s, worker_t *worker,
 			       int64_t sent_ms, int64_t now_ms)
 {
@@ -232,8 +241,7 @@
 	worker->restarted_ms = now_ms;
 	worker->fence_outdated = true;
 	sched_changed(s, true);
-	worker->earlier_grant_until_ms =
-		earlier_grant_end_ms(s, now_ms + ORDER_DELAY_MAX_MS);
+	sched_expect_earlier_grant(s, worker, now_ms);
 	worker->synced = false;
 	worker->clock_ms = 0;
 	worker->granted_clock_ms = 0;
--- a/src/wire/record.pb-c.c
+++ b/src/wire/record.pb-c.c
@@ -1064,7 +1064,7 @@
   (ProtobufCMessageInit) bramley__job_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__worker_record__field_descriptors[2] =
+static const ProtobufCFieldDescriptor bramley__worker_record__field_descriptors[3] =
 {
   {
     "id",
@@ -1090,15 +1090,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "earlier_grant",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__WorkerRecord, earlier_grant),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__worker_record__field_indices_by_name[] = {
   1,   /* field[1] = address */
+  2,   /* field[2] = earlier_grant */
   0,   /* field[0] = id */
 };
 static const ProtobufCIntRange bramley__worker_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor bramley__worker_record__descriptor =
 {
@@ -1108,7 +1121,7 @@
   "Bramley__WorkerRecord",
   "bramley",
   sizeof(Bramley__WorkerRecord),
-  2,
+  3,
   bramley__worker_record__field_descriptors,
   bramley__worker_record__field_indices_by_name,
   1,  bramley__worker_record__number_ranges,
--- a/src/wire/record.pb-c.h
+++ b/src/wire/record.pb-c.h
@@ -150,10 +150,11 @@
   ProtobufCMessage base;
   char *id;
   char *address;
+  protobuf_c_boolean earlier_grant;
 };
 #define BRAMLEY__WORKER_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__worker_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
