A ticket is not used after its worker restarted or refused it

What callers saw: on a queue with advice, starts that were refused again and again until the advice lapsed.

Cause: tickets are valid during one life of a worker; neither a restart nor a refusal dropped one. Found by a review.

Change: both drop it; a step without any ticket asks again. Advice moves out of place.c into a file of its own.

--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -482,6 +482,18 @@
 void sched_record_arrival(bw_sched_t *s, const job_t *job, int64_t now_ms);
 uint32_t sched_count_lasting(const worker_t *worker);
 
+/* advice.c */
+/** Returns the ticket of a task's step for a worker; NULL: none is valid. */
+const char *sched_ticket(const task_t *task, const worker_t *worker,
+			 int64_t now_ms);
+/** Asks which workers may run a step, unless that is known or asked. */
+void sched_request_advice(bw_sched_t *s, occurrence_t *occurrence,
+			  uint32_t step, int64_t now_ms);
+/** Drops a ticket that its worker has refused. */
+void sched_ticket_refused(const task_t *task, const worker_t *worker);
+/** Drops all tickets for a worker: they were valid until it restarted. */
+void sched_forget_tickets(bw_sched_t *s, const worker_t *worker);
+
 /* place.c */
 /** Returns whether a worker has the resources for a task and may run it. */
 bool sched_is_allowed(const worker_t *worker, const task_t *task,
--- a/src/sched/order.c
+++ b/src/sched/order.c
@@ -231,6 +231,8 @@
 		await_list(task, now_ms);
 		return;
 	}
+	if (result == BW_ORDER_NO_TICKET)
+		sched_ticket_refused(task, worker);
 	/* The start was refused, so this run can never begin. */
 	task->retry_ms = now_ms + NO_RESOURCES_PAUSE_MS;
 	sched_task_wait(task);
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -194,16 +194,6 @@
 	       g_strv_contains((const gchar *const *)worker->labels, label);
 }
 
-static const char *ticket_of(const task_t *task, const worker_t *worker,
-			     int64_t now_ms)
-{
-	const step_state_t *state = &task->occurrence->steps[task->step];
-
-	if (!state->tickets || now_ms >= state->tickets_until_ms)
-		return NULL;
-	return g_hash_table_lookup(state->tickets, worker->id);
-}
-
 bool sched_is_allowed(const worker_t *worker, const task_t *task,
 		      int64_t now_ms)
 {
@@ -219,7 +209,7 @@
 	    count_same_step(worker, task) >= spec->per_worker_max)
 		return false;
 	return !task->occurrence->job->queue->advised ||
-	       ticket_of(task, worker, now_ms) != NULL;
+	       sched_ticket(task, worker, now_ms) != NULL;
 }
 
 /* Whether a filler would share the worker with a latency-bound task. */
@@ -386,7 +376,7 @@
 		.grant_clock_ms = sched_grant_clock(s, worker, now_ms),
 		.fence = worker->fence,
 		.checkpoint = task->checkpoint,
-		.ticket = ticket_of(task, worker, now_ms),
+		.ticket = sched_ticket(task, worker, now_ms),
 		.waited_ms = now_ms - task->occurrence->due_ms,
 	};
 
@@ -479,43 +469,6 @@
 	return placed == count;
 }
 
-static GPtrArray *usable_workers(bw_sched_t *s, int64_t now_ms)
-{
-	GPtrArray *workers = g_ptr_array_new();
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, s->workers);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (sched_worker_usable(s, value, now_ms))
-			g_ptr_array_add(workers, value);
-	return workers;
-}
-
-static void request_advice(bw_sched_t *s, occurrence_t *occurrence,
-			   uint32_t step, int64_t now_ms)
-{
-	step_state_t *state = &occurrence->steps[step];
-	bw_task_name_t name = { .occurrence = occurrence->number,
-				.step = step };
-	GPtrArray *workers;
-	const char **ids;
-	guint i;
-
-	if (state->advice_requested ||
-	    (state->tickets && now_ms < state->tickets_until_ms))
-		return;
-	workers = usable_workers(s, now_ms);
-	g_strlcpy(name.job, occurrence->job->id, sizeof(name.job));
-	ids = g_new0(const char *, workers->len + 1);
-	for (i = 0; i < workers->len; i++)
-		ids[i] = ((worker_t *)g_ptr_array_index(workers, i))->id;
-	state->advice_requested = true;
-	s->ops.advise(s->ctx, &name, ids, workers->len);
-	g_free(ids);
-	g_ptr_array_free(workers, TRUE);
-}
-
 /* Starts waiting tasks of a step; false if there was no worker for one. */
 static bool place_step(bw_sched_t *s, occurrence_t *occurrence, uint32_t step,
 		       int64_t now_ms)
@@ -525,7 +478,7 @@
 	uint32_t i;
 
 	if (occurrence->job->queue->advised)
-		request_advice(s, occurrence, step, now_ms);
+		sched_request_advice(s, occurrence, step, now_ms);
 	if (spec->gang)
 		return place_gang(s, occurrence, step, now_ms);
 	for (i = 0; i < spec->count && state->waiting > 0 &&
@@ -683,28 +636,3 @@
 	}
 	g_array_free(list, TRUE);
 }
-
-void bw_sched_advised(bw_sched_t *s, int64_t now_ms, const bw_task_name_t *step,
-		      const char *const *workers, const char *const *tickets,
-		      uint32_t count, int64_t valid_ms)
-{
-	bw_task_name_t first = *step;
-	step_state_t *state;
-	task_t *task;
-	uint32_t i;
-
-	first.index = 0;
-	task = sched_find_task(s, &first);
-	if (!task)
-		return;
-	state = sched_step_state(task);
-	state->advice_requested = false;
-	if (state->tickets)
-		g_hash_table_destroy(state->tickets);
-	state->tickets =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	for (i = 0; i < count; i++)
-		g_hash_table_insert(state->tickets, g_strdup(workers[i]),
-				    g_strdup(tickets[i]));
-	state->tickets_until_ms = now_ms + valid_ms;
-}
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -236,6 +236,7 @@
 static void restart_worker(bw_sched_t *s, worker_t *worker, int64_t now_ms)
 {
 	end_crashed_runs(s, worker, "reborn", true, now_ms);
+	sched_forget_tickets(s, worker);
 	worker->described = false;
 	g_clear_pointer(&worker->unread, g_array_unref);
 	worker->restarted_ms = now_ms;
