A worker that was told dead is used when it starts again

What operators saw: a machine that its pool never used again.

Cause: a worker declared dead (its address or machine had another worker) stayed so, also when it registered anew under its identifier with a later start. Found by a review.

Change: a later start ends that. A worker that an order of the fleet ended stays dead, as the order may name it for seconds after it has been carried out.

--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -280,6 +280,7 @@
 	sched_drop_lapses(s, id);
 	if (!worker || worker->dead)
 		return;
+	worker->ended_by_order = true;
 	mark_dead(s, worker, reason);
 	release_runs(s, worker, reason);
 }
@@ -323,6 +324,14 @@
 	sched_charge_machine(s, worker, now_ms);
 }
 
+/* A worker may start again under its identifier, also after its end was told.
+ */
+static void revive(worker_t *worker, const bw_worker_info_t *info)
+{
+	if (!worker->ended_by_order && info->started_ms > worker->started_ms)
+		worker->dead = false;
+}
+
 void bw_sched_worker_registered(bw_sched_t *s, int64_t now_ms,
 				const bw_worker_info_t *info)
 {
@@ -345,6 +354,7 @@
 		g_free(worker->address);
 		worker->address = g_strdup(info->address);
 	}
+	revive(worker, info);
 	sched_record_start_time(s, worker, now_ms, info->started_ms);
 	if (worker->dead)
 		return;
