An earlier grant is bounded too when the token is raised at once

Cause: a token that is raised in the millisecond in which the restart became known did not count as raised after it, and a successor, whose token is higher from the start, had none to raise: both reckoned with 23 s.

Change: what counts is that no raise is due.

Test: test_token_raised_at_once_bounds_an_earlier_grant failed with 0x1 != 0x2.

--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -225,7 +225,8 @@
 void sched_bound_earlier_grant(const bw_sched_t *s, worker_t *worker,
 			       int64_t sent_ms, int64_t now_ms)
 {
-	if (worker->fence_raised_ms <= worker->restarted_ms ||
+	if (worker->fence_outdated ||
+	    worker->fence_raised_ms < worker->restarted_ms ||
 	    sent_ms < worker->fence_raised_ms)
 		return;
 	worker->earlier_grant_until_ms = MIN(worker->earlier_grant_until_ms,
--- a/test/test_unknowns.c
+++ b/test/test_unknowns.c
@@ -372,7 +372,7 @@
 /* Once the next boot has taken a higher fencing token, no order of before can
  * arrive any more: what it granted ends within the longest grant from then. A
  * lasting task should not be away for 23 s. */
-static void test_worker_lost_after_a_restart_frees_its_tasks(void **state)
+static void lose_worker_after_restart(int64_t until_raised_ms)
 {
 	bw_worker_info_t info = { .id = "w1",
 				  .address = "10.0.0.1:1",
@@ -387,13 +387,12 @@
 	int64_t end_ms;
 	orders_t o;
 
-	(void)state;
 	orders_begin_with_worker(&o);
 	bw_sched_owned_at(o.sched, 100);
 	bw_sched_worker_registered(o.sched, o.now_ms, &info);
 	answer.sent_ms = o.now_ms;
 	bw_sched_heartbeat_answered(o.sched, o.now_ms, "w1", &answer);
-	orders_run(&o, 10);
+	orders_run(&o, until_raised_ms);
 	assert_int_equal(o.fence, 100);
 	answer.sent_ms = o.now_ms;
 	answer.clock_ms += 10;
@@ -426,6 +425,18 @@
 	bw_sched_destroy(o.sched);
 }
 
+static void test_worker_lost_after_a_restart_frees_its_tasks(void **state)
+{
+	(void)state;
+	lose_worker_after_restart(10);
+}
+
+static void test_token_raised_at_once_bounds_an_earlier_grant(void **state)
+{
+	(void)state;
+	lose_worker_after_restart(0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -444,6 +455,8 @@
 			test_list_after_a_foreign_acknowledgement_proves_nothing),
 		cmocka_unit_test(
 			test_worker_lost_after_a_restart_frees_its_tasks),
+		cmocka_unit_test(
+			test_token_raised_at_once_bounds_an_earlier_grant),
 		cmocka_unit_test(test_dead_worker_that_restarts_is_used),
 		cmocka_unit_test(test_ticket_of_an_earlier_boot_is_not_used),
 	};
