Slots lent to a peer that is back come home

Cause (found in reading): after a peer was lost and is back, a new loan to it has an entry of its own beside the lost one, which find_loan() met first. The peer's RETURN was dropped, and if the peer was lost again, the new loan got no end. An operator saw slots of a worker as lent for good (1 after 60 s without load), and the entry could not use them until it was restarted.

Change: find_loan() leaves out loans to lost peers, which lapse by themselves.

--- a/fuzz/fuzz_place.c
+++ b/fuzz/fuzz_place.c
@@ -5,7 +5,8 @@
  *
  * Oracle: a worker never runs more requests than it has slots, a leaving or
  * removed worker gets no new request from an entry that has this configuration,
- * a cell's limit holds over all entries, and each request ends once.
+ * a cell's limit holds over all entries, each request ends once, and no slot
+ * stays lent once the faults are over and the requests have ended.
  */
 #include <string.h>
 
@@ -538,6 +539,40 @@
 	advance(w, 200000);
 }
 
+/* Ends all faults and waits until requests and loans of before are over. */
+static void settle(world_t *w)
+{
+	uint32_t i;
+	int round;
+
+	for (i = 0; i < ENTRIES; i++)
+		if (w->entries[i].paused)
+			toggle_pause(w, i);
+	/* Requests end within 12 s, and loans to lost peers lapse 10.5 s later.
+	 */
+	for (round = 0; round < 60; round++) {
+		repair(w);
+		deliver_all(w);
+		advance(w, 500000);
+	}
+}
+
+static void check_lent(const world_t *w)
+{
+	bw_worker_view_t view;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < ENTRIES; i++) {
+		const bw_place_t *place = w->entries[i].place;
+
+		for (k = 0; k < bw_place_worker_count(place); k++)
+			FUZZ_ASSERT(!bw_place_worker_view(place, k, &view) ||
+					    view.lent == 0,
+				    "no slot stays lent");
+	}
+}
+
 static void teardown(world_t *w)
 {
 	uint32_t i;
@@ -561,6 +596,8 @@
 	setup(w);
 	while (w->choices.left > 0)
 		step(w);
+	settle(w);
+	check_lent(w);
 	teardown(w);
 	g_free(w);
 	return 0;
--- a/src/place/loan.c
+++ b/src/place/loan.c
@@ -28,6 +28,10 @@
 static void expire_lost_loans(bw_place_t *p, int64_t now_us);
 static uint32_t find_pool(const bw_place_t *p, uint64_t id);
 
+/*
+ * Loans to a lost peer are left out: they lapse by themselves, and the peer
+ * does not return them when it is back.
+ */
 static loan_t *find_loan(GArray *loans, uint64_t peer)
 {
 	uint32_t i;
@@ -37,7 +41,7 @@
 	for (i = 0; i < loans->len; i++) {
 		loan_t *loan = &g_array_index(loans, loan_t, i);
 
-		if (loan->peer == peer)
+		if (loan->peer == peer && !loan->peer_lost)
 			return loan;
 	}
 	return NULL;
@@ -58,7 +62,7 @@
 	 * One expiry time per peer keeps the list short; the earlier one is
 	 * safe for both loans.
 	 */
-	if (existing && !existing->peer_lost) {
+	if (existing) {
 		existing->count += count;
 		existing->expires_us = MIN(existing->expires_us, expires_us);
 		return;
@@ -325,7 +329,7 @@
 			continue;
 		w = worker_at(p, worker);
 		loan = find_loan(w->loans_out, peer);
-		if (!loan || loan->peer_lost)
+		if (!loan)
 			continue;
 		count = MIN(count, loan->count);
 		loan->count -= count;
@@ -530,7 +534,7 @@
 			recount_borrowed(w, now_us);
 		}
 		loan = find_loan(w->loans_out, peer);
-		if (loan && !loan->peer_lost) {
+		if (loan) {
 			loan->peer_lost = true;
 			loan->expires_us = expires_us;
 			g_array_append_val(p->lent_to_lost, i);
--- a/test/test_place.c
+++ b/test/test_place.c
@@ -64,6 +64,8 @@
 	"{\"service\":\"t\",\"pool\":\"b\",\"weight\":10},"
 	"{\"service\":\"d\",\"pool\":\"b\",\"weight\":10}]}";
 
+static uint32_t slots_per_worker = 2;
+
 static void configure(fixture_t *p, const char *states, int64_t now_us)
 {
 	bw_findings_t *f = bw_findings_create("test");
@@ -78,9 +80,9 @@
 			text,
 			"%s{\"name\":\"w%u\",\"address\":\"127.0.0.%u:1\","
 			"\"zone\":\"z%u\",\"rack\":\"r%u\",\"pool\":\"%c\","
-			"\"slots\":2,\"state\":\"%s\"}",
+			"\"slots\":%u,\"state\":\"%s\"}",
 			i ? "," : "", i, i + 1, i % 2, i,
-			g_ascii_tolower(states[i]),
+			g_ascii_tolower(states[i]), slots_per_worker,
 			g_ascii_isupper(states[i]) ? "leaving" : "serving");
 	g_string_append(text, "]}");
 	workers = bw_workers_parse(text->str, text->len, f);
@@ -355,6 +357,88 @@
 	stall_us = 0;
 }
 
+/* A placement with one worker of four slots and a peer that has half of them.
+ */
+static fixture_t *create_with_peer(uint64_t *peer)
+{
+	uint64_t members[2] = { bw_name_id("e1"), bw_name_id("e2") };
+	bw_place_msg_t ack = { .type = BW_PLACE_MSG_ACK, .epoch = 2 };
+	fixture_t *p;
+
+	slots_per_worker = 4;
+	p = create_fixture("a");
+	slots_per_worker = 2;
+	bw_place_set_view(p->place, 2, members, 2, 10);
+	bw_place_peer_up(p->place, members[1], 10);
+	bw_place_receive(p->place, members[1], &ack, 20);
+	*peer = members[1];
+	return p;
+}
+
+static bw_place_msg_t lend_slot(fixture_t *p, uint64_t peer, int64_t now_us)
+{
+	bw_place_msg_t request = { .type = BW_PLACE_MSG_SLOT_REQUEST,
+				   .pool = bw_name_id("a"),
+				   .stamp_us = now_us,
+				   .count = 1 };
+	bw_place_msg_t grant;
+
+	bw_place_receive(p->place, peer, &request, now_us);
+	grant = p->sent[(p->sent_count - 1) % 64];
+	assert_int_equal(grant.type, BW_PLACE_MSG_GRANT);
+	assert_int_equal(grant.loan_count, 1);
+	return grant;
+}
+
+static void reconnect(fixture_t *p, uint64_t peer, int64_t now_us)
+{
+	bw_place_peer_lost(p->place, peer, now_us);
+	bw_place_peer_up(p->place, peer, now_us + 10);
+}
+
+static uint32_t lent_slots(const fixture_t *p)
+{
+	bw_worker_view_t view;
+
+	assert_true(bw_place_worker_view(p->place, 0, &view));
+	return view.lent;
+}
+
+static void test_slot_lent_after_reconnect_is_returned(void **state)
+{
+	bw_place_msg_t loan;
+	uint64_t peer;
+	fixture_t *p = create_with_peer(&peer);
+
+	(void)state;
+	lend_slot(p, peer, 100);
+	reconnect(p, peer, 200);
+	loan = lend_slot(p, peer, 300);
+	assert_int_equal(lent_slots(p), 2);
+	loan.type = BW_PLACE_MSG_RETURN;
+	bw_place_receive(p->place, peer, &loan, 400);
+	assert_int_equal(lent_slots(p), 1);
+	bw_place_tick(p->place, 60 * (int64_t)SECOND_US);
+	assert_int_equal(lent_slots(p), 0);
+	destroy_fixture(p);
+}
+
+static void test_slots_of_peer_lost_twice_lapse(void **state)
+{
+	uint64_t peer;
+	fixture_t *p = create_with_peer(&peer);
+
+	(void)state;
+	lend_slot(p, peer, 100);
+	reconnect(p, peer, 200);
+	lend_slot(p, peer, 300);
+	reconnect(p, peer, 400);
+	assert_int_equal(lent_slots(p), 2);
+	bw_place_tick(p->place, 60 * (int64_t)SECOND_US);
+	assert_int_equal(lent_slots(p), 0);
+	destroy_fixture(p);
+}
+
 static void test_shares_sum(void **state)
 {
 	uint64_t members[40];
@@ -502,6 +586,8 @@
 		cmocka_unit_test(test_retry_avoids_the_worker),
 		cmocka_unit_test(test_removed_service_refuses_its_queue),
 		cmocka_unit_test(test_pause_voids_shares),
+		cmocka_unit_test(test_slot_lent_after_reconnect_is_returned),
+		cmocka_unit_test(test_slots_of_peer_lost_twice_lapse),
 		cmocka_unit_test(test_shares_sum),
 		cmocka_unit_test(test_worker_parts),
 		cmocka_unit_test(test_retry_table),
