Expired slot requests of peers keep no busy pool from asking

Cause (found in reading): a peer's unmet request for slots lasts 30 ms, but was dropped only while the pool had an available worker. In a busy pool it stayed, and while its rank was better than that of the entry's own requests, the entry asked no peer for slots: callers of less urgent services waited for the entry's own share, up to their deadline, though other entries had free slots. The list grew by each further request.

Change: expired requests are dropped before the entry looks whether one goes first, and before another is added.

--- a/src/place/loan.c
+++ b/src/place/loan.c
@@ -25,6 +25,7 @@
 			       uint32_t rank, int64_t now_us);
 static uint64_t next_connected_peer(bw_place_t *p, place_pool_t *pool);
 static bool promised_to_peer(const place_pool_t *pool, uint32_t rank);
+static void drop_expired_requests(place_pool_t *pool, int64_t now_us);
 static void expire_lost_loans(bw_place_t *p, int64_t now_us);
 static uint32_t find_pool(const bw_place_t *p, uint64_t id);
 
@@ -80,6 +81,18 @@
 	return BW_NONE;
 }
 
+/* Serving drops them only while the pool has available workers. */
+static void drop_expired_requests(place_pool_t *pool, int64_t now_us)
+{
+	GArray *requests = pool->slot_requests;
+	uint32_t i;
+
+	for (i = requests->len; i > 0; i--)
+		if (now_us >=
+		    g_array_index(requests, slot_request_t, i - 1).expires_us)
+			g_array_remove_index_fast(requests, i - 1);
+}
+
 static bool promised_to_peer(const place_pool_t *pool, uint32_t rank)
 {
 	uint32_t i;
@@ -117,7 +130,10 @@
 	uint32_t i;
 
 	if (now_us < p->next_slot_request_us ||
-	    now_us < q->next_slot_request_us || promised_to_peer(q, rank))
+	    now_us < q->next_slot_request_us)
+		return;
+	drop_expired_requests(q, now_us);
+	if (promised_to_peer(q, rank))
 		return;
 	p->next_slot_request_us = now_us + SLOT_REQUEST_INTERVAL_US;
 	msg.count = MIN(count, SLOT_REQUEST_SLOTS_MAX);
@@ -237,6 +253,7 @@
 	if (pool == BW_NONE || lent >= request.count)
 		return;
 	request.count -= lent;
+	drop_expired_requests(pool_at(p, pool), now_us);
 	g_array_append_val(pool_at(p, pool)->slot_requests, request);
 }
 
--- a/test/test_place.c
+++ b/test/test_place.c
@@ -359,14 +359,14 @@
 
 /* A placement with one worker of four slots and a peer that has half of them.
  */
-static fixture_t *create_with_peer(uint64_t *peer)
+static fixture_t *create_with_peer(const char *pool, uint64_t *peer)
 {
 	uint64_t members[2] = { bw_name_id("e1"), bw_name_id("e2") };
 	bw_place_msg_t ack = { .type = BW_PLACE_MSG_ACK, .epoch = 2 };
 	fixture_t *p;
 
 	slots_per_worker = 4;
-	p = create_fixture("a");
+	p = create_fixture(pool);
 	slots_per_worker = 2;
 	bw_place_set_view(p->place, 2, members, 2, 10);
 	bw_place_peer_up(p->place, members[1], 10);
@@ -408,7 +408,7 @@
 {
 	bw_place_msg_t loan;
 	uint64_t peer;
-	fixture_t *p = create_with_peer(&peer);
+	fixture_t *p = create_with_peer("a", &peer);
 
 	(void)state;
 	lend_slot(p, peer, 100);
@@ -426,7 +426,7 @@
 static void test_slots_of_peer_lost_twice_lapse(void **state)
 {
 	uint64_t peer;
-	fixture_t *p = create_with_peer(&peer);
+	fixture_t *p = create_with_peer("a", &peer);
 
 	(void)state;
 	lend_slot(p, peer, 100);
@@ -439,6 +439,39 @@
 	destroy_fixture(p);
 }
 
+static uint32_t count_sent(const fixture_t *p, bw_place_msg_type_t type)
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < MIN(p->sent_count, 64); i++)
+		count += p->sent[i].type == type;
+	return count;
+}
+
+/* A peer's request of better rank goes first, but only until it expires. */
+static void test_expired_slot_request_keeps_busy_pool_from_asking(void **state)
+{
+	bw_place_msg_t request = { .type = BW_PLACE_MSG_SLOT_REQUEST,
+				   .pool = bw_name_id("b"),
+				   .stamp_us = 30,
+				   .count = 1 };
+	uint64_t peer;
+	fixture_t *p = create_with_peer("b", &peer);
+	int i;
+
+	(void)state;
+	for (i = 0; i < 2; i++)
+		submit(p, i, "d", 30, 9 * SECOND_US);
+	bw_place_receive(p->place, peer, &request, 40);
+	submit(p, 2, "d", 50, 9 * SECOND_US);
+	assert_false(p->started[2]);
+	assert_int_equal(count_sent(p, BW_PLACE_MSG_SLOT_REQUEST), 0);
+	bw_place_tick(p->place, SECOND_US);
+	assert_int_equal(count_sent(p, BW_PLACE_MSG_SLOT_REQUEST), 1);
+	destroy_fixture(p);
+}
+
 static void test_shares_sum(void **state)
 {
 	uint64_t members[40];
@@ -588,6 +621,8 @@
 		cmocka_unit_test(test_pause_voids_shares),
 		cmocka_unit_test(test_slot_lent_after_reconnect_is_returned),
 		cmocka_unit_test(test_slots_of_peer_lost_twice_lapse),
+		cmocka_unit_test(
+			test_expired_slot_request_keeps_busy_pool_from_asking),
 		cmocka_unit_test(test_shares_sum),
 		cmocka_unit_test(test_worker_parts),
 		cmocka_unit_test(test_retry_table),
