A full view keeps its last member

Cause (found in reading): bw_view_propose() kept a place free for itself in each change, also where it is a member already, so that a view of 256 entries lost its last member when an entry came back with another address; and an entry that joined a full view took the last member's place. That one was neither excluded nor silent: it is told that it is no member, while its lease and the promises to it are valid, and goes on to compete for a place.

Change: all members are copied; an entry does not join a full view, and says so in its log when it adopts one.

Evidence, on the parent: test_full_view_loses_its_last_member: test_once.c:339: 0xff != 0x100 test_joining_full_view_drops_a_member: test_once.c:355: 0x100 != 0 Now test_once: 9 pass. The tests of views are in test_once, not in test_member. The log line has no test.

--- a/src/member/view.c
+++ b/src/member/view.c
@@ -334,7 +334,10 @@
 	/* Without a valid lease this entry may itself be excluded by others. */
 	if (!v->store_current || now_us >= v->lease_expiry_us)
 		return 0;
-	for (i = 0; i < v->members->len && count + 1 < BW_MEMBERS_MAX; i++) {
+	/* Only an exclusion, which members decide on, may remove a member. */
+	if (joining && v->members->len >= BW_MEMBERS_MAX)
+		return 0;
+	for (i = 0; i < v->members->len; i++) {
 		bw_member_t m = g_array_index(v->members, bw_member_t, i);
 		const peer_t *peer = find_peer(v, bw_name_id(m.name));
 
--- a/src/member/view.h
+++ b/src/member/view.h
@@ -115,7 +115,8 @@
  *        the membership
  * @param excluded receives up to BW_MEMBERS_MAX names of excluded entries; the
  *        write must fail if one of them has a lease key
- * @return number of members, or 0 when there is nothing to write now
+ * @return number of members, or 0 when there is nothing to write now, also when
+ *         this entry would join a view of BW_MEMBERS_MAX members
  */
 uint32_t bw_view_propose(bw_view_t *v, int64_t now_us, bw_member_t *members,
 			 const char **excluded, uint32_t *excluded_count);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -252,6 +252,9 @@
 	if (bw_view_adopt(n->view, epoch, list, count, bw_now_us())) {
 		g_message("View %" G_GUINT64_FORMAT " adopted; %u entries.",
 			  epoch, count);
+		if (count == BW_MEMBERS_MAX && !bw_view_is_member(n->view))
+			g_warning("The view is full; this entry waits until "
+				  "another one leaves.");
 		ids = g_new0(uint64_t, count);
 		for (i = 0; i < count; i++) {
 			ids[i] = bw_name_id(list[i].name);
--- a/test/test_once.c
+++ b/test/test_once.c
@@ -303,6 +303,60 @@
 	bw_view_destroy(v);
 }
 
+/* Creates the membership of m0 with a view of first to first + 255. */
+static bw_view_t *create_full_view(char names[][8], uint32_t first)
+{
+	bw_view_config_t config = { .name = "m0",
+				    .address = "m0",
+				    .lease_us = 1000,
+				    .promise_us = 500,
+				    .store_outage_max_us = 10000000 };
+	bw_member_t members[BW_MEMBERS_MAX];
+	bw_view_t *v = bw_view_create(&config);
+	uint32_t i;
+
+	for (i = 0; i < BW_MEMBERS_MAX; i++) {
+		g_snprintf(names[i], sizeof(names[i]), "m%u", first + i);
+		members[i].name = names[i];
+		members[i].address = (char *)"old";
+	}
+	assert_true(bw_view_adopt(v, 1, members, BW_MEMBERS_MAX, 0));
+	bw_view_set_store_current(v, true);
+	bw_view_lease_renewed(v, 1000);
+	return v;
+}
+
+static void test_full_view_loses_its_last_member(void **state)
+{
+	char names[BW_MEMBERS_MAX][8];
+	bw_view_t *v = create_full_view(names, 0);
+	bw_member_t members[BW_MEMBERS_MAX];
+	const char *excluded[BW_MEMBERS_MAX];
+	uint32_t count;
+
+	(void)state;
+	/* The change is this entry's address. */
+	assert_int_equal(bw_view_propose(v, 1500, members, excluded, &count),
+			 BW_MEMBERS_MAX);
+	assert_int_equal(count, 0);
+	assert_string_equal(members[0].address, "m0");
+	bw_view_destroy(v);
+}
+
+static void test_joining_full_view_drops_a_member(void **state)
+{
+	char names[BW_MEMBERS_MAX][8];
+	bw_view_t *v = create_full_view(names, 1);
+	bw_member_t members[BW_MEMBERS_MAX];
+	const char *excluded[BW_MEMBERS_MAX];
+	uint32_t count;
+
+	(void)state;
+	assert_int_equal(bw_view_propose(v, 1500, members, excluded, &count),
+			 0);
+	bw_view_destroy(v);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -313,6 +367,8 @@
 		cmocka_unit_test(test_right_to_own),
 		cmocka_unit_test(test_exclusion),
 		cmocka_unit_test(test_never_met),
+		cmocka_unit_test(test_full_view_loses_its_last_member),
+		cmocka_unit_test(test_joining_full_view_drops_a_member),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
