A step's "after" that is no list is a wrong type

Cause (found in reading): "after": 0 in a job of operators was answered with "unknown key: steps[1].after", as if the key did not exist.

Change: "wrong type: steps[1].after is not a list".

Jobs that platform/ parses are read elsewhere.

--- a/src/job/json.c
+++ b/src/job/json.c
@@ -106,6 +106,11 @@
 {
 	size_t i;
 
+	if (!json_is_array(value)) {
+		bw_findings_add(findings, BW_F_WRONG_TYPE, 0, 0,
+				"steps[%u].after is not a list", step);
+		return;
+	}
 	out->after_count = (uint32_t)json_array_size(value);
 	out->after = g_new0(uint32_t, out->after_count + 1);
 	for (i = 0; i < out->after_count; i++) {
@@ -136,7 +141,7 @@
 
 		if (field)
 			parse_field(field, item, step, out, findings);
-		else if (!strcmp(name, "after") && json_is_array(item))
+		else if (!strcmp(name, "after"))
 			parse_after(item, step, out, findings);
 		else
 			bw_findings_add(findings, BW_F_UNKNOWN_KEY, 0, 0,
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -935,6 +935,9 @@
 	{ "{\"text\":\"t\",\"steps\":[{\"tasks\":\"1\"}]}", "steps[0].tasks" },
 	{ "{\"text\":\"t\",\"steps\":[{\"tasks\":1,\"after\":[0]}]}",
 	  "step 0 comes after step 0" },
+	{ "{\"text\":\"t\",\"steps\":[{\"tasks\":1},{\"tasks\":1,"
+	  "\"after\":0}]}",
+	  "wrong type: steps[1].after is not a list" },
 	{ "{\"text\":\"t\",\"steps\":[{\"tasks\":1}],\"schedule\":{}}",
 	  "schedule" },
 };
