Unknown keys of a job and of its schedule are refused

Cause (found in reading): only the keys of steps were checked. A job with the key "schedul" was accepted and ran once; the operator saw no schedule and no error.

Change: a job has "text", "steps" and "schedule", a schedule "repeats", "first_due_ms" and "interval_ms"; others are "unknown key: schedule.until". These are all that the parser reads. Jobs that platform/ parses are read elsewhere.

--- a/src/job/json.c
+++ b/src/job/json.c
@@ -42,6 +42,10 @@
 	{ "away_max", FIELD_UINT32, offsetof(bw_step_spec_t, away_max) },
 };
 
+static const char *const job_keys[] = { "text", "steps", "schedule", NULL };
+static const char *const schedule_keys[] = { "repeats", "first_due_ms",
+					     "interval_ms", NULL };
+
 static const field_t *find_field(const char *name);
 static bool parse_number(json_t *value, int64_t max, int64_t *out);
 static void parse_field(const field_t *field, json_t *value, uint32_t step,
@@ -50,6 +54,10 @@
 			bw_findings_t *findings);
 static void parse_step(json_t *value, uint32_t step, bw_step_spec_t *out,
 		       bw_findings_t *findings);
+static void check_keys(json_t *object, const char *prefix,
+		       const char *const *valid_keys, bw_findings_t *findings);
+static void parse_schedule(json_t *root, bw_findings_t *findings,
+			   bw_job_spec_t *out);
 static bw_status_t parse_job(json_t *root, bw_findings_t *findings,
 			     bw_job_spec_t **out);
 
@@ -149,6 +157,20 @@
 	}
 }
 
+static void check_keys(json_t *object, const char *prefix,
+		       const char *const *valid_keys, bw_findings_t *findings)
+{
+	const char *key;
+	json_t *value;
+
+	json_object_foreach(object, key, value)
+	{
+		if (!g_strv_contains(valid_keys, key))
+			bw_findings_add(findings, BW_F_UNKNOWN_KEY, 0, 0,
+					"%s%s", prefix, key);
+	}
+}
+
 static void parse_schedule(json_t *root, bw_findings_t *findings,
 			   bw_job_spec_t *out)
 {
@@ -157,6 +179,7 @@
 
 	if (!schedule)
 		return;
+	check_keys(schedule, "schedule.", schedule_keys, findings);
 	if (!parse_number(json_object_get(schedule, "repeats"), G_MAXINT32,
 			  &repeats) ||
 	    !parse_number(json_object_get(schedule, "first_due_ms"), INT64_MAX,
@@ -177,6 +200,7 @@
 	bw_job_spec_t *spec;
 	uint32_t i;
 
+	check_keys(root, "", job_keys, findings);
 	if (!text)
 		bw_findings_add(findings, BW_F_MISSING_KEY, 0, 0, "text");
 	if (!json_is_array(steps))
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -940,6 +940,14 @@
 	  "wrong type: steps[1].after is not a list" },
 	{ "{\"text\":\"t\",\"steps\":[{\"tasks\":1}],\"schedule\":{}}",
 	  "schedule" },
+	{ "{\"text\":\"t\",\"steps\":[{\"tasks\":1}],\"schedule\":{"
+	  "\"repeats\":1,\"first_due_ms\":0,\"interval_ms\":5}}",
+	  NULL },
+	{ "{\"text\":\"t\",\"steps\":[{\"tasks\":1}],\"schedul\":{}}",
+	  "job: unknown key: schedul" },
+	{ "{\"text\":\"t\",\"steps\":[{\"tasks\":1}],\"schedule\":{"
+	  "\"repeats\":1,\"first_due_ms\":0,\"interval_ms\":5,\"until\":1}}",
+	  "job: unknown key: schedule.until" },
 };
 
 static void test_operators_jobs(void **state)
