A cell that is listed twice is refused also if the first is zero

Cause (found in reading): a cell was taken as listed when the table had a weight, spill or limit for it. Of two entries of one cell the second one counted without a word if the first was all zero: the operator who had switched a cell off and left an older line below found traffic on it.

Change: the parser marks the cells that it has read.

--- a/src/table/json.c
+++ b/src/table/json.c
@@ -42,7 +42,8 @@
 			 bw_findings_t *findings);
 static void parse_pool(const position_t *at, json_t *object, bw_table_t *t);
 static void parse_service(const position_t *at, json_t *object, bw_table_t *t);
-static void parse_cell(const position_t *at, json_t *object, bw_table_t *t);
+static void parse_cell(const position_t *at, json_t *object, bw_table_t *t,
+		       bool *listed);
 static void parse_worker(const position_t *at, json_t *object, bw_worker_t *w);
 static void check_service_prefixes(const bw_table_t *t,
 				   bw_findings_t *findings);
@@ -244,7 +245,9 @@
 				       ATTEMPTS_DEFAULT);
 }
 
-static void parse_cell(const position_t *at, json_t *object, bw_table_t *t)
+/* Also a cell of zeros counts as listed, so @p listed tells them apart. */
+static void parse_cell(const position_t *at, json_t *object, bw_table_t *t,
+		       bool *listed)
 {
 	static const char *const valid_keys[] = { "service", "pool",  "weight",
 						  "spill",   "limit", NULL };
@@ -252,8 +255,8 @@
 	char *pool = parse_name(at, object, "pool", true);
 	uint32_t s = bw_table_service_index(t, service);
 	uint32_t p = bw_table_pool_index(t, pool);
-	bw_cell_t *table_cell;
 	bw_cell_t cell;
+	bool *seen;
 
 	check_keys(at, object, valid_keys);
 	if (s == UINT32_MAX)
@@ -269,11 +272,12 @@
 	cell.limit = parse_number(at, object, "limit", 0, 1000000, 0);
 	if (s == UINT32_MAX || p == UINT32_MAX)
 		return;
-	table_cell = bw_table_cell(t, s, p);
-	if (table_cell->weight || table_cell->spill || table_cell->limit)
+	seen = &listed[(size_t)s * t->pool_count + p];
+	if (*seen)
 		add_finding(at, BW_F_DUPLICATE, "service",
 			    "cell is listed twice");
-	*table_cell = cell;
+	*seen = true;
+	*bw_table_cell(t, s, p) = cell;
 }
 
 static void check_service_prefixes(const bw_table_t *t, bw_findings_t *findings)
@@ -305,6 +309,7 @@
 	bw_table_t *t;
 	json_t *item;
 	position_t at = { .findings = findings };
+	bool *listed;
 
 	if (!root)
 		return NULL;
@@ -323,7 +328,10 @@
 	json_array_foreach(services, at.index, item)
 		parse_service(&at, item, t);
 	at.list = "cells";
-	json_array_foreach(cells, at.index, item) parse_cell(&at, item, t);
+	listed = g_new0(bool, (size_t)t->service_count * t->pool_count);
+	json_array_foreach(cells, at.index, item)
+		parse_cell(&at, item, t, listed);
+	g_free(listed);
 	json_decref(root);
 	if (bw_findings_count(findings) == before)
 		check_service_prefixes(t, findings);
