Seconds and fractions out of range are reported as they were written

Cause (found in reading): settings in seconds, and fractions, are checked as whole thousandths, and the message gave these: "limits.keep_s is, must be 0 to" for keep_s = 100000. An operator who followed the range set it a thousand times too long. A huge value was reported as -, a text as no integer, although 0.5 is allowed.

Change: value and range in the unit of the file, "must be a number" for other types. What is accepted is unchanged.

--- a/src/conf/keys.c
+++ b/src/conf/keys.c
@@ -85,21 +85,31 @@
 	*field = item->integer;
 }
 
+/* Findings state the value and its range in the unit of the file. */
 static void set_thousandths(void *base, const bw_key_spec_t *spec,
 			    const bw_toml_item_t *item, bw_findings_t *f)
 {
-	bw_toml_item_t scaled = *item;
+	int64_t *field = (int64_t *)((char *)base + spec->offset);
 	double number = item->type == BW_TOML_FLOAT ? item->number
 						    : (double)item->integer;
+	int64_t thousandths = INT64_MIN;
 
+	if (item->type != BW_TOML_FLOAT && item->type != BW_TOML_INTEGER) {
+		bw_findings_add(f, BW_F_WRONG_TYPE, item->line, item->column,
+				"%s must be a number", item->path);
+		return;
+	}
 	/* Also false for not-a-number, which has no integer value. */
 	if (fabs(number) < NUMBER_END)
-		scaled.integer = llround(number * 1000.0);
-	else
-		scaled.integer = INT64_MIN;
-	if (item->type == BW_TOML_FLOAT)
-		scaled.type = BW_TOML_INTEGER;
-	set_number(base, spec, &scaled, f);
+		thousandths = llround(number * 1000.0);
+	if (thousandths < spec->min || thousandths > spec->max) {
+		bw_findings_add(f, BW_F_OUT_OF_RANGE, item->line, item->column,
+				"%s is %.15g, must be %.15g to %.15g",
+				item->path, number, (double)spec->min / 1000.0,
+				(double)spec->max / 1000.0);
+		return;
+	}
+	*field = thousandths;
 }
 
 static void set_boolean(void *base, const bw_key_spec_t *spec,
