An import of workers does not write over a part that can't be read

Cause (found in reading): bramleyctl took a stored part of the worker list that it could not parse as empty. The operator saw the parser's errors, then "accepted 1 workers", and what the part had held was overwritten; a part without a worker in the file was left as it was, so the import was not what it said either.

Change: refused with exit code 2, nothing written, and each part named: "workers/1f in the store can't be read; repair or delete it there". worker list prints the same line.

Evidence: test_import_overwrites_unreadable_part (new program test_ctl, with a store in memory) on the parent: test_ctl.c:108: 0 != 0x2. Now 1 passes. test/test_ctl.sh has not been run yet.

--- a/src/ctl/worker.c
+++ b/src/ctl/worker.c
@@ -14,13 +14,14 @@
 typedef struct worker_parts {
 	bw_workers_t *list[BW_WORKER_PARTS];
 	int64_t revision[BW_WORKER_PARTS];
-	bool invalid;
+	bool unreadable[BW_WORKER_PARTS]; /**< Stored, but not a list. */
 } worker_parts_t;
 
 static bw_workers_t *parse_or_print(const char *name, const char *text);
 static void part_key(uint32_t part, char out[PART_KEY_BYTES]);
 static void record_part(void *ctx, const char *name, const char *text,
 			int64_t revision);
+static bool report_unreadable(const worker_parts_t *parts);
 static void clear_parts(worker_parts_t *parts);
 static bw_status_t write_part(bw_ctl_t *c, uint32_t part, int64_t revision,
 			      const bw_workers_t *workers);
@@ -57,7 +58,27 @@
 		return;
 	parts->list[part] = parse_or_print(name, text);
 	parts->revision[part] = revision;
-	parts->invalid = parts->invalid || !parts->list[part];
+	parts->unreadable[part] = !parts->list[part];
+}
+
+/* Names the stored parts that are no lists; returns whether there are any. */
+static bool report_unreadable(const worker_parts_t *parts)
+{
+	char key[PART_KEY_BYTES];
+	bool found = false;
+	uint32_t i;
+
+	for (i = 0; i < BW_WORKER_PARTS; i++) {
+		if (!parts->unreadable[i])
+			continue;
+		part_key(i, key);
+		fprintf(stderr,
+			"bramleyctl: %s in the store can't be read; repair or "
+			"delete it there\n",
+			key);
+		found = true;
+	}
+	return found;
 }
 
 static void clear_parts(worker_parts_t *parts)
@@ -94,6 +115,7 @@
 	bw_status_t status =
 		bw_ctl_read_all(c, "workers/", record_part, &parts);
 	bool first = true;
+	bool unreadable;
 	uint32_t i;
 	uint32_t k;
 
@@ -119,8 +141,9 @@
 	}
 	if (c->json)
 		printf("]\n");
+	unreadable = report_unreadable(&parts);
 	clear_parts(&parts);
-	return parts.invalid ? BW_EXIT_INVALID : BW_EXIT_OK;
+	return unreadable ? BW_EXIT_INVALID : BW_EXIT_OK;
 }
 
 /* Writes one part of the list, unless it is unchanged. */
@@ -159,6 +182,12 @@
 	}
 	g_free(text);
 	status = bw_ctl_read_all(c, "workers/", record_part, &parts);
+	/* What an unreadable part holds is unknown, so it isn't replaced. */
+	if (status == BW_OK && report_unreadable(&parts)) {
+		clear_parts(&parts);
+		bw_workers_destroy(workers);
+		return BW_EXIT_INVALID;
+	}
 	for (i = 0; i < BW_WORKER_PARTS && status == BW_OK; i++)
 		status = import_part(c, i, &parts, workers);
 	if (status == BW_OK)
--- /dev/null
+++ b/test/test_ctl.c
@@ -0,0 +1,124 @@
+/* Commands of bramleyctl on stored data that can't be read. */
+#include "test.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <ev.h>
+#include <glib.h>
+
+#include "ctl/ctl.h"
+#include "table/table.h"
+
+#define WORKER "w0"
+
+/** A store with one key. */
+typedef struct one_key_store {
+	char key[32];
+	const char *value;
+	uint32_t writes;
+} one_key_store_t;
+
+/* Answers at once, so the loop that is run next has nothing to wait for. */
+static void range_one_key(void *impl, const char *prefix, bw_store_done_fn done,
+			  void *ctx)
+{
+	one_key_store_t *store = impl;
+	bw_store_kv_t kv = { .key = store->key,
+			     .value = store->value,
+			     .bytes = strlen(store->value),
+			     .mod_revision = 7 };
+	bw_store_reply_t reply = { .status = BW_OK, .kvs = &kv, .kv_count = 1 };
+
+	assert_true(g_str_has_prefix(store->key, prefix));
+	done(ctx, &reply);
+}
+
+static void count_write(void *impl, const bw_store_cas_t *cas,
+			bw_store_done_fn done, void *ctx)
+{
+	one_key_store_t *store = impl;
+	bw_store_reply_t reply = { .status = BW_OK, .succeeded = true };
+
+	(void)cas;
+	store->writes++;
+	done(ctx, &reply);
+}
+
+static const bw_store_ops_t ops = { .range = range_one_key,
+				    .cas = count_write };
+
+/** The message that a command printed, and its exit code. */
+typedef struct result {
+	bw_exit_t code;
+	char message[1024];
+} result_t;
+
+static result_t run_command(one_key_store_t *store, bw_ctl_fn command,
+			    const char *arg)
+{
+	bw_ctl_t c = { .loop = ev_loop_new(0),
+		       .store = { .ops = &ops, .impl = store },
+		       .prefix = (char *)"p" };
+	char *args[] = { (char *)arg, NULL };
+	result_t result = { 0 };
+	FILE *messages = tmpfile();
+	int saved = dup(STDERR_FILENO);
+
+	assert_non_null(messages);
+	dup2(fileno(messages), STDERR_FILENO);
+	result.code = command(&c, args);
+	fflush(stderr);
+	dup2(saved, STDERR_FILENO);
+	close(saved);
+	rewind(messages);
+	assert_true(fread(result.message, 1, sizeof(result.message) - 1,
+			  messages) > 0);
+	fclose(messages);
+	ev_loop_destroy(c.loop);
+	return result;
+}
+
+static void set_up_unreadable_part(one_key_store_t *store)
+{
+	memset(store, 0, sizeof(*store));
+	g_snprintf(store->key, sizeof(store->key), "p/workers/%02x",
+		   bw_worker_part(WORKER));
+	store->value = "{\"workers\":[{\"name\":\"" WORKER "\"}]}";
+}
+
+static void test_import_overwrites_unreadable_part(void **state)
+{
+	static const char text[] =
+		"{\"workers\":[{\"name\":\"" WORKER "\","
+		"\"address\":\"127.0.0.1:1\",\"zone\":\"z\",\"pool\":\"p\"}]}";
+	char *path = NULL;
+	one_key_store_t store;
+	result_t result;
+	char *expected;
+	int fd = g_file_open_tmp("workers-XXXXXX", &path, NULL);
+
+	(void)state;
+	assert_int_equal(write(fd, text, strlen(text)), strlen(text));
+	close(fd);
+	set_up_unreadable_part(&store);
+	result = run_command(&store, bw_ctl_worker_import, path);
+	unlink(path);
+	g_free(path);
+	assert_int_equal(result.code, BW_EXIT_INVALID);
+	assert_int_equal(store.writes, 0);
+	expected = g_strdup_printf("%s in the store can't be read",
+				   store.key + strlen("p/"));
+	assert_non_null(strstr(result.message, expected));
+	g_free(expected);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_import_overwrites_unreadable_part),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
