A drain in a part of the workers that can't be read says so

Cause (found on the way): worker drain and undrain took a stored part that they could not parse as empty and ended with "no worker w0" and exit code 6, though the worker may be in it.

Change: exit code 2, and the part is named as by worker import.

--- a/src/ctl/worker.c
+++ b/src/ctl/worker.c
@@ -21,6 +21,7 @@
 static void part_key(uint32_t part, char out[PART_KEY_BYTES]);
 static void record_part(void *ctx, const char *name, const char *text,
 			int64_t revision);
+static void print_unreadable(const char *key);
 static bool report_unreadable(const worker_parts_t *parts);
 static void clear_parts(worker_parts_t *parts);
 static bw_status_t write_part(bw_ctl_t *c, uint32_t part, int64_t revision,
@@ -61,6 +62,14 @@
 	parts->unreadable[part] = !parts->list[part];
 }
 
+static void print_unreadable(const char *key)
+{
+	fprintf(stderr,
+		"bramleyctl: %s in the store can't be read; repair or delete "
+		"it there\n",
+		key);
+}
+
 /* Names the stored parts that are no lists; returns whether there are any. */
 static bool report_unreadable(const worker_parts_t *parts)
 {
@@ -72,10 +81,7 @@
 		if (!parts->unreadable[i])
 			continue;
 		part_key(i, key);
-		fprintf(stderr,
-			"bramleyctl: %s in the store can't be read; repair or "
-			"delete it there\n",
-			key);
+		print_unreadable(key);
 		found = true;
 	}
 	return found;
@@ -229,11 +235,18 @@
 		bw_ctl_value_t value = bw_ctl_read(c, key);
 		bw_workers_t *workers = NULL;
 		bw_worker_t *worker = NULL;
+		bool unreadable = false;
 
 		status = value.status;
-		if (status == BW_OK && value.text)
+		if (status == BW_OK && value.text) {
 			workers = parse_or_print(key, value.text);
+			unreadable = !workers;
+		}
 		g_free(value.text);
+		if (unreadable) {
+			print_unreadable(key);
+			return BW_EXIT_INVALID;
+		}
 		if (workers)
 			worker = find_worker(workers, name);
 		if (status == BW_OK && !worker) {
--- a/test/test_ctl.c
+++ b/test/test_ctl.c
@@ -114,10 +114,24 @@
 	g_free(expected);
 }
 
+static void test_drain_takes_unreadable_part_as_empty(void **state)
+{
+	one_key_store_t store;
+	result_t result;
+
+	(void)state;
+	set_up_unreadable_part(&store);
+	result = run_command(&store, bw_ctl_worker_drain, WORKER);
+	assert_null(strstr(result.message, "no worker"));
+	assert_int_equal(result.code, BW_EXIT_INVALID);
+	assert_int_equal(store.writes, 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_import_overwrites_unreadable_part),
+		cmocka_unit_test(test_drain_takes_unreadable_part_as_empty),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
