An import does not write over a table that can't be read

Cause (found on the way): bramleyctl table import of JSON took a stored table that is no JSON object as if there were none. The operator saw "accepted as version 1": the history was gone, and table wait for a version counted from the beginning. table set and an import of CSV refused it already.

Change: refused with exit code 2 and "stored table: syntax error: can't be read; repair or delete it in the store".

--- a/src/table/edit.c
+++ b/src/table/edit.c
@@ -135,6 +135,14 @@
 	bw_table_destroy(table);
 	if (old)
 		before = json_loads(old, 0, NULL);
+	/* Without its version and history the count would begin anew. */
+	if (old && !json_is_object(before)) {
+		bw_findings_add_at(
+			findings, BW_F_SYNTAX, "stored table",
+			"can't be read; repair or delete it in the store");
+		json_decref(before);
+		return NULL;
+	}
 	version = (uint64_t)json_integer_value(
 		json_object_get(before, "version"));
 	root = parse_object(next, findings);
--- a/test/test_ctl.c
+++ b/test/test_ctl.c
@@ -74,7 +74,7 @@
 	close(saved);
 	rewind(messages);
 	assert_true(fread(result.message, 1, sizeof(result.message) - 1,
-			  messages) > 0);
+			  messages) < sizeof(result.message) - 1);
 	fclose(messages);
 	ev_loop_destroy(c.loop);
 	return result;
@@ -88,24 +88,33 @@
 	store->value = "{\"workers\":[{\"name\":\"" WORKER "\"}]}";
 }
 
+static result_t run_import(one_key_store_t *store, bw_ctl_fn command,
+			   const char *text)
+{
+	char *path = NULL;
+	int fd = g_file_open_tmp("import-XXXXXX", &path, NULL);
+	result_t result;
+
+	assert_int_equal(write(fd, text, strlen(text)), strlen(text));
+	close(fd);
+	result = run_command(store, command, path);
+	unlink(path);
+	g_free(path);
+	return result;
+}
+
 static void test_import_overwrites_unreadable_part(void **state)
 {
 	static const char text[] =
 		"{\"workers\":[{\"name\":\"" WORKER "\","
 		"\"address\":\"127.0.0.1:1\",\"zone\":\"z\",\"pool\":\"p\"}]}";
-	char *path = NULL;
 	one_key_store_t store;
 	result_t result;
 	char *expected;
-	int fd = g_file_open_tmp("workers-XXXXXX", &path, NULL);
 
 	(void)state;
-	assert_int_equal(write(fd, text, strlen(text)), strlen(text));
-	close(fd);
 	set_up_unreadable_part(&store);
-	result = run_command(&store, bw_ctl_worker_import, path);
-	unlink(path);
-	g_free(path);
+	result = run_import(&store, bw_ctl_worker_import, text);
 	assert_int_equal(result.code, BW_EXIT_INVALID);
 	assert_int_equal(store.writes, 0);
 	expected = g_strdup_printf("%s in the store can't be read",
@@ -127,11 +136,26 @@
 	assert_int_equal(store.writes, 0);
 }
 
+static void test_import_overwrites_unreadable_table(void **state)
+{
+	static const char text[] =
+		"{\"pools\":[],\"services\":[],\"cells\":[]}";
+	one_key_store_t store = { .key = "p/table", .value = "{\"version\":8" };
+	result_t result;
+
+	(void)state;
+	result = run_import(&store, bw_ctl_table_import, text);
+	assert_int_equal(result.code, BW_EXIT_INVALID);
+	assert_int_equal(store.writes, 0);
+	assert_non_null(strstr(result.message, "stored table"));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_import_overwrites_unreadable_part),
 		cmocka_unit_test(test_drain_takes_unreadable_part_as_empty),
+		cmocka_unit_test(test_import_overwrites_unreadable_table),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
