Ordinary tasks never count as lasting ones in a maintenance wave

A worker with 1,000 ordinary tasks counted for the four at a time of a wave that has time. The event upkeep reserve printed the cost as tasks=: an operator read tasks=1001 for a worker with one lasting task.

Change: tasks and lasting tasks are kept apart; the order of machines is by lasting tasks, then by tasks, which is the old one below 1,000 tasks a worker. tasks= is the number of tasks.

Evidence: test_many_ordinary_tasks_count_as_lasting (new program test_maintenance) on the parent: test_maintenance.c:156: 0x4 != 0x6; the second test, that lasting tasks are still drained four at a time, passes on both. Now test_maintenance 2, test_fleet 18, test_wave_pace 2 pass.

--- a/src/fleet/maintenance.c
+++ b/src/fleet/maintenance.c
@@ -10,8 +10,6 @@
 #include "wire/record.pb-c.h"
 
 #define RECORD_VERSION 1
-/** Cost of moving a lasting task, in other tasks. */
-#define LASTING_COST 1000U
 /** Age from which a wave's record is read from the store again. */
 #define RECORD_MAX_AGE_MS 2000
 #define ORDER_RETRY_MS	  400
@@ -37,6 +35,13 @@
 	bool call_pending;
 } entry_t;
 
+/** A machine that may be reserved. */
+typedef struct candidate {
+	const char *machine;
+	uint32_t tasks;
+	uint32_t lasting; /**< How many of the tasks are lasting. */
+} candidate_t;
+
 typedef struct wave {
 	bw_maintenance_t *m;
 	bw_wave_order_t *order;
@@ -438,26 +443,28 @@
 	return count;
 }
 
-/*
- * Returns the cost of draining a machine, or UINT32_MAX if it cannot be
- * reserved now.
- */
-static uint32_t drain_cost(const wave_t *wave, const char *name)
+/* Finds out what runs on a machine; returns false if it can't be reserved. */
+static bool fill_candidate(const wave_t *wave, candidate_t *candidate)
 {
 	const bw_maintenance_view_t *view = wave->m->view;
-	const bw_machine_t *machine = g_hash_table_lookup(view->machines, name);
+	const bw_machine_t *machine =
+		g_hash_table_lookup(view->machines, candidate->machine);
 	const bw_worker_report_t *worker;
 
 	if (!machine || !machine->up ||
-	    g_hash_table_contains(wave->entries, name))
-		return UINT32_MAX;
+	    g_hash_table_contains(wave->entries, candidate->machine))
+		return false;
 	if (machine->worker[0] == '\0')
-		return 0;
+		return true;
 	if (!bw_reports_is_fresh(view->reports, view->now_ms, machine->pool))
-		return UINT32_MAX;
+		return false;
 	worker = bw_reports_worker(view->reports, machine->pool,
 				   machine->worker);
-	return worker ? worker->tasks + LASTING_COST * worker->lasting : 0;
+	if (!worker)
+		return true;
+	candidate->tasks = worker->tasks;
+	candidate->lasting = worker->lasting;
+	return true;
 }
 
 /* Counts the reserved machines that still run lasting tasks. */
@@ -486,33 +493,30 @@
 	return count;
 }
 
-/** A machine that may be reserved. */
-typedef struct candidate {
-	const char *machine;
-	uint32_t cost;
-} candidate_t;
-
-static int compare_costs(gconstpointer a, gconstpointer b)
+/* Lasting tasks weigh more than any number of others: they move one by one. */
+static int compare_candidates(gconstpointer a, gconstpointer b)
 {
 	const candidate_t *x = a;
 	const candidate_t *y = b;
 
-	return (x->cost > y->cost) - (x->cost < y->cost);
+	if (x->lasting != y->lasting)
+		return x->lasting > y->lasting ? 1 : -1;
+	return (x->tasks > y->tasks) - (x->tasks < y->tasks);
 }
 
-/* Returns the machines that may be reserved, those of least cost first. */
+/* Returns the machines that may be reserved, the easiest to drain first. */
 static GArray *list_candidates(const wave_t *wave)
 {
 	GArray *list = g_array_new(FALSE, FALSE, sizeof(candidate_t));
 	char **name;
 
 	for (name = wave->order->machines; *name; name++) {
-		candidate_t candidate = { *name, drain_cost(wave, *name) };
+		candidate_t candidate = { .machine = *name };
 
-		if (candidate.cost != UINT32_MAX)
+		if (fill_candidate(wave, &candidate))
 			g_array_append_val(list, candidate);
 	}
-	g_array_sort(list, compare_costs);
+	g_array_sort(list, compare_candidates);
 	return list;
 }
 
@@ -522,8 +526,7 @@
 	guint i;
 
 	for (i = 0; i < candidates->len; i++)
-		if (g_array_index(candidates, candidate_t, i).cost >=
-		    LASTING_COST)
+		if (g_array_index(candidates, candidate_t, i).lasting > 0)
 			count++;
 	return count;
 }
@@ -539,10 +542,10 @@
 		 "wave=%" G_GINT64_FORMAT " machine=%s worker=%s "
 		 "tasks=%u reserved=%u",
 		 wave->order->number, candidate->machine, machine->worker,
-		 candidate->cost, reserved);
+		 candidate->tasks, reserved);
 }
 
-/* Reserves machines up to the wave's limit, those of least cost first. */
+/* Reserves machines up to the wave's limit, the easiest to drain first. */
 static void reserve(wave_t *wave)
 {
 	GArray *candidates = list_candidates(wave);
@@ -559,9 +562,9 @@
 		const candidate_t *candidate =
 			&g_array_index(candidates, candidate_t, i);
 
-		if (candidate->cost >= LASTING_COST && costly >= costly_max)
+		if (candidate->lasting > 0 && costly >= costly_max)
 			break;
-		costly += candidate->cost >= LASTING_COST;
+		costly += candidate->lasting > 0;
 		reserve_machine(wave, candidate, reserved++);
 	}
 	g_array_free(candidates, TRUE);
--- /dev/null
+++ b/test/test_maintenance.c
@@ -0,0 +1,172 @@
+/* Reservations of machines in a wave, against a store in memory. */
+#include "test.h"
+
+#include <string.h>
+
+#include <ev.h>
+#include <glib.h>
+
+#include "base/clock.h"
+#include "fleet/maintenance.h"
+#include "standin/memstore.h"
+
+#define POOL	   "p"
+#define MACHINES   6
+#define ROUNDS_MAX 100
+/** More than the four machines at a time of a wave that has time. */
+#define AT_ONCE_MAX MACHINES
+
+typedef struct maintenance_test {
+	struct ev_loop *loop;
+	bw_memstore_t *store;
+	bw_maintenance_t *maintenance;
+	bw_reports_t *reports;
+	bw_machine_t machines[MACHINES];
+	char names[MACHINES][8];
+	GHashTable *by_name; /**< Name to bw_machine_t. */
+	uint32_t reserved;
+} maintenance_test_t;
+
+/* The record of a new wave does not exist yet. */
+static void on_result(void *ctx, bw_status_t status)
+{
+	(void)ctx;
+	assert_true(status == BW_OK || status == BW_ENOTFOUND);
+}
+
+static char *format_key(int64_t wave)
+{
+	return g_strdup_printf("status/%d", (int)wave);
+}
+
+static char *format_status(int64_t wave, bool completed)
+{
+	return g_strdup_printf("%d %d", (int)wave, completed);
+}
+
+static const bw_value_format_t values = { .format_wave_status_key = format_key,
+					  .format_wave_status = format_status };
+static const bw_maintenance_ops_t ops = { .store_result = on_result };
+
+static void add_wave(maintenance_test_t *t)
+{
+	bw_wave_order_t *order = g_new0(bw_wave_order_t, 1);
+	uint32_t i;
+
+	order->number = 1;
+	order->at_once_max = AT_ONCE_MAX;
+	order->machines = g_new0(char *, MACHINES + 1);
+	for (i = 0; i < MACHINES; i++)
+		order->machines[i] = g_strdup(t->names[i]);
+	bw_maintenance_add_wave(t->maintenance, order);
+}
+
+/* Creates a wave of machines that have a worker each, of the same name. */
+static void set_up(maintenance_test_t *t)
+{
+	bw_maintenance_env_t env = { .values = &values };
+	uint32_t i;
+
+	memset(t, 0, sizeof(*t));
+	t->loop = ev_loop_new(0);
+	t->store = bw_memstore_create(t->loop);
+	env.store = bw_memstore_interface(t->store);
+	t->maintenance = bw_maintenance_create(&env, &ops, t);
+	t->reports = bw_reports_create();
+	t->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	for (i = 0; i < MACHINES; i++) {
+		g_snprintf(t->names[i], sizeof(t->names[i]), "m%u", i);
+		t->machines[i] = (bw_machine_t){ .name = t->names[i],
+						 .pool = (char *)POOL,
+						 .worker = t->names[i],
+						 .up = true };
+		g_hash_table_insert(t->by_name, t->names[i], &t->machines[i]);
+	}
+	add_wave(t);
+}
+
+static void tear_down(maintenance_test_t *t)
+{
+	bw_maintenance_destroy(t->maintenance);
+	bw_memstore_destroy(t->store);
+	bw_reports_destroy(t->reports);
+	g_hash_table_destroy(t->by_name);
+	ev_loop_destroy(t->loop);
+}
+
+/* Reports the same number of tasks for each worker. */
+static void report_tasks(maintenance_test_t *t, uint32_t tasks,
+			 uint32_t lasting)
+{
+	Bramley__PoolReport report = BRAMLEY__POOL_REPORT__INIT;
+	Bramley__WorkerReport rows[MACHINES];
+	Bramley__WorkerReport *list[MACHINES];
+	uint32_t i;
+
+	for (i = 0; i < MACHINES; i++) {
+		bramley__worker_report__init(&rows[i]);
+		rows[i].id = t->names[i];
+		rows[i].tasks = tasks;
+		rows[i].lasting = lasting;
+		rows[i].reachable = true;
+		list[i] = &rows[i];
+	}
+	report.pool = (char *)POOL;
+	report.workers = list;
+	report.n_workers = MACHINES;
+	bw_reports_record(t->reports, bw_clock_now_ms(), &report);
+}
+
+static void count_reserved(void *ctx, const bw_wave_progress_t *wave)
+{
+	((maintenance_test_t *)ctx)->reserved = wave->reserved;
+}
+
+/* Runs the wave until it has reserved machines, and returns their number. */
+static uint32_t wait_for_reservations(maintenance_test_t *t, uint32_t tasks,
+				      uint32_t lasting)
+{
+	uint32_t i;
+
+	for (i = 0; i < ROUNDS_MAX && t->reserved == 0; i++) {
+		bw_maintenance_view_t view = { .now_ms = bw_clock_now_ms(),
+					       .machines = t->by_name,
+					       .reports = t->reports };
+
+		report_tasks(t, tasks, lasting);
+		bw_maintenance_tick(t->maintenance, &view);
+		ev_run(t->loop, EVRUN_NOWAIT);
+		bw_maintenance_foreach_wave(t->maintenance, count_reserved, t);
+	}
+	return t->reserved;
+}
+
+static void test_many_ordinary_tasks_count_as_lasting(void **state)
+{
+	maintenance_test_t t;
+
+	(void)state;
+	set_up(&t);
+	assert_int_equal(wait_for_reservations(&t, 1000, 0), AT_ONCE_MAX);
+	tear_down(&t);
+}
+
+static void test_lasting_tasks_are_drained_all_at_once(void **state)
+{
+	maintenance_test_t t;
+
+	(void)state;
+	set_up(&t);
+	assert_int_equal(wait_for_reservations(&t, 1, 1), 4);
+	tear_down(&t);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_many_ordinary_tasks_count_as_lasting),
+		cmocka_unit_test(test_lasting_tasks_are_drained_all_at_once),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
