Two names for the lag of the list of machines after a move and maintenance

Cause (found in reading): LIST_LAG_MAX_MS stood in two files with 150 and 300 ms. They have two meanings: until the list shows a move, and until it shows a maintenance.

Change: MOVE_LAG_MAX_MS and MAINTENANCE_LAG_MAX_MS; the values are unchanged.

Evidence: the instructions of both object files are the same before and after (objdump -d compared).

--- a/src/fleet/controller.c
+++ b/src/fleet/controller.c
@@ -18,7 +18,7 @@
 #define LOG_INTERVAL_MS	  500
 #define MOVE_RETRY_MS	  400
 /** The list of machines shows a move after at most this time. */
-#define LIST_LAG_MAX_MS 150
+#define MOVE_LAG_MAX_MS 150
 /** A move ends after this time even if no worker has come up. */
 #define MOVE_TIMEOUT_MS 4000
 
@@ -281,7 +281,7 @@
 	const bw_worker_report_t *worker =
 		bw_reports_worker(c->reports, machine->pool, machine->worker);
 
-	if (!machine->up || c->list_ms < move->ordered_ms + LIST_LAG_MAX_MS)
+	if (!machine->up || c->list_ms < move->ordered_ms + MOVE_LAG_MAX_MS)
 		return false;
 	return machine->worker[0] == '\0' || (worker && worker->reachable) ||
 	       now_ms - move->ordered_ms > MOVE_TIMEOUT_MS;
--- a/src/fleet/maintenance.c
+++ b/src/fleet/maintenance.c
@@ -14,8 +14,8 @@
 #define RECORD_MAX_AGE_MS 2000
 #define ORDER_RETRY_MS	  400
 /** The list of machines shows a maintenance after at most this time. */
-#define LIST_LAG_MAX_MS 300
-#define CALL_RETRY_MS	300
+#define MAINTENANCE_LAG_MAX_MS 300
+#define CALL_RETRY_MS	       300
 
 /** Progress of a machine in a wave. */
 typedef enum progress {
@@ -601,7 +601,7 @@
 		if (!machine->up ||
 		    (!strcmp(machine->worker, entry->worker) &&
 		     entry->worker[0] != '\0') ||
-		    view->list_ms < entry->ordered_ms + LIST_LAG_MAX_MS)
+		    view->list_ms < entry->ordered_ms + MAINTENANCE_LAG_MAX_MS)
 			return;
 		entry->progress = PROGRESS_DONE;
 		bw_event(BW_EVENT_UPKEEP_DONE,
