Remove two fields that nothing sets

Cause (found in reading): the address of a peer in src/member/view.c is never set, and slot_requests_unanswered of a pool in src/place is not used.

Change: removed. Nothing else changes; test_once (9) and test_place (16) pass.

--- a/src/member/view.c
+++ b/src/member/view.c
@@ -13,7 +13,6 @@
 typedef struct peer {
 	uint64_t id;
 	char *name;
-	char *address;
 	bool present; /**< Its lease key is in the store. */
 	bool exclusion_forced; /**< An operator confirmed that it is dead. */
 	bool included_self; /**< It has used a view with this entry in it. */
@@ -69,7 +68,6 @@
 	peer_t *peer = data;
 
 	g_free(peer->name);
-	g_free(peer->address);
 	g_free(peer);
 }
 
--- a/src/place/internal.h
+++ b/src/place/internal.h
@@ -111,7 +111,6 @@
 	int64_t next_slot_request_us;
 	int64_t slot_request_backoff_us;
 	uint32_t peer_cursor;
-	uint32_t slot_requests_unanswered; /**< Not used. */
 	uint32_t ejected;
 } place_pool_t;
 
