The history of a table that can't be read is not printed as empty

Change: exit code 2 and "the table in the store can't be read".

Evidence: test_history_takes_unreadable_table_as_empty on the parent: test_ctl.c:160: 0 != 0x2. Now test_ctl: 4 pass. test/test_ctl.sh was not run again.

--- a/src/ctl/table.c
+++ b/src/ctl/table.c
@@ -404,6 +404,13 @@
 	if (value.status != BW_OK)
 		return bw_ctl_report_error(value.status);
 	root = value.text ? json_loads(value.text, 0, NULL) : NULL;
+	if (value.text && !json_is_object(root)) {
+		fprintf(stderr,
+			"bramleyctl: the table in the store can't be read\n");
+		g_free(value.text);
+		json_decref(root);
+		return BW_EXIT_INVALID;
+	}
 	g_free(value.text);
 	if (c->json) {
 		json_dumpf(json_object_get(root, "history"), stdout,
--- a/test/test_ctl.c
+++ b/test/test_ctl.c
@@ -150,12 +150,24 @@
 	assert_non_null(strstr(result.message, "stored table"));
 }
 
+static void test_history_takes_unreadable_table_as_empty(void **state)
+{
+	one_key_store_t store = { .key = "p/table", .value = "{\"version\":8" };
+	result_t result;
+
+	(void)state;
+	result = run_command(&store, bw_ctl_table_history, NULL);
+	assert_int_equal(result.code, BW_EXIT_INVALID);
+	assert_non_null(strstr(result.message, "table"));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_import_overwrites_unreadable_part),
 		cmocka_unit_test(test_drain_takes_unreadable_part_as_empty),
 		cmocka_unit_test(test_import_overwrites_unreadable_table),
+		cmocka_unit_test(test_history_takes_unreadable_table_as_empty),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
