Let the system choose the ports of all tests

Cause: test_answers, test_store, test_adapter, test_peer and test_ctl.sh listened on fixed addresses, so that two checkouts could not run them at the same time: the second did not start, or used the first one's store.

The test of a store that nobody listens for uses a held port. Scripts of benches and the demo, which make check does not run, keep their addresses.

Evidence: test_side_by_side.sh, a new step of make check, runs two copies of each.

--- a/cmd/bramley-standin.c
+++ b/cmd/bramley-standin.c
@@ -6,6 +6,7 @@
 #include <ev.h>
 #include <glib.h>
 
+#include "standin/anyport.h"
 #include "standin/backend.h"
 #include "standin/kv.h"
 
@@ -15,11 +16,16 @@
 static int option_count = 1;
 static int option_slots = 8;
 static int option_service_ms;
+static char *option_any_port;
 
 static GOptionEntry options[] = {
 	{ "listen", 'l', 0, G_OPTION_ARG_STRING, &option_listen,
 	  "Address of the store, or control address of the backend",
 	  "IP:PORT" },
+	{ "any-port", 0, 0, G_OPTION_ARG_STRING, &option_any_port,
+	  "Instead of --listen: listen on a free port of this IP and print the "
+	  "address",
+	  "IP" },
 	{ "first-ip", 0, 0, G_OPTION_ARG_STRING, &option_first_ip,
 	  "IP of the first backend server", "IP" },
 	{ "port", 'p', 0, G_OPTION_ARG_INT, &option_port,
@@ -40,6 +46,28 @@
 	ev_break(loop, EVBREAK_ALL);
 }
 
+/* The port stays reserved until the program ends. */
+static bw_status_t choose_port(void)
+{
+	static bw_anyport_t chosen;
+	bw_status_t status;
+
+	if (!option_any_port)
+		return BW_OK;
+	status = bw_anyport_reserve(option_any_port, &chosen);
+	if (status == BW_OK)
+		option_listen = chosen.address;
+	return status;
+}
+
+static void print_chosen_address(void)
+{
+	if (!option_any_port)
+		return;
+	printf("%s\n", option_listen);
+	fflush(stdout);
+}
+
 static bw_status_t start(struct ev_loop *loop, const char *kind)
 {
 	bw_standin_backend_config_t config = {
@@ -78,10 +106,11 @@
 	}
 	g_option_context_free(context);
 	signal(SIGPIPE, SIG_IGN);
-	if (start(loop, argv[1]) != BW_OK) {
+	if (choose_port() != BW_OK || start(loop, argv[1]) != BW_OK) {
 		fprintf(stderr, "bramley-standin: %s\n", bw_status_message());
 		return 3;
 	}
+	print_chosen_address();
 	ev_signal_init(&term, on_signal, SIGTERM);
 	ev_signal_start(loop, &term);
 	ev_run(loop, 0);
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -59,6 +59,7 @@
 done
 step "worlds catch broken schedulers" scripts/world-caught.sh
 step "test/test_ctl.sh" test/test_ctl.sh
+step "test/test_side_by_side.sh" test/test_side_by_side.sh
 step "build with sanitizers" make -j "$jobs" BUILD=build/san CC=clang CXX=clang++ \
 	SANITIZE="-fsanitize=address,undefined -fno-sanitize=vptr -fno-sanitize-recover=undefined" \
 	OPT="-O1 -g" all tests
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -22,6 +22,16 @@
 	sleep 0.2
 }
 
+start_store_anywhere() { # sets store to its address; the system chooses the port
+	"$build/bramley-standin" store --any-port 127.0.0.1 >"$tmp/store" &
+	pids="$pids $!"
+	local end=$((SECONDS + 10))
+	until store=$(cat "$tmp/store") && [ -n "$store" ]; do
+		[ $SECONDS -lt $end ] || { echo "no store" >&2; exit 1; }
+		sleep 0.05
+	done
+}
+
 start_backend() { # CONTROL FIRST_IP COUNT [OPTION...]
 	local control=$1 first=$2 count=$3
 	shift 3
--- a/test/fixture.c
+++ b/test/fixture.c
@@ -13,11 +13,7 @@
 #include "store/etcd.h"
 #include "table/table.h"
 
-#define STORE_ADDRESS	   "127.0.5.100:2379"
-#define SERVER_IP	   "127.0.5.50"
-#define SERVER_PORT	   9000
-#define ENTRY_IP	   "127.0.5.1"
-#define CALLERS_PORT	   8080
+#define LISTEN_IP	   "127.0.0.1"
 #define DELAY_S		   0.05
 #define EXCHANGE_TIMEOUT_S 30.0
 
@@ -26,8 +22,8 @@
 	"[{\"name\":\"s\",\"prefix\":\"/s/\",\"wait_ms\":20000}],"
 	"\"cells\":[{\"service\":\"s\",\"pool\":\"a\",\"weight\":10}]}";
 
-static const char workers_text[] =
-	"{\"workers\":[{\"name\":\"w\",\"address\":\"127.0.5.50:9000\","
+static const char workers_format[] =
+	"{\"workers\":[{\"name\":\"w\",\"address\":\"%s\","
 	"\"zone\":\"z\",\"pool\":\"a\"}]}";
 
 /** A connection of the backend server. */
@@ -171,18 +167,18 @@
 	g_ptr_array_add(f->connections, c);
 }
 
-static struct sockaddr_in make_address(const char *ip, uint16_t port)
+static struct sockaddr_in make_address(uint16_t port)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET,
 				       .sin_port = htons(port) };
 
-	inet_pton(AF_INET, ip, &address.sin_addr);
+	inet_pton(AF_INET, LISTEN_IP, &address.sin_addr);
 	return address;
 }
 
 static void start_server(fixture_t *f)
 {
-	struct sockaddr_in address = make_address(SERVER_IP, SERVER_PORT);
+	struct sockaddr_in address = make_address(f->server.port);
 	int one = 1;
 
 	f->listen_fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
@@ -223,7 +219,7 @@
 /* Writes a key to the store and waits for the answer. */
 static void put(fixture_t *f, const char *key, const char *text)
 {
-	static const char *const endpoints[] = { "http://" STORE_ADDRESS };
+	const char *const endpoints[] = { f->store.url };
 	bw_etcd_config_t config = { .endpoints = endpoints,
 				    .endpoint_count = 1,
 				    .timeout_ms = 5000 };
@@ -238,34 +234,87 @@
 	store.ops->destroy(store.impl);
 }
 
+static void put_workers(fixture_t *f)
+{
+	char *text = g_strdup_printf(workers_format, f->server.address);
+	char key[32];
+
+	g_snprintf(key, sizeof(key), "/test/workers/%02x", bw_worker_part("w"));
+	put(f, key, text);
+	g_free(text);
+}
+
+static void reserve_addresses(fixture_t *f)
+{
+	bw_anyport_t *const addresses[] = { &f->store, &f->server, &f->callers,
+					    &f->peers, &f->operators };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(addresses); i++)
+		if (bw_anyport_reserve(LISTEN_IP, addresses[i]) != BW_OK)
+			abort();
+}
+
+static void release_addresses(fixture_t *f)
+{
+	bw_anyport_release(&f->store);
+	bw_anyport_release(&f->server);
+	bw_anyport_release(&f->callers);
+	bw_anyport_release(&f->peers);
+	bw_anyport_release(&f->operators);
+}
+
+static void replace(char **setting, const char *value)
+{
+	g_free(*setting);
+	*setting = g_strdup(value);
+}
+
+/* The file's addresses are placeholders. */
+static void set_addresses(fixture_t *f)
+{
+	bw_settings_t *s = &f->settings;
+
+	replace(&s->callers, f->callers.address);
+	replace(&s->peers_listen, f->peers.address);
+	replace(&s->operators, f->operators.address);
+	replace(&s->endpoints[0], f->store.url);
+}
+
+static void read_settings(fixture_t *f)
+{
+	bw_findings_t *findings = bw_findings_create("test");
+
+	if (bw_settings_read("test/entry.toml", &f->settings, findings) !=
+	    BW_OK) {
+		bw_findings_print(findings, stderr);
+		abort();
+	}
+	bw_findings_destroy(findings);
+	set_addresses(f);
+}
+
 fixture_t *fixture_create(const script_t *scripts, size_t count,
 			  bool with_table)
 {
 	fixture_t *f = g_new0(fixture_t, 1);
-	bw_findings_t *findings = bw_findings_create("test");
-	char key[32];
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	f->loop = ev_default_loop(0);
 	f->scripts = scripts;
 	f->script_count = count;
 	f->connections = g_ptr_array_new();
+	reserve_addresses(f);
 	start_server(f);
-	if (bw_standin_kv_create(f->loop, STORE_ADDRESS, &f->kv) != BW_OK)
+	if (bw_standin_kv_create(f->loop, f->store.address, &f->kv) != BW_OK)
 		abort();
 	if (with_table) {
 		put(f, "/test/table", table_text);
-		g_snprintf(key, sizeof(key), "/test/workers/%02x",
-			   bw_worker_part("w"));
-		put(f, key, workers_text);
+		put_workers(f);
 	}
-	if (bw_settings_read("test/entry.toml", &f->settings, findings) !=
-		    BW_OK ||
-	    bw_node_create(f->loop, &f->settings, &f->node) != BW_OK) {
-		bw_findings_print(findings, stderr);
+	read_settings(f);
+	if (bw_node_create(f->loop, &f->settings, &f->node) != BW_OK)
 		abort();
-	}
-	bw_findings_destroy(findings);
 	/* Covers the registration, the first view and the takeover delay. */
 	fixture_run(f, with_table ? 1.6 : 0.3);
 	return f;
@@ -281,6 +330,7 @@
 		connection_free(g_ptr_array_index(f->connections, 0));
 	g_ptr_array_free(f->connections, TRUE);
 	bw_settings_clear(&f->settings);
+	release_addresses(f);
 	ev_loop_destroy(f->loop);
 	g_free(f);
 }
@@ -327,7 +377,7 @@
 
 GString *fixture_exchange(fixture_t *f, const char *request, size_t bytes)
 {
-	struct sockaddr_in address = make_address(ENTRY_IP, CALLERS_PORT);
+	struct sockaddr_in address = make_address(f->callers.port);
 	caller_t c = { .loop = f->loop,
 		       .out = request,
 		       .out_bytes = bytes,
--- a/test/fixture.h
+++ b/test/fixture.h
@@ -11,6 +11,7 @@
 
 #include "conf/settings.h"
 #include "node/node.h"
+#include "standin/anyport.h"
 #include "standin/kv.h"
 
 /** Answer of the backend server to the requests for one path. */
@@ -25,6 +26,11 @@
 /** An entry and what it needs. */
 typedef struct fixture {
 	struct ev_loop *loop;
+	bw_anyport_t store;
+	bw_anyport_t server; /**< The backend server. */
+	bw_anyport_t callers;
+	bw_anyport_t peers;
+	bw_anyport_t operators;
 	bw_standin_kv_t *kv;
 	bw_node_t *node;
 	bw_settings_t settings;
--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -14,10 +14,9 @@
 #include "net/httpcall.h"
 #include "net/simplehttp.h"
 #include "platform.h"
+#include "standin/anyport.h"
 
-#define FRONT		"127.0.8.140:18624"
-#define READY		"127.0.8.140:18622"
-#define CANNED_SERVER	"127.0.8.140:18621"
+#define LISTEN_IP	"127.0.0.1"
 #define LONG_BODY_BYTES ((size_t)10 << 20)
 #define TIMEOUT_MS	3000
 
@@ -25,6 +24,8 @@
 
 typedef struct front_test {
 	struct ev_loop *loop;
+	bw_anyport_t callers;
+	bw_anyport_t readiness;
 	bw_answer_t answer; /**< Given to all requests. */
 	bool ready;
 	uint32_t served;
@@ -155,18 +156,25 @@
 	bw_request_handler_t handler = { &t, serve, is_ready };
 	platform_front_t *front;
 	char *long_body = g_strnfill(LONG_BODY_BYTES, 'x');
+	char *jobs;
+	char *readiness;
 	size_t i;
 
 	(void)state;
-	assert_int_equal(
-		platform_front_create(t.loop, FRONT, READY, &handler, &front),
-		BW_OK);
+	assert_int_equal(bw_anyport_reserve(LISTEN_IP, &t.callers), BW_OK);
+	assert_int_equal(bw_anyport_reserve(LISTEN_IP, &t.readiness), BW_OK);
+	assert_int_equal(platform_front_create(t.loop, t.callers.address,
+					       t.readiness.address, &handler,
+					       &front),
+			 BW_OK);
+	jobs = g_strconcat(t.callers.url, "/p/id", NULL);
+	readiness = g_strconcat(t.readiness.url, "/v1/readiness", NULL);
 	for (i = 0; i < G_N_ELEMENTS(front_cases); i++) {
 		const front_case_t *c = &front_cases[i];
 
 		t.answer = c->answer;
 		t.served = 0;
-		call(&t, client, c->method, "http://" FRONT "/p/id", c->body,
+		call(&t, client, c->method, jobs, c->body,
 		     c->body ? strlen(c->body) : 0);
 		if (t.status != c->status || !strstr(t.body, c->body_part))
 			print_error("case: %s: %u %s\n", c->name, t.status,
@@ -176,22 +184,24 @@
 		assert_non_null(strstr(t.body, c->body_part));
 	}
 	/* A body over the limit is answered, and later requests are served. */
-	call(&t, client, "POST", "http://" FRONT "/p/id", long_body,
-	     LONG_BODY_BYTES);
+	call(&t, client, "POST", jobs, long_body, LONG_BODY_BYTES);
 	assert_int_equal(t.status, 413);
 	t.answer.kind = BW_ANSWER_DONE;
-	call(&t, client, "POST", "http://" FRONT "/p/id", GOOD_BODY,
-	     strlen(GOOD_BODY));
+	call(&t, client, "POST", jobs, GOOD_BODY, strlen(GOOD_BODY));
 	assert_int_equal(t.status, 200);
-	call(&t, client, "GET", "http://" READY "/v1/readiness", NULL, 0);
+	call(&t, client, "GET", readiness, NULL, 0);
 	assert_int_equal(t.status, 503);
 	t.ready = true;
-	call(&t, client, "GET", "http://" READY "/v1/readiness", NULL, 0);
+	call(&t, client, "GET", readiness, NULL, 0);
 	assert_int_equal(t.status, 200);
 	assert_int_equal(platform_front_pending_count(front), 0);
 	g_free(long_body);
+	g_free(jobs);
+	g_free(readiness);
 	bw_http_client_destroy(client);
 	platform_front_destroy(front);
+	bw_anyport_release(&t.callers);
+	bw_anyport_release(&t.readiness);
 	ev_loop_destroy(t.loop);
 }
 
@@ -282,15 +292,17 @@
 {
 	store_test_t t = { .loop = ev_loop_new(0) };
 	canned_server_t server = { 0 };
-	bw_simple_config_t config = { CANNED_SERVER, 65536, 16 };
+	bw_anyport_t listen;
+	bw_simple_config_t config = { listen.address, 65536, 16 };
 	bw_counters_t counters = { 0 };
-	bw_store_t store =
-		platform_store_create(t.loop, CANNED_SERVER, &counters);
+	bw_store_t store;
 	bw_store_watch_t *watch;
 	bw_simplehttp_t *http;
 	size_t i;
 
 	(void)state;
+	assert_int_equal(bw_anyport_reserve(LISTEN_IP, &listen), BW_OK);
+	store = platform_store_create(t.loop, listen.address, &counters);
 	/* Nothing listens yet: the call had no effect. */
 	run_txn(&t, &store);
 	assert_int_equal(t.status, BW_EUNAVAIL);
@@ -329,6 +341,7 @@
 	(void)watch;
 	store.ops->destroy(store.impl);
 	bw_simplehttp_destroy(http);
+	bw_anyport_release(&listen);
 	ev_loop_destroy(t.loop);
 }
 
@@ -395,22 +408,25 @@
 {
 	store_test_t t = { .loop = ev_loop_new(0) };
 	canned_server_t server = { 0 };
-	bw_simple_config_t config = { CANNED_SERVER, 65536, 16 };
+	bw_anyport_t listen;
+	bw_simple_config_t config = { listen.address, 65536, 16 };
 	bw_worker_api_t api = platform_workers_create(t.loop, NULL);
 	bw_start_order_t start = { .worker = "w1",
-				   .address = CANNED_SERVER,
+				   .address = listen.address,
 				   .task = { "5c0e7a21d94b36f8", 0, 1, 2 },
 				   .run = 3,
 				   .text = "a \"text\"",
 				   .grant_clock_ms = 9,
 				   .fence = 7 };
-	bw_heartbeat_order_t heartbeat = {
-		.worker = "w1", .address = CANNED_SERVER, .fence = 7, .acked = 4
-	};
+	bw_heartbeat_order_t heartbeat = { .worker = "w1",
+					   .address = listen.address,
+					   .fence = 7,
+					   .acked = 4 };
 	bw_simplehttp_t *http;
 	size_t i;
 
 	(void)state;
+	assert_int_equal(bw_anyport_reserve(LISTEN_IP, &listen), BW_OK);
 	assert_int_equal(bw_simplehttp_create(t.loop, &config, serve_canned,
 					      &server, &http),
 			 BW_OK);
@@ -465,12 +481,12 @@
 	g_free(server.long_body);
 	platform_workers_destroy(&api);
 	bw_simplehttp_destroy(http);
+	bw_anyport_release(&listen);
 	ev_loop_destroy(t.loop);
 }
 
-/** Server that all of the loopback's addresses reach. */
-#define ANY_HOST      "0.0.0.0:18626"
-#define ANY_HOST_PORT 18626
+/** All of the loopback's addresses reach a server that listens here. */
+#define ANY_HOST "0.0.0.0"
 /** More hosts than a pool of a large site has workers. */
 #define HOSTS 200U
 
@@ -496,14 +512,15 @@
 	return bw_simple_reply(r, 200, "application/json", "{}", 2);
 }
 
-static void call_all_hosts(front_test_t *t, bw_http_client_t *client)
+static void call_all_hosts(front_test_t *t, bw_http_client_t *client,
+			   uint16_t port)
 {
 	char url[64];
 	uint32_t i;
 
 	for (i = 0; i < HOSTS; i++) {
 		g_snprintf(url, sizeof(url), "http://127.0.9.%u:%u/%u", i + 1,
-			   ANY_HOST_PORT, i);
+			   port, i);
 		call(t, client, "GET", url, NULL, 0);
 		assert_int_equal(t->status, 200);
 	}
@@ -515,20 +532,23 @@
 {
 	front_test_t t = { .loop = ev_loop_new(0) };
 	many_hosts_t hosts = { 0 };
-	bw_simple_config_t config = { ANY_HOST, 65536, 2 * HOSTS };
+	bw_anyport_t listen;
+	bw_simple_config_t config = { listen.address, 65536, 2 * HOSTS };
 	bw_http_client_t *client = bw_http_client_create(t.loop, 8);
 	bw_simplehttp_t *http;
 
 	(void)state;
+	assert_int_equal(bw_anyport_reserve(ANY_HOST, &listen), BW_OK);
 	assert_int_equal(bw_simplehttp_create(t.loop, &config, serve_host,
 					      &hosts, &http),
 			 BW_OK);
-	call_all_hosts(&t, client);
+	call_all_hosts(&t, client, listen.port);
 	assert_int_equal(hosts.connections, HOSTS);
-	call_all_hosts(&t, client);
+	call_all_hosts(&t, client, listen.port);
 	assert_int_equal(hosts.connections, HOSTS);
 	bw_http_client_destroy(client);
 	bw_simplehttp_destroy(http);
+	bw_anyport_release(&listen);
 	ev_loop_destroy(t.loop);
 }
 
--- a/test/test_ctl.sh
+++ b/test/test_ctl.sh
@@ -4,7 +4,7 @@
 set -u
 cd "$(dirname "$0")/.."
 . scripts/lib.sh
-store=127.0.8.100:2379
+start_store_anywhere
 ctl="$build/bramleyctl --store http://$store --prefix /ctl"
 site=examples/prairie
 bad=0
@@ -29,7 +29,6 @@
 
 fault() { curl -s -X POST "http://$store/standin/fault?$1" >/dev/null; }
 
-start_store $store
 expect "no table yet" 6 $ctl table show
 expect "edit without a table" 2 $ctl table set heats office 5
 expect "import" 0 $ctl table import $site/table.json
--- a/test/test_peer.c
+++ b/test/test_peer.c
@@ -11,10 +11,9 @@
 #include <glib.h>
 
 #include "peer/peer.h"
+#include "standin/anyport.h"
 
-#define LISTEN	    "127.0.8.160:18660"
-#define LISTEN_IP   "127.0.8.160"
-#define LISTEN_PORT 18660
+#define LISTEN_IP "127.0.0.1"
 /** Nodes of a site of some hundred. */
 #define NODES	  400U
 #define SILENCE_S 5
@@ -37,10 +36,10 @@
 	ev_timer_stop(loop, &end);
 }
 
-static int connect_node(void)
+static int connect_node(uint16_t port)
 {
 	struct sockaddr_in in = { .sin_family = AF_INET,
-				  .sin_port = htons(LISTEN_PORT) };
+				  .sin_port = htons(port) };
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 
 	assert_true(fd >= 0);
@@ -61,10 +60,11 @@
 static void test_some_hundred_nodes_are_accepted(void **state)
 {
 	static const bw_peers_ops_t ops = { 0 };
+	bw_anyport_t listen;
 	bw_peers_config_t config = {
 		.name = "n",
 		.site = "s",
-		.listen = LISTEN,
+		.listen = listen.address,
 		.incarnation = 1,
 		.silence_timeout_us = SILENCE_S * G_USEC_PER_SEC,
 	};
@@ -76,11 +76,12 @@
 	uint32_t i;
 
 	(void)state;
+	assert_int_equal(bw_anyport_reserve(LISTEN_IP, &listen), BW_OK);
 	assert_int_equal(
 		bw_peers_create(loop, &config, &ops, NULL, &counters, &peers),
 		BW_OK);
 	for (i = 0; i < NODES; i++) {
-		fds[i] = connect_node();
+		fds[i] = connect_node(listen.port);
 		if (i % 64 == 63)
 			run_for(loop, 0.05);
 	}
@@ -91,6 +92,7 @@
 	for (i = 0; i < NODES; i++)
 		close(fds[i]);
 	bw_peers_destroy(peers);
+	bw_anyport_release(&listen);
 	ev_loop_destroy(loop);
 }
 
--- a/test/test_store.c
+++ b/test/test_store.c
@@ -10,16 +10,16 @@
 #include <ev.h>
 #include <glib.h>
 
+#include "standin/anyport.h"
 #include "standin/kv.h"
 #include "store/etcd.h"
 
-#define ADDRESS	   "127.0.6.100:2379"
-#define URL	   "http://" ADDRESS
 #define WATCHDOG_S 20.0
 
 /** The last reply of a call, and all events of a watch. */
 typedef struct store_test {
 	struct ev_loop *loop;
+	bw_anyport_t address;
 	bw_standin_kv_t *kv;
 	bw_store_t store;
 	bw_counters_t counters;
@@ -118,7 +118,7 @@
 {
 	CURLM *multi = curl_multi_init();
 	CURL *easy = curl_easy_init();
-	char *url = g_strconcat(URL "/standin/fault?", query, NULL);
+	char *url = g_strconcat(t->address.url, "/standin/fault?", query, NULL);
 	int running = 1;
 
 	curl_easy_setopt(easy, CURLOPT_URL, url);
@@ -138,14 +138,17 @@
 
 static int setup(void **state)
 {
-	static const char *const endpoints[] = { URL };
+	store_test_t *t = g_new0(store_test_t, 1);
+	const char *const endpoints[] = { t->address.url };
 	bw_etcd_config_t config = { .endpoints = endpoints,
 				    .endpoint_count = 1,
 				    .timeout_ms = 500 };
-	store_test_t *t = g_new0(store_test_t, 1);
 
 	t->loop = ev_default_loop(0);
-	assert_int_equal(bw_standin_kv_create(t->loop, ADDRESS, &t->kv), BW_OK);
+	assert_int_equal(bw_anyport_reserve("127.0.0.1", &t->address), BW_OK);
+	assert_int_equal(
+		bw_standin_kv_create(t->loop, t->address.address, &t->kv),
+		BW_OK);
 	t->store = bw_etcd_create(t->loop, &config, &t->counters);
 	*state = t;
 	return 0;
@@ -157,6 +160,7 @@
 
 	t->store.ops->destroy(t->store.impl);
 	bw_standin_kv_destroy(t->kv);
+	bw_anyport_release(&t->address);
 	g_free(t);
 	return 0;
 }
@@ -214,18 +218,21 @@
 
 static void test_nothing_listens(void **state)
 {
-	static const char *const endpoints[] = { "http://127.0.6.99:2379" };
+	bw_anyport_t nobody;
+	const char *const endpoints[] = { nobody.url };
 	bw_etcd_config_t config = { .endpoints = endpoints,
 				    .endpoint_count = 1,
 				    .timeout_ms = 500 };
 	store_test_t *t = *state;
 	bw_store_t original = t->store;
 
+	assert_int_equal(bw_anyport_reserve("127.0.0.1", &nobody), BW_OK);
 	t->store = bw_etcd_create(t->loop, &config, &t->counters);
 	assert_int_equal(cas(t, "/n/x", "1", 0, 0, NULL), BW_EUNAVAIL);
 	assert_int_equal(range(t, "/n/"), BW_EUNAVAIL);
 	t->store.ops->destroy(t->store.impl);
 	t->store = original;
+	bw_anyport_release(&nobody);
 }
 
 static void test_slow_answer(void **state)
