Release the contexts of calls that a destroyed client ends

Cause: bw_http_client_destroy() and bw_keephttp_destroy() end calls without their callbacks, which are what frees the adapter's context of a call: one to the store, to a worker or to the machine API leaked for each call in progress.

Change: a request names the function that releases its context, which the client calls in place of the callback.

--- a/src/net/httpcall.c
+++ b/src/net/httpcall.c
@@ -54,6 +54,7 @@
 	struct curl_slist *headers;
 	GString *answer;
 	bw_http_done_fn done;
+	bw_http_release_fn release;
 	void *ctx;
 	int64_t stall_ms; /**< 0 is none. */
 	int64_t wait_ms;
@@ -348,6 +349,8 @@
 
 		bw_curlev_remove(client->driver, call->easy);
 		curl_easy_cleanup(call->easy);
+		if (call->release)
+			call->release(call->ctx);
 		call_free(call);
 	}
 	g_hash_table_destroy(client->calls);
@@ -369,6 +372,7 @@
 	call->easy = get_easy(client, call->kind);
 	call->answer = g_string_new(NULL);
 	call->done = done;
+	call->release = request->release;
 	call->ctx = ctx;
 	call->stall_ms = request->stall_ms;
 	call->wait_ms = request->wait_ms;
--- a/src/net/httpcall.h
+++ b/src/net/httpcall.h
@@ -32,6 +32,9 @@
 /** Receives the answer of a call. */
 typedef void (*bw_http_done_fn)(void *ctx, const bw_http_answer_t *answer);
 
+/** Releases the context of a call that ends without its callback. */
+typedef void (*bw_http_release_fn)(void *ctx);
+
 /** One call; strings are copied. Its end needs one of the two limits. */
 typedef struct bw_http_request {
 	const char *method;
@@ -46,6 +49,7 @@
 	 */
 	int64_t stall_ms;
 	int64_t wait_ms; /**< Added to stall_ms until the body begins. */
+	bw_http_release_fn release; /**< NULL: the context needs none. */
 } bw_http_request_t;
 
 /**
@@ -56,7 +60,10 @@
 bw_http_client_t *bw_http_client_create(struct ev_loop *loop,
 					uint32_t host_connections_max);
 
-/** Ends all calls without their callbacks, and releases the client. */
+/**
+ * Ends all calls without their callbacks, and releases their contexts and the
+ * client.
+ */
 void bw_http_client_destroy(bw_http_client_t *client);
 
 /** Starts a call; @p done is called from the loop, once. */
--- a/src/net/keephttp.c
+++ b/src/net/keephttp.c
@@ -34,6 +34,7 @@
 	struct link *link; /**< On which it was sent; NULL while it waits. */
 	GString *request;
 	bw_http_done_fn done;
+	bw_http_release_fn release;
 	void *ctx;
 	ev_timer timeout;
 	int64_t deadline_ms;
@@ -314,19 +315,27 @@
 	return client;
 }
 
+/* Ends a call without its callback. */
+static void drop_call(call_t *call)
+{
+	if (call->release)
+		call->release(call->ctx);
+	call_free(call);
+}
+
 static void host_close(host_t *host)
 {
 	link_t *link;
 	call_t *call;
 
 	while ((link = g_queue_peek_head(&host->busy)) != NULL) {
-		call_free(link->call);
+		drop_call(link->call);
 		link_close(link);
 	}
 	while ((link = g_queue_peek_head(&host->idle)) != NULL)
 		link_close(link);
 	while ((call = g_queue_pop_head(&host->waiting)) != NULL)
-		call_free(call);
+		drop_call(call);
 }
 
 void bw_keephttp_destroy(bw_keephttp_t *client)
@@ -353,6 +362,7 @@
 	call->host = get_host(client, request->address);
 	call->request = format_request(request);
 	call->done = done;
+	call->release = request->release;
 	call->ctx = ctx;
 	call->deadline_ms = now_ms + request->timeout_ms;
 	ev_init(&call->timeout, on_timeout);
--- a/src/net/keephttp.h
+++ b/src/net/keephttp.h
@@ -21,6 +21,7 @@
 	const char *body;
 	size_t bytes;
 	int64_t timeout_ms; /**< Of the whole call, with all waits. */
+	bw_http_release_fn release; /**< NULL: the context needs none. */
 } bw_keephttp_request_t;
 
 /**
@@ -34,7 +35,10 @@
 				  uint32_t host_connections_max,
 				  uint32_t connections_max);
 
-/** Ends all calls without their callbacks, and releases the client. */
+/**
+ * Ends all calls without their callbacks, and releases their contexts and the
+ * client.
+ */
 void bw_keephttp_destroy(bw_keephttp_t *client);
 
 /**
--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -552,6 +552,40 @@
 	ev_loop_destroy(t.loop);
 }
 
+/* Leaks are found by the sanitizer. */
+static void test_calls_that_a_destroyed_client_ends_leak(void **state)
+{
+	store_test_t t = { .loop = ev_loop_new(0) };
+	bw_counters_t counters = { 0 };
+	bw_run_order_t order = { .worker = "w1" };
+	bw_heartbeat_order_t heartbeat = { .worker = "w1" };
+	bw_machine_holder_t holder = { .node = "n1" };
+	bw_anyport_t listen;
+	bw_machine_api_t machines;
+	bw_worker_api_t workers;
+	bw_store_t store;
+
+	(void)state;
+	assert_int_equal(bw_anyport_reserve(LISTEN_IP, &listen), BW_OK);
+	order.address = listen.address;
+	heartbeat.address = listen.address;
+	store = platform_store_create(t.loop, listen.address, &counters);
+	machines = platform_machines_create(t.loop, listen.address);
+	workers = platform_workers_create(t.loop, listen.address);
+	store.ops->get(store.impl, "k", on_reply, &t);
+	store.ops->watch(store.impl, "k", 4, on_reply, &t);
+	machines.list(machines.impl, NULL, NULL);
+	machines.move(machines.impl, "m1", "p", &holder, NULL, NULL);
+	workers.stop(workers.impl, &order, on_started, &t);
+	workers.heartbeat(workers.impl, &heartbeat, on_heartbeat, &t);
+	workers.advise(workers.impl, &order.task, NULL, 0, NULL, NULL);
+	store.ops->destroy(store.impl);
+	platform_machines_destroy(&machines);
+	platform_workers_destroy(&workers);
+	bw_anyport_release(&listen);
+	ev_loop_destroy(t.loop);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -559,6 +593,7 @@
 		cmocka_unit_test(test_store),
 		cmocka_unit_test(test_workers),
 		cmocka_unit_test(test_connections_to_many_hosts_are_kept),
+		cmocka_unit_test(test_calls_that_a_destroyed_client_ends_leak),
 	};
 
 	curl_global_init(CURL_GLOBAL_NOTHING);
