Revoke a lease that is granted after the entry has left

Cause: bw_session_leave() without a lease ended at once, also when one had been requested; the answer that came later was ignored, so that the lease, and what waits for its end, lasted for its whole time.

Change: leaving waits for the answer to such a request and revokes what it grants.

--- a/src/node/session.c
+++ b/src/node/session.c
@@ -32,6 +32,7 @@
 	ev_timer grant;
 	int64_t sync_backoff_ms;
 	int64_t grant_backoff_ms;
+	bool granting; /**< A lease was requested and not answered yet. */
 	bool writing_view;
 	bool leaving;
 	void (*leave_done)(void *ctx);
@@ -40,6 +41,7 @@
 
 static void request_lease(bw_session_t *s);
 static void on_lease_granted(void *ctx, const bw_store_reply_t *reply);
+static void revoke_lease(bw_session_t *s);
 static void write_lease_key(bw_session_t *s, int64_t mod_revision);
 static void on_lease_key_written(void *ctx, const bw_store_reply_t *reply);
 static void on_registered(void *ctx, const bw_store_reply_t *reply);
@@ -67,6 +69,7 @@
 static void request_lease(bw_session_t *s)
 {
 	s->lease_id = 0;
+	s->granting = true;
 	s->lease_sent_us = g_get_monotonic_time();
 	s->store->ops->lease_grant(s->store->impl, s->config.lease_ms,
 				   on_lease_granted, s);
@@ -76,13 +79,17 @@
 {
 	bw_session_t *s = ctx;
 
-	if (s->leaving)
+	s->granting = false;
+	if (reply->status == BW_OK)
+		s->lease_id = reply->lease_id;
+	if (s->leaving) {
+		revoke_lease(s);
 		return;
-	if (reply->status != BW_OK || reply->lease_id == 0) {
+	}
+	if (s->lease_id == 0) {
 		retry_later(s, &s->grant, &s->grant_backoff_ms);
 		return;
 	}
-	s->lease_id = reply->lease_id;
 	write_lease_key(s, 0);
 }
 
@@ -304,6 +311,16 @@
 	s->leave_done(s->leave_ctx);
 }
 
+static void revoke_lease(bw_session_t *s)
+{
+	if (s->lease_id == 0) {
+		s->leave_done(s->leave_ctx);
+		return;
+	}
+	s->store->ops->lease_revoke(s->store->impl, s->lease_id,
+				    on_lease_revoked, s);
+}
+
 void bw_session_leave(bw_session_t *s, void (*done)(void *ctx), void *ctx)
 {
 	s->leaving = true;
@@ -311,12 +328,9 @@
 	s->leave_ctx = ctx;
 	ev_timer_stop(s->loop, &s->renew);
 	ev_timer_stop(s->loop, &s->grant);
-	if (s->lease_id == 0) {
-		done(ctx);
-		return;
-	}
-	s->store->ops->lease_revoke(s->store->impl, s->lease_id,
-				    on_lease_revoked, s);
+	/* A lease that is granted now would last for its whole time. */
+	if (!s->granting)
+		revoke_lease(s);
 }
 
 bw_session_t *bw_session_create(struct ev_loop *loop,
--- a/src/node/session.h
+++ b/src/node/session.h
@@ -51,7 +51,7 @@
 void bw_session_destroy(bw_session_t *s);
 
 /**
- * Revokes the lease.
+ * Revokes the lease, also one that is being granted.
  * @param done called when the store has answered, or at once without a lease
  */
 void bw_session_leave(bw_session_t *s, void (*done)(void *ctx), void *ctx);
