Limit the size of an answer to a call through libcurl

Cause: bw_http_call() collected an answer of any length, and a call that ends by silence only has no limit of its time either, so a server that never ends its answer takes all of the node's memory.

Change: 64 MB, above which the call is lost; the longest valid answer that the store can give, 32 values of 1 MB in base64, has 45.

Now test_adapter passes.

--- a/src/net/httpcall.c
+++ b/src/net/httpcall.c
@@ -23,6 +23,9 @@
 /** Idle handles kept of each kind: as many as a surge has calls at a time. */
 #define IDLE_HANDLES_MAX 256U
 #define RECEIVE_BYTES	 16384L
+/** A longer answer ends the call. The longest that a store gives has 32 values
+ *  of 1 MB in base64. */
+#define ANSWER_BYTES_MAX ((size_t)64 << 20)
 /** Send buffer of a connection. What the kernel holds counts as sent, so it is
  *  less than a slow link's share carries in a stall's time; a round trip of 4
  *  ms still carries 16 MB a second. */
@@ -75,6 +78,11 @@
 {
 	call_t *call = ctx;
 
+	if (call->answer->len + size * count > ANSWER_BYTES_MAX) {
+		g_warning("An answer is longer than %zu bytes.",
+			  ANSWER_BYTES_MAX);
+		return 0;
+	}
 	g_string_append_len(call->answer, data, (gssize)(size * count));
 	call->progress_ms = bw_clock_now_ms();
 	return size * count;
--- a/src/net/httpcall.h
+++ b/src/net/httpcall.h
@@ -17,7 +17,7 @@
 typedef enum bw_http_outcome {
 	BW_HTTP_ANSWERED, /**< A complete answer was received. */
 	BW_HTTP_NOT_SENT, /**< Not connected; the call had no effect. */
-	BW_HTTP_LOST, /**< Perhaps sent; no complete answer. */
+	BW_HTTP_LOST, /**< Perhaps sent; no complete answer of at most 64 MB. */
 	BW_HTTP_OUTCOME_COUNT
 } bw_http_outcome_t;
 
--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -552,6 +552,39 @@
 	ev_loop_destroy(t.loop);
 }
 
+/** More than a transaction's answer of 32 values of 1 MB has in base64. */
+#define ENDLESS_BYTES ((size_t)65 << 20)
+
+/* A server that never ends its answer would take all of the memory. */
+static void test_answer_without_end_is_collected(void **state)
+{
+	store_test_t t = { .loop = ev_loop_new(0) };
+	char *body = g_strnfill(ENDLESS_BYTES, ' ');
+	canned_server_t server = { .status = 200, .body = body };
+	bw_anyport_t listen;
+	bw_simple_config_t config = { listen.address, 65536, 16 };
+	bw_counters_t counters = { 0 };
+	bw_simplehttp_t *http;
+	bw_store_t store;
+
+	(void)state;
+	memcpy(body, "{}", 2);
+	assert_int_equal(bw_anyport_reserve(LISTEN_IP, &listen), BW_OK);
+	store = platform_store_create(t.loop, listen.address, &counters);
+	assert_int_equal(bw_simplehttp_create(t.loop, &config, serve_canned,
+					      &server, &http),
+			 BW_OK);
+	store.ops->get(store.impl, "k", on_reply, &t);
+	ev_run(t.loop, 0);
+	assert_int_equal(server.calls, 1);
+	assert_int_equal(t.status, BW_ELOST);
+	store.ops->destroy(store.impl);
+	bw_simplehttp_destroy(http);
+	bw_anyport_release(&listen);
+	g_free(body);
+	ev_loop_destroy(t.loop);
+}
+
 /* Leaks are found by the sanitizer. */
 static void test_calls_that_a_destroyed_client_ends_leak(void **state)
 {
@@ -593,6 +626,7 @@
 		cmocka_unit_test(test_store),
 		cmocka_unit_test(test_workers),
 		cmocka_unit_test(test_connections_to_many_hosts_are_kept),
+		cmocka_unit_test(test_answer_without_end_is_collected),
 		cmocka_unit_test(test_calls_that_a_destroyed_client_ends_leak),
 	};
 
