--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -552,6 +552,50 @@
 	ev_loop_destroy(t.loop);
 }
 
+typedef struct watch_case {
+	unsigned int http;
+	const char *body;
+	bw_status_t status;
+} watch_case_t;
+
+static const watch_case_t watch_cases[] = {
+	{ 410, "{}", BW_ESTALE },
+	{ 503, "{}", BW_EUNAVAIL },
+	{ 200, "oops", BW_ELOST },
+};
+
+/* A node whose watches all fail looked as if its store were sound. */
+static void test_failed_watch_is_no_store_error(void **state)
+{
+	store_test_t t = { .loop = ev_loop_new(0) };
+	canned_server_t server = { 0 };
+	bw_anyport_t listen;
+	bw_simple_config_t config = { listen.address, 65536, 16 };
+	bw_counters_t counters = { 0 };
+	bw_simplehttp_t *http;
+	bw_store_t store;
+	size_t i;
+
+	(void)state;
+	assert_int_equal(bw_anyport_reserve(LISTEN_IP, &listen), BW_OK);
+	store = platform_store_create(t.loop, listen.address, &counters);
+	assert_int_equal(bw_simplehttp_create(t.loop, &config, serve_canned,
+					      &server, &http),
+			 BW_OK);
+	for (i = 0; i < G_N_ELEMENTS(watch_cases); i++) {
+		server.status = watch_cases[i].http;
+		server.body = watch_cases[i].body;
+		store.ops->watch(store.impl, "k", 4, on_reply, &t);
+		ev_run(t.loop, 0);
+		assert_int_equal(t.status, watch_cases[i].status);
+		assert_int_equal(counters.value[BW_C_STORE_ERRORS], i + 1);
+	}
+	store.ops->destroy(store.impl);
+	bw_simplehttp_destroy(http);
+	bw_anyport_release(&listen);
+	ev_loop_destroy(t.loop);
+}
+
 /** More than a transaction's answer of 32 values of 1 MB has in base64. */
 #define ENDLESS_BYTES ((size_t)65 << 20)
 
@@ -626,6 +670,7 @@
 		cmocka_unit_test(test_store),
 		cmocka_unit_test(test_workers),
 		cmocka_unit_test(test_connections_to_many_hosts_are_kept),
+		cmocka_unit_test(test_failed_watch_is_no_store_error),
 		cmocka_unit_test(test_answer_without_end_is_collected),
 		cmocka_unit_test(test_calls_that_a_destroyed_client_ends_leak),
 	};
