A crash of a broken scheduler is no catch

Cause: world-caught.sh took any exit code but 0 for a catch, also that of a crash: the variant finished-twice crashed the simulation, and no rule had found its fault.

Change: a variant is caught if play_world exits with 1 and names a violation.

Evidence: the new script on the former variant ends with finished-twice: no rule caught it, exit code 139 and on an unbroken scheduler with exit code 0 ("no rule caught it").

--- a/scripts/world-caught.sh
+++ b/scripts/world-caught.sh
@@ -21,11 +21,15 @@
 		gcc -o "$dir/$name" "$build/test/play_world.o" "$build"/test/world*.o \
 			"$dir/$name.o" "$build/libbramleywing.a" $libs -lm ||
 		return 1
-	if "$dir/$name" "$seed" "$seeds" 1 >"$dir/$name.txt"; then
-		echo "$name: not caught"
+	"$dir/$name" "$seed" "$seeds" 1 >"$dir/$name.txt" 2>&1
+	local status=$? found
+	found=$(grep -a '^seed [0-9]*: violations=' "$dir/$name.txt")
+	# A crash names no rule that would find the fault next time.
+	if [ $status != 1 ] || [ -z "$found" ]; then
+		echo "$name: no rule caught it, exit code $status"
 		return 1
 	fi
-	echo "$name: $(tail -n 1 "$dir/$name.txt")"
+	echo "$name: $found"
 }
 
 while read -r line; do
