--- a/src/fleet/directory.c
+++ b/src/fleet/directory.c
@@ -291,11 +291,6 @@
 	d->expect_until_ms = now_ms + EXPECT_MS;
 }
 
-bool bw_directory_loaded(const bw_directory_t *d)
-{
-	return d->loaded;
-}
-
 /* A read shows the store as it was at its start, however late it arrives. */
 bool bw_directory_complete(const bw_directory_t *d)
 {
--- a/src/fleet/directory.h
+++ b/src/fleet/directory.h
@@ -35,9 +35,6 @@
  */
 void bw_directory_expect_workers(bw_directory_t *d, int64_t now_ms);
 
-/** Returns whether all registrations have been read at least once. */
-bool bw_directory_loaded(const bw_directory_t *d);
-
 /**
  * Returns whether a missing registration means that its worker has ended.
  * Registrations that expire during an outage of the store are back only a
--- a/src/fleet/member_claim.c
+++ b/src/fleet/member_claim.c
@@ -18,7 +18,6 @@
 	char *key;
 	uint64_t nonce;
 	int64_t lease_id;
-	bool in_doubt; /**< An earlier attempt got no answer. */
 } claim_t;
 
 static void send_claim(claim_t *claim);
