One name for lines of the log that were dropped

event.h called the lines that a limit keeps from the log dropped, and the reasons and the count by reason lost; lost is also what becomes of calls. All are dropped now; outside the process it stays left_out, see the glossary. No change of behaviour; test_events passes.

--- a/src/base/event.c
+++ b/src/base/event.c
@@ -165,14 +165,14 @@
 	uint64_t all = 0;
 	int i;
 
-	for (i = 0; i < BW_EVENT_LOSS_COUNT; i++)
+	for (i = 0; i < BW_EVENT_DROP_COUNT; i++)
 		all += limiter.dropped[i];
 	return all;
 }
 
-uint64_t bw_event_lost(bw_event_loss_t loss)
+uint64_t bw_event_dropped_for(bw_event_drop_t why)
 {
-	return limiter.dropped[loss];
+	return limiter.dropped[why];
 }
 
 uint64_t bw_event_lines(void)
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -102,12 +102,12 @@
 } bw_event_class_t;
 
 /** Why a line was dropped. */
-typedef enum bw_event_loss {
-	BW_EVENT_LOSS_RATE, /**< Its kind reached its line rate limit. */
-	BW_EVENT_LOSS_BYTES, /**< The process reached its byte rate limit. */
-	BW_EVENT_LOSS_READER, /**< The buffer is full, output is not read. */
-	BW_EVENT_LOSS_COUNT
-} bw_event_loss_t;
+typedef enum bw_event_drop {
+	BW_EVENT_DROP_RATE, /**< Its kind reached its line rate limit. */
+	BW_EVENT_DROP_BYTES, /**< The process reached its byte rate limit. */
+	BW_EVENT_DROP_READER, /**< The buffer is full, output is not read. */
+	BW_EVENT_DROP_COUNT
+} bw_event_drop_t;
 
 /** Description of a kind of event. */
 typedef struct bw_event_spec {
@@ -125,7 +125,7 @@
 uint32_t bw_event_class_lines(bw_event_class_t which);
 
 /** Returns a reason's label value in metrics, a static string. */
-const char *bw_event_loss_name(bw_event_loss_t loss);
+const char *bw_event_drop_name(bw_event_drop_t why);
 
 /** Appends the Markdown table of all kinds that docs/LOGS.md contains. */
 void bw_event_print_table(GString *out);
@@ -148,8 +148,8 @@
 /** Returns the total number of lines dropped so far, over all reasons. */
 uint64_t bw_event_dropped(void);
 
-/** Returns the number of lines dropped so far for the reason @p loss. */
-uint64_t bw_event_lost(bw_event_loss_t loss);
+/** Returns the number of lines dropped so far for the reason @p why. */
+uint64_t bw_event_dropped_for(bw_event_drop_t why);
 
 /** Returns the number of lines added to the buffer so far. */
 uint64_t bw_event_lines(void);
--- a/src/base/eventlist.c
+++ b/src/base/eventlist.c
@@ -301,10 +301,10 @@
 	[BW_EVENT_SELDOM] = "seldom",
 };
 
-static const char *const loss_names[BW_EVENT_LOSS_COUNT] = {
-	[BW_EVENT_LOSS_RATE] = "rate",
-	[BW_EVENT_LOSS_BYTES] = "bytes",
-	[BW_EVENT_LOSS_READER] = "reader",
+static const char *const drop_names[BW_EVENT_DROP_COUNT] = {
+	[BW_EVENT_DROP_RATE] = "rate",
+	[BW_EVENT_DROP_BYTES] = "bytes",
+	[BW_EVENT_DROP_READER] = "reader",
 };
 
 const bw_event_spec_t *bw_event_spec(bw_event_kind_t kind)
@@ -317,9 +317,9 @@
 	return class_lines[which];
 }
 
-const char *bw_event_loss_name(bw_event_loss_t loss)
+const char *bw_event_drop_name(bw_event_drop_t why)
 {
-	return loss_names[loss];
+	return drop_names[why];
 }
 
 void bw_event_print_table(GString *out)
--- a/src/base/loglimiter.c
+++ b/src/base/loglimiter.c
@@ -1,10 +1,10 @@
 #include "base/loglimiter.h"
 
 static bool drop_line(bw_log_limiter_t *limiter, bw_log_kind_t *kind,
-		      bw_event_loss_t why);
+		      bw_event_drop_t why);
 
 static bool drop_line(bw_log_limiter_t *limiter, bw_log_kind_t *kind,
-		      bw_event_loss_t why)
+		      bw_event_drop_t why)
 {
 	kind->dropped++;
 	limiter->dropped[why]++;
@@ -26,11 +26,11 @@
 		limiter->bytes = 0;
 	}
 	if (kind->lines >= bw_event_class_lines(bw_event_spec(which)->class))
-		return drop_line(limiter, kind, BW_EVENT_LOSS_RATE);
+		return drop_line(limiter, kind, BW_EVENT_DROP_RATE);
 	if (limiter->bytes + BW_LOG_LINE_BYTES_MAX > limiter->bytes_max)
-		return drop_line(limiter, kind, BW_EVENT_LOSS_BYTES);
+		return drop_line(limiter, kind, BW_EVENT_DROP_BYTES);
 	if (backlog_bytes + BW_LOG_LINE_BYTES_MAX > BW_LOG_BACKLOG_BYTES_MAX)
-		return drop_line(limiter, kind, BW_EVENT_LOSS_READER);
+		return drop_line(limiter, kind, BW_EVENT_DROP_READER);
 	kind->lines++;
 	return true;
 }
--- a/src/base/loglimiter.h
+++ b/src/base/loglimiter.h
@@ -32,7 +32,7 @@
 	int64_t second; /**< Second that @p bytes counts. */
 	int64_t bytes;
 	bw_log_kind_t kinds[BW_EVENT_KIND_COUNT];
-	uint64_t dropped[BW_EVENT_LOSS_COUNT];
+	uint64_t dropped[BW_EVENT_DROP_COUNT];
 } bw_log_limiter_t;
 
 /**
--- a/src/fleet/show.c
+++ b/src/fleet/show.c
@@ -157,13 +157,13 @@
 			 (double)bw_event_lines());
 	bw_metrics_gauge(out, "bramley_log_bytes_total", NULL,
 			 (double)bw_event_bytes());
-	for (i = 0; i < BW_EVENT_LOSS_COUNT; i++) {
-		bw_event_loss_t why = (bw_event_loss_t)i;
+	for (i = 0; i < BW_EVENT_DROP_COUNT; i++) {
+		bw_event_drop_t why = (bw_event_drop_t)i;
 
 		g_snprintf(label, sizeof(label), "reason=\"%s\"",
-			   bw_event_loss_name(why));
+			   bw_event_drop_name(why));
 		bw_metrics_gauge(out, "bramley_log_lines_left_out_total", label,
-				 (double)bw_event_lost(why));
+				 (double)bw_event_dropped_for(why));
 	}
 }
 
--- a/test/test_events.c
+++ b/test/test_events.c
@@ -179,7 +179,7 @@
 	assert_int_equal(
 		lines_until_drop(&limiter, BW_EVENT_SCHED_START, 5000, 100),
 		most);
-	assert_int_equal(limiter.dropped[BW_EVENT_LOSS_RATE], 1);
+	assert_int_equal(limiter.dropped[BW_EVENT_DROP_RATE], 1);
 	/* Other kinds have their own limit, and each second starts anew. */
 	assert_true(bw_log_limiter_admit(&limiter, BW_EVENT_FLEET_STORE_LOST,
 					 5900, 0));
@@ -199,7 +199,7 @@
 
 	(void)state;
 	lines_until_drop(&limiter, BW_EVENT_SCHED_START, 7000, 200);
-	assert_int_equal(limiter.dropped[BW_EVENT_LOSS_BYTES], 1);
+	assert_int_equal(limiter.dropped[BW_EVENT_DROP_BYTES], 1);
 	assert_true(limiter.bytes <= BYTES_S);
 	assert_true(limiter.bytes > BYTES_S - 2 * BW_LOG_LINE_BYTES_MAX);
 	assert_false(bw_log_limiter_admit(&limiter, BW_EVENT_SERVICE_REQUEST,
@@ -215,7 +215,7 @@
 	(void)state;
 	assert_false(bw_log_limiter_admit(&limiter, BW_EVENT_SCHED_START, 1000,
 					  BW_LOG_BACKLOG_BYTES_MAX));
-	assert_int_equal(limiter.dropped[BW_EVENT_LOSS_READER], 1);
+	assert_int_equal(limiter.dropped[BW_EVENT_DROP_READER], 1);
 }
 
 /*
