--- a/bench/bench_log.c
+++ b/bench/bench_log.c
@@ -96,7 +96,7 @@
 					  .pool = g_strdup("p"),
 					  .attempts_max = 4,
 					  .objective_factor = 1.6,
-					  .target_ms = 600 };
+					  .objective_offset_ms = 600 };
 	config->pool_count = 1;
 	config->pools = g_new0(bw_pool_config_t, 1);
 	config->pools[0].name = g_strdup("p");
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -226,7 +226,7 @@
 			.priority = queue->priority,
 			.attempts_max = queue->attempts_max,
 			.objective_factor = queue->objective_factor,
-			.objective_offset_ms = queue->target_ms,
+			.objective_offset_ms = queue->objective_offset_ms,
 			.advised = queue->advised,
 		};
 
--- a/src/fleet/interfaces.h
+++ b/src/fleet/interfaces.h
@@ -102,7 +102,7 @@
 	uint32_t attempts_max;
 	/** Objective as a multiple of the longest chain of steps. */
 	double objective_factor;
-	int64_t target_ms; /**< Added to the objective. */
+	int64_t objective_offset_ms; /**< Added to the objective. */
 	bool advised; /**< Tasks run only on workers that advice names. */
 } bw_queue_t;
 
