--- a/src/base/eventlist.c
+++ b/src/base/eventlist.c
@@ -15,12 +15,13 @@
 				   "SIGHUP: the settings file was checked",
 				   "settings good" },
 	[BW_EVENT_MAIN_MESSAGE] = { "main", "message", BW_EVENT_SELDOM,
-				    "a library logged a message",
+				    "a library, or the code for "
+				    "connections, logged a message",
 				    "domain level text" },
 	[BW_EVENT_FLEET_STORE_LOST] = { "fleet", "store-lost", BW_EVENT_SELDOM,
-					"three or more store calls in a row "
-					"got no answer or were refused as "
-					"unavailable",
+					"three or more store calls in a row, "
+					"for more than 0.7 s, got no answer or "
+					"were refused as unavailable",
 					"node failures silent_ms" },
 	[BW_EVENT_FLEET_STORE_REGAINED] = { "fleet", "store-regained",
 					    BW_EVENT_SELDOM,
@@ -86,7 +87,8 @@
 				  "node late_ms lease_left_ms" },
 	[BW_EVENT_MEMBER_REGISTERED] = { "member", "registered",
 					 BW_EVENT_SELDOM,
-					 "this node was granted a lease",
+					 "this node has registered with a new "
+					 "lease",
 					 "node lease" },
 	[BW_EVENT_MEMBER_LEASE_LOST] = { "member", "lease-lost",
 					 BW_EVENT_SELDOM,
