--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -14,6 +14,7 @@
 #include "fleet/service.h"
 #include "fleet/shortening.h"
 #include "job/json.h"
+#include "standin/memstore.h"
 
 /* Ranks of nodes that claim a pool. */
 
@@ -404,6 +405,31 @@
 	bw_sched_destroy(sched);
 }
 
+/* The scheduler may be gone when the store answers. */
+static void test_removal_reports_after_its_end(void **state)
+{
+	struct ev_loop *loop = ev_loop_new(0);
+	bw_memstore_t *memory = bw_memstore_create(loop);
+	bw_store_t store = bw_memstore_interface(memory);
+	bw_sched_t *sched = finished_jobs(1000);
+	int64_t late_ms = bw_clock_now_ms() + 100000;
+	bw_removal_t *r;
+
+	(void)state;
+	bw_memstore_put(memory, "owner", "n", 1);
+	bw_memstore_put(memory, "bw/q/a/0000000000000000/job", "j", 1);
+	r = bw_removal_create(&store, "a", "owner",
+			      bw_memstore_revision(memory, "owner"));
+	bw_removal_run(r, late_ms, sched);
+	bw_removal_destroy(r);
+	bw_sched_destroy(sched);
+	ev_run(loop, 0);
+	assert_int_equal(
+		bw_memstore_revision(memory, "bw/q/a/0000000000000000/job"), 0);
+	bw_memstore_destroy(memory);
+	ev_loop_destroy(loop);
+}
+
 /* Lets due records wait for long enough to be sent. */
 static void send_due(bw_shortening_t *sh, int64_t *now_ms, bw_sched_t *sched)
 {
@@ -1108,6 +1134,7 @@
 		cmocka_unit_test(test_unknown_pool_gives_nothing),
 		cmocka_unit_test(test_idle_pool_keeps_its_share),
 		cmocka_unit_test(test_removal),
+		cmocka_unit_test(test_removal_reports_after_its_end),
 		cmocka_unit_test(test_shortening),
 		cmocka_unit_test(test_old_notice),
 		cmocka_unit_test(test_saves_leave_room_on_a_slow_link),
