Test the limit of a worker's answer too

keepconn.c has ended answers over 8 MB since it was written, without a test. No change of the program.

--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -607,6 +607,8 @@
 	canned_server_t server = { .status = 200, .body = body };
 	bw_anyport_t listen;
 	bw_simple_config_t config = { listen.address, 65536, 16 };
+	bw_worker_api_t workers = platform_workers_create(t.loop, NULL);
+	bw_run_order_t order = { .worker = "w1" };
 	bw_counters_t counters = { 0 };
 	bw_simplehttp_t *http;
 	bw_store_t store;
@@ -622,6 +624,12 @@
 	ev_run(t.loop, 0);
 	assert_int_equal(server.calls, 1);
 	assert_int_equal(t.status, BW_ELOST);
+	order.address = listen.address;
+	workers.stop(workers.impl, &order, on_started, &t);
+	ev_run(t.loop, 0);
+	assert_int_equal(server.calls, 2);
+	assert_int_equal(t.result, BW_ORDER_LOST);
+	platform_workers_destroy(&workers);
 	store.ops->destroy(store.impl);
 	bw_simplehttp_destroy(http);
 	bw_anyport_release(&listen);
