--- a/test/play_world.c
+++ b/test/play_world.c
@@ -1,10 +1,14 @@
 /*
- * play_world FIRST COUNT [FAILURES_MAX]: plays simulations with COUNT seeds
- * from FIRST on, or until FAILURES_MAX of them have failed; exits with 1 if a
- * rule was violated. WORLD_TRACE=1 prints each event of note.
+ * play_world FIRST COUNT [FAILURES_MAX [plain]]: plays simulations with COUNT
+ * seeds from FIRST on, or until FAILURES_MAX of them have failed; exits with 1
+ * if a rule was violated. With "plain", workers do not restart under their
+ * identifier, and what else world_clear_later_faults() switches off stays off.
+ * WORLD_TRACE=1 prints each event of note.
  */
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include <glib.h>
 
@@ -15,6 +19,7 @@
 	uint32_t first = argc > 1 ? (uint32_t)atoi(argv[1]) : 1;
 	uint32_t count = argc > 2 ? (uint32_t)atoi(argv[2]) : 100;
 	uint32_t failures_max = argc > 3 ? (uint32_t)atoi(argv[3]) : UINT32_MAX;
+	bool plain = argc > 4 && !strcmp(argv[4], "plain");
 	uint64_t events = 0;
 	uint32_t failures = 0;
 	uint32_t crashing_failed = 0;
@@ -26,6 +31,8 @@
 		world_result_t result;
 
 		world_draw_config(first + i, &config);
+		if (plain)
+			world_clear_later_faults(&config);
 		world_play(&config, &result);
 		events += result.events;
 		crashing_failed += result.crashing_failed;
--- a/test/world.c
+++ b/test/world.c
@@ -802,6 +802,8 @@
 	config->cuts = 0;
 	config->ends_page = 0;
 	config->stale_notice_share = 0.0;
+	config->crashing_share = 0.0;
+	config->worker_crashes = 0;
 }
 
 void world_play(const world_config_t *config, world_result_t *out)
