--- a/test/test_crashes.c
+++ b/test/test_crashes.c
@@ -10,6 +10,8 @@
 #define MACHINES_MAX 24
 #define RUNS_MAX     64
 #define STEP_MS	     50
+/** Steps in which an awaited start has to come. */
+#define AWAIT_STEPS 200
 /** A new worker is on the machine of a crashed one after this time. */
 #define BACK_MS 3400
 /** The time after which a lasting task is ready. */
@@ -208,6 +210,16 @@
 	return count;
 }
 
+/* Lets time pass until so many runs of a job's tasks were started. */
+static void await_starts(pool_t *p, const char *job, uint32_t count)
+{
+	uint32_t i;
+
+	for (i = 0; i < AWAIT_STEPS && starts_of(p, job) < count; i++)
+		step(p);
+	assert_true(starts_of(p, job) >= count);
+}
+
 static machine_t *machine_of(pool_t *p, const char *job)
 {
 	uint32_t i = p->o.start_count;
@@ -399,8 +411,7 @@
 	orders_add_job(&p.o, JOB_A, 1, false, 1000, 500);
 	step(&p);
 	crash(&p, machine_of(&p, JOB_A));
-	for (i = 0; i < 200 && starts_of(&p, JOB_A) < 2; i++)
-		step(&p);
+	await_starts(&p, JOB_A, 2);
 	orders_add_job(&p.o, JOB_B, 16, false, 1000, 500);
 	orders_run(&p.o, 10);
 	for (i = 2; i < p.o.start_count; i++)
@@ -412,6 +423,15 @@
 	end(&p);
 }
 
+/* Adds a job that goes before late ones, with a new run on each worker. */
+static void add_sound_job(pool_t *p, uint32_t number)
+{
+	char id[BW_JOB_ID_CHARS + 1];
+
+	g_snprintf(id, sizeof(id), "%016x", 1000 + number);
+	orders_add_job(&p->o, id, p->machine_count, false, 5000, 500);
+}
+
 /* Where every worker has new runs all the time, a suspect still starts. */
 static void test_suspect_waits_for_ever(void **state)
 {
@@ -420,20 +440,64 @@
 
 	(void)state;
 	begin(&p, 2);
-	orders_add_job(&p.o, JOB_A, 1, false, 1000, 500);
+	p.back_ms = 4000;
+	orders_add_job(&p.o, JOB_A, 1, false, 1000, 2000);
 	step(&p);
 	crash(&p, machine_of(&p, JOB_A));
-	orders_add_job(&p.o, JOB_B, 8, false, 1000, 500);
-	play(&p, BACK_MS - 2 * STEP_MS);
+	p.run_ms = STEP_MS;
+	play(&p, p.back_ms - STEP_MS);
 	for (i = 0; i < 200 && starts_of(&p, JOB_A) < 2; i++) {
-		char id[BW_JOB_ID_CHARS + 1];
-
-		g_snprintf(id, sizeof(id), "%016x", 1000 + i);
-		orders_add_job(&p.o, id, 1, false, 100, 500);
+		add_sound_job(&p, i);
 		step(&p);
 	}
 	assert_int_equal(starts_of(&p, JOB_A), 2);
-	assert_true(i < 120);
+	assert_in_range(i * STEP_MS, 4000, 4000 + 4 * STEP_MS);
+	end(&p);
+}
+
+/* The suspect is the first of its step, and no worker suits it. */
+static void test_waiting_suspect_holds_up_its_step(void **state)
+{
+	pool_t p;
+
+	(void)state;
+	begin(&p, 2);
+	orders_add_job(&p.o, JOB_A, 3, false, 5000, 500);
+	step(&p);
+	assert_int_equal(starts_of(&p, JOB_A), 2);
+	crash(&p, machine_with(&p, p.o.starts[0].worker));
+	play(&p, BACK_MS - STEP_MS);
+	orders_add_job(&p.o, JOB_B, 1, false, 3000, 500);
+	await_starts(&p, JOB_B, 1);
+	orders_add_job(&p.o, JOB_EARLY, 1, false, 3000, 500);
+	play(&p, 3 * STEP_MS);
+	assert_int_equal(starts_of(&p, JOB_A), 3);
+	assert_int_equal(p.o.starts[p.o.start_count - 1].task.index, 2);
+	end(&p);
+}
+
+/* After a crash under many runs most workers would wait for suspects. */
+static void test_suspects_take_all_workers(void **state)
+{
+	GHashTable *workers = g_hash_table_new(g_str_hash, g_str_equal);
+	uint32_t before;
+	uint32_t i;
+	pool_t p;
+
+	(void)state;
+	begin(&p, 6);
+	orders_add_job(&p.o, JOB_A, 8, false, 1000, 500);
+	step(&p);
+	crash(&p, machine_of(&p, JOB_A));
+	before = p.o.start_count;
+	await_starts(&p, JOB_A, before + 1);
+	for (i = before; i < p.o.start_count; i++)
+		g_hash_table_add(workers, p.o.starts[i].worker);
+	assert_int_equal(g_hash_table_size(workers), 3);
+	assert_int_equal(p.o.start_count - before, 3);
+	play(&p, 1000);
+	assert_int_equal(starts_of(&p, JOB_A), 16);
+	g_hash_table_destroy(workers);
 	end(&p);
 }
 
@@ -459,30 +523,46 @@
 	end(&p);
 }
 
-/* The order may be known only after the machine is back. */
-static void test_cordoned_or_draining_end_counts_as_crash(void **state)
+/* Ends the worker of a task again and again, while it is being emptied. */
+static void end_emptied_workers(pool_t *p, bool draining)
 {
-	pool_t p;
 	uint32_t i;
 
-	(void)state;
-	begin(&p, 6);
-	orders_add_job(&p.o, JOB_A, 1, false, 1000, 500);
+	begin(p, 6);
+	orders_add_job(&p->o, JOB_A, 1, false, 1000, 500);
 	for (i = 0; i < 6; i++) {
 		machine_t *m;
 
-		step(&p);
-		m = machine_of(&p, JOB_A);
-		if (i % 2 == 0)
-			register_machine(&p, m, true);
+		await_starts(p, JOB_A, i + 1);
+		m = machine_of(p, JOB_A);
+		if (draining)
+			register_machine(p, m, true);
 		else
-			bw_sched_worker_cordon(p.o.sched, m->worker, true);
-		crash(&p, m);
-		play(&p, BACK_MS + 4 * STEP_MS);
+			bw_sched_worker_cordon(p->o.sched, m->worker, true);
+		crash(p, m);
+		play(p, BACK_MS);
 	}
-	assert_int_equal(state_of(&p, JOB_A), BW_JOB_RUNNING);
-	assert_int_equal(starts_of(&p, JOB_A), 7);
-	end(&p);
+	play(p, 1000);
+	assert_int_equal(state_of(p, JOB_A), BW_JOB_RUNNING);
+	assert_int_equal(starts_of(p, JOB_A), 7);
+	end(p);
+}
+
+static void test_drained_end_counts_as_crash(void **state)
+{
+	pool_t p;
+
+	(void)state;
+	end_emptied_workers(&p, true);
+}
+
+/* The machine may be back before its owner learns of the order. */
+static void test_cordoned_end_counts_as_crash(void **state)
+{
+	pool_t p;
+
+	(void)state;
+	end_emptied_workers(&p, false);
 }
 
 /* A worker that is heard of again has not crashed. */
@@ -621,7 +701,7 @@
 	for (i = 0; i < G_N_ELEMENTS(crash_ms); i++)
 		crash_ms[i] = g_rand_int_range(rand, 2000, DAY_TEST_MS - 10000);
 	while (p.o.now_ms < DAY_TEST_MS) {
-		if (added < DAY_JOBS && g_rand_double(rand) < 0.15) {
+		if (added < DAY_JOBS && g_rand_double(rand) < 0.5) {
 			g_snprintf(id, sizeof(id), "%016x", ++added);
 			orders_add_job(&p.o, id,
 				       (uint32_t)g_rand_int_range(rand, 1, 20),
@@ -662,8 +742,11 @@
 		cmocka_unit_test(test_suspects_share_a_worker),
 		cmocka_unit_test(test_task_starts_beside_starting_suspect),
 		cmocka_unit_test(test_suspect_waits_for_ever),
+		cmocka_unit_test(test_waiting_suspect_holds_up_its_step),
+		cmocka_unit_test(test_suspects_take_all_workers),
 		cmocka_unit_test(test_ordered_end_counts_as_crash),
-		cmocka_unit_test(test_cordoned_or_draining_end_counts_as_crash),
+		cmocka_unit_test(test_drained_end_counts_as_crash),
+		cmocka_unit_test(test_cordoned_end_counts_as_crash),
 		cmocka_unit_test(test_silence_counts_as_crash),
 		cmocka_unit_test(test_ready_lasting_task_is_blamed),
 		cmocka_unit_test(test_long_ready_lasting_task_stays_suspect),
