--- a/test/test_crashes.c
+++ b/test/test_crashes.c
@@ -10,6 +10,8 @@
 #define MACHINES_MAX 24
 #define RUNS_MAX     64
 #define STEP_MS	     50
+/** More would be started three times after three crashes. */
+#define CRASHES_TOLERATED 5U
 /** Steps in which an awaited start has to come. */
 #define AWAIT_STEPS 200
 /** A new worker is on the machine of a crashed one after this time. */
@@ -220,6 +222,14 @@
 	assert_true(starts_of(p, job) >= count);
 }
 
+static void await_crashes(pool_t *p, uint32_t count)
+{
+	uint32_t i;
+
+	for (i = 0; i < AWAIT_STEPS && p->crashes < count; i++)
+		step(p);
+}
+
 static machine_t *machine_of(pool_t *p, const char *job)
 {
 	uint32_t i = p->o.start_count;
@@ -375,6 +385,31 @@
 	end(&p);
 }
 
+/* Each owner but the first ends before it learns of the crash. */
+static void test_changes_of_owner_hide_crashes(void **state)
+{
+	pool_t p;
+	uint32_t i;
+
+	(void)state;
+	begin(&p, 12);
+	p.crashing_job = JOB_A;
+	orders_add_job(&p.o, JOB_A, 1, false, 1000, 500);
+	play(&p, BACK_MS);
+	for (i = 0; i < 8; i++) {
+		await_crashes(&p, MIN(i + 2, CRASHES_TOLERATED));
+		play(&p, 500);
+		/* One owner learns of its crash. */
+		play(&p, i == 3 ? BACK_MS : 0);
+		change_owner(&p, false);
+		orders_add_job(&p.o, JOB_A, 1, false, 1000, 500);
+	}
+	play(&p, 30000);
+	assert_in_range(p.crashes, 2, CRASHES_TOLERATED);
+	assert_int_equal(state_of(&p, JOB_A), BW_JOB_FAILED);
+	end(&p);
+}
+
 /* Two jobs that crashed a worker together tell nothing when they start so. */
 static void test_suspects_share_a_worker(void **state)
 {
@@ -739,6 +774,7 @@
 		cmocka_unit_test(test_neighbours_are_blamed),
 		cmocka_unit_test(test_job_of_given_up_task_goes_on),
 		cmocka_unit_test(test_successor_counts_from_nothing),
+		cmocka_unit_test(test_changes_of_owner_hide_crashes),
 		cmocka_unit_test(test_suspects_share_a_worker),
 		cmocka_unit_test(test_task_starts_beside_starting_suspect),
 		cmocka_unit_test(test_suspect_waits_for_ever),
