Wait for open cases after hidden crashes

Cause: an owner that ends before it learns of a crash leaves nothing of it.

Change: runs of earlier owners that a takeover does not find are counted (TaskRecord field 12). They are no cause to give a task up, since they may have ended otherwise, but count where a task waits until it is known whether a silent worker crashed.

--- a/src/sched/crashes.c
+++ b/src/sched/crashes.c
@@ -319,7 +319,8 @@
 
 bool sched_crashes_pending(const bw_sched_t *s, const task_t *task)
 {
-	uint32_t count = task->crashes + task->unsure_crashes;
+	uint32_t count =
+		task->crashes + task->unsure_crashes + task->hidden_runs;
 	bw_task_name_t name;
 	uint32_t open = 0;
 	guint i;
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -101,6 +101,8 @@
 	uint32_t crashes; /**< Workers that crashed under a run of it. */
 	uint32_t unsure_crashes; /**< Those of which the run may have ended
 				    or may not have begun before. */
+	uint32_t hidden_runs; /**< Runs under earlier owners of which no end is
+				 known; any may have crashed its worker. */
 	int64_t isolate_since_ms; /**< Since when a suspect waits for a worker
 				     of its own; 0: it does not. */
 	int64_t ready_since_ms; /**< Lasting task: of this run; 0: not ready. */
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -343,6 +343,7 @@
 	sched_step_state(task)->waiting--;
 	task->state = TASK_STARTING;
 	task->run = run;
+	task->hidden_runs += task->maybe_running;
 	task->maybe_running = false;
 	task->ordered_ms = now_ms;
 	task->start_answered_ms = 0;
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -40,6 +40,7 @@
 	record->failures = task->failures;
 	record->crashes = task->crashes;
 	record->unsure_crashes = task->unsure_crashes;
+	record->hidden_runs = task->hidden_runs;
 	record->failed_runs = (uint32_t *)task->failed_runs;
 	record->n_failed_runs = MIN(task->failures, FAILED_RUNS_KEPT);
 	record->done = task->done;
@@ -254,6 +255,7 @@
 	task->failures = record->failures;
 	task->crashes = record->crashes;
 	task->unsure_crashes = record->unsure_crashes;
+	task->hidden_runs = record->hidden_runs;
 	/* Whether it survived its starts is not stored. */
 	task->suspect = record->crashes + record->unsure_crashes > 0;
 	for (i = 0; i < MIN(record->n_failed_runs, FAILED_RUNS_KEPT); i++)
--- a/src/wire/record.pb-c.c
+++ b/src/wire/record.pb-c.c
@@ -793,7 +793,7 @@
   (ProtobufCMessageInit) bramley__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__task_record__field_descriptors[11] =
+static const ProtobufCFieldDescriptor bramley__task_record__field_descriptors[12] =
 {
   {
     "occurrence",
@@ -927,6 +927,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hidden_runs",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__TaskRecord, hidden_runs),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__task_record__field_indices_by_name[] = {
   6,   /* field[6] = checkpoint */
@@ -934,6 +946,7 @@
   5,   /* field[5] = done */
   4,   /* field[4] = failed_runs */
   3,   /* field[3] = failures */
+  11,   /* field[11] = hidden_runs */
   1,   /* field[1] = number */
   0,   /* field[0] = occurrence */
   7,   /* field[7] = placed */
@@ -944,7 +957,7 @@
 static const ProtobufCIntRange bramley__task_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor bramley__task_record__descriptor =
 {
@@ -954,7 +967,7 @@
   "Bramley__TaskRecord",
   "bramley",
   sizeof(Bramley__TaskRecord),
-  11,
+  12,
   bramley__task_record__field_descriptors,
   bramley__task_record__field_indices_by_name,
   1,  bramley__task_record__number_ranges,
--- a/src/wire/record.pb-c.h
+++ b/src/wire/record.pb-c.h
@@ -119,10 +119,14 @@
    * Workers that may have.
    */
   uint32_t unsure_crashes;
+  /*
+   * Runs whose end no owner has learned of.
+   */
+  uint32_t hidden_runs;
 };
 #define BRAMLEY__TASK_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__task_record__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Bramley__JobProgress
--- a/test/play_world.c
+++ b/test/play_world.c
@@ -2,7 +2,7 @@
  * play_world FIRST COUNT [FAILURES_MAX [plain]]: plays simulations with COUNT
  * seeds from FIRST on, or until FAILURES_MAX of them have failed; exits with 1
  * if a rule was violated. With "plain", workers do not restart under their
- * identifier, and what else world_clear_later_faults() switches off stays off.
+ * identifier and no task crashes them.
  * WORLD_TRACE=1 prints each event of note.
  */
 #include <stdbool.h>
@@ -31,8 +31,10 @@
 		world_result_t result;
 
 		world_draw_config(first + i, &config);
-		if (plain)
-			world_clear_later_faults(&config);
+		if (plain) {
+			world_clear_restarts(&config);
+			world_clear_crashes(&config);
+		}
 		world_play(&config, &result);
 		events += result.events;
 		crashing_failed += result.crashing_failed;
--- a/test/test_crashes.c
+++ b/test/test_crashes.c
@@ -410,6 +410,30 @@
 	end(&p);
 }
 
+/* Three crashes are hidden by changes of owner, others by slow machines. */
+static void test_hidden_crashes_are_forgotten(void **state)
+{
+	pool_t p;
+	uint32_t i;
+
+	(void)state;
+	begin(&p, 16);
+	p.back_ms = 9000;
+	p.crashing_job = JOB_A;
+	orders_add_job(&p.o, JOB_A, 1, false, 1000, 500);
+	for (i = 0; i < 3; i++) {
+		await_crashes(&p, i + 1);
+		assert_int_equal(p.crashes, i + 1);
+		play(&p, 300);
+		change_owner(&p, false);
+		orders_add_job(&p.o, JOB_A, 1, false, 1000, 500);
+	}
+	play(&p, 90000);
+	assert_in_range(p.crashes, 4, CRASHES_TOLERATED);
+	assert_int_equal(state_of(&p, JOB_A), BW_JOB_FAILED);
+	end(&p);
+}
+
 /* Two jobs that crashed a worker together tell nothing when they start so. */
 static void test_suspects_share_a_worker(void **state)
 {
@@ -775,6 +799,7 @@
 		cmocka_unit_test(test_job_of_given_up_task_goes_on),
 		cmocka_unit_test(test_successor_counts_from_nothing),
 		cmocka_unit_test(test_changes_of_owner_hide_crashes),
+		cmocka_unit_test(test_hidden_crashes_are_forgotten),
 		cmocka_unit_test(test_suspects_share_a_worker),
 		cmocka_unit_test(test_task_starts_beside_starting_suspect),
 		cmocka_unit_test(test_suspect_waits_for_ever),
--- a/test/test_world.c
+++ b/test/test_world.c
@@ -30,6 +30,14 @@
 	{ 1797001646, "two owners gave one number to two runs" },
 };
 
+/* With tasks that crash workers. */
+static const regression_t crash_regressions[] = {
+	{ 183, "suspects waited behind lasting tasks" },
+	{ 733, "a job was given up for a run that was not isolated" },
+	{ 1857, "changes of owner hid three crashes" },
+	{ 1871, "changes of owner hid two crashes, and a lost start one" },
+};
+
 /** The regressions were found without removal of jobs and without workers that
  *  shrink; this retains all. */
 #define RETENTION_MS 120000
@@ -55,11 +63,19 @@
 	(void)state;
 	for (i = 0; i < G_N_ELEMENTS(regressions); i++) {
 		world_draw_config(regressions[i].seed, &config);
-		world_clear_later_faults(&config);
+		world_clear_restarts(&config);
+		world_clear_crashes(&config);
 		config.retention_ms = RETENTION_MS;
 		config.resizes = 0;
 		check(regressions[i].seed, regressions[i].cause, &config);
 	}
+	for (i = 0; i < G_N_ELEMENTS(crash_regressions); i++) {
+		world_draw_config(crash_regressions[i].seed, &config);
+		world_clear_restarts(&config);
+		config.resizes = 0;
+		check(crash_regressions[i].seed, crash_regressions[i].cause,
+		      &config);
+	}
 }
 
 static void test_world_drawn(void **state)
@@ -70,7 +86,8 @@
 	(void)state;
 	for (seed = 1; seed <= DRAWN_SEEDS; seed++) {
 		world_draw_config(seed, &config);
-		world_clear_later_faults(&config);
+		world_clear_restarts(&config);
+		world_clear_crashes(&config);
 		check(seed, "drawn", &config);
 	}
 }
--- a/test/world.c
+++ b/test/world.c
@@ -155,7 +155,7 @@
 			       on_worker_shrunk, NULL);
 }
 
-static void start_worker(world_t *w, uint32_t machine, const char *id)
+static fake_worker_t *start_worker(world_t *w, uint32_t machine, const char *id)
 {
 	fake_worker_t *worker = g_new0(fake_worker_t, 1);
 
@@ -171,6 +171,7 @@
 	worker->highest_ended =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_ptr_array_add(w->workers, worker);
+	return worker;
 }
 
 static void start_new_worker(world_t *w, uint32_t machine)
@@ -231,9 +232,12 @@
 static void on_same_id_restart(world_t *w, void *arg)
 {
 	const fake_worker_t *worker = arg;
+	fake_worker_t *next;
 
 	world_trace(w, "restart", worker->id);
-	start_worker(w, worker->machine, worker->id);
+	next = start_worker(w, worker->machine, worker->id);
+	/* The nodes know the capacity of the boot before until they read. */
+	memcpy(next->told, worker->told, sizeof(next->told));
 	if (w->config.cuts > 0 && world_fault_bool(w, 0.4))
 		world_schedule(w, world_fault_between(w, 5, 1500), on_cut,
 			       GUINT_TO_POINTER(worker->machine));
@@ -795,13 +799,17 @@
 	world_draw_crashes(seed, out);
 }
 
-void world_clear_later_faults(world_config_t *config)
+void world_clear_restarts(world_config_t *config)
 {
 	config->same_id_share = 0.0;
 	config->late_answer_share = 0.0;
 	config->cuts = 0;
 	config->ends_page = 0;
 	config->stale_notice_share = 0.0;
+}
+
+void world_clear_crashes(world_config_t *config)
+{
 	config->crashing_share = 0.0;
 	config->worker_crashes = 0;
 }
--- a/test/world.h
+++ b/test/world.h
@@ -47,8 +47,11 @@
 /** Draws the load and the faults from a seed. */
 void world_draw_config(uint32_t seed, world_config_t *out);
 
-/** Switches off the faults that were added after the first regressions. */
-void world_clear_later_faults(world_config_t *config);
+/** Switches off restarts under an identifier, and what was drawn with them. */
+void world_clear_restarts(world_config_t *config);
+
+/** Switches off tasks that crash their workers, and crashes drawn with them. */
+void world_clear_crashes(world_config_t *config);
 
 /** Runs a simulation to its end. */
 void world_play(const world_config_t *config, world_result_t *out);
