A task is given up also if owner changes have hidden its crashes

Change: only runs that the stored state had placed count, until their end or the run itself is reported; with a proven crash they count for giving up.

--- a/src/sched/crashes.c
+++ b/src/sched/crashes.c
@@ -166,6 +166,17 @@
 	return lapse;
 }
 
+/* A run that an earlier owner left without an end counts too, beside a crash.
+ */
+static bool is_at_limit(const task_t *task)
+{
+	uint32_t counted = task->crashes + task->unsure_crashes;
+
+	if (task->crashes > 0)
+		counted += task->hidden_runs;
+	return counted >= CRASHES_MAX;
+}
+
 /* Counts a crash of a worker under a run of a task. */
 static void charge(bw_sched_t *s, task_t *task, const lapse_t *crash,
 		   GPtrArray *given_up)
@@ -185,7 +196,7 @@
 			  task->unsure_crashes);
 	if ((crash->isolated && crash->accepted &&
 	     task->crashes >= CRASHES_ALONE) ||
-	    task->crashes + task->unsure_crashes >= CRASHES_MAX)
+	    is_at_limit(task))
 		g_ptr_array_add(given_up, task);
 }
 
--- a/src/sched/heartbeat.c
+++ b/src/sched/heartbeat.c
@@ -110,6 +110,8 @@
 	}
 	if (!task->worker && task->run_known && end->run >= task->run)
 		task->maybe_running = false;
+	if (!task->worker && end->run >= task->run)
+		task->run_missed = false;
 	if (!task->worker)
 		task->run = MAX(task->run, end->run);
 	if (end->kind == BW_END_DONE && !sched_task_step(task)->lasting) {
@@ -153,6 +155,7 @@
 	task->run = row->run;
 	/* The earlier owner started no other run while this one went on. */
 	task->maybe_running = false;
+	task->run_missed = false;
 	task->ordered_ms = now_ms;
 	task->start_answered_ms = now_ms;
 	task->percent = PERCENT_UNKNOWN;
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -101,6 +101,8 @@
 	uint32_t crashes; /**< Workers that crashed under a run of it. */
 	uint32_t unsure_crashes; /**< Those of which the run may have ended
 				    or may not have begun before. */
+	bool run_missed; /**< An earlier owner has left a run of which no end is
+			    known. */
 	uint32_t hidden_runs; /**< Runs under earlier owners of which no end is
 				 known; any may have crashed its worker. */
 	int64_t isolate_since_ms; /**< Since when a suspect waits for a worker
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -343,7 +343,8 @@
 	sched_step_state(task)->waiting--;
 	task->state = TASK_STARTING;
 	task->run = run;
-	task->hidden_runs += task->maybe_running;
+	task->hidden_runs += task->run_missed;
+	task->run_missed = false;
 	task->maybe_running = false;
 	task->ordered_ms = now_ms;
 	task->start_answered_ms = 0;
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -256,6 +256,7 @@
 	task->crashes = record->crashes;
 	task->unsure_crashes = record->unsure_crashes;
 	task->hidden_runs = record->hidden_runs;
+	task->run_missed = record->placed && record->run > 0;
 	/* Whether it survived its starts is not stored. */
 	task->suspect = record->crashes + record->unsure_crashes > 0;
 	for (i = 0; i < MIN(record->n_failed_runs, FAILED_RUNS_KEPT); i++)
