A lasting job ends only for proven crashes of a task

Cause: runs without an end under earlier owners and starts without an answer counted for giving up a lasting task too.

--- a/src/sched/crashes.c
+++ b/src/sched/crashes.c
@@ -166,12 +166,17 @@
 	return lapse;
 }
 
-/* A run that an earlier owner left without an end counts too, beside a crash.
+/*
+ * A run that an earlier owner left without an end counts too, beside a crash.
+ * The end of a lasting job stops all its tasks at once, so that only proofs
+ * count.
  */
 static bool is_at_limit(const task_t *task)
 {
 	uint32_t counted = task->crashes + task->unsure_crashes;
 
+	if (sched_task_step(task)->lasting)
+		return task->crashes >= CRASHES_MAX;
 	if (task->crashes > 0)
 		counted += task->hidden_runs;
 	return counted >= CRASHES_MAX;
