--- a/test/sched_orders.c
+++ b/test/sched_orders.c
@@ -124,6 +124,18 @@
 	bw_sched_heartbeat_answered(o->sched, o->now_ms, id, &answer);
 }
 
+void orders_succeed(orders_t *before, orders_t *o)
+{
+	size_t bytes;
+	uint8_t *data = bw_sched_pack(before->sched, &bytes);
+
+	bw_sched_destroy(before->sched);
+	orders_begin(o);
+	assert_int_equal(bw_sched_load(o->sched, o->now_ms, data, bytes),
+			 BW_OK);
+	g_free(data);
+}
+
 void orders_save(orders_t *o)
 {
 	size_t bytes;
--- a/test/sched_orders.h
+++ b/test/sched_orders.h
@@ -57,6 +57,10 @@
 			   const bw_run_row_t *runs, uint32_t run_count,
 			   const bw_end_row_t *ends, uint32_t end_count);
 
+/** Creates the scheduler of a successor from the state of an earlier owner,
+ * which ends. */
+void orders_succeed(orders_t *before, orders_t *o);
+
 /** Stores the scheduler's state. */
 void orders_save(orders_t *o);
 
--- a/test/test_capacity.c
+++ b/test/test_capacity.c
@@ -349,19 +349,12 @@
 static void take_over(orders_t *o, bool in_order)
 {
 	orders_t before;
-	uint8_t *data;
-	size_t bytes;
 
 	begin(&before);
 	start_task_a(&before, &half);
 	if (in_order)
 		bw_sched_hand_over(before.sched);
-	data = bw_sched_pack(before.sched, &bytes);
-	bw_sched_destroy(before.sched);
-	orders_begin(o);
-	assert_int_equal(bw_sched_load(o->sched, o->now_ms, data, bytes),
-			 BW_OK);
-	g_free(data);
+	orders_succeed(&before, o);
 	add_task(o, JOB_A, &half);
 	add_task(o, JOB_B, &half);
 }
--- a/test/test_ends.c
+++ b/test/test_ends.c
@@ -73,18 +73,11 @@
 static void take_over(orders_t *o)
 {
 	orders_t before;
-	uint8_t *data;
-	size_t bytes;
 
 	orders_begin_with_worker(&before);
 	orders_add_job(&before, JOB_A, 1, false, 1000, 500);
 	orders_run(&before, 10);
-	data = bw_sched_pack(before.sched, &bytes);
-	bw_sched_destroy(before.sched);
-	orders_begin(o);
-	assert_int_equal(bw_sched_load(o->sched, o->now_ms, data, bytes),
-			 BW_OK);
-	g_free(data);
+	orders_succeed(&before, o);
 	orders_add_worker(o, "w1");
 	orders_add_job(o, JOB_A, 1, false, 1000, 500);
 	orders_run(o, 10);
--- a/test/test_takeover.c
+++ b/test/test_takeover.c
@@ -14,8 +14,6 @@
 static void test_no_move_right_after_takeover(void **state)
 {
 	bw_run_row_t rows[2];
-	uint8_t *data;
-	size_t bytes;
 	orders_t before;
 	orders_t o;
 
@@ -23,11 +21,7 @@
 	orders_begin_with_worker(&before);
 	orders_add_job(&before, JOB_A, 2, true, 1000, 0);
 	orders_run(&before, 10);
-	data = bw_sched_pack(before.sched, &bytes);
-	bw_sched_destroy(before.sched);
-	orders_begin(&o);
-	assert_int_equal(bw_sched_load(o.sched, o.now_ms, data, bytes), BW_OK);
-	g_free(data);
+	orders_succeed(&before, &o);
 	orders_add_worker(&o, "w1");
 	orders_add_job(&o, JOB_A, 2, true, 1000, 0);
 	orders_init_lasting_row(&rows[0], 0);
@@ -49,8 +43,6 @@
 					       bool in_order)
 {
 	orders_t before;
-	uint8_t *data;
-	size_t bytes;
 
 	orders_begin_with_worker(&before);
 	orders_add_worker(&before, "w2");
@@ -60,12 +52,7 @@
 	assert_string_equal(before.starts[0].worker, "w1");
 	if (in_order)
 		bw_sched_hand_over(before.sched);
-	data = bw_sched_pack(before.sched, &bytes);
-	bw_sched_destroy(before.sched);
-	orders_begin(o);
-	assert_int_equal(bw_sched_load(o->sched, o->now_ms, data, bytes),
-			 BW_OK);
-	g_free(data);
+	orders_succeed(&before, o);
 	orders_add_worker(o, "w1");
 	orders_add_job(o, JOB_A, 1, lasting, 1000, 0);
 }
@@ -192,16 +179,9 @@
 /* Hands the pool of an owner over in order, with its jobs and worker w1. */
 static void hand_on(orders_t *from, orders_t *to)
 {
-	uint8_t *data;
-	size_t bytes;
 
 	bw_sched_hand_over(from->sched);
-	data = bw_sched_pack(from->sched, &bytes);
-	bw_sched_destroy(from->sched);
-	orders_begin(to);
-	assert_int_equal(bw_sched_load(to->sched, to->now_ms, data, bytes),
-			 BW_OK);
-	g_free(data);
+	orders_succeed(from, to);
 	orders_add_worker(to, "w1");
 	orders_add_job(to, JOB_A, 1, true, 1000, 0);
 }
@@ -278,8 +258,6 @@
 {
 	orders_t before;
 	orders_t o;
-	uint8_t *data;
-	size_t bytes;
 
 	(void)state;
 	orders_begin_with_worker(&before);
@@ -289,11 +267,7 @@
 	orders_save(&before);
 	orders_run(&before, 10);
 	bw_sched_hand_over(before.sched);
-	data = bw_sched_pack(before.sched, &bytes);
-	bw_sched_destroy(before.sched);
-	orders_begin(&o);
-	assert_int_equal(bw_sched_load(o.sched, o.now_ms, data, bytes), BW_OK);
-	g_free(data);
+	orders_succeed(&before, &o);
 	orders_add_worker(&o, "w1");
 	orders_run(&o, 10);
 	assert_false(bw_sched_recovered(o.sched));
@@ -308,8 +282,6 @@
 {
 	orders_t before;
 	orders_t o;
-	uint8_t *data;
-	size_t bytes;
 
 	(void)state;
 	orders_begin_with_worker(&before);
@@ -318,11 +290,7 @@
 	assert_int_equal(before.start_count, 1);
 	bw_sched_worker_unregistered(before.sched, before.now_ms, "w1");
 	bw_sched_hand_over(before.sched);
-	data = bw_sched_pack(before.sched, &bytes);
-	bw_sched_destroy(before.sched);
-	orders_begin(&o);
-	assert_int_equal(bw_sched_load(o.sched, o.now_ms, data, bytes), BW_OK);
-	g_free(data);
+	orders_succeed(&before, &o);
 	orders_add_job(&o, JOB_A, 1, true, 1000, 0);
 	orders_save(&o);
 	orders_run(&o, 10);
--- a/test/test_unknowns.c
+++ b/test/test_unknowns.c
@@ -46,8 +46,6 @@
 static void take_over(orders_t *o, bool lasting)
 {
 	orders_t before;
-	uint8_t *data;
-	size_t bytes;
 
 	orders_begin_with_worker(&before);
 	orders_add_worker(&before, "w2");
@@ -55,12 +53,7 @@
 	orders_run(&before, 10);
 	assert_int_equal(before.start_count, 1);
 	assert_string_equal(before.starts[0].worker, "w1");
-	data = bw_sched_pack(before.sched, &bytes);
-	bw_sched_destroy(before.sched);
-	orders_begin(o);
-	assert_int_equal(bw_sched_load(o->sched, o->now_ms, data, bytes),
-			 BW_OK);
-	g_free(data);
+	orders_succeed(&before, o);
 	orders_add_worker(o, "w1");
 	orders_add_worker(o, "w2");
 	orders_add_job(o, JOB_A, 1, lasting, 1000, 500);
@@ -286,8 +279,6 @@
 					 .started_ms = 6,
 					 .runs = &row,
 					 .run_count = 1 };
-	uint8_t *data;
-	size_t bytes;
 	int64_t end_ms;
 	orders_t before;
 	orders_t o;
@@ -307,11 +298,7 @@
 	orders_answer_heartbeat(&before, "w2", NULL, 0, NULL, 0);
 	orders_save(&before);
 	bw_sched_hand_over(before.sched);
-	data = bw_sched_pack(before.sched, &bytes);
-	bw_sched_destroy(before.sched);
-	orders_begin(&o);
-	assert_int_equal(bw_sched_load(o.sched, o.now_ms, data, bytes), BW_OK);
-	g_free(data);
+	orders_succeed(&before, &o);
 	bw_sched_predecessor_stopped(o.sched, o.now_ms);
 	bw_sched_worker_registered(o.sched, o.now_ms, &info);
 	orders_add_worker(&o, "w2");
