--- a/test/test_crashes.c
+++ b/test/test_crashes.c
@@ -39,6 +39,7 @@
 	uint32_t machine_count;
 	const char *crashing_job; /**< NULL: none. */
 	bool starts_unanswered;
+	bool same_id; /**< Workers restart under their identifier. */
 	int64_t back_ms; /**< Time until a crashed machine is up again. */
 	uint32_t handled; /**< Starts that were carried out. */
 	uint32_t crashes; /**< Of workers, by the crashing job. */
@@ -63,7 +64,8 @@
 	m->boots++;
 	m->up = true;
 	m->run_count = 0;
-	g_snprintf(m->worker, sizeof(m->worker), "%s-%u", m->name, m->boots);
+	g_snprintf(m->worker, sizeof(m->worker), "%s-%u", m->name,
+		   p->same_id ? 1 : m->boots);
 	register_machine(p, m, false);
 	orders_answer_as_boot(&p->o, m->worker, 5 + m->boots, NULL, 0, NULL, 0);
 }
@@ -240,6 +242,21 @@
 	return NULL;
 }
 
+static void test_restarts_under_one_identifier_hide_crashes(void **state)
+{
+	pool_t p;
+
+	(void)state;
+	begin(&p, 6);
+	p.same_id = true;
+	p.crashing_job = JOB_A;
+	orders_add_job(&p.o, JOB_A, 1, true, 1000, 0);
+	play(&p, 60000);
+	assert_in_range(p.crashes, 2, 4);
+	assert_int_equal(state_of(&p, JOB_A), BW_JOB_FAILED);
+	end(&p);
+}
+
 /* It was started 14 times, each on another worker. */
 static void test_crashing_task_is_started_for_ever(void **state)
 {
@@ -791,6 +808,8 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_crashing_task_is_started_for_ever),
+		cmocka_unit_test(
+			test_restarts_under_one_identifier_hide_crashes),
 		cmocka_unit_test(
 			test_crash_proven_after_the_grant_is_forgotten),
 		cmocka_unit_test(test_slow_machines_hide_crashes),
