Search for a suspect's worker every 20 ms at most

Cause: each search looks at all workers, for each suspect, at each run of the scheduler, up to a thousand a second.

Change: a suspect that got no worker is not searched for again within 20 ms.

--- a/src/sched/crashes.c
+++ b/src/sched/crashes.c
@@ -28,6 +28,9 @@
 /** A suspect waits this long for a worker on which a crash tells it alone; then
  *  it starts beside others. */
 #define ISOLATION_WAIT_MS 4000
+/** Time between two searches for a suspect's worker: each looks at all workers,
+ *  and a crash can leave many suspects. */
+#define SEARCH_INTERVAL_MS 20
 /** A suspect starts only while less than this part of the workers, as a
  *  divisor, waits for other suspects. */
 #define TRIALS_SHARE 2
@@ -500,6 +503,9 @@
 	int64_t waited_ms;
 	worker_t *worker;
 
+	if (now_ms < task->next_search_ms)
+		return NULL;
+	task->next_search_ms = now_ms + SEARCH_INTERVAL_MS;
 	if (task->isolate_since_ms == 0)
 		task->isolate_since_ms = now_ms;
 	waited_ms = now_ms - task->isolate_since_ms;
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -107,6 +107,7 @@
 				 known; any may have crashed its worker. */
 	int64_t isolate_since_ms; /**< Since when a suspect waits for a worker
 				     of its own; 0: it does not. */
+	int64_t next_search_ms; /**< Of such a worker. */
 	int64_t ready_since_ms; /**< Lasting task: of this run; 0: not ready. */
 	uint32_t run; /**< Number of the last start. */
 	uint32_t failures;
