--- a/src/sched/crashes.c
+++ b/src/sched/crashes.c
@@ -245,7 +245,7 @@
 }
 
 GPtrArray *sched_charge_crash(bw_sched_t *s, const worker_t *worker,
-			      int64_t now_ms)
+			      bool restarted, int64_t now_ms)
 {
 	GPtrArray *given_up = g_ptr_array_new();
 	guint i;
@@ -259,6 +259,7 @@
 		if (is_exempt(task))
 			continue;
 		crash = lapse_new(task, worker, now_ms);
+		crash->accepted &= !restarted || task->listed;
 		charge(s, task, crash, given_up);
 		lapse_free(crash);
 	}
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -439,10 +439,11 @@
 void sched_crashes_clear(bw_sched_t *s);
 /**
  * Counts a crash against the tasks that run on a worker or may have run there.
+ * @param restarted a run that was not listed may be one of its next boot
  * @return tasks to give up, for sched_give_up(), once their runs are released
  */
 GPtrArray *sched_charge_crash(bw_sched_t *s, const worker_t *worker,
-			      int64_t now_ms);
+			      bool restarted, int64_t now_ms);
 /** Ends the jobs of tasks that are given up as failed; releases the array. */
 void sched_give_up(bw_sched_t *s, GPtrArray *tasks, int64_t now_ms);
 /** Keeps the runs of a worker whose grants have expired: it may prove to have
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -115,7 +115,7 @@
 	if (worker->draining || worker->cordoned)
 		sched_drop_lapses(s, worker->id);
 	else
-		given_up = sched_charge_crash(s, worker, now_ms);
+		given_up = sched_charge_crash(s, worker, restarted, now_ms);
 	if (restarted)
 		release_listed_runs(s, worker, why);
 	else
