A run counts for one crash at most

Cause: a start without an answer stays with its worker while that restarts under its identifier; each restart counted it again, and four of them failed a job under which no worker had crashed.

Change: a crash counts once for a run.

--- a/src/sched/crashes.c
+++ b/src/sched/crashes.c
@@ -189,6 +189,10 @@
 static void charge(bw_sched_t *s, task_t *task, const lapse_t *crash,
 		   GPtrArray *given_up)
 {
+	/* A worker that restarts again and again may never have begun it. */
+	if (task->charged_run == crash->run)
+		return;
+	task->charged_run = crash->run;
 	if (crash->accepted)
 		task->crashes++;
 	else
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -98,6 +98,7 @@
 			  start. */
 	bool trial; /**< A run of a suspect that has not survived yet. */
 	bool suspect; /**< May have crashed a worker by its start. */
+	uint32_t charged_run; /**< Last run that a crash was counted for. */
 	uint32_t crashes; /**< Workers that crashed under a run of it. */
 	uint32_t unsure_crashes; /**< Those of which the run may have ended
 				    or may not have begun before. */
--- a/test/test_world.c
+++ b/test/test_world.c
@@ -39,6 +39,7 @@
 
 /* With all faults. */
 static const regression_t later_regressions[] = {
+	{ 299, "one run was counted as several crashes" },
 	{ 2207, "unproven crashes ended a lasting job" },
 };
 
