--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -834,6 +834,16 @@
 	return "";
 }
 
+std::string minions_t::machine(const std::string &minion)
+{
+	lock_t lock(mutex_);
+
+	for (auto &m : minions_)
+		if (m->id == minion)
+			return m->machine;
+	return "";
+}
+
 std::vector<start_t> minions_t::starts()
 {
 	lock_t lock(mutex_);
--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -187,6 +187,8 @@
 	void drain(const std::string &minion, int64_t leave_ms);
 	/** Returns the minion on which a run of a task is at work, or "". */
 	std::string where(const std::string &task);
+	/** Returns the machine of a minion. */
+	std::string machine(const std::string &minion);
 	std::vector<start_t> starts();
 	std::vector<end_t> ends();
 
