--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -503,15 +503,17 @@
 	if (fn)
 		fault = fn(node, r, r.body);
 	sleep_ms(2);
+	if (is_refused(node))
+		return { 503, "{}", false };
 	if (fault.status)
 		return { fault.status, "{}", false };
 	if (fault.lose_answer) {
 		request_t copy = r;
 		int64_t late_ms = fault.late_ms;
 
-		std::thread([this, copy, late_ms] {
+		std::thread([this, node, copy, late_ms] {
 			sleep_ms(late_ms);
-			answer_t a = carry_out(copy);
+			answer_t a = carry_out(node, copy);
 
 			record("store: a call without an answer is carried "
 			       "out: %s %s -> %d",
@@ -520,13 +522,70 @@
 		}).detach();
 		return { 0, "", true };
 	}
-	return carry_out(r);
+	int64_t began_ms = now_ms();
+	answer_t answer = carry_out(node, r);
+
+	if (r.path == "/v1/kv-watch") {
+		lock_t lock(mutex_);
+		answer.silent = now_ms() < refused_until_ms_[node] ||
+				began_ms <= silenced_ms_[node];
+	}
+	return answer;
+}
+
+std::string store_t::leader()
+{
+	lock_t lock(mutex_);
+
+	return leader_;
+}
+
+bool store_t::is_refused(const std::string &node)
+{
+	lock_t lock(mutex_);
+
+	return now_ms() < refused_until_ms_[node];
+}
+
+void store_t::refuse(const std::string &node, int64_t for_ms)
+{
+	lock_t lock(mutex_);
+
+	record("trouble: the store refuses %s for %d ms", node.c_str(),
+	       (int)for_ms);
+	refused_until_ms_[node] = now_ms() + for_ms;
+}
+
+void store_t::revoke(const std::string &node)
+{
+	lock_t lock(mutex_);
+	std::vector<std::string> keys;
+
+	revision_++;
+	for (auto &item : items_)
+		if (leases_.count(item.second.lease) &&
+		    leases_[item.second.lease].node == node)
+			keys.push_back(item.first);
+	for (auto &key : keys) {
+		record("trouble: the store takes away the key %s of %s",
+		       key.c_str(), node.c_str());
+		erase(key);
+	}
+}
+
+void store_t::silence_watches(const std::string &node)
+{
+	lock_t lock(mutex_);
+
+	record("trouble: the connections of the watches of %s go silent",
+	       node.c_str());
+	silenced_ms_[node] = now_ms();
 }
 
-answer_t store_t::carry_out(const request_t &r)
+answer_t store_t::carry_out(const std::string &node, const request_t &r)
 {
 	if (r.path == "/v1/kv-txn")
-		return txn(r);
+		return txn(node, r);
 	if (r.path == "/v1/kv-range")
 		return range(r);
 	if (r.path == "/v1/kv-watch")
@@ -548,10 +607,10 @@
 				 (json_int_t)revision_)),
 			 false };
 	}
-	return lease(r);
+	return lease(node, r);
 }
 
-answer_t store_t::lease(const request_t &r)
+answer_t store_t::lease(const std::string &node, const request_t &r)
 {
 	static const std::string keep = "/v1/kv-keep/";
 	static const std::string end = "/v1/kv-lease-end/";
@@ -562,6 +621,7 @@
 	if (r.path == "/v1/kv-lease") {
 		body = json_loads(r.body.c_str(), 0, nullptr);
 		id = ++last_lease_;
+		leases_[id].node = node;
 		leases_[id].ttl_ms =
 			std::max<int64_t>(get_int(body, "ttl_ms"), 1000);
 		json_decref(body);
@@ -669,7 +729,7 @@
 		 false };
 }
 
-answer_t store_t::txn(const request_t &r)
+answer_t store_t::txn(const std::string &node, const request_t &r)
 {
 	json_t *body = json_loads(r.body.c_str(), 0, nullptr);
 	json_t *items = json_array();
@@ -711,6 +771,9 @@
 			json_decref(body);
 			return { 404, "{}", false };
 		}
+		if (lease != 0 &&
+		    json_array_size(json_object_get(body, "expected_rev")) > 0)
+			leader_ = node;
 	}
 	revision_++;
 	json_array_foreach(json_object_get(body, "writes"), i, row)
@@ -1016,6 +1079,7 @@
 	json_t *running = json_array();
 	json_t *ended = json_array();
 
+	m->held_ms = now_ms();
 	extend(m, body);
 	m->ended.erase(std::remove_if(m->ended.begin(), m->ended.end(),
 				      [seen](const ended_t &e) {
@@ -1053,7 +1117,57 @@
 		 false };
 }
 
+void minions_t::leave_unanswered(const std::string &minion, int64_t for_ms,
+				 int64_t late_ms)
+{
+	lock_t lock(mutex_);
+
+	for (auto &m : minions_) {
+		if (m->id != minion)
+			continue;
+		m->unanswered_above = m->fence;
+		m->unanswered_until_ms = now_ms() + for_ms;
+		m->unanswered_late_ms = late_ms;
+	}
+}
+
+int64_t minions_t::held_ms(const std::string &minion)
+{
+	lock_t lock(mutex_);
+
+	for (auto &m : minions_)
+		if (m->id == minion)
+			return m->held_ms;
+	return 0;
+}
+
 answer_t minions_t::serve(minion_t *m, const request_t &r)
+{
+	json_t *body = json_loads(r.body.c_str(), 0, nullptr);
+	int64_t fence = get_int(body, "fence_token");
+	lock_t lock(mutex_);
+
+	json_decref(body);
+	if (now_ms() < m->unanswered_until_ms && fence > m->unanswered_above) {
+		request_t copy = r;
+		int64_t late_ms = m->unanswered_late_ms;
+
+		record("trouble: minion %s leaves a call without an answer: %s "
+		       "fence %d",
+		       m->id.c_str(), r.path.c_str(), (int)fence);
+		std::thread([this, m, copy, late_ms] {
+			sleep_ms(late_ms);
+			carry_out(m, copy);
+			record("minion %s carries it out: %s", m->id.c_str(),
+			       copy.path.c_str());
+		}).detach();
+		return { 0, "", true };
+	}
+	lock.unlock();
+	return carry_out(m, r);
+}
+
+answer_t minions_t::carry_out(minion_t *m, const request_t &r)
 {
 	lock_t lock(mutex_);
 	auto target = r.headers.find("x-target-instance");
--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -88,6 +88,15 @@
 	/** Returns the port that a node has to use. */
 	int open_port(const std::string &node);
 	void set_fault(fault_fn fn);
+	/** Returns the node that wrote last a key with a lease under a condition,
+	 *  which is how an owner claims. */
+	std::string leader();
+	/** Refuses a node for a time; what waits for it is never answered. */
+	void refuse(const std::string &node, int64_t for_ms);
+	/** Takes away the keys of a node's leases; no request shows it. */
+	void revoke(const std::string &node);
+	/** The connections on which a node's watches wait go silent. */
+	void silence_watches(const std::string &node);
 	/** Writes of operators and minions. */
 	int64_t put(const std::string &key, const std::string &value);
 	void remove(const std::string &key);
@@ -107,14 +116,16 @@
 	};
 	struct lease_t {
 		int64_t ttl_ms, end_ms;
+		std::string node;
 	};
 
 	answer_t serve(const std::string &node, const request_t &r);
-	answer_t carry_out(const request_t &r);
-	answer_t txn(const request_t &r);
+	answer_t carry_out(const std::string &node, const request_t &r);
+	answer_t txn(const std::string &node, const request_t &r);
+	bool is_refused(const std::string &node);
 	answer_t range(const request_t &r);
 	answer_t watch(const request_t &r);
-	answer_t lease(const request_t &r);
+	answer_t lease(const std::string &node, const request_t &r);
 	void write(const std::string &key, const std::string &value,
 		   int64_t lease);
 	void erase(const std::string &key);
@@ -128,6 +139,9 @@
 	int64_t revision_ = 100;
 	int64_t last_lease_ = 0;
 	fault_fn fault_;
+	std::string leader_;
+	std::map<std::string, int64_t> refused_until_ms_;
+	std::map<std::string, int64_t> silenced_ms_;
 	std::vector<std::unique_ptr<server_t>> servers_;
 };
 
@@ -183,6 +197,12 @@
 	 *  heartbeats. A new one, with a new id, is on its machine afterwards.
 	 *  @param back_ms time until then; -1: never */
 	void crash(const std::string &minion, int64_t back_ms);
+	/** A minion leaves the calls of later owners than now without an answer
+	 *  for a time, and carries them out later. */
+	void leave_unanswered(const std::string &minion, int64_t for_ms,
+			      int64_t late_ms);
+	/** Returns when a minion got its last hold; 0: never. */
+	int64_t held_ms(const std::string &minion);
 	/** Reports that a minion drains; it leaves after a time. */
 	void drain(const std::string &minion, int64_t leave_ms);
 	/** Returns the minion on which a run of a task is at work, or "". */
@@ -215,6 +235,8 @@
 		int64_t born_ms = 0, boot_ms = 0, clock0 = 0;
 		bool dead = false, draining = false;
 		int64_t leave_ms = 0, removed_ms = 0, next_beat_ms = 0;
+		int64_t unanswered_above = 0, unanswered_until_ms = 0;
+		int64_t unanswered_late_ms = 0, held_ms = 0;
 		int64_t fence = 0, deadline = 0, seq = 0, last_end = 0;
 		std::map<std::string, run_t> runs;
 		std::map<std::string, int> highest; /**< Run that ended. */
@@ -223,6 +245,7 @@
 	};
 
 	answer_t serve(minion_t *m, const request_t &r);
+	answer_t carry_out(minion_t *m, const request_t &r);
 	answer_t start(minion_t *m, json_t *body);
 	answer_t stop(minion_t *m, json_t *body);
 	answer_t hold(minion_t *m, json_t *body, std::unique_lock<std::mutex> &);
