--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -816,15 +816,6 @@
 	ticker_.join();
 }
 
-void minions_t::add(int count)
-{
-	lock_t lock(mutex_);
-
-	record("trouble: %d minions are added", count);
-	while (count-- > 0)
-		boot(config_.count++);
-}
-
 int64_t minions_t::clock(const minion_t *m) const
 {
 	return m->clock0 + now_ms() - m->boot_ms;
@@ -862,31 +853,15 @@
 		"service", config_.service.c_str(), "address",
 		("127.0.0.1:" + std::to_string(m->server->port())).c_str(),
 		"zone", "zone-a", "version", "v1", "slots", 8, "state",
-		m->draining ? "draining" : "ready", "cold_remaining_ms", 0,
+		"ready", "cold_remaining_ms", 0,
 		"seq", (json_int_t)++m->seq, "born", (json_int_t)m->born_ms,
 		"machine", m->machine.c_str(), "capacity", "cpu",
 		(json_int_t)config_.cpu, "mem_mb", (json_int_t)config_.mem_mb,
 		"gpu", 0, "labels", "a",
 		("r1-" + std::to_string(m->machine_no / 4)).c_str());
-	if (m->draining)
-		json_object_set_new(
-			entry, "drain_remaining_ms",
-			json_integer(std::max<int64_t>(
-				m->leave_ms - now_ms(), 0)));
 	store_.put("servers/" + m->id, dump(entry));
 }
 
-std::vector<std::string> minions_t::up()
-{
-	lock_t lock(mutex_);
-	std::vector<std::string> out;
-
-	for (auto &m : minions_)
-		if (!m->dead)
-			out.push_back(m->id);
-	return out;
-}
-
 std::string minions_t::where(const std::string &task)
 {
 	lock_t lock(mutex_);
@@ -963,21 +938,6 @@
 	changed_.notify_all();
 }
 
-void minions_t::drain(const std::string &minion, int64_t leave_ms)
-{
-	lock_t lock(mutex_);
-
-	for (auto &m : minions_) {
-		if (m->id != minion || m->dead)
-			continue;
-		record("trouble: minion %s drains, and leaves in %d ms",
-		       m->id.c_str(), (int)leave_ms);
-		m->draining = true;
-		m->leave_ms = now_ms() + leave_ms;
-		beat(m.get());
-	}
-}
-
 void minions_t::extend(minion_t *m, json_t *body)
 {
 	int64_t deadline = get_int(body, "deadline_ms");
@@ -1033,9 +993,6 @@
 		return refuse(clock(m), "old");
 	if (m->deadline <= clock(m))
 		return refuse(clock(m), "late");
-	if (config_.allows &&
-	    !config_.allows(m->id, task, get_text(body, "ticket")))
-		return refuse(clock(m), "ticket");
 	r.spec = get_text(body, "spec");
 	r.checkpoint = get_text(body, "last_checkpoint");
 	r.saved = r.checkpoint;
@@ -1265,17 +1222,6 @@
 		}
 		if (m->dead)
 			continue;
-		if (m->draining && now_ms() >= m->leave_ms) {
-			record("minion %s leaves", m->id.c_str());
-			for (auto &run : m->runs)
-				ends_.push_back({ now_ms(), m->id, run.first,
-						  run.second.run, "gone" });
-			m->runs.clear();
-			m->dead = true;
-			m->server->stop();
-			store_.remove("servers/" + m->id);
-			continue;
-		}
 		if (now_ms() >= m->next_beat_ms)
 			beat(m);
 		for (auto &row : m->runs) {
@@ -1322,92 +1268,6 @@
 	tick_gangs();
 }
 
-/* Advice. */
-
-/** A call names at most so many minions. */
-static const size_t ADVICE_WORKERS_MAX = 100;
-
-advice_t::advice_t(int64_t decision_ms, int64_t per_item_ms,
-		   int64_t validity_ms)
-	: decision_ms_(decision_ms), per_item_ms_(per_item_ms),
-	  validity_ms_(validity_ms)
-{
-	server_ = std::make_unique<server_t>(
-		[this](const request_t &r) { return serve(r); });
-}
-
-answer_t advice_t::serve(const request_t &r)
-{
-	std::lock_guard<std::mutex> turn(turn_);
-	json_t *body = json_loads(r.body.c_str(), 0, nullptr);
-	json_t *workers = json_object_get(body, "workers");
-	std::string step = get_text(body, "step");
-	size_t count = json_array_size(workers);
-	json_t *good = json_array();
-	answer_t out;
-	size_t i;
-
-	if (count > ADVICE_WORKERS_MAX) {
-		sleep_ms(decision_ms_);
-		lock_t lock(mutex_);
-		if (refused_++ < 3)
-			record("advice: a call for %s names %zu minions, more "
-			       "than 100: 400",
-			       step.c_str(), count);
-		json_decref(good);
-		json_decref(body);
-		return { 400, "{}", false };
-	}
-	sleep_ms(decision_ms_ + per_item_ms_ * (int64_t)count);
-	lock_t lock(mutex_);
-	answered_++;
-	record("advice: a call for %s names %zu minions", step.c_str(), count);
-	for (i = 0; i < count; i++) {
-		std::string id =
-			json_string_value(json_array_get(workers, i));
-		std::string ticket = step + "/" + id;
-
-		tickets_[ticket] = now_ms() + validity_ms_;
-		json_array_append_new(
-			good, json_pack("[s,s]", id.c_str(), ticket.c_str()));
-	}
-	out.body = dump(json_pack("{s:o,s:I}", "good", good, "validity_ms",
-				  (json_int_t)validity_ms_));
-	json_decref(body);
-	return out;
-}
-
-json_t *advice_t::config() const
-{
-	return json_pack("{s:I,s:I,s:I}", "decision_ms",
-			 (json_int_t)decision_ms_, "per_item_ms",
-			 (json_int_t)per_item_ms_, "validity_ms",
-			 (json_int_t)validity_ms_);
-}
-
-bool advice_t::allows(const std::string &minion, const std::string &task,
-		      const std::string &ticket)
-{
-	std::string own = task.substr(0, task.rfind('.')) + "/" + minion;
-	lock_t lock(mutex_);
-
-	return ticket == own && tickets_.count(own) && now_ms() < tickets_[own];
-}
-
-int advice_t::answered()
-{
-	lock_t lock(mutex_);
-
-	return answered_;
-}
-
-int advice_t::refused()
-{
-	lock_t lock(mutex_);
-
-	return refused_;
-}
-
 /* Nodes. */
 
 static std::string temp_dir()
@@ -1417,12 +1277,10 @@
 	return dir ? dir : "/tmp";
 }
 
-node_t::node_t(store_t &store, const std::string &name, bool first_start,
-	       int advice_port)
+node_t::node_t(store_t &store, const std::string &name, bool first_start)
 	: name_(name), front_(free_port()), ready_(free_port()),
 	  peers_(free_port()), metrics_(free_port()),
-	  store_port_(store.open_port(name)), advice_port_(advice_port),
-	  first_(first_start)
+	  store_port_(store.open_port(name)), first_(first_start)
 {
 	settings_ = temp_dir() + "/" + name + ".toml";
 }
@@ -1445,17 +1303,13 @@
 		"[node]\nname = \"%s\"\nzone = \"zone-a\"\nip = "
 		"\"127.0.0.1\"\ncallers = \"127.0.0.1:%d\"\nready = "
 		"\"127.0.0.1:%d\"\npeers_port = %d\nmetrics_port = %d\n%s"
-		"[platform]\nstore = \"127.0.0.1:%d\"\nlease_min_ms = 1000\n%s"
+		"[platform]\nstore = \"127.0.0.1:%d\"\nlease_min_ms = 1000\n"
 		"[limits]\ngrant_max_ms = 10000\nstop_ms = 400\nkeep_s = 120\n"
 		"grace_s = 6\nholder_ms = 3000\n"
 		"[capacity]\ncore_share = 0.25\ncores = 1\nmemory_mb = 260\n"
 		"link_mbps = 1000.0\ndescriptors = 4100\n",
 		name_.c_str(), front_, ready_, peers_, metrics_,
-		first_ ? "first_start = true\n" : "", store_port_,
-		advice_port_ ? ("advice = \"127.0.0.1:" +
-				std::to_string(advice_port_) + "\"\n")
-				       .c_str()
-			     : "");
+		first_ ? "first_start = true\n" : "", store_port_);
 	fclose(f);
 	first_ = false;
 	pid_ = fork();
@@ -1596,18 +1450,14 @@
 }
 
 std::string route(const char *name, const char *host, const char *prefix,
-		  const char *service, int max_attempts, const advice_t *advice)
+		  const char *service, int max_attempts)
 {
-	json_t *row = json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i,s:f}",
+	return dump(json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i,s:f}",
 			      "name", name, "host", host, "prefix", prefix,
 			      "type", "unsafe", "timeout_ms", 3000,
 			      "target_duration_ms", 600, "priority", 0,
 			      "service", service, "max_attempts", max_attempts,
-			      "stretch", 1.6);
-
-	if (advice)
-		json_object_set_new(row, "advice", advice->config());
-	return dump(row);
+			      "stretch", 1.6));
 }
 
 void configure(store_t &store, int version,
--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -178,21 +178,11 @@
 		int64_t startup_ms = 500; /**< Of a work item that lasts. */
 		int64_t max_hold_ms = 10000;
 		int64_t heartbeat_ms = 1500;
-		/** Says whether a ticket allows a start; none: no ticket is
-		 *  needed. */
-		std::function<bool(const std::string &minion,
-				   const std::string &task,
-				   const std::string &ticket)>
-			allows = nullptr;
 	};
 
 	minions_t(store_t &store, const config_t &config);
 	~minions_t();
 
-	/** All minions that were ever up, and those that are. */
-	std::vector<std::string> up();
-	/** Starts minions on further machines. */
-	void add(int count);
 	/** Ends a minion without notice; its entry in the store stays for three
 	 *  heartbeats. A new one, with a new id, is on its machine afterwards.
 	 *  @param back_ms time until then; -1: never */
@@ -203,8 +193,6 @@
 			      int64_t late_ms);
 	/** Returns when a minion got its last hold; 0: never. */
 	int64_t held_ms(const std::string &minion);
-	/** Reports that a minion drains; it leaves after a time. */
-	void drain(const std::string &minion, int64_t leave_ms);
 	/** Returns the minion on which a run of a task is at work, or "". */
 	std::string where(const std::string &task);
 	/** Returns the machine of a minion. */
@@ -233,8 +221,8 @@
 		std::string id, machine;
 		int machine_no = 0;
 		int64_t born_ms = 0, boot_ms = 0, clock0 = 0;
-		bool dead = false, draining = false;
-		int64_t leave_ms = 0, removed_ms = 0, next_beat_ms = 0;
+		bool dead = false;
+		int64_t removed_ms = 0, next_beat_ms = 0;
 		int64_t unanswered_above = 0, unanswered_until_ms = 0;
 		int64_t unanswered_late_ms = 0, held_ms = 0;
 		int64_t fence = 0, deadline = 0, seq = 0, last_end = 0;
@@ -270,37 +258,10 @@
 	std::thread ticker_;
 };
 
-/** The service that knows which minions may run a step: all of them. */
-class advice_t {
-public:
-	advice_t(int64_t decision_ms, int64_t per_item_ms, int64_t validity_ms);
-	int port() const { return server_->port(); }
-	/** What a route says of it. */
-	json_t *config() const;
-	bool allows(const std::string &minion, const std::string &task,
-		    const std::string &ticket);
-	/** Calls that were answered, and those refused for naming too many
-	 *  minions. */
-	int answered();
-	int refused();
-
-private:
-	answer_t serve(const request_t &r);
-
-	int64_t decision_ms_, per_item_ms_, validity_ms_;
-	std::mutex mutex_;
-	std::mutex turn_; /**< One call at a time. */
-	std::map<std::string, int64_t> tickets_; /**< Until when. */
-	int answered_ = 0, refused_ = 0;
-	std::unique_ptr<server_t> server_;
-};
-
 /** A node: a process of the system, started as the deploy file says. */
 class node_t {
 public:
-	/** @param advice_port of the advice service; 0: there is none */
-	node_t(store_t &store, const std::string &name, bool first_start,
-	       int advice_port = 0);
+	node_t(store_t &store, const std::string &name, bool first_start);
 	~node_t();
 	void start();
 	/** Sends a signal; the platform starts it again if it ends. */
@@ -314,7 +275,7 @@
 
 private:
 	std::string name_, settings_;
-	int front_, ready_, peers_, metrics_, store_port_, advice_port_;
+	int front_, ready_, peers_, metrics_, store_port_;
 	bool first_;
 	pid_t pid_ = -1;
 };
@@ -336,8 +297,7 @@
 
 /** Returns a route of the configuration as JSON. */
 std::string route(const char *name, const char *host, const char *prefix,
-		  const char *service, int max_attempts,
-		  const advice_t *advice = nullptr);
+		  const char *service, int max_attempts);
 /** Writes a version of the configuration; returns when the store has it. */
 void configure(store_t &store, int version,
 	       const std::vector<std::string> &routes,
