A gang that is done was stored in part, and its job never ended

Cause: has_progress() stored only tasks with a run number. The second owner learns of the gang's end from a worker's list: the first end marks all members as done, the others keep run number 0 and were not stored. The third owner had one member done and two waiting; place_gang() starts a gang only if all wait. Ruled out: an end acknowledged too early (all are in one list), the wait for lists at the takeover.

Change: what is done is stored, whoever ran it. A value of an earlier version with a gang done in part is completed when it is loaded.

--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -391,6 +391,10 @@
 /** Takes a task off its worker; unless it is done, it waits to be started. */
 void sched_task_wait(task_t *task);
 void sched_task_done(bw_sched_t *s, task_t *task, int64_t now_ms);
+/** Records that all tasks of an occurrence are done; the last one ends its job.
+ */
+void sched_occurrence_done(bw_sched_t *s, const occurrence_t *occurrence,
+			   int64_t now_ms);
 void sched_job_finish(bw_sched_t *s, job_t *job, bw_job_state_t state,
 		      int64_t now_ms);
 /** Creates the occurrences of scheduled jobs that are due. */
--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -19,8 +19,6 @@
 
 static void step_state_clear(step_state_t *state);
 static void learn_duration(task_t *task, int64_t now_ms);
-static void occurrence_done(bw_sched_t *s, occurrence_t *occurrence,
-			    int64_t now_ms);
 static bool occurrence_exists(const job_t *job, uint32_t number);
 static void create_due(const bw_sched_t *s, job_t *job, int64_t now_ms,
 		       int64_t wall_ms);
@@ -311,11 +309,11 @@
 	sched_set_objective(occurrence);
 	sched_changed(s, state->remaining == 0);
 	if (occurrence->remaining == 0)
-		occurrence_done(s, occurrence, now_ms);
+		sched_occurrence_done(s, occurrence, now_ms);
 }
 
-static void occurrence_done(bw_sched_t *s, occurrence_t *occurrence,
-			    int64_t now_ms)
+void sched_occurrence_done(bw_sched_t *s, const occurrence_t *occurrence,
+			   int64_t now_ms)
 {
 	job_t *job = occurrence->job;
 
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -50,11 +50,15 @@
 		record->checkpoint = task->checkpoint;
 }
 
-/* Whether a successor must know of a task; until this owner is settled it hands
- * on which tasks may run. */
+/*
+ * Whether a successor must know of a task; until this owner is settled it hands
+ * on which tasks may run. The end of one member of a gang is that of all, also
+ * of those of which this owner knows no run.
+ */
 static bool has_progress(const bw_sched_t *s, const task_t *task)
 {
-	return task->run > 0 || (s->handing_over && task->maybe_running);
+	return task->run > 0 || task->done ||
+	       (s->handing_over && task->maybe_running);
 }
 
 static void pack_tasks(packer_t *p, const bw_sched_t *s, const job_t *job,
@@ -261,6 +265,19 @@
 	}
 }
 
+static void set_done(task_t *task)
+{
+	step_state_t *state = sched_step_state(task);
+
+	if (task->done)
+		return;
+	task->done = true;
+	task->state = TASK_DONE;
+	state->waiting--;
+	state->remaining--;
+	task->occurrence->remaining--;
+}
+
 static void load_task(job_t *job, const Bramley__TaskRecord *record,
 		      bool handed_over, int64_t now_ms)
 {
@@ -294,13 +311,43 @@
 		task->failed_runs[i] = record->failed_runs[i];
 	task->checkpoint =
 		record->checkpoint[0] ? g_strdup(record->checkpoint) : NULL;
-	if (!record->done || task->done)
-		return;
-	task->done = true;
-	task->state = TASK_DONE;
-	occurrence->steps[task->step].waiting--;
-	occurrence->steps[task->step].remaining--;
-	occurrence->remaining--;
+	if (record->done)
+		set_done(task);
+}
+
+/* Earlier versions stored only those members of a finished gang whose runs they
+ * knew. */
+static void complete_gangs(occurrence_t *occurrence)
+{
+	const bw_job_spec_t *spec = occurrence->job->spec;
+	uint32_t i;
+	uint32_t k;
+
+	for (i = 0; i < spec->step_count; i++) {
+		const step_state_t *state = &occurrence->steps[i];
+		uint32_t count = spec->steps[i].count;
+
+		if (!spec->steps[i].gang || state->remaining == count)
+			continue;
+		for (k = 0; k < count; k++)
+			set_done(&occurrence->tasks[state->first_task + k]);
+	}
+}
+
+/* Completes what the loaded ends imply; that may end the job. */
+static void complete_occurrences(bw_sched_t *s, const job_t *job,
+				 int64_t now_ms)
+{
+	guint i;
+
+	for (i = 0; i < job->occurrences->len; i++) {
+		occurrence_t *occurrence =
+			g_ptr_array_index(job->occurrences, i);
+
+		complete_gangs(occurrence);
+		if (occurrence->remaining == 0)
+			sched_occurrence_done(s, occurrence, now_ms);
+	}
 }
 
 void sched_load_progress(bw_sched_t *s, job_t *job, int64_t now_ms)
@@ -321,6 +368,7 @@
 	for (i = 0; i < progress->n_tasks; i++)
 		load_task(job, progress->tasks[i], s->handed_over, now_ms);
 	g_hash_table_remove(s->stored_progress, job->id);
+	complete_occurrences(s, job, now_ms);
 }
 
 static void load_job(bw_sched_t *s, const Bramley__JobProgress *progress,
