A gang that finds no room takes no run number

What goes wrong: each try to place a gang took a run number before it was known that all members have room. The numbers are not stored before a start, so a gang that waits for long runs into those kept for the owner's successors (64 an owner): a successor's lower number is refused by the worker that ended the higher one, and two failures under one number count as one.

Change: room is held first; runs are given once all members have it. test_gang_without_room_takes_no_run_number fails before (run 102, 1 expected).

--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -337,10 +337,16 @@
 	return worker ? worker : search.fallback;
 }
 
-static void reserve(bw_sched_t *s, task_t *task, worker_t *worker, uint32_t run,
-		    int64_t now_ms)
+/* Takes the room for a task on a worker; sched_detach() gives it back. */
+static void hold_room(bw_sched_t *s, task_t *task, worker_t *worker)
 {
 	sched_isolation_changed(s);
+	sched_attach(task, worker);
+}
+
+/* Gives a run to a task that has its room. */
+static void begin_run(task_t *task, uint32_t run, int64_t now_ms)
+{
 	sched_step_state(task)->waiting--;
 	task->state = TASK_STARTING;
 	task->run = run;
@@ -354,8 +360,7 @@
 	task->percent = 100;
 	task->ready = false;
 	task->stop_possible_until_ms = 0;
-	sched_attach(task, worker);
-	sched_begin_run(task, worker);
+	sched_begin_run(task, task->worker);
 }
 
 /* Two owners in a row must not give the same number to a task of which neither
@@ -416,6 +421,15 @@
 			sched_stop_task(s, &tasks[i], now_ms);
 }
 
+static void give_back_room(bw_sched_t *s, task_t *tasks, uint32_t count)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		sched_detach(&tasks[i]);
+	sched_isolation_changed(s);
+}
+
 /* Starts all tasks of a gang or none; false if there was no worker for one. */
 static bool place_gang(bw_sched_t *s, occurrence_t *occurrence, uint32_t step,
 		       int64_t now_ms)
@@ -443,14 +457,18 @@
 
 		if (!worker)
 			break;
-		reserve(s, &tasks[placed], worker, run, now_ms);
+		hold_room(s, &tasks[placed], worker);
+	}
+	if (placed < count) {
+		give_back_room(s, tasks, placed);
+		return false;
 	}
-	for (i = 0; placed < count && i < placed; i++)
-		sched_task_wait(&tasks[i]);
 	sched_isolation_changed(s);
-	for (i = 0; placed == count && i < count; i++)
+	for (i = 0; i < count; i++) {
+		begin_run(&tasks[i], run, now_ms);
 		order_start(s, &tasks[i], now_ms);
-	return placed == count;
+	}
+	return true;
 }
 
 /* Starts waiting tasks of a step; false if there was no worker for one. */
@@ -478,7 +496,8 @@
 			continue;
 		if (!worker)
 			return false;
-		reserve(s, task, worker, next_run(s, task), now_ms);
+		hold_room(s, task, worker);
+		begin_run(task, next_run(s, task), now_ms);
 		order_start(s, task, now_ms);
 	}
 	return true;
--- a/test/test_gangs.c
+++ b/test/test_gangs.c
@@ -12,7 +12,7 @@
 #define MEMBERS 3U
 
 /* Adds JOB_A: a gang, a task beside it, and a task after both. */
-static void add_gang_job(orders_t *o)
+static void add_gang_job_with(orders_t *o, int64_t cpu_millis)
 {
 	const uint32_t counts[] = { MEMBERS, 1, 1 };
 	bw_job_record_t record = { .queue = g_strdup("q"),
@@ -23,7 +23,7 @@
 	record.spec->text = g_strdup("text");
 	for (i = 0; i < G_N_ELEMENTS(counts); i++) {
 		record.spec->steps[i].count = counts[i];
-		record.spec->steps[i].need.cpu_millis = 1000;
+		record.spec->steps[i].need.cpu_millis = cpu_millis;
 	}
 	record.spec->steps[0].gang = true;
 	record.spec->steps[2].after = g_new0(uint32_t, 2);
@@ -33,6 +33,11 @@
 	bw_job_record_clear(&record);
 }
 
+static void add_gang_job(orders_t *o)
+{
+	add_gang_job_with(o, 1000);
+}
+
 /* Takes over the pool of an owner; worker w1 is registered. */
 static void succeed_with_gang_job(orders_t *before, orders_t *o)
 {
@@ -161,11 +166,41 @@
 	bw_sched_destroy(third.sched);
 }
 
+/*
+ * Failure: each try to place a gang that found no room for all its members took
+ * a run number. The numbers of an owner are not stored before a start, so that
+ * they ran into those kept for its successors.
+ */
+static void test_gang_without_room_takes_no_run_number(void **state)
+{
+	orders_t o;
+	uint32_t i;
+
+	(void)state;
+	orders_begin_with_worker(&o);
+	add_gang_job_with(&o, 3000);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	assert_int_equal(o.starts[0].task.step, 1);
+	for (i = 0; i < 100; i++)
+		orders_run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	orders_add_worker(&o, "w2");
+	orders_answer_heartbeat(&o, "w2", NULL, 0, NULL, 0);
+	orders_save(&o);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 1 + MEMBERS);
+	for (i = 1; i <= MEMBERS; i++)
+		assert_int_equal(o.starts[i].run, 1);
+	bw_sched_destroy(o.sched);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_finished_gang_is_lost_after_two_owners),
 		cmocka_unit_test(test_gang_stored_in_part_is_finished),
+		cmocka_unit_test(test_gang_without_room_takes_no_run_number),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
