A new owner lets a gang go on until all its workers are heard

What goes wrong: after a change of owner, the list of one of a gang's workers left the gang with some members running and others waiting. Members without the others can't work, so they were stopped at once, and with them the others on workers whose lists were still to come: each takeover threw the work of gangs on several workers away.

Change: while a waiting member may run on a worker that has not been heard, the others go on. Once all lists are read, or all earlier grants are over, a gang that is incomplete is stopped as before.

--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -410,6 +410,18 @@
 	       (!task->maybe_running && !may_lack_attempts(task));
 }
 
+/* Whether a member of a gang may run on a worker that is not heard yet. */
+static bool any_unheard(const bw_sched_t *s, const task_t *tasks,
+			uint32_t count)
+{
+	uint32_t i;
+
+	for (i = 0; !s->recovered && i < count; i++)
+		if (tasks[i].state == TASK_WAITING && tasks[i].maybe_running)
+			return true;
+	return false;
+}
+
 /* Stops the running members of a gang: they can't work without the others. */
 static void stop_incomplete(bw_sched_t *s, task_t *tasks, uint32_t count,
 			    int64_t now_ms)
@@ -442,7 +454,8 @@
 	uint32_t i;
 
 	if (state->waiting < count) {
-		stop_incomplete(s, tasks, count, now_ms);
+		if (!any_unheard(s, tasks, count))
+			stop_incomplete(s, tasks, count, now_ms);
 		return true;
 	}
 	if (!bw_start_window_open(s->start_window))
--- a/test/test_gangs.c
+++ b/test/test_gangs.c
@@ -195,11 +195,44 @@
 	bw_sched_destroy(o.sched);
 }
 
+/*
+ * Failure: a new owner that has the list of one of a gang's workers stops the
+ * members there, before it knows that the others run on the other worker.
+ */
+static void test_gang_goes_on_while_a_worker_is_not_heard(void **state)
+{
+	bw_run_row_t rows[MEMBERS] = { 0 };
+	orders_t before;
+	orders_t o;
+	uint32_t i;
+
+	(void)state;
+	orders_begin_with_worker(&before);
+	orders_add_worker(&before, "w2");
+	orders_answer_heartbeat(&before, "w2", NULL, 0, NULL, 0);
+	orders_save(&before);
+	succeed_with_gang_job(&before, &o);
+	orders_add_worker(&o, "w2");
+	for (i = 0; i < MEMBERS; i++) {
+		orders_init_lasting_row(&rows[i], i);
+		rows[i].progress = 0;
+	}
+	orders_answer_heartbeat(&o, "w1", rows, MEMBERS - 1, NULL, 0);
+	orders_save(&o);
+	orders_run(&o, 10);
+	assert_int_equal(o.stop_count, 0);
+	orders_answer_heartbeat(&o, "w2", &rows[MEMBERS - 1], 1, NULL, 0);
+	orders_run(&o, 10);
+	assert_int_equal(o.stop_count, 0);
+	bw_sched_destroy(o.sched);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_finished_gang_is_lost_after_two_owners),
 		cmocka_unit_test(test_gang_stored_in_part_is_finished),
+		cmocka_unit_test(test_gang_goes_on_while_a_worker_is_not_heard),
 		cmocka_unit_test(test_gang_without_room_takes_no_run_number),
 	};
 
