test: gangs in the simulation, and what a successor reads

Half of the steps can be gangs now: members work once all of a run are there, end together, break with one another, and end alone after 3 s. Each saved state is loaded as by a successor, which must know the same of all jobs that have not ended: what is done, runs, failures, crashes, checkpoints, occurrences; counts of steps must fit their tasks, and no gang may be done in part.

play_world takes the modes gangs and plain-gangs.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 PROGRAMS := $(patsubst cmd/%.c,$(BUILD)/%,$(wildcard cmd/*.c))
 TESTS := $(patsubst test/%.c,$(BUILD)/test/%,$(wildcard test/test_*.c))
 # The simulation of a pool, for test_world and play_world.
-WORLD_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard test/world*.c))
+WORLD_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard test/world*.c) test/stored_state.c)
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/bench_*.c))
 FORMATTED := $(LIB_C) $(LIB_CXX) $(PLATFORM_C) $(wildcard platform/*.h) $(filter-out %.pb-c.h,$(wildcard src/*/*.h)) \
 	$(wildcard cmd/*.c test/*.c test/*.h bench/*.c bench/*.h fuzz/*.c fuzz/*.h)
--- a/scripts/world-caught.sh
+++ b/scripts/world-caught.sh
@@ -14,14 +14,16 @@
 # The variant's object comes before the library, so the linker uses it instead of
 # the library's object of the same file.
 variant() { # LINE
-	local name seed file
+	local name seed file mode=plain
 	read -r name seed file _ <<<"$1"
 	scripts/break.sh "$1" "$dir/$name.c" || return 1
 	gcc -std=gnu11 -O2 -w -D_GNU_SOURCE -Isrc $flags -c "$dir/$name.c" -o "$dir/$name.o" &&
 		gcc -o "$dir/$name" "$build/test/play_world.o" "$build"/test/world*.o \
+			"$build/test/stored_state.o" \
 			"$dir/$name.o" "$build/libbramleywing.a" $libs -lm ||
 		return 1
-	"$dir/$name" "$seed" "$seeds" 1 plain >"$dir/$name.txt" 2>&1
+	case $name in gang-*) mode=plain-gangs ;; esac
+	"$dir/$name" "$seed" "$seeds" 1 $mode >"$dir/$name.txt" 2>&1
 	local status=$? found
 	found=$(grep -a '^seed [0-9]*: violations=' "$dir/$name.txt")
 	# A crash names no rule that would find the fault next time.
--- a/test/play_world.c
+++ b/test/play_world.c
@@ -1,11 +1,14 @@
 /*
- * play_world FIRST COUNT [FAILURES_MAX [plain|late|late-calls]]: plays
- * simulations with COUNT seeds from FIRST on, or until FAILURES_MAX of them
- * have failed; exits with 1 if a rule was violated. With "plain", workers do
- * not restart under their identifier and no task crashes them; with "late",
- * besides, half of all orders have no answer, and most of these are carried out
- * later; with "late-calls", one call to a worker in ten is carried out late
- * without an answer, or half of them. WORLD_TRACE=1 prints each event of note.
+ * play_world FIRST COUNT [FAILURES_MAX
+ * [plain|late|late-calls|gangs|plain-gangs]]: plays simulations with COUNT
+ * seeds from FIRST on, or until FAILURES_MAX of them have failed; exits with 1
+ * if a rule was violated. With "plain", workers do not restart under their
+ * identifier and no task crashes them; with "late", besides, half of all orders
+ * have no answer, and most of these are carried out later; with "late-calls",
+ * one call to a worker in ten is carried out late without an answer, or half of
+ * them; with "gangs", half of the steps are gangs, and each saved state is
+ * compared with what a successor reads, with all faults or as "plain".
+ * WORLD_TRACE=1 prints each event of note.
  */
 #include <stdbool.h>
 #include <stdio.h>
@@ -21,10 +24,12 @@
 	uint32_t first = argc > 1 ? (uint32_t)atoi(argv[1]) : 1;
 	uint32_t count = argc > 2 ? (uint32_t)atoi(argv[2]) : 100;
 	uint32_t failures_max = argc > 3 ? (uint32_t)atoi(argv[3]) : UINT32_MAX;
+	bool plain_gangs = argc > 4 && !strcmp(argv[4], "plain-gangs");
+	bool gangs = plain_gangs || (argc > 4 && !strcmp(argv[4], "gangs"));
 	bool late = argc > 4 && !strcmp(argv[4], "late");
 	bool late_calls = argc > 4 && !strcmp(argv[4], "late-calls");
-	bool plain =
-		late || late_calls || (argc > 4 && !strcmp(argv[4], "plain"));
+	bool plain = late || late_calls || plain_gangs ||
+		     (argc > 4 && !strcmp(argv[4], "plain"));
 	uint64_t events = 0;
 	uint32_t failures = 0;
 	uint32_t crashing_failed = 0;
@@ -44,6 +49,8 @@
 			world_delay_orders(&config);
 		if (late_calls)
 			config.late_call_share = world_late_share(first + i);
+		if (gangs)
+			world_add_gangs(&config);
 		world_play(&config, &result);
 		events += result.events;
 		crashing_failed += result.crashing_failed;
--- a/test/test_world.c
+++ b/test/test_world.c
@@ -194,6 +194,23 @@
 	}
 }
 
+/* Half of the steps are gangs. Each saved state is read as a successor would,
+ * which must then know the same of all jobs. */
+static void test_world_gangs(void **state)
+{
+	world_config_t config;
+	uint32_t seed;
+
+	(void)state;
+	for (seed = 1; seed <= DRAWN_SEEDS; seed++) {
+		world_draw_config(seed, &config);
+		world_clear_restarts(&config);
+		world_clear_crashes(&config);
+		world_add_gangs(&config);
+		check(seed, "gangs", &config);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -206,6 +223,7 @@
 		cmocka_unit_test(
 			test_world_owner_changes_hide_crashes_of_a_lasting_task),
 		cmocka_unit_test(test_world_late_orders),
+		cmocka_unit_test(test_world_gangs),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/world.c
+++ b/test/world.c
@@ -259,6 +259,7 @@
 		world_find_task(world_find_job(w, run->task.job), &run->task)
 			->running--;
 	}
+	world_break_gangs(w, worker);
 	g_array_set_size(worker->runs, 0);
 	if (world_fault_bool(w, w->config.same_id_share))
 		world_schedule(w, world_fault_between(w, 100, 3000),
@@ -726,6 +727,7 @@
 	draw_jobs(w);
 	draw_cuts(w);
 	world_init_crashes(w);
+	world_init_gangs(w);
 	for (i = 0; i < w->config.faults; i++)
 		world_schedule(
 			w, world_random_between(w, 100, w->config.traffic_ms),
@@ -768,6 +770,7 @@
 	g_rand_free(w->resize_rand);
 	g_rand_free(w->connection_rand);
 	g_rand_free(w->crash_rand);
+	g_rand_free(w->gang_rand);
 	g_rand_free(w->late_rand);
 	g_rand_free(w->fault_rand);
 }
@@ -844,6 +847,12 @@
 	config->delayed_share = 0.9;
 }
 
+void world_add_gangs(world_config_t *config)
+{
+	config->gang_share = 0.5;
+	config->check_stored = true;
+}
+
 double world_late_share(uint32_t seed)
 {
 	return seed % 2 == 0 ? 0.1 : 0.5;
--- a/test/world.h
+++ b/test/world.h
@@ -7,6 +7,7 @@
 #ifndef BW_TEST_WORLD_H
 #define BW_TEST_WORLD_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /** Load and faults of a simulation. */
@@ -38,6 +39,9 @@
 				  worker that starts it. */
 	uint32_t worker_crashes; /**< Other crashes, of few machines. */
 	uint32_t resizes; /**< Number of workers that shrink for a time. */
+	double gang_share; /**< Share of steps that are gangs. */
+	bool check_stored; /**< Compares each saved state with what a successor
+			      reads of it. */
 } world_config_t;
 
 /** Result of a simulation. */
@@ -63,6 +67,9 @@
 /** Leaves half of all orders without an answer, most of them to be carried out
  *  later. */
 void world_delay_orders(world_config_t *config);
+/** Makes half of the steps gangs, and checks what is stored of all jobs. */
+void world_add_gangs(world_config_t *config);
+
 /** Returns the share of calls that are carried out late, for a seed. */
 double world_late_share(uint32_t seed);
 
--- a/test/world_internal.h
+++ b/test/world_internal.h
@@ -2,7 +2,8 @@
  * @file
  * Parts of the simulation: events, jobs, faults and checks (world.c), fake
  * workers and the calls to them (world_worker.c), nodes and the store
- * (world_node.c), tasks that crash their workers (world_crash.c).
+ * (world_node.c), tasks that crash their workers (world_crash.c), gangs
+ * (world_gang.c).
  */
 #ifndef BW_TEST_WORLD_INTERNAL_H
 #define BW_TEST_WORLD_INTERNAL_H
@@ -80,6 +81,7 @@
 	bw_resources_t need;
 	bool fails;
 	bool stopping;
+	bool waits; /**< For the other members of its gang. */
 	int64_t started_ms;
 	int64_t ends_ms; /**< INT64_MAX: until it is stopped. */
 	uint64_t order; /**< Increases with each order that is sent. */
@@ -187,6 +189,7 @@
 	GRand *fault_rand; /**< For later faults, so that the draws of earlier
 			      ones stay the same. */
 	GRand *crash_rand;
+	GRand *gang_rand;
 	GRand *late_rand; /**< Draws calls that are carried out late. */
 	GRand *resize_rand; /**< Draws how workers shrink. */
 	GRand *connection_rand; /**< Draws which connections are closed. */
@@ -309,6 +312,28 @@
 /** Counts a job that is shown as failed. */
 void world_count_failed(world_t *w, fake_job_t *job);
 
+/** Draws which steps are gangs. */
+void world_init_gangs(world_t *w);
+
+/** Returns whether a task is a member of a gang. */
+bool world_is_gang(world_t *w, const bw_task_name_t *task);
+
+/** Lets a member that has just started wait for the others, or all work. */
+void world_start_member(world_t *w, fake_worker_t *worker, guint index);
+
+/** Ends the other members of a run's gang, if it is one. */
+void world_end_others(world_t *w, const run_t *run, bw_end_kind_t kind);
+
+/** Ends the members elsewhere of all gangs on a worker that has crashed. */
+void world_break_gangs(world_t *w, const fake_worker_t *worker);
+
+/** Ends a run, of whose gang the others are left as they are. */
+void world_end_run(world_t *w, fake_worker_t *worker, guint index,
+		   bw_end_kind_t kind);
+
+/** Event: ends the runs of a worker whose time has come. */
+void world_end_due_runs(world_t *w, void *arg);
+
 /** Draws the part of a configuration that concerns crashes. */
 void world_draw_crashes(uint32_t seed, world_config_t *out);
 
--- a/test/world_node.c
+++ b/test/world_node.c
@@ -4,6 +4,11 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "stored_state.h"
+
+static const bw_queue_config_t queue_config = { "q", 0,	  ATTEMPTS_MAX,
+						1.6, 600, false };
+
 /* The store. */
 
 /** A write of a scheduler's state to the store. */
@@ -99,6 +104,57 @@
 		       on_save_answer, save);
 }
 
+static uint8_t *pack_stored(const fake_job_t *job, size_t *bytes)
+{
+	if (job->short_ms > 0)
+		return bw_job_record_pack_short(job->short_state, bytes);
+	return bw_job_record_pack(&job->record, bytes);
+}
+
+static void add_stored_job(world_t *w, bw_sched_t *sched, const fake_job_t *job)
+{
+	size_t bytes;
+	uint8_t *data = pack_stored(job, &bytes);
+	bw_job_record_t copy;
+
+	if (bw_job_record_unpack(data, bytes, &copy) == BW_OK) {
+		if (copy.spec)
+			bw_sched_add_job(sched, w->now_ms, w->now_ms, job->id,
+					 &copy);
+		else
+			bw_sched_add_ended(sched, w->now_ms, job->id,
+					   copy.state);
+		bw_job_record_clear(&copy);
+	} else {
+		world_violation(w, "a packed job record does not unpack");
+	}
+	g_free(data);
+}
+
+/* Checks what a successor would read of a node's state, if it were stored. */
+static void check_stored(world_t *w, const node_t *node, const uint8_t *data,
+			 size_t bytes)
+{
+	const bw_sched_config_t config = { .fence = node->fence + 1 };
+	const bw_sched_ops_t ops = { .log = NULL };
+	bw_sched_t *successor = bw_sched_create(&config, &ops, NULL, w->now_ms);
+	char text[160];
+	guint i;
+
+	bw_sched_set_queue(successor, &queue_config);
+	if (bw_sched_load(successor, w->now_ms, data, bytes) != BW_OK)
+		world_violation(w, "a state can't be loaded");
+	for (i = 0; i < w->jobs->len; i++) {
+		const fake_job_t *job = g_ptr_array_index(w->jobs, i);
+
+		if (job->stored_ms > 0 && job->removed_ms == 0)
+			add_stored_job(w, successor, job);
+	}
+	if (!stored_state_matches(node->sched, successor, text, sizeof(text)))
+		world_violation(w, "%s", text);
+	bw_sched_destroy(successor);
+}
+
 /* Sends the state to the store if it changed and no save is pending. */
 static void save_state(world_t *w, node_t *node)
 {
@@ -112,6 +168,8 @@
 	     w->now_ms - node->last_save_ms < SAVE_INTERVAL_MS))
 		return;
 	data = bw_sched_pack(node->sched, &bytes);
+	if (w->config.check_stored)
+		check_stored(w, node, data, bytes);
 	save = g_new0(save_t, 1);
 	save->node = node;
 	save->incarnation = node->incarnation;
@@ -153,31 +211,9 @@
 		save_state(w, node);
 }
 
-static uint8_t *pack_stored(const fake_job_t *job, size_t *bytes)
-{
-	if (job->short_ms > 0)
-		return bw_job_record_pack_short(job->short_state, bytes);
-	return bw_job_record_pack(&job->record, bytes);
-}
-
 void world_add_job(world_t *w, node_t *node, const fake_job_t *job)
 {
-	size_t bytes;
-	uint8_t *data = pack_stored(job, &bytes);
-	bw_job_record_t copy;
-
-	if (bw_job_record_unpack(data, bytes, &copy) == BW_OK) {
-		if (copy.spec)
-			bw_sched_add_job(node->sched, w->now_ms, w->now_ms,
-					 job->id, &copy);
-		else
-			bw_sched_add_ended(node->sched, w->now_ms, job->id,
-					   copy.state);
-		bw_job_record_clear(&copy);
-	} else {
-		world_violation(w, "a packed job record does not unpack");
-	}
-	g_free(data);
+	add_stored_job(w, node->sched, job);
 	if (job->cancelled_ms > 0)
 		bw_sched_cancel(node->sched, w->now_ms, job->id);
 }
@@ -322,7 +358,6 @@
 		.retention_ms = w->config.retention_ms,
 		.removed_ms = STALE_MS + 1,
 	};
-	bw_queue_config_t queue = { "q", 0, ATTEMPTS_MAX, 1.6, 600, false };
 	gsize bytes;
 	const uint8_t *data;
 
@@ -339,7 +374,7 @@
 	config.fence = node->fence;
 	node->sched =
 		bw_sched_create(&config, &world_sched_ops, node, w->now_ms);
-	bw_sched_set_queue(node->sched, &queue);
+	bw_sched_set_queue(node->sched, &queue_config);
 	node->state_rev = w->state_rev;
 	if (w->state) {
 		data = g_bytes_get_data(w->state, &bytes);
--- a/test/world_worker.c
+++ b/test/world_worker.c
@@ -29,8 +29,8 @@
 	world_trace(w, event, text);
 }
 
-static void end_run(world_t *w, fake_worker_t *worker, guint index,
-		    bw_end_kind_t kind)
+void world_end_run(world_t *w, fake_worker_t *worker, guint index,
+		   bw_end_kind_t kind)
 {
 	run_t *run = &g_array_index(worker->runs, run_t, index);
 	fake_job_t *job = world_find_job(w, run->task.job);
@@ -58,26 +58,45 @@
 	g_array_remove_index_fast(worker->runs, index);
 }
 
-/* Event: ends runs whose time has come, or all if the grant has expired. */
-static void end_due_runs(world_t *w, void *arg)
+static bw_end_kind_t due_end(const run_t *run)
+{
+	if (run->stopping)
+		return BW_END_STOPPED;
+	if (run->waits)
+		return BW_END_GANG_ALONE;
+	return run->fails ? BW_END_FAILED : BW_END_DONE;
+}
+
+/* Returns the last run whose time has come, or -1. */
+static gint find_due_run(const world_t *w, const fake_worker_t *worker,
+			 bool expired)
+{
+	gint i = (gint)worker->runs->len;
+
+	while (--i >= 0 && !expired)
+		if (w->now_ms >=
+		    g_array_index(worker->runs, run_t, (guint)i).ends_ms)
+			break;
+	return i;
+}
+
+/* All of them if the grant has expired. */
+void world_end_due_runs(world_t *w, void *arg)
 {
 	fake_worker_t *worker = arg;
-	guint i = worker->runs->len;
 	bool expired = worker_clock_ms(w, worker) >= worker->grant_clock_ms;
+	gint index;
 
 	if (!worker->alive)
 		return;
 	world_record_at_work(w, worker);
-	while (i-- > 0) {
-		run_t *run = &g_array_index(worker->runs, run_t, i);
-
-		if (expired)
-			end_run(w, worker, i, BW_END_EXPIRED);
-		else if (w->now_ms >= run->ends_ms)
-			end_run(w, worker, i,
-				run->stopping ? BW_END_STOPPED
-				: run->fails  ? BW_END_FAILED
-					      : BW_END_DONE);
+	while ((index = find_due_run(w, worker, expired)) >= 0) {
+		const run_t run =
+			g_array_index(worker->runs, run_t, (guint)index);
+		bw_end_kind_t kind = expired ? BW_END_EXPIRED : due_end(&run);
+
+		world_end_run(w, worker, (guint)index, kind);
+		world_end_others(w, &run, kind);
 	}
 }
 
@@ -107,7 +126,7 @@
 					  worker_clock_ms(w, worker)) /
 				 worker->clock_rate) +
 			       2,
-		       end_due_runs, worker);
+		       world_end_due_runs, worker);
 }
 
 /* Checks the rules that a start must keep. */
@@ -184,13 +203,18 @@
 		    world_random_bool(w, 0.02);
 	run.started_ms = w->now_ms;
 	run.ends_ms = INT64_MAX;
+	if (step->gang) {
+		g_array_append_val(worker->runs, run);
+		world_start_member(w, worker, worker->runs->len - 1);
+		return;
+	}
 	if (!step->lasting || world_random_bool(w, 0.1)) {
 		run.ends_ms = w->now_ms + world_random_between(w, 100, 2500);
 		run.fails |= step->lasting;
 	}
 	g_array_append_val(worker->runs, run);
 	if (run.ends_ms != INT64_MAX)
-		world_schedule(w, run.ends_ms - w->now_ms, end_due_runs,
+		world_schedule(w, run.ends_ms - w->now_ms, world_end_due_runs,
 			       worker);
 }
 
@@ -387,7 +411,33 @@
 	check_unavailable(w, call, run);
 	run->stopping = true;
 	run->ends_ms = w->now_ms + world_random_between(w, 50, STOP_MS);
-	world_schedule(w, run->ends_ms - w->now_ms, end_due_runs, worker);
+	world_schedule(w, run->ends_ms - w->now_ms, world_end_due_runs, worker);
+}
+
+static void acknowledge_done(world_t *w, const fake_end_t *end,
+			     const bw_task_name_t *task)
+{
+	task_state_t *task_state =
+		world_find_task(world_find_job(w, task->job), task);
+
+	task_state->done_acked = true;
+	if (task_state->started_ms > end->ended_ms)
+		world_violation(w,
+				"task %s.%u.%u was started after an end that "
+				"is acknowledged now",
+				task->job, task->step, task->index);
+}
+
+/* The end of one member of a gang is that of all. */
+static void acknowledge_gang(world_t *w, const fake_end_t *end)
+{
+	const fake_job_t *job = world_find_job(w, end->task.job);
+	bw_task_name_t task = end->task;
+
+	for (task.index = 0;
+	     task.index < job->record.spec->steps[task.step].count;
+	     task.index++)
+		acknowledge_done(w, end, &task);
 }
 
 static void acknowledge_end(world_t *w, const fake_end_t *end)
@@ -396,13 +446,10 @@
 		world_find_task(world_find_job(w, end->task.job), &end->task);
 
 	if (end->kind == BW_END_DONE && !end->lapsed) {
-		task_state->done_acked = true;
-		if (task_state->started_ms > end->ended_ms)
-			world_violation(
-				w,
-				"task %s.%u.%u was started after an end that "
-				"is acknowledged now",
-				end->task.job, end->task.step, end->task.index);
+		if (world_is_gang(w, &end->task))
+			acknowledge_gang(w, end);
+		else
+			acknowledge_done(w, end, &end->task);
 	}
 	if (end->kind == BW_END_FAILED)
 		task_state->failed_acked++;
@@ -480,7 +527,7 @@
 {
 	fake_worker_t *worker = call->worker;
 
-	end_due_runs(w, worker);
+	world_end_due_runs(w, worker);
 	call->result = BW_ORDER_OK;
 	if (call->fence < worker->fence) {
 		call->result = BW_ORDER_FENCED;
