One identifier is one job, whatever pool its queue has by then

Cause: a job's key holds its pool, and the earlier pools of a queue were kept in each node's memory, by the queue's name, from one version to the next. A version without the route, a restart of the node, or a node that skipped a version forgets them.

Change: the pool that accepted a job is stored under the identifier alone, in the transaction of the job and on the condition that it is absent. A GET or DELETE that does not find the job in its queue's pool follows that location. It is removed with the job. The search of earlier pools is gone.

--- a/src/fleet/job_batch.c
+++ b/src/fleet/job_batch.c
@@ -2,7 +2,7 @@
 
 #include <glib.h>
 
-#include "fleet/pool.h"
+#include "fleet/job_keys.h"
 
 struct bw_job_batch {
 	bw_store_t store;
@@ -90,14 +90,15 @@
 void bw_job_batch_replace(bw_job_batch_t *b, const char *id, uint8_t *record,
 			  size_t bytes)
 {
-	add_write(b, bw_pool_job_key(b->pool, id), record, bytes);
+	add_write(b, bw_job_key(b->pool, id), record, bytes);
 	b->ids[b->count++] = g_strdup(id);
 }
 
 void bw_job_batch_remove(bw_job_batch_t *b, const char *id)
 {
-	add_write(b, bw_pool_job_key(b->pool, id), NULL, 0);
-	add_write(b, bw_pool_cancel_key(b->pool, id), NULL, 0);
+	add_write(b, bw_job_key(b->pool, id), NULL, 0);
+	add_write(b, bw_cancel_key(b->pool, id), NULL, 0);
+	add_write(b, bw_job_location_key(id), NULL, 0);
 	b->ids[b->count++] = g_strdup(id);
 }
 
--- a/src/fleet/job_batch.h
+++ b/src/fleet/job_batch.h
@@ -16,7 +16,7 @@
 /** Keys per transaction; with the claim they must stay below 32 entries. */
 #define BW_JOB_BATCH_KEYS_MAX 30
 /** Keys that bw_job_batch_remove() takes for a job. */
-#define BW_JOB_BATCH_KEYS_REMOVED 2
+#define BW_JOB_BATCH_KEYS_REMOVED 3
 
 typedef struct bw_job_batch bw_job_batch_t;
 
--- /dev/null
+++ b/src/fleet/job_location.c
@@ -0,0 +1,45 @@
+#include "fleet/job_location.h"
+
+#include <glib.h>
+
+#include "wire/record.pb-c.h"
+#include "wire/version.h"
+
+uint8_t *bw_job_location_pack(const char *pool, size_t *bytes)
+{
+	Bramley__JobLocation message = BRAMLEY__JOB_LOCATION__INIT;
+	uint8_t *data;
+
+	message.version = BW_RECORD_VERSION;
+	message.pool = (char *)pool;
+	*bytes = bramley__job_location__get_packed_size(&message);
+	data = g_malloc(*bytes + 1);
+	bramley__job_location__pack(&message, data);
+	return data;
+}
+
+static bw_status_t check_location(const Bramley__JobLocation *message)
+{
+	bw_status_t status =
+		bw_record_check_version("job location", message->version);
+
+	if (status == BW_OK && message->pool[0] == '\0')
+		return bw_status_set(BW_EPARSE, "a job location has no pool");
+	return status;
+}
+
+bw_status_t bw_job_location_unpack(const uint8_t *data, size_t bytes,
+				   char **pool)
+{
+	Bramley__JobLocation *message =
+		bramley__job_location__unpack(NULL, bytes, data);
+	bw_status_t status;
+
+	if (!message)
+		return bw_status_set(BW_EPARSE, "not a job location");
+	status = check_location(message);
+	if (status == BW_OK)
+		*pool = g_strdup(message->pool);
+	bramley__job_location__free_unpacked(message, NULL);
+	return status;
+}
--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/event.h"
 #include "base/metrics.h"
+#include "fleet/job_keys.h"
 #include "fleet/member.h"
 
 /** Shortest time between two saves of the state. */
@@ -20,9 +21,7 @@
 /** The scheduler runs at least this often. */
 #define TICK_S 0.1
 /** A longer time without a tick is a suspension. */
-#define SUSPENDED_MS  400
-#define JOB_SUFFIX    "/job"
-#define CANCEL_SUFFIX "/cancel"
+#define SUSPENDED_MS 400
 /** Length of a grant to a worker: the time of a failover plus a margin. */
 #define GRANT_MS 5000
 /** Data read from the store is at most this old, and older notices of jobs are
@@ -42,16 +41,6 @@
 static void save(bw_pool_t *pool);
 static void on_saved(void *ctx, const bw_store_reply_t *reply);
 
-char *bw_pool_job_key(const char *pool, const char *id)
-{
-	return g_strconcat("bw/q/", pool, "/", id, JOB_SUFFIX, NULL);
-}
-
-char *bw_pool_cancel_key(const char *pool, const char *id)
-{
-	return g_strconcat("bw/q/", pool, "/", id, CANCEL_SUFFIX, NULL);
-}
-
 static void create_sched(bw_pool_t *pool)
 {
 	const bw_fleet_settings_t *settings = pool->env.settings;
@@ -80,7 +69,7 @@
 	pool->name = g_strdup(name);
 	pool->owner_key = bw_fleet_owner_key(name);
 	pool->state_key = g_strconcat("bw/p/", name, NULL);
-	pool->queue_prefix = g_strconcat("bw/q/", name, "/", NULL);
+	pool->queue_prefix = bw_job_prefix(name);
 	pool->fence = fence;
 	pool->since_ms = bw_clock_now_ms();
 	pool->ops = *ops;
@@ -212,19 +201,6 @@
 	pool_unref(pool);
 }
 
-/* Extracts the identifier from a key PREFIX ID SUFFIX; false if no match. */
-static bool parse_job_key(const bw_pool_t *pool, const char *key,
-			  const char *suffix, char id[BW_JOB_ID_CHARS + 1])
-{
-	const char *at = key + strlen(pool->queue_prefix);
-
-	if (strlen(at) != BW_JOB_ID_CHARS + strlen(suffix) ||
-	    strcmp(at + BW_JOB_ID_CHARS, suffix) != 0)
-		return false;
-	g_strlcpy(id, at, BW_JOB_ID_CHARS + 1);
-	return true;
-}
-
 /* Adds a job unless it was accepted more than @p age_max_ms ago, or its end. */
 static void apply_job(bw_pool_t *pool, const char *id, const uint8_t *data,
 		      size_t bytes, int64_t age_max_ms)
@@ -269,14 +245,16 @@
 {
 	bw_pool_t *pool = ctx;
 	char id[BW_JOB_ID_CHARS + 1];
+	bw_job_key_kind_t kind;
 
 	if (kv->deleted)
 		return;
 	pool->dirty = true;
-	if (parse_job_key(pool, kv->key, JOB_SUFFIX, id))
+	kind = bw_job_key_parse(pool->queue_prefix, kv->key, id);
+	if (kind == BW_JOB_KEY_RECORD)
 		apply_job(pool, id, (const uint8_t *)kv->value, kv->bytes,
 			  INT64_MAX);
-	else if (parse_job_key(pool, kv->key, CANCEL_SUFFIX, id))
+	else if (kind == BW_JOB_KEY_CANCELLATION)
 		apply_cancel(pool, id);
 }
 
--- a/src/fleet/pool.h
+++ b/src/fleet/pool.h
@@ -38,11 +38,6 @@
 	void (*loaded)(void *ctx, bw_pool_t *pool);
 } bw_pool_ops_t;
 
-/** Returns the store key of a job; release with g_free(). */
-char *bw_pool_job_key(const char *pool, const char *id);
-/** Returns the store key of a job's cancellation; release with g_free(). */
-char *bw_pool_cancel_key(const char *pool, const char *id);
-
 /**
  * Starts to run a pool and reads the state that its earlier owner saved.
  * @param fence revision of this node's claim, used as fencing token
--- a/src/fleet/service.c
+++ b/src/fleet/service.c
@@ -8,7 +8,8 @@
 #include "base/clock.h"
 #include "base/event.h"
 #include "base/metrics.h"
-#include "fleet/pool.h"
+#include "fleet/job_keys.h"
+#include "fleet/job_location.h"
 
 /** Answers are sent this long before the caller's timeout. */
 #define ANSWER_MARGIN_MS 250
@@ -57,7 +58,6 @@
 	bw_service_ops_t ops;
 	void *ctx;
 	const bw_fleet_config_t *config;
-	GHashTable *former_pools; /**< Queue to its earlier pools. */
 };
 
 /** A request in progress. */
@@ -65,7 +65,8 @@
 	bw_service_t *s;
 	bw_request_kind_t kind;
 	char *queue;
-	char *pool;
+	char *pool; /**< That of the queue, or where the job is located. */
+	bool located; /**< The job's location has been read. */
 	char id[BW_JOB_ID_CHARS + 1];
 	int64_t started_ms;
 	int64_t deadline_ms;
@@ -86,6 +87,7 @@
 static void on_state_answer(void *ctx, const bw_fleet_query_answer_t *answer);
 static void read_job(pending_request_t *pending);
 static void on_job_read(void *ctx, const bw_store_reply_t *reply);
+static void on_located(void *ctx, const bw_store_reply_t *reply);
 static void cancel(pending_request_t *pending);
 static void on_cancelled(void *ctx, const bw_store_reply_t *reply);
 static void on_waiting_answer(void *ctx, const bw_fleet_query_answer_t *answer);
@@ -139,9 +141,6 @@
 	s->peers = peers;
 	s->ops = *ops;
 	s->ctx = ctx;
-	s->former_pools =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-				      (GDestroyNotify)g_ptr_array_unref);
 	return s;
 }
 
@@ -149,7 +148,6 @@
 {
 	if (!s)
 		return;
-	g_hash_table_destroy(s->former_pools);
 	g_free(s->node);
 	g_free(s);
 }
@@ -165,35 +163,8 @@
 	return NULL;
 }
 
-/* Jobs stay in the pool that their queue had when they were accepted, so the
- * earlier pools are still searched. */
-static void record_former_pool(bw_service_t *s, const bw_queue_t *old_queue)
-{
-	GPtrArray *pools =
-		g_hash_table_lookup(s->former_pools, old_queue->name);
-
-	if (!pools) {
-		pools = g_ptr_array_new_with_free_func(g_free);
-		g_hash_table_insert(s->former_pools, g_strdup(old_queue->name),
-				    pools);
-	}
-	if (!g_ptr_array_find_with_equal_func(pools, old_queue->pool,
-					      g_str_equal, NULL))
-		g_ptr_array_add(pools, g_strdup(old_queue->pool));
-}
-
 void bw_service_configure(bw_service_t *s, const bw_fleet_config_t *config)
 {
-	uint32_t i;
-
-	for (i = 0; s->config && i < s->config->queue_count; i++) {
-		const bw_queue_t *old_queue = &s->config->queues[i];
-		const bw_queue_t *new_queue =
-			find_queue(config, old_queue->name);
-
-		if (new_queue && strcmp(new_queue->pool, old_queue->pool) != 0)
-			record_former_pool(s, old_queue);
-	}
 	s->config = config;
 }
 
@@ -399,39 +370,42 @@
 	start_request(pending);
 }
 
-/* Writes the job unless this pool or an earlier pool of the queue has it. */
+/*
+ * Writes the job with its location, unless the job has one: in this pool, or in
+ * another one that its queue had. Earlier versions stored no locations.
+ */
+static void write_job(pending_request_t *pending)
+{
+	bw_service_t *s = pending->s;
+	char *key = bw_job_key(pending->pool, pending->id);
+	char *location_key = bw_job_location_key(pending->id);
+	size_t bytes;
+	uint8_t *location = bw_job_location_pack(pending->pool, &bytes);
+	const bw_store_expect_t expects[] = { { location_key, 0 }, { key, 0 } };
+	const bw_store_write_t writes[] = {
+		{ key, (const char *)pending->record, pending->record_bytes,
+		  0 },
+		{ location_key, (const char *)location, bytes, 0 },
+	};
+	bw_store_txn_t txn = { expects, G_N_ELEMENTS(expects), writes,
+			       G_N_ELEMENTS(writes) };
+
+	pending->attempts++;
+	s->store.ops->txn(s->store.impl, &txn, on_submitted, pending);
+	g_free(location);
+	g_free(location_key);
+	g_free(key);
+}
+
 static void submit(pending_request_t *pending)
 {
 	bw_service_t *s = pending->s;
-	GPtrArray *former =
-		g_hash_table_lookup(s->former_pools, pending->queue);
-	guint count = former ? former->len : 0;
-	bw_store_expect_t *expects = g_new0(bw_store_expect_t, count + 1);
-	char *key = bw_pool_job_key(pending->pool, pending->id);
-	bw_store_write_t write = { key, (const char *)pending->record,
-				   pending->record_bytes, 0 };
-	bw_store_txn_t txn = { expects, count + 1, &write, 1 };
-	GPtrArray *keys = g_ptr_array_new_with_free_func(g_free);
-	guint i;
-
-	if (!s->ops.store_reachable(s->ctx) && !pending->in_doubt) {
+
+	if (!s->ops.store_reachable(s->ctx) && !pending->in_doubt)
 		finish_with(pending, BW_ANSWER_REFUSED,
 			    REASON_STORE_OUT_OF_REACH);
-	} else {
-		expects[0].key = key;
-		for (i = 0; i < count; i++) {
-			g_ptr_array_add(
-				keys,
-				bw_pool_job_key(g_ptr_array_index(former, i),
-						pending->id));
-			expects[i + 1].key = g_ptr_array_index(keys, i);
-		}
-		pending->attempts++;
-		s->store.ops->txn(s->store.impl, &txn, on_submitted, pending);
-	}
-	g_ptr_array_free(keys, TRUE);
-	g_free(key);
-	g_free(expects);
+	else
+		write_job(pending);
 }
 
 static void on_submitted(void *ctx, const bw_store_reply_t *reply)
@@ -512,7 +486,7 @@
 /* Reads from the store whether the job exists. */
 static void read_job(pending_request_t *pending)
 {
-	char *key = bw_pool_job_key(pending->pool, pending->id);
+	char *key = bw_job_key(pending->pool, pending->id);
 
 	pending->attempts++;
 	pending->s->store.ops->get(pending->s->store.impl, key, on_job_read,
@@ -520,27 +494,59 @@
 	g_free(key);
 }
 
-/* Tries an earlier pool of the queue; false if none is left. */
-static bool try_former_pool(pending_request_t *pending)
+/* Repeats a read that failed; nothing was written, so without the time for that
+ * the outcome is certain. */
+static void repeat_read(pending_request_t *pending,
+			void (*read)(pending_request_t *pending))
 {
-	GPtrArray *former =
-		g_hash_table_lookup(pending->s->former_pools, pending->queue);
-	guint i;
+	if (bw_clock_now_ms() + STORE_CALL_MIN_MS < pending->deadline_ms &&
+	    pending->s->ops.store_reachable(pending->s->ctx))
+		retry_later(pending, read);
+	else
+		finish_with(pending, BW_ANSWER_REFUSED, REASON_STORE_SILENT);
+}
 
-	if (!former)
-		return false;
-	for (i = 0; i < former->len; i++) {
-		const char *pool = g_ptr_array_index(former, i);
+/* Reads which pool has accepted the job, if any has. */
+static void locate(pending_request_t *pending)
+{
+	char *key = bw_job_location_key(pending->id);
 
-		if (!strcmp(pool, pending->pool) ||
-		    pending->attempts > former->len)
-			continue;
-		g_free(pending->pool);
-		pending->pool = g_strdup(pool);
-		start_request(pending);
-		return true;
+	pending->attempts++;
+	pending->s->store.ops->get(pending->s->store.impl, key, on_located,
+				   pending);
+	g_free(key);
+}
+
+/* Serves the request in the pool that has the job. */
+static void follow_location(pending_request_t *pending,
+			    const bw_store_reply_t *reply)
+{
+	char *pool;
+
+	if (reply->kv_count == 0 ||
+	    bw_job_location_unpack((const uint8_t *)reply->kvs[0].value,
+				   reply->kvs[0].bytes, &pool) != BW_OK) {
+		finish_with(pending, BW_ANSWER_REFUSED, REASON_UNREADABLE);
+		return;
 	}
-	return false;
+	g_free(pending->pool);
+	pending->pool = pool;
+	pending->located = true;
+	start_request(pending);
+}
+
+static void on_located(void *ctx, const bw_store_reply_t *reply)
+{
+	pending_request_t *pending = ctx;
+	bw_service_t *s = pending->s;
+
+	s->ops.store_result(s->ctx, reply->status);
+	if (reply->status == BW_OK)
+		follow_location(pending, reply);
+	else if (reply->status == BW_ENOTFOUND)
+		finish_with(pending, BW_ANSWER_NO_JOB, REASON_NO_JOB);
+	else
+		repeat_read(pending, locate);
 }
 
 /* A record that has no end tells only that the job was accepted; one that can't
@@ -568,29 +574,21 @@
 	bw_service_t *s = pending->s;
 
 	s->ops.store_result(s->ctx, reply->status);
-	if (reply->status == BW_ENOTFOUND) {
-		if (!try_former_pool(pending))
-			finish_with(pending, BW_ANSWER_NO_JOB, REASON_NO_JOB);
-		return;
-	}
-	if (reply->status == BW_OK) {
-		if (pending->kind == BW_REQUEST_CANCEL)
-			cancel(pending);
-		else
-			answer_stored_state(pending, reply);
-		return;
-	}
-	if (bw_clock_now_ms() + STORE_CALL_MIN_MS < pending->deadline_ms &&
-	    s->ops.store_reachable(s->ctx))
-		retry_later(pending, read_job);
+	if (reply->status == BW_ENOTFOUND && !pending->located)
+		locate(pending);
+	else if (reply->status == BW_ENOTFOUND)
+		finish_with(pending, BW_ANSWER_NO_JOB, REASON_NO_JOB);
+	else if (reply->status != BW_OK)
+		repeat_read(pending, read_job);
+	else if (pending->kind == BW_REQUEST_CANCEL)
+		cancel(pending);
 	else
-		/* Nothing was written, so the outcome is certain. */
-		finish_with(pending, BW_ANSWER_REFUSED, REASON_STORE_SILENT);
+		answer_stored_state(pending, reply);
 }
 
 static void cancel(pending_request_t *pending)
 {
-	char *key = bw_pool_cancel_key(pending->pool, pending->id);
+	char *key = bw_cancel_key(pending->pool, pending->id);
 	bw_store_write_t write = { key, "1", 1, 0 };
 	bw_store_txn_t txn = { NULL, 0, &write, 1 };
 
--- a/src/wire/record.pb-c.c
+++ b/src/wire/record.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &bramley__job_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bramley__job_location__init
+                     (Bramley__JobLocation         *message)
+{
+  static const Bramley__JobLocation init_value = BRAMLEY__JOB_LOCATION__INIT;
+  *message = init_value;
+}
+size_t bramley__job_location__get_packed_size
+                     (const Bramley__JobLocation *message)
+{
+  assert(message->base.descriptor == &bramley__job_location__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bramley__job_location__pack
+                     (const Bramley__JobLocation *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bramley__job_location__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bramley__job_location__pack_to_buffer
+                     (const Bramley__JobLocation *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bramley__job_location__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bramley__JobLocation *
+       bramley__job_location__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bramley__JobLocation *)
+     protobuf_c_message_unpack (&bramley__job_location__descriptor,
+                                allocator, len, data);
+}
+void   bramley__job_location__free_unpacked
+                     (Bramley__JobLocation *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bramley__job_location__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bramley__task_record__init
                      (Bramley__TaskRecord         *message)
 {
@@ -793,6 +838,57 @@
   (ProtobufCMessageInit) bramley__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bramley__job_location__field_descriptors[2] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__JobLocation, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pool",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__JobLocation, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bramley__job_location__field_indices_by_name[] = {
+  1,   /* field[1] = pool */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange bramley__job_location__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bramley__job_location__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bramley.JobLocation",
+  "JobLocation",
+  "Bramley__JobLocation",
+  "bramley",
+  sizeof(Bramley__JobLocation),
+  2,
+  bramley__job_location__field_descriptors,
+  bramley__job_location__field_indices_by_name,
+  1,  bramley__job_location__number_ranges,
+  (ProtobufCMessageInit) bramley__job_location__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bramley__task_record__field_descriptors[12] =
 {
   {
--- a/src/wire/record.pb-c.h
+++ b/src/wire/record.pb-c.h
@@ -17,6 +17,7 @@
 
 typedef struct Bramley__StepRecord Bramley__StepRecord;
 typedef struct Bramley__JobRecord Bramley__JobRecord;
+typedef struct Bramley__JobLocation Bramley__JobLocation;
 typedef struct Bramley__TaskRecord Bramley__TaskRecord;
 typedef struct Bramley__JobProgress Bramley__JobProgress;
 typedef struct Bramley__WorkerRecord Bramley__WorkerRecord;
@@ -81,7 +82,21 @@
 
 
 /*
- * A task that has been started at least once.
+ * The pool that a job was accepted in.
+ */
+struct  Bramley__JobLocation
+{
+  ProtobufCMessage base;
+  uint32_t version;
+  char *pool;
+};
+#define BRAMLEY__JOB_LOCATION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bramley__job_location__descriptor) \
+    , 0, (char *)protobuf_c_empty_string }
+
+
+/*
+ * A task that has been started at least once, or is done.
  */
 struct  Bramley__TaskRecord
 {
@@ -315,6 +330,25 @@
 void   bramley__job_record__free_unpacked
                      (Bramley__JobRecord *message,
                       ProtobufCAllocator *allocator);
+/* Bramley__JobLocation methods */
+void   bramley__job_location__init
+                     (Bramley__JobLocation         *message);
+size_t bramley__job_location__get_packed_size
+                     (const Bramley__JobLocation   *message);
+size_t bramley__job_location__pack
+                     (const Bramley__JobLocation   *message,
+                      uint8_t             *out);
+size_t bramley__job_location__pack_to_buffer
+                     (const Bramley__JobLocation   *message,
+                      ProtobufCBuffer     *buffer);
+Bramley__JobLocation *
+       bramley__job_location__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bramley__job_location__free_unpacked
+                     (Bramley__JobLocation *message,
+                      ProtobufCAllocator *allocator);
 /* Bramley__TaskRecord methods */
 void   bramley__task_record__init
                      (Bramley__TaskRecord         *message);
@@ -475,6 +509,9 @@
 typedef void (*Bramley__JobRecord_Closure)
                  (const Bramley__JobRecord *message,
                   void *closure_data);
+typedef void (*Bramley__JobLocation_Closure)
+                 (const Bramley__JobLocation *message,
+                  void *closure_data);
 typedef void (*Bramley__TaskRecord_Closure)
                  (const Bramley__TaskRecord *message,
                   void *closure_data);
@@ -507,6 +544,7 @@
 
 extern const ProtobufCMessageDescriptor bramley__step_record__descriptor;
 extern const ProtobufCMessageDescriptor bramley__job_record__descriptor;
+extern const ProtobufCMessageDescriptor bramley__job_location__descriptor;
 extern const ProtobufCMessageDescriptor bramley__task_record__descriptor;
 extern const ProtobufCMessageDescriptor bramley__job_progress__descriptor;
 extern const ProtobufCMessageDescriptor bramley__worker_record__descriptor;
--- a/test/test_ended_jobs.c
+++ b/test/test_ended_jobs.c
@@ -12,7 +12,7 @@
 #include "fleet/shortening.h"
 #include "standin/memstore.h"
 
-#define FINISHED 20
+#define FINISHED 15
 
 static bw_sched_t *finished_jobs(int64_t retention_ms)
 {
@@ -76,7 +76,7 @@
 	bw_removal_run(r, late_ms, sched);
 	assert_int_equal(bw_sched_removable(sched, late_ms, ids, FINISHED), 5);
 	bw_removal_run(r, late_ms, sched);
-	assert_int_equal(f.writes, 10);
+	assert_int_equal(f.writes, 15);
 	assert_int_equal(bw_sched_removable(sched, late_ms, ids, FINISHED), 0);
 	bw_removal_run(r, late_ms, sched);
 	assert_int_equal(f.calls, 4);
@@ -97,6 +97,8 @@
 	(void)state;
 	bw_memstore_put(memory, "owner", "n", 1);
 	bw_memstore_put(memory, "bw/q/a/0000000000000000/job", "j", 1);
+	bw_memstore_put(memory, "bw/q/a/0000000000000000/cancel", "1", 1);
+	bw_memstore_put(memory, "bw/i/0000000000000000", "l", 1);
 	r = bw_removal_create(&store, "a", "owner",
 			      bw_memstore_revision(memory, "owner"));
 	bw_removal_run(r, late_ms, sched);
@@ -105,6 +107,11 @@
 	ev_run(loop, 0);
 	assert_int_equal(
 		bw_memstore_revision(memory, "bw/q/a/0000000000000000/job"), 0);
+	assert_int_equal(
+		bw_memstore_revision(memory, "bw/q/a/0000000000000000/cancel"),
+		0);
+	assert_int_equal(bw_memstore_revision(memory, "bw/i/0000000000000000"),
+			 0);
 	bw_memstore_destroy(memory);
 	ev_loop_destroy(loop);
 }
--- /dev/null
+++ b/test/test_moved_queues.c
@@ -0,0 +1,278 @@
+/* Requests for jobs that were accepted while their queue had another pool. */
+#include "test.h"
+
+#include <string.h>
+
+#include <ev.h>
+#include <glib.h>
+
+#include "fleet/job_keys.h"
+#include "fleet/service.h"
+#include "standin/memstore.h"
+
+#define JOB_ID "00000000000000aa"
+#define PATH   "/p/" JOB_ID
+
+/** A store, and the answer to the last request. */
+typedef struct requests {
+	struct ev_loop *loop;
+	bw_memstore_t *store;
+	bw_service_t *service;
+	bw_answer_t answer;
+	uint32_t answers;
+	char noticed[16]; /**< Pool that the last notice was for. */
+} requests_t;
+
+static const char *no_owner(void *ctx, const char *pool)
+{
+	(void)ctx;
+	(void)pool;
+	return NULL;
+}
+
+static void no_answer(void *ctx, const char *pool, const char *job,
+		      const char *queue, bw_fleet_query_answer_t *out)
+{
+	(void)ctx;
+	(void)pool;
+	(void)job;
+	(void)queue;
+	(void)out;
+}
+
+static void ignore_result(void *ctx, bw_status_t status)
+{
+	(void)ctx;
+	(void)status;
+}
+
+static void record_notice(void *ctx, const char *pool, const char *id,
+			  const uint8_t *record, size_t bytes)
+{
+	requests_t *r = ctx;
+
+	(void)id;
+	(void)record;
+	(void)bytes;
+	g_strlcpy(r->noticed, pool, sizeof(r->noticed));
+}
+
+static bool is_reachable(void *ctx)
+{
+	(void)ctx;
+	return true;
+}
+
+static const bw_service_ops_t service_ops = { no_owner, no_answer,
+					      ignore_result, record_notice,
+					      is_reachable };
+
+static bw_queue_t in_desk = {
+	.name = "r1", .host = "h", .prefix = "/p/", .pool = "desk"
+};
+static bw_queue_t in_annex = {
+	.name = "r1", .host = "h", .prefix = "/p/", .pool = "annex"
+};
+static bw_queue_t other_in_annex = {
+	.name = "r2", .host = "h", .prefix = "/p/", .pool = "annex"
+};
+static bw_fleet_config_t desk = { .queues = &in_desk, .queue_count = 1 };
+static bw_fleet_config_t annex = { .queues = &in_annex, .queue_count = 1 };
+static bw_fleet_config_t other_annex = { .queues = &other_in_annex,
+					 .queue_count = 1 };
+static bw_fleet_config_t no_queue = { .queue_count = 0 };
+
+static void start_node(requests_t *r, const bw_fleet_config_t *config)
+{
+	bw_store_t store = bw_memstore_interface(r->store);
+
+	bw_service_destroy(r->service);
+	r->service =
+		bw_service_create(r->loop, "n", &store, NULL, &service_ops, r);
+	bw_service_configure(r->service, config);
+}
+
+static void begin(requests_t *r)
+{
+	memset(r, 0, sizeof(*r));
+	r->loop = ev_loop_new(0);
+	r->store = bw_memstore_create(r->loop);
+	start_node(r, &desk);
+}
+
+static void end(requests_t *r)
+{
+	bw_service_destroy(r->service);
+	bw_memstore_destroy(r->store);
+	ev_loop_destroy(r->loop);
+}
+
+static void on_answer(void *ctx, const bw_answer_t *answer)
+{
+	requests_t *r = ctx;
+
+	r->answer = *answer;
+	r->answers++;
+}
+
+static bw_answer_kind_t send_request(requests_t *r, bw_request_kind_t kind)
+{
+	bw_request_t request = { .kind = kind,
+				 .host = "h",
+				 .path = PATH,
+				 .caller_timeout_ms = 3000 };
+
+	if (kind == BW_REQUEST_SUBMIT) {
+		request.spec = bw_job_spec_new(1);
+		request.spec->steps[0].count = 1;
+	}
+	r->answers = 0;
+	bw_service_serve(r->service, &request, on_answer, r);
+	while (r->answers == 0)
+		ev_run(r->loop, EVRUN_ONCE);
+	bw_job_spec_free(request.spec);
+	assert_int_equal(r->answers, 1);
+	return r->answer.kind;
+}
+
+static bool is_stored(const requests_t *r, char *key)
+{
+	bool stored = bw_memstore_revision(r->store, key) > 0;
+
+	g_free(key);
+	return stored;
+}
+
+/* The job is found where it was accepted, and is not stored again. */
+static void assert_found_in_desk(requests_t *r)
+{
+	assert_int_equal(send_request(r, BW_REQUEST_STATE), BW_ANSWER_STATE);
+	assert_int_equal(r->answer.state, BW_JOB_QUEUED);
+	assert_int_equal(send_request(r, BW_REQUEST_SUBMIT), BW_ANSWER_DONE);
+	assert_false(is_stored(r, bw_job_key("annex", JOB_ID)));
+	assert_int_equal(send_request(r, BW_REQUEST_CANCEL), BW_ANSWER_DONE);
+	assert_true(is_stored(r, bw_cancel_key("desk", JOB_ID)));
+	assert_string_equal(r->noticed, "desk");
+}
+
+/* Failure: a version without the route lies between, so that the earlier pool
+ * is forgotten; the job's state is answered 410, and a repeated POST runs it a
+ * second time. */
+static void test_job_runs_twice_after_its_route_has_moved(void **state)
+{
+	requests_t r;
+
+	(void)state;
+	begin(&r);
+	assert_int_equal(send_request(&r, BW_REQUEST_SUBMIT), BW_ANSWER_DONE);
+	bw_service_configure(r.service, &no_queue);
+	bw_service_configure(r.service, &other_annex);
+	assert_found_in_desk(&r);
+	end(&r);
+}
+
+/* Failure: the same, as the node that knew the earlier pool has restarted. */
+static void test_job_runs_twice_after_a_move_and_a_restart(void **state)
+{
+	requests_t r;
+
+	(void)state;
+	begin(&r);
+	assert_int_equal(send_request(&r, BW_REQUEST_SUBMIT), BW_ANSWER_DONE);
+	start_node(&r, &annex);
+	assert_found_in_desk(&r);
+	end(&r);
+}
+
+/* Failure: a node that has not read the new version yet stores the job in the
+ * earlier pool, though another node has stored it in the new one. */
+static void
+test_job_is_stored_again_by_a_node_with_an_older_version(void **state)
+{
+	requests_t r;
+
+	(void)state;
+	begin(&r);
+	start_node(&r, &annex);
+	assert_int_equal(send_request(&r, BW_REQUEST_SUBMIT), BW_ANSWER_DONE);
+	start_node(&r, &desk);
+	assert_int_equal(send_request(&r, BW_REQUEST_SUBMIT), BW_ANSWER_DONE);
+	assert_false(is_stored(&r, bw_job_key("desk", JOB_ID)));
+	assert_int_equal(send_request(&r, BW_REQUEST_STATE), BW_ANSWER_STATE);
+	end(&r);
+}
+
+/* A job that an earlier version stored has no location. */
+static void test_job_without_a_location_is_found(void **state)
+{
+	char *key = bw_job_location_key(JOB_ID);
+	requests_t r;
+
+	(void)state;
+	begin(&r);
+	assert_int_equal(send_request(&r, BW_REQUEST_SUBMIT), BW_ANSWER_DONE);
+	bw_memstore_put(r.store, key, NULL, 0);
+	r.noticed[0] = '\0';
+	assert_int_equal(send_request(&r, BW_REQUEST_SUBMIT), BW_ANSWER_DONE);
+	assert_string_equal(r.noticed, "");
+	assert_int_equal(send_request(&r, BW_REQUEST_STATE), BW_ANSWER_STATE);
+	g_free(key);
+	end(&r);
+}
+
+/* A location that can't be read tells neither where the job is nor that there
+ * is none. */
+static void test_unreadable_location_is_no_missing_job(void **state)
+{
+	static const char *const values[] = { "", "\x08\x02", "\x08\x01",
+					      "\xff" };
+	char *key = bw_job_location_key(JOB_ID);
+	requests_t r;
+	size_t i;
+
+	(void)state;
+	begin(&r);
+	for (i = 0; i < G_N_ELEMENTS(values); i++) {
+		bw_memstore_put(r.store, key, values[i], strlen(values[i]));
+		assert_int_equal(send_request(&r, BW_REQUEST_STATE),
+				 BW_ANSWER_REFUSED);
+		assert_int_equal(send_request(&r, BW_REQUEST_CANCEL),
+				 BW_ANSWER_REFUSED);
+	}
+	g_free(key);
+	end(&r);
+}
+
+/* A job that is nowhere, whatever its location says. */
+static void test_location_without_a_job_is_no_job(void **state)
+{
+	char *key = bw_job_key("desk", JOB_ID);
+	requests_t r;
+
+	(void)state;
+	begin(&r);
+	assert_int_equal(send_request(&r, BW_REQUEST_STATE), BW_ANSWER_NO_JOB);
+	assert_int_equal(send_request(&r, BW_REQUEST_SUBMIT), BW_ANSWER_DONE);
+	bw_memstore_put(r.store, key, NULL, 0);
+	bw_service_configure(r.service, &annex);
+	assert_int_equal(send_request(&r, BW_REQUEST_STATE), BW_ANSWER_NO_JOB);
+	assert_int_equal(send_request(&r, BW_REQUEST_CANCEL), BW_ANSWER_NO_JOB);
+	g_free(key);
+	end(&r);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_job_runs_twice_after_its_route_has_moved),
+		cmocka_unit_test(
+			test_job_runs_twice_after_a_move_and_a_restart),
+		cmocka_unit_test(
+			test_job_is_stored_again_by_a_node_with_an_older_version),
+		cmocka_unit_test(test_job_without_a_location_is_found),
+		cmocka_unit_test(test_unreadable_location_is_no_missing_job),
+		cmocka_unit_test(test_location_without_a_job_is_no_job),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/test_owned_pool.c
+++ b/test/test_owned_pool.c
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "fake_store.h"
+#include "fleet/job_keys.h"
 #include "fleet/pool.h"
 
 typedef struct empty_store {
@@ -132,7 +133,7 @@
 	bw_pool_add_job(pool, id, record, bytes);
 	assert_int_equal(bw_sched_job_state(bw_pool_sched(pool), id),
 			 BW_JOB_UNKNOWN);
-	report_key(&f, bw_pool_job_key("a", id), record, bytes);
+	report_key(&f, bw_job_key("a", id), record, bytes);
 	assert_int_equal(bw_sched_job_state(bw_pool_sched(pool), id),
 			 BW_JOB_CANCELLED);
 	g_free(record);
@@ -165,7 +166,7 @@
 	uint8_t *record = record_of_age(0, &bytes);
 
 	(void)state;
-	report_key(&f, bw_pool_job_key("a", id), (const uint8_t *)SHORT_FAILED,
+	report_key(&f, bw_job_key("a", id), (const uint8_t *)SHORT_FAILED,
 		   SHORT_BYTES);
 	assert_int_equal(bw_sched_job_state(bw_pool_sched(pool), id),
 			 BW_JOB_FAILED);
@@ -195,7 +196,7 @@
 
 	for (i = 0; i < count; i++) {
 		g_snprintf(id, sizeof(id), "%016x", first + i);
-		report_key(f, bw_pool_job_key("a", id), record, bytes);
+		report_key(f, bw_job_key("a", id), record, bytes);
 		bw_pool_cancel_job(pool, id);
 	}
 	g_free(record);
