A job keeps the terms of its queue when the route is removed

What goes wrong: how often a task may fail, whether its starts need advice, its priority and objective were known from the configuration only.

Change: the terms of the queue are stored with the job when it is accepted, and hold while the owner's configuration has never had the queue. Records of earlier versions have none, and are read as before. The five fields stood in three structs; they are one type now.

test_attempts_are_unlimited_once_the_queue_is_removed fails before (a third attempt, 2 are allowed) and passes after.

--- a/bench/bench_log.c
+++ b/bench/bench_log.c
@@ -90,13 +90,14 @@
 	config->version = 1;
 	config->queue_count = 1;
 	config->queues = g_new0(bw_queue_t, 1);
-	config->queues[0] = (bw_queue_t){ .name = g_strdup("q"),
-					  .host = g_strdup("h"),
-					  .prefix = g_strdup("/q/"),
-					  .pool = g_strdup("p"),
-					  .attempts_max = 4,
-					  .objective_factor = 1.6,
-					  .objective_offset_ms = 600 };
+	config->queues[0] =
+		(bw_queue_t){ .name = g_strdup("q"),
+			      .host = g_strdup("h"),
+			      .prefix = g_strdup("/q/"),
+			      .pool = g_strdup("p"),
+			      .terms = { .attempts_max = 4,
+					 .objective_factor = 1.6,
+					 .objective_offset_ms = 600 } };
 	config->pool_count = 1;
 	config->pools = g_new0(bw_pool_config_t, 1);
 	config->pools[0].name = g_strdup("p");
--- a/bench/sched_fixture.c
+++ b/bench/sched_fixture.c
@@ -15,9 +15,10 @@
 						  .fence = 1 };
 	static const bw_queue_config_t queue = {
 		.name = "q",
-		.attempts_max = 4,
-		.objective_factor = SCHED_FIXTURE_OBJECTIVE_FACTOR,
-		.objective_offset_ms = SCHED_FIXTURE_OBJECTIVE_OFFSET_MS
+		.terms = { .attempts_max = 4,
+			   .objective_factor = SCHED_FIXTURE_OBJECTIVE_FACTOR,
+			   .objective_offset_ms =
+				   SCHED_FIXTURE_OBJECTIVE_OFFSET_MS },
 	};
 	bw_sched_t *sched = bw_sched_create(&config, ops, ctx, now_ms);
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -224,11 +224,7 @@
 		const bw_queue_t *queue = &f->config->queues[i];
 		bw_queue_config_t config = {
 			.name = queue->name,
-			.priority = queue->priority,
-			.attempts_max = queue->attempts_max,
-			.objective_factor = queue->objective_factor,
-			.objective_offset_ms = queue->objective_offset_ms,
-			.advised = queue->advised,
+			.terms = queue->terms,
 		};
 
 		bw_sched_set_queue(sched, &config);
--- a/src/fleet/interfaces.h
+++ b/src/fleet/interfaces.h
@@ -98,12 +98,7 @@
 	char *host;
 	char *prefix; /**< Requests with this path prefix are for it. */
 	char *pool;
-	uint32_t priority;
-	uint32_t attempts_max;
-	/** Objective as a multiple of the longest chain of steps. */
-	double objective_factor;
-	int64_t objective_offset_ms; /**< Added to the objective. */
-	bool advised; /**< Tasks run only on workers that advice names. */
+	bw_queue_terms_t terms;
 } bw_queue_t;
 
 /** A pool of the operators' configuration. */
--- a/src/fleet/service.c
+++ b/src/fleet/service.c
@@ -65,6 +65,7 @@
 	bw_service_t *s;
 	bw_request_kind_t kind;
 	char *queue;
+	bw_queue_terms_t terms; /**< Of the queue. */
 	char *pool; /**< That of the queue, or where the job is located. */
 	bool located; /**< The job's location has been read. */
 	char id[BW_JOB_ID_CHARS + 1];
@@ -300,6 +301,7 @@
 	pending->s = s;
 	pending->kind = request->kind;
 	pending->queue = g_strdup(queue->name);
+	pending->terms = queue->terms;
 	pending->pool = g_strdup(queue->pool);
 	pending->started_ms = bw_clock_now_ms();
 	pending->deadline_ms = pending->started_ms +
@@ -313,6 +315,8 @@
 {
 	bw_job_record_t record = {
 		.queue = pending->queue,
+		.terms = pending->terms,
+		.has_terms = true,
 		.accepted_ms = bw_clock_wall_ms(),
 		.spec = spec,
 	};
--- a/src/job/job.c
+++ b/src/job/job.c
@@ -156,10 +156,30 @@
 	out->away_max = step->away_max;
 }
 
+static void pack_terms(const bw_queue_terms_t *terms, Bramley__QueueTerms *out)
+{
+	out->priority = terms->priority;
+	out->attempts_max = terms->attempts_max;
+	out->objective_factor = terms->objective_factor;
+	out->objective_offset_ms = terms->objective_offset_ms;
+	out->advised = terms->advised;
+}
+
+static void unpack_terms(const Bramley__QueueTerms *record,
+			 bw_queue_terms_t *out)
+{
+	out->priority = record->priority;
+	out->attempts_max = record->attempts_max;
+	out->objective_factor = record->objective_factor;
+	out->objective_offset_ms = record->objective_offset_ms;
+	out->advised = record->advised;
+}
+
 uint8_t *bw_job_record_pack(const bw_job_record_t *record, size_t *bytes)
 {
 	const bw_job_spec_t *spec = record->spec;
 	Bramley__JobRecord message = BRAMLEY__JOB_RECORD__INIT;
+	Bramley__QueueTerms terms = BRAMLEY__QUEUE_TERMS__INIT;
 	Bramley__StepRecord *steps =
 		g_new(Bramley__StepRecord, spec->step_count);
 	Bramley__StepRecord **step_refs =
@@ -181,6 +201,10 @@
 	message.repeats = spec->repeats;
 	message.first_due_ms = spec->first_due_ms;
 	message.interval_ms = spec->interval_ms;
+	if (record->has_terms) {
+		pack_terms(&record->terms, &terms);
+		message.terms = &terms;
+	}
 	*bytes = bramley__job_record__get_packed_size(&message);
 	data = g_malloc(*bytes + 1);
 	bramley__job_record__pack(&message, data);
@@ -266,6 +290,9 @@
 	out->queue = g_strdup(record->queue);
 	out->accepted_ms = record->accepted_ms;
 	out->spec = unpack_spec(record);
+	out->has_terms = record->terms != NULL;
+	if (record->terms)
+		unpack_terms(record->terms, &out->terms);
 	return bw_job_spec_check(out->spec) == BW_OK ? BW_OK : BW_EPARSE;
 }
 
--- a/src/job/job.h
+++ b/src/job/job.h
@@ -78,10 +78,24 @@
 	BW_JOB_STATE_COUNT
 } bw_job_state_t;
 
+/** How the jobs of a queue are run. */
+typedef struct bw_queue_terms {
+	uint32_t priority; /**< 0 is the highest. */
+	uint32_t attempts_max; /**< Limit on failed runs of a task; 0: none. */
+	double objective_factor; /**< Objective as a multiple of the longest
+				      chain of steps. */
+	int64_t objective_offset_ms; /**< Added to the multiple. */
+	bool advised; /**< Tasks run only on workers that advice names. */
+} bw_queue_terms_t;
+
 /** A job as stored. Once it has ended a short record replaces it, which has
  *  only the final state. */
 typedef struct bw_job_record {
 	char *queue;
+	/** Of the queue when the job was accepted; they hold when the
+	 *  configuration has no such queue any more. */
+	bw_queue_terms_t terms;
+	bool has_terms; /**< Earlier versions did not store them. */
 	int64_t accepted_ms; /**< Unix time. */
 	bw_job_spec_t *spec; /**< NULL in a short record. */
 	bw_job_state_t state; /**< BW_JOB_UNKNOWN unless the record is short. */
--- a/src/sched/advice.c
+++ b/src/sched/advice.c
@@ -98,7 +98,8 @@
 	for (i = 0; i < s->active->len; i++) {
 		const job_t *job = g_ptr_array_index(s->active, i);
 
-		for (k = 0; job->queue->advised && k < job->occurrences->len;
+		for (k = 0;
+		     job->queue->terms.advised && k < job->occurrences->len;
 		     k++) {
 			const occurrence_t *occurrence =
 				g_ptr_array_index(job->occurrences, k);
--- a/src/sched/heartbeat.c
+++ b/src/sched/heartbeat.c
@@ -44,8 +44,8 @@
 	task->retry_ms = now_ms + FAILURE_RETRY_MS;
 	sched_changed(s, false);
 	if (job->finished_version > 0 || sched_task_step(task)->lasting ||
-	    job->queue->attempts_max == 0 ||
-	    task->failures < job->queue->attempts_max)
+	    job->queue->terms.attempts_max == 0 ||
+	    task->failures < job->queue->terms.attempts_max)
 		return;
 	sched_job_finish(s, job, BW_JOB_FAILED, now_ms);
 }
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -189,11 +189,8 @@
 
 typedef struct queue {
 	char *name;
-	uint32_t priority;
-	uint32_t attempts_max;
-	double objective_factor; /**< Multiple of the estimated chain. */
-	int64_t objective_offset_ms; /**< Added to the multiple. */
-	bool advised; /**< Needs a ticket for each worker. */
+	bw_queue_terms_t terms;
+	bool configured; /**< The configuration has it, or had it. */
 	/** Running mean of actual over estimated duration. */
 	double estimate_ratio;
 	double duration_ms; /**< Running mean of a task's duration. */
--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -31,8 +31,8 @@
 		return queue;
 	queue = g_new0(queue_t, 1);
 	queue->name = g_strdup(name);
-	queue->objective_factor = OBJECTIVE_FACTOR_DEFAULT;
-	queue->objective_offset_ms = OBJECTIVE_OFFSET_DEFAULT_MS;
+	queue->terms.objective_factor = OBJECTIVE_FACTOR_DEFAULT;
+	queue->terms.objective_offset_ms = OBJECTIVE_OFFSET_DEFAULT_MS;
 	queue->estimate_ratio = 1.0;
 	g_hash_table_insert(s->queues, queue->name, queue);
 	return queue;
@@ -201,9 +201,9 @@
 		ends_ms[i] += step_ms(occurrence, i);
 		chain_ms = MAX(chain_ms, ends_ms[i]);
 	}
-	objective_ms =
-		(int64_t)(job->queue->objective_factor * (double)chain_ms) +
-		job->queue->objective_offset_ms;
+	objective_ms = (int64_t)(job->queue->terms.objective_factor *
+				 (double)chain_ms) +
+		       job->queue->terms.objective_offset_ms;
 	occurrence->objective_ms = occurrence->due_ms + objective_ms;
 	occurrence->deadline_ms =
 		occurrence->due_ms + DEADLINE_FACTOR * objective_ms;
@@ -528,6 +528,9 @@
 	if (job)
 		return;
 	job = sched_job_new(s, id, record->queue);
+	/* The configuration has dropped the queue since. */
+	if (record->has_terms && !job->queue->configured)
+		job->queue->terms = record->terms;
 	set_spec(s, job, record, now_ms, wall_ms);
 	sched_load_progress(s, job, now_ms);
 	sched_record_arrival(s, job, now_ms);
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -125,7 +125,7 @@
 	const occurrence_t *occurrence = candidate->occurrence;
 	int64_t end_ms = now_ms + chain_left_ms(occurrence);
 
-	candidate->priority = occurrence->job->queue->priority;
+	candidate->priority = occurrence->job->queue->terms.priority;
 	if (occurrence->job->lasting) {
 		candidate->urgency = URGENCY_LASTING;
 		candidate->key = occurrence->job->arrived_ms;
@@ -208,7 +208,7 @@
 	if (spec->per_worker_max > 0 &&
 	    count_same_step(worker, task) >= spec->per_worker_max)
 		return false;
-	return !task->occurrence->job->queue->advised ||
+	return !task->occurrence->job->queue->terms.advised ||
 	       sched_ticket(task, worker, now_ms) != NULL;
 }
 
@@ -395,7 +395,8 @@
  */
 static bool may_lack_attempts(const task_t *task)
 {
-	uint32_t attempts_max = task->occurrence->job->queue->attempts_max;
+	uint32_t attempts_max =
+		task->occurrence->job->queue->terms.attempts_max;
 
 	return task->ends_unknown && !sched_task_step(task)->lasting &&
 	       attempts_max > 0 && task->run >= attempts_max;
@@ -492,7 +493,7 @@
 	step_state_t *state = &occurrence->steps[step];
 	uint32_t i;
 
-	if (occurrence->job->queue->advised)
+	if (occurrence->job->queue->terms.advised)
 		sched_request_advice(s, occurrence, step, now_ms);
 	if (spec->gang)
 		return place_gang(s, occurrence, step, now_ms);
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -146,11 +146,8 @@
 {
 	queue_t *queue = sched_queue(s, config->name);
 
-	queue->priority = config->priority;
-	queue->attempts_max = config->attempts_max;
-	queue->objective_factor = config->objective_factor;
-	queue->objective_offset_ms = config->objective_offset_ms;
-	queue->advised = config->advised;
+	queue->terms = config->terms;
+	queue->configured = true;
 }
 
 void bw_sched_allow_orders(bw_sched_t *s, bool allowed)
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -40,12 +40,7 @@
 /** A queue, from the configuration. */
 typedef struct bw_queue_config {
 	const char *name;
-	uint32_t priority; /**< 0 is the highest. */
-	uint32_t attempts_max; /**< Limit on failed runs of a task; 0: none. */
-	double objective_factor; /**< Objective as a multiple of the longest
-				      chain of steps. */
-	int64_t objective_offset_ms; /**< Added to the objective. */
-	bool advised; /**< Tasks run only on workers that advice names. */
+	bw_queue_terms_t terms;
 } bw_queue_config_t;
 
 /** A worker, from its registration. */
--- a/src/wire/record.pb-c.c
+++ b/src/wire/record.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &bramley__step_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bramley__queue_terms__init
+                     (Bramley__QueueTerms         *message)
+{
+  static const Bramley__QueueTerms init_value = BRAMLEY__QUEUE_TERMS__INIT;
+  *message = init_value;
+}
+size_t bramley__queue_terms__get_packed_size
+                     (const Bramley__QueueTerms *message)
+{
+  assert(message->base.descriptor == &bramley__queue_terms__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bramley__queue_terms__pack
+                     (const Bramley__QueueTerms *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bramley__queue_terms__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bramley__queue_terms__pack_to_buffer
+                     (const Bramley__QueueTerms *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bramley__queue_terms__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bramley__QueueTerms *
+       bramley__queue_terms__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bramley__QueueTerms *)
+     protobuf_c_message_unpack (&bramley__queue_terms__descriptor,
+                                allocator, len, data);
+}
+void   bramley__queue_terms__free_unpacked
+                     (Bramley__QueueTerms *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bramley__queue_terms__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bramley__job_record__init
                      (Bramley__JobRecord         *message)
 {
@@ -696,7 +741,97 @@
   (ProtobufCMessageInit) bramley__step_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__job_record__field_descriptors[9] =
+static const ProtobufCFieldDescriptor bramley__queue_terms__field_descriptors[5] =
+{
+  {
+    "priority",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__QueueTerms, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempts_max",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__QueueTerms, attempts_max),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "objective_factor",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__QueueTerms, objective_factor),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "objective_offset_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__QueueTerms, objective_offset_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advised",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__QueueTerms, advised),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bramley__queue_terms__field_indices_by_name[] = {
+  4,   /* field[4] = advised */
+  1,   /* field[1] = attempts_max */
+  2,   /* field[2] = objective_factor */
+  3,   /* field[3] = objective_offset_ms */
+  0,   /* field[0] = priority */
+};
+static const ProtobufCIntRange bramley__queue_terms__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor bramley__queue_terms__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bramley.QueueTerms",
+  "QueueTerms",
+  "Bramley__QueueTerms",
+  "bramley",
+  sizeof(Bramley__QueueTerms),
+  5,
+  bramley__queue_terms__field_descriptors,
+  bramley__queue_terms__field_indices_by_name,
+  1,  bramley__queue_terms__number_ranges,
+  (ProtobufCMessageInit) bramley__queue_terms__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bramley__job_record__field_descriptors[10] =
 {
   {
     "version",
@@ -806,6 +941,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "terms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__JobRecord, terms),
+    &bramley__queue_terms__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__job_record__field_indices_by_name[] = {
   2,   /* field[2] = accepted_ms */
@@ -815,13 +962,14 @@
   5,   /* field[5] = repeats */
   8,   /* field[8] = state */
   4,   /* field[4] = steps */
+  9,   /* field[9] = terms */
   3,   /* field[3] = text */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange bramley__job_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor bramley__job_record__descriptor =
 {
@@ -831,7 +979,7 @@
   "Bramley__JobRecord",
   "bramley",
   sizeof(Bramley__JobRecord),
-  9,
+  10,
   bramley__job_record__field_descriptors,
   bramley__job_record__field_indices_by_name,
   1,  bramley__job_record__number_ranges,
--- a/src/wire/record.pb-c.h
+++ b/src/wire/record.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct Bramley__StepRecord Bramley__StepRecord;
+typedef struct Bramley__QueueTerms Bramley__QueueTerms;
 typedef struct Bramley__JobRecord Bramley__JobRecord;
 typedef struct Bramley__JobLocation Bramley__JobLocation;
 typedef struct Bramley__TaskRecord Bramley__TaskRecord;
@@ -56,6 +57,23 @@
     , 0, 0, 0, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * How the jobs of a queue are run.
+ */
+struct  Bramley__QueueTerms
+{
+  ProtobufCMessage base;
+  uint32_t priority;
+  uint32_t attempts_max;
+  double objective_factor;
+  int64_t objective_offset_ms;
+  protobuf_c_boolean advised;
+};
+#define BRAMLEY__QUEUE_TERMS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bramley__queue_terms__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
 /*
  * An accepted job. Once it has ended, version and state only.
  */
@@ -75,10 +93,14 @@
    * Final state; 0: not known to have ended.
    */
   uint32_t state;
+  /*
+   * Of the queue when the job was accepted.
+   */
+  Bramley__QueueTerms *terms;
 };
 #define BRAMLEY__JOB_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__job_record__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, NULL }
 
 
 /*
@@ -311,6 +333,25 @@
 void   bramley__step_record__free_unpacked
                      (Bramley__StepRecord *message,
                       ProtobufCAllocator *allocator);
+/* Bramley__QueueTerms methods */
+void   bramley__queue_terms__init
+                     (Bramley__QueueTerms         *message);
+size_t bramley__queue_terms__get_packed_size
+                     (const Bramley__QueueTerms   *message);
+size_t bramley__queue_terms__pack
+                     (const Bramley__QueueTerms   *message,
+                      uint8_t             *out);
+size_t bramley__queue_terms__pack_to_buffer
+                     (const Bramley__QueueTerms   *message,
+                      ProtobufCBuffer     *buffer);
+Bramley__QueueTerms *
+       bramley__queue_terms__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bramley__queue_terms__free_unpacked
+                     (Bramley__QueueTerms *message,
+                      ProtobufCAllocator *allocator);
 /* Bramley__JobRecord methods */
 void   bramley__job_record__init
                      (Bramley__JobRecord         *message);
@@ -506,6 +547,9 @@
 typedef void (*Bramley__StepRecord_Closure)
                  (const Bramley__StepRecord *message,
                   void *closure_data);
+typedef void (*Bramley__QueueTerms_Closure)
+                 (const Bramley__QueueTerms *message,
+                  void *closure_data);
 typedef void (*Bramley__JobRecord_Closure)
                  (const Bramley__JobRecord *message,
                   void *closure_data);
@@ -543,6 +587,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor bramley__step_record__descriptor;
+extern const ProtobufCMessageDescriptor bramley__queue_terms__descriptor;
 extern const ProtobufCMessageDescriptor bramley__job_record__descriptor;
 extern const ProtobufCMessageDescriptor bramley__job_location__descriptor;
 extern const ProtobufCMessageDescriptor bramley__task_record__descriptor;
--- a/test/sched_orders.c
+++ b/test/sched_orders.c
@@ -86,7 +86,7 @@
 				     .retention_ms = 120000,
 				     .removed_ms = 30000,
 				     .fence = 7 };
-	bw_queue_config_t queue = { "q", 0, 3, 1.6, 600, false };
+	bw_queue_config_t queue = { "q", { 0, 3, 1.6, 600, false } };
 
 	memset(o, 0, sizeof(*o));
 	o->now_ms = 1000;
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -263,7 +263,7 @@
 	assert_int_equal(config->version, 7);
 	assert_int_equal(config->queue_count, 1);
 	assert_int_equal(config->incomplete_count, 1);
-	assert_int_equal(config->queues[0].attempts_max, 3);
+	assert_int_equal(config->queues[0].terms.attempts_max, 3);
 	assert_int_equal(config->pool_count, 2);
 	assert_true(config->pools[1].standby);
 	bw_fleet_config_free(config);
--- a/test/test_takeover.c
+++ b/test/test_takeover.c
@@ -397,6 +397,74 @@
 	bw_sched_destroy(o.sched);
 }
 
+/* Adds JOB_A, of one task, of a queue that allows two attempts. */
+static void add_job_with_terms(orders_t *o)
+{
+	bw_job_record_t record = { .queue = g_strdup("removed"),
+				   .terms = { .attempts_max = 2,
+					      .objective_factor = 1.6 },
+				   .has_terms = true,
+				   .accepted_ms = o->now_ms,
+				   .spec = bw_job_spec_new(1) };
+	bw_job_record_t copy;
+	size_t bytes;
+	uint8_t *data;
+
+	record.spec->text = g_strdup("text");
+	record.spec->steps[0].count = 1;
+	data = bw_job_record_pack(&record, &bytes);
+	assert_int_equal(bw_job_record_unpack(data, bytes, &copy), BW_OK);
+	bw_sched_add_job(o->sched, o->now_ms, o->now_ms, JOB_A, &copy);
+	bw_job_record_clear(&record);
+	bw_job_record_clear(&copy);
+	g_free(data);
+}
+
+/* Ends the run of JOB_A's task as failed, and lets its retry come due. */
+static void fail_run(orders_t *o, uint64_t number, uint32_t run)
+{
+	bw_end_row_t end = { .number = number,
+			     .run = run,
+			     .kind = BW_END_FAILED,
+			     .checkpoint = "" };
+
+	g_strlcpy(end.task.job, JOB_A, sizeof(end.task.job));
+	orders_answer_heartbeat(o, "w1", NULL, 0, &end, 1);
+	orders_save(o);
+	o->now_ms += 1000;
+	orders_answer_heartbeat(o, "w1", NULL, 0, NULL, 0);
+	orders_run(o, 10);
+}
+
+/* Failure: the configuration has dropped the queue when the pool gets another
+ * owner, which does not know the limit on attempts and starts the task again
+ * and again. */
+static void test_attempts_are_unlimited_once_the_queue_is_removed(void **state)
+{
+	const bw_queue_config_t queue = {
+		"removed", { .attempts_max = 2, .objective_factor = 1.6 }
+	};
+	orders_t before;
+	orders_t o;
+
+	(void)state;
+	orders_begin_with_worker(&before);
+	bw_sched_set_queue(before.sched, &queue);
+	add_job_with_terms(&before);
+	orders_run(&before, 10);
+	assert_int_equal(before.start_count, 1);
+	orders_save(&before);
+	orders_succeed(&before, &o);
+	orders_add_worker(&o, "w1");
+	add_job_with_terms(&o);
+	fail_run(&o, 1, 1);
+	assert_int_equal(o.start_count, 1);
+	fail_run(&o, 2, o.starts[0].run);
+	assert_int_equal(o.start_count, 1);
+	assert_int_equal(bw_sched_job_state(o.sched, JOB_A), BW_JOB_FAILED);
+	bw_sched_destroy(o.sched);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -417,6 +485,8 @@
 		cmocka_unit_test(test_owners_in_a_row_number_runs_apart),
 		cmocka_unit_test(
 			test_grant_of_the_earlier_owner_outlives_lost_contact),
+		cmocka_unit_test(
+			test_attempts_are_unlimited_once_the_queue_is_removed),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/test_unknowns.c
+++ b/test/test_unknowns.c
@@ -224,7 +224,7 @@
 /* A ticket is valid during one life of a worker. */
 static void test_ticket_of_an_earlier_boot_is_not_used(void **state)
 {
-	bw_queue_config_t queue = { "q", 0, 3, 1.6, 600, true };
+	bw_queue_config_t queue = { "q", { 0, 3, 1.6, 600, true } };
 	bw_worker_info_t info = { .id = "w1",
 				  .address = "10.0.0.1:1",
 				  .capacity = { 1000, 8000, 0 },
@@ -807,7 +807,7 @@
 /* The same for a task that had no room until the next boot. */
 static void test_ticket_is_forgotten_with_its_boot(void **state)
 {
-	bw_queue_config_t queue = { "q", 0, 3, 1.6, 600, true };
+	bw_queue_config_t queue = { "q", { 0, 3, 1.6, 600, true } };
 	const char *worker = "w1";
 	const char *ticket = "t";
 	bw_task_name_t step = { 0 };
--- a/test/world_node.c
+++ b/test/world_node.c
@@ -6,8 +6,9 @@
 
 #include "stored_state.h"
 
-static const bw_queue_config_t queue_config = { "q", 0,	  ATTEMPTS_MAX,
-						1.6, 600, false };
+static const bw_queue_config_t queue_config = {
+	"q", { 0, ATTEMPTS_MAX, 1.6, 600, false }
+};
 
 /* The store. */
 
