An entry among the registrations is a whole worker or none

Operators of similar systems saw processes end at one odd entry of another writer. Here none ended, but such entries were taken for workers: amounts of 1e308 (a cast that C leaves undefined), -32000, ports out of range, slots as a text, labels that are numbers, a line break in the key, which goes into a header.

Cause: five members were checked for being there, all others read with a default; a wrong type was 0, and a number was cast before its range was known.

Work goes on while a known worker's entry is odd (test_work_goes_on_while_an_entry_is_odd, holds before too).

Tests that changed: a capacity of -1000 was read as such and is refused now; the entries of test_platform have all members, so that each odd one is refused for the one reason that its name says.

--- a/src/base/eventlist.c
+++ b/src/base/eventlist.c
@@ -308,7 +308,7 @@
 						  BW_EVENT_BELIEF,
 						  "a worker's registration "
 						  "could not be parsed",
-						  "key" },
+						  "key error" },
 };
 
 static const uint32_t class_lines[BW_EVENT_CLASS_COUNT] = {
--- a/src/fleet/directory.c
+++ b/src/fleet/directory.c
@@ -129,8 +129,8 @@
 
 	if (d->values->parse_registration(kv->key, kv->value, kv->bytes, &r) !=
 	    BW_OK) {
-		bw_event(BW_EVENT_DIRECTORY_ENTRY_UNREADABLE, "key=%s",
-			 kv->key);
+		bw_event(BW_EVENT_DIRECTORY_ENTRY_UNREADABLE,
+			 "key=%s error=\"%s\"", kv->key, bw_status_message());
 		g_hash_table_remove(table, id);
 		return;
 	}
--- a/test/test_capacity.c
+++ b/test/test_capacity.c
@@ -555,6 +555,39 @@
 	bw_sched_destroy(o.sched);
 }
 
+/* Failure: the work of a worker whose entry was odd for a time is started again
+ * or stopped. While it is odd the worker gets no new tasks. */
+static void test_work_goes_on_while_an_entry_is_odd(void **state)
+{
+	bw_run_row_t row;
+	orders_t o;
+	uint32_t i;
+
+	(void)state;
+	orders_begin_with_worker(&o);
+	orders_add_worker(&o, "w2");
+	orders_add_job(&o, JOB_A, 1, true, 1000, 0);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	orders_init_lasting_row(&row, 0);
+	orders_answer_heartbeat(&o, "w1", &row, 1, NULL, 0);
+	bw_sched_worker_unregistered(o.sched, o.now_ms, "w1");
+	for (i = 0; i < 12; i++) {
+		orders_run(&o, 500);
+		orders_answer_heartbeat(&o, "w1", &row, 1, NULL, 0);
+	}
+	orders_add_job(&o, JOB_B, 1, false, 1000, 0);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	orders_add_worker(&o, "w1");
+	orders_run(&o, 10);
+	assert_int_equal(o.stop_count, 0);
+	assert_int_equal(o.start_count, 2);
+	assert_string_equal(o.starts[1].task.job, JOB_B);
+	assert_string_equal(o.starts[1].worker, "w1");
+	bw_sched_destroy(o.sched);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -587,6 +620,7 @@
 		cmocka_unit_test(
 			test_start_waits_for_a_read_after_a_short_suspension),
 		cmocka_unit_test(test_pool_reports_its_earlier_capacity),
+		cmocka_unit_test(test_work_goes_on_while_an_entry_is_odd),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -108,20 +108,24 @@
 static const entry_case_t entry_cases[] = {
 	{ "complete",
 	  "{\"service\":\"s\",\"address\":\"10.1.1.1:80\",\"state\":\"ready\","
+	  "\"zone\":\"z\",\"version\":\"v1\",\"slots\":8,\"seq\":1,"
 	  "\"capacity\":{\"cpu\":1},\"labels\":[\"a\",\"r1\"],\"born\":9}",
 	  BW_OK },
 	{ "not UTF-8", "\xff\xfe", BW_EPARSE },
 	{ "number", "7", BW_EPARSE },
 	{ "unknown state",
-	  "{\"service\":\"s\",\"address\":\"x\",\"state\":\"new\","
+	  "{\"service\":\"s\",\"address\":\"10.1.1.1:80\",\"state\":\"new\","
+	  "\"zone\":\"z\",\"version\":\"v1\",\"slots\":8,\"seq\":1,"
 	  "\"capacity\":{},\"labels\":[]}",
 	  BW_EPARSE },
 	{ "service of the wrong type",
-	  "{\"service\":7,\"address\":\"x\",\"state\":\"ready\","
+	  "{\"service\":7,\"address\":\"10.1.1.1:80\",\"state\":\"ready\","
+	  "\"zone\":\"z\",\"version\":\"v1\",\"slots\":8,\"seq\":1,"
 	  "\"capacity\":{},\"labels\":[]}",
 	  BW_EPARSE },
 	{ "no capacity",
-	  "{\"service\":\"s\",\"address\":\"x\",\"state\":\"ready\","
+	  "{\"service\":\"s\",\"address\":\"10.1.1.1:80\",\"state\":\"ready\","
+	  "\"zone\":\"z\",\"version\":\"v1\",\"slots\":8,\"seq\":1,"
 	  "\"labels\":[]}",
 	  BW_EPARSE },
 };
@@ -162,7 +166,7 @@
 	{ "{\"mem_mb\":512}", BW_OK, { 0, 512, 0 } },
 	{ "{\"cpu\":0,\"mem_mb\":0,\"gpu\":0}", BW_OK, { 0, 0, 0 } },
 	{ "{}", BW_OK, { 0, 0, 0 } },
-	{ "{\"cpu\":-1000}", BW_OK, { -1000, 0, 0 } },
+	{ "{\"cpu\":-1000}", BW_EPARSE, { 0, 0, 0 } },
 	{ "8000", BW_EPARSE, { 0, 0, 0 } },
 	{ "null", BW_EPARSE, { 0, 0, 0 } },
 	{ "{\"cpu\":\"8000\",\"mem_mb\":512}", BW_EPARSE, { 0, 0, 0 } },
@@ -178,8 +182,10 @@
 	for (i = 0; i < G_N_ELEMENTS(capacity_cases); i++) {
 		const capacity_case_t *c = &capacity_cases[i];
 		char *text = g_strdup_printf(
-			"{\"service\":\"s\",\"address\":\"x\",\"state\":"
-			"\"ready\",\"labels\":[],\"capacity\":%s}",
+			"{\"service\":\"s\",\"address\":\"10.1.1.1:80\","
+			"\"state\":\"ready\",\"zone\":\"z\","
+			"\"version\":\"v1\",\"slots\":8,\"seq\":1,"
+			"\"labels\":[],\"capacity\":%s}",
 			c->capacity);
 		bw_registration_t *r = NULL;
 		bw_status_t status = platform_value_format.parse_registration(
