--- a/src/job/job.c
+++ b/src/job/job.c
@@ -107,6 +107,16 @@
 	return BW_OK;
 }
 
+/* Whether the times at which occurrences are due can be computed. */
+static bool is_last_due_valid(const bw_job_spec_t *spec)
+{
+	if (spec->repeats == 0)
+		return true;
+	return spec->interval_ms >= 0 && spec->first_due_ms >= 0 &&
+	       spec->interval_ms <=
+		       (INT64_MAX - spec->first_due_ms) / spec->repeats;
+}
+
 bw_status_t bw_job_spec_check(const bw_job_spec_t *spec)
 {
 	uint32_t i;
@@ -120,6 +130,9 @@
 	if (bw_job_spec_tasks(spec) > BW_JOB_TASKS_MAX)
 		return bw_status_set(BW_EINVAL, "a job has at most %d tasks",
 				     BW_JOB_TASKS_MAX);
+	if (!is_last_due_valid(spec))
+		return bw_status_set(BW_EINVAL,
+				     "the last occurrence is too late");
 	return BW_OK;
 }
 
