A worker's answer with a row that can't be read counts as missing

What goes wrong: a row of a worker's lists that can't be read was left out, and a missing list read as empty.

Change: an answer of which a list or a row can't be read is one without an answer: nothing is acknowledged, granted or started on its word.

Test that changed: test_workers asked that malformed rows be left out and the others be read. It asks now that neither is taken (15 such answers); the code before reads all of them as an empty or partial list.

--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -387,10 +387,36 @@
 	{ 200, "oops", BW_ORDER_LOST },
 };
 
+#define RUN_ROW "[\"5c0e7a21d94b36f8.0.1.2\",1,\"\",41,7]"
+#define END_ROW "[2,\"5c0e7a21d94b36f8.0.1.2\",1,\"done\",\"\"]"
+
+/* Answers to a heartbeat of which a list, or a row of one, can't be read. */
+static const char *const unreadable_lists[] = {
+	"[]",
+	"{\"clock_ms\":5}",
+	"{\"running\":[]}",
+	"{\"ended\":[]}",
+	"{\"running\":{},\"ended\":[]}",
+	"{\"running\":[],\"ended\":7}",
+	"{\"running\":[" RUN_ROW ",7],\"ended\":[]}",
+	"{\"running\":[[\"x\",1,\"\",3]," RUN_ROW "],\"ended\":[]}",
+	"{\"running\":[[\"5c0e7a21d94b36f8.0.1.2\",\"1\"]],\"ended\":[]}",
+	"{\"running\":[[\"5c0e7a21d94b36f8.0.1.2\",0]],\"ended\":[]}",
+	"{\"running\":[[\"5c0e7a21d94b36f8.0.1.2\",4294967297]],\"ended\":[]}",
+	"{\"running\":[],\"ended\":[7," END_ROW "]}",
+	"{\"running\":[],\"ended\":[[1,\"5c0e7a21d94b36f8.0.1.2\",1,\"gone\","
+	"\"\"]," END_ROW "]}",
+	"{\"running\":[],\"ended\":[[\"1\",\"5c0e7a21d94b36f8.0.1.2\",1,"
+	"\"done\",\"\"]]}",
+	"{\"running\":[],\"ended\":[[-1,\"5c0e7a21d94b36f8.0.1.2\",1,"
+	"\"done\",\"\"]]}",
+};
+
 /* Lets the server answer with a list of ends. */
 static void answer_with_ends(canned_server_t *server, uint32_t count)
 {
-	GString *body = g_string_new("{\"clock_ms\":5,\"ended\":[");
+	GString *body =
+		g_string_new("{\"clock_ms\":5,\"running\":[],\"ended\":[");
 	uint32_t i;
 
 	for (i = 0; i < count; i++)
@@ -455,11 +481,9 @@
 			    "\"spec\":\"b \\\\ \xc3\xa4\",\"deadline_ms\":9,"
 			    "\"fence_token\":7,\"last_checkpoint\":\"c\\\"1\","
 			    "\"ticket\":\"t\"}");
-	/* Malformed rows are left out; the others are decoded. */
 	server.status = 200;
-	server.body = "{\"clock_ms\":5,\"running\":[[\"x\",1,\"\",3],"
+	server.body = "{\"clock_ms\":5,\"running\":["
 		      "[\"5c0e7a21d94b36f8.0.1.2\",1,\"\",41,7]],\"ended\":["
-		      "[1,\"5c0e7a21d94b36f8.0.1.2\",1,\"gone\",\"\"],7,"
 		      "[2,\"5c0e7a21d94b36f8.0.1.2\",1,\"done\",\"\"]]}";
 	api.heartbeat(api.impl, &heartbeat, on_heartbeat, &t);
 	ev_run(t.loop, 0);
@@ -478,6 +502,18 @@
 	ev_run(t.loop, 0);
 	assert_int_equal(t.ends, 500);
 	assert_true(t.more_ends);
+	/* Failure: a row that can't be read was left out, so that its run
+	 * counted as missing, or its end was acknowledged with a later one. */
+	for (i = 0; i < G_N_ELEMENTS(unreadable_lists); i++) {
+		server.body = unreadable_lists[i];
+		api.heartbeat(api.impl, &heartbeat, on_heartbeat, &t);
+		ev_run(t.loop, 0);
+		if (t.result != BW_ORDER_LOST)
+			print_error("case: %s\n", server.body);
+		assert_int_equal(t.result, BW_ORDER_LOST);
+		assert_int_equal(t.runs, 0);
+		assert_int_equal(t.ends, 0);
+	}
 	g_free(server.long_body);
 	platform_workers_destroy(&api);
 	bw_simplehttp_destroy(http);
@@ -490,7 +526,10 @@
 static void test_heartbeat_for_a_boot_needs_its_connection(void **state)
 {
 	store_test_t t = { .loop = ev_loop_new(0) };
-	canned_server_t server = { .status = 200, .body = "{\"clock_ms\":5}" };
+	canned_server_t server = {
+		.status = 200,
+		.body = "{\"clock_ms\":5,\"running\":[],\"ended\":[]}"
+	};
 	bw_anyport_t listen;
 	bw_simple_config_t config = { listen.address, 65536, 16 };
 	bw_worker_api_t api = platform_workers_create(t.loop, NULL);
