A line break in a field does not end a log line

What goes wrong: fields of a log line may have text of other programs, such as the key of another writer's entry. A line break in it ended the line, and what follows looked like a line of our own.

Change: control characters are written as spaces, as in messages of libraries. test_lines_reach_a_reader checks a key with a line break, and fails before.

--- a/src/base/event.c
+++ b/src/base/event.c
@@ -60,6 +60,14 @@
 	return bw_log_limiter_admit(&limiter, kind, now_ms, buffer->len);
 }
 
+/* Fields may have text of other programs, which must not end a line. */
+static void blank_control_characters(char *text)
+{
+	for (; *text; text++)
+		if (g_ascii_iscntrl(*text))
+			*text = ' ';
+}
+
 static void append_line(bw_event_kind_t kind, const char *fields)
 {
 	const bw_event_spec_t *spec = bw_event_spec(kind);
@@ -100,7 +108,7 @@
 		return;
 	g_snprintf(line, sizeof(line), "domain=%s level=%d text=\"%s\"", domain,
 		   (int)(level & G_LOG_LEVEL_MASK), text);
-	g_strdelimit(line, "\n", ' ');
+	blank_control_characters(line);
 	append_line(BW_EVENT_MAIN_MESSAGE, line);
 }
 
@@ -132,6 +140,7 @@
 
 	g_vsnprintf(text + prefix_bytes, TEXT_BYTES_MAX - prefix_bytes, fmt,
 		    args);
+	blank_control_characters(text);
 	g_log_structured_array(G_LOG_LEVEL_INFO, fields, G_N_ELEMENTS(fields));
 }
 
--- a/test/test_events.c
+++ b/test/test_events.c
@@ -236,6 +236,9 @@
 	dup2(fds[1], STDOUT_FILENO);
 	bw_event_init(ev_default_loop(0), LARGE_BYTES_S);
 	bw_event(BW_EVENT_MAIN_STARTED, "node=%s", "a");
+	/* Failure: a key of another writer with a line break forged a line. */
+	bw_event(BW_EVENT_DIRECTORY_ENTRY_UNREADABLE, "key=%s error=\"e\"",
+		 "b\n1.000 main stopped\r\x1b[2J");
 	g_log_structured("lib", G_LOG_LEVEL_WARNING, "MESSAGE", "odd\nthing");
 	bw_event_flush();
 	n = read(fds[0], text, sizeof(text) - 1);
@@ -251,9 +254,12 @@
 	assert_true(n > 0);
 	text[n] = '\0';
 	assert_non_null(strstr(text, " main started node=a\n"));
+	assert_non_null(strstr(text, " directory entry-unreadable "
+				     "key=b 1.000 main stopped  [2J "
+				     "error=\"e\"\n"));
 	assert_non_null(strstr(text, "main message domain=lib"));
 	assert_non_null(strstr(text, "text=\"odd thing\"\n"));
-	assert_int_equal(bw_event_lines() + bw_event_dropped(), 302);
+	assert_int_equal(bw_event_lines() + bw_event_dropped(), 303);
 }
 
 /* The name of each metric ends with its unit, which readers of graphs need. */
