A registration alone ends no other worker

Cause: a registration with a later start on a machine had the older worker there taken for ended and its runs released. A registration says only that somebody has written it.

Change: the older worker has ended once the newer one has answered a heartbeat, which only the worker that it names does.

--- a/src/sched/heartbeat.c
+++ b/src/sched/heartbeat.c
@@ -538,6 +538,7 @@
 		mark_synced(s, worker, now_ms);
 	}
 	sched_adjust_fillers(s, worker, now_ms);
+	sched_mark_predecessors_dead(s, worker, now_ms);
 	worker->next_heartbeat_ms = now_ms;
 	if (worker->ends_processed > worker->ends_acked)
 		worker->next_heartbeat_ms = now_ms + HEARTBEAT_UNSAVED_MS;
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -517,6 +517,9 @@
 /** Records that a worker has ended, with all its runs, by no order. */
 void sched_worker_crashed(bw_sched_t *s, worker_t *worker, const char *reason,
 			  int64_t now_ms);
+/** Ends the earlier workers of a worker's machine, once it has answered. */
+void sched_mark_predecessors_dead(bw_sched_t *s, const worker_t *worker,
+				  int64_t now_ms);
 /** Records that orders by a worker's clock before its restart may still reach
  *  it. */
 void sched_expect_earlier_grant(const bw_sched_t *s, worker_t *worker,
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -327,13 +327,18 @@
 	worker->described = true;
 }
 
-/* A machine hosts one worker at a time, so an older one on it has ended. */
-static void mark_predecessors_dead(bw_sched_t *s, const worker_t *worker,
-				   int64_t now_ms)
+/*
+ * A machine hosts one worker at a time, so an older one on it has ended. A
+ * registration alone does not prove that there is a newer one: other writers
+ * may name any machine.
+ */
+void sched_mark_predecessors_dead(bw_sched_t *s, const worker_t *worker,
+				  int64_t now_ms)
 {
 	guint i;
 
-	if (!worker->siblings || worker->started_ms == 0)
+	if (!worker->siblings || worker->started_ms == 0 ||
+	    worker->last_heartbeat_ms == 0)
 		return;
 	for (i = 0; i < worker->siblings->len; i++) {
 		worker_t *other = g_ptr_array_index(worker->siblings, i);
@@ -393,7 +398,7 @@
 			  "worker=%s tasks=%u", worker->id, worker->tasks->len);
 	worker->draining = info->draining;
 	sched_index_update(worker);
-	mark_predecessors_dead(s, worker, now_ms);
+	sched_mark_predecessors_dead(s, worker, now_ms);
 }
 
 void bw_sched_worker_unregistered(bw_sched_t *s, int64_t now_ms, const char *id)
--- a/test/test_restart.c
+++ b/test/test_restart.c
@@ -808,6 +808,65 @@
 	bw_sched_destroy(o.sched);
 }
 
+/* Registers a worker on the machine of w1, as started after it. */
+static void register_on_machine_of_w1(orders_t *o, const char *id)
+{
+	const bw_worker_info_t info = { .id = id,
+					.address = "10.0.0.2:1",
+					.capacity = { 8000, 8000, 0 },
+					.machine = "w1",
+					.started_ms = 6 };
+
+	bw_sched_worker_registered(o->sched, o->now_ms, &info);
+}
+
+/* Failure: another writer's entry that names the machine of a worker had this
+ * one taken for ended, and its run was started a second time beside it. */
+static void test_registration_alone_ends_no_worker(void **state)
+{
+	bw_run_row_t row;
+	orders_t o;
+
+	(void)state;
+	orders_begin_with_worker(&o);
+	orders_add_worker(&o, "w2");
+	orders_add_job(&o, JOB_A, 1, true, 1000, 0);
+	orders_run(&o, 10);
+	assert_string_equal(o.starts[0].worker, "w1");
+	orders_init_lasting_row(&row, 0);
+	orders_answer_heartbeat(&o, "w1", &row, 1, NULL, 0);
+	orders_answer_heartbeat(&o, "w2", NULL, 0, NULL, 0);
+	register_on_machine_of_w1(&o, "other");
+	orders_save(&o);
+	orders_run(&o, 100);
+	orders_answer_heartbeat(&o, "w1", &row, 1, NULL, 0);
+	orders_run(&o, 100);
+	assert_int_equal(o.start_count, 1);
+	assert_int_equal(o.stop_count, 0);
+	bw_sched_destroy(o.sched);
+}
+
+/* Once the newer worker has answered, the older one has ended. */
+static void test_worker_ends_with_the_next_one_on_its_machine(void **state)
+{
+	bw_run_row_t row;
+	orders_t o;
+
+	(void)state;
+	orders_begin_with_worker(&o);
+	orders_add_job(&o, JOB_A, 1, true, 1000, 0);
+	orders_run(&o, 10);
+	orders_init_lasting_row(&row, 0);
+	orders_answer_heartbeat(&o, "w1", &row, 1, NULL, 0);
+	register_on_machine_of_w1(&o, "next");
+	orders_save(&o);
+	orders_answer_as_boot(&o, "next", 6, NULL, 0, NULL, 0);
+	orders_run(&o, 100);
+	assert_int_equal(o.start_count, 2);
+	assert_string_equal(o.starts[1].worker, "next");
+	bw_sched_destroy(o.sched);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -860,6 +919,9 @@
 			test_next_boot_is_not_taken_for_one_without_connections),
 		cmocka_unit_test(
 			test_answer_of_an_earlier_stop_does_not_count_for_its_repetition),
+		cmocka_unit_test(test_registration_alone_ends_no_worker),
+		cmocka_unit_test(
+			test_worker_ends_with_the_next_one_on_its_machine),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
