An owner that may have lost its pool starts no new job

Cause: an owner started a job as soon as it heard of it, on the word of a claim that it last proved some time ago. The new owner takes a job that it reads after its first save for new.

Change: the old owner has to be sure. A job that arrives longer than 300 ms after the last save, three times what that save took, or after one that failed, starts once the next save has proven the claim. While jobs arrive, saves are closer than that; on an idle pool a new job waits for one save. In an outage for all no new job can be stored, so none waits.

--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -24,6 +24,9 @@
 #define SUSPENDED_MS 400
 /** Length of a grant to a worker: the time of a failover plus a margin. */
 #define GRANT_MS 5000
+/** A job that arrives longer after the last save waits for the next one: longer
+ *  than the pauses between saves while jobs arrive. */
+#define CONFIRM_MS 300
 /** Data read from the store is at most this old, and older notices of jobs are
  * ignored. Jobs removed from the store are remembered for as long. */
 #define DATA_AGE_MAX_MS 30000
@@ -52,6 +55,7 @@
 		.stop_ms = settings->stop_ms,
 		.retention_ms = settings->retention_ms,
 		.removed_ms = DATA_AGE_MAX_MS,
+		.confirm_ms = CONFIRM_MS,
 		.fence = (uint64_t)pool->fence,
 	};
 
@@ -510,6 +514,7 @@
 			pool->ops.stopped(pool->ctx, pool->name);
 		return;
 	}
+	bw_sched_save_failed(pool->sched);
 	pool->saving_version = 0;
 	pool->save_not_before_ms = bw_clock_now_ms() + SAVE_RETRY_MS;
 	if (reply->status == BW_OK) {
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -209,6 +209,7 @@
 	uint32_t next_occurrence;
 	uint32_t occurrences_left;
 	short_record_t short_record;
+	uint64_t confirm_version; /**< No start before it is saved; 0: none. */
 	bool end_stored; /**< An earlier owner has stored its end. */
 	bool start_ordered; /**< A start of one of its tasks was sent. */
 	bool started; /**< A run of one of its tasks is confirmed. */
@@ -357,6 +358,10 @@
 	uint64_t saved_version;
 	uint64_t urgent_version;
 	uint64_t confirm_version; /**< No start before it is saved. */
+	int64_t run_ms; /**< When the scheduler ran last. */
+	int64_t packed_ms; /**< When the state was last packed. */
+	int64_t confirmed_ms; /**< When the last state that is saved was. */
+	int64_t save_took_ms; /**< How long that save took. */
 	int64_t registrations_ms; /**< When their last read began; 0: not
 				     reported. */
 	int64_t registrations_from_ms; /**< No start before a read that began
@@ -371,6 +376,9 @@
 
 /** Returns whether this is certainly the owner, which may start runs. */
 bool sched_may_start(const bw_sched_t *s);
+/** Lets a job that has just arrived wait for a save, unless the last one was a
+ *  short time ago. */
+void sched_confirm_job(bw_sched_t *s, job_t *job, int64_t now_ms);
 
 /* job.c */
 job_t *sched_job_new(bw_sched_t *s, const char *id, const char *queue);
--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -541,6 +541,7 @@
 	if (!s->first_owner && !s->handed_over &&
 	    (s->saved_version == 0 || was_unreadable))
 		mark_maybe_running(job);
+	sched_confirm_job(s, job, now_ms);
 	sched_log(s, BW_EVENT_SCHED_JOB,
 		  "job=%s queue=%s tasks=%u repeats=%u lasting=%d"
 		  " age_ms=%" G_GINT64_FORMAT,
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -532,6 +532,9 @@
 			g_hash_table_iter_remove(&iter);
 			continue;
 		}
+		if (candidate.occurrence->job->confirm_version >
+		    s->saved_version)
+			continue;
 		set_urgency(&candidate, now_ms);
 		g_array_append_val(list, candidate);
 	}
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -227,6 +227,7 @@
 	packer_t p = { 0 };
 	uint8_t *data;
 
+	s->packed_ms = s->run_ms;
 	p.arena = g_ptr_array_new_with_free_func(g_free);
 	record.version = BW_RECORD_VERSION;
 	record.fence = s->config.fence;
@@ -251,6 +252,8 @@
 	gpointer value;
 
 	s->saved_version = MAX(s->saved_version, version);
+	s->confirmed_ms = s->packed_ms;
+	s->save_took_ms = now_ms - s->packed_ms;
 	g_hash_table_iter_init(&iter, s->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		worker_t *worker = value;
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -10,6 +10,12 @@
  * part. */
 #define REGISTRATIONS_AGE_MAX_MS 2000
 
+/** While saves are slow, so is any other node that claims the pool: it needs
+ *  more of its calls to the store than these. */
+#define CONFIRMED_SAVES 3
+/** Time of the last save once another one has failed. */
+#define NOT_CONFIRMED_MS (INT64_MIN / 2)
+
 static const char *const order_result_names[BW_ORDER_RESULT_COUNT] = {
 	[BW_ORDER_OK] = "ok",
 	[BW_ORDER_FENCED] = "fenced",
@@ -96,6 +102,8 @@
 	s->arrivals = bw_arrivals_create();
 	s->startable = g_hash_table_new(NULL, NULL);
 	s->created_ms = now_ms;
+	s->run_ms = now_ms;
+	s->confirmed_ms = now_ms;
 	s->first_owner = true;
 	s->term = 1;
 	s->orders_allowed = true;
@@ -180,6 +188,28 @@
 		s->registrations_ms >= s->registrations_from_ms);
 }
 
+/*
+ * An owner that is cut off from the store may not know that the pool has
+ * another one. That one starts a job at once which is stored after its first
+ * save, so this one starts a job only if it was certainly the owner about when
+ * the job arrived.
+ */
+void sched_confirm_job(bw_sched_t *s, job_t *job, int64_t now_ms)
+{
+	int64_t age_max_ms =
+		MAX(s->config.confirm_ms, CONFIRMED_SAVES * s->save_took_ms);
+
+	if (s->config.confirm_ms == 0 || now_ms - s->confirmed_ms <= age_max_ms)
+		return;
+	sched_changed(s, true);
+	job->confirm_version = s->version;
+}
+
+void bw_sched_save_failed(bw_sched_t *s)
+{
+	s->confirmed_ms = NOT_CONFIRMED_MS;
+}
+
 void bw_sched_hand_over(bw_sched_t *s)
 {
 	bw_sched_allow_orders(s, false);
@@ -249,6 +279,7 @@
 
 void bw_sched_run(bw_sched_t *s, int64_t now_ms, int64_t wall_ms)
 {
+	s->run_ms = now_ms;
 	if (!s->orders_allowed)
 		return;
 	check_recovered(s, now_ms);
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -35,6 +35,10 @@
 	int64_t removed_ms; /**< Jobs stay known for this long after their
 			       records were removed. */
 	uint64_t fence; /**< Fencing token of this ownership. */
+	/** A job that arrives longer after the last save waits for the next
+	 *  one, which proves that the pool is still this owner's; 0: none
+	 *  waits. */
+	int64_t confirm_ms;
 } bw_sched_config_t;
 
 /** A queue, from the configuration. */
@@ -204,6 +208,9 @@
 /** Sets the attributes of a queue. */
 void bw_sched_set_queue(bw_sched_t *s, const bw_queue_config_t *config);
 
+/** Records that a save has failed: the pool may have another owner. */
+void bw_sched_save_failed(bw_sched_t *s);
+
 /** Records that a worker is registered, with its attributes. */
 void bw_sched_worker_registered(bw_sched_t *s, int64_t now_ms,
 				const bw_worker_info_t *info);
--- a/test/sched_orders.c
+++ b/test/sched_orders.c
@@ -76,7 +76,7 @@
 	.superseded = on_superseded,
 };
 
-void orders_begin(orders_t *o)
+void orders_begin_confirming(orders_t *o, int64_t confirm_ms)
 {
 	bw_sched_config_t config = { .grant_ms = 5000,
 				     .grant_ms_max = 5000,
@@ -85,6 +85,7 @@
 				     .stop_ms = 400,
 				     .retention_ms = 120000,
 				     .removed_ms = 30000,
+				     .confirm_ms = confirm_ms,
 				     .fence = 7 };
 	bw_queue_config_t queue = { "q", { 0, 3, 1.6, 600, false } };
 
@@ -94,6 +95,11 @@
 	bw_sched_set_queue(o->sched, &queue);
 }
 
+void orders_begin(orders_t *o)
+{
+	orders_begin_confirming(o, 0);
+}
+
 void orders_add_worker_with(orders_t *o, const char *id, int64_t cpu_millis)
 {
 	bw_worker_info_t info = { .id = id,
--- a/test/sched_orders.h
+++ b/test/sched_orders.h
@@ -44,6 +44,9 @@
 /** Creates a scheduler with the queue "q", which allows three attempts. */
 void orders_begin(orders_t *o);
 
+/** The same; a job that arrives longer after the last save waits. */
+void orders_begin_confirming(orders_t *o, int64_t confirm_ms);
+
 /** The same with one worker, w1, in its stored state. */
 void orders_begin_with_worker(orders_t *o);
 
--- a/test/world.c
+++ b/test/world.c
@@ -850,6 +850,7 @@
 void world_add_gangs(world_config_t *config)
 {
 	config->gang_share = 0.5;
+	config->confirm_ms = 300;
 	config->check_stored = true;
 }
 
--- a/test/world.h
+++ b/test/world.h
@@ -40,6 +40,7 @@
 	uint32_t worker_crashes; /**< Other crashes, of few machines. */
 	uint32_t resizes; /**< Number of workers that shrink for a time. */
 	double gang_share; /**< Share of steps that are gangs. */
+	int64_t confirm_ms; /**< Of the schedulers. */
 	bool check_stored; /**< Compares each saved state with what a successor
 			      reads of it. */
 } world_config_t;
--- a/test/world_node.c
+++ b/test/world_node.c
@@ -70,6 +70,8 @@
 			if (save->final)
 				finish_hand_over(w, node);
 		}
+		if (node->sched && !save->executed)
+			bw_sched_save_failed(node->sched);
 		if (node->sched)
 			world_run_sched(w, node);
 	}
@@ -358,6 +360,7 @@
 		.stop_ms = STOP_MS,
 		.retention_ms = w->config.retention_ms,
 		.removed_ms = STALE_MS + 1,
+		.confirm_ms = w->config.confirm_ms,
 	};
 	gsize bytes;
 	const uint8_t *data;
