--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -544,9 +544,10 @@
 	sched_confirm_job(s, job, now_ms);
 	sched_log(s, BW_EVENT_SCHED_JOB,
 		  "job=%s queue=%s tasks=%u repeats=%u lasting=%d"
-		  " age_ms=%" G_GINT64_FORMAT,
+		  " age_ms=%" G_GINT64_FORMAT " confirmed=%d",
 		  job->id, job->queue->name, bw_job_spec_tasks(job->spec),
-		  job->spec->repeats, job->lasting, now_ms - job->arrived_ms);
+		  job->spec->repeats, job->lasting, now_ms - job->arrived_ms,
+		  job->confirm_version == 0);
 	sched_apply_unread(s, job->id, now_ms);
 }
 
