A call for advice names as many workers as it may

Change: a call names at most 100 workers. If none of them may run the step, the next ones are asked about at once, until all were named; then the advice holds while it is valid, as before. Nobody is asked about when no worker is usable: a new owner waited for the end of such advice.

--- a/src/sched/advice.c
+++ b/src/sched/advice.c
@@ -3,6 +3,9 @@
 
 #include <string.h>
 
+/** Workers that one call for advice may name. */
+#define ADVICE_WORKERS_MAX 100U
+
 const char *sched_ticket(const task_t *task, const worker_t *worker,
 			 int64_t now_ms)
 {
@@ -13,6 +16,15 @@
 	return g_hash_table_lookup(state->tickets, worker->id);
 }
 
+static gint compare_numbers(gconstpointer a, gconstpointer b)
+{
+	const worker_t *x = *(const worker_t *const *)a;
+	const worker_t *y = *(const worker_t *const *)b;
+
+	return x->number < y->number ? -1 : x->number > y->number;
+}
+
+/* Returns them in the order of their numbers. */
 static GPtrArray *usable_workers(bw_sched_t *s, int64_t now_ms)
 {
 	GPtrArray *workers = g_ptr_array_new();
@@ -23,9 +35,46 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		if (sched_worker_usable(s, value, now_ms))
 			g_ptr_array_add(workers, value);
+	g_ptr_array_sort(workers, compare_numbers);
 	return workers;
 }
 
+/* Returns the index of the first worker after those that the last call named,
+ * or of the first one if there is none. */
+static guint first_to_name(const GPtrArray *workers, uint64_t after)
+{
+	guint i;
+
+	for (i = 0; i < workers->len; i++)
+		if (((const worker_t *)g_ptr_array_index(workers, i))->number >
+		    after)
+			return i;
+	return 0;
+}
+
+/* Names as many workers as a call may, going on where the last one ended. */
+static void ask(bw_sched_t *s, step_state_t *state, const bw_task_name_t *name,
+		const GPtrArray *workers)
+{
+	guint count = MIN(workers->len, ADVICE_WORKERS_MAX);
+	guint first = first_to_name(workers, state->advice_after);
+	const char **ids = g_new0(const char *, count);
+	guint i;
+
+	for (i = 0; i < count; i++) {
+		const worker_t *worker =
+			g_ptr_array_index(workers, (first + i) % workers->len);
+
+		ids[i] = worker->id;
+		state->advice_after = worker->number;
+	}
+	state->advice_requested = true;
+	state->advice_named += count;
+	state->advice_partial = state->advice_named < workers->len;
+	s->ops.advise(s->ctx, name, ids, count);
+	g_free(ids);
+}
+
 void sched_request_advice(bw_sched_t *s, occurrence_t *occurrence,
 			  uint32_t step, int64_t now_ms)
 {
@@ -33,20 +82,15 @@
 	bw_task_name_t name = { .occurrence = occurrence->number,
 				.step = step };
 	GPtrArray *workers;
-	const char **ids;
-	guint i;
 
 	if (state->advice_requested ||
 	    (state->tickets && now_ms < state->tickets_until_ms))
 		return;
 	workers = usable_workers(s, now_ms);
 	g_strlcpy(name.job, occurrence->job->id, sizeof(name.job));
-	ids = g_new0(const char *, workers->len + 1);
-	for (i = 0; i < workers->len; i++)
-		ids[i] = ((worker_t *)g_ptr_array_index(workers, i))->id;
-	state->advice_requested = true;
-	s->ops.advise(s->ctx, &name, ids, workers->len);
-	g_free(ids);
+	/* To ask about none would be to wait until that advice is outdated. */
+	if (workers->len > 0)
+		ask(s, state, &name, workers);
 	g_ptr_array_free(workers, TRUE);
 }
 
@@ -73,6 +117,11 @@
 		g_hash_table_insert(state->tickets, g_strdup(workers[i]),
 				    g_strdup(tickets[i]));
 	state->tickets_until_ms = now_ms + valid_ms;
+	/* Others may run the step; they are asked about at once. */
+	if (count == 0 && valid_ms > 0 && state->advice_partial)
+		state->tickets_until_ms = now_ms;
+	else
+		state->advice_named = 0;
 }
 
 /* The step asks for advice again once no ticket is left. */
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -172,6 +172,10 @@
 	GHashTable *tickets; /**< Worker identifier to ticket, or NULL. */
 	int64_t tickets_until_ms;
 	bool advice_requested;
+	uint64_t advice_after; /**< Number of the last worker that was named. */
+	uint32_t advice_named; /**< Workers that the last calls named, none of
+				  which may run the step. */
+	bool advice_partial; /**< There are more than these. */
 } step_state_t;
 
 struct occurrence {
--- a/test/sched_orders.c
+++ b/test/sched_orders.c
@@ -56,10 +56,15 @@
 static void on_advise(void *ctx, const bw_task_name_t *step,
 		      const char *const *workers, uint32_t count)
 {
-	(void)ctx;
+	orders_t *o = ctx;
+	uint32_t i;
+
 	(void)step;
-	(void)workers;
-	(void)count;
+	assert_true(count <= ADVISED_MAX);
+	o->advice_calls++;
+	o->advice_count = count;
+	for (i = 0; i < count; i++)
+		g_strlcpy(o->advised[i], workers[i], 16);
 }
 
 static void on_superseded(void *ctx)
--- a/test/sched_orders.h
+++ b/test/sched_orders.h
@@ -7,11 +7,12 @@
 
 #include "sched/sched.h"
 
-#define ORDERS_MAX 1024
-#define JOB_A	   "00000000000000aa"
-#define JOB_B	   "00000000000000bb"
-#define JOB_EARLY  "00000000000000cc"
-#define DAY_MS	   ((int64_t)86400000)
+#define ORDERS_MAX  1024
+#define ADVISED_MAX 256
+#define JOB_A	    "00000000000000aa"
+#define JOB_B	    "00000000000000bb"
+#define JOB_EARLY   "00000000000000cc"
+#define DAY_MS	    ((int64_t)86400000)
 
 /** A scheduler and the orders that it sent. */
 typedef struct orders {
@@ -35,6 +36,9 @@
 	int64_t heartbeat_wait_ms; /**< The same of its wait for an end. */
 	int64_t heartbeat_answer_ms; /**< And of that for the answer. */
 	uint32_t superseded;
+	uint32_t advice_calls;
+	uint32_t advice_count; /**< Workers that the last one named. */
+	char advised[ADVISED_MAX][16]; /**< The same: their identifiers. */
 	int64_t now_ms;
 } orders_t;
 
