The members of a gang start from one checkpoint

Change: when all members have room they get the checkpoint of the first one that has any. test_members_start_from_one_checkpoint fails before.

--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -434,6 +434,23 @@
 			sched_stop_task(s, &tasks[i], now_ms);
 }
 
+/* The members start from one checkpoint; that of any of them is valid for all.
+ */
+static void share_checkpoint(task_t *tasks, uint32_t count)
+{
+	const char *shared = NULL;
+	uint32_t i;
+
+	for (i = 0; i < count && !shared; i++)
+		shared = tasks[i].checkpoint;
+	for (i = 0; i < count; i++) {
+		if (tasks[i].checkpoint == shared)
+			continue;
+		g_free(tasks[i].checkpoint);
+		tasks[i].checkpoint = g_strdup(shared);
+	}
+}
+
 static void give_back_room(bw_sched_t *s, task_t *tasks, uint32_t count)
 {
 	uint32_t i;
@@ -478,6 +495,7 @@
 		return false;
 	}
 	sched_isolation_changed(s);
+	share_checkpoint(tasks, count);
 	for (i = 0; i < count; i++) {
 		begin_run(&tasks[i], run, now_ms);
 		order_start(s, &tasks[i], now_ms);
--- a/test/sched_orders.c
+++ b/test/sched_orders.c
@@ -14,6 +14,8 @@
 	o->starts[o->start_count].task = order->task;
 	o->starts[o->start_count].run = order->run;
 	o->starts[o->start_count].answer_ms = order->answer_ms;
+	g_strlcpy(o->starts[o->start_count].checkpoint,
+		  order->checkpoint ? order->checkpoint : "", 16);
 	o->heartbeats_at_start = o->heartbeat_count;
 	o->stops_at_start = o->stop_count;
 	g_strlcpy(o->starts[o->start_count++].worker, order->worker, 16);
--- a/test/sched_orders.h
+++ b/test/sched_orders.h
@@ -22,6 +22,7 @@
 		uint32_t run;
 		int64_t answer_ms; /**< Limit on the wait for its answer. */
 		char worker[16];
+		char checkpoint[16]; /**< Of a start; empty: none. */
 	} starts[ORDERS_MAX], stops[ORDERS_MAX];
 	uint32_t start_count;
 	uint32_t stop_count;
--- a/test/test_gangs.c
+++ b/test/test_gangs.c
@@ -227,6 +227,34 @@
 	bw_sched_destroy(o.sched);
 }
 
+/* Failure: after an end in which one member has saved more than the others, or
+ * one has saved nothing, each is started with its own checkpoint. */
+static void test_members_start_from_one_checkpoint(void **state)
+{
+	static const char *const saved[MEMBERS] = { "", "c1", "c2" };
+	bw_end_row_t ends[MEMBERS];
+	orders_t o;
+	uint32_t i;
+
+	(void)state;
+	orders_begin_with_worker(&o);
+	add_gang_job(&o);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, MEMBERS + 1);
+	for (i = 0; i < MEMBERS; i++) {
+		ends[i] = done_end(i + 1, 0, i);
+		ends[i].kind = BW_END_GANG_BROKEN;
+		ends[i].checkpoint = saved[i];
+	}
+	orders_answer_heartbeat(&o, "w1", NULL, 0, ends, MEMBERS);
+	orders_save(&o);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 2 * MEMBERS + 1);
+	for (i = 0; i < MEMBERS; i++)
+		assert_string_equal(o.starts[MEMBERS + 1 + i].checkpoint, "c1");
+	bw_sched_destroy(o.sched);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -234,6 +262,7 @@
 		cmocka_unit_test(test_gang_stored_in_part_is_finished),
 		cmocka_unit_test(test_gang_goes_on_while_a_worker_is_not_heard),
 		cmocka_unit_test(test_gang_without_room_takes_no_run_number),
+		cmocka_unit_test(test_members_start_from_one_checkpoint),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
