A job that is cancelled before it is stored never starts

Cause: a call without an answer may be carried out as long as its condition holds, and nothing broke the condition before "there is no such job" was said.

Change: a DELETE that finds no job marks its identifier as cancelled, under the key of the job's location, which the write of the job requires to be absent. A POST that finds the mark is refused with Retry-After: it has not run and never will.

test_cancelled_job_is_stored_later fails before (accepted, a refusal expected).

--- a/src/fleet/service.c
+++ b/src/fleet/service.c
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "base/event.h"
 #include "base/metrics.h"
+#include "fleet/cancel_marks.h"
 #include "fleet/job_keys.h"
 #include "fleet/job_location.h"
 
@@ -33,6 +34,7 @@
 	REASON_STORE_SILENT,
 	REASON_OWNER_OUT_OF_REACH,
 	REASON_NO_JOB,
+	REASON_CANCELLED,
 	REASON_UNREADABLE,
 	REASON_COUNT
 } reason_t;
@@ -47,6 +49,7 @@
 	[REASON_STORE_SILENT] = "store did not answer",
 	[REASON_OWNER_OUT_OF_REACH] = "owner out of reach",
 	[REASON_NO_JOB] = "no such job",
+	[REASON_CANCELLED] = "cancelled before it was stored",
 	[REASON_UNREADABLE] = "record can't be read here",
 };
 
@@ -58,6 +61,7 @@
 	bw_service_ops_t ops;
 	void *ctx;
 	const bw_fleet_config_t *config;
+	bw_cancel_marks_t *cancel_marks;
 };
 
 /** A request in progress. */
@@ -89,6 +93,7 @@
 static void read_job(pending_request_t *pending);
 static void on_job_read(void *ctx, const bw_store_reply_t *reply);
 static void on_located(void *ctx, const bw_store_reply_t *reply);
+static void mark_cancelled(pending_request_t *pending);
 static void cancel(pending_request_t *pending);
 static void on_cancelled(void *ctx, const bw_store_reply_t *reply);
 static void on_waiting_answer(void *ctx, const bw_fleet_query_answer_t *answer);
@@ -140,6 +145,7 @@
 	s->node = g_strdup(node);
 	s->store = *store;
 	s->peers = peers;
+	s->cancel_marks = bw_cancel_marks_create(store);
 	s->ops = *ops;
 	s->ctx = ctx;
 	return s;
@@ -149,6 +155,7 @@
 {
 	if (!s)
 		return;
+	bw_cancel_marks_destroy(s->cancel_marks);
 	g_free(s->node);
 	g_free(s);
 }
@@ -383,8 +390,9 @@
 	bw_service_t *s = pending->s;
 	char *key = bw_job_key(pending->pool, pending->id);
 	char *location_key = bw_job_location_key(pending->id);
+	const bw_job_location_t job_location = { .pool = pending->pool };
 	size_t bytes;
-	uint8_t *location = bw_job_location_pack(pending->pool, &bytes);
+	uint8_t *location = bw_job_location_pack(&job_location, &bytes);
 	const bw_store_expect_t expects[] = { { location_key, 0 }, { key, 0 } };
 	const bw_store_write_t writes[] = {
 		{ key, (const char *)pending->record, pending->record_bytes,
@@ -412,6 +420,45 @@
 		write_job(pending);
 }
 
+/* Whether a write failed because its job was cancelled before. */
+static bool is_marked_cancelled(const pending_request_t *pending,
+				const bw_store_reply_t *reply)
+{
+	char *key = bw_job_location_key(pending->id);
+	bool cancelled = false;
+	size_t i;
+
+	for (i = 0; i < reply->kv_count; i++) {
+		const bw_store_kv_t *kv = &reply->kvs[i];
+		bw_job_location_t location;
+
+		if (strcmp(kv->key, key) != 0 ||
+		    bw_job_location_unpack((const uint8_t *)kv->value,
+					   kv->bytes, &location) != BW_OK)
+			continue;
+		cancelled = location.cancelled;
+		g_free(location.pool);
+	}
+	g_free(key);
+	return cancelled;
+}
+
+/* A failed condition means that the job is stored, or never will be. */
+static void finish_submission(pending_request_t *pending,
+			      const bw_store_reply_t *reply)
+{
+	bw_service_t *s = pending->s;
+
+	if (!reply->succeeded && is_marked_cancelled(pending, reply)) {
+		finish_with(pending, BW_ANSWER_REFUSED, REASON_CANCELLED);
+		return;
+	}
+	if (reply->succeeded)
+		s->ops.job_stored(s->ctx, pending->pool, pending->id,
+				  pending->record, pending->record_bytes);
+	finish_with(pending, BW_ANSWER_DONE, REASON_NONE);
+}
+
 static void on_submitted(void *ctx, const bw_store_reply_t *reply)
 {
 	pending_request_t *pending = ctx;
@@ -419,12 +466,7 @@
 
 	s->ops.store_result(s->ctx, reply->status);
 	if (reply->status == BW_OK) {
-		if (reply->succeeded)
-			s->ops.job_stored(s->ctx, pending->pool, pending->id,
-					  pending->record,
-					  pending->record_bytes);
-		/* A failed condition means that the job is already stored. */
-		finish_with(pending, BW_ANSWER_DONE, REASON_NONE);
+		finish_submission(pending, reply);
 		return;
 	}
 	if (reply->status == BW_ELOST)
@@ -498,7 +540,7 @@
 	g_free(key);
 }
 
-/* Repeats a read that failed; nothing was written, so without the time for that
+/* Repeats a read that failed. No job was written, so without the time for that
  * the outcome is certain. */
 static void repeat_read(pending_request_t *pending,
 			void (*read)(pending_request_t *pending))
@@ -525,16 +567,21 @@
 static void follow_location(pending_request_t *pending,
 			    const bw_store_reply_t *reply)
 {
-	char *pool;
+	bw_job_location_t location;
 
 	if (reply->kv_count == 0 ||
 	    bw_job_location_unpack((const uint8_t *)reply->kvs[0].value,
-				   reply->kvs[0].bytes, &pool) != BW_OK) {
+				   reply->kvs[0].bytes, &location) != BW_OK) {
 		finish_with(pending, BW_ANSWER_REFUSED, REASON_UNREADABLE);
 		return;
 	}
+	if (location.cancelled) {
+		g_free(location.pool);
+		finish_with(pending, BW_ANSWER_NO_JOB, REASON_NO_JOB);
+		return;
+	}
 	g_free(pending->pool);
-	pending->pool = pool;
+	pending->pool = location.pool;
 	pending->located = true;
 	start_request(pending);
 }
@@ -547,10 +594,35 @@
 	s->ops.store_result(s->ctx, reply->status);
 	if (reply->status == BW_OK)
 		follow_location(pending, reply);
-	else if (reply->status == BW_ENOTFOUND)
-		finish_with(pending, BW_ANSWER_NO_JOB, REASON_NO_JOB);
+	else if (reply->status != BW_ENOTFOUND)
+		repeat_read(pending, locate);
+	else if (pending->kind == BW_REQUEST_CANCEL)
+		mark_cancelled(pending);
 	else
+		finish_with(pending, BW_ANSWER_NO_JOB, REASON_NO_JOB);
+}
+
+static void on_marked(void *ctx, const bw_store_reply_t *reply)
+{
+	pending_request_t *pending = ctx;
+	bw_service_t *s = pending->s;
+
+	s->ops.store_result(s->ctx, reply->status);
+	if (reply->status != BW_OK)
 		repeat_read(pending, locate);
+	else if (reply->succeeded)
+		finish_with(pending, BW_ANSWER_NO_JOB, REASON_NO_JOB);
+	else
+		locate(pending);
+}
+
+/* A write of the job that got no answer may still be carried out; the caller is
+ * told that there is no job once that is impossible. */
+static void mark_cancelled(pending_request_t *pending)
+{
+	pending->attempts++;
+	bw_cancel_marks_add(pending->s->cancel_marks, pending->id,
+			    bw_clock_now_ms(), on_marked, pending);
 }
 
 /* A record that has no end tells only that the job was accepted; one that can't
--- a/src/wire/record.pb-c.c
+++ b/src/wire/record.pb-c.c
@@ -986,7 +986,7 @@
   (ProtobufCMessageInit) bramley__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__job_location__field_descriptors[2] =
+static const ProtobufCFieldDescriptor bramley__job_location__field_descriptors[3] =
 {
   {
     "version",
@@ -1012,15 +1012,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cancelled",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__JobLocation, cancelled),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__job_location__field_indices_by_name[] = {
+  2,   /* field[2] = cancelled */
   1,   /* field[1] = pool */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange bramley__job_location__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor bramley__job_location__descriptor =
 {
@@ -1030,7 +1043,7 @@
   "Bramley__JobLocation",
   "bramley",
   sizeof(Bramley__JobLocation),
-  2,
+  3,
   bramley__job_location__field_descriptors,
   bramley__job_location__field_indices_by_name,
   1,  bramley__job_location__number_ranges,
--- a/src/wire/record.pb-c.h
+++ b/src/wire/record.pb-c.h
@@ -104,17 +104,18 @@
 
 
 /*
- * The pool that a job was accepted in.
+ * The pool that a job was accepted in, or that it was cancelled before.
  */
 struct  Bramley__JobLocation
 {
   ProtobufCMessage base;
   uint32_t version;
   char *pool;
+  protobuf_c_boolean cancelled;
 };
 #define BRAMLEY__JOB_LOCATION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__job_location__descriptor) \
-    , 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/test/fake_store.c
+++ b/test/fake_store.c
@@ -13,6 +13,8 @@
 			     .mod_revision = 1 };
 	bw_store_reply_t reply = { .status = f->results[f->calls],
 				   .succeeded = f->succeeded[f->calls],
+				   .lease_id = 1,
+				   .ttl_ms = f->lease_ttl_ms,
 				   .kvs = &kv,
 				   .kv_count = 1 };
 
@@ -38,7 +40,18 @@
 	answer_call(impl, done, ctx);
 }
 
-const bw_store_ops_t fake_ops = { .txn = fake_txn, .get = fake_get };
+static void fake_lease_grant(void *impl, int64_t ttl_ms, bw_store_done_fn done,
+			     void *ctx)
+{
+	fake_store_t *f = impl;
+
+	f->lease_ttl_ms = ttl_ms;
+	answer_call(f, done, ctx);
+}
+
+const bw_store_ops_t fake_ops = { .txn = fake_txn,
+				  .get = fake_get,
+				  .lease_grant = fake_lease_grant };
 
 void ignore_result(void *ctx, bw_status_t status)
 {
--- a/test/fake_store.h
+++ b/test/fake_store.h
@@ -27,6 +27,7 @@
 	uint32_t answers;
 	uint32_t expects; /**< Conditions of the last transaction. */
 	uint32_t writes;
+	int64_t lease_ttl_ms; /**< Of the last lease. */
 	char first_key[64];
 	uint32_t notices; /**< To owners: 1 a job, 100 a cancellation. */
 	char reason[64];
--- a/test/test_moved_queues.c
+++ b/test/test_moved_queues.c
@@ -261,6 +261,25 @@
 	end(&r);
 }
 
+/* Failure: a job whose write got no answer is cancelled, which finds no job;
+ * the write is carried out after that, and the job is started. */
+static void test_cancelled_job_is_stored_later(void **state)
+{
+	requests_t r;
+
+	(void)state;
+	begin(&r);
+	assert_int_equal(send_request(&r, BW_REQUEST_CANCEL), BW_ANSWER_NO_JOB);
+	/* The late write has the same condition as a repeated request. */
+	assert_int_equal(send_request(&r, BW_REQUEST_SUBMIT),
+			 BW_ANSWER_REFUSED);
+	assert_true(r.answer.retry_after_s > 0);
+	assert_false(is_stored(&r, bw_job_key("desk", JOB_ID)));
+	assert_int_equal(send_request(&r, BW_REQUEST_STATE), BW_ANSWER_NO_JOB);
+	assert_int_equal(send_request(&r, BW_REQUEST_CANCEL), BW_ANSWER_NO_JOB);
+	end(&r);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -272,6 +291,7 @@
 		cmocka_unit_test(test_job_without_a_location_is_found),
 		cmocka_unit_test(test_unreadable_location_is_no_missing_job),
 		cmocka_unit_test(test_location_without_a_job_is_no_job),
+		cmocka_unit_test(test_cancelled_job_is_stored_later),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
