fuzz: what other programs write

A fuzzer for the parsers of registrations, submissions, configurations and waves: any bytes, and a sound entry with up to three members replaced. Two broken variants are caught: a range that is not checked, and labels that may be no names.

--- a/Makefile
+++ b/Makefile
@@ -151,20 +151,22 @@
 FUZZ_FLAGS := -O1 -g -fsanitize=fuzzer,address,undefined -fno-sanitize=vptr \
 	-fno-sanitize-recover=undefined
 FUZZ_LIB_C := $(wildcard src/base/*.c src/place/*.c src/once/*.c \
-	src/member/*.c src/table/*.c src/wire/*.c)
+	src/member/*.c src/table/*.c src/wire/*.c src/job/job.c \
+	src/fleet/interfaces.c platform/decode.c platform/names.c \
+	platform/registration.c platform/submission.c platform/values.c)
 FUZZ_OBJ := $(FUZZ_LIB_C:%.c=$(BUILD)/fuzz/obj/%.o)
 FUZZERS := $(patsubst fuzz/fuzz_%.c,%,$(wildcard fuzz/fuzz_*.c))
-VARIANTS := $(shell sed -n 's/^\([a-z]*\) \([a-z_]*\) src.*/\1-\2/p' fuzz/broken.txt)
+VARIANTS := $(shell sed -n 's/^\([a-z]*\) \([a-z_]*\) [a-z]*\/.*/\1-\2/p' fuzz/broken.txt)
 
 .PHONY: fuzzers
 fuzzers: $(FUZZERS:%=$(BUILD)/fuzz/fuzz_%) $(VARIANTS:%=$(BUILD)/fuzz/fuzz_%_broken)
 
 $(BUILD)/fuzz/obj/%.o: %.c
 	@mkdir -p $(@D)
-	$(FUZZ_CC) $(subst fuzzer$(comma),fuzzer-no-link$(comma),$(FUZZ_FLAGS)) -std=gnu11 -w $(DEFS) -Isrc -Ifuzz $(LIB_CFLAGS) -MMD -MP -c $< -o $@
+	$(FUZZ_CC) $(subst fuzzer$(comma),fuzzer-no-link$(comma),$(FUZZ_FLAGS)) -std=gnu11 -w $(DEFS) -Isrc -Iplatform -Ifuzz $(LIB_CFLAGS) -MMD -MP -c $< -o $@
 
 $(BUILD)/fuzz/fuzz_%: fuzz/fuzz_%.c fuzz/world.h $(FUZZ_OBJ)
-	$(FUZZ_CC) $(FUZZ_FLAGS) -std=gnu11 $(WARN) $(DEFS) -Isrc -Ifuzz $(LIB_CFLAGS) $< $(FUZZ_OBJ) -o $@ $(LIB_LIBS)
+	$(FUZZ_CC) $(FUZZ_FLAGS) -std=gnu11 $(WARN) $(DEFS) -Isrc -Iplatform -Ifuzz $(LIB_CFLAGS) $< $(FUZZ_OBJ) -o $@ $(LIB_LIBS)
 
 define variant_rule
 $(BUILD)/fuzz/fuzz_$(1)_broken: fuzz/broken.txt $(FUZZ_OBJ) fuzz/fuzz_$(firstword $(subst -, ,$(1))).c
@@ -172,7 +174,7 @@
 	line="$$$$(grep '^$(firstword $(subst -, ,$(1))) $(lastword $(subst -, ,$(1))) ' fuzz/broken.txt)"; \
 	file="$$$$(echo "$$$$line" | cut -d' ' -f3)"; \
 	scripts/break.sh "$$$$line" $(BUILD)/fuzz/broken/$(1).c && \
-	$(FUZZ_CC) $(FUZZ_FLAGS) -std=gnu11 -w $(DEFS) -Isrc -Ifuzz $(LIB_CFLAGS) \
+	$(FUZZ_CC) $(FUZZ_FLAGS) -std=gnu11 -w $(DEFS) -Isrc -Iplatform -Ifuzz $(LIB_CFLAGS) \
 		fuzz/fuzz_$(firstword $(subst -, ,$(1))).c $(BUILD)/fuzz/broken/$(1).c \
 		$$$$(echo $(FUZZ_OBJ) | tr ' ' '\n' | grep -v "/$$$${file%.c}.o$$$$") \
 		-o $$@ $(LIB_LIBS)
