--- a/test/fake_store.c
+++ b/test/fake_store.c
@@ -59,6 +59,23 @@
 	(void)status;
 }
 
+const char *no_owner(void *ctx, const char *pool)
+{
+	(void)ctx;
+	(void)pool;
+	return NULL;
+}
+
+void no_answer(void *ctx, const char *pool, const char *job, const char *queue,
+	       bw_fleet_query_answer_t *out)
+{
+	(void)ctx;
+	(void)pool;
+	(void)job;
+	(void)queue;
+	(void)out;
+}
+
 uint8_t *record_of_age(int64_t age_ms, size_t *bytes)
 {
 	bw_job_record_t record = { .queue = g_strdup("q"),
--- a/test/fake_store.h
+++ b/test/fake_store.h
@@ -6,6 +6,7 @@
 #ifndef BW_TEST_FAKE_STORE_H
 #define BW_TEST_FAKE_STORE_H
 
+#include "fleet/peers.h"
 #include "fleet/request.h"
 #include "store/store.h"
 
@@ -39,6 +40,13 @@
 /** Takes the status of a call, and does nothing. */
 void ignore_result(void *ctx, bw_status_t status);
 
+/** Returns no owner, for any pool. */
+const char *no_owner(void *ctx, const char *pool);
+
+/** Answers no query. */
+void no_answer(void *ctx, const char *pool, const char *job, const char *queue,
+	       bw_fleet_query_answer_t *out);
+
 /** Returns the record of a job that was accepted some time ago; release with
  * g_free(). */
 uint8_t *record_of_age(int64_t age_ms, size_t *bytes);
--- a/test/test_moved_queues.c
+++ b/test/test_moved_queues.c
@@ -6,6 +6,7 @@
 #include <ev.h>
 #include <glib.h>
 
+#include "fake_store.h"
 #include "fleet/job_keys.h"
 #include "fleet/service.h"
 #include "standin/memstore.h"
@@ -23,29 +24,6 @@
 	char noticed[16]; /**< Pool that the last notice was for. */
 } requests_t;
 
-static const char *no_owner(void *ctx, const char *pool)
-{
-	(void)ctx;
-	(void)pool;
-	return NULL;
-}
-
-static void no_answer(void *ctx, const char *pool, const char *job,
-		      const char *queue, bw_fleet_query_answer_t *out)
-{
-	(void)ctx;
-	(void)pool;
-	(void)job;
-	(void)queue;
-	(void)out;
-}
-
-static void ignore_result(void *ctx, bw_status_t status)
-{
-	(void)ctx;
-	(void)status;
-}
-
 static void record_notice(void *ctx, const char *pool, const char *id,
 			  const uint8_t *record, size_t bytes)
 {
--- a/test/test_service.c
+++ b/test/test_service.c
@@ -9,23 +9,6 @@
 #include "fake_store.h"
 #include "fleet/service.h"
 
-static const char *no_owner(void *ctx, const char *pool)
-{
-	(void)ctx;
-	(void)pool;
-	return NULL;
-}
-
-static void no_answer(void *ctx, const char *pool, const char *job,
-		      const char *queue, bw_fleet_query_answer_t *out)
-{
-	(void)ctx;
-	(void)pool;
-	(void)job;
-	(void)queue;
-	(void)out;
-}
-
 static void count_notice(void *ctx, const char *pool, const char *id,
 			 const uint8_t *record, size_t bytes)
 {
