test: the drawn worlds are played in one place

Three tests of test_world had the same loop over the first seeds and differed in one change of the configuration, which is a function now.

--- a/test/test_world.c
+++ b/test/test_world.c
@@ -102,34 +102,40 @@
 	check(1857, "changes of owner hid three crashes", &config);
 }
 
-static void test_world_drawn(void **state)
+/* Plays the first seeds as "plain", each with a change of its configuration;
+ * NULL: none. */
+static void play_drawn(const char *cause,
+		       void (*change)(uint32_t seed, world_config_t *config))
 {
 	world_config_t config;
 	uint32_t seed;
 
-	(void)state;
 	for (seed = 1; seed <= DRAWN_SEEDS; seed++) {
 		world_draw_config(seed, &config);
 		world_clear_restarts(&config);
 		world_clear_crashes(&config);
-		check(seed, "drawn", &config);
+		if (change)
+			change(seed, &config);
+		check(seed, cause, &config);
 	}
 }
 
+static void test_world_drawn(void **state)
+{
+	(void)state;
+	play_drawn("drawn", NULL);
+}
+
+static void make_calls_late(uint32_t seed, world_config_t *config)
+{
+	config->late_call_share = world_late_share(seed);
+}
+
 /* Calls to workers that have no answer and are carried out 2 to 12 s later. */
 static void test_world_late_calls(void **state)
 {
-	world_config_t config;
-	uint32_t seed;
-
 	(void)state;
-	for (seed = 1; seed <= DRAWN_SEEDS; seed++) {
-		world_draw_config(seed, &config);
-		world_clear_restarts(&config);
-		world_clear_crashes(&config);
-		config.late_call_share = world_late_share(seed);
-		check(seed, "late calls", &config);
-	}
+	play_drawn("late calls", make_calls_late);
 }
 
 /* With workers that restart under their identifier, tasks that crash their
@@ -194,21 +200,18 @@
 	}
 }
 
+static void add_gangs(uint32_t seed, world_config_t *config)
+{
+	(void)seed;
+	world_add_gangs(config);
+}
+
 /* Half of the steps are gangs. Each saved state is read as a successor would,
  * which must then know the same of all jobs. */
 static void test_world_gangs(void **state)
 {
-	world_config_t config;
-	uint32_t seed;
-
 	(void)state;
-	for (seed = 1; seed <= DRAWN_SEEDS; seed++) {
-		world_draw_config(seed, &config);
-		world_clear_restarts(&config);
-		world_clear_crashes(&config);
-		world_add_gangs(&config);
-		check(seed, "gangs", &config);
-	}
+	play_drawn("gangs", add_gangs);
 }
 
 int main(void)
