--- a/review/7/case.c
+++ b/review/7/case.c
@@ -1,5 +1,5 @@
 /* A worker that ends each connection after its answer crashes under a run that
- * it has just begun, and starts again at once under its identifier. */
+ * it has just begun, and starts again a second later under its identifier. */
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -11,6 +11,7 @@
 
 #define NODES 9
 #define WORKERS 9
+#define DOWN_MS 1000
 #define PREFIX "/puxa400/"
 
 static void submit(const char *id, int work_ms)
@@ -74,8 +75,11 @@
 		return 2;
 	}
 	sleep_ms(100);
-	if (trouble)
+	if (trouble) {
+		worker_crash(worker);
+		sleep_ms(DOWN_MS);
 		worker_restart(worker, true);
+	}
 	until = now_ms() + 40000;
 	while (ends_of("5c0e7a21d94b0003", "done") == 0 && now_ms() < until) {
 		sleep_ms(50);
--- a/review/standin-2/world.c
+++ b/review/standin-2/world.c
@@ -35,6 +35,7 @@
 #define MOVE_MS 1500
 #define TICK_MS 3
 #define STOP_MS 60
+#define SLOW_MS 240
 #define PORT_STORE 0
 #define PORT_CLOUD 1
 #define PORT_WORKER 2
@@ -75,6 +76,7 @@
 	int64_t boot;
 	int64_t began_ms;
 	int64_t work_ms; /* -1: lasts. */
+	bool fails;
 	int64_t stop_at_ms; /* 0: not being stopped. */
 	int64_t over_ms; /* 0: goes on. */
 	const char *how;
@@ -128,6 +130,7 @@
 	/* Deferred answers. */
 	int wait; /* 0: none; 1: watch; 2: hold; 3: never. */
 	int64_t until_ms;
+	int64_t slow_until_ms; /* Its answer is not sent before. */
 	int64_t after;
 	char prefix[200];
 } conn_t;
@@ -500,6 +503,8 @@
 		c->wait = 3;
 		return;
 	}
+	if (!strcmp(fault, "slow"))
+		c->slow_until_ms = now_ms() + SLOW_MS;
 	if (!strcmp(fault, "busy")) {
 		answer_json(c, 503, json_object());
 		return;
@@ -589,6 +594,21 @@
 	return value;
 }
 
+int store_owner(const char *pool)
+{
+	char *key = g_strconcat("bw/m/own/", pool, NULL);
+	char *value = store_get(key);
+	int found = -1;
+	int i;
+
+	for (i = 0; value && i < node_count; i++)
+		if (strstr(value, nodes[i].name))
+			found = i;
+	g_free(value);
+	g_free(key);
+	return found;
+}
+
 void store_fault(int node, const char *how)
 {
 	pthread_mutex_lock(&lock);
@@ -861,6 +881,7 @@
 	g_strlcpy(r->task, task, sizeof(r->task));
 	if (strstr(spec, "work="))
 		r->work_ms = atoll(strstr(spec, "work=") + 5);
+	r->fails = run == 1 && strstr(spec, "fails-first");
 	note("run begins: %s run %" PRId64 " on %s, fence %" PRId64, task, run,
 	     w->id, fence);
 	return 200;
@@ -1051,7 +1072,7 @@
 			end_run(r, "lapsed");
 		else if (r->work_ms >= 0 &&
 			 now_ms() - r->began_ms >= r->work_ms)
-			end_run(r, "done");
+			end_run(r, r->fails ? "failed" : "done");
 	}
 	for (i = 0; i < worker_count; i++) {
 		worker_t *w = &workers[i];
@@ -1272,6 +1293,7 @@
 		c->kind = kind;
 		c->index = index;
 		c->wait = 0;
+		c->slow_until_ms = 0;
 		c->close = kind == PORT_WORKER &&
 			   workers[index].spec.keep == CLOSE_EACH;
 	}
@@ -1352,6 +1374,8 @@
 
 static void flush_conn(conn_t *c)
 {
+	if (now_ms() < c->slow_until_ms)
+		return;
 	while (c->fd >= 0 && c->out->len > 0) {
 		ssize_t sent =
 			send(c->fd, c->out->str, c->out->len, MSG_NOSIGNAL);
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -75,7 +75,10 @@
 void store_put(const char *key, const char *value);
 /** Returns a copy of a key's value, or NULL. */
 char *store_get(const char *key);
-/** Refuses or ignores all calls to the store by a node; "": works. */
+/** Returns the node whose claim of a pool is in the store; -1: none. */
+int store_owner(const char *pool);
+/** What the store does with all calls by a node: "silent", "busy" or "slow";
+ *  "": works. */
 void store_fault(int node, const char *how);
 
 /** Starts a node with the deploy file's command. */
