Logs: how long a call to the store waited in its own process

From the logs a slow store, a cut one and a queue within the node looked the same: a renewal or claim that failed had no line at all, and "pool save-failed" told no time.

A transfer now notes when its turn came: when a connection was opened for it or a kept one taken. The store's trace has that time (queued_ms) and the whole (took_ms).

--- a/src/base/eventlist.c
+++ b/src/base/eventlist.c
@@ -94,9 +94,23 @@
 					 BW_EVENT_SELDOM,
 					 "this node lost its lease",
 					 "node lease" },
+	[BW_EVENT_MEMBER_RENEWAL_FAILED] = { "member", "renewal-failed",
+					     BW_EVENT_SELDOM,
+					     "a renewal of the lease failed or "
+					     "got no answer; queued_ms of its "
+					     "time it waited for a connection",
+					     "node status cause queued_ms "
+					     "took_ms" },
 	[BW_EVENT_MEMBER_CLAIMED] = { "member", "claimed", BW_EVENT_BELIEF,
 				      "this node became the owner of a pool",
 				      "pool fence" },
+	[BW_EVENT_MEMBER_CLAIM_FAILED] = { "member", "claim-failed",
+					   BW_EVENT_BELIEF,
+					   "a claim failed or got no answer; "
+					   "queued_ms of its time it waited "
+					   "for a connection",
+					   "pool status cause queued_ms "
+					   "took_ms" },
 	[BW_EVENT_MEMBER_OWNER] = { "member", "owner", BW_EVENT_BELIEF,
 				    "a pool has a new owner",
 				    "pool node revision" },
@@ -125,8 +139,9 @@
 					     "pool error" },
 	[BW_EVENT_POOL_SAVE_FAILED] = { "pool", "save-failed", BW_EVENT_BELIEF,
 					"saving the state failed, or its "
-					"result is unknown",
-					"pool status" },
+					"result is unknown; queued_ms of its "
+					"time it waited for a connection",
+					"pool status cause queued_ms took_ms" },
 	[BW_EVENT_POOL_HOLD_FAILED] = { "pool", "hold-failed", BW_EVENT_BELIEF,
 					"a heartbeat call to a worker failed",
 					"worker result" },
@@ -315,9 +330,11 @@
 					    "failed, or was sent more than "
 					    "once; copies counts how often, "
 					    "kept is 1 for a connection that "
-					    "had taken a call before",
+					    "had taken a call before, for "
+					    "which it waited queued_ms of its "
+					    "time",
 					    "kind job attempt status cause "
-					    "copies kept" },
+					    "copies kept queued_ms took_ms" },
 	[BW_EVENT_DIRECTORY_ENTRY_UNREADABLE] = { "directory",
 						  "entry-unreadable",
 						  BW_EVENT_BELIEF,
--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -31,6 +31,7 @@
 	[BW_MH_SUBMIT] = "bramley_submit_ms",
 	[BW_MH_STATE] = "bramley_state_ms",
 	[BW_MH_STORE] = "bramley_store_ms",
+	[BW_MH_STORE_QUEUED] = "bramley_store_queued_ms",
 	[BW_MH_START] = "bramley_start_ms",
 	[BW_MH_STOP] = "bramley_stop_ms",
 	[BW_MH_QUEUE_WAIT] = "bramley_queue_wait_ms",
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -32,6 +32,7 @@
 	BW_MH_SUBMIT, /**< Answer to a submission. */
 	BW_MH_STATE, /**< Answer to a query of a job's state. */
 	BW_MH_STORE, /**< Call to the store. */
+	BW_MH_STORE_QUEUED, /**< Part of it that waited for a connection. */
 	BW_MH_START, /**< Start order to a worker. */
 	BW_MH_STOP, /**< Stop order to a worker. */
 	BW_MH_QUEUE_WAIT, /**< From a job's due time to a task's start. */
--- a/src/fleet/member.c
+++ b/src/fleet/member.c
@@ -269,12 +269,20 @@
 
 	m->call_pending = false;
 	m->ops.store_result(m->ctx, reply->status);
-	if (reply->status == BW_OK)
+	if (reply->status == BW_OK) {
 		m->renewed_ms = m->sent_ms;
-	else if (reply->status == BW_ENOTFOUND && !m->ended)
+	} else if (reply->status == BW_ENOTFOUND && !m->ended) {
 		handle_lease_lost(m);
-	else
+	} else {
+		bw_event(BW_EVENT_MEMBER_RENEWAL_FAILED,
+			 "node=%s status=%s cause=%s "
+			 "queued_ms=%" G_GINT64_FORMAT
+			 " took_ms=%" G_GINT64_FORMAT,
+			 m->name, bw_status_name(reply->status),
+			 bw_cause_name(reply->trace.cause),
+			 reply->trace.queued_ms, reply->trace.took_ms);
 		m->next_call_ms = bw_clock_now_ms() + RETRY_MS;
+	}
 }
 
 void member_drop_pool(bw_fleet_member_t *m, const char *pool,
--- a/src/fleet/member_claim.c
+++ b/src/fleet/member_claim.c
@@ -364,6 +364,14 @@
 	int64_t revision = 0;
 
 	m->ops.store_result(m->ctx, reply->status);
+	if (reply->status != BW_OK)
+		bw_event(BW_EVENT_MEMBER_CLAIM_FAILED,
+			 "pool=%s status=%s cause=%s "
+			 "queued_ms=%" G_GINT64_FORMAT
+			 " took_ms=%" G_GINT64_FORMAT,
+			 claim->pool, bw_status_name(reply->status),
+			 bw_cause_name(reply->trace.cause),
+			 reply->trace.queued_ms, reply->trace.took_ms);
 	if (reply->status == BW_ELOST) {
 		claim->repeat_ms = bw_clock_now_ms() + CLAIM_RETRY_MS;
 		return;
--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -532,8 +532,13 @@
 		pool->save_not_before_ms = 0;
 		handle_save_conflict(pool, reply);
 	} else {
-		bw_event(BW_EVENT_POOL_SAVE_FAILED, "pool=%s status=%s",
-			 pool->name, bw_status_name(reply->status));
+		bw_event(BW_EVENT_POOL_SAVE_FAILED,
+			 "pool=%s status=%s cause=%s "
+			 "queued_ms=%" G_GINT64_FORMAT
+			 " took_ms=%" G_GINT64_FORMAT,
+			 pool->name, bw_status_name(reply->status),
+			 bw_cause_name(reply->trace.cause),
+			 reply->trace.queued_ms, reply->trace.took_ms);
 	}
 }
 
--- a/src/fleet/service.c
+++ b/src/fleet/service.c
@@ -294,10 +294,12 @@
 		return;
 	bw_event(BW_EVENT_SERVICE_STORE_FAILED,
 		 "kind=%s job=%s attempt=%u status=%s cause=%s copies=%u "
-		 "kept=%d",
+		 "kept=%d queued_ms=%" G_GINT64_FORMAT
+		 " took_ms=%" G_GINT64_FORMAT,
 		 request_names[pending->kind], pending->id, pending->attempts,
 		 bw_status_name(reply->status), bw_cause_name(trace->cause),
-		 trace->copies, trace->kept_connection);
+		 trace->copies, trace->kept_connection, trace->queued_ms,
+		 trace->took_ms);
 }
 
 static void finish_state(pending_request_t *pending, bw_job_state_t state)
--- a/src/net/curlev.c
+++ b/src/net/curlev.c
@@ -113,6 +113,12 @@
 		bw_count(c->counters, BW_C_STALE_BYTES, 1);
 }
 
+static void note_begun(bw_transfer_t *t)
+{
+	if (t->begun_ms == 0)
+		t->begun_ms = bw_clock_now_ms();
+}
+
 /*
  * Called by libcurl when the connection is ready, before the first byte of the
  * request. Bytes that wait on a kept connection would be taken for the answer.
@@ -127,6 +133,7 @@
 
 	if (t->once && t->copies > 0)
 		return CURL_PREREQFUNC_ABORT;
+	note_begun(t);
 	t->kept_connection = state != BW_CURLCONN_NEW;
 	if (state == BW_CURLCONN_BYTES)
 		report_stale_bytes(c, remote_ip, remote_port);
@@ -155,6 +162,7 @@
 	(void)purpose;
 	if (t->once && t->copies > 0)
 		return CURL_SOCKET_BAD;
+	note_begun(t);
 	t->opened =
 		socket(address->family, address->socktype, address->protocol);
 	return t->opened;
@@ -238,7 +246,9 @@
 {
 	t->driver = c;
 	t->copies = 0;
-	t->deadline_ms = bw_clock_now_ms() + t->timeout_ms;
+	t->added_ms = bw_clock_now_ms();
+	t->begun_ms = 0;
+	t->deadline_ms = t->added_ms + t->timeout_ms;
 	curl_easy_setopt(t->easy, CURLOPT_PRIVATE, t);
 	curl_easy_setopt(t->easy, CURLOPT_PREREQFUNCTION, on_ready_to_send);
 	curl_easy_setopt(t->easy, CURLOPT_PREREQDATA, t);
@@ -255,6 +265,11 @@
 	curl_multi_remove_handle(c->multi, t->easy);
 }
 
+int64_t bw_transfer_queued_ms(const bw_transfer_t *t, int64_t now_ms)
+{
+	return (t->begun_ms > 0 ? t->begun_ms : now_ms) - t->added_ms;
+}
+
 bw_cause_t bw_transfer_cause(const bw_transfer_t *t, CURLcode result)
 {
 	switch (result) {
--- a/src/net/curlev.h
+++ b/src/net/curlev.h
@@ -34,6 +34,9 @@
 			       */
 	bool unusable_connection;
 	int64_t deadline_ms;
+	int64_t added_ms; /**< When it was started. */
+	int64_t begun_ms; /**< When a connection was opened for it, or a kept
+			       one taken; 0: it waits for one. */
 	curl_socket_t opened; /**< The last socket that was opened for it. */
 	bw_curlev_t *driver;
 } bw_transfer_t;
@@ -62,6 +65,9 @@
 /** Ends a transfer without its callback. */
 void bw_curlev_remove(bw_curlev_t *c, bw_transfer_t *transfer);
 
+/** Returns how long a transfer waited, or has waited, for its turn. */
+int64_t bw_transfer_queued_ms(const bw_transfer_t *transfer, int64_t now_ms);
+
 /** Returns why a transfer with a result of libcurl failed. */
 bw_cause_t bw_transfer_cause(const bw_transfer_t *transfer, CURLcode result);
 
--- a/src/net/httpcall.c
+++ b/src/net/httpcall.c
@@ -147,11 +147,14 @@
 {
 	call_t *call = ctx;
 	bw_http_client_t *client = call->client;
+	int64_t now_ms = bw_clock_now_ms();
 	bw_http_answer_t answer = {
 		.outcome = outcome_of(transfer, result),
 		.cause = bw_transfer_cause(transfer, result),
 		.copies = transfer->copies,
 		.kept_connection = transfer->kept_connection,
+		.queued_ms = bw_transfer_queued_ms(transfer, now_ms),
+		.took_ms = now_ms - transfer->added_ms,
 	};
 	long status = 0;
 
--- a/src/net/httpcall.h
+++ b/src/net/httpcall.h
@@ -30,6 +30,9 @@
 	uint32_t status; /**< HTTP status, when answered. */
 	bw_cause_t cause; /**< Why there is no answer. */
 	uint32_t copies; /**< Times that the request was sent. */
+	int64_t queued_ms; /**< Waited for a connection; not told by keephttp.
+			    */
+	int64_t took_ms; /**< With that; not told by keephttp. */
 	/** The connection had taken a request before; not told by keephttp. */
 	bool kept_connection;
 	const char *body; /**< NUL-terminated after @p bytes. */
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -34,6 +34,8 @@
 typedef struct bw_store_trace {
 	bw_cause_t cause; /**< Why it failed. */
 	uint32_t copies; /**< Times that it was sent. */
+	int64_t queued_ms; /**< Waited in this process for a connection. */
+	int64_t took_ms; /**< With that. */
 	bool kept_connection; /**< It had taken a call before. */
 } bw_store_trace_t;
 
