A node with many pools lost its lease: renewals waited behind its watches

Jobs that the last node accepts stay queued beside empty workers; it loses its lease every few seconds, and all pools with it.

Cause: all calls to the store shared 24 connections, and each watch holds one for a second at a time. A node has three watches and one for each pool, so that from 22 pools on every connection belongs to a watch. Renewals, claims and saves stood in libcurl's queue for 900 ms and ended there.

A page that waits for its turn no longer counts as silence of the store, which made a node report the store as lost when it took over many pools at once.

--- a/src/net/httpcall.c
+++ b/src/net/httpcall.c
@@ -60,6 +60,7 @@
 	bw_http_release_fn release;
 	void *ctx;
 	int64_t stall_ms; /**< 0 is none. */
+	bool may_queue;
 	int64_t wait_ms;
 	int64_t progress_ms; /**< When a byte was last sent or received. */
 	curl_off_t sent_bytes; /**< Of the request's body. */
@@ -168,12 +169,22 @@
 	call_free(call);
 }
 
-/* Returns when a call ends unless a byte is sent or received before. */
-static int64_t stall_deadline_ms(const call_t *call)
+static int64_t silent_since_ms(const call_t *call, int64_t now_ms)
+{
+	if (!call->may_queue)
+		return call->progress_ms;
+	if (call->transfer.begun_ms == 0)
+		return now_ms;
+	return MAX(call->progress_ms, call->transfer.begun_ms);
+}
+
+/* Returns when a call ends unless a byte is sent or received before, or its
+ * turn comes. */
+static int64_t stall_deadline_ms(const call_t *call, int64_t now_ms)
 {
 	bool body_began = call->answer->len > 0;
 
-	return call->progress_ms + call->stall_ms +
+	return silent_since_ms(call, now_ms) + call->stall_ms +
 	       (body_began ? 0 : call->wait_ms);
 }
 
@@ -201,13 +212,15 @@
 	g_hash_table_iter_init(&iter, client->calls);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		const call_t *call = key;
+		int64_t deadline_ms;
 
 		if (call->stall_ms == 0)
 			continue;
-		if (stall_deadline_ms(call) <= now_ms)
+		deadline_ms = stall_deadline_ms(call, now_ms);
+		if (deadline_ms <= now_ms)
 			g_ptr_array_add(stalled, key);
 		else
-			next_ms = MIN(next_ms, stall_deadline_ms(call));
+			next_ms = MIN(next_ms, deadline_ms);
 	}
 	if (next_ms != INT64_MAX)
 		check_stall_at(client, next_ms, now_ms);
@@ -388,12 +401,14 @@
 	call->release = request->release;
 	call->ctx = ctx;
 	call->stall_ms = request->stall_ms;
+	call->may_queue = request->may_queue;
 	call->wait_ms = request->wait_ms;
 	call->progress_ms = bw_clock_now_ms();
 	g_hash_table_add(client->calls, call);
 	set_options(call, request);
 	bw_curlev_add(client->driver, &call->transfer);
 	if (call->stall_ms > 0)
-		check_stall_at(client, stall_deadline_ms(call),
+		check_stall_at(client,
+			       stall_deadline_ms(call, call->progress_ms),
 			       call->progress_ms);
 }
--- a/src/net/httpcall.h
+++ b/src/net/httpcall.h
@@ -13,6 +13,9 @@
 
 struct ev_loop;
 
+/** Each call of a client gets a connection at once. */
+#define BW_HTTP_NO_LIMIT 0U
+
 /** A client with its own connection cache. */
 typedef struct bw_http_client bw_http_client_t;
 
@@ -55,9 +58,11 @@
 	int64_t timeout_ms; /**< Of the whole call; 0 is none. */
 	/**
 	 * Time in which no byte is sent or received after which the call ends;
-	 * 0 is none. Connecting, and waiting for a connection, are silence.
+	 * 0 is none. Connecting is silence, and so is waiting for a connection
+	 * unless the call may queue.
 	 */
 	int64_t stall_ms;
+	bool may_queue; /**< It waits for a connection as long as need be. */
 	int64_t wait_ms; /**< Added to stall_ms until the body begins. */
 	bw_http_release_fn release; /**< NULL: the context needs none. */
 } bw_http_request_t;
@@ -65,7 +70,7 @@
 /**
  * Creates a client.
  * @param host_connections_max connections to one host and port; calls beyond
- * them are queued
+ * them are queued; or BW_HTTP_NO_LIMIT
  */
 bw_http_client_t *bw_http_client_create(struct ev_loop *loop,
 					uint32_t host_connections_max);
