A task was held without limit when its worker restarted and then idled

The job stays at "running"; nothing of it runs again beside nine idle workers.

Cause: the crash cuts a heartbeat that acknowledges an end. The next boot may have carried it out and dropped ends unread, so that its lists prove nothing and the task is held; until a listed end of that boot, or its restart. An idle boot has neither. The next owner reads the hold and waits for the same.

A limit in time would start again what may be done. What ends the doubt now:

- The answer to the start tells the worker's clock, and a boot's clock starts anew.
If the only copy of a start was accepted at a higher reading than the boot's later answer, an earlier boot has the run, which is gone: no doubt.
- Else the boot is asked: it is ordered to start the same run once more.
It accepts if the run goes on or nothing of it has ended there, and refuses it as old otherwise.
A refusal leaves one thing open, how it ended; as it may be done the task stays held, which "sched end-unread" tells.

The next owner asks for the tasks that it finds held, once all lists are read. A gang's member that is held is not stopped before it is asked: a stop would use its number up. A crash counts again for a run that begins anew.

Tests, red before: test_start_of_the_crashed_boot_is_held_without_limit (1 start, 2 expected), test_task_in_doubt_is_held_without_limit, test_next_owner_holds_a_task_without_limit (no question). On the other side of the doubt: test_clock_of_before_the_start_tells_an_earlier_boot, test_run_that_has_ended_unread_starts_again, test_question_without_an_answer_ends_a_hold.

Changed tests: in test_held and test_dropped_end_is_handed_over an order to start the very run that is held on its very worker counts as a question, not as a start; any other start fails them as before, and questions are answered as old, so that the hold has to last beyond them. test_first_end_ends_a_stored_hold has its questions refused as unhealthy, and expects a stop before the next start. Set-up moved to held_task.c.

--- a/Makefile
+++ b/Makefile
@@ -60,13 +60,18 @@
 
 SCHED_TESTS := $(BUILD)/test/test_sched $(BUILD)/test/test_takeover $(BUILD)/test/test_starts \
 	$(BUILD)/test/test_restart $(BUILD)/test/test_ends $(BUILD)/test/test_capacity \
-	$(BUILD)/test/test_unknowns $(BUILD)/test/test_held $(BUILD)/test/test_evacuate \
+	$(BUILD)/test/test_unknowns $(BUILD)/test/test_evacuate \
 	$(BUILD)/test/test_unreadable $(BUILD)/test/test_resend \
 	$(BUILD)/test/test_gangs $(BUILD)/test/test_confirm \
 	$(BUILD)/test/test_advice $(BUILD)/test/test_new_jobs
 $(SCHED_TESTS): $(BUILD)/test/test_%: $(BUILD)/test/test_%.o $(BUILD)/test/sched_orders.o $(LIB)
 	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS) -lcmocka
 
+HELD_TESTS := $(BUILD)/test/test_held $(BUILD)/test/test_questions
+$(HELD_TESTS): $(BUILD)/test/test_%: $(BUILD)/test/test_%.o $(BUILD)/test/held_task.o \
+		$(BUILD)/test/sched_orders.o $(LIB)
+	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS) -lcmocka
+
 CRASH_TESTS := $(BUILD)/test/test_crashes $(BUILD)/test/test_suspects $(BUILD)/test/test_sound_tasks \
 	$(BUILD)/test/test_crash_restarts
 $(CRASH_TESTS): $(BUILD)/test/test_%: $(BUILD)/test/test_%.o $(BUILD)/test/crash_pool.o \
--- a/src/base/eventlist.c
+++ b/src/base/eventlist.c
@@ -233,6 +233,13 @@
 				  "unread; its task waits until that is known, "
 				  "or the worker restarts or ends",
 				  "pool job step index run worker" },
+	[BW_EVENT_SCHED_END_UNREAD] = { "sched", "end-unread", BW_EVENT_REQUEST,
+					"the worker of a held task refused to "
+					"start its run again, as it has ended "
+					"there; nobody knows how, and the task "
+					"waits until the worker restarts or "
+					"ends",
+					"pool job step index run worker" },
 	[BW_EVENT_SCHED_FILL_SHARE] = { "sched", "fill-share", BW_EVENT_BELIEF,
 					"the share of a worker that fillers "
 					"may use changed",
--- a/src/sched/crashes.c
+++ b/src/sched/crashes.c
@@ -240,6 +240,12 @@
 	sched_changed(s, false);
 }
 
+void sched_run_begun_again(task_t *task)
+{
+	task->crash_open = false;
+	task->charged_run = 0;
+}
+
 /* Context: the worker's identifier. */
 static bool is_of_worker(const lapse_t *lapse, const void *ctx)
 {
--- a/src/sched/heartbeat.c
+++ b/src/sched/heartbeat.c
@@ -199,20 +199,6 @@
 				       s->config.stop_ms + CLOCK_MARGIN_MS;
 }
 
-/* Holds a task or ends that; a successor has to know of it. */
-static void set_end_dropped(bw_sched_t *s, task_t *task, bool dropped)
-{
-	if (task->end_dropped == dropped)
-		return;
-	task->end_dropped = dropped;
-	sched_changed(s, dropped);
-	if (dropped)
-		sched_log(s, BW_EVENT_SCHED_HELD,
-			  "job=%s step=%u index=%u run=%u worker=%s",
-			  task->occurrence->job->id, task->step, task->index,
-			  task->run, task->worker->id);
-}
-
 void sched_handle_run(bw_sched_t *s, worker_t *worker, const bw_run_row_t *row,
 		      int64_t sent_ms, int64_t now_ms)
 {
@@ -220,7 +206,7 @@
 
 	if (task && task->worker == worker && task->run == row->run) {
 		sched_run_found(s, task);
-		set_end_dropped(s, task, false);
+		sched_set_held(s, task, false);
 		if (task->state == TASK_STARTING) {
 			sched_mark_started(s, task);
 			task->state = TASK_RUNNING;
@@ -297,6 +283,19 @@
 	       answer->started_ms > worker->lost_ack_boot_ms;
 }
 
+/*
+ * Whether the boot that gave an answer can't have carried out the start of a
+ * run: the only copy was accepted by a boot before it. A boot's clock never
+ * goes back.
+ */
+static bool was_accepted_before(const task_t *task,
+				const bw_heartbeat_answer_t *answer)
+{
+	return task->accepted_ms > 0 && answer->clock_ms > 0 &&
+	       answer->sent_ms > task->accepted_ms &&
+	       answer->clock_ms < task->accepted_clock_ms;
+}
+
 /*
  * Records whether a worker may have dropped ends that nobody has read: its boot
  * has received a heartbeat that acknowledged ends of an earlier one. Its lists
@@ -319,8 +318,9 @@
 	for (i = 0; i < worker->tasks->len; i++) {
 		task_t *task = g_ptr_array_index(worker->tasks, i);
 
-		set_end_dropped(s, task,
-				!has_all && !sched_task_step(task)->lasting);
+		sched_set_held(s, task,
+			       !has_all && !sched_task_step(task)->lasting &&
+				       !was_accepted_before(task, answer));
 	}
 	if (has_all)
 		sched_holds_doubtless(s, worker);
@@ -340,8 +340,12 @@
 	while (i-- > 0) {
 		task_t *task = g_ptr_array_index(worker->tasks, i);
 
-		if (task->end_dropped || lists_run(answer, task))
+		if (lists_run(answer, task))
+			continue;
+		if (task->end_dropped) {
+			sched_ask(s, task, now_ms);
 			continue;
+		}
 		/* A late copy may come, but what was accepted has ended. */
 		if (task->state != TASK_RUNNING &&
 		    answer->sent_ms > worker->restarted_ms &&
--- a/src/sched/hold.c
+++ b/src/sched/hold.c
@@ -90,6 +90,28 @@
 	return !task->done && (is_held_here(task) || find_hold(s, task));
 }
 
+worker_t *sched_hold_worker(bw_sched_t *s, const task_t *task)
+{
+	const hold_t *hold = find_hold(s, task);
+	worker_t *worker = hold ? sched_worker(s, hold->worker) : NULL;
+
+	return worker && worker->started_ms == hold->boot_ms ? worker : NULL;
+}
+
+void sched_set_held(bw_sched_t *s, task_t *task, bool held)
+{
+	if (task->end_dropped == held)
+		return;
+	task->end_dropped = held;
+	task->end_unread = false;
+	sched_changed(s, held);
+	if (held)
+		sched_log(s, BW_EVENT_SCHED_HELD,
+			  "job=%s step=%u index=%u run=%u worker=%s",
+			  task->occurrence->job->id, task->step, task->index,
+			  task->run, task->worker->id);
+}
+
 void sched_pack_hold(const bw_sched_t *s, const task_t *task,
 		     Bramley__TaskRecord *record)
 {
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -119,6 +119,10 @@
 			  still go on. */
 	bool end_dropped; /**< The worker may have dropped the end of this run
 			     unread. */
+	bool end_unread; /**< It has: the run has ended on it, nobody knows
+			    how. */
+	bool asked_again; /**< The worker was ordered to start this run once
+			     more, to tell which; its answer is awaited. */
 	bool trial; /**< A run of a suspect that has not survived yet. */
 	bool suspect; /**< May have crashed a worker by its start. */
 	uint32_t charged_run; /**< Last run that a crash was counted for. */
@@ -149,6 +153,9 @@
 	int64_t asked_ms; /**< When the last of them was sent. */
 	int64_t answer_ms; /**< How long its answer is waited for. */
 	int64_t start_answered_ms; /**< 0: no answer; -1: the call failed. */
+	int64_t accepted_ms; /**< When the only copy of the start was answered
+				as accepted; 0: it was not. */
+	int64_t accepted_clock_ms; /**< The worker's clock in that answer. */
 	bool stop_due; /**< The last stop had no answer; send another. */
 	uint32_t stop_copies; /**< Of the stop that were sent. */
 	int64_t stop_sent_ms;
@@ -511,6 +518,12 @@
 		     Bramley__TaskRecord *record);
 /** Whether a worker may have dropped the end of a task's last run unread. */
 bool sched_is_held(const bw_sched_t *s, const task_t *task);
+/** Returns the worker whose present boot an earlier owner held a task for;
+ * NULL: none. */
+worker_t *sched_hold_worker(bw_sched_t *s, const task_t *task);
+/** Holds a task that is on its worker, or ends that; a successor has to know of
+ *  it. */
+void sched_set_held(bw_sched_t *s, task_t *task, bool held);
 /** Whether an earlier owner held a task for a worker's end. */
 bool sched_holds_for(const bw_sched_t *s, const worker_t *worker);
 /** Records that a worker has listed the run of a task, or its end. */
@@ -523,6 +536,17 @@
 /** Records that a worker has listed all its runs and ends. */
 void sched_holds_decided(bw_sched_t *s, const worker_t *worker);
 
+/* ask.c */
+/** Asks the worker of a held task what became of its run, if that may be asked
+ *  now. */
+void sched_ask(bw_sched_t *s, task_t *task, int64_t now_ms);
+/** The same for a task that an earlier owner held, which takes its room on the
+ *  worker. */
+void sched_ask_for_stored_hold(bw_sched_t *s, task_t *task, int64_t now_ms);
+/** Handles the answer to that question. */
+void sched_question_answered(bw_sched_t *s, task_t *task,
+			     bw_order_result_t result, int64_t now_ms);
+
 /* unread.c */
 /** Keep a listed end or run of a job that is not read yet; false if it is read,
  *  or was waited for long enough. */
@@ -566,6 +590,8 @@
 bool sched_repeat_start(bw_sched_t *s, task_t *task, int64_t now_ms);
 /** Notes that the last copy of a stop had no answer. */
 void sched_repeat_stop(bw_sched_t *s, task_t *task, int64_t now_ms);
+/** Whether the runs of a worker fit on it; it may have shrunk meanwhile. */
+bool sched_has_room(const worker_t *worker);
 /** Ends the wait for an answer to a start. */
 void sched_end_wait(bw_sched_t *s, task_t *task, int64_t now_ms);
 /** Returns whether a copy of the run's start may still be carried out. */
@@ -637,6 +663,9 @@
 /** Records that a worker has listed a task's run or its end: if it had
  *  restarted before, the run was begun afterwards. */
 void sched_run_found(bw_sched_t *s, task_t *task);
+/** Records that a run that was lost may have begun anew: a crash counts again.
+ */
+void sched_run_begun_again(task_t *task);
 /** Records that a worker lists a task's run. */
 void sched_run_listed(bw_sched_t *s, task_t *task, int64_t now_ms);
 /** Records where a task is being started. */
--- a/src/sched/order.c
+++ b/src/sched/order.c
@@ -17,6 +17,9 @@
 {
 	task->worker = worker;
 	task->end_dropped = false;
+	task->end_unread = false;
+	task->asked_again = false;
+	task->accepted_ms = 0;
 	g_ptr_array_add(worker->tasks, task);
 	add_usage(worker, task, 1);
 }
@@ -246,6 +249,12 @@
 		sched_stop_task(s, task, now_ms);
 }
 
+static void note_only_answer(task_t *task, int64_t clock_ms, int64_t now_ms)
+{
+	task->accepted_ms = clock_ms > 0 ? now_ms : 0;
+	task->accepted_clock_ms = clock_ms;
+}
+
 void bw_sched_start_answered(bw_sched_t *s, int64_t now_ms,
 			     const char *worker_id, const bw_task_name_t *name,
 			     uint32_t run, bw_order_result_t result,
@@ -270,6 +279,10 @@
 	/* An earlier start may have been answered by the boot before. */
 	if (task->ordered_ms > worker->restarted_ms)
 		sched_record_clock(worker, now_ms, clock_ms);
+	if (task->asked_again) {
+		sched_question_answered(s, task, result, now_ms);
+		return;
+	}
 	missing = is_missing(task, result);
 	if (missing && sched_repeat_start(s, task, now_ms))
 		return;
@@ -281,6 +294,8 @@
 		sched_mark_started(s, task);
 		task->start_accepted = true;
 		task->start_answered_ms = now_ms;
+		if (task->copies == 1)
+			note_only_answer(task, clock_ms, now_ms);
 		if (task->state == TASK_STARTING)
 			task->state = TASK_RUNNING;
 		return;
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -424,14 +424,15 @@
 	return false;
 }
 
-/* Stops the running members of a gang: they can't work without the others. */
+/* Stops the running members of a gang: they can't work without the others. The
+ * number of one that is held is still needed for a question. */
 static void stop_incomplete(bw_sched_t *s, task_t *tasks, uint32_t count,
 			    int64_t now_ms)
 {
 	uint32_t i;
 
 	for (i = 0; i < count; i++)
-		if (tasks[i].worker && !tasks[i].done)
+		if (tasks[i].worker && !tasks[i].done && !tasks[i].end_dropped)
 			sched_stop_task(s, &tasks[i], now_ms);
 }
 
@@ -504,6 +505,16 @@
 	return true;
 }
 
+static void ask_for_stored_holds(bw_sched_t *s, task_t *tasks, uint32_t count,
+				 int64_t now_ms)
+{
+	uint32_t i;
+
+	for (i = 0; s->holds->len > 0 && i < count; i++)
+		if (sched_is_held(s, &tasks[i]))
+			sched_ask_for_stored_hold(s, &tasks[i], now_ms);
+}
+
 /* Starts waiting tasks of a step; false if there was no worker for one. */
 static bool place_step(bw_sched_t *s, occurrence_t *occurrence, uint32_t step,
 		       int64_t now_ms)
@@ -514,6 +525,8 @@
 
 	if (occurrence->job->queue->terms.advised)
 		sched_request_advice(s, occurrence, step, now_ms);
+	ask_for_stored_holds(s, &occurrence->tasks[state->first_task],
+			     spec->count, now_ms);
 	if (spec->gang)
 		return place_gang(s, occurrence, step, now_ms);
 	for (i = 0; i < spec->count && state->waiting > 0 &&
--- a/src/sched/unanswered.c
+++ b/src/sched/unanswered.c
@@ -6,8 +6,7 @@
  */
 #include "sched/internal.h"
 
-/* Whether the runs of a worker fit on it; it may have shrunk meanwhile. */
-static bool has_room(const worker_t *worker)
+bool sched_has_room(const worker_t *worker)
 {
 	return worker->used.cpu_millis <= worker->capacity.cpu_millis &&
 	       worker->used.mem_mb <= worker->capacity.mem_mb &&
@@ -22,7 +21,8 @@
 	const worker_t *worker = task->worker;
 
 	return task->state == TASK_STARTING && task->copies < COPIES_MAX &&
-	       sched_worker_usable(s, worker, now_ms) && has_room(worker) &&
+	       sched_worker_usable(s, worker, now_ms) &&
+	       sched_has_room(worker) &&
 	       task->ordered_ms > worker->restarted_ms;
 }
 
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -109,6 +109,7 @@
 		task_t *task = g_ptr_array_index(worker->tasks, i);
 
 		task->end_dropped = false;
+		task->asked_again = false;
 		if (task->state == TASK_STOPPING && !task->stop_answered)
 			task->stop_unsure_until_ms =
 				now_ms + BW_ORDER_TIMEOUT_MS;
--- a/test/sched_orders.c
+++ b/test/sched_orders.c
@@ -6,10 +6,20 @@
 
 #include <glib.h>
 
+static bool is_question(const orders_t *o, const bw_start_order_t *order)
+{
+	return o->held_on && !strcmp(order->worker, o->held_on) &&
+	       order->run == 1 && !strcmp(order->task.job, JOB_A);
+}
+
 static void on_start(void *ctx, const bw_start_order_t *order)
 {
 	orders_t *o = ctx;
 
+	if (is_question(o, order)) {
+		o->question_count++;
+		return;
+	}
 	assert_true(o->start_count < ORDERS_MAX);
 	o->starts[o->start_count].task = order->task;
 	o->starts[o->start_count].run = order->run;
@@ -199,6 +209,17 @@
 	orders_run(o, 10);
 }
 
+void orders_answer_questions(orders_t *o, bw_order_result_t result)
+{
+	bw_task_name_t task = { .job = JOB_A };
+
+	while (o->questions_answered < o->question_count) {
+		o->questions_answered++;
+		bw_sched_start_answered(o->sched, o->now_ms, o->held_on, &task,
+					1, result, o->now_ms + 100);
+	}
+}
+
 void orders_init_lasting_row(bw_run_row_t *row, uint32_t index)
 {
 	memset(row, 0, sizeof(*row));
--- a/test/sched_orders.h
+++ b/test/sched_orders.h
@@ -36,6 +36,12 @@
 	bool keeps_no_connection; /**< A worker closes each after an answer. */
 	int64_t heartbeat_wait_ms; /**< The same of its wait for an end. */
 	int64_t heartbeat_answer_ms; /**< And of that for the answer. */
+	/** Worker with a held run 1 of JOB_A, NULL: none. An order to start
+	 * this very run there is a question, and none of the starts above. */
+	const char *held_on;
+	uint32_t question_count;
+	uint32_t stops_answered; /**< By held_pass(). */
+	uint32_t questions_answered;
 	uint32_t superseded;
 	uint32_t advice_calls;
 	uint32_t advice_count; /**< Workers that the last one named. */
@@ -84,6 +90,9 @@
 void orders_add_job(orders_t *o, const char *id, uint32_t tasks, bool lasting,
 		    int64_t cpu_millis, uint32_t estimate_ms);
 
+/** Answers the questions that are not answered yet. */
+void orders_answer_questions(orders_t *o, bw_order_result_t result);
+
 /** Fills in the row of a run of a lasting task of JOB_A that is at work. */
 void orders_init_lasting_row(bw_run_row_t *row, uint32_t index);
 
--- a/test/test_held.c
+++ b/test/test_held.c
@@ -6,87 +6,12 @@
 
 #include <glib.h>
 
-#include "sched_orders.h"
+#include "held_task.h"
 #include "wire/record.pb-c.h"
 
-/** Starts of the boots of w1 after the first, which is 5. */
-#define SECOND_BOOT_MS 6
-#define THIRD_BOOT_MS  7
-/** Enough for all starts, also of suspects, which wait for up to 4 s, but not
- *  for grants of an earlier owner to end. */
-#define ROUNDS	 50
-#define ROUND_MS 100
 /** Longer than any grant of an earlier owner, and than an order is late. */
 #define SILENT_ROUNDS 300
 
-static void register_boot(orders_t *o, int64_t started_ms)
-{
-	bw_worker_info_t info = { .id = "w1",
-				  .address = "10.0.0.1:1",
-				  .capacity = { 8000, 8000, 0 },
-				  .machine = "w1",
-				  .started_ms = started_ms };
-
-	bw_sched_worker_registered(o->sched, o->now_ms, &info);
-}
-
-/* Lets an end of w1 be acknowledged by the heartbeat that is in flight. */
-static void acknowledge_an_end(orders_t *o)
-{
-	bw_end_row_t end = {
-		.number = 57, .run = 1, .kind = BW_END_DONE, .checkpoint = ""
-	};
-
-	g_strlcpy(end.task.job, JOB_EARLY, sizeof(end.task.job));
-	orders_answer_heartbeat(o, "w1", NULL, 0, &end, 1);
-	o->now_ms += 3500;
-	orders_answer_heartbeat(o, "w1", NULL, 0, &end, 1);
-	orders_save(o);
-	orders_answer_heartbeat(o, "w1", NULL, 0, NULL, 0);
-	orders_run(o, 10);
-	assert_int_equal(o->acked, 57);
-}
-
-/* Lets an owner hold JOB_A: its start and the acknowledgement have reached the
- * second boot of w1. */
-static void begin_with_held_task(orders_t *o)
-{
-	orders_begin_with_worker(o);
-	acknowledge_an_end(o);
-	orders_add_job(o, JOB_A, 1, false, 1000, 20);
-	orders_run(o, 10);
-	assert_int_equal(o->start_count, 1);
-	bw_sched_start_answered(o->sched, o->now_ms, "w1", &o->starts[0].task,
-				1, BW_ORDER_OK, 0);
-	orders_add_worker(o, "w2");
-	orders_answer_heartbeat(o, "w2", NULL, 0, NULL, 0);
-	orders_save(o);
-	register_boot(o, SECOND_BOOT_MS);
-	orders_run(o, 10);
-	orders_answer_as_boot(o, "w1", SECOND_BOOT_MS, NULL, 0, NULL, 0);
-	orders_run(o, 10);
-}
-
-/* Passes the pool on; the successor knows of both workers and of JOB_A. */
-static void succeed(orders_t *before, orders_t *o, int64_t started_ms)
-{
-	orders_succeed(before, o);
-	register_boot(o, started_ms);
-	orders_add_worker(o, "w2");
-	orders_add_job(o, JOB_A, 1, false, 1000, 20);
-	orders_run(o, 10);
-	orders_save(o);
-}
-
-static void take_over_held_task(orders_t *o, int64_t started_ms)
-{
-	orders_t before;
-
-	begin_with_held_task(&before);
-	bw_sched_hand_over(before.sched);
-	succeed(&before, o, started_ms);
-}
-
 static void init_end(bw_end_row_t *end, uint64_t number, bw_end_kind_t kind)
 {
 	memset(end, 0, sizeof(*end));
@@ -97,19 +22,6 @@
 	end->checkpoint = "";
 }
 
-/* Lets both workers answer for a time without a run or an end. */
-static void pass(orders_t *o, int64_t started_ms)
-{
-	int i;
-
-	for (i = 0; i < ROUNDS; i++) {
-		orders_answer_as_boot(o, "w1", started_ms, NULL, 0, NULL, 0);
-		orders_answer_heartbeat(o, "w2", NULL, 0, NULL, 0);
-		orders_run(o, ROUND_MS);
-		orders_save(o);
-	}
-}
-
 /* Returns the version of the value that an owner would store. */
 static uint32_t stored_version(const orders_t *o)
 {
@@ -131,40 +43,14 @@
 	orders_t o;
 
 	(void)state;
-	begin_with_held_task(&before);
-	succeed(&before, &o, SECOND_BOOT_MS);
-	pass(&o, SECOND_BOOT_MS);
+	held_begin(&before);
+	held_succeed(&before, &o, SECOND_BOOT_MS);
+	held_pass(&o, SECOND_BOOT_MS, BW_ORDER_OLD_RUN);
 	assert_true(bw_sched_recovered(o.sched));
 	assert_int_equal(o.start_count, 0);
 	bw_sched_destroy(o.sched);
 }
 
-/* Starts JOB_A on w1, which keeps no connection, while a heartbeat that
- * acknowledges an end is under way over a new one. */
-static void start_beside_an_acknowledgement(orders_t *o)
-{
-	bw_heartbeat_answer_t unconnected = { .result = BW_ORDER_NOT_SENT };
-	int i;
-
-	orders_begin_with_worker(o);
-	acknowledge_an_end(o);
-	o->keeps_no_connection = true;
-	for (i = 0; i < 3; i++) {
-		bw_sched_heartbeat_answered(o->sched, o->now_ms, "w1",
-					    &unconnected);
-		orders_run(o, 0);
-		orders_answer_heartbeat(o, "w1", NULL, 0, NULL, 0);
-		orders_run(o, 0);
-	}
-	assert_false(o->same_boot);
-	assert_int_equal(o->acked, 57);
-	orders_add_job(o, JOB_A, 1, false, 1000, 20);
-	orders_run(o, 10);
-	assert_int_equal(o->start_count, 1);
-	bw_sched_start_answered(o->sched, o->now_ms, "w1", &o->starts[0].task,
-				1, BW_ORDER_OK, 0);
-}
-
 /* It has to be stored at once. */
 static void test_hold_is_stored_without_delay(void **state)
 {
@@ -172,11 +58,11 @@
 	orders_t o;
 
 	(void)state;
-	start_beside_an_acknowledgement(&o);
+	held_start_beside_an_acknowledgement(&o, 0);
 	lost.sent_ms = o.now_ms;
 	orders_run(&o, 500);
 	bw_sched_heartbeat_answered(o.sched, o.now_ms, "w1", &lost);
-	register_boot(&o, SECOND_BOOT_MS);
+	held_register_boot(&o, SECOND_BOOT_MS);
 	orders_save(&o);
 	assert_false(bw_sched_urgent(o.sched));
 	orders_run(&o, 300);
@@ -194,10 +80,10 @@
 	orders_t o;
 
 	(void)state;
-	start_beside_an_acknowledgement(&before);
+	held_start_beside_an_acknowledgement(&before, 0);
 	bw_sched_hand_over(before.sched);
-	succeed(&before, &o, SECOND_BOOT_MS);
-	pass(&o, SECOND_BOOT_MS);
+	held_succeed(&before, &o, SECOND_BOOT_MS);
+	held_pass(&o, SECOND_BOOT_MS, BW_ORDER_OLD_RUN);
 	assert_int_equal(o.start_count, 0);
 	bw_sched_destroy(o.sched);
 }
@@ -209,11 +95,11 @@
 	orders_t o;
 
 	(void)state;
-	take_over_held_task(&before, SECOND_BOOT_MS);
-	pass(&before, SECOND_BOOT_MS);
+	held_take_over(&before, SECOND_BOOT_MS);
+	held_pass(&before, SECOND_BOOT_MS, BW_ORDER_OLD_RUN);
 	bw_sched_hand_over(before.sched);
-	succeed(&before, &o, SECOND_BOOT_MS);
-	pass(&o, SECOND_BOOT_MS);
+	held_succeed(&before, &o, SECOND_BOOT_MS);
+	held_pass(&o, SECOND_BOOT_MS, BW_ORDER_OLD_RUN);
 	assert_int_equal(o.start_count, 0);
 	bw_sched_destroy(o.sched);
 }
@@ -225,14 +111,14 @@
 	orders_t o;
 
 	(void)state;
-	take_over_held_task(&before, SECOND_BOOT_MS);
+	held_take_over(&before, SECOND_BOOT_MS);
 	orders_answer_as_boot(&before, "w1", SECOND_BOOT_MS, NULL, 0, NULL, 0);
 	orders_answer_heartbeat(&before, "w2", NULL, 0, NULL, 0);
 	orders_run(&before, ROUND_MS);
 	bw_sched_worker_unregistered(before.sched, before.now_ms, "w1");
 	bw_sched_hand_over(before.sched);
-	succeed(&before, &o, SECOND_BOOT_MS);
-	pass(&o, SECOND_BOOT_MS);
+	held_succeed(&before, &o, SECOND_BOOT_MS);
+	held_pass(&o, SECOND_BOOT_MS, BW_ORDER_OLD_RUN);
 	assert_int_equal(o.start_count, 0);
 	bw_sched_destroy(o.sched);
 }
@@ -245,10 +131,10 @@
 	orders_t o;
 
 	(void)state;
-	begin_with_held_task(&before);
+	held_begin(&before);
 	assert_int_equal(stored_version(&before), 2);
 	bw_sched_hand_over(before.sched);
-	succeed(&before, &o, SECOND_BOOT_MS);
+	held_succeed(&before, &o, SECOND_BOOT_MS);
 	assert_int_equal(stored_version(&o), 2);
 	init_end(&end, 2, BW_END_DONE);
 	orders_answer_as_boot(&o, "w1", SECOND_BOOT_MS, NULL, 0, &end, 1);
@@ -264,17 +150,17 @@
 	orders_t o;
 
 	(void)state;
-	begin_with_held_task(&before);
+	held_begin(&before);
 	bw_sched_hand_over(before.sched);
 	orders_succeed(&before, &middle);
 	bw_sched_add_unreadable(middle.sched, JOB_A);
-	register_boot(&middle, SECOND_BOOT_MS);
+	held_register_boot(&middle, SECOND_BOOT_MS);
 	orders_add_worker(&middle, "w2");
-	pass(&middle, SECOND_BOOT_MS);
+	held_pass(&middle, SECOND_BOOT_MS, BW_ORDER_OLD_RUN);
 	assert_int_equal(stored_version(&middle), 2);
 	bw_sched_hand_over(middle.sched);
-	succeed(&middle, &o, SECOND_BOOT_MS);
-	pass(&o, SECOND_BOOT_MS);
+	held_succeed(&middle, &o, SECOND_BOOT_MS);
+	held_pass(&o, SECOND_BOOT_MS, BW_ORDER_OLD_RUN);
 	assert_int_equal(o.start_count, 0);
 	bw_sched_destroy(o.sched);
 }
@@ -285,10 +171,10 @@
 	orders_t o;
 
 	(void)state;
-	take_over_held_task(&o, SECOND_BOOT_MS);
+	held_take_over(&o, SECOND_BOOT_MS);
 	init_end(&end, 2, BW_END_FAILED);
 	orders_answer_as_boot(&o, "w1", SECOND_BOOT_MS, NULL, 0, &end, 1);
-	pass(&o, SECOND_BOOT_MS);
+	held_pass(&o, SECOND_BOOT_MS, BW_ORDER_OLD_RUN);
 	assert_true(o.start_count > 0);
 	bw_sched_destroy(o.sched);
 }
@@ -300,14 +186,14 @@
 	orders_t o;
 
 	(void)state;
-	take_over_held_task(&o, SECOND_BOOT_MS);
+	held_take_over(&o, SECOND_BOOT_MS);
 	g_strlcpy(row.task.job, JOB_A, sizeof(row.task.job));
 	orders_answer_as_boot(&o, "w1", SECOND_BOOT_MS, &row, 1, NULL, 0);
 	orders_answer_heartbeat(&o, "w2", NULL, 0, NULL, 0);
 	orders_run(&o, ROUND_MS);
 	assert_int_equal(o.start_count, 0);
 	assert_int_equal(stored_version(&o), 1);
-	pass(&o, SECOND_BOOT_MS);
+	held_pass(&o, SECOND_BOOT_MS, BW_ORDER_OLD_RUN);
 	assert_true(o.start_count > 0);
 	bw_sched_destroy(o.sched);
 }
@@ -320,8 +206,8 @@
 	orders_t o;
 
 	(void)state;
-	begin_with_held_task(&before);
-	succeed(&before, &o, SECOND_BOOT_MS);
+	held_begin(&before);
+	held_succeed(&before, &o, SECOND_BOOT_MS);
 	g_strlcpy(row.task.job, JOB_A, sizeof(row.task.job));
 	orders_answer_heartbeat(&o, "w2", &row, 1, NULL, 0);
 	orders_answer_as_boot(&o, "w1", SECOND_BOOT_MS, NULL, 0, NULL, 0);
@@ -339,13 +225,17 @@
 	orders_t o;
 
 	(void)state;
-	take_over_held_task(&o, SECOND_BOOT_MS);
-	pass(&o, SECOND_BOOT_MS);
+	held_take_over(&o, SECOND_BOOT_MS);
+	held_pass(&o, SECOND_BOOT_MS, BW_ORDER_UNHEALTHY);
 	assert_int_equal(o.start_count, 0);
+	assert_int_equal(o.stop_count, 0);
 	init_end(&end, 1, BW_END_STOPPED);
 	g_strlcpy(end.task.job, JOB_EARLY, sizeof(end.task.job));
+	orders_run(&o, 1000);
 	orders_answer_as_boot(&o, "w1", SECOND_BOOT_MS, NULL, 0, &end, 1);
-	orders_run(&o, ROUND_MS);
+	/* A question may still be carried out, so that the run is stopped. */
+	assert_int_equal(o.stop_count, 1);
+	held_pass(&o, SECOND_BOOT_MS, BW_ORDER_UNHEALTHY);
 	assert_int_equal(o.start_count, 1);
 	bw_sched_destroy(o.sched);
 }
@@ -363,8 +253,8 @@
 	orders_t o;
 
 	(void)state;
-	take_over_held_task(&o, SECOND_BOOT_MS);
-	pass(&o, SECOND_BOOT_MS);
+	held_take_over(&o, SECOND_BOOT_MS);
+	held_pass(&o, SECOND_BOOT_MS, BW_ORDER_UNHEALTHY);
 	init_end(&end, 1, BW_END_STOPPED);
 	g_strlcpy(end.task.job, JOB_EARLY, sizeof(end.task.job));
 	answer.sent_ms = o.now_ms;
@@ -384,8 +274,8 @@
 	orders_t o;
 
 	(void)state;
-	take_over_held_task(&o, THIRD_BOOT_MS);
-	pass(&o, THIRD_BOOT_MS);
+	held_take_over(&o, THIRD_BOOT_MS);
+	held_pass(&o, THIRD_BOOT_MS, BW_ORDER_OLD_RUN);
 	assert_true(o.start_count > 0);
 	bw_sched_destroy(o.sched);
 }
@@ -395,11 +285,11 @@
 	orders_t o;
 
 	(void)state;
-	take_over_held_task(&o, SECOND_BOOT_MS);
-	pass(&o, SECOND_BOOT_MS);
+	held_take_over(&o, SECOND_BOOT_MS);
+	held_pass(&o, SECOND_BOOT_MS, BW_ORDER_OLD_RUN);
 	assert_int_equal(o.start_count, 0);
-	register_boot(&o, THIRD_BOOT_MS);
-	pass(&o, THIRD_BOOT_MS);
+	held_register_boot(&o, THIRD_BOOT_MS);
+	held_pass(&o, THIRD_BOOT_MS, BW_ORDER_OLD_RUN);
 	assert_true(o.start_count > 0);
 	bw_sched_destroy(o.sched);
 }
@@ -415,8 +305,8 @@
 	orders_t o;
 
 	(void)state;
-	take_over_held_task(&o, SECOND_BOOT_MS);
-	pass(&o, SECOND_BOOT_MS);
+	held_take_over(&o, SECOND_BOOT_MS);
+	held_pass(&o, SECOND_BOOT_MS, BW_ORDER_OLD_RUN);
 	bw_sched_worker_registered(o.sched, o.now_ms, &info);
 	orders_run(&o, ROUND_MS);
 	assert_int_equal(o.start_count, 0);
@@ -434,8 +324,8 @@
 	int i;
 
 	(void)state;
-	take_over_held_task(&o, SECOND_BOOT_MS);
-	pass(&o, SECOND_BOOT_MS);
+	held_take_over(&o, SECOND_BOOT_MS);
+	held_pass(&o, SECOND_BOOT_MS, BW_ORDER_OLD_RUN);
 	assert_int_equal(o.start_count, 0);
 	for (i = 0; i < SILENT_ROUNDS; i++) {
 		lost.sent_ms = o.now_ms;
@@ -453,7 +343,7 @@
 	orders_t o;
 
 	(void)state;
-	take_over_held_task(&o, SECOND_BOOT_MS);
+	held_take_over(&o, SECOND_BOOT_MS);
 	orders_answer_as_boot(&o, "w1", SECOND_BOOT_MS, NULL, 0, NULL, 0);
 	orders_answer_heartbeat(&o, "w2", NULL, 0, NULL, 0);
 	orders_run(&o, ROUND_MS);
--- a/test/test_unknowns.c
+++ b/test/test_unknowns.c
@@ -904,6 +904,7 @@
 	assert_int_equal(before.start_count, 2);
 	bw_sched_hand_over(before.sched);
 	orders_succeed(&before, &o);
+	o.held_on = "w1";
 	register_second_boot(&o);
 	orders_add_worker(&o, "w2");
 	orders_add_job(&o, JOB_A, 2, false, 1000, 20);
