A held task of a job that is over kept its room on the worker

Callers saw: nothing directly.

Cause: a list never proved anything about a held task, whether or not it matters how its run has ended.

--- a/test/test_questions.c
+++ b/test/test_questions.c
@@ -153,6 +153,28 @@
 	bw_sched_destroy(o.sched);
 }
 
+/* A job that is cancelled needs no end, but its room was never free again. */
+static void test_held_task_of_a_cancelled_job_keeps_its_room(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	held_start_beside_an_acknowledgement(&o, 0);
+	restart_idle(&o, SECOND_CLOCK_MS);
+	bw_sched_cancel(o.sched, o.now_ms, JOB_A);
+	orders_run(&o, ROUND_MS);
+	assert_int_equal(o.stop_count, 1);
+	bw_sched_stop_answered(o.sched, o.now_ms, "w1", &o.stops[0].task, 1,
+			       BW_ORDER_OK);
+	orders_run(&o, 1000);
+	held_pass(&o, SECOND_BOOT_MS, BW_ORDER_OLD_RUN);
+	/* Needs all of w1 while w2 is full. */
+	orders_add_job(&o, JOB_B, 2, false, 8000, 20);
+	held_pass(&o, SECOND_BOOT_MS, BW_ORDER_OLD_RUN);
+	assert_int_equal(o.start_count, 3);
+	bw_sched_destroy(o.sched);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -164,6 +186,8 @@
 		cmocka_unit_test(test_run_that_has_ended_unread_starts_again),
 		cmocka_unit_test(test_question_without_an_answer_ends_a_hold),
 		cmocka_unit_test(test_next_owner_holds_a_task_without_limit),
+		cmocka_unit_test(
+			test_held_task_of_a_cancelled_job_keeps_its_room),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
