A held task whose run was being stopped was never asked for

A start without an answer is stopped; the worker, which keeps no connections, restarts once more, and the task is held again. The question was not sent, as the run was being stopped.

Cause: a stop uses the number of the run up, so that a refusal would tell nothing. Now the stop waits until the question is answered: neither the repeated stops nor those of an incomplete gang are sent for a run in doubt.

--- a/scripts/world-caught.sh
+++ b/scripts/world-caught.sh
@@ -22,7 +22,10 @@
 			"$build/test/stored_state.o" \
 			"$dir/$name.o" "$build/libbramleywing.a" $libs -lm ||
 		return 1
-	case $name in gang-*) mode=plain-gangs ;; esac
+	case $name in
+	gang-*) mode=plain-gangs ;;
+	closing-*) mode=closing ;;
+	esac
 	"$dir/$name" "$seed" "$seeds" 1 $mode >"$dir/$name.txt" 2>&1
 	local status=$? found
 	found=$(grep -a '^seed [0-9]*: violations=' "$dir/$name.txt")
--- a/src/sched/ask.c
+++ b/src/sched/ask.c
@@ -19,9 +19,8 @@
 
 static bool may_ask(const bw_sched_t *s, const task_t *task, int64_t now_ms)
 {
-	return task->end_dropped && !task->end_unread && !awaits_answer(task) &&
-	       task->state != TASK_STOPPING && !task->done &&
-	       task->occurrence->job->finished_version == 0 &&
+	return sched_is_in_doubt(task) && !task->end_unread &&
+	       !awaits_answer(task) &&
 	       now_ms - task->asked_ms >= ASK_RETRY_MS && sched_may_start(s) &&
 	       sched_worker_usable(s, task->worker, now_ms) &&
 	       sched_has_room(task->worker);
--- a/src/sched/heartbeat.c
+++ b/src/sched/heartbeat.c
@@ -326,13 +326,6 @@
 		sched_holds_doubtless(s, worker);
 }
 
-/* How a run has ended that is not needed any more does not matter. */
-static bool is_held(const task_t *task)
-{
-	return task->end_dropped && !task->done &&
-	       task->occurrence->job->finished_version == 0;
-}
-
 /*
  * Handles tasks that an answer with all ends does not list. That proves that a
  * run has ended only if the request was sent after the start was answered or,
@@ -349,7 +342,7 @@
 
 		if (lists_run(answer, task))
 			continue;
-		if (is_held(task)) {
+		if (sched_is_in_doubt(task)) {
 			sched_ask(s, task, now_ms);
 			continue;
 		}
--- a/src/sched/hold.c
+++ b/src/sched/hold.c
@@ -85,6 +85,12 @@
 	return task->worker && task->end_dropped;
 }
 
+bool sched_is_in_doubt(const task_t *task)
+{
+	return is_held_here(task) && !task->done &&
+	       task->occurrence->job->finished_version == 0;
+}
+
 bool sched_is_held(const bw_sched_t *s, const task_t *task)
 {
 	return !task->done && (is_held_here(task) || find_hold(s, task));
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -518,6 +518,8 @@
 		     Bramley__TaskRecord *record);
 /** Whether a worker may have dropped the end of a task's last run unread. */
 bool sched_is_held(const bw_sched_t *s, const task_t *task);
+/** Whether a task is held on its worker, and how its run has ended matters. */
+bool sched_is_in_doubt(const task_t *task);
 /** Returns the worker whose present boot an earlier owner held a task for;
  * NULL: none. */
 worker_t *sched_hold_worker(bw_sched_t *s, const task_t *task);
--- a/src/sched/order.c
+++ b/src/sched/order.c
@@ -205,7 +205,9 @@
 		for (i = 0; i < worker->tasks->len; i++) {
 			task_t *task = g_ptr_array_index(worker->tasks, i);
 
+			/* The number of a run in doubt is needed to ask. */
 			if (task->state == TASK_STOPPING &&
+			    !sched_is_in_doubt(task) &&
 			    sched_may_repeat_stop(task, now_ms))
 				sched_retry_stop(s, task, now_ms);
 		}
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -432,7 +432,8 @@
 	uint32_t i;
 
 	for (i = 0; i < count; i++)
-		if (tasks[i].worker && !tasks[i].done && !tasks[i].end_dropped)
+		if (tasks[i].worker && !tasks[i].done &&
+		    !sched_is_in_doubt(&tasks[i]))
 			sched_stop_task(s, &tasks[i], now_ms);
 }
 
--- a/test/test_world.c
+++ b/test/test_world.c
@@ -214,6 +214,21 @@
 	play_drawn("gangs", add_gangs);
 }
 
+/* Workers that keep no connections restart. A crash cuts a heartbeat that
+ * acknowledges an end; its task was held without limit then. */
+static void test_world_restarts_without_kept_connections(void **state)
+{
+	world_config_t config;
+	uint32_t seed;
+
+	(void)state;
+	for (seed = 1; seed <= 2 * DRAWN_SEEDS; seed += 2) {
+		world_draw_config(seed, &config);
+		world_close_connections(seed, &config);
+		check(seed, "no kept connections", &config);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -227,6 +242,7 @@
 			test_world_owner_changes_hide_crashes_of_a_lasting_task),
 		cmocka_unit_test(test_world_late_orders),
 		cmocka_unit_test(test_world_gangs),
+		cmocka_unit_test(test_world_restarts_without_kept_connections),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/world.c
+++ b/test/world.c
@@ -5,6 +5,9 @@
 #include <stdio.h>
 #include <string.h>
 
+/** Restarts of workers that keep no connections. */
+#define CLOSING_CRASHES 12
+
 void world_violation(world_t *w, const char *fmt, ...)
 {
 	char text[200];
@@ -848,6 +851,19 @@
 	config->delayed_share = 0.9;
 }
 
+void world_close_connections(uint32_t seed, world_config_t *config)
+{
+	world_clear_restarts(config);
+	world_clear_crashes(config);
+	config->lost_share = 0.0;
+	config->faults = 0;
+	config->resizes = 0;
+	config->closing = true;
+	config->same_id_share = 1.0;
+	config->worker_crashes = CLOSING_CRASHES;
+	config->connect_wait_share = seed % 2 == 0 ? 0.5 : 0.0;
+}
+
 void world_add_gangs(world_config_t *config)
 {
 	config->gang_share = 0.5;
--- a/test/world.h
+++ b/test/world.h
@@ -32,6 +32,8 @@
 				      wait for one until a worker is up. */
 	double idle_close_share; /**< Share of answers to heartbeats after which
 				    the worker closes the connection. */
+	bool closing; /**< Workers keep no connections, and long polls take
+			 their whole time. */
 	/** Share of calls to workers that get no answer in their whole time and
 	 *  are carried out 2 to 12 s later. */
 	double late_call_share;
@@ -68,6 +70,10 @@
 /** Leaves half of all orders without an answer, most of them to be carried out
  *  later. */
 void world_delay_orders(world_config_t *config);
+/** Lets workers keep no connections, and restart under their identifiers,
+ * without other faults. With even seeds the next boot may carry out a
+ * heartbeat. */
+void world_close_connections(uint32_t seed, world_config_t *config);
 /** Makes half of the steps gangs, and checks what is stored of all jobs. */
 void world_add_gangs(world_config_t *config);
 
