Soak: workers that keep no connections, and nodes that own many pools

Two of six workers end each connection with its answer now (simplehttp: a handler may ask for that), and the site has 66 pools without workers, 22 for each node and all for the last one.

--- a/soak/plan.h
+++ b/soak/plan.h
@@ -16,6 +16,9 @@
 
 #define SOAK_NODES 3U
 #define SOAK_POOLS 2U
+/** Pools without workers, of which each node has more than a few; what a node
+ *  does for each pool goes on for all of them. */
+#define SOAK_IDLE_POOLS 66U
 /** Worker w is in pool w % SOAK_POOLS. */
 #define SOAK_WORKERS   6U
 #define SOAK_STEPS_MAX 3U
--- a/soak/standin_callers.c
+++ b/soak/standin_callers.c
@@ -354,10 +354,10 @@
 	uint32_t i;
 	char *out;
 
-	for (i = 0; i < SOAK_POOLS; i++) {
+	for (i = 0; i < SOAK_POOLS; i++)
 		json_array_append_new(queues, pack_queue(i));
+	for (i = 0; i < SOAK_POOLS + SOAK_IDLE_POOLS; i++)
 		json_array_append_new(pools, pack_pool(i));
-	}
 	root = json_pack("{s:i,s:o,s:o,s:{s:i,s:i,s:i,s:i}}", "version", 1,
 			 "routes", queues, "services", pools, "limits",
 			 "max_header_bytes", 16384, "max_body_bytes", 262144,
--- a/soak/standin_workers.c
+++ b/soak/standin_workers.c
@@ -145,6 +145,12 @@
 	return w->boot_ms + (int64_t)((double)left_ms / clock_rate(w));
 }
 
+/* One worker of each pool ends each connection with its answer. */
+static bool keeps_no_connection(const worker_t *w)
+{
+	return w->index < SOAK_POOLS;
+}
+
 static json_t *pack_entry(const worker_t *w, uint32_t node)
 {
 	char pool[ID_BYTES];
@@ -689,6 +695,7 @@
 
 	if (!w->up)
 		return MHD_NO;
+	r->close = keeps_no_connection(w);
 	if (target && strcmp(target, w->id) != 0)
 		return reply(r, 421, json_object());
 	settle(w, call.now_ms);
--- a/src/net/simplehttp.c
+++ b/src/net/simplehttp.c
@@ -145,6 +145,9 @@
 
 	MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE,
 				content_type);
+	if (r->close)
+		MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION,
+					"close");
 	result = MHD_queue_response(r->connection, status, response);
 	MHD_destroy_response(response);
 	return result;
--- a/src/net/simplehttp.h
+++ b/src/net/simplehttp.h
@@ -26,6 +26,8 @@
 	uint32_t calls; /**< Previous calls of the handler. */
 	bool waiting; /**< Suspended by bw_simple_wait(). */
 	bool woken; /**< bw_simple_wake() was called. */
+	bool close; /**< Set by the handler: the connection ends with the
+		       answer. */
 } bw_simple_request_t;
 
 /**
