The worker of a run that has ended unread took no other start

Callers would see: work that only one worker may run waits without limit after the question for a held task was refused.

Cause: the held task stayed on its worker after the refusal, with its room, and as a suspect that is starting up, beside which nothing else starts. The refusal says for certain that the run is over. The task leaves the worker now and stays held by an entry of its own, as those of an earlier owner are.

Test, red before (1 start, 2 expected): test_run_that_has_ended_unread_keeps_its_room.

--- a/src/sched/ask.c
+++ b/src/sched/ask.c
@@ -19,8 +19,7 @@
 
 static bool may_ask(const bw_sched_t *s, const task_t *task, int64_t now_ms)
 {
-	return sched_is_in_doubt(task) && !task->end_unread &&
-	       !awaits_answer(task) &&
+	return sched_is_in_doubt(task) && !awaits_answer(task) &&
 	       now_ms - task->asked_ms >= ASK_RETRY_MS && sched_may_start(s) &&
 	       sched_worker_usable(s, task->worker, now_ms) &&
 	       sched_has_room(task->worker);
@@ -79,6 +78,18 @@
 		task->state = TASK_RUNNING;
 }
 
+/* The run has ended there, nobody knows how: it may be done. Its room is free.
+ */
+static void leave_ended(bw_sched_t *s, task_t *task)
+{
+	sched_log(s, BW_EVENT_SCHED_END_UNREAD,
+		  "job=%s step=%u index=%u run=%u worker=%s",
+		  task->occurrence->job->id, task->step, task->index, task->run,
+		  task->worker->id);
+	sched_hold_ended_run(s, task);
+	sched_task_wait(task);
+}
+
 void sched_question_answered(bw_sched_t *s, task_t *task,
 			     bw_order_result_t result, int64_t now_ms)
 {
@@ -91,11 +102,6 @@
 	}
 	if (result == BW_ORDER_NO_TICKET)
 		sched_ticket_refused(task, task->worker);
-	if (result != BW_ORDER_OLD_RUN)
-		return;
-	task->end_unread = true;
-	sched_log(s, BW_EVENT_SCHED_END_UNREAD,
-		  "job=%s step=%u index=%u run=%u worker=%s",
-		  task->occurrence->job->id, task->step, task->index, task->run,
-		  task->worker->id);
+	if (result == BW_ORDER_OLD_RUN)
+		leave_ended(s, task);
 }
--- a/src/sched/hold.c
+++ b/src/sched/hold.c
@@ -8,7 +8,7 @@
 
 #include <string.h>
 
-/** A task that an earlier owner held. */
+/** A task that an earlier owner held, or whose run has ended unread. */
 typedef struct hold {
 	char *worker;
 	int64_t boot_ms; /**< Start of the boot that may have dropped the end.
@@ -18,6 +18,7 @@
 	uint32_t number; /**< Of the task among those of its occurrence. */
 	bool ends_known; /**< The boot has dropped none; its next complete list
 			    decides. */
+	bool ended; /**< The run has ended on it, nobody knows how. */
 } hold_t;
 
 static void hold_free(gpointer data)
@@ -57,6 +58,21 @@
 	g_ptr_array_add(s->holds, hold);
 }
 
+void sched_hold_ended_run(bw_sched_t *s, const task_t *task)
+{
+	const occurrence_t *occurrence = task->occurrence;
+	hold_t *hold = g_new0(hold_t, 1);
+
+	hold->worker = g_strdup(task->worker->id);
+	hold->boot_ms = task->worker->started_ms;
+	hold->job = g_strdup(occurrence->job->id);
+	hold->occurrence = occurrence->number;
+	hold->number = (uint32_t)(task - occurrence->tasks);
+	hold->ended = true;
+	g_ptr_array_add(s->holds, hold);
+	sched_changed(s, true);
+}
+
 static bool is_of_task(const hold_t *hold, const task_t *task)
 {
 	const occurrence_t *occurrence = task->occurrence;
@@ -101,7 +117,9 @@
 	const hold_t *hold = find_hold(s, task);
 	worker_t *worker = hold ? sched_worker(s, hold->worker) : NULL;
 
-	return worker && worker->started_ms == hold->boot_ms ? worker : NULL;
+	if (!worker || hold->ended || worker->started_ms != hold->boot_ms)
+		return NULL;
+	return worker;
 }
 
 void sched_set_held(bw_sched_t *s, task_t *task, bool held)
@@ -109,7 +127,6 @@
 	if (task->end_dropped == held)
 		return;
 	task->end_dropped = held;
-	task->end_unread = false;
 	sched_changed(s, held);
 	if (held)
 		sched_log(s, BW_EVENT_SCHED_HELD,
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -119,8 +119,6 @@
 			  still go on. */
 	bool end_dropped; /**< The worker may have dropped the end of this run
 			     unread. */
-	bool end_unread; /**< It has: the run has ended on it, nobody knows
-			    how. */
 	bool asked_again; /**< The worker was ordered to start this run once
 			     more, to tell which; its answer is awaited. */
 	bool trial; /**< A run of a suspect that has not survived yet. */
@@ -522,8 +520,11 @@
 bool sched_is_held(const bw_sched_t *s, const task_t *task);
 /** Whether a task is held on its worker, and how its run has ended matters. */
 bool sched_is_in_doubt(const task_t *task);
-/** Returns the worker whose present boot an earlier owner held a task for;
- * NULL: none. */
+/** Holds a task whose run has ended unread on its worker, once it leaves that.
+ */
+void sched_hold_ended_run(bw_sched_t *s, const task_t *task);
+/** Returns the worker whose present boot is to be asked for a task that is not
+ *  on it; NULL: none. */
 worker_t *sched_hold_worker(bw_sched_t *s, const task_t *task);
 /** Holds a task that is on its worker, or ends that; a successor has to know of
  *  it. */
--- a/src/sched/order.c
+++ b/src/sched/order.c
@@ -17,7 +17,6 @@
 {
 	task->worker = worker;
 	task->end_dropped = false;
-	task->end_unread = false;
 	task->asked_again = false;
 	task->accepted_ms = 0;
 	g_ptr_array_add(worker->tasks, task);
--- a/test/test_questions.c
+++ b/test/test_questions.c
@@ -121,6 +121,21 @@
 	bw_sched_destroy(o.sched);
 }
 
+/* The worker took no other start then, as if the run were still starting up. */
+static void test_run_that_has_ended_unread_keeps_its_room(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	held_take_over(&o, SECOND_BOOT_MS);
+	held_pass(&o, SECOND_BOOT_MS, BW_ORDER_OLD_RUN);
+	assert_int_equal(o.question_count, 1);
+	orders_add_job(&o, JOB_B, 2, false, 8000, 20);
+	held_pass(&o, SECOND_BOOT_MS, BW_ORDER_OLD_RUN);
+	assert_int_equal(o.start_count, 2);
+	bw_sched_destroy(o.sched);
+}
+
 /* A question without an answer may be carried out late. */
 static void test_question_without_an_answer_ends_a_hold(void **state)
 {
@@ -184,6 +199,7 @@
 			test_clock_of_before_the_start_tells_an_earlier_boot),
 		cmocka_unit_test(test_task_in_doubt_is_held_without_limit),
 		cmocka_unit_test(test_run_that_has_ended_unread_starts_again),
+		cmocka_unit_test(test_run_that_has_ended_unread_keeps_its_room),
 		cmocka_unit_test(test_question_without_an_answer_ends_a_hold),
 		cmocka_unit_test(test_next_owner_holds_a_task_without_limit),
 		cmocka_unit_test(
