Bench: what pools cost the node that owns all of them

`make bench-pools` runs a real node on the soak's stand-in of the store with 3, 51 and 200 pools without work, and counts connections, calls, bytes and processor over 10 s.

--- a/Makefile
+++ b/Makefile
@@ -132,6 +132,10 @@
 $(BUILD)/bench/bench_%: $(BUILD)/bench/bench_%.o $(BENCH_OBJ) $(LIB)
 	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS)
 
+# Uses the soak's stand-in of the store.
+$(BUILD)/bench/bench_pools: $(BUILD)/bench/bench_pools.o $(filter-out $(BUILD)/soak/main.o,$(SOAK_OBJ)) $(LIB)
+	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS)
+
 $(BUILD)/bench/%.o: CFLAGS += -Ibench
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
@@ -225,6 +229,10 @@
 bench-log: $(BUILD)/bench/bench_log
 	scripts/bench-log.sh
 
+.PHONY: bench-pools
+bench-pools: all $(BUILD)/bench/bench_pools
+	scripts/bench-pools.sh
+
 .PHONY: bench-place
 bench-place: $(BUILD)/bench/bench_place
 	$<
--- a/soak/link.c
+++ b/soak/link.c
@@ -61,6 +61,7 @@
 	ev_io accept;
 	ev_timer tick;
 	GPtrArray *connections;
+	uint64_t bytes; /**< Received from both sides. */
 	int64_t from_ms[SOAK_LINK_KIND_COUNT];
 	int64_t until_ms[SOAK_LINK_KIND_COUNT];
 	soak_fault_t faults[SOAK_LINK_KIND_COUNT];
@@ -286,6 +287,7 @@
 		connection_end(c, true);
 		return;
 	}
+	c->link->bytes += (uint64_t)n;
 	if (n == 0) {
 		c->ended[from] = true;
 		ev_io_stop(loop, io);
@@ -403,6 +405,16 @@
 	return link->port.address;
 }
 
+uint64_t soak_link_bytes(const soak_link_t *link)
+{
+	return link->bytes;
+}
+
+uint32_t soak_link_connections(const soak_link_t *link)
+{
+	return link->connections->len;
+}
+
 static void reset_all(soak_link_t *link)
 {
 	guint i = link->connections->len;
--- a/soak/link.h
+++ b/soak/link.h
@@ -42,6 +42,12 @@
 void soak_link_apply(soak_link_t *link, const soak_fault_t *fault,
 		     int64_t now_ms);
 
+/** Returns the bytes that have come from both sides. */
+uint64_t soak_link_bytes(const soak_link_t *link);
+
+/** Returns the number of open connections. */
+uint32_t soak_link_connections(const soak_link_t *link);
+
 void soak_link_destroy(soak_link_t *link);
 
 #endif
--- a/soak/process.c
+++ b/soak/process.c
@@ -103,6 +103,16 @@
 	return p->ports[PORT_READY].address;
 }
 
+const char *soak_process_metrics(const soak_process_t *p)
+{
+	return p->ports[PORT_METRICS].address;
+}
+
+pid_t soak_process_pid(const soak_process_t *p)
+{
+	return p->pid;
+}
+
 const char *soak_process_log(const soak_process_t *p)
 {
 	return p->log;
--- a/soak/process.h
+++ b/soak/process.h
@@ -8,6 +8,7 @@
 
 #include <stdbool.h>
 #include <stdint.h>
+#include <sys/types.h>
 
 #include "contact.h"
 #include "judge.h"
@@ -36,6 +37,12 @@
 const char *soak_process_callers(const soak_process_t *p);
 const char *soak_process_ready(const soak_process_t *p);
 
+/** Returns the ip:port of its metrics. */
+const char *soak_process_metrics(const soak_process_t *p);
+
+/** Returns its process, 0 if it does not run. */
+pid_t soak_process_pid(const soak_process_t *p);
+
 /** Returns the path of its log. */
 const char *soak_process_log(const soak_process_t *p);
 
