The number of waiting jobs forgot those of a queue's earlier pool

Cause: the number came from the owner of the pool that the configuration names now. Jobs stay in the pool that accepted them.

Change: a node asks the owners of all pools of the configuration and adds up (fleet/queue_count.c), so that nothing has to be remembered of earlier versions. The queue's own pool has to answer, as before; another one whose owner is out of reach counts for nothing, so that a lost node does not take the numbers of all queues with it.

--- /dev/null
+++ b/src/fleet/queue_count.c
@@ -0,0 +1,81 @@
+#include "fleet/queue_count.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "fleet/peers.h"
+
+/** A count in progress. */
+typedef struct count {
+	uint32_t unanswered; /**< Questions, and one while they are sent. */
+	uint32_t waiting;
+	bool known; /**< The queue's pool has answered. */
+	bw_queue_count_done_fn done;
+	void *ctx;
+} count_t;
+
+/** A question about one pool. */
+typedef struct question {
+	count_t *count;
+	bool of_queue; /**< It is about the queue's pool. */
+} question_t;
+
+static void count_down(count_t *count)
+{
+	if (--count->unanswered > 0)
+		return;
+	count->done(count->ctx, count->known, count->waiting);
+	g_free(count);
+}
+
+static void on_answer(void *ctx, const bw_fleet_query_answer_t *answer)
+{
+	question_t *question = ctx;
+	count_t *count = question->count;
+
+	if (answer && answer->owner) {
+		count->waiting += answer->waiting;
+		count->known |= question->of_queue;
+	}
+	g_free(question);
+	count_down(count);
+}
+
+static void ask(const bw_queue_count_env_t *env, count_t *count,
+		const char *queue, const char *pool, bool of_queue)
+{
+	const char *owner = env->ops->owner(env->ctx, pool);
+	bw_fleet_query_answer_t answer = { 0 };
+	question_t *question = g_new0(question_t, 1);
+
+	question->count = count;
+	question->of_queue = of_queue;
+	count->unanswered++;
+	if (!owner) {
+		on_answer(question, NULL);
+	} else if (!strcmp(owner, env->node)) {
+		env->ops->query_local(env->ctx, pool, NULL, queue, &answer);
+		on_answer(question, &answer);
+	} else {
+		bw_fleet_peers_query(env->peers, owner, pool, NULL, queue,
+				     on_answer, question);
+	}
+}
+
+void bw_queue_count(const bw_queue_count_env_t *env,
+		    const bw_fleet_config_t *pools, const char *queue,
+		    const char *pool, bw_queue_count_done_fn done, void *ctx)
+{
+	count_t *count = g_new0(count_t, 1);
+	uint32_t i;
+
+	count->unanswered = 1;
+	count->done = done;
+	count->ctx = ctx;
+	ask(env, count, queue, pool, true);
+	for (i = 0; i < pools->pool_count; i++)
+		if (strcmp(pools->pools[i].name, pool) != 0)
+			ask(env, count, queue, pools->pools[i].name, false);
+	count_down(count);
+}
--- a/src/fleet/service.c
+++ b/src/fleet/service.c
@@ -11,6 +11,7 @@
 #include "fleet/cancel_marks.h"
 #include "fleet/job_keys.h"
 #include "fleet/job_location.h"
+#include "fleet/queue_count.h"
 #include "fleet/recent_writes.h"
 
 /** Answers are sent this long before the caller's timeout. */
@@ -98,7 +99,8 @@
 static void mark_cancelled(pending_request_t *pending);
 static void cancel(pending_request_t *pending);
 static void on_cancelled(void *ctx, const bw_store_reply_t *reply);
-static void on_waiting_answer(void *ctx, const bw_fleet_query_answer_t *answer);
+static void count_waiting(pending_request_t *pending);
+static void on_counted(void *ctx, bool known, uint32_t waiting);
 static void finish(pending_request_t *pending, const bw_answer_t *answer);
 static void finish_with(pending_request_t *pending, bw_answer_kind_t kind,
 			reason_t reason);
@@ -375,7 +377,7 @@
 		[BW_REQUEST_SUBMIT] = submit,
 		[BW_REQUEST_STATE] = query_state,
 		[BW_REQUEST_CANCEL] = read_job,
-		[BW_REQUEST_QUEUE] = query_state,
+		[BW_REQUEST_QUEUE] = count_waiting,
 	};
 
 	handlers[pending->kind](pending);
@@ -563,38 +565,41 @@
 static void query_state(pending_request_t *pending)
 {
 	bw_service_t *s = pending->s;
-	bw_fleet_query_done_fn done = pending->kind == BW_REQUEST_QUEUE
-					      ? on_waiting_answer
-					      : on_state_answer;
-	const char *job =
-		pending->kind == BW_REQUEST_QUEUE ? NULL : pending->id;
-	const char *queue = job ? NULL : pending->queue;
 	const char *owner = s->ops.owner(s->ctx, pending->pool);
 	bw_fleet_query_answer_t answer = { 0 };
 
 	if (!owner) {
-		done(pending, NULL);
+		on_state_answer(pending, NULL);
 	} else if (!strcmp(owner, s->node)) {
-		s->ops.query_local(s->ctx, pending->pool, job, queue, &answer);
-		done(pending, &answer);
+		s->ops.query_local(s->ctx, pending->pool, pending->id, NULL,
+				   &answer);
+		on_state_answer(pending, &answer);
 	} else {
-		bw_fleet_peers_query(s->peers, owner, pending->pool, job, queue,
-				     done, pending);
+		bw_fleet_peers_query(s->peers, owner, pending->pool,
+				     pending->id, NULL, on_state_answer,
+				     pending);
 	}
 }
 
-static void on_waiting_answer(void *ctx, const bw_fleet_query_answer_t *answer)
+static void count_waiting(pending_request_t *pending)
+{
+	bw_service_t *s = pending->s;
+	bw_queue_count_env_t env = { s->node, s->peers, &s->ops, s->ctx };
+
+	bw_queue_count(&env, s->config, pending->queue, pending->pool,
+		       on_counted, pending);
+}
+
+static void on_counted(void *ctx, bool known, uint32_t waiting)
 {
 	pending_request_t *pending = ctx;
-	bw_answer_t out = { .kind = BW_ANSWER_WAITING };
+	bw_answer_t answer = { .kind = BW_ANSWER_WAITING, .waiting = waiting };
 
-	if (!answer || !answer->owner) {
+	if (known)
+		finish(pending, &answer);
+	else
 		finish_with(pending, BW_ANSWER_REFUSED,
 			    REASON_OWNER_OUT_OF_REACH);
-		return;
-	}
-	out.waiting = answer->waiting;
-	finish(pending, &out);
 }
 
 static void on_state_answer(void *ctx, const bw_fleet_query_answer_t *answer)
--- a/test/test_moved_queues.c
+++ b/test/test_moved_queues.c
@@ -59,6 +59,12 @@
 static bw_fleet_config_t annex = { .queues = &in_annex, .queue_count = 1 };
 static bw_fleet_config_t other_annex = { .queues = &other_in_annex,
 					 .queue_count = 1 };
+static bw_pool_config_t all_pools[] = { { .name = "desk" },
+					{ .name = "annex" } };
+static bw_fleet_config_t annex_of_two = { .queues = &in_annex,
+					  .queue_count = 1,
+					  .pools = all_pools,
+					  .pool_count = 2 };
 static bw_fleet_config_t no_queue = { .queue_count = 0 };
 
 /** Operations of the store, and the same with leases that can be ended. */
@@ -311,6 +317,73 @@
 	end(&r);
 }
 
+static const char *own_all(void *ctx, const char *pool)
+{
+	(void)ctx;
+	(void)pool;
+	return "n";
+}
+
+static const char *own_desk(void *ctx, const char *pool)
+{
+	(void)ctx;
+	return strcmp(pool, "desk") ? NULL : "n";
+}
+
+static void count_jobs(void *ctx, const char *pool, const char *job,
+		       const char *queue, bw_fleet_query_answer_t *out)
+{
+	(void)ctx;
+	assert_null(job);
+	assert_string_equal(queue, "r1");
+	out->owner = true;
+	out->waiting = strcmp(pool, "desk") ? 2 : 45;
+}
+
+static void ask_waiting(requests_t *r,
+			const char *(*owner)(void *ctx, const char *pool))
+{
+	bw_service_ops_t ops = { owner, count_jobs, ignore_result,
+				 record_notice, is_reachable };
+	bw_request_t request = { .kind = BW_REQUEST_QUEUE,
+				 .host = "h",
+				 .path = "/p/",
+				 .caller_timeout_ms = 3000 };
+	bw_store_t store = bw_memstore_interface(r->store);
+
+	bw_service_destroy(r->service);
+	r->service = bw_service_create(r->loop, "n", &store, NULL, &ops, r);
+	bw_service_configure(r->service, &annex_of_two);
+	bw_service_serve(r->service, &request, on_answer, r);
+	assert_int_equal(r->answers, 1);
+}
+
+/* Failure: the number of waiting jobs forgets those that were accepted before
+ * the queue was sent to another pool. */
+static void test_number_of_waiting_jobs_forgets_a_moved_queue(void **state)
+{
+	requests_t r;
+
+	(void)state;
+	begin(&r);
+	ask_waiting(&r, own_all);
+	assert_int_equal(r.answer.kind, BW_ANSWER_WAITING);
+	assert_int_equal(r.answer.waiting, 47);
+	end(&r);
+}
+
+/* The jobs of its present pool are the ones that it can't do without. */
+static void test_number_without_the_queues_own_pool_is_told(void **state)
+{
+	requests_t r;
+
+	(void)state;
+	begin(&r);
+	ask_waiting(&r, own_desk);
+	assert_int_equal(r.answer.kind, BW_ANSWER_REFUSED);
+	end(&r);
+}
+
 static void count_mark(void *ctx, const bw_store_reply_t *reply)
 {
 	assert_true(reply->succeeded);
@@ -366,6 +439,10 @@
 		cmocka_unit_test(
 			test_cancelled_job_is_stored_after_the_end_of_leases),
 		cmocka_unit_test(test_marks_stay_for_good),
+		cmocka_unit_test(
+			test_number_of_waiting_jobs_forgets_a_moved_queue),
+		cmocka_unit_test(
+			test_number_without_the_queues_own_pool_is_told),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
