Linter: a count ends once its questions are sent, not by a reference of its own

The analyser of clang-tidy took the count for freed while its questions are sent, as one reference stood for that. A flag says it now; the order of events is the same.

--- a/src/fleet/queue_count.c
+++ b/src/fleet/queue_count.c
@@ -8,7 +8,8 @@
 
 /** A count in progress. */
 typedef struct count {
-	uint32_t unanswered; /**< Questions, and one while they are sent. */
+	bool sending; /**< More questions may follow. */
+	uint32_t unanswered; /**< Questions. */
 	uint32_t waiting;
 	bool known; /**< The queue's pool has answered. */
 	bw_queue_count_done_fn done;
@@ -21,9 +22,9 @@
 	bool of_queue; /**< It is about the queue's pool. */
 } question_t;
 
-static void count_down(count_t *count)
+static void finish_if_answered(count_t *count)
 {
-	if (--count->unanswered > 0)
+	if (count->sending || count->unanswered > 0)
 		return;
 	count->done(count->ctx, count->known, count->waiting);
 	g_free(count);
@@ -39,7 +40,8 @@
 		count->known |= question->of_queue;
 	}
 	g_free(question);
-	count_down(count);
+	count->unanswered--;
+	finish_if_answered(count);
 }
 
 static void ask(const bw_queue_count_env_t *env, count_t *count,
@@ -70,12 +72,13 @@
 	count_t *count = g_new0(count_t, 1);
 	uint32_t i;
 
-	count->unanswered = 1;
+	count->sending = true;
 	count->done = done;
 	count->ctx = ctx;
 	ask(env, count, queue, pool, true);
 	for (i = 0; i < pools->pool_count; i++)
 		if (strcmp(pools->pools[i].name, pool) != 0)
 			ask(env, count, queue, pools->pools[i].name, false);
-	count_down(count);
+	count->sending = false;
+	finish_if_answered(count);
 }
