Workers that keep their identifier over an upkeep were never used again

Cause: the controller took a machine for returned only with another worker, and told the owner until then, by identifier, that the worker is dead. The owner never took a worker back that an order had named.

Change: what is said of a worker's end names its boot. Owners report when their workers started; the controller keeps that time with the reservation (in the wave's record too) and with a move, and sends it with the order. An owner leaves later boots alone, and takes a worker back that registers with a later start; the boot that has ended does not come back by a registration that is read late. A machine is back when its worker is another one or a later boot. Without a time (earlier versions, a worker that was not reported) all is as before; the new fields are ignored by earlier versions.

That the order names the boot is needed: one that names the identifier and comes when the next boot has work would release its runs, which would start again elsewhere.

--- a/src/fleet/controller.c
+++ b/src/fleet/controller.c
@@ -26,6 +26,7 @@
 typedef struct move {
 	char *machine;
 	char *worker; /**< Worker that ran on it before the move. */
+	int64_t worker_started_ms; /**< Unix time of its start; 0: not known. */
 	char *from;
 	char *to;
 	int64_t ordered_ms; /**< When the order succeeded; 0: not yet. */
@@ -338,8 +339,8 @@
 				order_move(c, move, now_ms);
 			continue;
 		}
-		bw_reports_add_order(c->reports, move->from, move->worker,
-				     BW_WORKER_DEAD);
+		bw_reports_add_dead(c->reports, move->from, move->worker,
+				    move->worker_started_ms);
 		if (!machine || has_arrived(c, move, machine, now_ms))
 			g_hash_table_iter_remove(&iter);
 	}
@@ -435,10 +436,13 @@
 		       int64_t now_ms)
 {
 	const bw_machine_t *machine = g_hash_table_lookup(c->machines, name);
+	const bw_worker_report_t *worker =
+		bw_reports_worker(c->reports, machine->pool, machine->worker);
 	move_t *move = g_new0(move_t, 1);
 
 	move->machine = g_strdup(name);
 	move->worker = g_strdup(machine->worker);
+	move->worker_started_ms = worker ? worker->started_ms : 0;
 	move->from = g_strdup(machine->pool);
 	move->to = g_strdup(to);
 	g_hash_table_replace(c->moves, move->machine, move);
--- a/src/fleet/maintenance.c
+++ b/src/fleet/maintenance.c
@@ -21,6 +21,8 @@
 	const char *machine;
 	uint32_t tasks;
 	uint32_t lasting; /**< How many of the tasks are lasting. */
+	int64_t started_ms; /**< Unix time of its worker's start; 0: not known.
+			     */
 } candidate_t;
 
 typedef struct wave {
@@ -404,6 +406,7 @@
 		return true;
 	candidate->tasks = worker->tasks;
 	candidate->lasting = worker->lasting;
+	candidate->started_ms = worker->started_ms;
 	return true;
 }
 
@@ -478,7 +481,7 @@
 		wave->m->view->machines, candidate->machine);
 
 	bw_wave_entry_add(wave->entries, candidate->machine, machine->worker,
-			  BW_WAVE_RESERVED);
+			  candidate->started_ms, BW_WAVE_RESERVED);
 	bw_event(BW_EVENT_UPKEEP_RESERVE,
 		 "wave=%" G_GINT64_FORMAT " machine=%s worker=%s "
 		 "tasks=%u reserved=%u",
@@ -527,6 +530,23 @@
 	return !worker || (worker->idle && worker->cordoned);
 }
 
+/* Whether a machine has another worker than when it was reserved, or a later
+ * boot under the same identifier. */
+static bool has_new_worker(const bw_maintenance_view_t *view,
+			   const bw_machine_t *machine,
+			   const bw_wave_entry_t *entry)
+{
+	const bw_worker_report_t *worker;
+
+	if (strcmp(machine->worker, entry->worker) != 0 ||
+	    entry->worker[0] == '\0')
+		return true;
+	worker = bw_reports_worker(view->reports, machine->pool,
+				   machine->worker);
+	return worker && entry->worker_started_ms > 0 &&
+	       worker->started_ms > entry->worker_started_ms;
+}
+
 /* Drains a reserved machine, orders its maintenance, then awaits its return. */
 static void advance_machine(wave_t *wave, bw_wave_entry_t *entry)
 {
@@ -537,11 +557,9 @@
 	if (!machine || entry->call_pending)
 		return;
 	if (entry->ordered_ms > 0) {
-		bw_reports_add_order(view->reports, machine->pool,
-				     entry->worker, BW_WORKER_DEAD);
-		if (!machine->up ||
-		    (!strcmp(machine->worker, entry->worker) &&
-		     entry->worker[0] != '\0') ||
+		bw_reports_add_dead(view->reports, machine->pool, entry->worker,
+				    entry->worker_started_ms);
+		if (!machine->up || !has_new_worker(view, machine, entry) ||
 		    view->list_ms < entry->ordered_ms + MAINTENANCE_LAG_MAX_MS)
 			return;
 		entry->progress = BW_WAVE_DONE;
--- a/src/fleet/reports.c
+++ b/src/fleet/reports.c
@@ -11,6 +11,7 @@
 	bw_pool_demand_t demand;
 	GHashTable *workers; /**< Identifier to bw_worker_report_t. */
 	GPtrArray *orders[BW_WORKER_ORDER_COUNT]; /**< Identifiers. */
+	GArray *dead_started_ms; /**< int64_t, of each that is to be dead. */
 	bool expects_workers; /**< New workers will start soon. */
 } pool_report_t;
 
@@ -40,6 +41,7 @@
 
 	for (i = 0; i < BW_WORKER_ORDER_COUNT; i++)
 		g_ptr_array_free(report->orders[i], TRUE);
+	g_array_free(report->dead_started_ms, TRUE);
 	g_hash_table_destroy(report->workers);
 	g_free(report->pool);
 	g_free(report);
@@ -73,6 +75,7 @@
 	row.idle = view->idle;
 	row.emptied = view->cordoned;
 	row.reachable = view->reachable;
+	row.started_ms = view->started_ms;
 	g_array_append_val(p->rows, row);
 }
 
@@ -121,6 +124,7 @@
 						worker_free);
 	for (i = 0; i < BW_WORKER_ORDER_COUNT; i++)
 		report->orders[i] = g_ptr_array_new_with_free_func(g_free);
+	report->dead_started_ms = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	g_hash_table_insert(r->pools, report->pool, report);
 	return report;
 }
@@ -151,6 +155,7 @@
 		worker->idle = row->idle;
 		worker->cordoned = row->emptied;
 		worker->reachable = row->reachable;
+		worker->started_ms = row->started_ms;
 		g_hash_table_replace(report->workers, worker->id, worker);
 	}
 }
@@ -192,6 +197,7 @@
 		report->expects_workers = false;
 		for (i = 0; i < BW_WORKER_ORDER_COUNT; i++)
 			g_ptr_array_set_size(report->orders[i], 0);
+		g_array_set_size(report->dead_started_ms, 0);
 	}
 }
 
@@ -208,6 +214,15 @@
 				g_strdup(worker));
 }
 
+void bw_reports_add_dead(bw_reports_t *r, const char *pool, const char *worker,
+			 int64_t started_ms)
+{
+	if (worker[0] == '\0')
+		return;
+	bw_reports_add_order(r, pool, worker, BW_WORKER_DEAD);
+	g_array_append_val(get_pool(r, pool)->dead_started_ms, started_ms);
+}
+
 void bw_reports_send_orders(bw_reports_t *r,
 			    void (*send)(void *ctx, const char *pool,
 					 const Bramley__Frame *frame),
@@ -230,6 +245,9 @@
 		order.n_due = report->orders[BW_WORKER_MAINTENANCE_DUE]->len;
 		order.dead = (char **)report->orders[BW_WORKER_DEAD]->pdata;
 		order.n_dead = report->orders[BW_WORKER_DEAD]->len;
+		order.dead_started_ms =
+			(int64_t *)(void *)report->dead_started_ms->data;
+		order.n_dead_started_ms = report->dead_started_ms->len;
 		order.awaits = report->expects_workers;
 		frame.body_case = BRAMLEY__FRAME__BODY_POOL_ORDER;
 		frame.pool_order = &order;
@@ -237,10 +255,14 @@
 	}
 }
 
+/** Lists of an order that tell something of each worker, also by leaving it
+ *  out: all but the dead. */
+#define LISTS BW_WORKER_DEAD
+
 /** Context while a pool's order is carried out: the workers of each list. */
 typedef struct order_ctx {
 	bw_sched_t *sched;
-	GHashTable *workers[BW_WORKER_ORDER_COUNT];
+	GHashTable *workers[LISTS];
 } order_ctx_t;
 
 /* Returns the set of a list's identifiers, which stay the list's. */
@@ -266,8 +288,25 @@
 		a->sched, id,
 		g_hash_table_contains(a->workers[BW_WORKER_MAINTENANCE_DUE],
 				      id));
-	if (g_hash_table_contains(a->workers[BW_WORKER_DEAD], id))
-		bw_sched_worker_dead(a->sched, id, "upkeep-or-move");
+}
+
+static void apply_dead(bw_sched_t *sched, const Bramley__PoolOrder *order)
+{
+	size_t i;
+
+	for (i = 0; i < order->n_dead; i++) {
+		/* Earlier versions send no times. */
+		int64_t started_ms = i < order->n_dead_started_ms
+					     ? order->dead_started_ms[i]
+					     : 0;
+
+		if (started_ms > 0)
+			bw_sched_boot_dead(sched, order->dead[i], started_ms,
+					   "upkeep-or-move");
+		else
+			bw_sched_worker_dead(sched, order->dead[i],
+					     "upkeep-or-move");
+	}
 }
 
 void bw_reports_apply_order(bw_sched_t *sched, const Bramley__PoolOrder *order)
@@ -279,14 +318,14 @@
 				set_of(order->empty, order->n_empty),
 			[BW_WORKER_MAINTENANCE_DUE] =
 				set_of(order->due, order->n_due),
-			[BW_WORKER_DEAD] = set_of(order->dead, order->n_dead),
 		},
 	};
 	int i;
 
 	bw_sched_workers(sched, apply_worker, &a);
-	for (i = 0; i < BW_WORKER_ORDER_COUNT; i++)
+	for (i = 0; i < LISTS; i++)
 		g_hash_table_destroy(a.workers[i]);
+	apply_dead(sched, order);
 }
 
 static void uncordon_worker(void *ctx, const char *id, bool registered)
--- a/src/fleet/reports.h
+++ b/src/fleet/reports.h
@@ -25,6 +25,7 @@
 	bool idle; /**< No task runs or may still run on it. */
 	bool cordoned; /**< Its owner evacuates it and starts no tasks on it. */
 	bool reachable; /**< It answers and is not draining. */
+	int64_t started_ms; /**< Unix time of its start; 0: not known. */
 } bw_worker_report_t;
 
 /** What the controller orders the owner to do with a worker. */
@@ -66,10 +67,17 @@
 /** Removes all orders, to begin a new round. */
 void bw_reports_clear_orders(bw_reports_t *r);
 
-/** Adds an order about a worker; none if the identifier is "". */
+/** Adds another order about a worker; none if the identifier is "". */
 void bw_reports_add_order(bw_reports_t *r, const char *pool, const char *worker,
 			  bw_worker_order_t order);
 
+/**
+ * Adds the order to treat a worker as ended; none if the identifier is "".
+ * @param started_ms of the boot that has ended; later ones go on; 0: any
+ */
+void bw_reports_add_dead(bw_reports_t *r, const char *pool, const char *worker,
+			 int64_t started_ms);
+
 /** Adds to a pool's order that new workers will start soon. */
 void bw_reports_expect_workers(bw_reports_t *r, const char *pool);
 
--- a/src/fleet/wave_record.c
+++ b/src/fleet/wave_record.c
@@ -18,13 +18,14 @@
 }
 
 bw_wave_entry_t *bw_wave_entry_add(GHashTable *entries, const char *machine,
-				   const char *worker,
+				   const char *worker, int64_t started_ms,
 				   bw_wave_entry_progress_t progress)
 {
 	bw_wave_entry_t *entry = g_new0(bw_wave_entry_t, 1);
 
 	entry->machine = g_strdup(machine);
 	entry->worker = g_strdup(worker);
+	entry->worker_started_ms = started_ms;
 	entry->progress = progress;
 	g_hash_table_replace(entries, entry->machine, entry);
 	return entry;
@@ -69,6 +70,7 @@
 		if (!entry)
 			entry = bw_wave_entry_add(
 				entries, row->machine, row->worker,
+				row->worker_started_ms,
 				(bw_wave_entry_progress_t)row->state);
 		else if (row->state == BW_WAVE_DONE)
 			entry->progress = BW_WAVE_DONE;
@@ -97,6 +99,7 @@
 		bramley__wave_machine__init(row);
 		row->machine = entry->machine;
 		row->worker = entry->worker;
+		row->worker_started_ms = entry->worker_started_ms;
 		row->state = entry->progress;
 		record.machines[record.n_machines++] = row;
 	}
--- a/src/fleet/wave_record.h
+++ b/src/fleet/wave_record.h
@@ -25,6 +25,7 @@
 typedef struct bw_wave_entry {
 	char *machine;
 	char *worker; /**< That ran on it when it was reserved. */
+	int64_t worker_started_ms; /**< Unix time of its start; 0: not known. */
 	bw_wave_entry_progress_t progress;
 	/** Progress in the store; 0: not stored. */
 	bw_wave_entry_progress_t stored;
@@ -36,9 +37,10 @@
 /** Creates an empty set: machine to bw_wave_entry_t; it owns the entries. */
 GHashTable *bw_wave_entries_new(void);
 
-/** Adds a machine, or replaces its entry. */
+/** Adds a machine, or replaces its entry.
+ *  @param started_ms of the worker; 0: not known */
 bw_wave_entry_t *bw_wave_entry_add(GHashTable *entries, const char *machine,
-				   const char *worker,
+				   const char *worker, int64_t started_ms,
 				   bw_wave_entry_progress_t progress);
 
 /** Encodes the entries; release with g_free(). */
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -253,8 +253,8 @@
 	bool cordoned; /**< Gets no tasks and is evacuated. */
 	bool maintenance_due;
 	bool dead; /**< Known to have ended, with all its runs. */
-	bool ended_by_order; /**< Dead by an order of the fleet, which may name
-				it for a while. */
+	bool ended_by_order; /**< Dead by an order of the fleet that names no
+				boot, and may name it for a while. */
 	bool inherited; /**< May still carry out stops of an earlier owner. */
 	bool synced; /**< Has accepted our fencing token and listed its runs
 			and ends. */
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -222,6 +222,13 @@
 /** Records that an order of the fleet has ended a worker, with all its runs. */
 void bw_sched_worker_dead(bw_sched_t *s, const char *id, const char *reason);
 
+/**
+ * The same of the boot of a worker that started at a time, and those before it;
+ * a later one goes on, or may register yet.
+ */
+void bw_sched_boot_dead(bw_sched_t *s, const char *id, int64_t started_ms,
+			const char *reason);
+
 /** Calls a function for each worker. */
 void bw_sched_workers(const bw_sched_t *s,
 		      void (*fn)(void *ctx, const char *id, bool registered),
@@ -394,6 +401,7 @@
 	bool idle; /**< No task runs or may run on it. */
 	bool cordoned; /**< Gets no tasks and is evacuated. */
 	bool reachable; /**< It answers and is not draining. */
+	int64_t started_ms; /**< Unix time of its start; 0: not known. */
 } bw_worker_view_t;
 
 /** Processor that a pool uses and could use, in thousandths of a core. */
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -312,6 +312,18 @@
 	release_runs(s, worker, reason);
 }
 
+void bw_sched_boot_dead(bw_sched_t *s, const char *id, int64_t started_ms,
+			const char *reason)
+{
+	worker_t *worker = sched_worker(s, id);
+
+	if (!worker || worker->started_ms > started_ms)
+		return;
+	bw_sched_worker_dead(s, id, reason);
+	worker->ended_by_order = false;
+	worker->started_ms = started_ms;
+}
+
 void sched_worker_crashed(bw_sched_t *s, worker_t *worker, const char *reason,
 			  int64_t now_ms)
 {
--- a/src/wire/bramley.pb-c.c
+++ b/src/wire/bramley.pb-c.c
@@ -1421,7 +1421,7 @@
   (ProtobufCMessageInit) bramley__state_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__worker_report__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bramley__worker_report__field_descriptors[7] =
 {
   {
     "id",
@@ -1495,6 +1495,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "started_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__WorkerReport, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__worker_report__field_indices_by_name[] = {
   3,   /* field[3] = emptied */
@@ -1502,12 +1514,13 @@
   2,   /* field[2] = idle */
   5,   /* field[5] = lasting */
   4,   /* field[4] = reachable */
+  6,   /* field[6] = started_ms */
   1,   /* field[1] = tasks */
 };
 static const ProtobufCIntRange bramley__worker_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bramley__worker_report__descriptor =
 {
@@ -1517,7 +1530,7 @@
   "Bramley__WorkerReport",
   "bramley",
   sizeof(Bramley__WorkerReport),
-  6,
+  7,
   bramley__worker_report__field_descriptors,
   bramley__worker_report__field_indices_by_name,
   1,  bramley__worker_report__number_ranges,
@@ -1640,7 +1653,7 @@
   (ProtobufCMessageInit) bramley__pool_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__pool_order__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bramley__pool_order__field_descriptors[6] =
 {
   {
     "pool",
@@ -1702,10 +1715,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "dead_started_ms",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Bramley__PoolOrder, n_dead_started_ms),
+    offsetof(Bramley__PoolOrder, dead_started_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__pool_order__field_indices_by_name[] = {
   4,   /* field[4] = awaits */
   3,   /* field[3] = dead */
+  5,   /* field[5] = dead_started_ms */
   2,   /* field[2] = due */
   1,   /* field[1] = empty */
   0,   /* field[0] = pool */
@@ -1713,7 +1739,7 @@
 static const ProtobufCIntRange bramley__pool_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bramley__pool_order__descriptor =
 {
@@ -1723,7 +1749,7 @@
   "Bramley__PoolOrder",
   "bramley",
   sizeof(Bramley__PoolOrder),
-  5,
+  6,
   bramley__pool_order__field_descriptors,
   bramley__pool_order__field_indices_by_name,
   1,  bramley__pool_order__number_ranges,
--- a/src/wire/bramley.pb-c.h
+++ b/src/wire/bramley.pb-c.h
@@ -235,10 +235,14 @@
    * Lasting tasks among the tasks.
    */
   uint32_t lasting;
+  /*
+   * Unix time of its start; 0: not known.
+   */
+  int64_t started_ms;
 };
 #define BRAMLEY__WORKER_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__worker_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -299,10 +303,15 @@
    * New workers are expected to register.
    */
   protobuf_c_boolean awaits;
+  /*
+   * Start of each that has ended; those
+   */
+  size_t n_dead_started_ms;
+  int64_t *dead_started_ms;
 };
 #define BRAMLEY__POOL_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__pool_order__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 /*
--- a/src/wire/record.pb-c.c
+++ b/src/wire/record.pb-c.c
@@ -1772,7 +1772,7 @@
   (ProtobufCMessageInit) bramley__owner_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__wave_machine__field_descriptors[4] =
+static const ProtobufCFieldDescriptor bramley__wave_machine__field_descriptors[5] =
 {
   {
     "machine",
@@ -1822,17 +1822,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "worker_started_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__WaveMachine, worker_started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__wave_machine__field_indices_by_name[] = {
   0,   /* field[0] = machine */
   3,   /* field[3] = since_ms */
   1,   /* field[1] = state */
   2,   /* field[2] = worker */
+  4,   /* field[4] = worker_started_ms */
 };
 static const ProtobufCIntRange bramley__wave_machine__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor bramley__wave_machine__descriptor =
 {
@@ -1842,7 +1855,7 @@
   "Bramley__WaveMachine",
   "bramley",
   sizeof(Bramley__WaveMachine),
-  4,
+  5,
   bramley__wave_machine__field_descriptors,
   bramley__wave_machine__field_indices_by_name,
   1,  bramley__wave_machine__number_ranges,
--- a/src/wire/record.pb-c.h
+++ b/src/wire/record.pb-c.h
@@ -216,6 +216,9 @@
 struct  Bramley__PoolRecord
 {
   ProtobufCMessage base;
+  /*
+   * 2: tasks are held.
+   */
   uint32_t version;
   uint64_t fence;
   size_t n_workers;
@@ -307,10 +310,14 @@
    * Unix time of the state.
    */
   int64_t since_ms;
+  /*
+   * Of that worker; 0: not known.
+   */
+  int64_t worker_started_ms;
 };
 #define BRAMLEY__WAVE_MACHINE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__wave_machine__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/test/test_maintenance.c
+++ b/test/test_maintenance.c
@@ -419,6 +419,89 @@
 	tear_down(&t);
 }
 
+/* Machines that come back with the identifier of their worker. */
+
+static uint32_t maintained;
+
+static void maintain(void *impl, const char *machine, int64_t wave,
+		     const bw_machine_holder_t *holder, bw_machine_done_fn done,
+		     void *ctx)
+{
+	(void)impl;
+	(void)machine;
+	(void)wave;
+	(void)holder;
+	maintained++;
+	done(ctx, BW_MACHINE_OK);
+}
+
+/* Reports idle workers that started at a time. */
+static void report_starts(maintenance_test_t *t, int64_t started_ms)
+{
+	Bramley__PoolReport report = BRAMLEY__POOL_REPORT__INIT;
+	Bramley__WorkerReport rows[MACHINES];
+	Bramley__WorkerReport *list[MACHINES];
+	uint32_t i;
+
+	for (i = 0; i < MACHINES; i++) {
+		bramley__worker_report__init(&rows[i]);
+		rows[i].id = t->names[i];
+		rows[i].idle = true;
+		rows[i].emptied = true;
+		rows[i].started_ms = started_ms;
+		list[i] = &rows[i];
+	}
+	report.pool = (char *)POOL;
+	report.workers = list;
+	report.n_workers = MACHINES;
+	bw_reports_record(t->reports, bw_clock_now_ms(), &report);
+}
+
+static bool run_rounds(maintenance_test_t *t, int64_t started_ms,
+		       uint32_t rounds)
+{
+	bool completed = false;
+	uint32_t i;
+
+	for (i = 0; i < rounds && !completed; i++) {
+		bw_maintenance_view_t view = { .now_ms = bw_clock_now_ms(),
+					       .machines = t->by_name,
+					       .reports = t->reports,
+					       .may_order = true };
+
+		view.list_ms = view.now_ms;
+		report_starts(t, started_ms);
+		bw_maintenance_tick(t->maintenance, &view);
+		ev_run(t->loop, EVRUN_NOWAIT);
+		g_usleep(10000);
+		bw_maintenance_foreach_wave(t->maintenance, read_completed,
+					    &completed);
+	}
+	return completed;
+}
+
+/* They were taken for those that are still to come back, and the wave never
+ * ended. */
+static void test_machine_that_keeps_its_worker_never_comes_back(void **state)
+{
+	bw_maintenance_env_t env = { .values = &values,
+				     .machines = { .maintain = maintain } };
+	maintenance_test_t t;
+
+	(void)state;
+	set_up(&t);
+	env.store = bw_memstore_interface(t.store);
+	bw_maintenance_destroy(t.maintenance);
+	t.maintenance = bw_maintenance_create(&env, &ops, &t);
+	add_wave(&t);
+	maintained = 0;
+	assert_false(run_rounds(&t, 5, ROUNDS_MAX));
+	assert_int_equal(maintained, MACHINES);
+	assert_true(run_rounds(&t, 6, ROUNDS_MAX));
+	assert_int_equal(maintained, MACHINES);
+	tear_down(&t);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -431,6 +514,8 @@
 			test_completed_wave_runs_again_by_a_late_write),
 		cmocka_unit_test(
 			test_completed_wave_runs_again_after_a_takeover),
+		cmocka_unit_test(
+			test_machine_that_keeps_its_worker_never_comes_back),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/test_restart.c
+++ b/test/test_restart.c
@@ -655,6 +655,58 @@
 	bw_sched_destroy(o.sched);
 }
 
+/* A machine came back from its upkeep with the identifier that its worker had,
+ * and was never used again. */
+static void test_worker_that_keeps_its_identifier_stays_dead(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	orders_begin_with_worker(&o);
+	bw_sched_boot_dead(o.sched, "w1", FIRST_BOOT_MS, "upkeep-or-move");
+	orders_run(&o, 10);
+	register_boot(&o, SECOND_BOOT_MS);
+	orders_add_job(&o, JOB_A, 1, false, 1000, 500);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 0);
+	orders_answer_as_boot(&o, "w1", SECOND_BOOT_MS, NULL, 0, NULL, 0);
+	orders_save(&o);
+	orders_run(&o, 200);
+	assert_int_equal(o.start_count, 1);
+	bw_sched_destroy(o.sched);
+}
+
+/* The controller names the boot that has ended until it has seen the next one:
+ * what that runs went on, and was started once more elsewhere. */
+static void
+test_order_about_an_earlier_boot_ends_the_runs_of_the_next(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	orders_begin_with_worker(&o);
+	bw_sched_boot_dead(o.sched, "w1", FIRST_BOOT_MS, "upkeep-or-move");
+	register_boot(&o, SECOND_BOOT_MS);
+	orders_add_job(&o, JOB_A, 1, false, 1000, 500);
+	orders_answer_as_boot(&o, "w1", SECOND_BOOT_MS, NULL, 0, NULL, 0);
+	orders_save(&o);
+	orders_run(&o, 200);
+	assert_int_equal(o.start_count, 1);
+	orders_add_worker(&o, "w2");
+	orders_answer_heartbeat(&o, "w2", NULL, 0, NULL, 0);
+	orders_save(&o);
+	bw_sched_boot_dead(o.sched, "w1", FIRST_BOOT_MS, "upkeep-or-move");
+	orders_run(&o, 200);
+	assert_int_equal(o.start_count, 1);
+	/* A registration of the boot that has ended is no other one. */
+	bw_sched_boot_dead(o.sched, "w1", SECOND_BOOT_MS, "upkeep-or-move");
+	register_boot(&o, SECOND_BOOT_MS);
+	orders_run(&o, 200);
+	assert_int_equal(o.start_count, 2);
+	assert_string_equal(o.starts[1].worker, "w2");
+	bw_sched_destroy(o.sched);
+}
+
 static void test_successor_waits_for_an_unexpected_run_of_a_task(void **state)
 {
 	bw_run_row_t row;
@@ -939,6 +991,10 @@
 		cmocka_unit_test(
 			test_unexpected_run_on_a_silent_worker_ends_with_its_grant),
 		cmocka_unit_test(test_unexpected_run_ends_with_its_worker),
+		cmocka_unit_test(
+			test_worker_that_keeps_its_identifier_stays_dead),
+		cmocka_unit_test(
+			test_order_about_an_earlier_boot_ends_the_runs_of_the_next),
 		cmocka_unit_test(
 			test_successor_waits_for_an_unexpected_run_of_a_task),
 		cmocka_unit_test(
