Linter: the count of waiting jobs adds local answers without a question

The analyser still took the count for freed: it follows a local answer through the callback of a question. A local answer is added at once now, and only those of other nodes are questions. make lint is clean, test_moved_queues and test_service pass.

--- a/src/fleet/queue_count.c
+++ b/src/fleet/queue_count.c
@@ -30,39 +30,54 @@
 	g_free(count);
 }
 
+static void add(count_t *count, const bw_fleet_query_answer_t *answer,
+		bool of_queue)
+{
+	if (!answer->owner)
+		return;
+	count->waiting += answer->waiting;
+	count->known |= of_queue;
+}
+
 static void on_answer(void *ctx, const bw_fleet_query_answer_t *answer)
 {
 	question_t *question = ctx;
 	count_t *count = question->count;
 
-	if (answer && answer->owner) {
-		count->waiting += answer->waiting;
-		count->known |= question->of_queue;
-	}
+	if (answer)
+		add(count, answer, question->of_queue);
 	g_free(question);
 	count->unanswered--;
 	finish_if_answered(count);
 }
 
-static void ask(const bw_queue_count_env_t *env, count_t *count,
-		const char *queue, const char *pool, bool of_queue)
+static void ask_node(const bw_queue_count_env_t *env, count_t *count,
+		     const char *owner, const char *queue, const char *pool,
+		     bool of_queue)
 {
-	const char *owner = env->ops->owner(env->ctx, pool);
-	bw_fleet_query_answer_t answer = { 0 };
 	question_t *question = g_new0(question_t, 1);
 
 	question->count = count;
 	question->of_queue = of_queue;
 	count->unanswered++;
-	if (!owner) {
-		on_answer(question, NULL);
-	} else if (!strcmp(owner, env->node)) {
-		env->ops->query_local(env->ctx, pool, NULL, queue, &answer);
-		on_answer(question, &answer);
-	} else {
-		bw_fleet_peers_query(env->peers, owner, pool, NULL, queue,
-				     on_answer, question);
+	bw_fleet_peers_query(env->peers, owner, pool, NULL, queue, on_answer,
+			     question);
+}
+
+static void ask(const bw_queue_count_env_t *env, count_t *count,
+		const char *queue, const char *pool, bool of_queue)
+{
+	const char *owner = env->ops->owner(env->ctx, pool);
+	bw_fleet_query_answer_t answer = { 0 };
+
+	if (!owner)
+		return;
+	if (strcmp(owner, env->node) != 0) {
+		ask_node(env, count, owner, queue, pool, of_queue);
+		return;
 	}
+	env->ops->query_local(env->ctx, pool, NULL, queue, &answer);
+	add(count, &answer, of_queue);
 }
 
 void bw_queue_count(const bw_queue_count_env_t *env,
