A list ended a hold beside a question that was still under way

Callers would see: a task runs twice. Its worker is asked for it; before the question arrives the worker lists its first end, which ends the hold, and the run is taken for missing and started elsewhere. The question arrives and begins it a second time. Found by reading; nobody has seen it.

Cause: a task that was known as running stayed so while it was asked for. It is one that is being started from then on, so that a stop has to be answered before its run counts as gone, as for any start without an answer.

Test, red before (2 starts, 1 expected): test_list_ends_a_hold_beside_a_question.

--- a/src/sched/ask.c
+++ b/src/sched/ask.c
@@ -25,10 +25,15 @@
 	       sched_has_room(task->worker);
 }
 
+/* From now on the run may begin, so that only a stop would keep it from that.
+ */
 static void send_question(bw_sched_t *s, task_t *task, int64_t now_ms)
 {
 	task->asked_again = true;
 	task->ordered_ms = now_ms;
+	task->start_answered_ms = 0;
+	if (task->state == TASK_RUNNING)
+		task->state = TASK_STARTING;
 	sched_send_start(s, task, now_ms);
 }
 
@@ -53,7 +58,6 @@
 	task->state = TASK_STARTING;
 	/* An earlier owner may have sent more than one. */
 	task->copies = 1;
-	task->start_answered_ms = -1;
 	task->start_accepted = false;
 	task->percent = PERCENT_UNKNOWN;
 	task->ready = false;
@@ -94,14 +98,13 @@
 			     bw_order_result_t result, int64_t now_ms)
 {
 	task->asked_again = false;
-	if (!task->end_dropped)
-		return;
 	if (result == BW_ORDER_OK) {
 		end_hold(s, task, now_ms);
 		return;
 	}
+	task->start_answered_ms = -1;
 	if (result == BW_ORDER_NO_TICKET)
 		sched_ticket_refused(task, task->worker);
-	if (result == BW_ORDER_OLD_RUN)
+	if (result == BW_ORDER_OLD_RUN && task->end_dropped)
 		leave_ended(s, task);
 }
--- a/test/test_questions.c
+++ b/test/test_questions.c
@@ -150,6 +150,34 @@
 	bw_sched_destroy(o.sched);
 }
 
+/* The boot lists its first end while a question is under way, which it has not
+ * carried out yet. */
+static void test_list_ends_a_hold_beside_a_question(void **state)
+{
+	bw_end_row_t end = {
+		.number = 1, .run = 1, .kind = BW_END_STOPPED, .checkpoint = ""
+	};
+	orders_t o;
+
+	(void)state;
+	held_start_beside_an_acknowledgement(&o, 0);
+	restart_idle(&o, SECOND_CLOCK_MS);
+	held_pass(&o, SECOND_BOOT_MS, BW_ORDER_UNHEALTHY);
+	orders_run(&o, 1000);
+	orders_answer_as_boot(&o, "w1", SECOND_BOOT_MS, NULL, 0, NULL, 0);
+	assert_true(o.question_count > o.questions_answered);
+	orders_run(&o, ROUND_MS);
+	g_strlcpy(end.task.job, JOB_EARLY, sizeof(end.task.job));
+	orders_answer_as_boot(&o, "w1", SECOND_BOOT_MS, NULL, 0, &end, 1);
+	orders_answer_heartbeat(&o, "w2", NULL, 0, NULL, 0);
+	orders_run(&o, ROUND_MS);
+	assert_int_equal(o.start_count, 1);
+	held_pass(&o, SECOND_BOOT_MS, BW_ORDER_LOST);
+	assert_true(o.stop_count > 0);
+	assert_int_equal(o.start_count, 2);
+	bw_sched_destroy(o.sched);
+}
+
 /* Nor did the next owner ever start it. */
 static void test_next_owner_holds_a_task_without_limit(void **state)
 {
@@ -201,6 +229,7 @@
 		cmocka_unit_test(test_run_that_has_ended_unread_starts_again),
 		cmocka_unit_test(test_run_that_has_ended_unread_keeps_its_room),
 		cmocka_unit_test(test_question_without_an_answer_ends_a_hold),
+		cmocka_unit_test(test_list_ends_a_hold_beside_a_question),
 		cmocka_unit_test(test_next_owner_holds_a_task_without_limit),
 		cmocka_unit_test(
 			test_held_task_of_a_cancelled_job_keeps_its_room),
