--- a/test/held_task.c
+++ b/test/held_task.c
@@ -6,17 +6,6 @@
 
 #include <glib.h>
 
-void held_register_boot(orders_t *o, int64_t started_ms)
-{
-	bw_worker_info_t info = { .id = "w1",
-				  .address = "10.0.0.1:1",
-				  .capacity = { 8000, 8000, 0 },
-				  .machine = "w1",
-				  .started_ms = started_ms };
-
-	bw_sched_worker_registered(o->sched, o->now_ms, &info);
-}
-
 /* Lets an end of w1 be acknowledged by the heartbeat that is in flight. */
 static void acknowledge_an_end(orders_t *o)
 {
@@ -47,7 +36,7 @@
 	orders_add_worker(o, "w2");
 	orders_answer_heartbeat(o, "w2", NULL, 0, NULL, 0);
 	orders_save(o);
-	held_register_boot(o, SECOND_BOOT_MS);
+	orders_register_boot(o, SECOND_BOOT_MS);
 	orders_run(o, 10);
 	orders_answer_as_boot(o, "w1", SECOND_BOOT_MS, NULL, 0, NULL, 0);
 	orders_run(o, 10);
@@ -57,7 +46,7 @@
 {
 	orders_succeed(before, o);
 	o->held_on = "w1";
-	held_register_boot(o, started_ms);
+	orders_register_boot(o, started_ms);
 	orders_add_worker(o, "w2");
 	orders_add_job(o, JOB_A, 1, false, 1000, 20);
 	orders_run(o, 10);
--- a/test/held_task.h
+++ b/test/held_task.h
@@ -17,9 +17,6 @@
 #define HELD_ROUNDS 50
 #define ROUND_MS    100
 
-/** Registers a boot of w1. */
-void held_register_boot(orders_t *o, int64_t started_ms);
-
 /** Lets an owner hold JOB_A: its start and the acknowledgement have reached the
  * second boot of w1. */
 void held_begin(orders_t *o);
--- a/test/sched_orders.c
+++ b/test/sched_orders.c
@@ -133,6 +133,17 @@
 	orders_add_worker_with(o, id, 8000);
 }
 
+void orders_register_boot(orders_t *o, int64_t started_ms)
+{
+	bw_worker_info_t info = { .id = "w1",
+				  .address = "10.0.0.1:1",
+				  .capacity = { 8000, 8000, 0 },
+				  .machine = "w1",
+				  .started_ms = started_ms };
+
+	bw_sched_worker_registered(o->sched, o->now_ms, &info);
+}
+
 void orders_answer_heartbeat(orders_t *o, const char *id,
 			     const bw_run_row_t *runs, uint32_t run_count,
 			     const bw_end_row_t *ends, uint32_t end_count)
--- a/test/sched_orders.h
+++ b/test/sched_orders.h
@@ -66,6 +66,9 @@
 /** Adds a worker with eight cores. */
 void orders_add_worker(orders_t *o, const char *id);
 
+/** Registers a boot of w1; its first one started at 5. */
+void orders_register_boot(orders_t *o, int64_t started_ms);
+
 /** Answers a heartbeat that was sent just now. */
 void orders_answer_heartbeat(orders_t *o, const char *id,
 			     const bw_run_row_t *runs, uint32_t run_count,
--- a/test/test_held.c
+++ b/test/test_held.c
@@ -62,7 +62,7 @@
 	lost.sent_ms = o.now_ms;
 	orders_run(&o, 500);
 	bw_sched_heartbeat_answered(o.sched, o.now_ms, "w1", &lost);
-	held_register_boot(&o, SECOND_BOOT_MS);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	orders_save(&o);
 	assert_false(bw_sched_urgent(o.sched));
 	orders_run(&o, 300);
@@ -191,7 +191,7 @@
 	bw_sched_hand_over(before.sched);
 	orders_succeed(&before, &middle);
 	bw_sched_add_unreadable(middle.sched, JOB_A);
-	held_register_boot(&middle, SECOND_BOOT_MS);
+	orders_register_boot(&middle, SECOND_BOOT_MS);
 	orders_add_worker(&middle, "w2");
 	held_pass(&middle, SECOND_BOOT_MS, BW_ORDER_OLD_RUN);
 	assert_int_equal(stored_version(&middle), 2);
@@ -325,7 +325,7 @@
 	held_take_over(&o, SECOND_BOOT_MS);
 	held_pass(&o, SECOND_BOOT_MS, BW_ORDER_OLD_RUN);
 	assert_int_equal(o.start_count, 0);
-	held_register_boot(&o, THIRD_BOOT_MS);
+	orders_register_boot(&o, THIRD_BOOT_MS);
 	held_pass(&o, THIRD_BOOT_MS, BW_ORDER_OLD_RUN);
 	assert_true(o.start_count > 0);
 	bw_sched_destroy(o.sched);
--- a/test/test_maintenance.c
+++ b/test/test_maintenance.c
@@ -94,9 +94,9 @@
 	ev_loop_destroy(t->loop);
 }
 
-/* Reports the same number of tasks for each worker. */
-static void report_tasks(maintenance_test_t *t, uint32_t tasks,
-			 uint32_t lasting)
+/* Reports a worker for each machine, like a row but for the identifier. */
+static void report_alike(maintenance_test_t *t,
+			 const Bramley__WorkerReport *like)
 {
 	Bramley__PoolReport report = BRAMLEY__POOL_REPORT__INIT;
 	Bramley__WorkerReport rows[MACHINES];
@@ -104,11 +104,8 @@
 	uint32_t i;
 
 	for (i = 0; i < MACHINES; i++) {
-		bramley__worker_report__init(&rows[i]);
+		rows[i] = *like;
 		rows[i].id = t->names[i];
-		rows[i].tasks = tasks;
-		rows[i].lasting = lasting;
-		rows[i].reachable = true;
 		list[i] = &rows[i];
 	}
 	report.pool = (char *)POOL;
@@ -117,6 +114,18 @@
 	bw_reports_record(t->reports, bw_clock_now_ms(), &report);
 }
 
+/* Reports the same number of tasks for each worker. */
+static void report_tasks(maintenance_test_t *t, uint32_t tasks,
+			 uint32_t lasting)
+{
+	Bramley__WorkerReport like = BRAMLEY__WORKER_REPORT__INIT;
+
+	like.tasks = tasks;
+	like.lasting = lasting;
+	like.reachable = true;
+	report_alike(t, &like);
+}
+
 static void count_reserved(void *ctx, const bw_wave_progress_t *wave)
 {
 	((maintenance_test_t *)ctx)->reserved = wave->reserved;
@@ -438,23 +447,12 @@
 /* Reports idle workers that started at a time. */
 static void report_starts(maintenance_test_t *t, int64_t started_ms)
 {
-	Bramley__PoolReport report = BRAMLEY__POOL_REPORT__INIT;
-	Bramley__WorkerReport rows[MACHINES];
-	Bramley__WorkerReport *list[MACHINES];
-	uint32_t i;
+	Bramley__WorkerReport like = BRAMLEY__WORKER_REPORT__INIT;
 
-	for (i = 0; i < MACHINES; i++) {
-		bramley__worker_report__init(&rows[i]);
-		rows[i].id = t->names[i];
-		rows[i].idle = true;
-		rows[i].emptied = true;
-		rows[i].started_ms = started_ms;
-		list[i] = &rows[i];
-	}
-	report.pool = (char *)POOL;
-	report.workers = list;
-	report.n_workers = MACHINES;
-	bw_reports_record(t->reports, bw_clock_now_ms(), &report);
+	like.idle = true;
+	like.emptied = true;
+	like.started_ms = started_ms;
+	report_alike(t, &like);
 }
 
 static bool run_rounds(maintenance_test_t *t, int64_t started_ms,
--- a/test/test_questions.c
+++ b/test/test_questions.c
@@ -34,7 +34,7 @@
 	orders_answer_heartbeat(o, "w2", NULL, 0, NULL, 0);
 	orders_run(o, 100);
 	bw_sched_heartbeat_answered(o->sched, o->now_ms, "w1", &lost);
-	held_register_boot(o, SECOND_BOOT_MS);
+	orders_register_boot(o, SECOND_BOOT_MS);
 	orders_save(o);
 	orders_run(o, 1000);
 	answer_with_clock(o, SECOND_BOOT_MS, clock_ms);
@@ -69,7 +69,7 @@
 	(void)state;
 	held_start_beside_an_acknowledgement(&o, SECOND_CLOCK_MS + 5);
 	answer.sent_ms = o.now_ms;
-	held_register_boot(&o, SECOND_BOOT_MS);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	orders_add_worker(&o, "w2");
 	orders_answer_heartbeat(&o, "w2", NULL, 0, NULL, 0);
 	orders_run(&o, 300);
@@ -91,7 +91,7 @@
 	held_pass(&o, SECOND_BOOT_MS, BW_ORDER_UNHEALTHY);
 	assert_true(o.question_count > 1);
 	assert_int_equal(o.start_count, 1);
-	held_register_boot(&o, SECOND_BOOT_MS);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	orders_run(&o, 1000);
 	orders_answer_as_boot(&o, "w1", SECOND_BOOT_MS, NULL, 0, NULL, 0);
 	orders_answer_questions(&o, BW_ORDER_OK);
--- a/test/test_restart.c
+++ b/test/test_restart.c
@@ -46,17 +46,6 @@
 	bw_sched_heartbeat_answered(o->sched, o->now_ms, id, &answer);
 }
 
-static void register_boot(orders_t *o, int64_t started_ms)
-{
-	bw_worker_info_t info = { .id = "w1",
-				  .address = "10.0.0.1:1",
-				  .capacity = { 8000, 8000, 0 },
-				  .machine = "w1",
-				  .started_ms = started_ms };
-
-	bw_sched_worker_registered(o->sched, o->now_ms, &info);
-}
-
 /* Starts the only task of JOB_A on w1, then adds an idle worker w2. */
 static void begin_with_start(orders_t *o)
 {
@@ -109,7 +98,7 @@
 	(void)state;
 	begin_with_start(&o);
 	o.now_ms += 100;
-	register_boot(&o, SECOND_BOOT_MS);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	orders_run(&o, 10);
 	assert_int_equal(o.start_count, 1);
 	init_run(&o, &row);
@@ -136,7 +125,7 @@
 					     .runs = &row,
 					     .run_count = 1 });
 	o.now_ms += 100;
-	register_boot(&o, SECOND_BOOT_MS);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	orders_run(&o, 10);
 	assert_int_equal(o.start_count, 2);
 	assert_string_equal(o.starts[1].worker, "w2");
@@ -152,7 +141,7 @@
 	bw_sched_start_answered(o.sched, o.now_ms, "w1", &o.starts[0].task, 1,
 				BW_ORDER_OK, 0);
 	o.now_ms += 100;
-	register_boot(&o, SECOND_BOOT_MS);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	orders_run(&o, 10);
 	assert_int_equal(o.start_count, 1);
 	o.now_ms += 10;
@@ -196,7 +185,7 @@
 	(void)state;
 	orders_begin_with_worker(&o);
 	g_strlcpy(end.task.job, JOB_B, sizeof(end.task.job));
-	register_boot(&o, SECOND_BOOT_MS);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	answer_as_boot(&o, &(boot_answer_t){ .started_ms = FIRST_BOOT_MS,
 					     .clock_ms = OLD_CLOCK_MS,
 					     .ends = &end,
@@ -291,7 +280,7 @@
 	orders_run(&o, 400);
 	assert_int_equal(o.fence, 7);
 	version = bw_sched_version(o.sched);
-	register_boot(&o, SECOND_BOOT_MS);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	assert_true(bw_sched_version(o.sched) > version);
 	answer_as_boot(&o, &(boot_answer_t){ .started_ms = SECOND_BOOT_MS,
 					     .clock_ms = 50 });
@@ -644,7 +633,7 @@
 	begin_with_orphan(&o, &row);
 	orders_run(&o, 10);
 	assert_int_equal(o.start_count, 2);
-	register_boot(&o, SECOND_BOOT_MS + 1);
+	orders_register_boot(&o, SECOND_BOOT_MS + 1);
 	orders_run(&o, 10);
 	assert_int_equal(o.start_count, 3);
 	bw_sched_destroy(o.sched);
@@ -665,7 +654,7 @@
 	orders_begin_with_worker(&o);
 	bw_sched_boot_dead(o.sched, "w1", FIRST_BOOT_MS, "upkeep-or-move");
 	orders_run(&o, 10);
-	register_boot(&o, SECOND_BOOT_MS);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	orders_add_job(&o, JOB_A, 1, false, 1000, 500);
 	orders_run(&o, 10);
 	assert_int_equal(o.start_count, 0);
@@ -686,7 +675,7 @@
 	(void)state;
 	orders_begin_with_worker(&o);
 	bw_sched_boot_dead(o.sched, "w1", FIRST_BOOT_MS, "upkeep-or-move");
-	register_boot(&o, SECOND_BOOT_MS);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	orders_add_job(&o, JOB_A, 1, false, 1000, 500);
 	orders_answer_as_boot(&o, "w1", SECOND_BOOT_MS, NULL, 0, NULL, 0);
 	orders_save(&o);
@@ -700,7 +689,7 @@
 	assert_int_equal(o.start_count, 1);
 	/* A registration of the boot that has ended is no other one. */
 	bw_sched_boot_dead(o.sched, "w1", SECOND_BOOT_MS, "upkeep-or-move");
-	register_boot(&o, SECOND_BOOT_MS);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	orders_run(&o, 200);
 	assert_int_equal(o.start_count, 2);
 	assert_string_equal(o.starts[1].worker, "w2");
@@ -718,7 +707,7 @@
 	bw_sched_hand_over(before.sched);
 	orders_succeed(&before, &o);
 	orders_add_worker(&o, "w2");
-	register_boot(&o, SECOND_BOOT_MS);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	orders_add_job(&o, JOB_A, 1, false, 1000, 500);
 	bw_sched_allow_orders(o.sched, true);
 	orders_save(&o);
@@ -752,7 +741,7 @@
 					     .clock_ms = OLD_CLOCK_MS + 700 });
 	assert_int_equal(o.stop_count, 1);
 	o.now_ms += 50;
-	register_boot(&o, SECOND_BOOT_MS);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	o.now_ms += 50;
 	bw_sched_stop_answered(o.sched, o.now_ms, "w1", &o.starts[0].task, 1,
 			       BW_ORDER_OK);
@@ -789,7 +778,7 @@
 	bw_sched_stop_answered(o.sched, o.now_ms, "w1", &o.starts[0].task, 1,
 			       BW_ORDER_OK);
 	assert_int_equal(o.stop_count, 1);
-	register_boot(&o, SECOND_BOOT_MS);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	orders_run(&o, 600);
 	list_on_second_boot(&o, NULL, NULL);
 	orders_answer_heartbeat(&o, "w2", NULL, 0, NULL, 0);
@@ -807,7 +796,7 @@
 	begin_with_start(&o);
 	orders_save(&o);
 	assert_false(bw_sched_urgent(o.sched));
-	register_boot(&o, SECOND_BOOT_MS);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	assert_true(bw_sched_urgent(o.sched));
 	bw_sched_destroy(o.sched);
 }
@@ -829,7 +818,7 @@
 					     .end_count = 1 });
 	version = bw_sched_version(o.sched);
 	g_free(bw_sched_pack(o.sched, &bytes));
-	register_boot(&o, SECOND_BOOT_MS);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	bw_sched_saved(o.sched, o.now_ms, version);
 	list_on_second_boot(&o, NULL, NULL);
 	orders_run(&o, 10);
@@ -877,7 +866,7 @@
 	answer_as_boot(&o, &(boot_answer_t){ .started_ms = FIRST_BOOT_MS,
 					     .clock_ms = OLD_CLOCK_MS + 700 });
 	assert_int_equal(o.stop_count, 1);
-	register_boot(&o, SECOND_BOOT_MS);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	orders_run(&o, 450);
 	assert_int_equal(o.stop_count, 2);
 	o.now_ms += 50;
--- a/test/test_store_calls.c
+++ b/test/test_store_calls.c
@@ -193,6 +193,15 @@
 				    NULL);
 }
 
+static void read_pages(calls_test_t *t, bw_store_done_fn done)
+{
+	bw_store_page_t page = { .prefix = "bw/q/" };
+	uint32_t i;
+
+	for (i = 0; i < PAGES; i++)
+		t->store.ops->page(t->store.impl, &page, done, t);
+}
+
 static void run_txn(calls_test_t *t)
 {
 	bw_store_write_t write = { "k", "a", 1, 0 };
@@ -249,14 +258,11 @@
 /* A save waited behind the long reads of the other pools of a takeover. */
 static void test_pages_keep_a_pool_from_its_save(void **state)
 {
-	bw_store_page_t page = { .prefix = "bw/q/" };
 	calls_test_t t;
-	uint32_t i;
 
 	(void)state;
 	begin(&t);
-	for (i = 0; i < PAGES; i++)
-		t.store.ops->page(t.store.impl, &page, on_unanswered, NULL);
+	read_pages(&t, on_unanswered);
 	run_txn(&t);
 	expect_replies(&t, 1);
 	assert_int_equal(t.failures, 0);
@@ -266,14 +272,11 @@
 /* Pages that waited for their turn counted as a store that does not answer. */
 static void test_page_that_waits_for_its_turn_is_unanswered(void **state)
 {
-	bw_store_page_t page = { .prefix = "bw/q/" };
 	calls_test_t t;
-	uint32_t i;
 
 	(void)state;
 	begin(&t);
-	for (i = 0; i < PAGES; i++)
-		t.store.ops->page(t.store.impl, &page, on_reply, &t);
+	read_pages(&t, on_reply);
 	expect_replies(&t, PAGES);
 	assert_int_equal(t.failures, 0);
 	end(&t);
--- a/test/test_unknowns.c
+++ b/test/test_unknowns.c
@@ -360,17 +360,6 @@
 #define SECOND_BOOT_MS 6
 #define THIRD_BOOT_MS  7
 
-static void register_second_boot(orders_t *o)
-{
-	bw_worker_info_t info = { .id = "w1",
-				  .address = "10.0.0.1:1",
-				  .capacity = { 8000, 8000, 0 },
-				  .machine = "w1",
-				  .started_ms = SECOND_BOOT_MS };
-
-	bw_sched_worker_registered(o->sched, o->now_ms, &info);
-}
-
 /* Answers a heartbeat that was sent at a time as the second boot of w1. */
 static void answer_as_second_boot(orders_t *o, int64_t sent_ms,
 				  const bw_run_row_t *run,
@@ -470,7 +459,7 @@
 	lost.sent_ms = start_two_beside_a_heartbeat(&o);
 	/* It can't reach the next boot, which would drop its first end. */
 	assert_true(o.same_boot);
-	register_second_boot(&o);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	orders_run(&o, 500);
 	bw_sched_heartbeat_answered(o.sched, o.now_ms, "w1", &lost);
 	orders_run(&o, 10);
@@ -500,7 +489,7 @@
 
 	(void)state;
 	start_two_beside_a_heartbeat(&o);
-	register_second_boot(&o);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	orders_run(&o, 10);
 	init_row(&o, &row);
 	answer_as_second_boot(&o, o.now_ms, &row, NULL);
@@ -517,7 +506,7 @@
 
 	(void)state;
 	start_two_of_a_kind(&o, true);
-	register_second_boot(&o);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	orders_run(&o, 10);
 	answer_as_second_boot(&o, o.now_ms, NULL, NULL);
 	answer_as_second_boot(&o, o.now_ms, NULL, NULL);
@@ -533,7 +522,7 @@
 
 	(void)state;
 	start_two_beside_a_heartbeat(&o);
-	register_second_boot(&o);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	orders_run(&o, 10);
 	answer_as_second_boot(&o, o.now_ms, NULL, NULL);
 	init_row(&o, &row);
@@ -555,7 +544,7 @@
 
 	(void)state;
 	start_two_beside_a_heartbeat(&o);
-	register_second_boot(&o);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	orders_run(&o, 10);
 	answer_as_second_boot(&o, o.now_ms, NULL, NULL);
 	end.task = o.starts[0].task;
@@ -580,7 +569,7 @@
 
 	(void)state;
 	start_two_beside_a_heartbeat(&o);
-	register_second_boot(&o);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	orders_run(&o, 10);
 	answer_as_second_boot(&o, o.now_ms, NULL, NULL);
 	answer_as_second_boot(&o, o.now_ms, NULL, NULL);
@@ -601,7 +590,7 @@
 
 	(void)state;
 	other.sent_ms = start_two_beside_a_heartbeat(&o);
-	register_second_boot(&o);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	orders_run(&o, 10);
 	bw_sched_heartbeat_answered(o.sched, o.now_ms, "w1", &other);
 	orders_run(&o, 300);
@@ -668,7 +657,7 @@
 
 	(void)state;
 	start_two_beside_a_heartbeat(&o);
-	register_second_boot(&o);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	orders_run(&o, 10);
 	answer_as_second_boot(&o, o.now_ms, NULL, NULL);
 	answer_as_second_boot(&o, o.now_ms, NULL, NULL);
@@ -846,7 +835,7 @@
 	bw_sched_advised(o.sched, o.now_ms, &step, &worker, &ticket, 1, 60000);
 	orders_run(&o, 10);
 	assert_int_equal(o.start_count, 1);
-	register_second_boot(&o);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	orders_run(&o, 10);
 	end.task = o.starts[0].task;
 	answer_as_second_boot(&o, o.now_ms, NULL, &end);
@@ -870,7 +859,7 @@
 	orders_run(&o, 10);
 	orders_save(&o);
 	orders_answer_heartbeat(&o, "w1", NULL, 0, NULL, 0);
-	register_second_boot(&o);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	for (i = 0; i < 10; i++) {
 		orders_run(&o, 100);
 		orders_answer_heartbeat(&o, "w2", NULL, 0, NULL, 0);
@@ -897,7 +886,7 @@
 
 	(void)state;
 	start_two_beside_a_heartbeat(&before);
-	register_second_boot(&before);
+	orders_register_boot(&before, SECOND_BOOT_MS);
 	orders_run(&before, 10);
 	answer_as_second_boot(&before, before.now_ms, NULL, NULL);
 	answer_as_second_boot(&before, before.now_ms, NULL, NULL);
@@ -905,7 +894,7 @@
 	bw_sched_hand_over(before.sched);
 	orders_succeed(&before, &o);
 	o.held_on = "w1";
-	register_second_boot(&o);
+	orders_register_boot(&o, SECOND_BOOT_MS);
 	orders_add_worker(&o, "w2");
 	orders_add_job(&o, JOB_A, 2, false, 1000, 20);
 	for (i = 0; i < 10; i++) {
