--- a/test/sched_orders.c
+++ b/test/sched_orders.c
@@ -167,6 +167,29 @@
 	bw_sched_heartbeat_answered(o->sched, o->now_ms, id, &answer);
 }
 
+void orders_answer_boot(orders_t *o, const orders_boot_t *boot)
+{
+	bw_heartbeat_answer_t answer = {
+		.result = BW_ORDER_OK,
+		.sent_ms = o->now_ms,
+		.clock_ms = boot->clock_ms,
+		.started_ms = boot->started_ms,
+		.runs = boot->runs,
+		.run_count = boot->run_count,
+		.ends = boot->ends,
+		.end_count = boot->end_count,
+	};
+
+	bw_sched_heartbeat_answered(o->sched, o->now_ms, "w1", &answer);
+}
+
+void orders_fail_heartbeat(orders_t *o, const char *id)
+{
+	bw_heartbeat_answer_t answer = { .result = BW_ORDER_LOST };
+
+	bw_sched_heartbeat_answered(o->sched, o->now_ms, id, &answer);
+}
+
 void orders_succeed(orders_t *before, orders_t *o)
 {
 	size_t bytes;
--- a/test/sched_orders.h
+++ b/test/sched_orders.h
@@ -79,6 +79,22 @@
 			   const bw_run_row_t *runs, uint32_t run_count,
 			   const bw_end_row_t *ends, uint32_t end_count);
 
+/** What a boot of w1 says in an answer to a heartbeat. */
+typedef struct orders_boot {
+	int64_t started_ms;
+	int64_t clock_ms;
+	const bw_run_row_t *runs;
+	uint32_t run_count;
+	const bw_end_row_t *ends;
+	uint32_t end_count;
+} orders_boot_t;
+
+/** The same with the boot's clock. */
+void orders_answer_boot(orders_t *o, const orders_boot_t *boot);
+
+/** Lets a heartbeat have no answer. */
+void orders_fail_heartbeat(orders_t *o, const char *id);
+
 /** Creates the scheduler of a successor from the state of an earlier owner,
  * which ends. */
 void orders_succeed(orders_t *before, orders_t *o);
