--- a/src/sched/evacuate.c
+++ b/src/sched/evacuate.c
@@ -83,18 +83,18 @@
 	}
 }
 
-void sched_evacuate(bw_sched_t *s, int64_t now_ms)
+/* Evacuates the workers that are draining, or those that are only cordoned. */
+static void evacuate_workers(bw_sched_t *s, bool draining, int64_t now_ms)
 {
 	GHashTableIter iter;
 	gpointer value;
 
-	/* Runs that an earlier owner was stopping may still be listed. */
-	if (s->inherits_stops && now_ms - s->created_ms < TAKEOVER_MS)
-		return;
 	g_hash_table_iter_init(&iter, s->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		worker_t *worker = value;
 
+		if (worker->draining != draining)
+			continue;
 		if (!worker->cordoned && !worker->draining) {
 			worker->evacuating_since_ms = 0;
 			continue;
@@ -104,3 +104,13 @@
 		evacuate(s, worker, now_ms);
 	}
 }
+
+void sched_evacuate(bw_sched_t *s, int64_t now_ms)
+{
+	/* Runs that an earlier owner was stopping may still be listed. */
+	if (s->inherits_stops && now_ms - s->created_ms < TAKEOVER_MS)
+		return;
+	/* Tasks on a worker that leaves must move, and count for the others. */
+	evacuate_workers(s, true, now_ms);
+	evacuate_workers(s, false, now_ms);
+}
--- a/test/test_evacuate.c
+++ b/test/test_evacuate.c
@@ -323,6 +323,45 @@
 
 /* A worker that is gone for good must not hold up maintenance: its task counts
  * until it is at work elsewhere. */
+/* Reports that a task's worker is leaving. */
+static void drain(lasting_test_t *t, uint32_t index)
+{
+	bw_worker_info_t info = { .id = t->worker[index],
+				  .address = "10.0.0.1:1",
+				  .capacity = { 8000, 8000, 0 },
+				  .machine = t->worker[index],
+				  .started_ms = 5,
+				  .draining = true };
+
+	bw_sched_worker_registered(t->o.sched, t->o.now_ms, &info);
+}
+
+/* What is on a worker that leaves has to move, whatever else is away. A worker
+ * that stays was emptied in the same sweep before that. */
+static void test_stop_on_a_worker_that_stays_comes_before_those_on_leaving_ones(
+	void **state)
+{
+	lasting_test_t t;
+	uint32_t leaving;
+	uint32_t i;
+
+	(void)state;
+	for (leaving = 0; leaving < PEERS; leaving++) {
+		begin(&t, PEERS, 1);
+		for (i = 0; i < PEERS; i++)
+			bring_up(&t, i);
+		for (i = 0; i < PEERS; i++)
+			if (i == leaving)
+				drain(&t, i);
+			else
+				cordon(&t, i);
+		orders_run(&t.o, 10);
+		assert_int_equal(t.o.stop_count, 1);
+		assert_int_equal(t.o.stops[0].task.index, leaving);
+		bw_sched_destroy(t.o.sched);
+	}
+}
+
 static void test_lost_worker_counts_until_its_task_is_back(void **state)
 {
 	bw_run_row_t row;
@@ -394,6 +433,8 @@
 		cmocka_unit_test(test_peer_with_an_overdue_heartbeat_counts),
 		cmocka_unit_test(test_list_is_as_old_as_its_answer),
 		cmocka_unit_test(test_stops_of_one_sweep_count_each_other),
+		cmocka_unit_test(
+			test_stop_on_a_worker_that_stays_comes_before_those_on_leaving_ones),
 		cmocka_unit_test(
 			test_lost_worker_counts_until_its_task_is_back),
 		cmocka_unit_test(
