--- a/test/test_connections.c
+++ b/test/test_connections.c
@@ -160,6 +160,22 @@
 	bw_sched_destroy(o.sched);
 }
 
+/* The same, and w1 has shown that it keeps no connections. */
+static void begin_without_kept_connections(orders_t *o)
+{
+	int i;
+
+	begin_with_acknowledged_end(o);
+	o->keeps_no_connection = true;
+	for (i = 0; i < 3; i++) {
+		fail_unconnected(o);
+		orders_run(o, 0);
+		o->now_ms += 1;
+		answer_with_clock(o, OLD_CLOCK_MS + 20 + i);
+		orders_run(o, 0);
+	}
+}
+
 /* A crash cut the heartbeat that was waiting for an end, whose acknowledgement
  * the next boot may have carried out: the number of an end was sent again and
  * again. */
@@ -169,14 +185,7 @@
 	int i;
 
 	(void)state;
-	begin_with_acknowledged_end(&o);
-	o.keeps_no_connection = true;
-	for (i = 0; i < 3; i++) {
-		fail_unconnected(&o);
-		orders_run(&o, 0);
-		answer_with_clock(&o, OLD_CLOCK_MS + 20 + i);
-		orders_run(&o, 0);
-	}
+	begin_without_kept_connections(&o);
 	assert_int_equal(o.acked, 1);
 	assert_int_equal(o.heartbeat_wait_ms, 0);
 	for (i = 0; i < 3; i++) {
@@ -194,18 +203,9 @@
 test_next_boot_is_not_taken_for_one_without_connections(void **state)
 {
 	orders_t o;
-	int i;
 
 	(void)state;
-	begin_with_acknowledged_end(&o);
-	o.keeps_no_connection = true;
-	for (i = 0; i < 3; i++) {
-		fail_unconnected(&o);
-		orders_run(&o, 0);
-		o.now_ms += 1;
-		answer_with_clock(&o, OLD_CLOCK_MS + 20 + i);
-		orders_run(&o, 0);
-	}
+	begin_without_kept_connections(&o);
 	assert_false(o.same_boot);
 	o.now_ms += 1;
 	orders_answer_boot(&o, &(orders_boot_t){ .started_ms = SECOND_BOOT_MS,
