A drained machine was used again while its maintenance was being ordered

While the call had no answer, the controller left the machine out of the orders to its pool's owner, who took that for the end of the cordon and started five tasks at 23.015 s; the upkeep ended them at once (worker-dead tasks=5 reason=upkeep-or-move).

Change: a reserved machine is told to be cordoned until the order for its maintenance is answered, as moves do it.

--- a/src/fleet/maintenance.c
+++ b/src/fleet/maintenance.c
@@ -554,7 +554,7 @@
 	const bw_machine_t *machine =
 		g_hash_table_lookup(view->machines, entry->machine);
 
-	if (!machine || entry->call_pending)
+	if (!machine)
 		return;
 	if (entry->ordered_ms > 0) {
 		bw_reports_add_dead(view->reports, machine->pool, entry->worker,
@@ -568,8 +568,11 @@
 			 wave->order->number, entry->machine, machine->worker);
 		return;
 	}
+	/* Also until the order for its maintenance is answered. */
 	bw_reports_add_order(view->reports, machine->pool, machine->worker,
 			     BW_WORKER_CORDON);
+	if (entry->call_pending)
+		return;
 	if (machine->up && view->may_order && view->now_ms >= entry->next_ms &&
 	    is_drained(view, machine))
 		order_maintenance(wave, entry, view->now_ms);
--- a/test/test_maintenance.c
+++ b/test/test_maintenance.c
@@ -500,6 +500,58 @@
 	tear_down(&t);
 }
 
+/* Calls that have no answer yet. */
+
+static bw_machine_done_fn late_done;
+static void *late_ctx[MACHINES];
+
+static void maintain_late(void *impl, const char *machine, int64_t wave,
+			  const bw_machine_holder_t *holder,
+			  bw_machine_done_fn done, void *ctx)
+{
+	(void)impl;
+	(void)machine;
+	(void)wave;
+	(void)holder;
+	assert_true(maintained < MACHINES);
+	late_done = done;
+	late_ctx[maintained++] = ctx;
+}
+
+static void count_cordoned(void *ctx, const char *pool,
+			   const Bramley__Frame *frame)
+{
+	(void)pool;
+	*(size_t *)ctx = frame->pool_order->n_empty;
+}
+
+/* The owner used a drained machine again while its maintenance was being
+ * ordered, which then ended what it had started there. */
+static void test_machine_is_used_while_its_maintenance_is_ordered(void **state)
+{
+	bw_maintenance_env_t env = { .values = &values };
+	maintenance_test_t t;
+	size_t cordoned = 0;
+
+	(void)state;
+	set_up(&t);
+	env.store = bw_memstore_interface(t.store);
+	env.machines.maintain = maintain_late;
+	bw_maintenance_destroy(t.maintenance);
+	t.maintenance = bw_maintenance_create(&env, &ops, &t);
+	add_wave(&t);
+	maintained = 0;
+	assert_false(run_rounds(&t, 5, ROUNDS_MAX));
+	assert_int_equal(maintained, MACHINES);
+	bw_reports_clear_orders(t.reports);
+	assert_false(run_rounds(&t, 5, 1));
+	bw_reports_send_orders(t.reports, count_cordoned, &cordoned);
+	assert_int_equal(cordoned, MACHINES);
+	while (maintained > 0)
+		late_done(late_ctx[--maintained], BW_MACHINE_FAILED);
+	tear_down(&t);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -514,6 +566,8 @@
 			test_completed_wave_runs_again_after_a_takeover),
 		cmocka_unit_test(
 			test_machine_that_keeps_its_worker_never_comes_back),
+		cmocka_unit_test(
+			test_machine_is_used_while_its_maintenance_is_ordered),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
