Logs: when a claim ended, which earlier owner was taken to have stopped, and how a takeover settled

From the lines of the two nodes of the incident nobody could tell when the first owner's claim was gone, which node the second owner took for the earlier one, why it took that to have stopped, and whether it settled by lists or by time, so that all five hypotheses looked the same.

New: member owner-gone (pool, node, revision). More fields: fleet predecessor-stopped has the node and the reason (ended or asked), also where it was silent until now; sched settled tells by what, how many workers were unheard, and when the earlier owner was taken to have stopped; pool loaded tells whose state was read and whether that owner handed over. A pool that knows of the stop asks no more.

test_events compares the table with docs/LOGS.md; it and test_member, test_owned_pool, test_takeover, test_world, test_unreadable and test_ownership pass. No rule changes.

--- a/src/base/eventlist.c
+++ b/src/base/eventlist.c
@@ -70,9 +70,12 @@
 					      "pool" },
 	[BW_EVENT_FLEET_PREDECESSOR_STOPPED] = { "fleet", "predecessor-stopped",
 						 BW_EVENT_BELIEF,
-						 "the previous owner of a pool "
-						 "stopped acting on it",
-						 "pool" },
+						 "an earlier owner of a pool "
+						 "gives no orders any more: "
+						 "its process has ended, it "
+						 "handed the pool over, or it "
+						 "was asked",
+						 "pool node reason" },
 	[BW_EVENT_FLEET_LEFT] = { "fleet", "left", BW_EVENT_SELDOM,
 				  "this node handed over all its pools",
 				  "node" },
@@ -114,6 +117,11 @@
 	[BW_EVENT_MEMBER_OWNER] = { "member", "owner", BW_EVENT_BELIEF,
 				    "a pool has a new owner",
 				    "pool node revision" },
+	[BW_EVENT_MEMBER_OWNER_GONE] = { "member", "owner-gone",
+					 BW_EVENT_BELIEF,
+					 "a pool's claim is gone; its owner "
+					 "may not know yet",
+					 "pool node revision" },
 	[BW_EVENT_MEMBER_GIVEN_BACK] = { "member", "given-back",
 					 BW_EVENT_BELIEF,
 					 "this node deleted a claim of its own "
@@ -128,8 +136,10 @@
 					 "key error" },
 	[BW_EVENT_POOL_LOADED] = { "pool", "loaded", BW_EVENT_BELIEF,
 				   "the state saved by the previous owner was "
-				   "read",
-				   "pool fence revision" },
+				   "read; saved_by is its claim, and "
+				   "handed_over 1 if it gave no orders "
+				   "afterwards",
+				   "pool fence revision saved_by handed_over" },
 	[BW_EVENT_POOL_STATE_UNREADABLE] = { "pool", "state-unreadable",
 					     BW_EVENT_BELIEF,
 					     "the saved state could not be "
@@ -255,8 +265,12 @@
 				       "pool gap_ms" },
 	[BW_EVENT_SCHED_SETTLED] = { "sched", "settled", BW_EVENT_BELIEF,
 				     "recovery is complete: all runs of "
-				     "earlier owners are known",
-				     "pool after_ms" },
+				     "earlier owners are known; by lists, or "
+				     "by time, as all grants to the unheard "
+				     "workers are over; stopped_ms tells when "
+				     "all earlier owners had stopped, -1: not "
+				     "known",
+				     "pool after_ms by unheard stopped_ms" },
 	[BW_EVENT_SCHED_WORKER] = { "sched", "worker", BW_EVENT_BELIEF,
 				    "a worker registered",
 				    "pool worker address rack machine cpu "
--- a/src/fleet/member.c
+++ b/src/fleet/member.c
@@ -420,6 +420,14 @@
 	return owner;
 }
 
+static void log_owner_gone(const char *pool, const owner_t *owner)
+{
+	if (owner)
+		bw_event(BW_EVENT_MEMBER_OWNER_GONE,
+			 "pool=%s node=%s revision=%" G_GINT64_FORMAT, pool,
+			 owner->node, owner->revision);
+}
+
 static void apply_owner(bw_fleet_member_t *m, const bw_store_kv_t *kv)
 {
 	const char *pool = kv->key + strlen(OWNER_PREFIX);
@@ -436,6 +444,7 @@
 				 kv->deleted ? "claim-gone" : "claimed-away");
 	g_hash_table_remove(m->ownerless, pool);
 	if (kv->deleted) {
+		log_owner_gone(pool, owner);
 		g_hash_table_remove(m->owners, pool);
 		return;
 	}
--- a/src/fleet/messages.c
+++ b/src/fleet/messages.c
@@ -17,9 +17,19 @@
 typedef struct predecessor_query {
 	bw_fleet_t *f;
 	char *pool;
+	char *node;
 	int64_t fence;
 } predecessor_query_t;
 
+static void note_stopped(bw_pool_t *pool, const char *node, const char *reason,
+			 int64_t now_ms)
+{
+	if (bw_pool_predecessor_stopped(pool, now_ms))
+		bw_event(BW_EVENT_FLEET_PREDECESSOR_STOPPED,
+			 "pool=%s node=%s reason=%s", bw_pool_name(pool), node,
+			 reason);
+}
+
 static void on_predecessor_answer(void *ctx,
 				  const bw_fleet_query_answer_t *answer)
 {
@@ -28,11 +38,9 @@
 
 	if (answer && !answer->may_order && pool &&
 	    bw_pool_fence(pool) == query->fence &&
-	    (bw_pool_sched(pool) || bw_pool_unreadable(pool))) {
-		bw_event(BW_EVENT_FLEET_PREDECESSOR_STOPPED, "pool=%s",
-			 query->pool);
-		bw_pool_predecessor_stopped(pool, bw_clock_now_ms());
-	}
+	    (bw_pool_sched(pool) || bw_pool_unreadable(pool)))
+		note_stopped(pool, query->node, "asked", bw_clock_now_ms());
+	g_free(query->node);
 	g_free(query->pool);
 	g_free(query);
 }
@@ -59,12 +67,13 @@
 		    predecessor == BW_PREDECESSOR_UNKNOWN)
 			continue;
 		if (predecessor == BW_PREDECESSOR_ENDED) {
-			bw_pool_predecessor_stopped(value, now_ms);
+			note_stopped(value, node, "ended", now_ms);
 			continue;
 		}
 		query = g_new0(predecessor_query_t, 1);
 		query->f = f;
 		query->pool = g_strdup(name);
+		query->node = g_strdup(node);
 		query->fence = bw_pool_fence(value);
 		bw_fleet_peers_query(f->peers, node, name, NULL, NULL,
 				     on_predecessor_answer, query);
--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -179,9 +179,11 @@
 		return;
 	}
 	bw_event(BW_EVENT_POOL_LOADED,
-		 "pool=%s fence=%" G_GINT64_FORMAT
-		 " revision=%" G_GINT64_FORMAT,
-		 pool->name, pool->fence, pool->state_revision);
+		 "pool=%s fence=%" G_GINT64_FORMAT " revision=%" G_GINT64_FORMAT
+		 " saved_by=%" G_GINT64_FORMAT " handed_over=%d",
+		 pool->name, pool->fence, pool->state_revision,
+		 bw_sched_saved_by(pool->sched),
+		 bw_sched_handed_over_by(pool->sched) != 0);
 	if (pool->ops.loaded)
 		pool->ops.loaded(pool->ctx, pool);
 	pool->job_cache =
@@ -338,17 +340,20 @@
 
 bool bw_pool_awaits_predecessor(const bw_pool_t *pool)
 {
-	if (pool->unreadable)
-		return !pool->predecessor_stopped;
-	return pool->sched && !bw_sched_recovered(pool->sched);
+	if (pool->predecessor_stopped)
+		return false;
+	return pool->unreadable ||
+	       (pool->sched && !bw_sched_recovered(pool->sched));
 }
 
-void bw_pool_predecessor_stopped(bw_pool_t *pool, int64_t now_ms)
+bool bw_pool_predecessor_stopped(bw_pool_t *pool, int64_t now_ms)
 {
+	if (pool->predecessor_stopped || (!pool->sched && !pool->unreadable))
+		return false;
+	pool->predecessor_stopped = true;
 	if (pool->sched)
 		bw_sched_predecessor_stopped(pool->sched, now_ms);
-	else if (pool->unreadable)
-		pool->predecessor_stopped = true;
+	return true;
 }
 
 bool bw_pool_jobs_loaded(const bw_pool_t *pool)
--- a/src/fleet/pool.h
+++ b/src/fleet/pool.h
@@ -67,8 +67,11 @@
  * orders. */
 bool bw_pool_awaits_predecessor(const bw_pool_t *pool);
 
-/** Records that the earlier owner sends no more orders. */
-void bw_pool_predecessor_stopped(bw_pool_t *pool, int64_t now_ms);
+/**
+ * Records that the earlier owner sends no more orders.
+ * @return whether that was not known before
+ */
+bool bw_pool_predecessor_stopped(bw_pool_t *pool, int64_t now_ms);
 
 /** Returns whether all accepted jobs have been read from the store. */
 bool bw_pool_jobs_loaded(const bw_pool_t *pool);
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -222,6 +222,11 @@
 		s->predecessor_stopped_ms = now_ms;
 }
 
+int64_t bw_sched_saved_by(const bw_sched_t *s)
+{
+	return (int64_t)s->loaded_fence;
+}
+
 int64_t bw_sched_handed_over_by(const bw_sched_t *s)
 {
 	return s->handed_over ? (int64_t)s->loaded_fence : 0;
@@ -232,6 +237,19 @@
 	return s->recovered;
 }
 
+static void log_settled(bw_sched_t *s, uint32_t unheard, int64_t now_ms)
+{
+	int64_t stopped_ms = s->predecessor_stopped_ms > 0
+				     ? s->predecessor_stopped_ms - s->created_ms
+				     : -1;
+
+	sched_log(s, BW_EVENT_SCHED_SETTLED,
+		  "after_ms=%" G_GINT64_FORMAT
+		  " by=%s unheard=%u stopped_ms=%" G_GINT64_FORMAT,
+		  now_ms - s->created_ms, unheard > 0 ? "time" : "lists",
+		  unheard, stopped_ms);
+}
+
 /*
  * Recovery ends once each worker has listed its runs, or once all grants of
  * earlier owners have expired.
@@ -240,6 +258,7 @@
 {
 	GHashTableIter iter;
 	gpointer value;
+	uint32_t unheard = 0;
 	int64_t stopped_ms = s->predecessor_stopped_ms > 0
 				     ? s->predecessor_stopped_ms
 				     : s->created_ms + s->config.outage_ms;
@@ -258,10 +277,10 @@
 		if ((!s->first_owner && now_ms < bound_ms) ||
 		    now_ms < worker->earlier_grant_until_ms)
 			return;
+		unheard++;
 	}
 	s->recovered = true;
-	sched_log(s, BW_EVENT_SCHED_SETTLED, "after_ms=%" G_GINT64_FORMAT,
-		  now_ms - s->created_ms);
+	log_settled(s, unheard, now_ms);
 }
 
 /* Looks at all tasks and workers for what is due; in a surge the scheduler runs
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -349,6 +349,10 @@
 /** Records that the earlier owner sends no more orders. */
 void bw_sched_predecessor_stopped(bw_sched_t *s, int64_t now_ms);
 
+/** Returns the fencing token of the owner that stored the loaded state; 0: none
+ *  was loaded. */
+int64_t bw_sched_saved_by(const bw_sched_t *s);
+
 /** Returns the fencing token of the owner that handed the pool over in order,
  * as the loaded state says; 0 if none did. */
 int64_t bw_sched_handed_over_by(const bw_sched_t *s);
