Two runs at once: an owner counted grants from the stop of the last owner only

What callers saw: a task at work on a worker that the present owner can't reach is started a second time, up to two seconds before its grant ends there.

Cause: before it starts again what earlier owners may run on workers that it can't reach, an owner waits 5.6 s from when the earlier owner has stopped. It looked at the last owner only. If that one was killed, had lost or given back its claim, or was this node itself, it counted at once, while the owner before, cut off from the store, went on renewing grants: until its lease ends, for up to 2 s, or 3.5 s in an outage. A claim that the watch had not reported yet, or had missed, was not looked at either.

Now each node keeps the claims of each pool that it has seen, and all owners of the last 3.5 s must have stopped. To tell that it has missed none it goes by its watch and by the state: a new field says that the owner who stored it knew all runs of those before it (settled). What is not known counts as before (3.5 s after the claim), so that no takeover takes longer than the longest until now; beside workers that answer nothing changes.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -104,6 +104,7 @@
 		.address = address,
 		.incarnation = f->incarnation,
 		.lease_ms = MAX(settings->lease_min_ms, (int64_t)LEASE_MS),
+		.outage_ms = MAX((int64_t)OUTAGE_MS, settings->holder_ms),
 		.started_ms = bw_clock_wall_ms(),
 		.first_start = settings->first_start,
 		.capacity = bw_fleet_settings_capacity(settings),
@@ -320,14 +321,12 @@
 		fn(arg, BW_CONTROLLER_ROLE);
 }
 
-/* Returns whether the previous controller is a live node, which may have sent
+/* Returns whether an earlier controller is a live node, which may have sent
  * orders to machines just now. */
 static bool has_live_predecessor(const bw_fleet_t *f)
 {
-	const char *node;
-
-	return bw_fleet_member_predecessor(f->member, BW_CONTROLLER_ROLE, 0,
-					   &node) == BW_PREDECESSOR_ALIVE;
+	return bw_fleet_member_has_live_predecessor(
+		f->member, BW_CONTROLLER_ROLE, bw_clock_now_ms());
 }
 
 static void start_controller(bw_fleet_t *f, int64_t revision)
@@ -529,7 +528,7 @@
 	bw_fleet_member_tick(f->member, now_ms);
 	bw_fleet_peers_tick(f->peers, now_ms);
 	allow_pools(f, now_ms);
-	fleet_query_predecessors(f, now_ms);
+	fleet_query_earlier_owners(f, now_ms);
 	fleet_give_back_unreadable(f, now_ms);
 	fleet_start_handover(f, now_ms);
 	if (owns_pools(f))
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -37,7 +37,7 @@
 	int64_t last_tick_ms; /**< 0 before the first. */
 	int64_t next_late_event_ms;
 	int64_t last_report_ms;
-	int64_t next_predecessor_query_ms;
+	int64_t next_owner_query_ms;
 	char *handing_over; /**< Pool that is being handed over, or NULL. */
 	int64_t next_handover_check_ms;
 	int64_t last_handover_ms;
@@ -62,12 +62,14 @@
 /** Ends a handover whose pool this node has lost before it stopped. */
 void fleet_abandon_handover(bw_fleet_t *f, const char *pool);
 
-/* messages.c */
+/* earlier_owners.c */
 /**
- * Asks the previous owners of this node's pools whether they have stopped.
- * Once one has, it is known when its grants to unreachable workers expire.
+ * Asks the earlier owners of this node's pools whether they have stopped. Once
+ * all have, it is known when their grants to unreachable workers expire.
  */
-void fleet_query_predecessors(bw_fleet_t *f, int64_t now_ms);
+void fleet_query_earlier_owners(bw_fleet_t *f, int64_t now_ms);
+
+/* messages.c */
 /** Sends the controller's order to the owner of a pool. */
 void fleet_send_order(void *ctx, const char *pool, const Bramley__Frame *frame);
 /**
--- a/src/fleet/member.c
+++ b/src/fleet/member.c
@@ -48,13 +48,9 @@
 	g_free(owner);
 }
 
-static owner_t *owner_copy(const owner_t *owner)
+static void history_free(gpointer data)
 {
-	owner_t *copy = g_new0(owner_t, 1);
-
-	*copy = *owner;
-	copy->node = g_strdup(owner->node);
-	return copy;
+	bw_claim_history_destroy(data);
 }
 
 bw_fleet_member_t *
@@ -72,6 +68,7 @@
 	m->address = g_strdup(config->address);
 	m->incarnation = config->incarnation;
 	m->lease_ms = config->lease_ms;
+	m->outage_ms = config->outage_ms;
 	m->first_start = config->first_start;
 	m->capacity = config->capacity;
 	m->started_wall_ms = config->started_ms;
@@ -81,8 +78,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->owners = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					  owner_free);
-	m->predecessors = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-						owner_free);
+	m->histories = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     history_free);
 	m->owned =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->claiming =
@@ -105,7 +102,7 @@
 	member_end_claims(m);
 	g_hash_table_destroy(m->nodes);
 	g_hash_table_destroy(m->owners);
-	g_hash_table_destroy(m->predecessors);
+	g_hash_table_destroy(m->histories);
 	g_hash_table_destroy(m->owned);
 	g_hash_table_destroy(m->claiming);
 	g_hash_table_destroy(m->handed_over);
@@ -138,32 +135,6 @@
 	return owner && is_known(owner) ? owner->node : NULL;
 }
 
-bw_predecessor_t bw_fleet_member_predecessor(const bw_fleet_member_t *m,
-					     const char *pool,
-					     int64_t handed_over_by,
-					     const char **node)
-{
-	const owner_t *previous = g_hash_table_lookup(m->predecessors, pool);
-	const node_t *current;
-
-	if (!previous)
-		return BW_PREDECESSOR_UNKNOWN;
-	*node = previous->node;
-	/* An earlier ownership by this node itself has ended. */
-	if (!strcmp(previous->node, m->name) ||
-	    previous->revision == handed_over_by)
-		return BW_PREDECESSOR_ENDED;
-	/* Any node may have made a claim that can't be read. */
-	if (!is_known(previous))
-		return BW_PREDECESSOR_ALIVE;
-	current = g_hash_table_lookup(m->nodes, previous->node);
-	if (!current)
-		return BW_PREDECESSOR_UNREGISTERED;
-	return current->incarnation == previous->incarnation
-		       ? BW_PREDECESSOR_ALIVE
-		       : BW_PREDECESSOR_ENDED;
-}
-
 static void request_lease(bw_fleet_member_t *m, int64_t now_ms)
 {
 	m->phase = PHASE_LEASE_REQUESTED;
@@ -432,11 +403,8 @@
 {
 	const char *pool = kv->key + strlen(OWNER_PREFIX);
 	const int64_t *own = g_hash_table_lookup(m->owned, pool);
-	owner_t *owner = g_hash_table_lookup(m->owners, pool);
+	owner_t *owner;
 
-	if (owner)
-		g_hash_table_replace(m->predecessors, g_strdup(pool),
-				     owner_copy(owner));
 	/* The watch may deliver changes that are older than this node's claim;
 	 * these are ignored. */
 	if (own && kv->mod_revision > *own)
@@ -444,12 +412,14 @@
 				 kv->deleted ? "claim-gone" : "claimed-away");
 	g_hash_table_remove(m->ownerless, pool);
 	if (kv->deleted) {
-		log_owner_gone(pool, owner);
+		log_owner_gone(pool, g_hash_table_lookup(m->owners, pool));
+		member_note_claim_gone(m, pool, bw_clock_now_ms());
 		g_hash_table_remove(m->owners, pool);
 		return;
 	}
 	owner = read_owner(kv);
 	g_hash_table_replace(m->owners, g_strdup(pool), owner);
+	member_note_claim(m, pool, owner, bw_clock_now_ms());
 	bw_event(BW_EVENT_MEMBER_OWNER,
 		 "pool=%s node=%s revision=%" G_GINT64_FORMAT, pool,
 		 owner->node, owner->revision);
--- a/src/fleet/member.h
+++ b/src/fleet/member.h
@@ -23,6 +23,8 @@
 	const char *address; /**< ip:port for other nodes. */
 	uint64_t incarnation;
 	int64_t lease_ms;
+	/** An owner gives no orders this long after its claim is gone. */
+	int64_t outage_ms;
 	int64_t started_ms; /**< Start of the process, in Unix time. */
 	bool first_start; /**< All nodes of the site start at once. */
 	bw_node_capacity_t capacity; /**< Of this node. */
@@ -69,25 +71,41 @@
  * be read. */
 const char *bw_fleet_member_owner(const bw_fleet_member_t *m, const char *pool);
 
-/** State of the node that owned a pool before the current owner. */
-typedef enum bw_predecessor {
-	BW_PREDECESSOR_UNKNOWN, /**< No earlier owner seen by this node. */
-	BW_PREDECESSOR_ENDED, /**< Its process has ended. */
-	BW_PREDECESSOR_UNREGISTERED, /**< It is not registered, but may still
-					run. */
-	BW_PREDECESSOR_ALIVE
-} bw_predecessor_t;
+/** What the owner of a pool has read of the owners before it in its state. */
+typedef struct bw_known_owners {
+	/** Fencing token of one that knew all runs of those before it, or these
+	 *  had stopped, so that they don't matter; 0: there is none. */
+	int64_t known_from;
+	bool handed_over; /**< That one gave no orders afterwards. */
+} bw_known_owners_t;
+
+/** An earlier owner of a pool. */
+typedef struct bw_earlier_owner {
+	const char *pool;
+	const char *node; /**< "": not known, as its claim can't be read. */
+	int64_t revision; /**< Of its claim. */
+} bw_earlier_owner_t;
 
 /**
- * Returns the state of a pool's previous owner.
- * @param handed_over_by fence of the owner that handed the pool over in order,
- *     as its last record says; 0 if none did
- * @param node receives its name, unless the state is BW_PREDECESSOR_UNKNOWN
+ * Returns whether no earlier owner of a pool of this node gives orders any
+ * more. One that is cut off from the store may go on, and so may several: the
+ * last one tells nothing of those before it.
+ * @param ask called for each that may still give orders and can be asked;
+ *     bw_fleet_member_owner_stopped() takes the answer
  */
-bw_predecessor_t bw_fleet_member_predecessor(const bw_fleet_member_t *m,
-					     const char *pool,
-					     int64_t handed_over_by,
-					     const char **node);
+bool bw_fleet_member_earlier_stopped(
+	bw_fleet_member_t *m, const char *pool, int64_t now_ms,
+	const bw_known_owners_t *known,
+	void (*ask)(void *ctx, const bw_earlier_owner_t *owner), void *ctx);
+
+/** Records that an earlier owner gives no orders any more. */
+void bw_fleet_member_owner_stopped(bw_fleet_member_t *m,
+				   const bw_earlier_owner_t *owner);
+
+/** Returns whether a live node, other than this one, was an owner of a pool a
+ *  short time ago. */
+bool bw_fleet_member_has_live_predecessor(bw_fleet_member_t *m,
+					  const char *pool, int64_t now_ms);
 
 /** Returns the store key of a pool's owner; release with g_free(). */
 char *bw_fleet_owner_key(const char *pool);
--- a/src/fleet/member_internal.h
+++ b/src/fleet/member_internal.h
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 
+#include "fleet/claim_history.h"
 #include "fleet/member.h"
 #include "fleet/watch_cache.h"
 
@@ -51,13 +52,14 @@
 	char *address;
 	uint64_t incarnation;
 	int64_t lease_ms;
+	int64_t outage_ms;
 	bw_node_capacity_t capacity;
 	bw_fleet_member_ops_t ops;
 	void *ctx;
 	bw_watch_cache_t *cache;
 	GHashTable *nodes; /**< Name to node_t. */
 	GHashTable *owners; /**< Pool to owner_t. */
-	GHashTable *predecessors; /**< Pool to its previous owner_t. */
+	GHashTable *histories; /**< Pool to its bw_claim_history_t. */
 	GHashTable *owned; /**< Pools of this node, to claim revision. */
 	GHashTable *claiming; /**< Pools that are being claimed, to the claim.
 			       */
@@ -93,6 +95,14 @@
  * any node can claim the pool. */
 void member_delete_abandoned(bw_fleet_member_t *m, const char *pool);
 
+/* member_earlier.c */
+/** Notes a claim that was read, for those that own the pool later. */
+void member_note_claim(bw_fleet_member_t *m, const char *pool,
+		       const owner_t *owner, int64_t now_ms);
+/** Notes that a pool has no claim. */
+void member_note_claim_gone(bw_fleet_member_t *m, const char *pool,
+			    int64_t now_ms);
+
 /** Ends this node's ownership of a pool, which it does not own if not known.
  */
 void member_drop_pool(bw_fleet_member_t *m, const char *pool,
--- a/src/fleet/messages.c
+++ b/src/fleet/messages.c
@@ -1,4 +1,4 @@
-/* Messages between nodes: reports, orders, notices and queries. */
+/* Messages between nodes: reports, orders and notices. */
 #include "fleet/internal.h"
 
 #include <string.h>
@@ -6,80 +6,11 @@
 #include "base/clock.h"
 #include "base/event.h"
 
-/** Time between queries to a pool's previous owner. */
-#define PREDECESSOR_QUERY_INTERVAL_MS 250
 /** Time between reports of pools to the controller. */
 #define REPORT_INTERVAL_MS 100
 /** The controller's orders for a pool expire without a newer one. */
 #define ORDER_TIMEOUT_MS 1500
 
-/** Context of a query to a pool's previous owner. */
-typedef struct predecessor_query {
-	bw_fleet_t *f;
-	char *pool;
-	char *node;
-	int64_t fence;
-} predecessor_query_t;
-
-static void note_stopped(bw_pool_t *pool, const char *node, const char *reason,
-			 int64_t now_ms)
-{
-	if (bw_pool_predecessor_stopped(pool, now_ms))
-		bw_event(BW_EVENT_FLEET_PREDECESSOR_STOPPED,
-			 "pool=%s node=%s reason=%s", bw_pool_name(pool), node,
-			 reason);
-}
-
-static void on_predecessor_answer(void *ctx,
-				  const bw_fleet_query_answer_t *answer)
-{
-	predecessor_query_t *query = ctx;
-	bw_pool_t *pool = g_hash_table_lookup(query->f->pools, query->pool);
-
-	if (answer && !answer->may_order && pool &&
-	    bw_pool_fence(pool) == query->fence &&
-	    (bw_pool_sched(pool) || bw_pool_unreadable(pool)))
-		note_stopped(pool, query->node, "asked", bw_clock_now_ms());
-	g_free(query->node);
-	g_free(query->pool);
-	g_free(query);
-}
-
-void fleet_query_predecessors(bw_fleet_t *f, int64_t now_ms)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	if (now_ms < f->next_predecessor_query_ms)
-		return;
-	f->next_predecessor_query_ms = now_ms + PREDECESSOR_QUERY_INTERVAL_MS;
-	g_hash_table_iter_init(&iter, f->pools);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		bw_sched_t *sched = bw_pool_sched(value);
-		const char *name = bw_pool_name(value);
-		const char *node = NULL;
-		predecessor_query_t *query;
-		bw_predecessor_t predecessor = bw_fleet_member_predecessor(
-			f->member, name,
-			sched ? bw_sched_handed_over_by(sched) : 0, &node);
-
-		if (!bw_pool_awaits_predecessor(value) ||
-		    predecessor == BW_PREDECESSOR_UNKNOWN)
-			continue;
-		if (predecessor == BW_PREDECESSOR_ENDED) {
-			note_stopped(value, node, "ended", now_ms);
-			continue;
-		}
-		query = g_new0(predecessor_query_t, 1);
-		query->f = f;
-		query->pool = g_strdup(name);
-		query->node = g_strdup(node);
-		query->fence = bw_pool_fence(value);
-		bw_fleet_peers_query(f->peers, node, name, NULL, NULL,
-				     on_predecessor_answer, query);
-	}
-}
-
 static void apply_order(bw_fleet_t *f, const Bramley__PoolOrder *order)
 {
 	bw_pool_t *pool = g_hash_table_lookup(f->pools, order->pool);
--- a/src/fleet/ownership.c
+++ b/src/fleet/ownership.c
@@ -20,8 +20,7 @@
  * that the other nodes' views and the pool's workers settle in between. */
 #define PAUSE_MS 3000
 /** An owner that has not read the jobs of its pool after this time gives it up:
- * longer than an earlier owner that was cut off may act, since the next owner
- * only asks this one whether it has stopped. */
+ * longer than an earlier owner that was cut off may act. */
 #define UNREAD_MS 6000
 /** A handover needs two writes to the store, which may each be repeated. */
 #define LEASE_LEFT_MIN_MS 1000
--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -346,14 +346,11 @@
 	       (pool->sched && !bw_sched_recovered(pool->sched));
 }
 
-bool bw_pool_predecessor_stopped(bw_pool_t *pool, int64_t now_ms)
+void bw_pool_predecessor_stopped(bw_pool_t *pool, int64_t now_ms)
 {
-	if (pool->predecessor_stopped || (!pool->sched && !pool->unreadable))
-		return false;
 	pool->predecessor_stopped = true;
 	if (pool->sched)
 		bw_sched_predecessor_stopped(pool->sched, now_ms);
-	return true;
 }
 
 bool bw_pool_jobs_loaded(const bw_pool_t *pool)
--- a/src/fleet/pool.h
+++ b/src/fleet/pool.h
@@ -63,15 +63,12 @@
  * done with such a pool; another node may be able to read it. */
 bool bw_pool_unreadable(const bw_pool_t *pool);
 
-/** Returns whether the pool waits to learn that the earlier owner sends no more
- * orders. */
+/** Returns whether the pool waits to learn that no earlier owner sends orders
+ * any more. */
 bool bw_pool_awaits_predecessor(const bw_pool_t *pool);
 
-/**
- * Records that the earlier owner sends no more orders.
- * @return whether that was not known before
- */
-bool bw_pool_predecessor_stopped(bw_pool_t *pool, int64_t now_ms);
+/** Records that no earlier owner sends orders any more. */
+void bw_pool_predecessor_stopped(bw_pool_t *pool, int64_t now_ms);
 
 /** Returns whether all accepted jobs have been read from the store. */
 bool bw_pool_jobs_loaded(const bw_pool_t *pool);
--- a/src/fleet/pool_internal.h
+++ b/src/fleet/pool_internal.h
@@ -40,7 +40,7 @@
 	int64_t save_not_before_ms;
 	uint32_t refs; /**< Held by the node and by each open call. */
 	bool unreadable; /**< This version can't read the stored state. */
-	bool predecessor_stopped; /**< The earlier owner sends no orders. */
+	bool predecessor_stopped; /**< No earlier owner sends orders. */
 	bool jobs_loaded;
 	bool directory_loaded;
 	bool dirty;
--- a/src/fleet/watch_cache.c
+++ b/src/fleet/watch_cache.c
@@ -28,6 +28,7 @@
 	int64_t read_started_ms; /**< Of the full read. */
 	uint32_t pages; /**< Read by the full read. */
 	int64_t reported_revision; /**< Changes up to it were reported. */
+	int64_t complete_since_ms; /**< End of the last full read. */
 	bool full_read; /**< A full read is in progress. */
 	bool history_gone; /**< A full read is due. */
 	bool call_pending;
@@ -93,6 +94,17 @@
 		cache_free(c);
 }
 
+int64_t bw_watch_cache_read_started_ms(const bw_watch_cache_t *c)
+{
+	return c->read_started_ms;
+}
+
+int64_t bw_watch_cache_complete_since_ms(const bw_watch_cache_t *c)
+{
+	return c->full_read || c->history_gone ? INT64_MAX
+					       : c->complete_since_ms;
+}
+
 static void on_retry(struct ev_loop *loop, ev_timer *timer, int revents)
 {
 	bw_watch_cache_t *c = timer->data;
@@ -270,6 +282,7 @@
 		return;
 	}
 	c->full_read = false;
+	c->complete_since_ms = bw_clock_now_ms();
 	log_read(c, BW_OK);
 	report_missing(c);
 	if (!c->destroyed)
--- a/src/fleet/watch_cache.h
+++ b/src/fleet/watch_cache.h
@@ -33,6 +33,14 @@
 					const bw_watch_cache_ops_t *ops,
 					void *ctx);
 
+/** Returns when the last full read began: the changes of a key that is reported
+ *  after that are all reported, or will be. */
+int64_t bw_watch_cache_read_started_ms(const bw_watch_cache_t *c);
+
+/** Returns since when the changes of all keys have been reported, or will be;
+ *  some before that may have been missed. INT64_MAX: some may be missed now. */
+int64_t bw_watch_cache_complete_since_ms(const bw_watch_cache_t *c);
+
 /** Ends the watch; no callback is called afterwards. */
 void bw_watch_cache_destroy(bw_watch_cache_t *c);
 
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -365,6 +365,7 @@
 	uint64_t term; /**< Number of owners up to this one; stored before its
 			first start. */
 	uint64_t loaded_fence; /**< Of the owner that saved the loaded state. */
+	bool loaded_settled; /**< That owner knew all runs of earlier ones. */
 	bool first_owner; /**< No earlier owner has stored anything. */
 	bool recovered; /**< All runs of earlier owners are known. */
 	bool orders_allowed;
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -252,6 +252,7 @@
 	record.handed_over = s->handing_over && knows_all_jobs(s) &&
 			     (s->recovered || s->predecessor_stopped_ms > 0);
 	record.stopping = any_stopping(s) || !s->recovered;
+	record.settled = s->recovered;
 	record.confirm_ms = sched_pack_confirm_ms(s);
 	pack_workers(&p, s, &record);
 	pack_jobs(&p, s, &record);
@@ -440,6 +441,7 @@
 	s->first_owner = false;
 	s->handed_over = record->handed_over;
 	s->loaded_fence = record->fence;
+	s->loaded_settled = record->settled;
 	s->term = record->term + 1;
 	sched_load_confirm_ms(s, record->confirm_ms);
 	s->inherits_stops = !record->handed_over || record->stopping;
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -227,6 +227,12 @@
 	return (int64_t)s->loaded_fence;
 }
 
+int64_t bw_sched_known_from(const bw_sched_t *s)
+{
+	return s->loaded_settled ? (int64_t)s->loaded_fence
+				 : bw_sched_handed_over_by(s);
+}
+
 int64_t bw_sched_handed_over_by(const bw_sched_t *s)
 {
 	return s->handed_over ? (int64_t)s->loaded_fence : 0;
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -346,7 +346,7 @@
  *  each has stored its last one before this scheduler was created. */
 void bw_sched_earlier_saved_by(bw_sched_t *s, int64_t ms);
 
-/** Records that the earlier owner sends no more orders. */
+/** Records that no earlier owner sends orders any more. */
 void bw_sched_predecessor_stopped(bw_sched_t *s, int64_t now_ms);
 
 /** Returns the fencing token of the owner that stored the loaded state; 0: none
@@ -357,6 +357,10 @@
  * as the loaded state says; 0 if none did. */
 int64_t bw_sched_handed_over_by(const bw_sched_t *s);
 
+/** Returns the fencing token of the owner that stored the loaded state if it
+ *  knew all runs of the owners before it, or these had stopped; otherwise 0. */
+int64_t bw_sched_known_from(const bw_sched_t *s);
+
 /** Returns whether all runs that an earlier owner started are known. */
 bool bw_sched_recovered(const bw_sched_t *s);
 
--- a/src/wire/record.pb-c.c
+++ b/src/wire/record.pb-c.c
@@ -1437,7 +1437,7 @@
   (ProtobufCMessageInit) bramley__worker_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__pool_record__field_descriptors[8] =
+static const ProtobufCFieldDescriptor bramley__pool_record__field_descriptors[9] =
 {
   {
     "version",
@@ -1535,12 +1535,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "settled",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__PoolRecord, settled),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__pool_record__field_indices_by_name[] = {
   7,   /* field[7] = confirm_ms */
   1,   /* field[1] = fence */
   4,   /* field[4] = handed_over */
   3,   /* field[3] = jobs */
+  8,   /* field[8] = settled */
   5,   /* field[5] = stopping */
   6,   /* field[6] = term */
   0,   /* field[0] = version */
@@ -1549,7 +1562,7 @@
 static const ProtobufCIntRange bramley__pool_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor bramley__pool_record__descriptor =
 {
@@ -1559,7 +1572,7 @@
   "Bramley__PoolRecord",
   "bramley",
   sizeof(Bramley__PoolRecord),
-  8,
+  9,
   bramley__pool_record__field_descriptors,
   bramley__pool_record__field_indices_by_name,
   1,  bramley__pool_record__number_ranges,
--- a/src/wire/record.pb-c.h
+++ b/src/wire/record.pb-c.h
@@ -246,10 +246,14 @@
    * one; 0: not known.
    */
   uint32_t confirm_ms;
+  /*
+   * The owner knew all runs of those before it.
+   */
+  protobuf_c_boolean settled;
 };
 #define BRAMLEY__POOL_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__pool_record__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/test/test_earlier_owners.c
+++ b/test/test_earlier_owners.c
@@ -16,6 +16,8 @@
 #define SELF	 "self"
 #define LEASE_MS 2000
 #define ROUND_S	 0.02
+/** Longer than any test takes. */
+#define OUTAGE_MS 600000
 /** Limit of a wait for something that must come: 20 s. */
 #define ROUNDS_MAX 1000
 /** Time in which events are delivered: 0.2 s. */
@@ -29,6 +31,10 @@
 	uint32_t rounds_left;
 	bool may_claim; /**< Whether the pool needs an owner. */
 	bool owned;
+	bw_known_owners_t known; /**< As read from the pool's state. */
+	uint32_t asked; /**< Owners that the last check would ask. */
+	char asked_node[16]; /**< The last of them. */
+	int64_t asked_revision;
 } owners_test_t;
 
 static void on_node(void *ctx, const char *name, const char *address)
@@ -102,6 +108,7 @@
 					    .address = "127.0.0.1:1",
 					    .incarnation = 77,
 					    .lease_ms = LEASE_MS,
+					    .outage_ms = OUTAGE_MS,
 					    .started_ms = 1 };
 	bw_store_t store;
 
@@ -147,36 +154,56 @@
 	g_free(key);
 }
 
-/* A node claims the pool, and its claim is gone again. */
-static void claim_for_a_while(owners_test_t *t, const char *node,
-			      uint64_t incarnation)
+/* A node claims the pool, and its claim is gone again. Returns its revision. */
+static int64_t claim_for_a_while(owners_test_t *t, const char *node,
+				 uint64_t incarnation)
 {
 	Bramley__OwnerRecord record = BRAMLEY__OWNER_RECORD__INIT;
 	char *key = bw_fleet_owner_key(POOL);
 	uint8_t data[256];
+	int64_t revision;
 
 	record.node = (char *)node;
 	record.incarnation = incarnation;
 	record.nonce = 5;
 	bw_memstore_put(t->store, key, (const char *)data,
 			bramley__owner_record__pack(&record, data));
+	revision = bw_memstore_revision(t->store, key);
 	run(t, SOME_ROUNDS);
 	delete_claim(t);
 	run(t, SOME_ROUNDS);
 	g_free(key);
+	return revision;
+}
+
+static void note_asked(void *ctx, const bw_earlier_owner_t *owner)
+{
+	owners_test_t *t = ctx;
+
+	t->asked++;
+	t->asked_revision = owner->revision;
+	g_strlcpy(t->asked_node, owner->node, sizeof(t->asked_node));
 }
 
 /* Whether this node, which owns the pool, takes all earlier owners to have
- * stopped without asking anybody. */
+ * stopped; those that it would ask are noted. */
 static bool takes_all_for_stopped(owners_test_t *t)
 {
-	const char *node;
+	t->asked = 0;
+	return bw_fleet_member_earlier_stopped(
+		t->member, POOL, bw_clock_now_ms(), &t->known, note_asked, t);
+}
+
+/* The owner that was asked last answers that it gives no orders any more. */
+static void answer_stopped(owners_test_t *t)
+{
+	bw_earlier_owner_t owner = { POOL, t->asked_node, t->asked_revision };
 
-	return bw_fleet_member_predecessor(t->member, POOL, 0, &node) ==
-	       BW_PREDECESSOR_ENDED;
+	bw_fleet_member_owner_stopped(t->member, &owner);
 }
 
-/* An owner whose process has ended gives no orders. */
+/* An owner whose process has ended gives no orders, and it knew those before
+ * it. */
 static void test_only_owner_has_ended(void **state)
 {
 	owners_test_t t;
@@ -184,7 +211,7 @@
 	(void)state;
 	set_up(&t);
 	put_node(&t, "first", 1);
-	claim_for_a_while(&t, "first", 1);
+	t.known.known_from = claim_for_a_while(&t, "first", 1);
 	put_node(&t, "first", 2);
 	t.may_claim = true;
 	wait_for_owned(&t, true);
@@ -206,13 +233,17 @@
 	set_up(&t);
 	put_node(&t, "first", 1);
 	put_node(&t, "second", 1);
-	claim_for_a_while(&t, "first", 1);
+	t.known.known_from = claim_for_a_while(&t, "first", 1);
 	claim_for_a_while(&t, "second", 1);
 	put_node(&t, "second", 2);
 	t.may_claim = true;
 	wait_for_owned(&t, true);
 	run(&t, SOME_ROUNDS);
 	assert_false(takes_all_for_stopped(&t));
+	assert_int_equal(t.asked, 1);
+	assert_string_equal(t.asked_node, "first");
+	answer_stopped(&t);
+	assert_true(takes_all_for_stopped(&t));
 	tear_down(&t);
 }
 
@@ -224,7 +255,7 @@
 	(void)state;
 	set_up(&t);
 	put_node(&t, "first", 1);
-	claim_for_a_while(&t, "first", 1);
+	t.known.known_from = claim_for_a_while(&t, "first", 1);
 	t.may_claim = true;
 	wait_for_owned(&t, true);
 	delete_claim(&t);
@@ -244,7 +275,7 @@
 	set_up(&t);
 	put_node(&t, "first", 1);
 	put_node(&t, "second", 1);
-	claim_for_a_while(&t, "first", 1);
+	t.known.known_from = claim_for_a_while(&t, "first", 1);
 	put_node(&t, "first", 2);
 	run(&t, SOME_ROUNDS);
 	bw_memstore_delay_events(t.store, true);
--- a/test/test_member.c
+++ b/test/test_member.c
@@ -15,8 +15,10 @@
 #define SELF	    "self"
 #define INCARNATION 77
 #define LEASE_MS    2000
-#define ROUND_S	    0.02
-#define ROUNDS	    60
+/** Longer than any test takes. */
+#define OUTAGE_MS 600000
+#define ROUND_S	  0.02
+#define ROUNDS	  60
 /** Limit of a wait for something that must come: 20 s. */
 #define ROUNDS_MAX 1000
 /** Longer than a node must have been registered to get a pool, and than the
@@ -257,6 +259,7 @@
 					    .address = "127.0.0.1:1",
 					    .incarnation = INCARNATION,
 					    .lease_ms = LEASE_MS,
+					    .outage_ms = OUTAGE_MS,
 					    .started_ms = 1,
 					    .capacity = small };
 	bw_store_t store;
@@ -526,6 +529,31 @@
 	tear_down(&t);
 }
 
+/** What a node thinks of the earlier owners of its pool. */
+typedef enum earlier {
+	ALL_STOPPED,
+	WAITS_FOR_ANSWER, /**< One of them is asked. */
+	WAITS_WITHOUT_ASKING
+} earlier_t;
+
+static void note_asked(void *ctx, const bw_earlier_owner_t *owner)
+{
+	(void)owner;
+	*(bool *)ctx = true;
+}
+
+/* Checks the earlier owners of the pool, of which one handed it over. */
+static earlier_t check_earlier(member_test_t *t, int64_t handed_over_by)
+{
+	bw_known_owners_t known = { handed_over_by, handed_over_by != 0 };
+	bool asked = false;
+
+	if (bw_fleet_member_earlier_stopped(t->member, POOL, bw_clock_now_ms(),
+					    &known, note_asked, &asked))
+		return ALL_STOPPED;
+	return asked ? WAITS_FOR_ANSWER : WAITS_WITHOUT_ASKING;
+}
+
 /*
  * An owner that handed its pool over in order and left the site sends no more
  * orders, though nobody answers for it. That holds only for the last owner:
@@ -533,7 +561,6 @@
  */
 static void test_owner_that_handed_over_has_ended(void **state)
 {
-	const char *node = NULL;
 	member_test_t t;
 	int64_t revision;
 
@@ -547,14 +574,9 @@
 	t.pool_needs_owner = true;
 	run_rounds(&t);
 	assert_true(t.owned);
-	assert_int_equal(bw_fleet_member_predecessor(t.member, POOL, 0, &node),
-			 BW_PREDECESSOR_UNREGISTERED);
-	assert_int_equal(bw_fleet_member_predecessor(t.member, POOL,
-						     revision - 1, &node),
-			 BW_PREDECESSOR_UNREGISTERED);
-	assert_int_equal(
-		bw_fleet_member_predecessor(t.member, POOL, revision, &node),
-		BW_PREDECESSOR_ENDED);
+	assert_int_equal(check_earlier(&t, 0), WAITS_FOR_ANSWER);
+	assert_int_equal(check_earlier(&t, revision - 1), WAITS_FOR_ANSWER);
+	assert_int_equal(check_earlier(&t, revision), ALL_STOPPED);
 	tear_down(&t);
 }
 
@@ -709,7 +731,6 @@
 
 	(void)state;
 	for (i = 0; i < G_N_ELEMENTS(unreadable); i++) {
-		const char *node = NULL;
 		member_test_t t;
 
 		set_up(&t);
@@ -723,9 +744,9 @@
 		put_owner(&t, NULL, 0);
 		run_rounds(&t);
 		assert_true(t.owned);
-		assert_int_equal(
-			bw_fleet_member_predecessor(t.member, POOL, 0, &node),
-			BW_PREDECESSOR_ALIVE);
+		assert_int_equal(check_earlier(&t, 0), WAITS_WITHOUT_ASKING);
+		assert_true(bw_fleet_member_has_live_predecessor(
+			t.member, POOL, bw_clock_now_ms()));
 		tear_down(&t);
 	}
 }
