An owner that had stopped gave orders again when the store went down for all

Found by the audit, shown by a trial of it: a node that the store turns away alone stops at the end of its lease, as others report that they reach the store. When these lose the store too, within any time, it took that for an outage and gave orders again, beside the node that had claimed its pool in between; grants and starts of it reach workers that the new owner has not reached.

The judgement of an outage moves to a module of its own, with a memory: heartbeats between nodes tell how long ago the store answered; an answer after the lease may have ended ends the orders until the lease is renewed, and so does 1.5 s without a known outage, the time that others allow for. Nodes of earlier versions tell no age; their report that the store is reachable counts as an answer of now.

test_outage: with the old rule (no memory) four of its eight tests fail, test_owner_resumes_beside_its_successor among them; all pass now.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -486,8 +486,8 @@
 
 static void allow_pools(bw_fleet_t *f, int64_t now_ms)
 {
-	bool allowed = now_ms < bw_fleet_member_lease_end_ms(f->member) ||
-		       bw_fleet_peers_store_outage(f->peers, now_ms);
+	bool allowed = bw_fleet_peers_may_order(
+		f->peers, now_ms, bw_fleet_member_lease_end_ms(f->member));
 	GHashTableIter iter;
 	gpointer pool;
 
@@ -524,7 +524,8 @@
 	(void)loop;
 	(void)revents;
 	record_lateness(f, now_ms);
-	bw_fleet_peers_set_store_reachable(f->peers, f->store_reachable);
+	bw_fleet_peers_set_store(f->peers, f->store_reachable,
+				 f->last_store_answer_ms);
 	bw_fleet_member_tick(f->member, now_ms);
 	bw_fleet_peers_tick(f->peers, now_ms);
 	allow_pools(f, now_ms);
--- /dev/null
+++ b/src/fleet/outage.c
@@ -0,0 +1,94 @@
+#include "fleet/outage.h"
+
+#include <glib.h>
+
+/** A report is valid for this long. */
+#define REPORT_AGE_MAX_MS 1200
+
+typedef struct report {
+	int64_t received_ms;
+	bool reachable;
+} report_t;
+
+struct bw_outage {
+	int64_t grace_ms;
+	GHashTable *reports; /**< Peer to report_t. */
+	int64_t answered_ms; /**< Last answer of the store to another node. */
+	bool over; /**< No orders until the lease is renewed. */
+};
+
+bw_outage_t *bw_outage_create(int64_t grace_ms)
+{
+	bw_outage_t *o = g_new0(bw_outage_t, 1);
+
+	o->grace_ms = grace_ms;
+	o->reports = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					   g_free);
+	return o;
+}
+
+void bw_outage_destroy(bw_outage_t *o)
+{
+	if (!o)
+		return;
+	g_hash_table_destroy(o->reports);
+	g_free(o);
+}
+
+void bw_outage_report(bw_outage_t *o, int64_t now_ms,
+		      const bw_store_report_t *report)
+{
+	report_t *known = g_new0(report_t, 1);
+
+	known->received_ms = now_ms;
+	known->reachable = report->reachable;
+	g_hash_table_replace(o->reports,
+			     g_memdup2(&report->peer, sizeof(report->peer)),
+			     known);
+	o->answered_ms = MAX(o->answered_ms, report->answered_ms);
+}
+
+void bw_outage_peer_lost(bw_outage_t *o, uint64_t peer)
+{
+	g_hash_table_remove(o->reports, &peer);
+}
+
+/* Whether more than half of the nodes, this one included, have lately reported
+ * that they can't reach the store, and none that it can. */
+static bool is_down_for_all(const bw_outage_t *o, int64_t now_ms,
+			    const bw_outage_view_t *view)
+{
+	uint32_t unreachable = 1;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (view->store_reachable)
+		return false;
+	g_hash_table_iter_init(&iter, o->reports);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const report_t *report = value;
+
+		if (now_ms - report->received_ms > REPORT_AGE_MAX_MS)
+			continue;
+		if (report->reachable)
+			return false;
+		unreachable++;
+	}
+	return unreachable * 2 > view->other_nodes + 1;
+}
+
+bool bw_outage_may_order(bw_outage_t *o, int64_t now_ms,
+			 const bw_outage_view_t *view)
+{
+	bool down;
+
+	if (now_ms < view->lease_end_ms) {
+		o->over = false;
+		return true;
+	}
+	down = is_down_for_all(o, now_ms, view);
+	if (o->answered_ms > view->lease_end_ms ||
+	    (!down && now_ms - view->lease_end_ms >= o->grace_ms))
+		o->over = true;
+	return down && !o->over;
+}
--- a/src/fleet/peers.c
+++ b/src/fleet/peers.c
@@ -5,14 +5,16 @@
 #include <glib.h>
 
 #include "base/clock.h"
+#include "fleet/outage.h"
 #include "peer/peer.h"
 #include "place/share.h"
 
 /** A query ends without an answer after this time. */
 #define ANSWER_TIMEOUT_MS     300
 #define HEARTBEAT_INTERVAL_MS 500
-/** A peer's report on the store is valid for this long. */
-#define STORE_STATUS_AGE_MAX_MS 1200
+/** An owner whose lease may have ended waits this long for the reports that the
+ *  store is down for all: others count on it to have stopped by then. */
+#define OUTAGE_GRACE_MS 1500
 /** A peer that sends nothing for this long counts as lost. */
 #define PEER_SILENCE_MS 3500
 #define US_PER_MS	1000
@@ -26,12 +28,6 @@
 	uint64_t peer;
 } query_t;
 
-/** A connected peer's last heartbeat. */
-typedef struct peer_state {
-	int64_t heartbeat_ms; /**< 0: none yet. */
-	bool store_reachable;
-} peer_state_t;
-
 struct bw_fleet_peers {
 	bw_peers_t *peers;
 	char *name;
@@ -39,11 +35,13 @@
 	bw_fleet_peers_frame_fn on_frame;
 	void *ctx;
 	GHashTable *queries; /**< Number to query_t. */
-	GHashTable *connected; /**< Peer to peer_state_t. */
+	GHashTable *connected; /**< Set of peers. */
 	GHashTable *other_nodes; /**< Other registered nodes, by name. */
 	uint64_t last_number;
 	int64_t heartbeat_sent_ms;
+	bw_outage_t *outage;
 	bool store_reachable;
+	int64_t store_answered_ms; /**< Of the store's last answer. */
 	bool reported_reachable; /**< Sent in the last heartbeat. */
 };
 
@@ -91,9 +89,10 @@
 	p->queries = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					   g_free);
 	p->connected = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-					     g_free, g_free);
+					     g_free, NULL);
 	p->other_nodes =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	p->outage = bw_outage_create(OUTAGE_GRACE_MS);
 	p->store_reachable = true;
 	p->reported_reachable = true;
 	*out = p;
@@ -108,6 +107,7 @@
 	g_hash_table_destroy(p->queries);
 	g_hash_table_destroy(p->connected);
 	g_hash_table_destroy(p->other_nodes);
+	bw_outage_destroy(p->outage);
 	g_free(p->name);
 	g_free(p);
 }
@@ -121,8 +121,7 @@
 {
 	bw_fleet_peers_t *p = ctx;
 
-	g_hash_table_replace(p->connected, dup_key(peer),
-			     g_new0(peer_state_t, 1));
+	g_hash_table_add(p->connected, dup_key(peer));
 }
 
 static void on_peer_lost(void *ctx, uint64_t peer)
@@ -132,6 +131,7 @@
 	gpointer value;
 
 	g_hash_table_remove(p->connected, &peer);
+	bw_outage_peer_lost(p->outage, peer);
 	/* The next tick ends these queries. */
 	g_hash_table_iter_init(&iter, p->queries);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -156,15 +156,26 @@
 		p->on_frame(p->ctx, frame);
 }
 
+/* Earlier versions don't tell the age of the last answer. */
+static int64_t answered_ms(const Bramley__Heartbeat *heartbeat, int64_t now_ms)
+{
+	if (!heartbeat->store_good && heartbeat->store_answer_age_ms == 0)
+		return 0;
+	return now_ms - heartbeat->store_answer_age_ms;
+}
+
 static void handle_heartbeat(bw_fleet_peers_t *p, uint64_t peer,
 			     const Bramley__Heartbeat *heartbeat)
 {
-	peer_state_t *state = g_hash_table_lookup(p->connected, &peer);
+	int64_t now_ms = bw_clock_now_ms();
+	bw_store_report_t report = {
+		.peer = peer,
+		.reachable = heartbeat->store_good,
+		.answered_ms = answered_ms(heartbeat, now_ms),
+	};
 
-	if (!state)
-		return;
-	state->heartbeat_ms = bw_clock_now_ms();
-	state->store_reachable = heartbeat->store_good;
+	if (g_hash_table_contains(p->connected, &peer))
+		bw_outage_report(p->outage, now_ms, &report);
 }
 
 static void answer_query(bw_fleet_peers_t *p, uint64_t peer,
@@ -288,6 +299,8 @@
 		return;
 	frame.body_case = BRAMLEY__FRAME__BODY_HEARTBEAT;
 	heartbeat.store_good = p->store_reachable;
+	heartbeat.store_answer_age_ms =
+		MAX(bw_clock_now_ms() - p->store_answered_ms, 1);
 	frame.heartbeat = &heartbeat;
 	bw_peers_send(p->peers, peer, &frame);
 }
@@ -304,31 +317,23 @@
 	bw_peers_foreach(p->peers, send_heartbeat, p);
 }
 
-void bw_fleet_peers_set_store_reachable(bw_fleet_peers_t *p, bool reachable)
+void bw_fleet_peers_set_store(bw_fleet_peers_t *p, bool reachable,
+			      int64_t answered_ms)
 {
 	p->store_reachable = reachable;
+	p->store_answered_ms = answered_ms;
 }
 
-bool bw_fleet_peers_store_outage(const bw_fleet_peers_t *p, int64_t now_ms)
+bool bw_fleet_peers_may_order(bw_fleet_peers_t *p, int64_t now_ms,
+			      int64_t lease_end_ms)
 {
-	uint32_t unreachable_count = 1;
-	GHashTableIter iter;
-	gpointer value;
+	bw_outage_view_t view = {
+		.lease_end_ms = lease_end_ms,
+		.store_reachable = p->store_reachable,
+		.other_nodes = g_hash_table_size(p->other_nodes),
+	};
 
-	if (p->store_reachable)
-		return false;
-	g_hash_table_iter_init(&iter, p->connected);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const peer_state_t *state = value;
-
-		if (state->heartbeat_ms == 0 ||
-		    now_ms - state->heartbeat_ms > STORE_STATUS_AGE_MAX_MS)
-			continue;
-		if (state->store_reachable)
-			return false;
-		unreachable_count++;
-	}
-	return unreachable_count * 2 > g_hash_table_size(p->other_nodes) + 1;
+	return bw_outage_may_order(p->outage, now_ms, &view);
 }
 
 void bw_fleet_peers_send(bw_fleet_peers_t *p, const char *node,
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -76,15 +76,20 @@
 void bw_fleet_peers_send(bw_fleet_peers_t *p, const char *node,
 			 const Bramley__Frame *frame);
 
-/** Sets whether heartbeats report the store as reachable. */
-void bw_fleet_peers_set_store_reachable(bw_fleet_peers_t *p, bool reachable);
+/**
+ * Sets what heartbeats report on the store.
+ * @param answered_ms when it last answered this node
+ */
+void bw_fleet_peers_set_store(bw_fleet_peers_t *p, bool reachable,
+			      int64_t answered_ms);
 
 /**
- * Returns whether the store is down for the whole fleet: more than half of the
- * registered nodes, this one included, have lately reported it as unreachable
- * and none as reachable.
+ * Returns whether this node may give orders for its pools, see
+ * bw_outage_may_order().
+ * @param lease_end_ms its lease may end from then on
  */
-bool bw_fleet_peers_store_outage(const bw_fleet_peers_t *p, int64_t now_ms);
+bool bw_fleet_peers_may_order(bw_fleet_peers_t *p, int64_t now_ms,
+			      int64_t lease_end_ms);
 
 /** Sends heartbeats and ends queries that timed out. */
 void bw_fleet_peers_tick(bw_fleet_peers_t *p, int64_t now_ms);
--- a/src/wire/bramley.pb-c.c
+++ b/src/wire/bramley.pb-c.c
@@ -701,7 +701,7 @@
   (ProtobufCMessageInit) bramley__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__heartbeat__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bramley__heartbeat__field_descriptors[7] =
 {
   {
     "epoch",
@@ -775,6 +775,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_answer_age_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__Heartbeat, store_answer_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__heartbeat__field_indices_by_name[] = {
   2,   /* field[2] = echo_us */
@@ -782,12 +794,13 @@
   4,   /* field[4] = known */
   3,   /* field[3] = promise */
   1,   /* field[1] = stamp_us */
+  6,   /* field[6] = store_answer_age_ms */
   5,   /* field[5] = store_good */
 };
 static const ProtobufCIntRange bramley__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bramley__heartbeat__descriptor =
 {
@@ -797,7 +810,7 @@
   "Bramley__Heartbeat",
   "bramley",
   sizeof(Bramley__Heartbeat),
-  6,
+  7,
   bramley__heartbeat__field_descriptors,
   bramley__heartbeat__field_indices_by_name,
   1,  bramley__heartbeat__number_ranges,
--- a/src/wire/bramley.pb-c.h
+++ b/src/wire/bramley.pb-c.h
@@ -81,10 +81,14 @@
    * The sender can reach the store.
    */
   protobuf_c_boolean store_good;
+  /*
+   * Time since the store's last answer to the sender, at least 1; 0: not known.
+   */
+  int64_t store_answer_age_ms;
 };
 #define BRAMLEY__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__heartbeat__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Bramley__Loan
