An owner took its own cut for an outage once all other nodes had been away

Cause: the majority in the judgement of an outage counts registered nodes. After all others have lost power and their registrations have ended, a node that the store turns away is a majority of itself: it takes the cut for an outage for all and gives orders without end, while the others come back and claim its pool, as it can't read that they have.

A node counts for 30 s after its registration has ended, and a node without any others sees no outage, since it can't tell.

test_nodes_that_have_gone_may_be_back and test_node_without_others_sees_no_outage fail without the two changes and pass; test_nodes_that_are_gone_for_long_do_not_count bounds the memory.

--- a/src/fleet/outage.h
+++ b/src/fleet/outage.h
@@ -24,7 +24,6 @@
 typedef struct bw_outage_view {
 	int64_t lease_end_ms; /**< Its lease may end from then on. */
 	bool store_reachable;
-	uint32_t other_nodes; /**< That are registered. */
 } bw_outage_view_t;
 
 /**
@@ -34,6 +33,10 @@
 bw_outage_t *bw_outage_create(int64_t grace_ms);
 void bw_outage_destroy(bw_outage_t *o);
 
+/** Records that another node is registered, or is not any more. */
+void bw_outage_node(bw_outage_t *o, int64_t now_ms, const char *name,
+		    bool registered);
+
 /** Records a report, which replaces the peer's last one. */
 void bw_outage_report(bw_outage_t *o, int64_t now_ms,
 		      const bw_store_report_t *report);
--- a/src/fleet/peers.c
+++ b/src/fleet/peers.c
@@ -36,7 +36,6 @@
 	void *ctx;
 	GHashTable *queries; /**< Number to query_t. */
 	GHashTable *connected; /**< Set of peers. */
-	GHashTable *other_nodes; /**< Other registered nodes, by name. */
 	uint64_t last_number;
 	int64_t heartbeat_sent_ms;
 	bw_outage_t *outage;
@@ -90,8 +89,6 @@
 					   g_free);
 	p->connected = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					     g_free, NULL);
-	p->other_nodes =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	p->outage = bw_outage_create(OUTAGE_GRACE_MS);
 	p->store_reachable = true;
 	p->reported_reachable = true;
@@ -106,7 +103,6 @@
 	bw_peers_destroy(p->peers);
 	g_hash_table_destroy(p->queries);
 	g_hash_table_destroy(p->connected);
-	g_hash_table_destroy(p->other_nodes);
 	bw_outage_destroy(p->outage);
 	g_free(p->name);
 	g_free(p);
@@ -231,10 +227,7 @@
 {
 	if (!strcmp(name, p->name))
 		return;
-	if (address)
-		g_hash_table_add(p->other_nodes, g_strdup(name));
-	else
-		g_hash_table_remove(p->other_nodes, name);
+	bw_outage_node(p->outage, bw_clock_now_ms(), name, address != NULL);
 	if (address)
 		bw_peers_add(p->peers, name, address);
 	else
@@ -330,7 +323,6 @@
 	bw_outage_view_t view = {
 		.lease_end_ms = lease_end_ms,
 		.store_reachable = p->store_reachable,
-		.other_nodes = g_hash_table_size(p->other_nodes),
 	};
 
 	return bw_outage_may_order(p->outage, now_ms, &view);
--- a/test/test_outage.c
+++ b/test/test_outage.c
@@ -14,12 +14,22 @@
 	bw_outage_view_t view;
 } outage_test_t;
 
+/* All other nodes are registered, or have been. */
+static void register_nodes(outage_test_t *t, int64_t now_ms, bool registered)
+{
+	static const char *const names[PEERS] = { "b", "c", "d", "e" };
+	uint32_t i;
+
+	for (i = 0; i < PEERS; i++)
+		bw_outage_node(t->outage, now_ms, names[i], registered);
+}
+
 static void set_up(outage_test_t *t)
 {
 	t->outage = bw_outage_create(GRACE_MS);
 	t->view = (bw_outage_view_t){ .lease_end_ms = LEASE_END_MS,
-				      .store_reachable = false,
-				      .other_nodes = PEERS };
+				      .store_reachable = false };
+	register_nodes(t, 0, true);
 }
 
 /* A number of peers report that they can or can't reach the store, and when it
@@ -167,6 +177,47 @@
 	bw_outage_destroy(t.outage);
 }
 
+/*
+ * Failure: all other nodes have lost power, and are back unseen by this one,
+ * which the store turns away: it takes that for an outage without end.
+ */
+static void test_nodes_that_have_gone_may_be_back(void **state)
+{
+	outage_test_t t;
+
+	(void)state;
+	set_up(&t);
+	register_nodes(&t, LEASE_END_MS - 3000, false);
+	assert_false(may_order(&t, LEASE_END_MS));
+	bw_outage_destroy(t.outage);
+}
+
+/* Nodes that have gone for good are not waited for in each outage. */
+static void test_nodes_that_are_gone_for_long_do_not_count(void **state)
+{
+	outage_test_t t;
+
+	(void)state;
+	set_up(&t);
+	register_nodes(&t, LEASE_END_MS - 30000, false);
+	bw_outage_node(t.outage, LEASE_END_MS - 20000, "f", true);
+	report(&t, LEASE_END_MS, 1, false, 0);
+	assert_true(may_order(&t, LEASE_END_MS));
+	bw_outage_destroy(t.outage);
+}
+
+/* Failure: the same with a node that never had others in sight. */
+static void test_node_without_others_sees_no_outage(void **state)
+{
+	outage_test_t t = { .view = { .lease_end_ms = LEASE_END_MS } };
+
+	(void)state;
+	t.outage = bw_outage_create(GRACE_MS);
+	assert_true(may_order(&t, LEASE_END_MS - 1));
+	assert_false(may_order(&t, LEASE_END_MS));
+	bw_outage_destroy(t.outage);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -180,6 +231,10 @@
 			test_owner_resumes_after_a_moment_without_outage),
 		cmocka_unit_test(test_renewal_allows_orders_again),
 		cmocka_unit_test(test_few_reports_are_no_outage),
+		cmocka_unit_test(test_nodes_that_have_gone_may_be_back),
+		cmocka_unit_test(
+			test_nodes_that_are_gone_for_long_do_not_count),
+		cmocka_unit_test(test_node_without_others_sees_no_outage),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
