A claim whose answer came late gave orders after its end

A node whose claim is under way answers that it does not have the pool, so that the next owner takes it to have stopped. When the claim's answer came, though the watch had reported its end and another node's claim, it took the pool and sent heartbeats with grants until its first save.

A node that is claiming a pool now says that it may give orders, and a claim is not used if the watch has reported its end or a later claim, or if the lease may have ended; it is deleted then.

test_claim_that_is_answered_after_its_end fails without the second change (owned) and passes.

--- a/src/fleet/claim_history.c
+++ b/src/fleet/claim_history.c
@@ -13,6 +13,8 @@
 
 struct bw_claim_history {
 	int64_t outage_ms;
+	int64_t latest_revision; /**< Of the last claim that was seen. */
+	bool claimed; /**< That one is not gone. */
 	GArray *entries; /**< entry_t, in the order in which they were seen. */
 };
 
@@ -59,6 +61,7 @@
 {
 	guint i;
 
+	h->claimed = false;
 	for (i = 0; i < h->entries->len; i++) {
 		entry_t *entry = &g_array_index(h->entries, entry_t, i);
 
@@ -80,6 +83,14 @@
 
 	bw_claim_history_end(h, now_ms);
 	g_array_append_val(h->entries, entry);
+	h->latest_revision = claim->revision;
+	h->claimed = true;
+}
+
+bool bw_claim_history_is_gone(const bw_claim_history_t *h, int64_t revision)
+{
+	return revision < h->latest_revision ||
+	       (revision == h->latest_revision && !h->claimed);
 }
 
 void bw_claim_history_stopped(bw_claim_history_t *h, int64_t revision)
--- a/src/fleet/claim_history.h
+++ b/src/fleet/claim_history.h
@@ -50,6 +50,10 @@
 /** Records that the pool has no claim. */
 void bw_claim_history_end(bw_claim_history_t *h, int64_t now_ms);
 
+/** Returns whether a claim is certainly gone: its end was seen, or a later
+ * claim was. */
+bool bw_claim_history_is_gone(const bw_claim_history_t *h, int64_t revision);
+
 /** Records that the owner of a claim gives no orders any more. */
 void bw_claim_history_stopped(bw_claim_history_t *h, int64_t revision);
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -415,7 +415,8 @@
 	bw_fleet_t *f = ctx;
 	bw_pool_t *pool = g_hash_table_lookup(f->pools, name);
 
-	out->may_order = pool != NULL;
+	out->may_order =
+		pool != NULL || bw_fleet_member_may_own(f->member, name);
 	if (!pool || !bw_pool_jobs_loaded(pool))
 		return;
 	out->owner = true;
--- a/src/fleet/member.h
+++ b/src/fleet/member.h
@@ -138,6 +138,10 @@
 void bw_fleet_member_give_back(bw_fleet_member_t *m, const char *pool,
 			       int64_t now_ms);
 
+/** Returns whether this node owns a pool or is claiming it, so that it may give
+ *  orders for it now or soon. */
+bool bw_fleet_member_may_own(const bw_fleet_member_t *m, const char *pool);
+
 /** Gives up a pool that turned out to have another owner. */
 void bw_fleet_member_drop_pool(bw_fleet_member_t *m, const char *pool);
 
--- a/src/fleet/member_claim.c
+++ b/src/fleet/member_claim.c
@@ -339,14 +339,25 @@
 	return revision;
 }
 
+/* Whether a claim can be used that was written some time ago: its answer may
+ * come after its end. */
+static bool is_usable(bw_fleet_member_t *m, const claim_t *claim,
+		      int64_t revision, int64_t now_ms)
+{
+	return !m->leaving && m->phase == PHASE_REGISTERED &&
+	       m->lease_id == claim->lease_id &&
+	       now_ms < bw_fleet_member_lease_end_ms(m) &&
+	       !member_claim_gone(m, claim->pool, revision);
+}
+
 static void acquire_pool(bw_fleet_member_t *m, const claim_t *claim,
 			 int64_t revision)
 {
+	int64_t now_ms = bw_clock_now_ms();
 	int64_t *held_revision;
 
-	if (m->leaving || m->phase != PHASE_REGISTERED ||
-	    m->lease_id != claim->lease_id) {
-		delete_claim(m, claim->pool, revision, bw_clock_now_ms(), 0);
+	if (!is_usable(m, claim, revision, now_ms)) {
+		delete_claim(m, claim->pool, revision, now_ms, 0);
 		return;
 	}
 	held_revision = g_new(int64_t, 1);
@@ -385,6 +396,12 @@
 	claim_free(claim);
 }
 
+bool bw_fleet_member_may_own(const bw_fleet_member_t *m, const char *pool)
+{
+	return g_hash_table_contains(m->owned, pool) ||
+	       g_hash_table_contains(m->claiming, pool);
+}
+
 static void end_claim(claim_t *claim)
 {
 	g_hash_table_remove(claim->m->claiming, claim->pool);
--- a/src/fleet/member_earlier.c
+++ b/src/fleet/member_earlier.c
@@ -38,6 +38,11 @@
 	bw_claim_history_end(get_history(m, pool), now_ms);
 }
 
+bool member_claim_gone(bw_fleet_member_t *m, const char *pool, int64_t revision)
+{
+	return bw_claim_history_is_gone(get_history(m, pool), revision);
+}
+
 static void log_stopped(const char *pool, const char *node, const char *reason)
 {
 	bw_event(BW_EVENT_FLEET_PREDECESSOR_STOPPED,
--- a/src/fleet/member_internal.h
+++ b/src/fleet/member_internal.h
@@ -103,6 +103,10 @@
 void member_note_claim_gone(bw_fleet_member_t *m, const char *pool,
 			    int64_t now_ms);
 
+/** Whether a claim of a pool is known to be gone. */
+bool member_claim_gone(bw_fleet_member_t *m, const char *pool,
+		       int64_t revision);
+
 /** Ends this node's ownership of a pool, which it does not own if not known.
  */
 void member_drop_pool(bw_fleet_member_t *m, const char *pool,
--- a/test/test_earlier_owners.c
+++ b/test/test_earlier_owners.c
@@ -102,6 +102,46 @@
 	assert_int_equal(t->owned, owned);
 }
 
+/** Operations of the store, and the same with claims whose answers are held. */
+static bw_store_ops_t memstore_ops;
+static bw_store_ops_t holding_ops;
+static bool hold_claims;
+
+/** The answer to a claim that is held; no callback: there is none. */
+static struct {
+	bw_store_done_fn done;
+	void *ctx;
+	bw_store_reply_t reply;
+} held;
+
+static void keep_reply(void *ctx, const bw_store_reply_t *reply)
+{
+	(void)ctx;
+	held.reply = *reply;
+	held.reply.kvs = NULL;
+	held.reply.kv_count = 0;
+}
+
+static void carry_out(void *impl, const bw_store_txn_t *txn,
+		      bw_store_done_fn done, void *ctx)
+{
+	if (!hold_claims || !txn->writes[0].value ||
+	    !g_str_has_prefix(txn->writes[0].key, "bw/m/own/")) {
+		memstore_ops.txn(impl, txn, done, ctx);
+		return;
+	}
+	hold_claims = false;
+	held.done = done;
+	held.ctx = ctx;
+	memstore_ops.txn(impl, txn, keep_reply, NULL);
+}
+
+static void answer_held(void)
+{
+	held.done(held.ctx, &held.reply);
+	held.done = NULL;
+}
+
 static void set_up(owners_test_t *t)
 {
 	bw_fleet_member_config_t config = { .name = SELF,
@@ -116,6 +156,11 @@
 	t->loop = ev_loop_new(0);
 	t->store = bw_memstore_create(t->loop);
 	store = bw_memstore_interface(t->store);
+	memstore_ops = *store.ops;
+	holding_ops = *store.ops;
+	holding_ops.txn = carry_out;
+	hold_claims = false;
+	store.ops = &holding_ops;
 	t->member = bw_fleet_member_create(t->loop, &store, &config, &ops, t);
 	ev_timer_init(&t->timer, on_timer, ROUND_S, ROUND_S);
 	t->timer.data = t;
@@ -154,9 +199,9 @@
 	g_free(key);
 }
 
-/* A node claims the pool, and its claim is gone again. Returns its revision. */
-static int64_t claim_for_a_while(owners_test_t *t, const char *node,
-				 uint64_t incarnation)
+/* A node claims the pool. Returns the claim's revision. */
+static int64_t put_claim(owners_test_t *t, const char *node,
+			 uint64_t incarnation)
 {
 	Bramley__OwnerRecord record = BRAMLEY__OWNER_RECORD__INIT;
 	char *key = bw_fleet_owner_key(POOL);
@@ -169,10 +214,19 @@
 	bw_memstore_put(t->store, key, (const char *)data,
 			bramley__owner_record__pack(&record, data));
 	revision = bw_memstore_revision(t->store, key);
+	g_free(key);
+	return revision;
+}
+
+/* The same, and its claim is gone again. */
+static int64_t claim_for_a_while(owners_test_t *t, const char *node,
+				 uint64_t incarnation)
+{
+	int64_t revision = put_claim(t, node, incarnation);
+
 	run(t, SOME_ROUNDS);
 	delete_claim(t);
 	run(t, SOME_ROUNDS);
-	g_free(key);
 	return revision;
 }
 
@@ -289,6 +343,38 @@
 	tear_down(&t);
 }
 
+/*
+ * Failure: a claim is answered late, when it is gone and another node owns the
+ * pool: this one gives orders as well.
+ */
+static void test_claim_that_is_answered_after_its_end(void **state)
+{
+	owners_test_t t;
+	uint32_t i;
+
+	(void)state;
+	set_up(&t);
+	put_node(&t, "other", 1);
+	hold_claims = true;
+	t.may_claim = true;
+	for (i = 0; i < ROUNDS_MAX && !held.done; i++)
+		run(&t, 1);
+	assert_non_null(held.done);
+	run(&t, SOME_ROUNDS);
+	/* It may still own the pool, so it is not taken to have stopped. */
+	assert_true(bw_fleet_member_may_own(t.member, POOL));
+	delete_claim(&t);
+	run(&t, SOME_ROUNDS);
+	put_claim(&t, "other", 1);
+	run(&t, SOME_ROUNDS);
+	answer_held();
+	run(&t, SOME_ROUNDS);
+	assert_false(t.owned);
+	assert_false(bw_fleet_member_may_own(t.member, POOL));
+	assert_string_equal(bw_fleet_member_owner(t.member, POOL), "other");
+	tear_down(&t);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -298,6 +384,7 @@
 		cmocka_unit_test(test_own_lost_claim_hides_one_that_still_acts),
 		cmocka_unit_test(
 			test_claim_that_is_not_reported_yet_is_overlooked),
+		cmocka_unit_test(test_claim_that_is_answered_after_its_end),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
