A controller ordered machines beside an earlier one that it had not heard of

It is judged at each round now, over all claims of the role in the last 3.5 s that this node has seen, and not before its own claim is reported. A node that is not registered counts as one that may act; so after the loss of a controller's node, not after its restart, the next one waits 3 s (holder_ms), as it does beside a live one. Claims that a node that has just started can't have seen don't count, as before.

test_controller_overlooks_an_earlier_one fails without the condition on the own claim and passes; test_controller_waits_for_an_earlier_one is for the judgement at each round, which the old interface did not have.

--- a/src/fleet/controller.c
+++ b/src/fleet/controller.c
@@ -486,14 +486,19 @@
 	g_free(pools);
 }
 
+static bool may_order(const bw_controller_t *c, int64_t now_ms)
+{
+	return now_ms - c->created_ms >= c->env.takeover_delay_ms ||
+	       !c->ops.has_predecessor(c->ctx, now_ms);
+}
+
 void bw_controller_tick(bw_controller_t *c, int64_t now_ms)
 {
 	bw_maintenance_view_t view = {
 		.now_ms = now_ms,
 		.machines = c->machines,
 		.reports = c->reports,
-		.may_order = c->env.no_predecessor ||
-			     now_ms - c->created_ms >= c->env.takeover_delay_ms,
+		.may_order = may_order(c, now_ms),
 	};
 
 	request_list(c, now_ms);
--- a/src/fleet/controller.h
+++ b/src/fleet/controller.h
@@ -26,8 +26,6 @@
 	/** Least time between orders of two controllers to a machine. */
 	int64_t takeover_delay_ms;
 	int64_t fence; /**< Fencing token of all orders. */
-	/** No other live node held the role before, so orders need no wait. */
-	bool no_predecessor;
 } bw_controller_env_t;
 
 typedef struct bw_controller_ops {
@@ -37,6 +35,9 @@
 	void (*store_result)(void *ctx, bw_status_t status);
 	/** A machine refused the token, as it has received a higher one. */
 	void (*superseded)(void *ctx);
+	/** Returns whether an earlier controller may have sent orders lately,
+	 *  so that this one waits. */
+	bool (*has_predecessor)(void *ctx, int64_t now_ms);
 } bw_controller_ops_t;
 
 bw_controller_t *bw_controller_create(const bw_controller_env_t *env,
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -55,6 +55,7 @@
 			const char *queue, bw_fleet_query_answer_t *out);
 static bool is_store_reachable(void *ctx);
 static void on_controller_superseded(void *ctx);
+static bool has_earlier_controller(void *ctx, int64_t now_ms);
 static bool owns_pools(void *ctx);
 static void configure_pool(bw_fleet_t *f, bw_pool_t *pool);
 
@@ -82,7 +83,8 @@
 };
 static const bw_controller_ops_t controller_ops = { fleet_send_order,
 						    on_store_result,
-						    on_controller_superseded };
+						    on_controller_superseded,
+						    has_earlier_controller };
 
 static char *operators_address(const bw_fleet_settings_t *settings)
 {
@@ -321,12 +323,10 @@
 		fn(arg, BW_CONTROLLER_ROLE);
 }
 
-/* Returns whether an earlier controller is a live node, which may have sent
- * orders to machines just now. */
-static bool has_live_predecessor(const bw_fleet_t *f)
+static bool has_earlier_controller(void *ctx, int64_t now_ms)
 {
-	return bw_fleet_member_has_live_predecessor(
-		f->member, BW_CONTROLLER_ROLE, bw_clock_now_ms());
+	return bw_fleet_member_has_predecessor(((bw_fleet_t *)ctx)->member,
+					       BW_CONTROLLER_ROLE, now_ms);
 }
 
 static void start_controller(bw_fleet_t *f, int64_t revision)
@@ -338,7 +338,6 @@
 		.node = f->env.settings->name,
 		.takeover_delay_ms = f->env.settings->holder_ms,
 		.fence = revision,
-		.no_predecessor = !has_live_predecessor(f),
 	};
 	guint i;
 
--- a/src/fleet/member.h
+++ b/src/fleet/member.h
@@ -102,10 +102,12 @@
 void bw_fleet_member_owner_stopped(bw_fleet_member_t *m,
 				   const bw_earlier_owner_t *owner);
 
-/** Returns whether a live node, other than this one, was an owner of a pool a
- *  short time ago. */
-bool bw_fleet_member_has_live_predecessor(bw_fleet_member_t *m,
-					  const char *pool, int64_t now_ms);
+/**
+ * Returns whether an earlier owner of a pool of this node, of those that it has
+ * seen, may still give orders; true until its own claim has been reported.
+ */
+bool bw_fleet_member_has_predecessor(bw_fleet_member_t *m, const char *pool,
+				     int64_t now_ms);
 
 /** Returns the store key of a pool's owner; release with g_free(). */
 char *bw_fleet_owner_key(const char *pool);
--- a/src/fleet/member_earlier.c
+++ b/src/fleet/member_earlier.c
@@ -101,31 +101,31 @@
 	bw_claim_history_stopped(get_history(m, owner->pool), owner->revision);
 }
 
-/** A search for a live earlier owner. */
+/** A search for an earlier owner whose process has not ended. */
 typedef struct search {
 	const bw_fleet_member_t *m;
 	bool found;
 } search_t;
 
-static bool find_live(void *ctx, const bw_claim_t *claim)
+static bool find_running(void *ctx, const bw_claim_t *claim)
 {
 	search_t *search = ctx;
-	const node_t *node = g_hash_table_lookup(search->m->nodes, claim->node);
 
-	search->found |= strcmp(claim->node, search->m->name) != 0 &&
-			 (!strcmp(claim->node, NODE_UNKNOWN) ||
-			  (node && node->incarnation == claim->incarnation));
+	search->found |= !has_ended(search->m, claim);
 	return false;
 }
 
-bool bw_fleet_member_has_live_predecessor(bw_fleet_member_t *m,
-					  const char *pool, int64_t now_ms)
+bool bw_fleet_member_has_predecessor(bw_fleet_member_t *m, const char *pool,
+				     int64_t now_ms)
 {
 	const int64_t *own = g_hash_table_lookup(m->owned, pool);
-	bw_claim_scope_t scope = { .own_revision = own ? *own : INT64_MAX };
+	const owner_t *reported = g_hash_table_lookup(m->owners, pool);
+	bw_claim_scope_t scope = { .own_revision = own ? *own : 0 };
 	search_t search = { .m = m };
 
-	bw_claim_history_check(get_history(m, pool), now_ms, &scope, find_live,
-			       &search);
+	if (!own || !reported || reported->revision != *own)
+		return true;
+	bw_claim_history_check(get_history(m, pool), now_ms, &scope,
+			       find_running, &search);
 	return search.found;
 }
--- a/test/test_controller.c
+++ b/test/test_controller.c
@@ -12,6 +12,8 @@
 #define POOL_NEEDY   "needy"
 #define POOL_SURPLUS "surplus"
 #define ROUND_MS     100
+/** Longer than any test takes. */
+#define TAKEOVER_DELAY_MS 600000
 
 /** A pool in need, and one with machines that it does not need. */
 typedef struct controller_test {
@@ -19,6 +21,7 @@
 	char names[MACHINES][8]; /**< Of the machines, and of their workers. */
 	uint32_t moves; /**< Orders to move a machine. */
 	char moved[8]; /**< By the first of them. */
+	bool has_predecessor; /**< Which may have sent orders lately. */
 	bool moved_used; /**< Its worker has a task, and is not cordoned. */
 	int64_t now_ms;
 } controller_test_t;
@@ -41,8 +44,14 @@
 	(void)ctx;
 }
 
+static bool has_predecessor(void *ctx, int64_t now_ms)
+{
+	(void)now_ms;
+	return ((controller_test_t *)ctx)->has_predecessor;
+}
+
 static const bw_controller_ops_t ops = { on_order, on_store_result,
-					 on_superseded };
+					 on_superseded, has_predecessor };
 
 static void list(void *impl, bw_machines_done_fn done, void *ctx)
 {
@@ -83,7 +92,7 @@
 	bw_controller_env_t env = {
 		.machines = { .impl = t, .list = list, .move = move },
 		.node = "n",
-		.no_predecessor = true,
+		.takeover_delay_ms = TAKEOVER_DELAY_MS,
 	};
 	uint32_t i;
 
@@ -183,12 +192,30 @@
 	bw_controller_destroy(t.controller);
 }
 
+/* Failure: a controller orders machines beside an earlier one that it has
+ * learned of after its start. */
+static void test_controller_waits_for_an_earlier_one(void **state)
+{
+	controller_test_t t;
+
+	(void)state;
+	set_up(&t);
+	t.has_predecessor = true;
+	pass(&t, 1500);
+	assert_int_equal(t.moves, 0);
+	t.has_predecessor = false;
+	pass(&t, 1500);
+	assert_true(t.moves > 0);
+	bw_controller_destroy(t.controller);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			test_move_is_not_repeated_once_its_worker_is_used),
 		cmocka_unit_test(test_move_is_not_repeated_on_an_old_report),
+		cmocka_unit_test(test_controller_waits_for_an_earlier_one),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/test_earlier_owners.c
+++ b/test/test_earlier_owners.c
@@ -375,6 +375,41 @@
 	tear_down(&t);
 }
 
+static bool has_predecessor(owners_test_t *t)
+{
+	return bw_fleet_member_has_predecessor(t->member, POOL,
+					       bw_clock_now_ms());
+}
+
+/*
+ * Failure: a controller is told of the last one only, and of none that the
+ * watch has not reported yet, and orders machines beside an earlier one.
+ */
+static void test_controller_overlooks_an_earlier_one(void **state)
+{
+	owners_test_t t;
+
+	(void)state;
+	set_up(&t);
+	put_node(&t, "first", 1);
+	put_node(&t, "second", 1);
+	claim_for_a_while(&t, "first", 1);
+	put_node(&t, "first", 2);
+	run(&t, SOME_ROUNDS);
+	bw_memstore_delay_events(t.store, true);
+	claim_for_a_while(&t, "second", 1);
+	t.may_claim = true;
+	wait_for_owned(&t, true);
+	assert_true(has_predecessor(&t));
+	bw_memstore_delay_events(t.store, false);
+	run(&t, SOME_ROUNDS);
+	assert_true(has_predecessor(&t));
+	put_node(&t, "second", 2);
+	run(&t, SOME_ROUNDS);
+	assert_false(has_predecessor(&t));
+	tear_down(&t);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -385,6 +420,7 @@
 		cmocka_unit_test(
 			test_claim_that_is_not_reported_yet_is_overlooked),
 		cmocka_unit_test(test_claim_that_is_answered_after_its_end),
+		cmocka_unit_test(test_controller_overlooks_an_earlier_one),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/test_member.c
+++ b/test/test_member.c
@@ -745,8 +745,8 @@
 		run_rounds(&t);
 		assert_true(t.owned);
 		assert_int_equal(check_earlier(&t, 0), WAITS_WITHOUT_ASKING);
-		assert_true(bw_fleet_member_has_live_predecessor(
-			t.member, POOL, bw_clock_now_ms()));
+		assert_true(bw_fleet_member_has_predecessor(t.member, POOL,
+							    bw_clock_now_ms()));
 		tear_down(&t);
 	}
 }
