--- a/src/base/eventlist.c
+++ b/src/base/eventlist.c
@@ -265,11 +265,12 @@
 				       "pool gap_ms" },
 	[BW_EVENT_SCHED_SETTLED] = { "sched", "settled", BW_EVENT_BELIEF,
 				     "recovery is complete: all runs of "
-				     "earlier owners are known; by lists, or "
-				     "by time, as all grants to the unheard "
-				     "workers are over; stopped_ms tells when "
-				     "all earlier owners had stopped, -1: not "
-				     "known",
+				     "earlier owners are known; by start: "
+				     "there "
+				     "was none; by lists, or by time, as all "
+				     "grants to the unheard workers are over; "
+				     "stopped_ms tells when all earlier owners "
+				     "had stopped, -1: not known",
 				     "pool after_ms by unheard stopped_ms" },
 	[BW_EVENT_SCHED_WORKER] = { "sched", "worker", BW_EVENT_BELIEF,
 				    "a worker registered",
--- a/src/ctl/explain.c
+++ b/src/ctl/explain.c
@@ -22,6 +22,8 @@
 	" fleet store-regained ",   " fleet pool-lost ",
 	" fleet pool-handed-over ", " member claimed ",
 	" member lease-lost ",	    " fleet config ",
+	" sched orders ",	    " fleet predecessor-stopped ",
+	" sched settled ",
 };
 
 static bool parse_time(const char *text, double *out);
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -243,6 +243,13 @@
 	return s->recovered;
 }
 
+static const char *settled_by(const bw_sched_t *s, uint32_t unheard)
+{
+	if (s->first_owner)
+		return "start";
+	return unheard > 0 ? "time" : "lists";
+}
+
 static void log_settled(bw_sched_t *s, uint32_t unheard, int64_t now_ms)
 {
 	int64_t stopped_ms = s->predecessor_stopped_ms > 0
@@ -252,8 +259,8 @@
 	sched_log(s, BW_EVENT_SCHED_SETTLED,
 		  "after_ms=%" G_GINT64_FORMAT
 		  " by=%s unheard=%u stopped_ms=%" G_GINT64_FORMAT,
-		  now_ms - s->created_ms, unheard > 0 ? "time" : "lists",
-		  unheard, stopped_ms);
+		  now_ms - s->created_ms, settled_by(s, unheard), unheard,
+		  stopped_ms);
 }
 
 /*
