The simulation plays owners that follow each other within two seconds

Cause shown: an owner takes any stop of the last owner before it for a stop of all. The first owner may be cut off from the store, and act until its lease ends; the next one is killed, or loses its claim or gives it back, and the one after that is told at once that the earlier owner has stopped. Its wait for the grants of earlier owners begins too early, by up to 2 s.

The simulation did not show this: its report that earlier owners have stopped looked at all nodes. In the mode "owners" (test/world_chain.c), an owner that alone reaches some workers is cut off and its claim ended, and one or two losses of the claims after it follow. Nodes follow the claims by watches and ask the last owner, as the fleet code does (test/world_owners.c). Left out: a long poll takes 5 to 60 ms here, so that an owner learns of the next one from any worker that both reach; in four chains of five it reaches only the workers set apart.

--- a/test/play_world.c
+++ b/test/play_world.c
@@ -1,15 +1,17 @@
 /*
  * play_world FIRST COUNT [FAILURES_MAX
- * [plain|late|late-calls|gangs|plain-gangs|closing|closing-faults]]: plays
- * simulations with COUNT seeds from FIRST on, or until FAILURES_MAX of them
- * have failed; exits with 1 if a rule was violated. With "plain", workers do
- * not restart under their identifier and no task crashes them; with "late",
- * besides, half of all orders have no answer, and most of these are carried out
- * later; with "late-calls", one call to a worker in ten is carried out late
- * without an answer, or half of them; with "gangs", half of the steps are
- * gangs, and each saved state is compared with what a successor reads, with all
- * faults or as "plain". With "closing", workers that keep no connections
- * restart, without other faults. WORLD_TRACE=1 prints each event of note.
+ * [plain|late|late-calls|gangs|plain-gangs|closing|closing-faults|owners|
+ * owners-faults]]: plays simulations with COUNT seeds from FIRST on, or until
+ * FAILURES_MAX of them have failed; exits with 1 if a rule was violated. With
+ * "plain", workers do not restart under their identifier and no task crashes
+ * them; with "late", besides, half of all orders have no answer, and most of
+ * these are carried out later; with "late-calls", one call to a worker in ten
+ * is carried out late without an answer, or half of them; with "gangs", half of
+ * the steps are gangs, and each saved state is compared with what a successor
+ * reads, with all faults or as "plain". With "closing", workers that keep no
+ * connections restart, without other faults. With "owners", owners lose their
+ * claims in quick succession, as "plain" without faults of its own, or with
+ * all. WORLD_TRACE=1 prints each event of note.
  */
 #include <stdbool.h>
 #include <stdio.h>
@@ -32,7 +34,9 @@
 	bool closing_faults = argc > 4 && !strcmp(argv[4], "closing-faults");
 	bool closing =
 		closing_faults || (argc > 4 && !strcmp(argv[4], "closing"));
-	bool plain = late || late_calls || plain_gangs ||
+	bool owners_faults = argc > 4 && !strcmp(argv[4], "owners-faults");
+	bool owners = argc > 4 && !strcmp(argv[4], "owners");
+	bool plain = late || late_calls || plain_gangs || owners ||
 		     (argc > 4 && !strcmp(argv[4], "plain"));
 	uint64_t events = 0;
 	uint32_t failures = 0;
@@ -56,6 +60,12 @@
 			config.late_call_share = world_late_share(first + i);
 		if (gangs)
 			world_add_gangs(&config);
+		if (owners) {
+			config.faults = 0;
+			config.resizes = 0;
+		}
+		if (owners || owners_faults)
+			world_change_owners(first + i, &config);
 		faults = config.faults;
 		if (closing)
 			world_close_connections(first + i, &config);
--- a/test/world.c
+++ b/test/world.c
@@ -7,6 +7,13 @@
 
 /** Restarts of workers that keep no connections. */
 #define CLOSING_CRASHES 12
+/** Times at which owners lose their claims in quick succession. */
+#define OWNER_CHAINS 3
+/** Traffic beside each of them. */
+#define CHAIN_MS 12000
+/** Share of jobs with long runs, and the time that they take besides. */
+#define LONG_SHARE	 0.5
+#define LONG_RECOVERY_MS 30000
 
 void world_violation(world_t *w, const char *fmt, ...)
 {
@@ -284,8 +291,7 @@
 			   world_random_between(w, 500, 8000));
 }
 
-/* Ends every fault of a worker that is not a crash. */
-static void on_worker_recovery(world_t *w, void *arg)
+void world_on_worker_recovery(world_t *w, void *arg)
 {
 	fake_worker_t *worker = arg;
 
@@ -306,7 +312,7 @@
 	for (i = 0; i < NODE_COUNT; i++)
 		worker->unreachable_from[i] = world_random_bool(w, 0.7);
 	world_schedule(w, world_random_between(w, 500, 9000),
-		       on_worker_recovery, worker);
+		       world_on_worker_recovery, worker);
 }
 
 static void cordon_worker(world_t *w)
@@ -318,7 +324,7 @@
 	world_trace(w, "cordon", worker->id);
 	worker->cordoned = true;
 	world_schedule(w, world_random_between(w, 2000, 9000),
-		       on_worker_recovery, worker);
+		       world_on_worker_recovery, worker);
 }
 
 static void make_worker_fail(world_t *w)
@@ -329,7 +335,7 @@
 		return;
 	worker->fails_runs = true;
 	world_schedule(w, world_random_between(w, 500, 5000),
-		       on_worker_recovery, worker);
+		       world_on_worker_recovery, worker);
 }
 
 static void on_node_restart(world_t *w, void *arg)
@@ -351,8 +357,12 @@
 
 static void kill_node(world_t *w, node_t *node)
 {
-	if (!node->alive)
-		return;
+	if (node->alive)
+		world_kill_node(w, node, world_random_between(w, 300, 3000));
+}
+
+void world_kill_node(world_t *w, node_t *node, int64_t back_ms)
+{
 	close_connections(w, node);
 	world_trace(w, "kill",
 		    node->index == w->owner_node ? "owner" : "other");
@@ -360,8 +370,8 @@
 	if (node->sched)
 		world_destroy_sched(node);
 	node->fence = 0;
-	world_schedule(w, world_random_between(w, 300, 3000), on_node_restart,
-		       node);
+	node->process++;
+	world_schedule(w, back_ms, on_node_restart, node);
 }
 
 static void on_store_reconnect(world_t *w, void *arg)
@@ -406,7 +416,7 @@
 			       on_store_up, NULL);
 		break;
 	case 5:
-		w->owner_fence = 0;
+		world_end_claim(w);
 		world_trace(w, "revoke", "");
 		break;
 	case 6:
@@ -713,6 +723,7 @@
 	w->resize_rand = g_rand_new_with_seed(w->config.seed ^ 0xcafe);
 	w->connection_rand = g_rand_new_with_seed(w->config.seed ^ 0xc105);
 	w->late_rand = g_rand_new_with_seed(w->config.seed ^ 0x1a7e);
+	w->owners_rand = g_rand_new_with_seed(w->config.seed ^ 0x0e25);
 	w->events = g_sequence_new(NULL);
 	w->workers = g_ptr_array_new_with_free_func(worker_free);
 	w->jobs = g_ptr_array_new_with_free_func(job_free);
@@ -737,6 +748,8 @@
 			w, world_random_between(w, 100, w->config.traffic_ms),
 			on_fault, NULL);
 	draw_resizes(w);
+	world_init_owners(w);
+	world_init_chains(w);
 	world_schedule(w, 1, world_on_tick, NULL);
 	world_schedule(w, 1, on_state_check, NULL);
 }
@@ -746,6 +759,7 @@
 {
 	world_free_call(event->fn, event->arg);
 	world_free_save(event->fn, event->arg);
+	world_free_question(event->fn, event->arg);
 	g_free(event);
 }
 
@@ -768,6 +782,7 @@
 	if (w->state)
 		g_bytes_unref(w->state);
 	clear_events(w);
+	world_clear_owners(w);
 	g_ptr_array_free(w->workers, TRUE);
 	g_ptr_array_free(w->jobs, TRUE);
 	g_rand_free(w->rand);
@@ -777,6 +792,7 @@
 	g_rand_free(w->gang_rand);
 	g_rand_free(w->late_rand);
 	g_rand_free(w->fault_rand);
+	g_rand_free(w->owners_rand);
 }
 
 /* Draws a share, which is zero in half of the seeds. */
@@ -871,6 +887,16 @@
 	config->check_stored = true;
 }
 
+void world_change_owners(uint32_t seed, world_config_t *config)
+{
+	config->chains = OWNER_CHAINS;
+	config->traffic_ms = (int64_t)OWNER_CHAINS * CHAIN_MS;
+	config->long_share = LONG_SHARE;
+	config->recovery_ms += LONG_RECOVERY_MS;
+	config->confirm_ms = 300;
+	config->stale_notice_share = seed % 2 == 0 ? 0.0 : 0.5;
+}
+
 double world_late_share(uint32_t seed)
 {
 	return seed % 2 == 0 ? 0.1 : 0.5;
--- a/test/world.h
+++ b/test/world.h
@@ -42,6 +42,10 @@
 	uint32_t worker_crashes; /**< Other crashes, of few machines. */
 	uint32_t resizes; /**< Number of workers that shrink for a time. */
 	double gang_share; /**< Share of steps that are gangs. */
+	uint32_t chains; /**< Of owners that lose their claims in quick
+			    succession; 0: nodes do not follow the claims. */
+	double long_share; /**< Share of jobs whose first step takes 6 to 12 s.
+			    */
 	int64_t confirm_ms; /**< Of the schedulers. */
 	bool check_stored; /**< Compares each saved state with what a successor
 			      reads of it. */
@@ -77,6 +81,10 @@
 /** Makes half of the steps gangs, and checks what is stored of all jobs. */
 void world_add_gangs(world_config_t *config);
 
+/** Lets several owners follow each other within two seconds, without other
+ * faults but lost calls. With odd seeds earlier owners get notices of jobs. */
+void world_change_owners(uint32_t seed, world_config_t *config);
+
 /** Returns the share of calls that are carried out late, for a seed. */
 double world_late_share(uint32_t seed);
 
--- a/test/world_internal.h
+++ b/test/world_internal.h
@@ -3,7 +3,8 @@
  * Parts of the simulation: events, jobs, faults and checks (world.c), fake
  * workers and the calls to them (world_worker.c), nodes and the store
  * (world_node.c), tasks that crash their workers (world_crash.c), gangs
- * (world_gang.c).
+ * (world_gang.c), what nodes know of earlier owners (world_owners.c), owners
+ * that lose their claims in quick succession (world_chain.c).
  */
 #ifndef BW_TEST_WORLD_INTERNAL_H
 #define BW_TEST_WORLD_INTERNAL_H
@@ -64,6 +65,7 @@
 #define FLAPPING_MACHINES 2U
 
 typedef struct world world_t;
+typedef struct world_owners world_owners_t;
 typedef void (*event_fn)(world_t *w, void *arg);
 
 /** An event; events due at the same time run in order of their sequence. */
@@ -116,6 +118,7 @@
 	bool shown_failed;
 	bool crashes_workers; /**< By the first task of a step. */
 	uint32_t crashing_step;
+	bool is_long; /**< Runs of its first step take 6 to 12 s. */
 	int64_t short_ms; /**< When a short record replaced its record. */
 	bw_job_state_t short_state; /**< In the short record. */
 	int64_t removed_ms; /**< 0: still in the store. */
@@ -169,7 +172,9 @@
 	uint32_t index;
 	bool alive;
 	int64_t paused_until_ms;
+	uint64_t process; /**< Increases with each restart of the node. */
 	bool store_unreachable;
+	bool peers_unreachable; /**< It reaches no other node. */
 	int64_t lease_end_ms; /**< As far as it knows. */
 	bw_sched_t *sched;
 	uint64_t fence; /**< Fencing token of its ownership; 0: none. */
@@ -194,6 +199,8 @@
 	GRand *late_rand; /**< Draws calls that are carried out late. */
 	GRand *resize_rand; /**< Draws how workers shrink. */
 	GRand *connection_rand; /**< Draws which connections are closed. */
+	GRand *owners_rand; /**< Draws chains of owners, and what nodes learn of
+			       each other. */
 	GSequence *events;
 	uint64_t last_sequence;
 	int64_t now_ms;
@@ -206,6 +213,7 @@
 	uint64_t owner_fence; /**< Fencing token; 0: the pool has no owner. */
 	int64_t owner_lease_end_ms;
 	uint32_t owner_node; /**< The current owner or the last one. */
+	world_owners_t *owners; /**< NULL: nodes do not follow the claims. */
 	int64_t state_rev;
 	GBytes *state;
 	uint32_t workers_started;
@@ -339,6 +347,34 @@
 /** Event: ends the runs of a worker whose time has come. */
 void world_end_due_runs(world_t *w, void *arg);
 
+/** Ends a node's process, which restarts. */
+void world_kill_node(world_t *w, node_t *node, int64_t back_ms);
+
+/** Ends the claim of the pool in the store. */
+void world_end_claim(world_t *w);
+
+/** Draws from the generator for chains of owners. */
+int64_t world_owners_between(world_t *w, int64_t low, int64_t high);
+bool world_owners_bool(world_t *w, double probability);
+
+/** Lets the nodes follow the claims, if there are chains of owners. */
+void world_init_owners(world_t *w);
+void world_clear_owners(world_t *w);
+
+/** Records that a node has claimed the pool, or that the claim is gone. */
+void world_note_claim(world_t *w, const node_t *node);
+void world_note_claim_end(world_t *w);
+
+/** Releases the question of an event that does not run; ignores other events.
+ */
+void world_free_question(event_fn fn, void *arg);
+
+/** Draws chains of owners, and which jobs have long runs. */
+void world_init_chains(world_t *w);
+
+/** Event: ends all faults of a worker that are not crashes. */
+void world_on_worker_recovery(world_t *w, void *arg);
+
 /** Draws the part of a configuration that concerns crashes. */
 void world_draw_crashes(uint32_t seed, world_config_t *out);
 
--- a/test/world_node.c
+++ b/test/world_node.c
@@ -33,12 +33,19 @@
 	g_free(save);
 }
 
+void world_end_claim(world_t *w)
+{
+	if (w->owner_fence != 0)
+		world_note_claim_end(w);
+	w->owner_fence = 0;
+}
+
 /* Releases the pool, as the final state is stored. */
 static void finish_hand_over(world_t *w, node_t *node)
 {
 	world_trace(w, "handed-over", "");
 	if (w->owner_fence == node->fence)
-		w->owner_fence = 0;
+		world_end_claim(w);
 	node->fence = 0;
 	node->handing_over = false;
 	world_destroy_sched(node);
@@ -386,6 +393,7 @@
 	node->last_save_ms = 0;
 	node->last_run_ms = 0;
 	config.fence = node->fence;
+	world_note_claim(w, node);
 	node->sched =
 		bw_sched_create(&config, &world_sched_ops, node, w->now_ms);
 	bw_sched_set_queue(node->sched, &queue_config);
@@ -425,7 +433,7 @@
 	if (w->store_down)
 		return;
 	if (w->owner_fence != 0 && w->now_ms >= w->owner_lease_end_ms)
-		w->owner_fence = 0;
+		world_end_claim(w);
 	if (w->owner_fence != 0 || world_random_bool(w, 0.5))
 		return;
 	for (i = 0; i < NODE_COUNT; i++) {
@@ -459,7 +467,8 @@
 
 	renew_lease(w);
 	elect_owner(w);
-	report_predecessor_stopped(w);
+	if (!w->owners)
+		report_predecessor_stopped(w);
 	for (i = 0; i < NODE_COUNT; i++)
 		world_run_sched(w, &w->nodes[i]);
 	if (w->now_ms < w->end_ms)
--- a/test/world_worker.c
+++ b/test/world_worker.c
@@ -4,6 +4,10 @@
 #include <stdio.h>
 #include <string.h>
 
+/** Range of the time that long runs take. */
+#define LONG_MIN_MS 6000
+#define LONG_MAX_MS 12000
+
 /* A worker's clock starts at 1 s and may be up to 2 % slow. */
 static int64_t worker_clock_ms(const world_t *w, const fake_worker_t *worker)
 {
@@ -212,6 +216,9 @@
 		run.ends_ms = w->now_ms + world_random_between(w, 100, 2500);
 		run.fails |= step->lasting;
 	}
+	if (job->is_long && task->step == 0 && !step->lasting)
+		run.ends_ms = w->now_ms +
+			      world_owners_between(w, LONG_MIN_MS, LONG_MAX_MS);
 	g_array_append_val(worker->runs, run);
 	if (run.ends_ms != INT64_MAX)
 		world_schedule(w, run.ends_ms - w->now_ms, world_end_due_runs,
