--- a/scripts/world-caught.sh
+++ b/scripts/world-caught.sh
@@ -25,6 +25,7 @@
 	case $name in
 	gang-*) mode=plain-gangs ;;
 	closing-*) mode=closing ;;
+	owners-*) mode=owners ;;
 	esac
 	"$dir/$name" "$seed" "$seeds" 1 $mode >"$dir/$name.txt" 2>&1
 	local status=$? found
--- a/test/test_world.c
+++ b/test/test_world.c
@@ -12,6 +12,8 @@
 
 /** Seeds from 1 on that are played besides the regressions. */
 #define DRAWN_SEEDS 40
+/** The same with owners in quick succession, which take longer. */
+#define OWNERS_SEEDS 10
 
 /** A seed that violated a rule, and the fault that caused it. */
 typedef struct regression {
@@ -50,6 +52,14 @@
 	{ 236, "the same, after a takeover" },
 };
 
+/* With owners in quick succession: the earlier owner that was taken for all. */
+static const regression_t owners_regressions[] = {
+	{ 2, "the last owner itself, whose claim was revoked" },
+	{ 24, "another node, which was killed" },
+	{ 39, "the last owner itself, which gave its claim back" },
+	{ 74, "another node, which gave its claim back" },
+};
+
 /** The regressions were found without removal of jobs and without workers that
  *  shrink; this retains all. */
 #define RETENTION_MS 120000
@@ -229,6 +239,33 @@
 	}
 }
 
+static void check_owners(uint32_t seed, const char *cause)
+{
+	world_config_t config;
+
+	world_draw_config(seed, &config);
+	world_clear_restarts(&config);
+	world_clear_crashes(&config);
+	config.faults = 0;
+	config.resizes = 0;
+	world_change_owners(seed, &config);
+	check(seed, cause, &config);
+}
+
+/* Several owners follow each other while the first one still acts. */
+static void test_world_owners_in_turn(void **state)
+{
+	uint32_t seed;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < G_N_ELEMENTS(owners_regressions); i++)
+		check_owners(owners_regressions[i].seed,
+			     owners_regressions[i].cause);
+	for (seed = 1; seed <= OWNERS_SEEDS; seed++)
+		check_owners(seed, "owners in turn");
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -243,6 +280,7 @@
 		cmocka_unit_test(test_world_late_orders),
 		cmocka_unit_test(test_world_gangs),
 		cmocka_unit_test(test_world_restarts_without_kept_connections),
+		cmocka_unit_test(test_world_owners_in_turn),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/world_internal.h
+++ b/test/world_internal.h
@@ -183,6 +183,9 @@
 	int64_t state_rev; /**< Expected revision of the stored state. */
 	uint64_t saved_version; /**< 0: none, or the last save failed. */
 	bool save_pending;
+	/** Fencing token of the owner that stored the loaded state, if that one
+	 *  knew all runs of those before it; otherwise 0. */
+	uint64_t known_from;
 	bool handing_over; /**< Its pool; the next save is the last. */
 	int64_t last_save_ms;
 	int64_t last_run_ms; /**< Of its scheduler; 0: never. */
@@ -216,6 +219,7 @@
 	world_owners_t *owners; /**< NULL: nodes do not follow the claims. */
 	int64_t state_rev;
 	GBytes *state;
+	uint64_t state_known_from; /**< What node_t.known_from will be. */
 	uint32_t workers_started;
 	uint32_t lasting_jobs;
 	int64_t end_ms;
--- a/test/world_node.c
+++ b/test/world_node.c
@@ -20,6 +20,7 @@
 	int64_t expected_rev; /**< The write fails at another revision. */
 	uint64_t version; /**< Of the scheduler's state. */
 	GBytes *data;
+	bool settled; /**< The state has all runs of earlier owners. */
 	bool answer_lost;
 	bool executed;
 	bool final; /**< The node hands its pool over once it is stored. */
@@ -93,6 +94,7 @@
 		if (w->state)
 			g_bytes_unref(w->state);
 		w->state = g_bytes_ref(save->data);
+		w->state_known_from = save->settled ? save->fence : 0;
 		save->executed = true;
 	}
 	save->revision = w->state_rev;
@@ -193,6 +195,7 @@
 	save->expected_rev = node->state_rev;
 	save->version = bw_sched_version(node->sched);
 	save->final = node->handing_over;
+	save->settled = bw_sched_recovered(node->sched);
 	save->data = g_bytes_new_take(data, bytes);
 	node->save_pending = true;
 	node->last_save_ms = w->now_ms;
@@ -398,6 +401,7 @@
 		bw_sched_create(&config, &world_sched_ops, node, w->now_ms);
 	bw_sched_set_queue(node->sched, &queue_config);
 	node->state_rev = w->state_rev;
+	node->known_from = w->state_known_from;
 	if (w->state) {
 		data = g_bytes_get_data(w->state, &bytes);
 		if (bw_sched_load(node->sched, w->now_ms, data, bytes) != BW_OK)
