The simulation's owners stop for good once the store has answered others

The nodes of the simulation gave orders whenever the store was down, however long ago their lease had ended, as the fleet did until its judgement of an outage got a memory. They go by the same rule now.

--- a/test/world_internal.h
+++ b/test/world_internal.h
@@ -176,6 +176,7 @@
 	bool store_unreachable;
 	bool peers_unreachable; /**< It reaches no other node. */
 	int64_t lease_end_ms; /**< As far as it knows. */
+	bool orders_over; /**< Until the lease is renewed. */
 	bw_sched_t *sched;
 	uint64_t fence; /**< Fencing token of its ownership; 0: none. */
 	uint64_t incarnation; /**< Changes when its scheduler is destroyed, so
--- a/test/world_node.c
+++ b/test/world_node.c
@@ -204,6 +204,17 @@
 
 /* Nodes. */
 
+/* Once the store has answered others after the lease may have ended, an owner
+ * stops until its lease is renewed, as by src/fleet/outage.h. */
+static bool may_order(const world_t *w, node_t *node)
+{
+	if (w->now_ms < node->lease_end_ms)
+		node->orders_over = false;
+	else if (!w->store_down)
+		node->orders_over = true;
+	return !node->orders_over;
+}
+
 void world_run_sched(world_t *w, node_t *node)
 {
 	guint i;
@@ -217,9 +228,7 @@
 				       worker->cordoned);
 	}
 	if (!node->handing_over)
-		bw_sched_allow_orders(node->sched,
-				      w->now_ms < node->lease_end_ms ||
-					      w->store_down);
+		bw_sched_allow_orders(node->sched, may_order(w, node));
 	if (node->last_run_ms > 0 &&
 	    w->now_ms - node->last_run_ms > SUSPENDED_MS)
 		bw_sched_suspended(node->sched, w->now_ms,
