An owner without its claim started a task again that the next owner had seen end

The store takes the claim of an owner away while its lease runs, and it can't reach the store. Within that time it took runs for gone, as their worker had restarted, or its grant had expired, and started their tasks on a worker that only it reached. The next owner had heard the first worker, and acknowledged that the run was done.

Such a task waits for a save that is packed after its run was taken for gone, which proves the claim; not in an outage for all, as the fleet and the simulation now tell the scheduler.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -486,14 +486,16 @@
 
 static void allow_pools(bw_fleet_t *f, int64_t now_ms)
 {
-	bool allowed = bw_fleet_peers_may_order(
-		f->peers, now_ms, bw_fleet_member_lease_end_ms(f->member));
+	int64_t lease_end_ms = bw_fleet_member_lease_end_ms(f->member);
+	bool allowed = bw_fleet_peers_may_order(f->peers, now_ms, lease_end_ms);
 	GHashTableIter iter;
 	gpointer pool;
 
 	g_hash_table_iter_init(&iter, f->pools);
-	while (g_hash_table_iter_next(&iter, NULL, &pool))
+	while (g_hash_table_iter_next(&iter, NULL, &pool)) {
+		bw_pool_set_outage(pool, allowed && now_ms >= lease_end_ms);
 		bw_pool_allow_orders(pool, allowed);
+	}
 }
 
 /* Records how late a tick is, since a starved node looks like slow peers. */
--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -369,6 +369,12 @@
 	pool->dirty = true;
 }
 
+void bw_pool_set_outage(bw_pool_t *pool, bool outage)
+{
+	if (pool->sched)
+		bw_sched_set_outage(pool->sched, outage);
+}
+
 void bw_pool_allow_orders(bw_pool_t *pool, bool allowed)
 {
 	if (pool->sched && !pool->stopping)
--- a/src/fleet/pool.h
+++ b/src/fleet/pool.h
@@ -86,6 +86,9 @@
 /** Makes the scheduler run before the event loop waits again. */
 void bw_pool_wake(bw_pool_t *pool);
 
+/** Sets whether the store is down for all nodes, see bw_sched_set_outage(). */
+void bw_pool_set_outage(bw_pool_t *pool, bool outage);
+
 /** Sets whether the scheduler may send orders to workers. */
 void bw_pool_allow_orders(bw_pool_t *pool, bool allowed);
 
--- a/src/sched/heartbeat.c
+++ b/src/sched/heartbeat.c
@@ -365,13 +365,16 @@
 				  task->index, task->run, worker->id);
 			sched_run_lost(s, task, given_up);
 			sched_task_wait(task);
+			sched_confirm_restart(s, task);
 		} else if (task->state == TASK_STOPPING &&
 			   task->stop_answered &&
 			   answer->sent_ms - task->stop_answered_ms >
-				   s->config.stop_ms + STOP_MARGIN_MS)
+				   s->config.stop_ms + STOP_MARGIN_MS) {
 			sched_task_wait(task);
-		else
+			sched_confirm_restart(s, task);
+		} else {
 			sched_retry_stop(s, task, now_ms);
+		}
 	}
 	sched_give_up(s, given_up, now_ms);
 }
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -130,6 +130,9 @@
 	uint32_t crashes; /**< Workers that crashed under a run of it. */
 	uint32_t unsure_crashes; /**< Those of which the run may have ended
 				    or may not have begun before. */
+	/** No start before it is saved, as its run was taken for gone; 0: none.
+	 */
+	uint64_t confirm_version;
 	bool run_missed; /**< An earlier owner has left a run of which no end is
 			    known. */
 	uint32_t hidden_runs; /**< Runs under earlier owners of which no end is
@@ -369,6 +372,7 @@
 	bool first_owner; /**< No earlier owner has stored anything. */
 	bool recovered; /**< All runs of earlier owners are known. */
 	bool orders_allowed;
+	bool outage; /**< The store is down for all nodes. */
 	uint64_t owned_at; /**< Highest revision at which it was the owner. */
 	uint64_t version;
 	uint64_t saved_version;
@@ -405,6 +409,11 @@
 /** Lets a job that has just arrived wait for a save, unless the last one was a
  *  short time ago. */
 void sched_confirm_job(bw_sched_t *s, job_t *job, int64_t now_ms);
+/** Lets a task whose run was taken for gone, without its end, wait for a save.
+ */
+void sched_confirm_restart(bw_sched_t *s, task_t *task);
+/** Whether a task need not wait for a save after its last run. */
+bool sched_restart_confirmed(const bw_sched_t *s, const task_t *task);
 
 /* foreign.c */
 /** Whether an earlier owner may have started a job that is read now, after the
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -353,6 +353,7 @@
 	task->hidden_runs += task->run_missed;
 	task->run_missed = false;
 	task->maybe_running = false;
+	task->confirm_version = 0;
 	task->ordered_ms = now_ms;
 	task->copies = 0;
 	task->start_answered_ms = 0;
@@ -406,7 +407,7 @@
 {
 	if (task->state != TASK_WAITING || now_ms < task->retry_ms ||
 	    sched_has_orphan(s, task) || sched_is_held(s, task) ||
-	    sched_crashes_pending(s, task))
+	    sched_crashes_pending(s, task) || !sched_restart_confirmed(s, task))
 		return false;
 	return s->recovered ||
 	       (!task->maybe_running && !may_lack_attempts(task));
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -37,7 +37,8 @@
 	uint64_t fence; /**< Fencing token of this ownership. */
 	/** A job that arrives longer after the last save waits for the next
 	 *  one, which proves that the pool is still this owner's; longer while
-	 *  saves are slow. 0: none waits. */
+	 *  saves are slow. So does each task whose run was taken for gone
+	 *  without its end. 0: none waits. */
 	int64_t confirm_ms;
 } bw_sched_config_t;
 
@@ -342,6 +343,10 @@
 /** Sets whether orders may be sent; see bw_sched_config_t.outage_ms. */
 void bw_sched_allow_orders(bw_sched_t *s, bool allowed);
 
+/** Sets whether the store is down for all nodes, so that no other one can claim
+ *  the pool. */
+void bw_sched_set_outage(bw_sched_t *s, bool outage);
+
 /** Records that no earlier owner has stored a state after a time; otherwise
  *  each has stored its last one before this scheduler was created. */
 void bw_sched_earlier_saved_by(bw_sched_t *s, int64_t ms);
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -73,6 +73,7 @@
 		  task->occurrence->job->id, task->step, task->index, task->run,
 		  worker->id, why);
 	sched_task_wait(task);
+	sched_confirm_restart(s, task);
 }
 
 /* Takes all tasks off a worker whose runs have certainly ended. */
--- a/test/world_node.c
+++ b/test/world_node.c
@@ -215,6 +215,15 @@
 	return !node->orders_over;
 }
 
+static void allow_orders(const world_t *w, node_t *node)
+{
+	bool allowed = may_order(w, node);
+
+	bw_sched_set_outage(node->sched,
+			    allowed && w->now_ms >= node->lease_end_ms);
+	bw_sched_allow_orders(node->sched, allowed);
+}
+
 void world_run_sched(world_t *w, node_t *node)
 {
 	guint i;
@@ -228,7 +237,7 @@
 				       worker->cordoned);
 	}
 	if (!node->handing_over)
-		bw_sched_allow_orders(node->sched, may_order(w, node));
+		allow_orders(w, node);
 	if (node->last_run_ms > 0 &&
 	    w->now_ms - node->last_run_ms > SUSPENDED_MS)
 		bw_sched_suspended(node->sched, w->now_ms,
