A pool that can't be read was kept for 3.5 s after its earlier owner had ended

A node that has just started can't know of all earlier claims, so that it waited before it gave back a pool that it can't read. That wait is for the next owner, which looks at all earlier ones itself now; so only those that this node has seen count, as before. The test is unchanged and passes.

--- a/src/fleet/handover.c
+++ b/src/fleet/handover.c
@@ -71,12 +71,15 @@
 		g_clear_pointer(&f->handing_over, g_free);
 }
 
+/* The next owner looks at all earlier ones itself, so that those which this
+ * node can't have seen need not be waited for. */
 static bool may_give_back(const bw_fleet_t *f, const bw_pool_t *pool,
 			  int64_t now_ms)
 {
 	bw_unreadable_state_t state = {
 		.store_reachable = f->store_reachable,
-		.predecessor_stopped = !bw_pool_awaits_predecessor(pool),
+		.predecessor_stopped = !bw_fleet_member_has_predecessor(
+			f->member, bw_pool_name(pool), now_ms),
 		.owned_since_ms = bw_pool_owned_since_ms(pool),
 	};
 
