Soak: owners of a pool in turn, while the first one is cut off and acts on

Cause: fleet_query_predecessors() asks the last owner only. The owner of a pool is cut off from the store, its claim goes, the next owner loses the pool as soon as it has it, and the one after that, often the same node, takes the earlier owners to have stopped at once. It counts grants from then while the first owner renews them until its lease ends.

A new kind of fault deletes a claim.

--- a/bench/bench_pools.c
+++ b/bench/bench_pools.c
@@ -186,8 +186,9 @@
 		.loop = b->loop,
 		.program = program,
 		.dir = dir,
-		.judge = soak_judge_create(soak_plan_create(1, 1000, true),
-					   &contact, record),
+		.judge = soak_judge_create(
+			soak_plan_create(1, 1000, SOAK_PLAN_QUIET), &contact,
+			record),
 		.contact = &contact,
 		.record = record,
 	};
--- a/soak/main.c
+++ b/soak/main.c
@@ -28,6 +28,7 @@
 static gint option_side_by_side = 1;
 static gint option_length_ms = 10000;
 static gboolean option_quiet;
+static gboolean option_owners;
 static gboolean option_keep;
 static gchar *option_program;
 static gchar *option_ctl;
@@ -43,6 +44,9 @@
 	  "Time in which jobs are submitted and faults happen", "MS" },
 	{ "quiet", 'q', 0, G_OPTION_ARG_NONE, &option_quiet, "No faults",
 	  NULL },
+	{ "owners", 'o', 0, G_OPTION_ARG_NONE, &option_owners,
+	  "Only owners of a pool in turn, the first cut off from the store",
+	  NULL },
 	{ "keep", 'k', 0, G_OPTION_ARG_NONE, &option_keep,
 	  "Keep the logs of seeds that pass", NULL },
 	{ "node", 'p', 0, G_OPTION_ARG_FILENAME, &option_program,
@@ -109,13 +113,31 @@
 	return good;
 }
 
+static soak_plan_kind_t plan_kind(void)
+{
+	if (option_quiet)
+		return SOAK_PLAN_QUIET;
+	return option_owners ? SOAK_PLAN_OWNERS : SOAK_PLAN_MIXED;
+}
+
+static const char *plan_option(void)
+{
+	static const char *const names[] = {
+		[SOAK_PLAN_MIXED] = "",
+		[SOAK_PLAN_QUIET] = " --quiet",
+		[SOAK_PLAN_OWNERS] = " --owners",
+	};
+
+	return names[plan_kind()];
+}
+
 /* Plays a seed in a new process, which ends with this one. */
 static void play_seed(const child_t *child)
 {
 	soak_run_config_t config = {
 		.seed = child->seed,
 		.length_ms = option_length_ms,
-		.quiet = option_quiet,
+		.plan = plan_kind(),
 		.program = option_program,
 		.ctl = option_ctl,
 		.dir = child->dir,
@@ -176,8 +198,8 @@
 	       " --seeds=1 --length=%d --node=%s --ctl=%s --logs=%s%s\n"
 	       "seed %" PRIu32 ": logs in %s\n",
 	       child->seed, g_get_prgname(), child->seed, option_length_ms,
-	       option_program, option_ctl, option_logs,
-	       option_quiet ? " --quiet" : "", child->seed, child->dir);
+	       option_program, option_ctl, option_logs, plan_option(),
+	       child->seed, child->dir);
 	g_free(text);
 	g_free(path);
 }
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "plan_owners.h"
+
 /** Time before the first fault, in which the first jobs run undisturbed. */
 #define CALM_START_MS 1000
 /** Time at the end in which no series begins. */
@@ -42,6 +44,7 @@
 	[SOAK_PAUSE] = "pause",
 	[SOAK_STORE_DOWN] = "store-down",
 	[SOAK_CRASH] = "worker-crash",
+	[SOAK_TAKE_CLAIM] = "take-claim",
 };
 
 static bool is_drawn(GRand *rand, double share)
@@ -49,8 +52,7 @@
 	return g_rand_double(rand) < share;
 }
 
-/* All faults end with the plan's time; those of later times are left out. */
-static void add_fault(soak_plan_t *plan, soak_fault_t fault)
+void soak_plan_add_fault(soak_plan_t *plan, soak_fault_t fault)
 {
 	if (fault.at_ms >= plan->length_ms)
 		return;
@@ -86,11 +88,11 @@
 			.hard = is_drawn(rand, 0.5),
 		};
 
-		add_fault(plan, fault);
+		soak_plan_add_fault(plan, fault);
 		fault.kind = is_drawn(rand, 0.6) ? SOAK_TURN_AWAY : SOAK_REFUSE;
 		fault.amount = draw_status(rand);
 		if (is_drawn(rand, 0.8))
-			add_fault(plan, fault);
+			soak_plan_add_fault(plan, fault);
 		at_ms += fault.for_ms + g_rand_int_range(rand, 50, 500);
 	}
 }
@@ -123,7 +125,7 @@
 		if (is_drawn(rand, 0.6))
 			fault.target = (uint32_t)g_rand_int_range(rand, 0,
 								  SOAK_WORKERS);
-		add_fault(plan, fault);
+		soak_plan_add_fault(plan, fault);
 		at_ms += g_rand_int_range(rand, 0, 700);
 	}
 }
@@ -151,21 +153,22 @@
 			fault.node = SOAK_ALL_NODES;
 		if (fault.kind != SOAK_PAUSE)
 			fault.for_ms = g_rand_int_range(rand, 50, 1500);
-		add_fault(plan, fault);
+		soak_plan_add_fault(plan, fault);
 		at_ms += g_rand_int_range(rand, 0, 1500);
 	}
 }
 
 static void add_outage(soak_plan_t *plan, GRand *rand, int64_t at_ms)
 {
-	add_fault(plan, (soak_fault_t){
-				.kind = SOAK_STORE_DOWN,
-				.at_ms = at_ms,
-				.for_ms = g_rand_int_range(rand, 300, 5000),
-				.node = SOAK_ALL_NODES,
-				.target = SOAK_STORE,
-				.hard = is_drawn(rand, 0.5),
-			});
+	soak_plan_add_fault(plan,
+			    (soak_fault_t){
+				    .kind = SOAK_STORE_DOWN,
+				    .at_ms = at_ms,
+				    .for_ms = g_rand_int_range(rand, 300, 5000),
+				    .node = SOAK_ALL_NODES,
+				    .target = SOAK_STORE,
+				    .hard = is_drawn(rand, 0.5),
+			    });
 }
 
 static void add_crashes(soak_plan_t *plan, GRand *rand, int64_t at_ms)
@@ -173,16 +176,17 @@
 	int count = g_rand_int_range(rand, 1, 3);
 
 	while (count-- > 0) {
-		add_fault(plan,
-			  (soak_fault_t){
-				  .kind = SOAK_CRASH,
-				  .at_ms = at_ms,
-				  .for_ms = g_rand_int_range(rand, 100, 4000),
-				  .node = SOAK_ALL_NODES,
-				  .target = (uint32_t)g_rand_int_range(
-					  rand, 0, SOAK_WORKERS),
-				  .hard = is_drawn(rand, 0.5),
-			  });
+		soak_plan_add_fault(
+			plan,
+			(soak_fault_t){
+				.kind = SOAK_CRASH,
+				.at_ms = at_ms,
+				.for_ms = g_rand_int_range(rand, 100, 4000),
+				.node = SOAK_ALL_NODES,
+				.target = (uint32_t)g_rand_int_range(
+					rand, 0, SOAK_WORKERS),
+				.hard = is_drawn(rand, 0.5),
+			});
 		at_ms += g_rand_int_range(rand, 0, 2500);
 	}
 }
@@ -218,12 +222,12 @@
 
 	if (loss.kind == SOAK_KILL)
 		loss.for_ms = g_rand_int_range(rand, 50, 500);
-	add_fault(plan, silence);
+	soak_plan_add_fault(plan, silence);
 	if (silence.kind == SOAK_REFUSE) {
 		silence.kind = SOAK_RESET;
-		add_fault(plan, silence);
+		soak_plan_add_fault(plan, silence);
 	}
-	add_fault(plan, loss);
+	soak_plan_add_fault(plan, loss);
 }
 
 static int64_t draw_begin(const soak_plan_t *plan, GRand *rand)
@@ -245,6 +249,13 @@
 	}
 }
 
+void soak_plan_name_job(const soak_plan_t *plan, GRand *rand, soak_job_t *job)
+{
+	job->index = plan->jobs->len;
+	g_snprintf(job->id, sizeof(job->id), "%08x%08x", g_rand_int(rand),
+		   job->index);
+}
+
 static void draw_steps(GRand *rand, soak_job_t *job)
 {
 	uint32_t i;
@@ -268,15 +279,13 @@
 
 	while (at_ms < plan->length_ms) {
 		soak_job_t job = {
-			.index = plan->jobs->len,
 			.pool = (uint32_t)g_rand_int_range(rand, 0, SOAK_POOLS),
 			.at_ms = at_ms,
 			.refusals_max = is_drawn(rand, 0.6) ? 1 : 3,
 			.draw = g_rand_int(rand),
 		};
 
-		g_snprintf(job.id, sizeof(job.id), "%08x%08x", g_rand_int(rand),
-			   job.index);
+		soak_plan_name_job(plan, rand, &job);
 		draw_steps(rand, &job);
 		if (is_drawn(rand, 0.1))
 			job.cancel_ms = g_rand_int_range(rand, 1, 2000);
@@ -297,7 +306,28 @@
 	return (x->at_ms > y->at_ms) - (x->at_ms < y->at_ms);
 }
 
-soak_plan_t *soak_plan_create(uint32_t seed, int64_t length_ms, bool quiet)
+static void fill_mixed(soak_plan_t *plan, GRand *jobs, GRand *faults)
+{
+	add_jobs(plan, jobs);
+	add_faults(plan, faults);
+}
+
+static void fill_quiet(soak_plan_t *plan, GRand *jobs, GRand *faults)
+{
+	(void)faults;
+	add_jobs(plan, jobs);
+}
+
+/** What a plan of a kind has; jobs and faults are drawn apart. */
+static void (*const fillers[])(soak_plan_t *plan, GRand *jobs,
+			       GRand *faults) = {
+	[SOAK_PLAN_MIXED] = fill_mixed,
+	[SOAK_PLAN_QUIET] = fill_quiet,
+	[SOAK_PLAN_OWNERS] = soak_plan_fill_owners,
+};
+
+soak_plan_t *soak_plan_create(uint32_t seed, int64_t length_ms,
+			      soak_plan_kind_t kind)
 {
 	soak_plan_t *plan = g_new0(soak_plan_t, 1);
 	GRand *jobs = g_rand_new_with_seed(seed);
@@ -307,9 +337,7 @@
 	plan->length_ms = length_ms;
 	plan->jobs = g_array_new(FALSE, FALSE, sizeof(soak_job_t));
 	plan->faults = g_array_new(FALSE, FALSE, sizeof(soak_fault_t));
-	add_jobs(plan, jobs);
-	if (!quiet)
-		add_faults(plan, faults);
+	fillers[kind](plan, jobs, faults);
 	g_array_sort(plan->faults, compare_faults);
 	g_rand_free(faults);
 	g_rand_free(jobs);
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -24,8 +24,16 @@
 #define SOAK_STEPS_MAX 3U
 /** As a fault's node: all of them. */
 #define SOAK_ALL_NODES SOAK_NODES
+/** As a fault's node: the owner of its pool, by the claim in the store when the
+ *  fault happens, or all others. It waits until there is a claim. */
+#define SOAK_OWNER     (SOAK_NODES + 1U)
+#define SOAK_NOT_OWNER (SOAK_NODES + 2U)
 /** As a fault's target: the store in place of a worker. */
 #define SOAK_STORE SOAK_WORKERS
+/** As a fault's target: the worker of its pool that has the most runs when the
+ *  fault happens, or all others of the pool. */
+#define SOAK_BUSIEST	 (SOAK_WORKERS + 1U)
+#define SOAK_NOT_BUSIEST (SOAK_WORKERS + 2U)
 /** Failed runs after which a task makes its job fail. */
 #define SOAK_ATTEMPTS_MAX 3U
 
@@ -67,6 +75,7 @@
 	SOAK_PAUSE,
 	SOAK_STORE_DOWN,
 	SOAK_CRASH, /**< Of a worker, which comes back. */
+	SOAK_TAKE_CLAIM, /**< The claim of the pool is deleted. */
 	SOAK_FAULT_KIND_COUNT
 } soak_fault_kind_t;
 
@@ -76,10 +85,12 @@
 	int64_t for_ms; /**< Of a restart: the time until it. */
 	uint32_t node; /**< Or SOAK_ALL_NODES. */
 	uint32_t target; /**< A worker, or SOAK_STORE. */
+	uint32_t pool; /**< Whose owner and workers are meant. */
 	int64_t amount; /**< Status, ms or bytes, by its kind. */
 	/** A reset in place of a close; leases run on in an outage; a worker
 	 *  comes back under its identifier. */
 	bool hard;
+	bool renewed; /**< It waits until the owner has renewed its lease. */
 } soak_fault_t;
 
 typedef struct soak_plan {
@@ -89,8 +100,22 @@
 	GArray *faults; /**< soak_fault_t, by time. */
 } soak_plan_t;
 
-/** @param quiet no faults */
-soak_plan_t *soak_plan_create(uint32_t seed, int64_t length_ms, bool quiet);
+/** What is drawn. */
+typedef enum soak_plan_kind {
+	SOAK_PLAN_MIXED, /**< Series of all kinds. */
+	SOAK_PLAN_QUIET, /**< No faults. */
+	SOAK_PLAN_OWNERS /**< Owners in turn, see plan_owners.h. */
+} soak_plan_kind_t;
+
+soak_plan_t *soak_plan_create(uint32_t seed, int64_t length_ms,
+			      soak_plan_kind_t kind);
+
+/** Gives the next job of the plan its number and a drawn identifier. */
+void soak_plan_name_job(const soak_plan_t *plan, GRand *rand, soak_job_t *job);
+
+/** Adds a fault. All end with the plan's time; those of later times are left
+ *  out. */
+void soak_plan_add_fault(soak_plan_t *plan, soak_fault_t fault);
 
 void soak_plan_destroy(soak_plan_t *plan);
 
--- a/soak/run.c
+++ b/soak/run.c
@@ -7,12 +7,14 @@
 #include <ev.h>
 #include <glib.h>
 
+#include "aim.h"
 #include "base/clock.h"
 #include "contact.h"
 #include "explain.h"
 #include "judge.h"
 #include "link.h"
 #include "net/httpcall.h"
+#include "owner.h"
 #include "plan.h"
 #include "process.h"
 #include "record.h"
@@ -69,6 +71,7 @@
 static void stop_store(run_t *run, const soak_fault_t *fault, int64_t now_ms);
 static void crash_worker(run_t *run, const soak_fault_t *fault, int64_t now_ms);
 static void signal_nodes(run_t *run, const soak_fault_t *fault, int64_t now_ms);
+static void take_claim(run_t *run, const soak_fault_t *fault, int64_t now_ms);
 
 /** How a fault is applied. */
 static void (*const appliers[SOAK_FAULT_KIND_COUNT])(run_t *run,
@@ -87,6 +90,7 @@
 	[SOAK_PAUSE] = signal_nodes,
 	[SOAK_STORE_DOWN] = stop_store,
 	[SOAK_CRASH] = crash_worker,
+	[SOAK_TAKE_CLAIM] = take_claim,
 };
 
 static bool is_meant(const soak_fault_t *fault, uint32_t node)
@@ -164,6 +168,12 @@
 	}
 }
 
+static void take_claim(run_t *run, const soak_fault_t *fault, int64_t now_ms)
+{
+	(void)now_ms;
+	soak_owner_remove(run->store, fault->pool);
+}
+
 static void record_fault(run_t *run, const soak_fault_t *fault)
 {
 	char node[16] = "all";
@@ -180,6 +190,26 @@
 		    fault->amount, fault->hard);
 }
 
+static void apply_fault(run_t *run, const soak_fault_t *fault, int64_t now_ms)
+{
+	record_fault(run, fault);
+	appliers[fault->kind](run, fault, now_ms);
+}
+
+/* Returns false if the fault has to wait. */
+static bool apply_aimed(run_t *run, const soak_fault_t *fault, int64_t now_ms)
+{
+	GArray *faults = soak_aim(fault, run->store, run->workers);
+	bool aimed = faults->len > 0;
+	guint i;
+
+	for (i = 0; i < faults->len; i++)
+		apply_fault(run, &g_array_index(faults, soak_fault_t, i),
+			    now_ms);
+	g_array_free(faults, TRUE);
+	return aimed;
+}
+
 static void apply_due_faults(run_t *run, int64_t now_ms)
 {
 	while (run->next_fault < run->plan->faults->len) {
@@ -188,9 +218,9 @@
 
 		if (fault->at_ms > now_ms - run->phase_ms)
 			return;
+		if (!apply_aimed(run, fault, now_ms))
+			return;
 		run->next_fault++;
-		record_fault(run, fault);
-		appliers[fault->kind](run, fault, now_ms);
 	}
 }
 
@@ -455,8 +485,8 @@
 
 	run.config = config;
 	run.loop = ev_default_loop(0);
-	run.plan = soak_plan_create(config->seed, config->length_ms,
-				    config->quiet);
+	run.plan =
+		soak_plan_create(config->seed, config->length_ms, config->plan);
 	create_all(&run);
 	start_all(&run);
 	ev_run(run.loop, 0);
--- a/soak/run.h
+++ b/soak/run.h
@@ -8,10 +8,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "plan.h"
+
 typedef struct soak_run_config {
 	uint32_t seed;
 	int64_t length_ms; /**< Of the faults. */
-	bool quiet; /**< No faults. */
+	soak_plan_kind_t plan;
 	const char *program; /**< bramley-fleetd */
 	const char *ctl; /**< bramleyctl */
 	const char *dir; /**< For all files of the seed; it exists. */
--- a/soak/standin_store.c
+++ b/soak/standin_store.c
@@ -180,6 +180,32 @@
 	remove_item(s, key);
 }
 
+uint8_t *soak_store_get(const soak_store_t *s, const char *key, uint32_t node,
+			size_t *bytes)
+{
+	const item_t *item = g_tree_lookup(s->items, key);
+	gsize length = 0;
+	guchar *value;
+
+	if (!item)
+		return NULL;
+	value = g_base64_decode(item->values[MIN(node, item->value_count - 1)],
+				&length);
+	*bytes = length;
+	return value;
+}
+
+int64_t soak_store_renewed_ago_ms(const soak_store_t *s, const char *key)
+{
+	const item_t *item = g_tree_lookup(s->items, key);
+	const lease_t *lease =
+		item ? g_hash_table_lookup(s->leases, &item->lease) : NULL;
+
+	if (!lease)
+		return -1;
+	return lease->ttl_ms - (lease->end_ms - bw_clock_now_ms());
+}
+
 static json_t *pack_item(const item_t *item, uint32_t node)
 {
 	if (item->removed)
--- a/soak/standin_store.h
+++ b/soak/standin_store.h
@@ -6,6 +6,7 @@
 #ifndef SOAK_STANDIN_STORE_H
 #define SOAK_STANDIN_STORE_H
 
+#include <stddef.h>
 #include <stdint.h>
 
 #include <glib.h>
@@ -34,6 +35,14 @@
 /** Deletes a key; one that isn't there is no error. */
 void soak_store_remove(soak_store_t *s, const char *key);
 
+/** Returns the value of a key as a node reads it, which the caller frees, or
+ *  NULL. */
+uint8_t *soak_store_get(const soak_store_t *s, const char *key, uint32_t node,
+			size_t *bytes);
+
+/** Returns how long ago the lease of a key was renewed, -1 if it has none. */
+int64_t soak_store_renewed_ago_ms(const soak_store_t *s, const char *key);
+
 /** Leases don't run for a time from now on. */
 void soak_store_pause_leases(soak_store_t *s, int64_t for_ms);
 
--- a/soak/standin_workers.c
+++ b/soak/standin_workers.c
@@ -772,3 +772,14 @@
 {
 	return all->starts;
 }
+
+uint32_t soak_workers_busiest(const soak_workers_t *all, uint32_t pool)
+{
+	uint32_t busiest = pool;
+	uint32_t i;
+
+	for (i = pool; i < SOAK_WORKERS; i += SOAK_POOLS)
+		if (all->workers[i].runs->len > all->workers[busiest].runs->len)
+			busiest = i;
+	return busiest;
+}
--- a/soak/standin_workers.h
+++ b/soak/standin_workers.h
@@ -32,6 +32,9 @@
 /** Creates the workers, not yet up; ends the program if it can't. */
 soak_workers_t *soak_workers_create(const soak_workers_config_t *config);
 
+/** Returns the worker of a pool with the most runs. */
+uint32_t soak_workers_busiest(const soak_workers_t *w, uint32_t pool);
+
 /** Returns the ip:port on which a worker serves a node. */
 const char *soak_workers_address(const soak_workers_t *w, uint32_t worker,
 				 uint32_t node);
