Soak: owners in turn are part of make check, and the old behaviour a broken node

A seed whose faults waited in vain for an owner or its renewal counts as not played, and the series has 10 s at least: it would pass without a fault otherwise.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -115,6 +115,8 @@
 # The longest ones first.
 begin step "worlds catch broken schedulers" scripts/world-caught.sh
 begin step "soak of real nodes" build/soak/soak --first=1 --seeds=4 --side-by-side=2 --length=6000
+begin step "soak of owners in turn" build/soak/soak --owners --first=4 --seeds=2 --side-by-side=2 \
+	--logs=build/soak/owners
 begin_suites build/san/test
 begin_suites build/test
 begin step "test/test_ctl.sh" test/test_ctl.sh
--- a/scripts/soak-caught.sh
+++ b/scripts/soak-caught.sh
@@ -27,11 +27,16 @@
 
 variant() { # LINE
 	local title seed name check found status
+	local series=()
 	read -r title seed _ <<<"$1"
+	if [ "$seed" != "${seed#owners:}" ]; then
+		series=(--owners)
+		seed=${seed#owners:}
+	fi
 	name=${title%/*}
 	check=${title#*/}
 	build_variant "$name" "$1" || return 1
-	"$build/soak/soak" --first="$seed" --seeds="$seeds" \
+	"$build/soak/soak" "${series[@]}" --first="$seed" --seeds="$seeds" \
 		--side-by-side="$side_by_side" --node="$dir/$name" \
 		--ctl="$build/bramleyctl" --logs="$dir/$name.logs" >"$dir/$name.txt" 2>&1
 	status=$?
--- a/soak/plan_owners.c
+++ b/soak/plan_owners.c
@@ -1,5 +1,7 @@
 #include "plan_owners.h"
 
+/** The series and the time after it, in which no task may be started again. */
+#define LENGTH_MIN_MS 10000
 /** The long tasks have begun by then. */
 #define CUT_MIN_MS 2200
 #define CUT_MAX_MS 2800
@@ -141,6 +143,7 @@
 	uint32_t pool = (uint32_t)g_rand_int_range(faults, 0, SOAK_POOLS);
 	int64_t at_ms = g_rand_int_range(faults, CUT_MIN_MS, CUT_MAX_MS);
 
+	plan->length_ms = MAX(plan->length_ms, LENGTH_MIN_MS);
 	add_long_jobs(plan, jobs, pool);
 	add_short_jobs(plan, jobs, pool);
 	add_cuts(plan, pool, at_ms);
--- a/soak/run.c
+++ b/soak/run.c
@@ -491,5 +491,5 @@
 	start_all(&run);
 	ev_run(run.loop, 0);
 	finish(&run, result);
-	return run.started;
+	return run.started && run.next_fault == run.plan->faults->len;
 }
--- a/soak/run.h
+++ b/soak/run.h
@@ -33,7 +33,8 @@
 /**
  * Plays a seed in this process. The failures, and what bramleyctl explain says
  * about the first job of them, are in report.txt of the folder.
- * @return false if the nodes could not be started
+ * @return false if the nodes could not be started, or if a fault has waited in
+ *     vain for an owner
  */
 bool soak_run(const soak_run_config_t *config, soak_result_t *result);
 
