Two runs at once: a restart between two owners was not noticed

What callers see: a task that a restarted worker has begun is started once more elsewhere while its run goes on, if the pool's owner changed about the restart and the new owner can't reach the worker.

Cause: a worker that starts again under its identifier cuts a grant whose end is a time of the clock before to the longest hold (6 to 10 s). An owner that learns of a restart waits for that. But the start of a worker's boot was not stored: the next owner took the first one that it saw for the only one, and counted 5.6 s from the stop of the earlier owner, whose last order the new boot may have carried out late. The same for a boot that has listed such a run and is silent then.

Change: WorkerRecord.started_ms, the start of the boot that the owner knew, or that an owner before it knew if it has not heard the worker. A registration or an answer of a later boot is a restart (restart_loaded_worker in sched/worker.c): logged, stored without delay, and the longest hold is expected. The rest of what a restart does is left out: a loaded worker has no tasks, tickets, ends or clock of this owner; its token is higher than the earlier owner's, so that none is raised and the first answer bounds the wait. The stored time is kept apart from started_ms, as that also tells what this owner has seen: a refusal at a stored address proves no end, held tasks and crash counts go by it. Records without the field: as before.

Left: the wait is up to 22.7 s at a hold of 10 s, for all tasks that may run, if such a worker stays silent. It counts from when the restart is noticed; an earlier owner may send for some 2 s longer. A restart that neither a registration nor an answer shows within 5.6 s isn't seen.

--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -292,6 +292,8 @@
 	placement_class_t placement_class;
 	int64_t indexed_free_millis; /**< Free processor. */
 	int64_t started_ms; /**< Unix time; 0: unknown. */
+	int64_t stored_boot_ms; /**< Start of the boot that an earlier owner
+				   knew; 0: none. */
 	uint64_t fence; /**< Fencing token of the orders to it. */
 	int64_t fence_raised_ms; /**< When it was raised; 0: never. */
 	int64_t restarted_ms; /**< When a restart under its identifier became
@@ -622,8 +624,8 @@
 void sched_send_again(bw_sched_t *s, int64_t now_ms);
 
 /* worker.c */
-/** Records when a worker started; a later time means that it restarted, which
- *  ended its runs. */
+/** Records when a worker started; a later time than was known, to this owner or
+ *  to an earlier one, means that it restarted, which ended its runs. */
 void sched_record_start_time(bw_sched_t *s, worker_t *worker, int64_t now_ms,
 			     int64_t started_ms);
 /** Records that a worker has ended, with all its runs, by no order. */
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -197,6 +197,9 @@
 		record->id = worker->id;
 		record->address = worker->address;
 		record->earlier_grant = worker->earlier_grant_until_ms > 0;
+		record->started_ms = worker->started_ms > 0
+					     ? worker->started_ms
+					     : worker->stored_boot_ms;
 		worker->ends_packed = sched_ackable(worker);
 		out->workers[out->n_workers++] = record;
 	}
@@ -453,6 +456,7 @@
 
 		worker->address = g_strdup(record->workers[i]->address);
 		worker->stored = true;
+		worker->stored_boot_ms = record->workers[i]->started_ms;
 		if (record->workers[i]->earlier_grant)
 			sched_expect_earlier_grant(s, worker, now_ms);
 	}
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -277,16 +277,34 @@
 	worker->ends_dropped = 0;
 }
 
+/*
+ * Handles the restart of a worker that only the earlier owner knew: this one
+ * has sent it nothing of an earlier boot. Its token is higher, so that the
+ * first answer shows that no earlier order is carried out any more.
+ */
+static void restart_loaded_worker(bw_sched_t *s, worker_t *worker,
+				  int64_t now_ms)
+{
+	sched_changed(s, true);
+	sched_expect_earlier_grant(s, worker, now_ms);
+}
+
 void sched_record_start_time(bw_sched_t *s, worker_t *worker, int64_t now_ms,
 			     int64_t started_ms)
 {
+	bool loaded = worker->started_ms == 0;
+	int64_t known_ms = loaded ? worker->stored_boot_ms : worker->started_ms;
+
 	if (started_ms == 0 || started_ms <= worker->started_ms)
 		return;
-	if (worker->started_ms != 0) {
+	if (known_ms != 0 && started_ms > known_ms) {
 		sched_log(s, BW_EVENT_SCHED_WORKER_REBORN,
 			  "worker=%s born_ms=%" G_GINT64_FORMAT, worker->id,
 			  started_ms);
-		restart_worker(s, worker, now_ms);
+		if (loaded)
+			restart_loaded_worker(s, worker, now_ms);
+		else
+			restart_worker(s, worker, now_ms);
 	}
 	worker->started_ms = started_ms;
 	sched_holds_ended(s, worker, started_ms);
--- a/src/wire/record.pb-c.c
+++ b/src/wire/record.pb-c.c
@@ -1373,7 +1373,7 @@
   (ProtobufCMessageInit) bramley__job_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__worker_record__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bramley__worker_record__field_descriptors[4] =
 {
   {
     "id",
@@ -1411,16 +1411,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "started_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__WorkerRecord, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__worker_record__field_indices_by_name[] = {
   1,   /* field[1] = address */
   2,   /* field[2] = earlier_grant */
   0,   /* field[0] = id */
+  3,   /* field[3] = started_ms */
 };
 static const ProtobufCIntRange bramley__worker_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bramley__worker_record__descriptor =
 {
@@ -1430,7 +1443,7 @@
   "Bramley__WorkerRecord",
   "bramley",
   sizeof(Bramley__WorkerRecord),
-  3,
+  4,
   bramley__worker_record__field_descriptors,
   bramley__worker_record__field_indices_by_name,
   1,  bramley__worker_record__number_ranges,
--- a/src/wire/record.pb-c.h
+++ b/src/wire/record.pb-c.h
@@ -208,10 +208,14 @@
    * A grant by the clock before its restart may last.
    */
   protobuf_c_boolean earlier_grant;
+  /*
+   * Start of the boot that was known; 0: not known.
+   */
+  int64_t started_ms;
 };
 #define BRAMLEY__WORKER_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__worker_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
