The word of the one node that the store served was dropped, and owners saw an outage

The store turns most nodes away, the owner among them, and serves another. When the owner's registration has ended, the served node closes its connections to the owner, which then dropped its report that the store can be reached. Only reports that it can't were left: an outage, by which the owner gave orders without end, while the served node had claimed its pool. The same in a cut between the two.

A report that the store is reached counts for 4 s after it came, whether the node is still connected or not, which is longer than the lease and the grace, so that the orders have ended for good by then.

--- a/src/fleet/outage.c
+++ b/src/fleet/outage.c
@@ -2,8 +2,12 @@
 
 #include <glib.h>
 
-/** A report is valid for this long. */
-#define REPORT_AGE_MAX_MS 1200
+/** A report that the store can't be reached is valid for this long. */
+#define UNREACHABLE_AGE_MAX_MS 1200
+/** The same of one that it can: a node that is not heard any more may have
+ *  claimed pools since. Longer than a lease and the grace, so that the orders
+ *  have ended for good by then. */
+#define REACHABLE_AGE_MAX_MS 4000
 /** A node counts for this long after its registration has ended: it may be back
  *  and own pools, unseen by one that the store turns away. */
 #define NODE_KEPT_MS 30000
@@ -80,9 +84,11 @@
 	o->answered_ms = MAX(o->answered_ms, report->answered_ms);
 }
 
-void bw_outage_peer_lost(bw_outage_t *o, uint64_t peer)
+static gboolean is_outdated(gpointer peer, gpointer report, gpointer now_ms)
 {
-	g_hash_table_remove(o->reports, &peer);
+	(void)peer;
+	return *(const int64_t *)now_ms - ((report_t *)report)->received_ms >
+	       REACHABLE_AGE_MAX_MS;
 }
 
 /* Whether more than half of the nodes, this one included, have lately reported
@@ -98,15 +104,15 @@
 
 	if (view->store_reachable || others == 0)
 		return false;
+	g_hash_table_foreach_remove(o->reports, is_outdated, &now_ms);
 	g_hash_table_iter_init(&iter, o->reports);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const report_t *report = value;
 
-		if (now_ms - report->received_ms > REPORT_AGE_MAX_MS)
-			continue;
 		if (report->reachable)
 			return false;
-		unreachable++;
+		if (now_ms - report->received_ms <= UNREACHABLE_AGE_MAX_MS)
+			unreachable++;
 	}
 	return unreachable * 2 > others + 1;
 }
--- a/src/fleet/outage.h
+++ b/src/fleet/outage.h
@@ -37,13 +37,11 @@
 void bw_outage_node(bw_outage_t *o, int64_t now_ms, const char *name,
 		    bool registered);
 
-/** Records a report, which replaces the peer's last one. */
+/** Records a report, which replaces the peer's last one. It counts also when
+ *  the peer is not connected any more. */
 void bw_outage_report(bw_outage_t *o, int64_t now_ms,
 		      const bw_store_report_t *report);
 
-/** Forgets the report of a peer that is not connected any more. */
-void bw_outage_peer_lost(bw_outage_t *o, uint64_t peer);
-
 /**
  * Returns whether this node may give orders now. Once another node may have
  * claimed its pools, it may not until its lease is renewed, whatever the others
--- a/src/fleet/peers.c
+++ b/src/fleet/peers.c
@@ -127,7 +127,6 @@
 	gpointer value;
 
 	g_hash_table_remove(p->connected, &peer);
-	bw_outage_peer_lost(p->outage, peer);
 	/* The next tick ends these queries. */
 	g_hash_table_iter_init(&iter, p->queries);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
