--- a/src/fleet/claim_history.c
+++ b/src/fleet/claim_history.c
@@ -135,7 +135,7 @@
 
 static bool matters(const bw_claim_scope_t *scope, const entry_t *entry)
 {
-	if (scope->handed_over && entry->revision <= scope->known_from)
+	if (scope->handed_over && entry->revision == scope->known_from)
 		return false;
 	return entry->revision < scope->own_revision;
 }
--- a/src/fleet/claim_history.h
+++ b/src/fleet/claim_history.h
@@ -27,9 +27,7 @@
 	 *  it when it stored the pool's state, so that claims before that which
 	 *  this node has not seen don't matter; 0: there is none. */
 	int64_t known_from;
-	/** That owner gave no orders afterwards, and neither did those before
-	 *  it. */
-	bool handed_over;
+	bool handed_over; /**< That owner gave no orders afterwards. */
 	/** All changes after a claim that was seen since then are seen. */
 	int64_t read_started_ms;
 	/** Since when all changes are seen; INT64_MAX: some may be missed now.
--- a/test/test_claim_history.c
+++ b/test/test_claim_history.c
@@ -53,8 +53,11 @@
 	{ "the first still acts", 10, false, 9000, 9000, 0, "bc", "abc",
 	  false },
 	{ "all have stopped", 10, false, 9000, 9000, 0, "abc", "abc", true },
-	{ "handed over by the last", 30, true, 9000, 9000, 0, "", "", true },
-	{ "handed over in between", 20, true, 9000, 9000, 0, "", "c", false },
+	{ "handed over by the last", 30, true, 9000, 9000, 0, "ab", "ab",
+	  true },
+	{ "beside one that still acts", 30, true, 9000, 9000, 0, "b", "ab",
+	  false },
+	{ "handed over in between", 20, true, 9000, 9000, 0, "a", "ac", false },
 	{ "settled, but not stopped", 30, false, 9000, 9000, 0, "c", "abc",
 	  false },
 	{ "a claim may be missing", 0, false, 900, 900, 0, "abc", "abc",
@@ -152,12 +155,33 @@
 	bw_claim_history_destroy(h);
 }
 
+/* A claim is gone once its end or a later one was seen. */
+static void test_claim_that_is_gone(void **state)
+{
+	bw_claim_history_t *h = bw_claim_history_create(OUTAGE_MS);
+
+	(void)state;
+	assert_false(bw_claim_history_is_gone(h, 10));
+	add(h, NOW_MS, "a", 10);
+	assert_false(bw_claim_history_is_gone(h, 10));
+	assert_false(bw_claim_history_is_gone(h, 20));
+	bw_claim_history_end(h, NOW_MS);
+	assert_true(bw_claim_history_is_gone(h, 10));
+	assert_false(bw_claim_history_is_gone(h, 20));
+	add(h, NOW_MS + OUTAGE_MS, "b", 30);
+	assert_true(bw_claim_history_is_gone(h, 10));
+	assert_true(bw_claim_history_is_gone(h, 20));
+	assert_false(bw_claim_history_is_gone(h, 30));
+	bw_claim_history_destroy(h);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_owners_before_the_last_are_asked),
 		cmocka_unit_test(test_own_claim_is_not_reported_yet),
 		cmocka_unit_test(test_answer_is_kept),
+		cmocka_unit_test(test_claim_that_is_gone),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/test_earlier_owners.c
+++ b/test/test_earlier_owners.c
@@ -404,6 +404,10 @@
 	bw_memstore_delay_events(t.store, false);
 	run(&t, SOME_ROUNDS);
 	assert_true(has_predecessor(&t));
+	/* It may go on without a registration. */
+	bw_memstore_put(t.store, "bw/m/node/second", NULL, 0);
+	run(&t, SOME_ROUNDS);
+	assert_true(has_predecessor(&t));
 	put_node(&t, "second", 2);
 	run(&t, SOME_ROUNDS);
 	assert_false(has_predecessor(&t));
--- a/test/test_takeover.c
+++ b/test/test_takeover.c
@@ -217,6 +217,36 @@
 	bw_sched_destroy(third.sched);
 }
 
+/*
+ * Failure: an owner that does not know yet what earlier ones run stores the
+ * state, and the next one takes it to know them all.
+ */
+static void test_unsettled_owner_is_no_start_of_knowledge(void **state)
+{
+	orders_t second;
+	orders_t third;
+	orders_t fourth;
+
+	(void)state;
+	take_over_beside_silent_worker(&second, true);
+	orders_answer_heartbeat(&second, "w1", NULL, 0, NULL, 0);
+	orders_save(&second);
+	assert_false(bw_sched_recovered(second.sched));
+	orders_succeed(&second, &third);
+	assert_int_equal(bw_sched_known_from(third.sched), 0);
+	third.now_ms += 20000;
+	orders_run(&third, 10);
+	orders_run(&third, 10);
+	assert_true(bw_sched_recovered(third.sched));
+	orders_save(&third);
+	orders_succeed(&third, &fourth);
+	assert_int_not_equal(bw_sched_known_from(fourth.sched), 0);
+	assert_int_equal(bw_sched_known_from(fourth.sched),
+			 bw_sched_saved_by(fourth.sched));
+	assert_int_equal(bw_sched_handed_over_by(fourth.sched), 0);
+	bw_sched_destroy(fourth.sched);
+}
+
 /* While the owner before may still act, nothing is known for certain. */
 static void test_handover_beside_acting_owner_is_not_orderly(void **state)
 {
@@ -476,6 +506,7 @@
 			test_end_after_orderly_handover_frees_its_task),
 		cmocka_unit_test(test_end_after_crash_frees_no_task),
 		cmocka_unit_test(test_handover_before_recovery_is_orderly),
+		cmocka_unit_test(test_unsettled_owner_is_no_start_of_knowledge),
 		cmocka_unit_test(
 			test_handover_beside_acting_owner_is_not_orderly),
 		cmocka_unit_test(test_unknown_runs_are_handed_on),
