One constant for the time that an owner waits for reports of an outage

The 1.5 s after the lease stood twice: peers.c ended orders after it, and OUTAGE_MS in fleet.c, which later owners count on, had the same figure of its own. If one had been changed alone, later owners would have reckoned with a stop that comes later.

It stands in outage.h now.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/event.h"
 #include "base/metrics.h"
+#include "fleet/outage.h"
 
 #define TICK_S	0.05
 #define TICK_MS 50
@@ -15,7 +16,7 @@
 /** An owner that was cut off from the store may act for this long after its
  * claim is gone: the lease, plus the time until heartbeats of other nodes
  * report that the store is reachable. */
-#define OUTAGE_MS (LEASE_MS + 1500)
+#define OUTAGE_MS (LEASE_MS + BW_OUTAGE_GRACE_MS)
 /** The store counts as unreachable after half of this time without an answer,
  * if STORE_FAILURES calls have failed. */
 #define STORE_SILENT_MS 1400
--- a/src/fleet/outage.h
+++ b/src/fleet/outage.h
@@ -10,6 +10,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/** An owner whose lease may have ended waits this long for the reports that the
+ *  store is down for all: others count on it to have stopped by then. */
+#define BW_OUTAGE_GRACE_MS 1500
+
 typedef struct bw_outage bw_outage_t;
 
 /** A report of another node on the store. */
--- a/src/fleet/peers.c
+++ b/src/fleet/peers.c
@@ -12,9 +12,6 @@
 /** A query ends without an answer after this time. */
 #define ANSWER_TIMEOUT_MS     300
 #define HEARTBEAT_INTERVAL_MS 500
-/** An owner whose lease may have ended waits this long for the reports that the
- *  store is down for all: others count on it to have stopped by then. */
-#define OUTAGE_GRACE_MS 1500
 /** A peer that sends nothing for this long counts as lost. */
 #define PEER_SILENCE_MS 3500
 #define US_PER_MS	1000
@@ -89,7 +86,7 @@
 					   g_free);
 	p->connected = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					     g_free, NULL);
-	p->outage = bw_outage_create(OUTAGE_GRACE_MS);
+	p->outage = bw_outage_create(BW_OUTAGE_GRACE_MS);
 	p->store_reachable = true;
 	p->reported_reachable = true;
 	*out = p;
