Interfaces of tenants: terms, keys, quotas of pools, messages

Cause: nothing knows a tenant of a job, and the parts that will (keys, caps, order within a pool, lending of caps) are built side by side. Change: the types and messages that they share. Nothing sets or reads them yet but a job's record, which keeps its tenant; a record without one packs as before.

--- a/src/fleet/interfaces.c
+++ b/src/fleet/interfaces.c
@@ -13,6 +13,13 @@
 	memset(queue, 0, sizeof(*queue));
 }
 
+void bw_tenant_clear(bw_tenant_t *tenant)
+{
+	g_free(tenant->name);
+	g_strfreev(tenant->keys);
+	memset(tenant, 0, sizeof(*tenant));
+}
+
 void bw_fleet_config_free(bw_fleet_config_t *config)
 {
 	uint32_t i;
@@ -23,6 +30,9 @@
 		bw_queue_clear(&config->queues[i]);
 	for (i = 0; i < config->pool_count; i++)
 		g_free(config->pools[i].name);
+	for (i = 0; i < config->tenant_count; i++)
+		bw_tenant_clear(&config->tenants[i]);
+	g_free(config->tenants);
 	g_free(config->queues);
 	g_free(config->pools);
 	g_free(config);
--- a/src/fleet/interfaces.h
+++ b/src/fleet/interfaces.h
@@ -99,8 +99,16 @@
 	char *prefix; /**< Requests with this path prefix are for it. */
 	char *pool;
 	bw_queue_terms_t terms;
+	bool is_public; /**< Its callers need no key. */
 } bw_queue_t;
 
+/** A tenant of the operators' configuration. */
+typedef struct bw_tenant {
+	char *name;
+	char **keys; /**< API keys of its callers; NULL-terminated. */
+	bw_tenant_terms_t terms;
+} bw_tenant_t;
+
 /** A pool of the operators' configuration. */
 typedef struct bw_pool_config {
 	char *name;
@@ -114,12 +122,19 @@
 	uint32_t queue_count;
 	bw_pool_config_t *pools;
 	uint32_t pool_count;
+	bool has_tenants; /**< Callers of queues that aren't public need a key.
+			   */
+	bw_tenant_t *tenants;
+	uint32_t tenant_count;
 	uint32_t incomplete_count; /**< Rows without a name, skipped. */
 } bw_fleet_config_t;
 
 /** Releases the strings of a queue, and zeroes it. */
 void bw_queue_clear(bw_queue_t *queue);
 
+/** Releases the strings of a tenant, and zeroes it. */
+void bw_tenant_clear(bw_tenant_t *tenant);
+
 void bw_fleet_config_free(bw_fleet_config_t *config);
 
 /** A worker's registration; release with bw_registration_free(). */
--- a/src/fleet/request.h
+++ b/src/fleet/request.h
@@ -23,6 +23,7 @@
 	const char *path; /**< A queue's prefix, then a job's identifier. */
 	/** Name of the queue, or NULL; if set, path is only the identifier. */
 	const char *queue;
+	const char *key; /**< API key of the caller's tenant, or NULL. */
 	bw_job_spec_t *spec; /**< For a submission; the caller frees it. */
 	int64_t caller_timeout_ms; /**< How long the caller waits for an answer.
 				    */
@@ -38,6 +39,7 @@
 	BW_ANSWER_NO_JOB,
 	BW_ANSWER_NO_QUEUE,
 	BW_ANSWER_BAD_REQUEST, /**< The request is malformed. */
+	BW_ANSWER_UNAUTHORIZED, /**< No tenant has the request's key. */
 	BW_ANSWER_KIND_COUNT
 } bw_answer_kind_t;
 
--- a/src/fleet/service.c
+++ b/src/fleet/service.c
@@ -106,10 +106,15 @@
 			reason_t reason);
 
 static const char *const answer_names[BW_ANSWER_KIND_COUNT] = {
-	[BW_ANSWER_DONE] = "done",	   [BW_ANSWER_STATE] = "state",
-	[BW_ANSWER_WAITING] = "waiting",   [BW_ANSWER_REFUSED] = "refused",
-	[BW_ANSWER_UNKNOWN] = "unknown",   [BW_ANSWER_NO_JOB] = "no-job",
-	[BW_ANSWER_NO_QUEUE] = "no-queue", [BW_ANSWER_BAD_REQUEST] = "bad",
+	[BW_ANSWER_DONE] = "done",
+	[BW_ANSWER_STATE] = "state",
+	[BW_ANSWER_WAITING] = "waiting",
+	[BW_ANSWER_REFUSED] = "refused",
+	[BW_ANSWER_UNKNOWN] = "unknown",
+	[BW_ANSWER_NO_JOB] = "no-job",
+	[BW_ANSWER_NO_QUEUE] = "no-queue",
+	[BW_ANSWER_BAD_REQUEST] = "bad",
+	[BW_ANSWER_UNAUTHORIZED] = "unauthorized",
 };
 
 static const char *const request_names[BW_REQUEST_KIND_COUNT] = {
--- a/src/job/job.c
+++ b/src/job/job.c
@@ -207,6 +207,8 @@
 	}
 	message.version = BW_RECORD_VERSION;
 	message.queue = record->queue;
+	if (record->tenant)
+		message.tenant = record->tenant;
 	message.accepted_ms = record->accepted_ms;
 	message.text = spec->text ? spec->text : message.text;
 	message.steps = step_refs;
@@ -301,6 +303,7 @@
 	if (!g_utf8_validate(record->text, -1, NULL))
 		return bw_status_set(BW_EPARSE, "a job's text is not UTF-8");
 	out->queue = g_strdup(record->queue);
+	out->tenant = dup_nonempty(record->tenant);
 	out->accepted_ms = record->accepted_ms;
 	out->spec = unpack_spec(record);
 	out->has_terms = record->terms != NULL;
@@ -329,6 +332,7 @@
 void bw_job_record_clear(bw_job_record_t *record)
 {
 	g_free(record->queue);
+	g_free(record->tenant);
 	bw_job_spec_free(record->spec);
 	memset(record, 0, sizeof(*record));
 }
--- a/src/job/job.h
+++ b/src/job/job.h
@@ -23,6 +23,15 @@
 	int64_t gpus;
 } bw_resources_t;
 
+/** What a tenant may use; the limits hold over all pools together. */
+typedef struct bw_tenant_terms {
+	/** Share of a full pool relative to other tenants; also the submissions
+	 *  a second that the tenant is entitled to. */
+	double weight;
+	bw_resources_t cap; /**< Most that may run; an amount of 0 is no limit.
+			     */
+} bw_tenant_terms_t;
+
 /** A step: a number of tasks with the same requirements. */
 typedef struct bw_step_spec {
 	uint32_t count; /**< Number of tasks. */
@@ -96,6 +105,7 @@
 	 *  configuration has no such queue any more. */
 	bw_queue_terms_t terms;
 	bool has_terms; /**< Earlier versions did not store them. */
+	char *tenant; /**< Whose job it is; NULL: nobody's. */
 	int64_t accepted_ms; /**< Unix time. */
 	bw_job_spec_t *spec; /**< NULL in a short record. */
 	bw_job_state_t state; /**< BW_JOB_UNKNOWN unless the record is short. */
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -48,6 +48,24 @@
 	bw_queue_terms_t terms;
 } bw_queue_config_t;
 
+/** A tenant, from the configuration. */
+typedef struct bw_tenant_config {
+	const char *name;
+	bw_tenant_terms_t terms;
+} bw_tenant_config_t;
+
+/** What a tenant uses of a pool. */
+typedef struct bw_tenant_use {
+	const char *name; /**< Owned by the scheduler. */
+	bw_resources_t held; /**< Of tasks that run or may still run. */
+	bw_resources_t wanted; /**< Of waiting tasks that could start now. */
+	/** Most of these that must start together: one task, or a gang. */
+	bw_resources_t largest;
+	bool has_quota;
+	bw_resources_t quota;
+	uint32_t jobs_waiting;
+} bw_tenant_use_t;
+
 /** A worker, from its registration. */
 typedef struct bw_worker_info {
 	const char *id;
@@ -209,6 +227,23 @@
 /** Sets the attributes of a queue. */
 void bw_sched_set_queue(bw_sched_t *s, const bw_queue_config_t *config);
 
+/**
+ * Sets the tenants; without any, jobs are placed whosever they are. A tenant
+ * with a cap starts nothing in this pool before it has a quota.
+ */
+void bw_sched_set_tenants(bw_sched_t *s, const bw_tenant_config_t *tenants,
+			  uint32_t count);
+
+/** Sets the most that a tenant may have running in this pool, its part of the
+ *  cap; what runs beyond it goes on. */
+void bw_sched_set_quota(bw_sched_t *s, const char *tenant,
+			const bw_resources_t *quota);
+
+/** Reports each tenant that has a quota, or jobs that hold or want room. */
+void bw_sched_tenant_uses(const bw_sched_t *s, int64_t now_ms,
+			  void (*fn)(void *ctx, const bw_tenant_use_t *use),
+			  void *ctx);
+
 /** Records that a save has failed: the pool may have another owner. */
 void bw_sched_save_failed(bw_sched_t *s);
 
--- a/src/wire/bramley.pb-c.c
+++ b/src/wire/bramley.pb-c.c
@@ -592,6 +592,231 @@
   assert(message->base.descriptor == &bramley__job_notice__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bramley__resources__init
+                     (Bramley__Resources         *message)
+{
+  static const Bramley__Resources init_value = BRAMLEY__RESOURCES__INIT;
+  *message = init_value;
+}
+size_t bramley__resources__get_packed_size
+                     (const Bramley__Resources *message)
+{
+  assert(message->base.descriptor == &bramley__resources__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bramley__resources__pack
+                     (const Bramley__Resources *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bramley__resources__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bramley__resources__pack_to_buffer
+                     (const Bramley__Resources *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bramley__resources__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bramley__Resources *
+       bramley__resources__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bramley__Resources *)
+     protobuf_c_message_unpack (&bramley__resources__descriptor,
+                                allocator, len, data);
+}
+void   bramley__resources__free_unpacked
+                     (Bramley__Resources *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bramley__resources__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bramley__tenant_use__init
+                     (Bramley__TenantUse         *message)
+{
+  static const Bramley__TenantUse init_value = BRAMLEY__TENANT_USE__INIT;
+  *message = init_value;
+}
+size_t bramley__tenant_use__get_packed_size
+                     (const Bramley__TenantUse *message)
+{
+  assert(message->base.descriptor == &bramley__tenant_use__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bramley__tenant_use__pack
+                     (const Bramley__TenantUse *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bramley__tenant_use__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bramley__tenant_use__pack_to_buffer
+                     (const Bramley__TenantUse *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bramley__tenant_use__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bramley__TenantUse *
+       bramley__tenant_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bramley__TenantUse *)
+     protobuf_c_message_unpack (&bramley__tenant_use__descriptor,
+                                allocator, len, data);
+}
+void   bramley__tenant_use__free_unpacked
+                     (Bramley__TenantUse *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bramley__tenant_use__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bramley__quota_report__init
+                     (Bramley__QuotaReport         *message)
+{
+  static const Bramley__QuotaReport init_value = BRAMLEY__QUOTA_REPORT__INIT;
+  *message = init_value;
+}
+size_t bramley__quota_report__get_packed_size
+                     (const Bramley__QuotaReport *message)
+{
+  assert(message->base.descriptor == &bramley__quota_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bramley__quota_report__pack
+                     (const Bramley__QuotaReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bramley__quota_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bramley__quota_report__pack_to_buffer
+                     (const Bramley__QuotaReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bramley__quota_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bramley__QuotaReport *
+       bramley__quota_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bramley__QuotaReport *)
+     protobuf_c_message_unpack (&bramley__quota_report__descriptor,
+                                allocator, len, data);
+}
+void   bramley__quota_report__free_unpacked
+                     (Bramley__QuotaReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bramley__quota_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bramley__tenant_quota__init
+                     (Bramley__TenantQuota         *message)
+{
+  static const Bramley__TenantQuota init_value = BRAMLEY__TENANT_QUOTA__INIT;
+  *message = init_value;
+}
+size_t bramley__tenant_quota__get_packed_size
+                     (const Bramley__TenantQuota *message)
+{
+  assert(message->base.descriptor == &bramley__tenant_quota__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bramley__tenant_quota__pack
+                     (const Bramley__TenantQuota *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bramley__tenant_quota__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bramley__tenant_quota__pack_to_buffer
+                     (const Bramley__TenantQuota *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bramley__tenant_quota__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bramley__TenantQuota *
+       bramley__tenant_quota__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bramley__TenantQuota *)
+     protobuf_c_message_unpack (&bramley__tenant_quota__descriptor,
+                                allocator, len, data);
+}
+void   bramley__tenant_quota__free_unpacked
+                     (Bramley__TenantQuota *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bramley__tenant_quota__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bramley__quota_order__init
+                     (Bramley__QuotaOrder         *message)
+{
+  static const Bramley__QuotaOrder init_value = BRAMLEY__QUOTA_ORDER__INIT;
+  *message = init_value;
+}
+size_t bramley__quota_order__get_packed_size
+                     (const Bramley__QuotaOrder *message)
+{
+  assert(message->base.descriptor == &bramley__quota_order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bramley__quota_order__pack
+                     (const Bramley__QuotaOrder *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bramley__quota_order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bramley__quota_order__pack_to_buffer
+                     (const Bramley__QuotaOrder *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bramley__quota_order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bramley__QuotaOrder *
+       bramley__quota_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bramley__QuotaOrder *)
+     protobuf_c_message_unpack (&bramley__quota_order__descriptor,
+                                allocator, len, data);
+}
+void   bramley__quota_order__free_unpacked
+                     (Bramley__QuotaOrder *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bramley__quota_order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bramley__frame__init
                      (Bramley__Frame         *message)
 {
@@ -1846,7 +2071,392 @@
   (ProtobufCMessageInit) bramley__job_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__frame__field_descriptors[11] =
+static const ProtobufCFieldDescriptor bramley__resources__field_descriptors[3] =
+{
+  {
+    "cpu_millis",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__Resources, cpu_millis),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "mem_mb",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__Resources, mem_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gpus",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__Resources, gpus),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bramley__resources__field_indices_by_name[] = {
+  0,   /* field[0] = cpu_millis */
+  2,   /* field[2] = gpus */
+  1,   /* field[1] = mem_mb */
+};
+static const ProtobufCIntRange bramley__resources__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor bramley__resources__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bramley.Resources",
+  "Resources",
+  "Bramley__Resources",
+  "bramley",
+  sizeof(Bramley__Resources),
+  3,
+  bramley__resources__field_descriptors,
+  bramley__resources__field_indices_by_name,
+  1,  bramley__resources__number_ranges,
+  (ProtobufCMessageInit) bramley__resources__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bramley__tenant_use__field_descriptors[5] =
+{
+  {
+    "tenant",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__TenantUse, tenant),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__TenantUse, held),
+    &bramley__resources__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__TenantUse, wanted),
+    &bramley__resources__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "largest",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__TenantUse, largest),
+    &bramley__resources__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__TenantUse, quota),
+    &bramley__resources__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bramley__tenant_use__field_indices_by_name[] = {
+  1,   /* field[1] = held */
+  3,   /* field[3] = largest */
+  4,   /* field[4] = quota */
+  0,   /* field[0] = tenant */
+  2,   /* field[2] = wanted */
+};
+static const ProtobufCIntRange bramley__tenant_use__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor bramley__tenant_use__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bramley.TenantUse",
+  "TenantUse",
+  "Bramley__TenantUse",
+  "bramley",
+  sizeof(Bramley__TenantUse),
+  5,
+  bramley__tenant_use__field_descriptors,
+  bramley__tenant_use__field_indices_by_name,
+  1,  bramley__tenant_use__number_ranges,
+  (ProtobufCMessageInit) bramley__tenant_use__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bramley__quota_report__field_descriptors[5] =
+{
+  {
+    "pool",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__QuotaReport, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__QuotaReport, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lender",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__QuotaReport, lender),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__QuotaReport, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tenants",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bramley__QuotaReport, n_tenants),
+    offsetof(Bramley__QuotaReport, tenants),
+    &bramley__tenant_use__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bramley__quota_report__field_indices_by_name[] = {
+  1,   /* field[1] = fence */
+  2,   /* field[2] = lender */
+  3,   /* field[3] = number */
+  0,   /* field[0] = pool */
+  4,   /* field[4] = tenants */
+};
+static const ProtobufCIntRange bramley__quota_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor bramley__quota_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bramley.QuotaReport",
+  "QuotaReport",
+  "Bramley__QuotaReport",
+  "bramley",
+  sizeof(Bramley__QuotaReport),
+  5,
+  bramley__quota_report__field_descriptors,
+  bramley__quota_report__field_indices_by_name,
+  1,  bramley__quota_report__number_ranges,
+  (ProtobufCMessageInit) bramley__quota_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bramley__tenant_quota__field_descriptors[2] =
+{
+  {
+    "tenant",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__TenantQuota, tenant),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__TenantQuota, quota),
+    &bramley__resources__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bramley__tenant_quota__field_indices_by_name[] = {
+  1,   /* field[1] = quota */
+  0,   /* field[0] = tenant */
+};
+static const ProtobufCIntRange bramley__tenant_quota__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bramley__tenant_quota__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bramley.TenantQuota",
+  "TenantQuota",
+  "Bramley__TenantQuota",
+  "bramley",
+  sizeof(Bramley__TenantQuota),
+  2,
+  bramley__tenant_quota__field_descriptors,
+  bramley__tenant_quota__field_indices_by_name,
+  1,  bramley__tenant_quota__number_ranges,
+  (ProtobufCMessageInit) bramley__tenant_quota__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bramley__quota_order__field_descriptors[5] =
+{
+  {
+    "pool",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__QuotaOrder, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__QuotaOrder, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lender",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__QuotaOrder, lender),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__QuotaOrder, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tenants",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bramley__QuotaOrder, n_tenants),
+    offsetof(Bramley__QuotaOrder, tenants),
+    &bramley__tenant_quota__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bramley__quota_order__field_indices_by_name[] = {
+  1,   /* field[1] = fence */
+  2,   /* field[2] = lender */
+  3,   /* field[3] = number */
+  0,   /* field[0] = pool */
+  4,   /* field[4] = tenants */
+};
+static const ProtobufCIntRange bramley__quota_order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor bramley__quota_order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bramley.QuotaOrder",
+  "QuotaOrder",
+  "Bramley__QuotaOrder",
+  "bramley",
+  sizeof(Bramley__QuotaOrder),
+  5,
+  bramley__quota_order__field_descriptors,
+  bramley__quota_order__field_indices_by_name,
+  1,  bramley__quota_order__number_ranges,
+  (ProtobufCMessageInit) bramley__quota_order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bramley__frame__field_descriptors[13] =
 {
   {
     "hello",
@@ -1980,6 +2590,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quota_report",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bramley__Frame, body_case),
+    offsetof(Bramley__Frame, quota_report),
+    &bramley__quota_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_order",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bramley__Frame, body_case),
+    offsetof(Bramley__Frame, quota_order),
+    &bramley__quota_order__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__frame__field_indices_by_name[] = {
   4,   /* field[4] = ask */
@@ -1991,13 +2625,15 @@
   2,   /* field[2] = place */
   9,   /* field[9] = pool_order */
   8,   /* field[8] = pool_report */
+  12,   /* field[12] = quota_order */
+  11,   /* field[11] = quota_report */
   7,   /* field[7] = state_answer */
   6,   /* field[6] = state_ask */
 };
 static const ProtobufCIntRange bramley__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor bramley__frame__descriptor =
 {
@@ -2007,7 +2643,7 @@
   "Bramley__Frame",
   "bramley",
   sizeof(Bramley__Frame),
-  11,
+  13,
   bramley__frame__field_descriptors,
   bramley__frame__field_indices_by_name,
   1,  bramley__frame__number_ranges,
--- a/src/wire/bramley.pb-c.h
+++ b/src/wire/bramley.pb-c.h
@@ -28,6 +28,11 @@
 typedef struct Bramley__PoolReport Bramley__PoolReport;
 typedef struct Bramley__PoolOrder Bramley__PoolOrder;
 typedef struct Bramley__JobNotice Bramley__JobNotice;
+typedef struct Bramley__Resources Bramley__Resources;
+typedef struct Bramley__TenantUse Bramley__TenantUse;
+typedef struct Bramley__QuotaReport Bramley__QuotaReport;
+typedef struct Bramley__TenantQuota Bramley__TenantQuota;
+typedef struct Bramley__QuotaOrder Bramley__QuotaOrder;
 typedef struct Bramley__Frame Bramley__Frame;
 
 
@@ -338,6 +343,113 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
 
 
+struct  Bramley__Resources
+{
+  ProtobufCMessage base;
+  int64_t cpu_millis;
+  int64_t mem_mb;
+  int64_t gpus;
+};
+#define BRAMLEY__RESOURCES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bramley__resources__descriptor) \
+    , 0, 0, 0 }
+
+
+/*
+ * What a tenant uses of a pool.
+ */
+struct  Bramley__TenantUse
+{
+  ProtobufCMessage base;
+  char *tenant;
+  /*
+   * Of tasks that run or may still run.
+   */
+  Bramley__Resources *held;
+  /*
+   * Of tasks that could start now.
+   */
+  Bramley__Resources *wanted;
+  /*
+   * Of those that must start together, the most.
+   */
+  Bramley__Resources *largest;
+  /*
+   * That the owner keeps to; absent: none.
+   */
+  Bramley__Resources *quota;
+};
+#define BRAMLEY__TENANT_USE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bramley__tenant_use__descriptor) \
+    , (char *)protobuf_c_empty_string, NULL, NULL, NULL, NULL }
+
+
+/*
+ * Sent by the owner of a pool to the node that lends tenants' caps to pools.
+ */
+struct  Bramley__QuotaReport
+{
+  ProtobufCMessage base;
+  char *pool;
+  /*
+   * Of the owner.
+   */
+  uint64_t fence;
+  /*
+   * Fence of the lender that the owner obeys.
+   */
+  uint64_t lender;
+  /*
+   * Of the last order of that lender.
+   */
+  uint64_t number;
+  size_t n_tenants;
+  Bramley__TenantUse **tenants;
+};
+#define BRAMLEY__QUOTA_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bramley__quota_report__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL }
+
+
+struct  Bramley__TenantQuota
+{
+  ProtobufCMessage base;
+  char *tenant;
+  Bramley__Resources *quota;
+};
+#define BRAMLEY__TENANT_QUOTA__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bramley__tenant_quota__descriptor) \
+    , (char *)protobuf_c_empty_string, NULL }
+
+
+/*
+ * Sent by that node to the owner of a pool; tenants that are not named keep
+ * their quotas.
+ */
+struct  Bramley__QuotaOrder
+{
+  ProtobufCMessage base;
+  char *pool;
+  /*
+   * Of the owner that it is for.
+   */
+  uint64_t fence;
+  /*
+   * Fence of the sender.
+   */
+  uint64_t lender;
+  /*
+   * Increases with each order to the pool.
+   */
+  uint64_t number;
+  size_t n_tenants;
+  Bramley__TenantQuota **tenants;
+};
+#define BRAMLEY__QUOTA_ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bramley__quota_order__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL }
+
+
 typedef enum {
   BRAMLEY__FRAME__BODY__NOT_SET = 0,
   BRAMLEY__FRAME__BODY_HELLO = 1,
@@ -350,7 +462,9 @@
   BRAMLEY__FRAME__BODY_STATE_ANSWER = 8,
   BRAMLEY__FRAME__BODY_POOL_REPORT = 9,
   BRAMLEY__FRAME__BODY_POOL_ORDER = 10,
-  BRAMLEY__FRAME__BODY_JOB_NOTICE = 11
+  BRAMLEY__FRAME__BODY_JOB_NOTICE = 11,
+  BRAMLEY__FRAME__BODY_QUOTA_REPORT = 12,
+  BRAMLEY__FRAME__BODY_QUOTA_ORDER = 13
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BRAMLEY__FRAME__BODY__CASE)
 } Bramley__Frame__BodyCase;
 
@@ -370,6 +484,8 @@
     Bramley__PoolReport *pool_report;
     Bramley__PoolOrder *pool_order;
     Bramley__JobNotice *job_notice;
+    Bramley__QuotaReport *quota_report;
+    Bramley__QuotaOrder *quota_order;
   };
 };
 #define BRAMLEY__FRAME__INIT \
@@ -624,6 +740,101 @@
 void   bramley__job_notice__free_unpacked
                      (Bramley__JobNotice *message,
                       ProtobufCAllocator *allocator);
+/* Bramley__Resources methods */
+void   bramley__resources__init
+                     (Bramley__Resources         *message);
+size_t bramley__resources__get_packed_size
+                     (const Bramley__Resources   *message);
+size_t bramley__resources__pack
+                     (const Bramley__Resources   *message,
+                      uint8_t             *out);
+size_t bramley__resources__pack_to_buffer
+                     (const Bramley__Resources   *message,
+                      ProtobufCBuffer     *buffer);
+Bramley__Resources *
+       bramley__resources__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bramley__resources__free_unpacked
+                     (Bramley__Resources *message,
+                      ProtobufCAllocator *allocator);
+/* Bramley__TenantUse methods */
+void   bramley__tenant_use__init
+                     (Bramley__TenantUse         *message);
+size_t bramley__tenant_use__get_packed_size
+                     (const Bramley__TenantUse   *message);
+size_t bramley__tenant_use__pack
+                     (const Bramley__TenantUse   *message,
+                      uint8_t             *out);
+size_t bramley__tenant_use__pack_to_buffer
+                     (const Bramley__TenantUse   *message,
+                      ProtobufCBuffer     *buffer);
+Bramley__TenantUse *
+       bramley__tenant_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bramley__tenant_use__free_unpacked
+                     (Bramley__TenantUse *message,
+                      ProtobufCAllocator *allocator);
+/* Bramley__QuotaReport methods */
+void   bramley__quota_report__init
+                     (Bramley__QuotaReport         *message);
+size_t bramley__quota_report__get_packed_size
+                     (const Bramley__QuotaReport   *message);
+size_t bramley__quota_report__pack
+                     (const Bramley__QuotaReport   *message,
+                      uint8_t             *out);
+size_t bramley__quota_report__pack_to_buffer
+                     (const Bramley__QuotaReport   *message,
+                      ProtobufCBuffer     *buffer);
+Bramley__QuotaReport *
+       bramley__quota_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bramley__quota_report__free_unpacked
+                     (Bramley__QuotaReport *message,
+                      ProtobufCAllocator *allocator);
+/* Bramley__TenantQuota methods */
+void   bramley__tenant_quota__init
+                     (Bramley__TenantQuota         *message);
+size_t bramley__tenant_quota__get_packed_size
+                     (const Bramley__TenantQuota   *message);
+size_t bramley__tenant_quota__pack
+                     (const Bramley__TenantQuota   *message,
+                      uint8_t             *out);
+size_t bramley__tenant_quota__pack_to_buffer
+                     (const Bramley__TenantQuota   *message,
+                      ProtobufCBuffer     *buffer);
+Bramley__TenantQuota *
+       bramley__tenant_quota__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bramley__tenant_quota__free_unpacked
+                     (Bramley__TenantQuota *message,
+                      ProtobufCAllocator *allocator);
+/* Bramley__QuotaOrder methods */
+void   bramley__quota_order__init
+                     (Bramley__QuotaOrder         *message);
+size_t bramley__quota_order__get_packed_size
+                     (const Bramley__QuotaOrder   *message);
+size_t bramley__quota_order__pack
+                     (const Bramley__QuotaOrder   *message,
+                      uint8_t             *out);
+size_t bramley__quota_order__pack_to_buffer
+                     (const Bramley__QuotaOrder   *message,
+                      ProtobufCBuffer     *buffer);
+Bramley__QuotaOrder *
+       bramley__quota_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bramley__quota_order__free_unpacked
+                     (Bramley__QuotaOrder *message,
+                      ProtobufCAllocator *allocator);
 /* Bramley__Frame methods */
 void   bramley__frame__init
                      (Bramley__Frame         *message);
@@ -684,6 +895,21 @@
 typedef void (*Bramley__JobNotice_Closure)
                  (const Bramley__JobNotice *message,
                   void *closure_data);
+typedef void (*Bramley__Resources_Closure)
+                 (const Bramley__Resources *message,
+                  void *closure_data);
+typedef void (*Bramley__TenantUse_Closure)
+                 (const Bramley__TenantUse *message,
+                  void *closure_data);
+typedef void (*Bramley__QuotaReport_Closure)
+                 (const Bramley__QuotaReport *message,
+                  void *closure_data);
+typedef void (*Bramley__TenantQuota_Closure)
+                 (const Bramley__TenantQuota *message,
+                  void *closure_data);
+typedef void (*Bramley__QuotaOrder_Closure)
+                 (const Bramley__QuotaOrder *message,
+                  void *closure_data);
 typedef void (*Bramley__Frame_Closure)
                  (const Bramley__Frame *message,
                   void *closure_data);
@@ -706,6 +932,11 @@
 extern const ProtobufCMessageDescriptor bramley__pool_report__descriptor;
 extern const ProtobufCMessageDescriptor bramley__pool_order__descriptor;
 extern const ProtobufCMessageDescriptor bramley__job_notice__descriptor;
+extern const ProtobufCMessageDescriptor bramley__resources__descriptor;
+extern const ProtobufCMessageDescriptor bramley__tenant_use__descriptor;
+extern const ProtobufCMessageDescriptor bramley__quota_report__descriptor;
+extern const ProtobufCMessageDescriptor bramley__tenant_quota__descriptor;
+extern const ProtobufCMessageDescriptor bramley__quota_order__descriptor;
 extern const ProtobufCMessageDescriptor bramley__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/wire/record.pb-c.c
+++ b/src/wire/record.pb-c.c
@@ -831,7 +831,7 @@
   (ProtobufCMessageInit) bramley__queue_terms__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__job_record__field_descriptors[10] =
+static const ProtobufCFieldDescriptor bramley__job_record__field_descriptors[11] =
 {
   {
     "version",
@@ -953,6 +953,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tenant",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__JobRecord, tenant),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__job_record__field_indices_by_name[] = {
   2,   /* field[2] = accepted_ms */
@@ -962,6 +974,7 @@
   5,   /* field[5] = repeats */
   8,   /* field[8] = state */
   4,   /* field[4] = steps */
+  10,   /* field[10] = tenant */
   9,   /* field[9] = terms */
   3,   /* field[3] = text */
   0,   /* field[0] = version */
@@ -969,7 +982,7 @@
 static const ProtobufCIntRange bramley__job_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor bramley__job_record__descriptor =
 {
@@ -979,7 +992,7 @@
   "Bramley__JobRecord",
   "bramley",
   sizeof(Bramley__JobRecord),
-  10,
+  11,
   bramley__job_record__field_descriptors,
   bramley__job_record__field_indices_by_name,
   1,  bramley__job_record__number_ranges,
--- a/src/wire/record.pb-c.h
+++ b/src/wire/record.pb-c.h
@@ -97,10 +97,14 @@
    * Of the queue when the job was accepted.
    */
   Bramley__QueueTerms *terms;
+  /*
+   * Whose job it is; empty: nobody's.
+   */
+  char *tenant;
 };
 #define BRAMLEY__JOB_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__job_record__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, NULL, (char *)protobuf_c_empty_string }
 
 
 /*
