An owner waited 8.8 s for workers that had ended while the store was away

Cause: machines are moved on while the store is away and the pools can't be saved. If all nodes end then, the next owners load workers that have ended, and start nothing that might run there until the grants have expired. Change: the controller compares the workers that an owner does not hear with the list of machines. One that no machine runs, by a list which is newer than its first report by a second, has ended with its known boot.

--- a/src/fleet/controller.c
+++ b/src/fleet/controller.c
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/event.h"
 #include "fleet/balance.h"
+#include "fleet/missing_workers.h"
 
 /** Age from which the list is read again: idle, with a wave, with a move. */
 #define LIST_MAX_AGE_MS	     1500
@@ -42,7 +43,9 @@
 	bw_reports_t *reports;
 	bw_maintenance_t *maintenance;
 	bw_balance_t *balance;
+	bw_missing_workers_t *missing;
 	GHashTable *machines; /**< Name to bw_machine_t. */
+	GHashTable *listed_workers; /**< Identifiers, of the machines. */
 	GHashTable *moves; /**< Machine to move_t. */
 	int64_t created_ms;
 	int64_t list_ms; /**< When the current list was requested. */
@@ -113,10 +116,13 @@
 	c->created_ms = bw_clock_now_ms();
 	c->reports = bw_reports_create();
 	c->balance = bw_balance_create();
+	c->missing = bw_missing_workers_create();
 	c->maintenance =
 		bw_maintenance_create(&maintenance, &maintenance_ops, c);
 	c->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					    machine_free);
+	c->listed_workers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	c->moves =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, move_free);
 	return c;
@@ -126,8 +132,10 @@
 {
 	if (--c->refs > 0)
 		return;
+	g_hash_table_destroy(c->listed_workers);
 	g_hash_table_destroy(c->machines);
 	g_hash_table_destroy(c->moves);
+	bw_missing_workers_destroy(c->missing);
 	bw_balance_destroy(c->balance);
 	bw_reports_destroy(c->reports);
 	g_free(c);
@@ -180,7 +188,8 @@
 
 static int64_t list_max_age_ms(const bw_controller_t *c)
 {
-	if (bw_controller_has_moves(c))
+	if (bw_controller_has_moves(c) ||
+	    bw_missing_workers_await_list(c->missing))
 		return LIST_MAX_AGE_MOVE_MS;
 	return bw_maintenance_in_progress(c->maintenance) ? LIST_MAX_AGE_WAVE_MS
 							  : LIST_MAX_AGE_MS;
@@ -203,6 +212,7 @@
 	uint32_t i;
 
 	c->list_ms = c->list_requested_ms;
+	g_hash_table_remove_all(c->listed_workers);
 	g_hash_table_remove_all(c->machines);
 	for (i = 0; i < count; i++) {
 		bw_machine_t *machine = g_new0(bw_machine_t, 1);
@@ -213,6 +223,7 @@
 		machine->capacity_millis = list[i].capacity_millis;
 		machine->up = list[i].up;
 		machine->returning = list[i].returning;
+		g_hash_table_add(c->listed_workers, g_strdup(list[i].worker));
 		g_hash_table_replace(c->machines, machine->name, machine);
 	}
 }
@@ -486,6 +497,43 @@
 	g_free(pools);
 }
 
+/** A round of the controller. */
+typedef struct round {
+	bw_controller_t *c;
+	int64_t now_ms;
+} round_t;
+
+/* The boot has to be known: a later one of that worker may come up. */
+static void check_missing(void *ctx, const char *pool,
+			  const bw_worker_report_t *worker)
+{
+	round_t *round = ctx;
+	bw_controller_t *c = round->c;
+
+	if (worker->reachable || worker->started_ms == 0 ||
+	    g_hash_table_contains(c->listed_workers, worker->id))
+		return;
+	if (bw_missing_workers_note(c->missing, round->now_ms, worker->id,
+				    c->list_ms))
+		bw_reports_add_dead(c->reports, pool, worker->id,
+				    worker->started_ms);
+}
+
+/* Ends the workers that no machine runs. */
+static void end_missing_workers(bw_controller_t *c, int64_t now_ms)
+{
+	round_t round = { c, now_ms };
+	uint32_t i;
+
+	for (i = 0; i < c->config->pool_count; i++)
+		if (bw_reports_is_fresh(c->reports, now_ms,
+					c->config->pools[i].name))
+			bw_reports_foreach_worker(c->reports,
+						  c->config->pools[i].name,
+						  check_missing, &round);
+	bw_missing_workers_forget(c->missing, now_ms);
+}
+
 static bool may_order(const bw_controller_t *c, int64_t now_ms)
 {
 	return now_ms - c->created_ms >= c->env.takeover_delay_ms ||
@@ -510,6 +558,7 @@
 	bw_reports_clear_orders(c->reports);
 	bw_maintenance_tick(c->maintenance, &view);
 	update_moves(c, now_ms);
+	end_missing_workers(c, now_ms);
 	if (view.may_order)
 		balance(c, now_ms);
 	bw_reports_send_orders(c->reports, c->ops.order, c->ctx);
--- /dev/null
+++ b/src/fleet/missing_workers.c
@@ -0,0 +1,76 @@
+#include "fleet/missing_workers.h"
+
+#include <glib.h>
+
+/** The list of machines has a worker that is registered after this time. */
+#define LIST_LAG_MS 1000
+/** A worker that is not noted for so long is not missing any more. */
+#define FORGET_MS 1000
+
+/** A worker that is missing. */
+typedef struct missing {
+	int64_t since_ms; /**< When it was first noted. */
+	int64_t noted_ms; /**< When it was last noted. */
+	bool ended;
+} missing_t;
+
+struct bw_missing_workers {
+	GHashTable *workers; /**< Identifier to missing_t. */
+};
+
+bw_missing_workers_t *bw_missing_workers_create(void)
+{
+	bw_missing_workers_t *m = g_new0(bw_missing_workers_t, 1);
+
+	m->workers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return m;
+}
+
+void bw_missing_workers_destroy(bw_missing_workers_t *m)
+{
+	if (!m)
+		return;
+	g_hash_table_destroy(m->workers);
+	g_free(m);
+}
+
+bool bw_missing_workers_note(bw_missing_workers_t *m, int64_t now_ms,
+			     const char *id, int64_t list_ms)
+{
+	missing_t *missing = g_hash_table_lookup(m->workers, id);
+
+	if (!missing) {
+		missing = g_new0(missing_t, 1);
+		missing->since_ms = now_ms;
+		g_hash_table_insert(m->workers, g_strdup(id), missing);
+	}
+	missing->noted_ms = now_ms;
+	missing->ended = list_ms >= missing->since_ms + LIST_LAG_MS;
+	return missing->ended;
+}
+
+static gboolean is_old(gpointer id, gpointer value, gpointer now_ms)
+{
+	const missing_t *missing = value;
+
+	(void)id;
+	return *(const int64_t *)now_ms - missing->noted_ms > FORGET_MS;
+}
+
+void bw_missing_workers_forget(bw_missing_workers_t *m, int64_t now_ms)
+{
+	g_hash_table_foreach_remove(m->workers, is_old, &now_ms);
+}
+
+bool bw_missing_workers_await_list(const bw_missing_workers_t *m)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, m->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (!((const missing_t *)value)->ended)
+			return true;
+	return false;
+}
--- a/src/fleet/reports.c
+++ b/src/fleet/reports.c
@@ -184,6 +184,22 @@
 	return report ? g_hash_table_lookup(report->workers, id) : NULL;
 }
 
+void bw_reports_foreach_worker(const bw_reports_t *r, const char *pool,
+			       void (*fn)(void *ctx, const char *pool,
+					  const bw_worker_report_t *worker),
+			       void *ctx)
+{
+	const pool_report_t *report = g_hash_table_lookup(r->pools, pool);
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!report)
+		return;
+	g_hash_table_iter_init(&iter, report->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		fn(ctx, pool, value);
+}
+
 void bw_reports_clear_orders(bw_reports_t *r)
 {
 	GHashTableIter iter;
--- a/src/fleet/reports.h
+++ b/src/fleet/reports.h
@@ -64,6 +64,12 @@
 const bw_worker_report_t *bw_reports_worker(const bw_reports_t *r,
 					    const char *pool, const char *id);
 
+/** Calls a function for each worker of a pool's last report. */
+void bw_reports_foreach_worker(const bw_reports_t *r, const char *pool,
+			       void (*fn)(void *ctx, const char *pool,
+					  const bw_worker_report_t *worker),
+			       void *ctx);
+
 /** Removes all orders, to begin a new round. */
 void bw_reports_clear_orders(bw_reports_t *r);
 
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -643,6 +643,8 @@
 void sched_bound_earlier_grant(const bw_sched_t *s, worker_t *worker,
 			       int64_t sent_ms, int64_t now_ms);
 worker_t *sched_worker(bw_sched_t *s, const char *id);
+/** Returns the start of the last boot that is known, Unix time; 0: unknown. */
+int64_t sched_worker_boot_ms(const worker_t *worker);
 worker_t *sched_worker_new(bw_sched_t *s, const char *id, int64_t now_ms);
 void sched_worker_free(gpointer data);
 /** Releases the tasks of workers that are dead, or silent with expired grants;
--- a/src/sched/report.c
+++ b/src/sched/report.c
@@ -112,7 +112,7 @@
 				worker->tasks->len == 0 && !worker->has_orphans,
 			.cordoned = worker->cordoned,
 			.reachable = sched_worker_reachable(worker, now_ms),
-			.started_ms = worker->started_ms,
+			.started_ms = sched_worker_boot_ms(worker),
 		};
 
 		if (!worker->dead)
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -197,9 +197,7 @@
 		record->id = worker->id;
 		record->address = worker->address;
 		record->earlier_grant = worker->earlier_grant_until_ms > 0;
-		record->started_ms = worker->started_ms > 0
-					     ? worker->started_ms
-					     : worker->stored_boot_ms;
+		record->started_ms = sched_worker_boot_ms(worker);
 		worker->ends_packed = sched_ackable(worker);
 		out->workers[out->n_workers++] = record;
 	}
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -331,6 +331,12 @@
 	release_runs(s, worker, reason);
 }
 
+int64_t sched_worker_boot_ms(const worker_t *worker)
+{
+	return worker->started_ms > 0 ? worker->started_ms
+				      : worker->stored_boot_ms;
+}
+
 void bw_sched_boot_dead(bw_sched_t *s, const char *id, int64_t started_ms,
 			const char *reason)
 {
--- a/test/test_controller.c
+++ b/test/test_controller.c
@@ -12,6 +12,9 @@
 #define POOL_NEEDY   "needy"
 #define POOL_SURPLUS "surplus"
 #define ROUND_MS     100
+/** A worker that no machine runs, and its boot. */
+#define UNLISTED	 "unlisted"
+#define UNLISTED_BOOT_MS 7000
 /** Longer than any test takes. */
 #define TAKEOVER_DELAY_MS 600000
 
@@ -23,14 +26,25 @@
 	char moved[8]; /**< By the first of them. */
 	bool has_predecessor; /**< Which may have sent orders lately. */
 	bool moved_used; /**< Its worker has a task, and is not cordoned. */
+	bool has_silent; /**< The owner does not hear two more workers. */
+	bool ended; /**< The owner was told that the unlisted one has ended. */
+	bool listed_ended; /**< The same of the other one. */
 	int64_t now_ms;
 } controller_test_t;
 
 static void on_order(void *ctx, const char *pool, const Bramley__Frame *frame)
 {
-	(void)ctx;
-	(void)pool;
-	(void)frame;
+	controller_test_t *t = ctx;
+	const Bramley__PoolOrder *order = frame->pool_order;
+	size_t i;
+
+	if (strcmp(pool, POOL_SURPLUS) != 0)
+		return;
+	for (i = 0; i < order->n_dead; i++) {
+		t->listed_ended |= !strcmp(order->dead[i], t->names[0]);
+		t->ended |= !strcmp(order->dead[i], UNLISTED) &&
+			    order->dead_started_ms[i] == UNLISTED_BOOT_MS;
+	}
 }
 
 static void on_store_result(void *ctx, bw_status_t status)
@@ -108,8 +122,8 @@
 {
 	Bramley__PoolReport needy = BRAMLEY__POOL_REPORT__INIT;
 	Bramley__PoolReport surplus = BRAMLEY__POOL_REPORT__INIT;
-	Bramley__WorkerReport rows[MACHINES];
-	Bramley__WorkerReport *list_of_rows[MACHINES];
+	Bramley__WorkerReport rows[MACHINES + 1];
+	Bramley__WorkerReport *list_of_rows[MACHINES + 1];
 	uint32_t i;
 
 	for (i = 0; i < MACHINES; i++) {
@@ -127,6 +141,15 @@
 	surplus.pool = (char *)POOL_SURPLUS;
 	surplus.workers = list_of_rows;
 	surplus.n_workers = MACHINES;
+	if (t->has_silent) {
+		bramley__worker_report__init(&rows[MACHINES]);
+		rows[MACHINES].id = (char *)UNLISTED;
+		rows[MACHINES].started_ms = UNLISTED_BOOT_MS;
+		list_of_rows[MACHINES] = &rows[MACHINES];
+		surplus.n_workers++;
+		rows[0].reachable = false;
+		rows[0].started_ms = UNLISTED_BOOT_MS;
+	}
 	needy.pool = (char *)POOL_NEEDY;
 	needy.waiting_millis = 8000;
 	bw_controller_record_report(t->controller, t->now_ms, &surplus);
@@ -209,6 +232,25 @@
 	bw_controller_destroy(t.controller);
 }
 
+/* Failure: machines move while the store is away, then all nodes end. The next
+ * owner knows the workers of before, and would wait for their grants. */
+static void test_worker_that_no_machine_runs_has_ended(void **state)
+{
+	controller_test_t t;
+
+	(void)state;
+	set_up(&t);
+	/* No move may be in progress, which ends a worker as well. */
+	t.has_predecessor = true;
+	t.has_silent = true;
+	pass(&t, 900);
+	assert_false(t.ended);
+	pass(&t, 1000);
+	assert_true(t.ended);
+	assert_false(t.listed_ended);
+	bw_controller_destroy(t.controller);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -216,6 +258,7 @@
 			test_move_is_not_repeated_once_its_worker_is_used),
 		cmocka_unit_test(test_move_is_not_repeated_on_an_old_report),
 		cmocka_unit_test(test_controller_waits_for_an_earlier_one),
+		cmocka_unit_test(test_worker_that_no_machine_runs_has_ended),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
