A takeover in a surge counted as growth and took machines from other pools

Cause: an owner that takes a pool over reads all its jobs at once, and each counted as arrived now, so the forecast of arriving work saw a steep growth. Change: jobs read before the first save of an owner count from when they arrived, which gives the same rates as if they had been recorded then.

--- a/src/sched/arrivals.c
+++ b/src/sched/arrivals.c
@@ -27,18 +27,31 @@
 	g_free(a);
 }
 
+static double decay_after(int64_t ms, double constant_ms)
+{
+	return exp(-(double)ms / constant_ms);
+}
+
 static double decay(const bw_arrivals_t *a, int64_t now_ms, double constant_ms)
 {
-	return exp(-(double)(now_ms - a->updated_ms) / constant_ms);
+	return decay_after(now_ms - a->updated_ms, constant_ms);
 }
 
 void bw_arrivals_add(bw_arrivals_t *a, int64_t now_ms, double work_cpu_ms)
+{
+	bw_arrivals_add_earlier(a, now_ms, 0, work_cpu_ms);
+}
+
+void bw_arrivals_add_earlier(bw_arrivals_t *a, int64_t now_ms, int64_t age_ms,
+			     double work_cpu_ms)
 {
 	double quick_decay = decay(a, now_ms, QUICK_TIME_CONSTANT_MS);
-	double quick_part = work_cpu_ms / QUICK_TIME_CONSTANT_MS;
+	double quick_part = work_cpu_ms / QUICK_TIME_CONSTANT_MS *
+			    decay_after(age_ms, QUICK_TIME_CONSTANT_MS);
 
 	a->rate = a->rate * decay(a, now_ms, TIME_CONSTANT_MS) +
-		  work_cpu_ms / TIME_CONSTANT_MS;
+		  work_cpu_ms / TIME_CONSTANT_MS *
+			  decay_after(age_ms, TIME_CONSTANT_MS);
 	a->quick_rate = a->quick_rate * quick_decay + quick_part;
 	a->quick_variance = a->quick_variance * quick_decay * quick_decay +
 			    quick_part * quick_part;
--- a/src/sched/arrivals.h
+++ b/src/sched/arrivals.h
@@ -23,6 +23,10 @@
  */
 void bw_arrivals_add(bw_arrivals_t *a, int64_t now_ms, double work_cpu_ms);
 
+/** Records work that arrived some time ago, as if it had been recorded then. */
+void bw_arrivals_add_earlier(bw_arrivals_t *a, int64_t now_ms, int64_t age_ms,
+			     double work_cpu_ms);
+
 /** Returns the recent rate, in thousandths of a core. */
 double bw_arrivals_rate(const bw_arrivals_t *a, int64_t now_ms);
 
--- a/src/sched/report.c
+++ b/src/sched/report.c
@@ -52,13 +52,14 @@
 	}
 }
 
+/* A takeover reads all jobs at once, which is no surge. */
 void sched_record_arrival(bw_sched_t *s, const job_t *job, int64_t now_ms)
 {
+	int64_t age_ms = now_ms - job->arrived_ms;
 	double work = 0.0;
 	uint32_t i;
 
-	if (now_ms - job->arrived_ms > ARRIVAL_AGE_MAX_MS ||
-	    job->spec->repeats > 0)
+	if (age_ms > ARRIVAL_AGE_MAX_MS || job->spec->repeats > 0)
 		return;
 	for (i = 0; i < job->spec->step_count; i++) {
 		const bw_step_spec_t *step = &job->spec->steps[i];
@@ -67,7 +68,8 @@
 			work += (double)step->need.cpu_millis * step->count *
 				(double)sched_estimate_ms(job, step);
 	}
-	bw_arrivals_add(s->arrivals, now_ms, work);
+	bw_arrivals_add_earlier(s->arrivals, now_ms,
+				s->saved_version == 0 ? age_ms : 0, work);
 }
 
 void bw_sched_demand(const bw_sched_t *s, int64_t now_ms, bw_pool_demand_t *out)
--- a/test/test_arrivals.c
+++ b/test/test_arrivals.c
@@ -123,6 +123,30 @@
 	bw_arrivals_destroy(l.arrivals);
 }
 
+/* Failure: an owner takes a pool over in a surge and reads all jobs of the last
+ * second at once. */
+static void test_jobs_that_arrived_before_are_no_growth(void **state)
+{
+	load_t one_by_one;
+	load_t at_once;
+	int64_t age_ms;
+
+	(void)state;
+	begin(&one_by_one, SMALL_JOB);
+	begin(&at_once, SMALL_JOB);
+	arrive(&one_by_one, 1500, 100, 100);
+	at_once.now_ms = one_by_one.now_ms;
+	for (age_ms = 0; age_ms < 1500; age_ms += 10)
+		bw_arrivals_add_earlier(at_once.arrivals, at_once.now_ms,
+					age_ms, SMALL_JOB);
+	assert_float_equal(rate(&at_once), rate(&one_by_one),
+			   0.01 * rate(&one_by_one));
+	assert_float_equal(forecast(&at_once), forecast(&one_by_one),
+			   0.01 * rate(&one_by_one));
+	bw_arrivals_destroy(one_by_one.arrivals);
+	bw_arrivals_destroy(at_once.arrivals);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -131,6 +155,7 @@
 		cmocka_unit_test(test_steady_load_is_no_growth),
 		cmocka_unit_test(test_single_large_jobs_are_no_growth),
 		cmocka_unit_test(test_falling_load_is_no_growth),
+		cmocka_unit_test(test_jobs_that_arrived_before_are_no_growth),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
