--- a/Makefile
+++ b/Makefile
@@ -83,7 +83,8 @@
 $(BUILD)/test/test_records: LIB_LIBS += -Wl,--wrap=bw_sched_set_queue
 
 FLEET_TESTS := $(BUILD)/test/test_ended_jobs $(BUILD)/test/test_owned_pool \
-	$(BUILD)/test/test_service $(BUILD)/test/test_moved_queues
+	$(BUILD)/test/test_service $(BUILD)/test/test_moved_queues \
+	$(BUILD)/test/test_tenant_requests
 $(FLEET_TESTS): $(BUILD)/test/test_%: $(BUILD)/test/test_%.o $(BUILD)/test/fake_store.o $(LIB)
 	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS) -lcmocka
 
