--- a/test/test_ended_jobs.c
+++ b/test/test_ended_jobs.c
@@ -169,12 +169,83 @@
 	bw_sched_destroy(sched);
 }
 
+/** What a read has returned. */
+typedef struct read_record {
+	bw_job_record_t record;
+	bool read;
+} read_record_t;
+
+static void on_record(void *ctx, const bw_store_reply_t *reply)
+{
+	read_record_t *r = ctx;
+
+	assert_int_equal(reply->status, BW_OK);
+	assert_int_equal(
+		bw_job_record_unpack((const uint8_t *)reply->kvs[0].value,
+				     reply->kvs[0].bytes, &r->record),
+		BW_OK);
+	r->read = true;
+}
+
+/* Failure: a job's short record forgets whose it is, and after a takeover
+ * everyone sees its end. */
+static void test_short_record_keeps_the_tenant(void **state)
+{
+	static const char id[] = "0000000000000000";
+	struct ev_loop *loop = ev_loop_new(0);
+	bw_memstore_t *memory = bw_memstore_create(loop);
+	bw_store_t store = bw_memstore_interface(memory);
+	bw_sched_t *sched = finished_jobs(5000);
+	read_record_t r = { .read = false };
+	int64_t now_ms = 1000;
+	bw_shortening_t *sh;
+
+	(void)state;
+	bw_sched_set_job_tenant(sched, id, "ada");
+	bw_memstore_put(memory, "owner", "n", 1);
+	bw_memstore_put(memory, "bw/q/a/0000000000000000/job", "r", 1);
+	sh = bw_shortening_create(&store, "a", "owner",
+				  bw_memstore_revision(memory, "owner"));
+	send_due(sh, &now_ms, sched);
+	ev_run(loop, 0);
+	store.ops->get(store.impl, "bw/q/a/0000000000000000/job", on_record,
+		       &r);
+	ev_run(loop, 0);
+	assert_true(r.read);
+	assert_null(r.record.spec);
+	assert_int_equal(r.record.state, BW_JOB_CANCELLED);
+	assert_string_equal(r.record.tenant, "ada");
+	bw_job_record_clear(&r.record);
+	bw_shortening_destroy(sh);
+	bw_sched_destroy(sched);
+	bw_memstore_destroy(memory);
+	ev_loop_destroy(loop);
+}
+
+static void test_tenant_of_a_job_stays(void **state)
+{
+	static const char id[] = "0000000000000000";
+	bw_sched_t *sched = finished_jobs(5000);
+
+	(void)state;
+	assert_null(bw_sched_job_tenant(sched, id));
+	bw_sched_set_job_tenant(sched, id, NULL);
+	bw_sched_set_job_tenant(sched, id, "ada");
+	bw_sched_set_job_tenant(sched, id, "bo");
+	assert_string_equal(bw_sched_job_tenant(sched, id), "ada");
+	bw_sched_set_job_tenant(sched, "00000000000000ff", "ada");
+	assert_null(bw_sched_job_tenant(sched, "00000000000000ff"));
+	bw_sched_destroy(sched);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_removal),
 		cmocka_unit_test(test_removal_reports_after_its_end),
 		cmocka_unit_test(test_shortening),
+		cmocka_unit_test(test_short_record_keeps_the_tenant),
+		cmocka_unit_test(test_tenant_of_a_job_stays),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/test_watch_cache.c
+++ b/test/test_watch_cache.c
@@ -461,6 +461,41 @@
 	hand_tear_down(&t);
 }
 
+/* Only an answer that shows all changes so far confirms what was reported. */
+static void test_store_confirms_what_was_reported(void **state)
+{
+	bw_store_reply_t lost = { .status = BW_ELOST };
+	hand_test_t t;
+
+	(void)state;
+	hand_set_up(&t);
+	give_page(&t, "a", 3, 10, true);
+	give_event(&t, "a", 11, false);
+	give_page(&t, "b", 4, 12, false);
+	/* The pages showed different times. */
+	assert_int_equal(bw_watch_cache_confirmed_ms(t.cache), 0);
+	t.event(t.event_ctx, &lost);
+	assert_int_equal(bw_watch_cache_confirmed_ms(t.cache), 0);
+	t.event = NULL;
+	while (!t.event)
+		ev_run(t.loop, EVRUN_ONCE);
+	give_event(&t, "b", 13, false);
+	assert_true(bw_watch_cache_confirmed_ms(t.cache) > 0);
+	hand_tear_down(&t);
+}
+
+static void test_read_of_one_page_confirms(void **state)
+{
+	hand_test_t t;
+
+	(void)state;
+	hand_set_up(&t);
+	assert_int_equal(bw_watch_cache_confirmed_ms(t.cache), 0);
+	give_page(&t, "a", 3, 10, false);
+	assert_true(bw_watch_cache_confirmed_ms(t.cache) > 0);
+	hand_tear_down(&t);
+}
+
 /* A history that is gone in the middle of a read starts it again, once. */
 static void test_history_gone_during_a_read_starts_it_again(void **state)
 {
@@ -495,6 +530,8 @@
 		cmocka_unit_test(test_key_written_during_a_read_is_kept),
 		cmocka_unit_test(
 			test_history_gone_during_a_read_starts_it_again),
+		cmocka_unit_test(test_store_confirms_what_was_reported),
+		cmocka_unit_test(test_read_of_one_page_confirms),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
