Scheduler: what a tenant holds of a pool, and its quota

Cause: the lending of caps needs an upper bound of what of a tenant runs in a pool, and a pool must not start beyond its part of the cap. Change: tasks on a worker are added up as they come and go; what earlier owners may have started, tasks that they held, and runs that should not go on are counted while there may be any. A start beyond the quota is passed over, a gang as a whole; an owner without a quota starts nothing of a tenant with a cap. One log line a second at most tells held, need, quota and their age. An ended job of a tenant keeps its tasks while a run of them may go on.

--- a/Makefile
+++ b/Makefile
@@ -68,7 +68,7 @@
 $(SCHED_TESTS): $(BUILD)/test/test_%: $(BUILD)/test/test_%.o $(BUILD)/test/sched_orders.o $(LIB)
 	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS) -lcmocka
 
-HELD_TESTS := $(BUILD)/test/test_held $(BUILD)/test/test_questions
+HELD_TESTS := $(BUILD)/test/test_held $(BUILD)/test/test_questions $(BUILD)/test/test_tenants
 $(HELD_TESTS): $(BUILD)/test/test_%: $(BUILD)/test/test_%.o $(BUILD)/test/held_task.o \
 		$(BUILD)/test/sched_orders.o $(LIB)
 	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS) -lcmocka
--- a/src/base/eventlist.c
+++ b/src/base/eventlist.c
@@ -302,6 +302,15 @@
 				      "its job fails",
 				      "pool job step index run crashes "
 				      "unsure" },
+	[BW_EVENT_SCHED_QUOTA] = { "sched", "quota", BW_EVENT_BELIEF,
+				   "at most once a second: a start was held "
+				   "back, as its tenant's quota is used up; "
+				   "amounts are processor/memory/accelerators, "
+				   "times counts since the last line; "
+				   "quota_age_ms -1: it has none yet",
+				   "pool job tenant held need quota "
+				   "quota_age_ms counted_age_ms unknown "
+				   "times" },
 	[BW_EVENT_CONTROLLER_POOL] = { "controller", "pool", BW_EVENT_BELIEF,
 				       "twice a second: the figures that "
 				       "machine moves depend on",
--- a/src/sched/heartbeat.c
+++ b/src/sched/heartbeat.c
@@ -231,6 +231,8 @@
 		return;
 	}
 	worker->has_orphans = true;
+	worker->unknown_runs |= !task && !sched_is_unreadable(s, row->task.job);
+	sched_tenants_doubt(s);
 	if (task)
 		sched_orphan_listed(worker, task);
 	if (!task && sched_defer_run(s, worker, row, now_ms))
@@ -458,12 +460,14 @@
 }
 
 /* What an earlier owner granted was granted before this contact. */
-static void mark_synced(const bw_sched_t *s, worker_t *worker, int64_t now_ms)
+static void mark_synced(bw_sched_t *s, worker_t *worker, int64_t now_ms)
 {
 	if (worker->synced)
 		return;
 	worker->synced = true;
 	worker->synced_ms = now_ms;
+	if (worker->inherited)
+		sched_tenants_doubt(s);
 	worker->granted_clock_ms =
 		MAX(worker->granted_clock_ms,
 		    worker->clock_ms + s->config.grant_ms_max);
@@ -557,6 +561,7 @@
 		worker->ends_processed = answer->ends[i].number;
 	}
 	worker->has_orphans = false;
+	worker->unknown_runs = false;
 	/* A full list of ends may leave out that one of them is done. */
 	if (!answer->more_ends)
 		sched_orphans_ended(worker);
--- a/src/sched/hold.c
+++ b/src/sched/hold.c
@@ -185,6 +185,36 @@
 		is_held_here(task) ? task->worker->started_ms : hold->boot_ms;
 }
 
+static const task_t *find_held_task(const bw_sched_t *s, const hold_t *hold)
+{
+	const job_t *job = g_hash_table_lookup(s->jobs, hold->job);
+	guint i;
+
+	for (i = 0; job && i < job->occurrences->len; i++) {
+		const occurrence_t *occurrence =
+			g_ptr_array_index(job->occurrences, i);
+
+		if (occurrence->number == hold->occurrence &&
+		    hold->number < occurrence->task_count)
+			return &occurrence->tasks[hold->number];
+	}
+	return NULL;
+}
+
+void sched_holds_each(const bw_sched_t *s,
+		      void (*fn)(void *ctx, const task_t *task), void *ctx)
+{
+	guint i;
+
+	for (i = 0; i < s->holds->len; i++) {
+		const hold_t *hold = g_ptr_array_index(s->holds, i);
+		const task_t *task = find_held_task(s, hold);
+
+		if (task && !task->worker && !hold->ended)
+			fn(ctx, task);
+	}
+}
+
 bool sched_holds_for(const bw_sched_t *s, const worker_t *worker)
 {
 	guint i;
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -11,6 +11,7 @@
 #include "sched/resend.h"
 #include "sched/sched.h"
 #include "sched/start_window.h"
+#include "sched/tenant.h"
 #include "wire/record.pb-c.h"
 
 /** A start whose call failed is stopped unless the run is listed by then. */
@@ -211,6 +212,7 @@
 struct job {
 	char id[BW_JOB_ID_CHARS + 1];
 	queue_t *queue;
+	tenant_t *tenant; /**< NULL: nobody's. */
 	bw_job_spec_t *spec; /**< NULL once finished. */
 	bw_job_state_t state;
 	uint64_t finished_version; /**< First version that has its end; 0: not
@@ -263,6 +265,8 @@
 			and ends. */
 	bool has_orphans; /**< Runs tasks that it should not run; their resource
 			       use is unknown. */
+	bool unknown_runs; /**< Runs tasks of which nobody knows whose they
+			      are. */
 	bool heartbeat_pending; /**< A heartbeat is not answered yet. */
 	bool fence_outdated; /**< Orders to its earlier boot had the same. */
 	bool boot_unsure; /**< The last heartbeat failed, so the worker may have
@@ -351,6 +355,7 @@
 	GHashTable *crashed_machines; /**< Name to the time of a crash. */
 	GPtrArray *lapses; /**< Runs whose grant expired on silent workers. */
 	GPtrArray *holds; /**< Tasks that an earlier owner held. */
+	tenants_t *tenants;
 	isolation_view_t isolation;
 	capacity_index_t *index; /**< Workers by free processor. */
 	bw_start_window_t *start_window; /**< Bounds starts in flight. */
@@ -437,7 +442,7 @@
 void sched_job_free(gpointer data);
 queue_t *sched_queue(bw_sched_t *s, const char *name);
 occurrence_t *sched_occurrence_new(job_t *job, uint32_t number, int64_t due_ms);
-task_t *sched_find_task(bw_sched_t *s, const bw_task_name_t *name);
+task_t *sched_find_task(const bw_sched_t *s, const bw_task_name_t *name);
 /** The same for a task that a worker reports: an occurrence that is not due
  * here yet was due for an earlier owner, and is created. */
 task_t *sched_reported_task(bw_sched_t *s, const bw_task_name_t *name,
@@ -541,6 +546,10 @@
 /** Holds a task that is on its worker, or ends that; a successor has to know of
  *  it. */
 void sched_set_held(bw_sched_t *s, task_t *task, bool held);
+/** Calls a function for each task that an earlier owner held, unless its run
+ * has certainly ended. */
+void sched_holds_each(const bw_sched_t *s,
+		      void (*fn)(void *ctx, const task_t *task), void *ctx);
 /** Whether an earlier owner held a task for a worker's end. */
 bool sched_holds_for(const bw_sched_t *s, const worker_t *worker);
 /** Records that a worker has listed the run of a task, or its end. */
--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -20,7 +20,7 @@
 static void step_state_clear(step_state_t *state);
 static void learn_duration(task_t *task, int64_t now_ms);
 static bool occurrence_exists(const job_t *job, uint32_t number);
-static void create_due(const bw_sched_t *s, job_t *job, int64_t now_ms,
+static void create_due(bw_sched_t *s, job_t *job, int64_t now_ms,
 		       int64_t wall_ms);
 
 queue_t *sched_queue(bw_sched_t *s, const char *name)
@@ -209,7 +209,7 @@
 		occurrence->due_ms + DEADLINE_FACTOR * objective_ms;
 }
 
-task_t *sched_find_task(bw_sched_t *s, const bw_task_name_t *name)
+task_t *sched_find_task(const bw_sched_t *s, const bw_task_name_t *name)
 {
 	job_t *job = g_hash_table_lookup(s->jobs, name->job);
 	guint i;
@@ -376,10 +376,12 @@
 }
 
 /* Releases finished occurrences that run nowhere; true if none remains. */
-static bool reap_occurrences(job_t *job)
+static bool reap_occurrences(const bw_sched_t *s, job_t *job)
 {
 	guint i = job->occurrences->len;
 
+	if (sched_tenants_keep(s, job))
+		return false;
 	while (i-- > 0) {
 		const occurrence_t *occurrence =
 			g_ptr_array_index(job->occurrences, i);
@@ -398,7 +400,7 @@
 	while (i-- > 0) {
 		job_t *job = g_ptr_array_index(s->ending, i);
 
-		if (!reap_occurrences(job))
+		if (!reap_occurrences(s, job))
 			continue;
 		g_clear_pointer(&job->spec, bw_job_spec_free);
 		g_ptr_array_remove_index_fast(s->ending, i);
@@ -434,7 +436,7 @@
 	}
 }
 
-static void create_due(const bw_sched_t *s, job_t *job, int64_t now_ms,
+static void create_due(bw_sched_t *s, job_t *job, int64_t now_ms,
 		       int64_t wall_ms)
 {
 	bool unsure = !s->first_owner && !s->handed_over && !s->recovered;
@@ -452,8 +454,10 @@
 				job, job->next_occurrence,
 				now_ms - (wall_ms - due_ms));
 
-			if (unsure)
+			if (unsure) {
 				mark_occurrence(occurrence);
+				sched_tenants_doubt(s);
+			}
 		}
 		job->next_occurrence++;
 		created++;
@@ -470,7 +474,7 @@
 
 		if (job->spec->repeats == 0)
 			continue;
-		reap_occurrences(job);
+		reap_occurrences(s, job);
 		create_due(s, job, now_ms, wall_ms);
 	}
 }
@@ -532,10 +536,14 @@
 	bool was_unreadable = g_hash_table_remove(s->unreadable, id);
 
 	if (job) {
+		/* The short record of one that has ended has none. */
+		if (!job->tenant && !job->spec)
+			job->tenant = sched_tenant(s, record->tenant);
 		sched_note_revision(s, job, record->revision);
 		return;
 	}
 	job = sched_job_new(s, id, record->queue);
+	job->tenant = sched_tenant(s, record->tenant);
 	job->revision = record->revision;
 	/* The configuration has dropped the queue since. */
 	if (record->has_terms && !job->queue->configured)
@@ -552,6 +560,8 @@
 		mark_maybe_running(job);
 	else if (sched_maybe_foreign(s, job))
 		mark_foreign(job);
+	if (!s->recovered)
+		sched_tenants_doubt(s);
 	sched_confirm_job(s, job, now_ms);
 	sched_log(s, BW_EVENT_SCHED_JOB,
 		  "job=%s queue=%s tasks=%u repeats=%u lasting=%d"
--- a/src/sched/order.c
+++ b/src/sched/order.c
@@ -21,6 +21,7 @@
 	task->accepted_ms = 0;
 	g_ptr_array_add(worker->tasks, task);
 	add_usage(worker, task, 1);
+	sched_tenant_hold(task, 1);
 }
 
 void sched_detach(task_t *task)
@@ -35,6 +36,7 @@
 	task->start_due = false;
 	sched_end_trial(task);
 	add_usage(worker, task, -1);
+	sched_tenant_hold(task, -1);
 	g_ptr_array_remove_fast(worker->tasks, task);
 	task->worker = NULL;
 }
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -482,6 +482,10 @@
 	}
 	if (!bw_start_window_open(s->start_window))
 		return true;
+	if (!sched_quota_allows(s, occurrence->job,
+				&occurrence->job->spec->steps[step], count,
+				now_ms))
+		return true;
 	for (i = 0; i < count; i++) {
 		if (!task_startable(s, &tasks[i], now_ms))
 			return true;
@@ -539,6 +543,8 @@
 
 		if (!task_startable(s, task, now_ms))
 			continue;
+		if (!sched_quota_allows(s, occurrence->job, spec, 1, now_ms))
+			return true;
 		worker = pick_worker(s, task, now_ms);
 		if (!worker && sched_is_suspect(task))
 			continue;
@@ -680,6 +686,7 @@
 
 	promote_last_chances(s, list);
 	sched_isolation_changed(s);
+	sched_tenants_count(s, now_ms);
 	for (i = 0; i < list->len; i++) {
 		occurrence_t *occurrence =
 			g_array_index(list, candidate_t, i).occurrence;
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -86,6 +86,7 @@
 	sched_crashes_init(s);
 	sched_isolation_init(s);
 	sched_holds_init(s);
+	s->tenants = sched_tenants_create();
 	s->index = sched_index_create();
 	s->start_window = bw_start_window_create(BW_ORDER_TIMEOUT_MS);
 	s->resend = bw_resend_create(BW_ORDER_TIMEOUT_MS);
@@ -124,6 +125,7 @@
 	sched_crashes_clear(s);
 	sched_isolation_clear(s);
 	sched_holds_clear(s);
+	sched_tenants_destroy(s->tenants);
 	g_hash_table_destroy(s->startable);
 	sched_index_destroy(s->index);
 	bw_start_window_destroy(s->start_window);
@@ -334,6 +336,7 @@
 	g_hash_table_iter_init(&iter, s->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		add_worker_stats(value, out);
+	out->quota_refusals = s->tenants->refused;
 	out->jobs_active = s->active->len;
 	for (i = 0; i < s->active->len; i++) {
 		const job_t *job = g_ptr_array_index(s->active, i);
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -217,6 +217,7 @@
 	uint32_t workers_usable;
 	bw_resources_t capacity;
 	bw_resources_t used;
+	uint64_t quota_refusals; /**< Starts that a quota held back. */
 } bw_sched_stats_t;
 
 bw_sched_t *bw_sched_create(const bw_sched_config_t *config,
@@ -244,6 +245,10 @@
 			  void (*fn)(void *ctx, const bw_tenant_use_t *use),
 			  void *ctx);
 
+/** Returns the name of a job's tenant, also of one that has ended; NULL: it has
+ *  none, or is not known. An end that an earlier owner has stored has none. */
+const char *bw_sched_job_tenant(const bw_sched_t *s, const char *id);
+
 /** Records that a save has failed: the pool may have another owner. */
 void bw_sched_save_failed(bw_sched_t *s);
 
