--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -217,6 +217,7 @@
 	uint32_t workers_usable;
 	bw_resources_t capacity;
 	bw_resources_t used;
+	uint64_t quota_refusals; /**< Starts that a quota held back. */
 } bw_sched_stats_t;
 
 bw_sched_t *bw_sched_create(const bw_sched_config_t *config,
@@ -244,6 +245,10 @@
 			  void (*fn)(void *ctx, const bw_tenant_use_t *use),
 			  void *ctx);
 
+/** Returns the name of a job's tenant, also of one that has ended; NULL: it has
+ *  none, or is not known. */
+const char *bw_sched_job_tenant(const bw_sched_t *s, const char *id);
+
 /** Records that a save has failed: the pool may have another owner. */
 void bw_sched_save_failed(bw_sched_t *s);
 
@@ -285,10 +290,6 @@
 /** Sets whose job a known job is, from its record; it stays whose it is. */
 void bw_sched_set_job_tenant(bw_sched_t *s, const char *id, const char *tenant);
 
-/** Returns whose job a job is, owned by the scheduler; NULL: nobody's, or there
- *  is no such job. */
-const char *bw_sched_job_tenant(const bw_sched_t *s, const char *id);
-
 /**
  * Notes a stored job whose record this version can't read. It is left to an
  * owner that can: its runs go on, their ends stay unacknowledged and its
