Scheduler: a task waits for a place near its data as long as that pays

A task whose data is in another rack takes slowdown_factor times as long, and a gang that wants one rack as well; a task took any worker at once when its rack was full, and gangs were spread whatever they asked for. Now it waits while the expected time until a place there costs the job less than running elsewhere, and in a full pool what the longer run takes from the others (src/sched/wait.c; setting limits.remote_factor, absent as before). The wait follows from what runs now and from the job's own times, and ends while the job can still be in time elsewhere.

--- a/src/fleet/pool.c
+++ b/src/fleet/pool.c
@@ -56,6 +56,7 @@
 		.retention_ms = settings->retention_ms,
 		.removed_ms = DATA_AGE_MAX_MS,
 		.confirm_ms = CONFIRM_MS,
+		.remote_factor = (double)settings->remote_factor_milli / 1000.0,
 		.fence = (uint64_t)pool->fence,
 	};
 
--- a/src/fleet/settings.c
+++ b/src/fleet/settings.c
@@ -13,6 +13,8 @@
 #define FRACTION_MAX_MILLI ((int64_t)1000000000)
 /** Processor speed that counts when none is given: one core. */
 #define ONE_CORE_MILLIS 1000
+/** A task is as fast on each rack when nothing else is given. */
+#define NOT_SLOWER_MILLI 1000
 #define TEXT(path, kind, field, required)                                      \
 	{                                                                      \
 		path, kind, offsetof(bw_fleet_settings_t, field), 0, 0, 0,     \
@@ -50,6 +52,7 @@
 	NUMBER("platform.lease_min_ms", lease_min_ms, 1, DAY_MS, 1000),
 	NUMBER("limits.grant_max_ms", grant_max_ms, 500, DAY_MS, 6000),
 	NUMBER("limits.stop_ms", stop_ms, 1, DAY_MS, 400),
+	FRACTION("limits.remote_factor", remote_factor_milli, NOT_SLOWER_MILLI),
 	NUMBER("limits.holder_ms", holder_ms, 0, DAY_MS, 3000),
 	NUMBER("limits.log_bytes_s", log_bytes_s, 4096, 1 << 30, 262144),
 	SECONDS("limits.keep_s", retention_ms, 120000),
--- a/src/fleet/settings.h
+++ b/src/fleet/settings.h
@@ -27,6 +27,9 @@
 	int64_t lease_min_ms; /**< Shortest lease that the store grants. */
 	int64_t grant_max_ms; /**< Longest grant that workers accept. */
 	int64_t stop_ms; /**< A worker stops a task within this time. */
+	/** A task takes this many times as long away from its rack, in
+	 *  thousandths; 1,000: no longer. */
+	int64_t remote_factor_milli;
 	int64_t retention_ms; /**< How long finished jobs are kept. */
 	/** Least time between orders of two controllers to a machine. */
 	int64_t holder_ms;
--- a/src/sched/capacity_index.c
+++ b/src/sched/capacity_index.c
@@ -144,6 +144,23 @@
 	return rack ? g_hash_table_lookup(index->racks, rack) : NULL;
 }
 
+static gint compare_names(gconstpointer a, gconstpointer b, gpointer data)
+{
+	(void)data;
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+const char **sched_index_racks(const capacity_index_t *index)
+{
+	guint count;
+	const char **racks = (const char **)g_hash_table_get_keys_as_array(
+		index->racks, &count);
+
+	g_qsort_with_data(racks, (gint)count, sizeof(*racks), compare_names,
+			  NULL);
+	return racks;
+}
+
 worker_t *sched_index_search(GTree *tree, placement_class_t class,
 			     int64_t need_millis,
 			     bool (*fn)(void *ctx, worker_t *worker), void *ctx)
--- a/src/sched/heartbeat.c
+++ b/src/sched/heartbeat.c
@@ -171,6 +171,7 @@
 	task->ready = row->progress == 100;
 	sched_mark_started(s, task);
 	sched_attach(task, worker);
+	sched_note_place(task);
 	task->crash_open = false;
 	task->ready_since_ms = 0;
 	task->stop_possible_until_ms = 0;
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -65,6 +65,7 @@
 typedef struct occurrence occurrence_t;
 typedef struct worker worker_t;
 typedef struct capacity_index capacity_index_t;
+typedef struct near_view near_view_t;
 
 /** Preference of a worker for placement; the lowest class is used first. */
 typedef enum placement_class {
@@ -142,6 +143,8 @@
 	int64_t next_search_ms; /**< Of such a worker. */
 	int64_t ready_since_ms; /**< Lasting task: of this run; 0: not ready. */
 	uint32_t run; /**< Number of the last start. */
+	bool away; /**< That run is not near its data or its gang, and takes
+		      longer. */
 	uint32_t failures;
 	/** Last runs counted as failures; their ends may be reported again. */
 	uint32_t failed_runs[FAILED_RUNS_KEPT];
@@ -352,6 +355,7 @@
 	GPtrArray *lapses; /**< Runs whose grant expired on silent workers. */
 	GPtrArray *holds; /**< Tasks that an earlier owner held. */
 	isolation_view_t isolation;
+	near_view_t *near; /**< Of the racks that tasks wait for. */
 	capacity_index_t *index; /**< Workers by free processor. */
 	bw_start_window_t *start_window; /**< Bounds starts in flight. */
 	bw_resend_t *resend; /**< Bounds orders that are sent again. */
@@ -481,6 +485,9 @@
 GTree *sched_index_by_label(const capacity_index_t *index, const char *label);
 /** Returns the workers in a rack; NULL if there are none. */
 GTree *sched_index_by_rack(const capacity_index_t *index, const char *rack);
+/** Returns the names of all racks, sorted, up to NULL; release the array with
+ *  g_free(). */
+const char **sched_index_racks(const capacity_index_t *index);
 /**
  * Searches the workers of a class that have enough free processor, starting
  * with the least free processor.
@@ -755,7 +762,37 @@
 /** Drops all tickets for a worker: they were valid until it restarted. */
 void sched_forget_tickets(bw_sched_t *s, const worker_t *worker);
 
+/* wait.c */
+near_view_t *sched_near_create(void);
+void sched_near_destroy(near_view_t *near);
+/** To be called before tasks are placed: what was expected may have changed. */
+void sched_near_changed(bw_sched_t *s);
+/** Records whether a task's worker is away from its data or its gang. */
+void sched_note_place(task_t *task);
+/** Returns how many times as long a task's run takes, by its place. */
+double sched_run_factor(const bw_sched_t *s, const task_t *task);
+/**
+ * Decides whether a task rather waits for a place near its data, which is set
+ * aside for the rest of the pass.
+ * @param worker where it could start now
+ */
+bool sched_wait_pays(bw_sched_t *s, const task_t *task, const worker_t *worker,
+		     int64_t now_ms);
+/** Returns whether a gang of waiting tasks is to start on one rack. */
+bool sched_wants_one_rack(const bw_sched_t *s, const task_t *tasks,
+			  uint32_t count);
+/**
+ * The same decision as sched_wait_pays() for a gang that fits on no rack now.
+ * @param racks names of those that suit it, up to NULL
+ */
+bool sched_gang_wait_pays(bw_sched_t *s, const task_t *tasks, uint32_t count,
+			  const char *const *racks, int64_t now_ms);
+
 /* place.c */
+/** Returns whether a worker may run a task, apart from its resources. */
+bool sched_suits(const worker_t *worker, const task_t *task, int64_t now_ms);
+/** Returns the processor of all tasks that could start now. */
+int64_t sched_startable_millis(const bw_sched_t *s);
 /** Returns whether a worker has the resources for a task and may run it. */
 bool sched_is_allowed(const worker_t *worker, const task_t *task,
 		      int64_t now_ms);
--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -18,7 +18,8 @@
 static void occurrence_free(gpointer data);
 
 static void step_state_clear(step_state_t *state);
-static void learn_duration(task_t *task, int64_t now_ms);
+static void learn_duration(const bw_sched_t *s, const task_t *task,
+			   int64_t now_ms);
 static bool occurrence_exists(const job_t *job, uint32_t number);
 static void create_due(const bw_sched_t *s, job_t *job, int64_t now_ms,
 		       int64_t wall_ms);
@@ -266,11 +267,13 @@
 	task->percent = 100;
 }
 
-static void learn_duration(task_t *task, int64_t now_ms)
+static void learn_duration(const bw_sched_t *s, const task_t *task,
+			   int64_t now_ms)
 {
 	queue_t *queue = task->occurrence->job->queue;
 	const bw_step_spec_t *step = sched_task_step(task);
-	double duration_ms = (double)(now_ms - task->start_answered_ms);
+	double duration_ms = (double)(now_ms - task->start_answered_ms) /
+			     sched_run_factor(s, task);
 	double ratio;
 
 	if (step->lasting || task->start_answered_ms <= 0 || task->checkpoint)
@@ -289,7 +292,7 @@
 	occurrence_t *occurrence = task->occurrence;
 	step_state_t *state = sched_step_state(task);
 
-	learn_duration(task, now_ms);
+	learn_duration(s, task, now_ms);
 	if (task->start_answered_ms > 0)
 		state->longest_run_ms = MAX(state->longest_run_ms,
 					    now_ms - task->start_answered_ms);
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -194,13 +194,10 @@
 	       g_strv_contains((const gchar *const *)worker->labels, label);
 }
 
-bool sched_is_allowed(const worker_t *worker, const task_t *task,
-		      int64_t now_ms)
+bool sched_suits(const worker_t *worker, const task_t *task, int64_t now_ms)
 {
 	const bw_step_spec_t *spec = sched_task_step(task);
 
-	if (!fits(&spec->need, worker, spec->filler))
-		return false;
 	if (spec->label && !has_label(worker, spec->label))
 		return false;
 	if (sched_is_on_trial(worker, task))
@@ -212,6 +209,15 @@
 	       sched_ticket(task, worker, now_ms) != NULL;
 }
 
+bool sched_is_allowed(const worker_t *worker, const task_t *task,
+		      int64_t now_ms)
+{
+	const bw_step_spec_t *spec = sched_task_step(task);
+
+	return fits(&spec->need, worker, spec->filler) &&
+	       sched_suits(worker, task, now_ms);
+}
+
 /* Whether a filler would share the worker with a latency-bound task. */
 static bool interferes(const worker_t *worker, const bw_step_spec_t *spec)
 {
@@ -349,6 +355,7 @@
 {
 	sched_step_state(task)->waiting--;
 	task->state = TASK_STARTING;
+	sched_note_place(task);
 	task->run = run;
 	task->hidden_runs += task->run_missed;
 	task->run_missed = false;
@@ -464,6 +471,68 @@
 	sched_isolation_changed(s);
 }
 
+/* Returns a worker in a rack that a member of a gang fits on; NULL: none. */
+static worker_t *pick_in_rack(bw_sched_t *s, const task_t *task,
+			      const char *rack, int64_t now_ms)
+{
+	const bw_step_spec_t *spec = sched_task_step(task);
+	search_t search = { .s = s, .task = task, .now_ms = now_ms };
+
+	return sched_index_search(sched_index_by_rack(s->index, rack),
+				  PLACEMENT_NORMAL, spec->need.cpu_millis,
+				  is_suitable, &search);
+}
+
+/* Takes the room for all members of a gang or for none; false if one has none.
+ * Without a rack they may be on any. */
+static bool hold_members(bw_sched_t *s, task_t *tasks, uint32_t count,
+			 const char *rack, int64_t now_ms)
+{
+	uint32_t placed;
+
+	for (placed = 0; placed < count; placed++) {
+		task_t *task = &tasks[placed];
+		worker_t *worker = rack ? pick_in_rack(s, task, rack, now_ms)
+					: pick_worker(s, task, now_ms);
+
+		if (!worker)
+			break;
+		hold_room(s, task, worker);
+	}
+	if (placed == count)
+		return true;
+	give_back_room(s, tasks, placed);
+	return false;
+}
+
+/* Takes the room for a gang that is slower over several racks, unless it waits
+ * for room on one. */
+static bool hold_near_members(bw_sched_t *s, task_t *tasks, uint32_t count,
+			      int64_t now_ms)
+{
+	const bw_step_spec_t *spec = sched_task_step(tasks);
+	const char *own[] = { spec->rack, NULL };
+	const char **all = sched_index_racks(s->index);
+	const char *const *racks = spec->rack ? own : all;
+	bool held = false;
+	uint32_t i;
+
+	for (i = 0; racks[i] && !held; i++)
+		held = hold_members(s, tasks, count, racks[i], now_ms);
+	if (!held && !sched_gang_wait_pays(s, tasks, count, racks, now_ms))
+		held = hold_members(s, tasks, count, NULL, now_ms);
+	g_free(all);
+	return held;
+}
+
+static bool hold_gang(bw_sched_t *s, task_t *tasks, uint32_t count,
+		      int64_t now_ms)
+{
+	if (sched_wants_one_rack(s, tasks, count))
+		return hold_near_members(s, tasks, count, now_ms);
+	return hold_members(s, tasks, count, NULL, now_ms);
+}
+
 /* Starts all tasks of a gang or none; false if there was no worker for one. */
 static bool place_gang(bw_sched_t *s, occurrence_t *occurrence, uint32_t step,
 		       int64_t now_ms)
@@ -472,7 +541,6 @@
 	uint32_t count = occurrence->job->spec->steps[step].count;
 	task_t *tasks = &occurrence->tasks[state->first_task];
 	uint32_t run = 0;
-	uint32_t placed;
 	uint32_t i;
 
 	if (state->waiting < count) {
@@ -487,17 +555,8 @@
 			return true;
 		run = MAX(run, next_run(s, &tasks[i]));
 	}
-	for (placed = 0; placed < count; placed++) {
-		worker_t *worker = pick_worker(s, &tasks[placed], now_ms);
-
-		if (!worker)
-			break;
-		hold_room(s, &tasks[placed], worker);
-	}
-	if (placed < count) {
-		give_back_room(s, tasks, placed);
+	if (!hold_gang(s, tasks, count, now_ms))
 		return false;
-	}
 	sched_isolation_changed(s);
 	share_checkpoint(tasks, count);
 	for (i = 0; i < count; i++) {
@@ -544,6 +603,8 @@
 			continue;
 		if (!worker)
 			return false;
+		if (sched_wait_pays(s, task, worker, now_ms))
+			continue;
 		hold_room(s, task, worker);
 		begin_run(task, next_run(s, task), now_ms);
 		order_start(s, task, now_ms);
@@ -590,6 +651,18 @@
 	return millis;
 }
 
+int64_t sched_startable_millis(const bw_sched_t *s)
+{
+	GHashTableIter iter;
+	gpointer key;
+	int64_t millis = 0;
+
+	g_hash_table_iter_init(&iter, s->startable);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		millis += startable_millis(key);
+	return millis;
+}
+
 /* Returns how long the pool would need for the waiting jobs that are in time.
  */
 static double on_time_backlog_ms(const bw_sched_t *s, const GArray *list)
@@ -680,6 +753,7 @@
 
 	promote_last_chances(s, list);
 	sched_isolation_changed(s);
+	sched_near_changed(s);
 	for (i = 0; i < list->len; i++) {
 		occurrence_t *occurrence =
 			g_array_index(list, candidate_t, i).occurrence;
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -86,6 +86,7 @@
 	sched_crashes_init(s);
 	sched_isolation_init(s);
 	sched_holds_init(s);
+	s->near = sched_near_create();
 	s->index = sched_index_create();
 	s->start_window = bw_start_window_create(BW_ORDER_TIMEOUT_MS);
 	s->resend = bw_resend_create(BW_ORDER_TIMEOUT_MS);
@@ -125,6 +126,7 @@
 	sched_isolation_clear(s);
 	sched_holds_clear(s);
 	g_hash_table_destroy(s->startable);
+	sched_near_destroy(s->near);
 	sched_index_destroy(s->index);
 	bw_start_window_destroy(s->start_window);
 	bw_resend_destroy(s->resend);
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -40,6 +40,10 @@
 	 *  saves are slow. So does each task whose run was taken for gone
 	 *  without its end. 0: none waits. */
 	int64_t confirm_ms;
+	/** A task away from the rack of its data, or a gang over several racks
+	 *  that wants one, takes this many times as long. Up to 1: no longer,
+	 *  and none waits for such a place. */
+	double remote_factor;
 } bw_sched_config_t;
 
 /** A queue, from the configuration. */
--- a/test/sched_orders.c
+++ b/test/sched_orders.c
@@ -93,7 +93,7 @@
 	.superseded = on_superseded,
 };
 
-void orders_begin_confirming(orders_t *o, int64_t confirm_ms)
+static void begin(orders_t *o, int64_t confirm_ms, double remote_factor)
 {
 	bw_sched_config_t config = { .grant_ms = 5000,
 				     .grant_ms_max = 5000,
@@ -103,15 +103,27 @@
 				     .retention_ms = 120000,
 				     .removed_ms = 30000,
 				     .confirm_ms = confirm_ms,
+				     .remote_factor = remote_factor,
 				     .fence = 7 };
 	bw_queue_config_t queue = { "q", { 0, 3, 1.6, 600, false } };
 
 	memset(o, 0, sizeof(*o));
 	o->now_ms = 1000;
+	o->remote_factor = remote_factor;
 	o->sched = bw_sched_create(&config, &orders_ops, o, o->now_ms);
 	bw_sched_set_queue(o->sched, &queue);
 }
 
+void orders_begin_confirming(orders_t *o, int64_t confirm_ms)
+{
+	begin(o, confirm_ms, 0.0);
+}
+
+void orders_begin_remote(orders_t *o, double remote_factor)
+{
+	begin(o, 0, remote_factor);
+}
+
 void orders_begin(orders_t *o)
 {
 	orders_begin_confirming(o, 0);
@@ -196,7 +208,7 @@
 	uint8_t *data = bw_sched_pack(before->sched, &bytes);
 
 	bw_sched_destroy(before->sched);
-	orders_begin(o);
+	orders_begin_remote(o, before->remote_factor);
 	assert_int_equal(bw_sched_load(o->sched, o->now_ms, data, bytes),
 			 BW_OK);
 	g_free(data);
--- a/test/sched_orders.h
+++ b/test/sched_orders.h
@@ -47,6 +47,7 @@
 	uint32_t advice_count; /**< Workers that the last one named. */
 	char advised[ADVISED_MAX][16]; /**< The same: their identifiers. */
 	int64_t now_ms;
+	double remote_factor; /**< Setting; 0: none. */
 } orders_t;
 
 /** Callbacks that record the orders in an orders_t. */
@@ -58,6 +59,9 @@
 /** The same; a job that arrives longer after the last save waits. */
 void orders_begin_confirming(orders_t *o, int64_t confirm_ms);
 
+/** The same; tasks away from their rack take this many times as long. */
+void orders_begin_remote(orders_t *o, double remote_factor);
+
 /** The same with one worker, w1, in its stored state. */
 void orders_begin_with_worker(orders_t *o);
 
