--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -778,6 +778,10 @@
  */
 bool sched_wait_pays(bw_sched_t *s, const task_t *task, const worker_t *worker,
 		     int64_t now_ms);
+/** Returns whether tasks wait for a place in any rack, or in a worker's: others
+ *  rather start elsewhere. */
+bool sched_any_waited_for(const bw_sched_t *s);
+bool sched_is_waited_for(const bw_sched_t *s, const worker_t *worker);
 /** Returns whether a gang of waiting tasks is to start on one rack. */
 bool sched_wants_one_rack(const bw_sched_t *s, const task_t *tasks,
 			  uint32_t count);
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -291,6 +291,7 @@
 	bw_sched_t *s;
 	const task_t *task;
 	int64_t now_ms;
+	bool spares_waited; /**< Not in a rack that others wait for. */
 	worker_t *fallback; /**< Suitable, but the task failed on it last. */
 } search_t;
 
@@ -301,12 +302,33 @@
 	if (!sched_worker_usable(search->s, worker, search->now_ms) ||
 	    !sched_is_allowed(worker, search->task, search->now_ms))
 		return false;
+	if (search->spares_waited && sched_is_waited_for(search->s, worker))
+		return false;
 	if (search->task->failed_worker != worker->number)
 		return true;
 	search->fallback = worker;
 	return false;
 }
 
+/* Searches among workers of a class, first outside the racks that tasks wait
+ * for. */
+static worker_t *search_sparing(search_t *search, GTree *tree,
+				placement_class_t class)
+{
+	int64_t need_millis = sched_task_step(search->task)->need.cpu_millis;
+	worker_t *worker = NULL;
+
+	if (sched_any_waited_for(search->s)) {
+		search->spares_waited = true;
+		worker = sched_index_search(tree, class, need_millis,
+					    is_suitable, search);
+		search->spares_waited = false;
+	}
+	return worker ? worker
+		      : sched_index_search(tree, class, need_millis,
+					   is_suitable, search);
+}
+
 /*
  * Returns the worker with the least free processor that a task fits on, if
  * possible in the rack of its data; NULL if there is none.
@@ -330,9 +352,8 @@
 			same_rack, (placement_class_t) class,
 			spec->need.cpu_millis, is_suitable, &search);
 		if (!worker)
-			worker = sched_index_search(
-				all, (placement_class_t) class,
-				spec->need.cpu_millis, is_suitable, &search);
+			worker = search_sparing(&search, all,
+						(placement_class_t) class);
 	}
 	if (!worker)
 		worker = search.fallback;
--- a/src/sched/wait.c
+++ b/src/sched/wait.c
@@ -29,9 +29,11 @@
 	bw_resources_t reserved; /**< For tasks that were told to wait. */
 } near_worker_t;
 
-/** What is expected of the racks that tasks wait for, in one pass. */
+/** What is expected of the racks that tasks may wait for, in one pass. */
 struct near_view {
 	GHashTable *racks; /**< Name to a GArray of near_worker_t. */
+	GHashTable *waited; /**< Names of those that tasks wait for. */
+	GHashTable *waited_before; /**< The same in the last pass. */
 	bool measured; /**< The next two are known. */
 	double pressure; /**< Waiting work that finds no room, in poolfuls; up
 			      to 1. */
@@ -54,19 +56,45 @@
 
 	near->racks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					    (GDestroyNotify)g_array_unref);
+	near->waited =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	near->waited_before =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return near;
 }
 
 void sched_near_destroy(near_view_t *near)
 {
 	g_hash_table_destroy(near->racks);
+	g_hash_table_destroy(near->waited);
+	g_hash_table_destroy(near->waited_before);
 	g_free(near);
 }
 
 void sched_near_changed(bw_sched_t *s)
 {
-	g_hash_table_remove_all(s->near->racks);
-	s->near->measured = false;
+	near_view_t *near = s->near;
+	GHashTable *waited = near->waited;
+
+	g_hash_table_remove_all(near->racks);
+	near->measured = false;
+	near->waited = near->waited_before;
+	near->waited_before = waited;
+	g_hash_table_remove_all(near->waited);
+}
+
+bool sched_any_waited_for(const bw_sched_t *s)
+{
+	return g_hash_table_size(s->near->waited) +
+		       g_hash_table_size(s->near->waited_before) >
+	       0;
+}
+
+bool sched_is_waited_for(const bw_sched_t *s, const worker_t *worker)
+{
+	return worker->rack &&
+	       (g_hash_table_contains(s->near->waited, worker->rack) ||
+		g_hash_table_contains(s->near->waited_before, worker->rack));
 }
 
 static void near_worker_clear(gpointer data)
@@ -406,6 +434,7 @@
 		return false;
 	add_room(&first.place->reserved, &spec->need);
 	plan_end(first.place, task, first.at_ms);
+	g_hash_table_add(s->near->waited, g_strdup(spec->rack));
 	return true;
 }
 
@@ -485,5 +514,6 @@
 	if (!best)
 		return false;
 	g_hash_table_replace(s->near->racks, g_strdup(best), best_places);
+	g_hash_table_add(s->near->waited, g_strdup(best));
 	return true;
 }
