--- a/src/base/eventlist.c
+++ b/src/base/eventlist.c
@@ -160,6 +160,12 @@
 					    "an order to throttle a task "
 					    "failed",
 					    "worker result" },
+	[BW_EVENT_POOL_QUOTAS] = { "pool", "quotas", BW_EVENT_BELIEF,
+				   "an order of the lender for the pool's "
+				   "quotas was applied (0), or refused: it is "
+				   "for another owner (1), or of an earlier "
+				   "lender (2), or a later one was applied (3)",
+				   "pool lender number tenants result" },
 	[BW_EVENT_POOL_STOP] = { "pool", "stop", BW_EVENT_REQUEST,
 				 "an order to stop a run was sent",
 				 "job step index run worker" },
@@ -311,6 +317,26 @@
 					"an order to move a machine was "
 					"answered",
 					"machine from to result" },
+	[BW_EVENT_CONTROLLER_LENDER] = { "controller", "lender",
+					 BW_EVENT_SELDOM,
+					 "the lender of tenants' caps may "
+					 "raise "
+					 "quotas, or waits for pools that have "
+					 "not reported to it",
+					 "fence lends awaited tenants" },
+	[BW_EVENT_CONTROLLER_CAP] = { "controller", "cap", BW_EVENT_BELIEF,
+				      "the lender learned that a tenant's cap "
+				      "was raised, lowered or removed; 0 is no "
+				      "limit",
+				      "tenant cpu_millis mem_mb gpus" },
+	[BW_EVENT_CONTROLLER_CAP_EXCEEDED] = { "controller", "cap-exceeded",
+					       BW_EVENT_BELIEF,
+					       "tasks that must start together "
+					       "exceed their tenant's whole "
+					       "cap; they wait until nothing "
+					       "else of the tenant runs",
+					       "tenant pool cpu_millis mem_mb "
+					       "gpus" },
 	[BW_EVENT_UPKEEP_WAVE] = { "upkeep", "wave", BW_EVENT_SELDOM,
 				   "the controller learned of a maintenance "
 				   "wave",
