Wire the lender of tenants' caps into the fleet

Cause: the lender and the owners' side decide, but nothing ran them. Change: the node with the controller's role lends; the role is claimed also without an interface to machines, if a tenant has a cap. Owners report to it and pass its orders to their schedulers. An owner starts its side once it has read all claims that are older than its own, so that it obeys no lender before the last one; a lender counts no owner whose claim is older than one that it has read. Without tenants with caps nothing is sent.

--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -25,6 +25,7 @@
 	[BW_MC_STORE_REPEATS] = "bramley_store_repeats_total",
 	[BW_MC_RETRIES] = "bramley_store_retries_total",
 	[BW_MC_OWNERSHIP] = "bramley_ownership_changes_total",
+	[BW_MC_QUOTA_ORDERS] = "bramley_quota_orders_total",
 };
 
 static const char *const histogram_names[BW_MH_COUNT] = {
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -24,6 +24,7 @@
 	BW_MC_STORE_REPEATS, /**< Calls that were sent again, by kind. */
 	BW_MC_RETRIES, /**< Retries of calls to the store, by purpose. */
 	BW_MC_OWNERSHIP, /**< Pools gained and lost, by reason. */
+	BW_MC_QUOTA_ORDERS, /**< The lender's orders to pools, by result. */
 	BW_MC_FAMILY_COUNT
 } bw_counter_family_t;
 
--- a/src/fleet/controller.h
+++ b/src/fleet/controller.h
@@ -3,7 +3,9 @@
  * Directs the machines of all pools while this node holds the controller's
  * role: maintenance in waves, and moves between pools. Only one node at a time
  * sends orders to machines, with one fencing token, since a machine refuses
- * tokens lower than the highest that it has received.
+ * tokens lower than the highest that it has received. The role also lends
+ * tenants' caps to pools, see quota_lender.h, and exists for that alone where
+ * there is no interface to machines.
  */
 #ifndef BW_FLEET_CONTROLLER_H
 #define BW_FLEET_CONTROLLER_H
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -161,6 +161,7 @@
 	f->last_store_answer_ms = bw_clock_now_ms();
 	f->store_reachable = true;
 	bw_metrics_define(BW_MC_OWNERSHIP, &changes);
+	fleet_create_quotas(f);
 	f->waves =
 		g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
 	f->last_orders =
@@ -267,6 +268,7 @@
 		bw_controller_configure(f->controller, config);
 	bw_fleet_config_free(f->config);
 	f->config = config;
+	fleet_configure_quotas(f);
 	g_hash_table_iter_init(&iter, f->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &pool))
 		configure_pool(f, pool);
@@ -320,7 +322,8 @@
 
 	for (i = 0; f->config && i < f->config->pool_count; i++)
 		fn(arg, f->config->pools[i].name);
-	if (f->config && f->env.machines.impl)
+	if (f->config &&
+	    (f->env.machines.impl || fleet_has_caps(f->config)))
 		fn(arg, BW_CONTROLLER_ROLE);
 }
 
@@ -345,6 +348,7 @@
 	bw_controller_destroy(f->controller);
 	f->controller = bw_controller_create(&env, &controller_ops, f);
 	bw_controller_configure(f->controller, f->config);
+	fleet_start_lending(f, revision);
 	for (i = 0; i < f->waves->len; i++)
 		apply_wave(f, g_ptr_array_index(f->waves, i));
 }
@@ -379,6 +383,7 @@
 	bw_metrics_count(BW_MC_OWNERSHIP, CHANGE_LOST, 0);
 	fleet_abandon_handover(f, pool);
 	if (!strcmp(pool, BW_CONTROLLER_ROLE)) {
+		fleet_stop_lending(f);
 		bw_controller_destroy(f->controller);
 		f->controller = NULL;
 		return;
@@ -492,6 +497,7 @@
 	GHashTableIter iter;
 	gpointer pool;
 
+	f->may_order = allowed;
 	g_hash_table_iter_init(&iter, f->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &pool)) {
 		bw_pool_set_outage(pool, allowed && now_ms >= lease_end_ms);
@@ -538,6 +544,7 @@
 	if (owns_pools(f))
 		bw_directory_tick(f->directory, now_ms);
 	fleet_send_reports(f, now_ms);
+	fleet_tick_quotas(f, now_ms);
 	if (f->controller && !f->leaving &&
 	    now_ms < bw_fleet_member_lease_end_ms(f->member))
 		bw_controller_tick(f->controller, now_ms);
@@ -597,6 +604,7 @@
 		return;
 	f->leaving = true;
 	bw_fleet_member_stop_claiming(f->member);
+	fleet_stop_lending(f);
 	bw_controller_destroy(f->controller);
 	f->controller = NULL;
 	pools = g_hash_table_get_values(f->pools);
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -18,6 +18,9 @@
 #include "fleet/pool.h"
 #include "fleet/service.h"
 
+/** The lender of tenants' caps, and the quotas of this node's pools. */
+typedef struct fleet_quotas fleet_quotas_t;
+
 struct bw_fleet {
 	bw_fleet_env_t env;
 	uint64_t incarnation;
@@ -29,6 +32,7 @@
 	bw_fleet_peers_t *peers;
 	bw_service_t *service;
 	bw_fleet_operators_t *operators;
+	fleet_quotas_t *quotas;
 	bw_controller_t *controller; /**< NULL unless this node has the role. */
 	GPtrArray *waves; /**< Stored values of waves, as GBytes. */
 	GHashTable *last_orders; /**< Pool to time of the last order for it. */
@@ -44,6 +48,7 @@
 	int64_t last_store_answer_ms;
 	uint32_t store_failures;
 	bool store_reachable;
+	bool may_order; /**< For its pools, as of the last tick. */
 	bool leaving;
 	bool left;
 };
@@ -85,6 +90,22 @@
  * orders for a pool if no newer ones have come. */
 void fleet_send_reports(bw_fleet_t *f, int64_t now_ms);
 
+/* quotas.c */
+/** Returns whether a configuration has tenants with caps. */
+bool fleet_has_caps(const bw_fleet_config_t *config);
+void fleet_create_quotas(bw_fleet_t *f);
+/** Applies the node's configuration. */
+void fleet_configure_quotas(bw_fleet_t *f);
+/** Starts to lend, while this node has the controller's role. */
+void fleet_start_lending(bw_fleet_t *f, int64_t revision);
+void fleet_stop_lending(bw_fleet_t *f);
+/** Handles the report of a pool's owner. */
+void fleet_take_quota_report(bw_fleet_t *f, const Bramley__QuotaReport *report);
+/** Handles an order of the lender. */
+void fleet_take_quota_order(bw_fleet_t *f, const Bramley__QuotaOrder *order);
+/** Sends the reports of this node's pools, and lends. */
+void fleet_tick_quotas(bw_fleet_t *f, int64_t now_ms);
+
 /** Status of a node for operators; see bw_fleet_operators_create(). */
 extern const bw_fleet_operators_ops_t bw_fleet_show_ops;
 
--- a/src/fleet/member.c
+++ b/src/fleet/member.c
@@ -135,6 +135,21 @@
 	return owner && is_known(owner) ? owner->node : NULL;
 }
 
+int64_t bw_fleet_member_claim(const bw_fleet_member_t *m, const char *pool)
+{
+	const owner_t *owner = g_hash_table_lookup(m->owners, pool);
+
+	return owner ? owner->revision : 0;
+}
+
+bool bw_fleet_member_knows_claims(const bw_fleet_member_t *m, const char *pool)
+{
+	const int64_t *own = g_hash_table_lookup(m->owned, pool);
+
+	return own && bw_fleet_member_claim(m, pool) >= *own &&
+	       bw_watch_cache_complete_since_ms(m->cache) != INT64_MAX;
+}
+
 static void request_lease(bw_fleet_member_t *m, int64_t now_ms)
 {
 	m->phase = PHASE_LEASE_REQUESTED;
--- a/src/fleet/member.h
+++ b/src/fleet/member.h
@@ -71,6 +71,14 @@
  * be read. */
 const char *bw_fleet_member_owner(const bw_fleet_member_t *m, const char *pool);
 
+/** Returns the revision of a pool's claim as it was read last, or 0 if there is
+ *  none. */
+int64_t bw_fleet_member_claim(const bw_fleet_member_t *m, const char *pool);
+
+/** Returns whether this node owns a pool and has read all claims of other pools
+ *  that are older than its own claim, as far as they matter still. */
+bool bw_fleet_member_knows_claims(const bw_fleet_member_t *m, const char *pool);
+
 /** What the owner of a pool has read of the owners before it in its state. */
 typedef struct bw_known_owners {
 	/** Fencing token of one that knew all runs of those before it, or these
--- a/src/fleet/messages.c
+++ b/src/fleet/messages.c
@@ -98,6 +98,10 @@
 		 f->controller)
 		bw_controller_record_report(f->controller, bw_clock_now_ms(),
 					    frame->pool_report);
+	else if (frame->body_case == BRAMLEY__FRAME__BODY_QUOTA_REPORT)
+		fleet_take_quota_report(f, frame->quota_report);
+	else if (frame->body_case == BRAMLEY__FRAME__BODY_QUOTA_ORDER)
+		fleet_take_quota_order(f, frame->quota_order);
 }
 
 /* Withdraws the controller's orders for a pool if no newer ones came. */
