--- a/cmd/bramleyctl.c
+++ b/cmd/bramleyctl.c
@@ -44,6 +44,7 @@
 	{ "job", "list", 1, bw_ctl_job_list, "job list POOL" },
 	{ "job", "cancel", 2, bw_ctl_job_cancel, "job cancel QUEUE ID" },
 	{ "pool", "show", 0, bw_ctl_pool_show, "pool show" },
+	{ "tenant", "show", 0, bw_ctl_tenant_show, "tenant show" },
 	{ "wave", "status", 0, bw_ctl_wave_status, "wave status" },
 	{ "explain", NULL, 1, bw_ctl_explain, "explain ID" },
 	{ "events", NULL, 0, bw_ctl_events, "events" },
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -127,6 +127,7 @@
 bw_exit_t bw_ctl_job_list(bw_ctl_t *c, char **args);
 bw_exit_t bw_ctl_job_cancel(bw_ctl_t *c, char **args);
 bw_exit_t bw_ctl_pool_show(bw_ctl_t *c, char **args);
+bw_exit_t bw_ctl_tenant_show(bw_ctl_t *c, char **args);
 bw_exit_t bw_ctl_wave_status(bw_ctl_t *c, char **args);
 bw_exit_t bw_ctl_explain(bw_ctl_t *c, char **args);
 bw_exit_t bw_ctl_events(bw_ctl_t *c, char **args);
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -106,6 +106,15 @@
 /** Sends the reports of this node's pools, and lends. */
 void fleet_tick_quotas(bw_fleet_t *f, int64_t now_ms);
 
+/** Returns the lender's state, or JSON null if this node does not lend. */
+json_t *fleet_show_lender(const bw_fleet_t *f);
+void fleet_show_lender_gauges(const bw_fleet_t *f, GString *out);
+
+/* show_tenants.c */
+json_t *fleet_show_tenants(void *ctx);
+/** Appends gauges of the tenants that hold or want most of a pool. */
+void fleet_show_tenant_gauges(bw_fleet_t *f, bw_pool_t *pool, GString *out);
+
 /** Status of a node for operators; see bw_fleet_operators_create(). */
 extern const bw_fleet_operators_ops_t bw_fleet_show_ops;
 
--- a/src/fleet/operators.c
+++ b/src/fleet/operators.c
@@ -208,6 +208,8 @@
 		return reply_json(r, 200, o->ops.pools(o->ctx));
 	if (!strcmp(r->path, "/waves"))
 		return reply_json(r, 200, o->ops.waves(o->ctx));
+	if (!strcmp(r->path, "/tenants"))
+		return reply_json(r, 200, o->ops.tenants(o->ctx));
 	if (g_str_has_prefix(r->path, "/pools/"))
 		return serve_jobs(o, r);
 	return reply_json(r, 404, json_pack("{s:s}", "error", "no such page"));
--- a/src/fleet/operators.h
+++ b/src/fleet/operators.h
@@ -1,7 +1,7 @@
 /**
  * @file
- * A fleet node's HTTP interface for operators: status, pools, jobs and waves as
- * JSON, and metrics as text. Operators can also submit, query and cancel jobs.
+ * A fleet node's HTTP interface for operators: status, pools, tenants, jobs and
+ * waves as JSON, and metrics as text. Operators can also submit, query and cancel jobs.
  */
 #ifndef BW_FLEET_OPERATORS_H
 #define BW_FLEET_OPERATORS_H
@@ -21,6 +21,7 @@
 	json_t *(*status)(void *ctx);
 	json_t *(*pools)(void *ctx);
 	json_t *(*waves)(void *ctx);
+	json_t *(*tenants)(void *ctx);
 	/** Returns a pool's jobs, or NULL if this node does not own it. */
 	json_t *(*jobs)(void *ctx, const char *pool);
 	/** Appends gauges in the text format of metrics. */
--- a/src/fleet/quotas.c
+++ b/src/fleet/quotas.c
@@ -300,3 +300,40 @@
 	lend(f, now_ms);
 	report_pools(f, now_ms);
 }
+
+static void add_name(void *ctx, const char *pool)
+{
+	json_array_append_new(ctx, json_string(pool));
+}
+
+json_t *fleet_show_lender(const bw_fleet_t *f)
+{
+	const bw_quota_lender_t *lender = f->quotas->lender;
+	bw_quota_lender_stats_t stats;
+	json_t *pools;
+
+	if (!lender)
+		return json_null();
+	pools = json_array();
+	bw_quota_lender_foreach_awaited(lender, add_name, pools);
+	bw_quota_lender_stats(lender, &stats);
+	return json_pack("{s:b,s:o,s:i,s:I,s:b}", "lends",
+			 (int)(stats.pools_awaited == 0), "awaited", pools,
+			 "tenants_capped", (int)stats.tenants, "orders",
+			 (json_int_t)stats.orders, "superseded",
+			 (int)stats.superseded);
+}
+
+void fleet_show_lender_gauges(const bw_fleet_t *f, GString *out)
+{
+	bw_quota_lender_stats_t stats;
+
+	if (!f->quotas->lender)
+		return;
+	bw_quota_lender_stats(f->quotas->lender, &stats);
+	bw_metrics_gauge(out, "bramley_tenants_capped", NULL, stats.tenants);
+	bw_metrics_gauge(out, "bramley_lender_pools_awaited", NULL,
+			 stats.pools_awaited);
+	bw_metrics_gauge(out, "bramley_lender_orders_total", NULL,
+			 (double)stats.orders);
+}
--- a/src/fleet/show.c
+++ b/src/fleet/show.c
@@ -17,6 +17,7 @@
 	.status = show_status,
 	.pools = show_pools,
 	.waves = show_waves,
+	.tenants = fleet_show_tenants,
 	.jobs = show_jobs,
 	.gauges = show_gauges,
 };
@@ -125,7 +126,7 @@
 	return list;
 }
 
-static void show_pool_gauges(bw_pool_t *pool, GString *out)
+static void show_pool_gauges(bw_fleet_t *f, bw_pool_t *pool, GString *out)
 {
 	char label[LABEL_BYTES];
 	bw_sched_stats_t stats;
@@ -146,6 +147,7 @@
 			 (double)stats.capacity.cpu_millis);
 	bw_metrics_gauge(out, "bramley_cpu_millis_used", label,
 			 (double)stats.used.cpu_millis);
+	fleet_show_tenant_gauges(f, pool, out);
 }
 
 static void show_log(GString *out)
@@ -187,7 +189,8 @@
 	bw_metrics_gauge(out, "bramley_configuration_version", NULL,
 			 f->config ? (double)f->config->version : 0.0);
 	show_log(out);
+	fleet_show_lender_gauges(f, out);
 	g_hash_table_iter_init(&iter, f->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &pool))
-		show_pool_gauges(pool, out);
+		show_pool_gauges(f, pool, out);
 }
