Soak: a key is taken away while faults go on

Cause: no play of real processes changed the configuration. Change: the soak's callers use keys, a version takes one away and adds one, and callers with each key check every node; the store's confirmation counts from when its call was sent, since an answer that was held back is older than its arrival.

--- a/soak/judge.c
+++ b/soak/judge.c
@@ -71,6 +71,7 @@
 	[SOAK_AS_ASKED] = "as-asked",
 	[SOAK_CAPACITY] = "capacity",
 	[SOAK_ATTEMPTS] = "attempts",
+	[SOAK_KEYS] = "keys",
 	[SOAK_KEEPS_RUNNING] = "keeps-running",
 };
 
--- a/soak/judge.h
+++ b/soak/judge.h
@@ -25,6 +25,7 @@
 	SOAK_AS_ASKED, /**< What starts was submitted, with that text. */
 	SOAK_CAPACITY, /**< No start brings a worker over its capacity. */
 	SOAK_ATTEMPTS, /**< No start after the last attempt has failed. */
+	SOAK_KEYS, /**< A key is in force when the configuration says so. */
 	SOAK_KEEPS_RUNNING, /**< No node ends by itself. */
 	SOAK_CHECK_COUNT
 } soak_check_t;
--- a/soak/process.c
+++ b/soak/process.c
@@ -16,6 +16,7 @@
 
 #include "base/clock.h"
 #include "standin/anyport.h"
+#include "standin_keys.h"
 
 #define GRACE_MS    4000
 #define MS_PER_S    1000.0
@@ -127,12 +128,14 @@
 		"[platform]\nstore = \"%s\"\nlease_min_ms = 1000\n"
 		"[limits]\ngrant_max_ms = 4000\nstop_ms = 400\nkeep_s = 120\n"
 		"grace_s = %d\nholder_ms = 3000\n"
+		"config_apply_ms = %d\nconfig_outage_ms = %d\n"
 		"[capacity]\ncore_share = 0.25\ncores = 1\nmemory_mb = 260\n"
 		"link_mbps = 1000.0\ndescriptors = 4100\n",
 		p->config.node, p->ports[PORT_CALLERS].address,
 		p->ports[PORT_READY].address, p->ports[PORT_PEERS].port,
 		p->ports[PORT_METRICS].port,
-		first ? "first_start = true\n" : "", p->store, GRACE_MS / 1000);
+		first ? "first_start = true\n" : "", p->store, GRACE_MS / 1000,
+		SOAK_APPLY_MS, SOAK_OUTAGE_MS);
 
 	if (!g_file_set_contents(p->settings, text, -1, NULL))
 		die(p->settings, "cannot be written");
--- a/soak/run.c
+++ b/soak/run.c
@@ -19,6 +19,7 @@
 #include "process.h"
 #include "record.h"
 #include "standin_callers.h"
+#include "standin_keys.h"
 #include "standin_store.h"
 #include "standin_workers.h"
 
@@ -45,6 +46,7 @@
 	soak_store_t *store;
 	soak_workers_t *workers;
 	soak_callers_t *callers;
+	soak_keys_t *keys;
 	soak_process_t *nodes[SOAK_NODES];
 	soak_link_t *links[SOAK_NODES][LINKS]; /**< The last is the store's. */
 	bw_http_client_t *probes;
@@ -280,6 +282,7 @@
 	if (all_ready(run)) {
 		run->started = true;
 		soak_callers_start(run->callers);
+		soak_keys_start(run->keys);
 		enter(run, PHASE_FAULTS, now_ms);
 	} else if (now_ms - run->phase_ms > START_MS) {
 		ev_break(run->loop, EVBREAK_ALL);
@@ -407,6 +410,22 @@
 	run->callers = soak_callers_create(&config);
 }
 
+static void create_keys(run_t *run)
+{
+	soak_keys_config_t config = {
+		.loop = run->loop,
+		.plan = run->plan,
+		.contact = &run->contact,
+		.judge = run->judge,
+		.store = run->store,
+	};
+	uint32_t i;
+
+	for (i = 0; i < SOAK_NODES; i++)
+		config.nodes[i] = soak_process_callers(run->nodes[i]);
+	run->keys = soak_keys_create(&config);
+}
+
 static void create_all(run_t *run)
 {
 	char *path = g_strdup_printf("%s/soak.log", run->config->dir);
@@ -425,13 +444,14 @@
 	for (i = 0; i < SOAK_NODES; i++)
 		create_node(run, i);
 	create_callers(run);
+	create_keys(run);
 	run->probes = bw_http_client_create(run->loop, 4);
 	g_free(path);
 }
 
 static void start_all(run_t *run)
 {
-	char *configuration = soak_callers_configuration();
+	char *configuration = soak_callers_configuration(1);
 	uint32_t i;
 
 	soak_store_configure(run->store, configuration);
--- a/soak/standin_callers.h
+++ b/soak/standin_callers.h
@@ -34,7 +34,11 @@
 /** Returns the number of requests so far. */
 uint64_t soak_callers_requests(const soak_callers_t *c);
 
-/** Returns the configuration in which the jobs' queues exist, as text. */
-char *soak_callers_configuration(void);
+/** Name that callers use for each node. */
+#define SOAK_HOST "soak.example"
+
+/** Returns a version of the configuration in which the jobs' queues exist, as
+ *  text; see soak_keys_tenants(). */
+char *soak_callers_configuration(int version);
 
 #endif
--- a/src/fleet/config_sync.c
+++ b/src/fleet/config_sync.c
@@ -7,11 +7,11 @@
 /** Time in which an asked node answers; the configuration may be large, and
  *  links slow. */
 #define ASK_TIMEOUT_MS 700
-/** How late a confirmation may arrive: it counts from its arrival. */
+/** How late another node's word may arrive: its age counts from then. */
 #define CONFIRM_DELAY_MS 500
-/** Confirmations come once a second or so, so none for a shorter time means
- *  nothing. */
-#define DOUBT_MIN_MS 2500
+/** A confirmation is up to 2 s old when the next one comes, so none for a
+ *  shorter time means nothing. */
+#define DOUBT_MIN_MS 3000
 
 /** What is known of another node. */
 typedef struct peer {
--- a/src/fleet/watch_cache.c
+++ b/src/fleet/watch_cache.c
@@ -231,6 +231,12 @@
 		 bw_clock_now_ms() - c->read_started_ms);
 }
 
+/* An answer may have been on its way for as long as the call took. */
+static void confirm(bw_watch_cache_t *c, const bw_store_reply_t *reply)
+{
+	c->confirmed_ms = bw_clock_now_ms() - reply->trace.took_ms;
+}
+
 static void on_page(void *ctx, const bw_store_reply_t *reply)
 {
 	bw_watch_cache_t *c = ctx;
@@ -291,7 +297,7 @@
 	c->complete_since_ms = bw_clock_now_ms();
 	/* Several pages show different times. */
 	if (c->pages == 1)
-		c->confirmed_ms = c->complete_since_ms;
+		confirm(c, reply);
 	log_read(c, BW_OK);
 	report_missing(c);
 	if (!c->destroyed)
@@ -315,7 +321,7 @@
 		c->reported_revision =
 			MAX(c->reported_revision, reply->revision);
 		if (!c->full_read)
-			c->confirmed_ms = bw_clock_now_ms();
+			confirm(c, reply);
 		return;
 	}
 	c->watch = NULL;
