Nodes stay connected with one whose registration has ended

Change: while the configuration is shared, such a node stays connected for 30 s. The test fails on the code before, as node 2 never gets version 6.

--- a/src/fleet/peers.c
+++ b/src/fleet/peers.c
@@ -14,8 +14,10 @@
 #define HEARTBEAT_INTERVAL_MS 500
 /** A peer that sends nothing for this long counts as lost. */
 #define PEER_SILENCE_MS 3500
-#define US_PER_MS	1000
-#define SITE		"fleet"
+/** A node stays connected for this long after its registration has ended. */
+#define KEPT_MS	  30000
+#define US_PER_MS 1000
+#define SITE	  "fleet"
 
 /** A query that awaits its answer. */
 typedef struct query {
@@ -33,6 +35,9 @@
 	void *ctx;
 	GHashTable *queries; /**< Number to query_t. */
 	GHashTable *connected; /**< Set of peers. */
+	GHashTable *addresses; /**< Name of each node to its address. */
+	GHashTable *kept; /**< Name of a node that is not registered any more
+			     to the end of its time, as int64_t. */
 	uint64_t last_number;
 	int64_t heartbeat_sent_ms;
 	bw_outage_t *outage;
@@ -46,6 +51,12 @@
 	int64_t reported_revision; /**< Sent in the last heartbeat. */
 };
 
+/** Search for the nodes at an address. */
+typedef struct address_search {
+	bw_fleet_peers_t *p;
+	const char *address;
+} address_search_t;
+
 static void on_peer_up(void *ctx, uint64_t peer);
 static void on_peer_lost(void *ctx, uint64_t peer);
 static void on_frame(void *ctx, uint64_t peer, const Bramley__Frame *frame);
@@ -93,6 +104,10 @@
 					   g_free);
 	p->connected = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					     g_free, NULL);
+	p->addresses =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	p->kept =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	p->outage = bw_outage_create(BW_OUTAGE_GRACE_MS);
 	p->store_reachable = true;
 	p->reported_reachable = true;
@@ -107,6 +122,8 @@
 	bw_peers_destroy(p->peers);
 	g_hash_table_destroy(p->queries);
 	g_hash_table_destroy(p->connected);
+	g_hash_table_destroy(p->addresses);
+	g_hash_table_destroy(p->kept);
 	bw_outage_destroy(p->outage);
 	g_free(p->name);
 	g_free(p);
@@ -263,6 +280,60 @@
 	end_query(p, answer->number, &out);
 }
 
+static void remove_node(bw_fleet_peers_t *p, const char *name)
+{
+	bw_peers_remove(p->peers, name);
+	g_hash_table_remove(p->addresses, name);
+}
+
+static gboolean is_at_address(gpointer name, gpointer until_ms, gpointer ctx)
+{
+	const address_search_t *search = ctx;
+
+	(void)until_ms;
+	if (g_strcmp0(g_hash_table_lookup(search->p->addresses, name),
+		      search->address) != 0)
+		return FALSE;
+	remove_node(search->p, name);
+	return TRUE;
+}
+
+/* The address of a node that is gone may be another one's by now. */
+static void add_node(bw_fleet_peers_t *p, const char *name, const char *address)
+{
+	address_search_t search = { p, address };
+
+	g_hash_table_remove(p->kept, name);
+	g_hash_table_foreach_remove(p->kept, is_at_address, &search);
+	g_hash_table_replace(p->addresses, g_strdup(name), g_strdup(address));
+	bw_peers_add(p->peers, name, address);
+}
+
+static void keep_node(bw_fleet_peers_t *p, const char *name)
+{
+	int64_t until_ms = bw_clock_now_ms() + KEPT_MS;
+
+	if (g_hash_table_contains(p->addresses, name) &&
+	    !g_hash_table_contains(p->kept, name))
+		g_hash_table_insert(p->kept, g_strdup(name),
+				    g_memdup2(&until_ms, sizeof(until_ms)));
+}
+
+static void remove_kept(bw_fleet_peers_t *p, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer name;
+	gpointer until_ms;
+
+	g_hash_table_iter_init(&iter, p->kept);
+	while (g_hash_table_iter_next(&iter, &name, &until_ms)) {
+		if (now_ms < *(const int64_t *)until_ms)
+			continue;
+		remove_node(p, name);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
 void bw_fleet_peers_set_node(bw_fleet_peers_t *p, const char *name,
 			     const char *address)
 {
@@ -270,9 +341,11 @@
 		return;
 	bw_outage_node(p->outage, bw_clock_now_ms(), name, address != NULL);
 	if (address)
-		bw_peers_add(p->peers, name, address);
+		add_node(p, name, address);
+	else if (p->config_revision > 0)
+		keep_node(p, name);
 	else
-		bw_peers_remove(p->peers, name);
+		remove_node(p, name);
 }
 
 void bw_fleet_peers_query(bw_fleet_peers_t *p, const char *node,
@@ -346,6 +419,7 @@
 void bw_fleet_peers_tick(bw_fleet_peers_t *p, int64_t now_ms)
 {
 	end_expired_queries(p, now_ms);
+	remove_kept(p, now_ms);
 	bw_peers_tick(p->peers, now_ms * US_PER_MS);
 	if (now_ms - p->heartbeat_sent_ms < HEARTBEAT_INTERVAL_MS &&
 	    p->reported_reachable == p->store_reachable &&
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -100,7 +100,11 @@
 void bw_fleet_peers_send_config(bw_fleet_peers_t *p, uint64_t peer,
 				int64_t revision, GBytes *value);
 
-/** Adds a node or changes its address; NULL removes the node. */
+/**
+ * Adds a node or changes its address; NULL: it is not registered any more. A
+ * node that the store turns away loses its registration too: while the
+ * configuration is shared, it stays connected for some time, to get versions.
+ */
 void bw_fleet_peers_set_node(bw_fleet_peers_t *p, const char *name,
 			     const char *address);
 
--- a/test/test_config_exchange.c
+++ b/test/test_config_exchange.c
@@ -11,6 +11,7 @@
 
 #include "base/clock.h"
 #include "fleet/config_exchange.h"
+#include "place/share.h"
 #include "standin/anyport.h"
 
 #define LISTEN_IP "127.0.0.1"
@@ -223,6 +224,65 @@
 	end(&f);
 }
 
+static void end_registration(fleet_t *f, uint32_t of)
+{
+	uint32_t i;
+
+	for (i = 0; i < NODES; i++)
+		if (i != of)
+			bw_fleet_peers_set_node(f->nodes[i].peers,
+						f->nodes[of].name, NULL);
+}
+
+/* Failure: the store turns a node away for longer than its lease, so that its
+ * registration ends. The others stay connected with it. */
+static void test_node_whose_lease_has_ended_gets_versions(void **state)
+{
+	fleet_t f;
+
+	(void)state;
+	begin(&f);
+	f.nodes[2].store_serves = false;
+	apply(&f.nodes[0], 5, "five", 4);
+	apply(&f.nodes[1], 5, "five", 4);
+	assert_true(run(&f, all_have_5, WAIT_MAX_S));
+	end_registration(&f, 2);
+	run(&f, NULL, CALM_S);
+	apply(&f.nodes[0], 6, "six", 3);
+	apply(&f.nodes[1], 6, "six", 3);
+	assert_true(run(&f, all_have_6, WAIT_MAX_S));
+	assert_true(run(&f, is_last_confirmed, WAIT_MAX_S));
+	end(&f);
+}
+
+/* A node that is gone is not called for ever, nor is one that has its address
+ * since; and one that comes back stays. */
+static void test_node_that_is_gone_is_removed_in_time(void **state)
+{
+	const uint64_t last = bw_name_id("n2");
+	bw_fleet_peers_t *peers;
+	fleet_t f;
+
+	(void)state;
+	begin(&f);
+	peers = f.nodes[0].peers;
+	apply(&f.nodes[0], 5, "five", 4);
+	assert_true(run(&f, all_have_5, WAIT_MAX_S));
+	bw_fleet_peers_set_node(peers, "n2", NULL);
+	assert_string_equal(bw_fleet_peers_name(peers, last), "n2");
+	bw_fleet_peers_tick(peers, bw_clock_now_ms() + 60000);
+	assert_string_equal(bw_fleet_peers_name(peers, last), "-");
+	bw_fleet_peers_set_node(peers, "n2", f.nodes[2].listen.address);
+	bw_fleet_peers_set_node(peers, "n2", NULL);
+	bw_fleet_peers_set_node(peers, "n2", f.nodes[2].listen.address);
+	bw_fleet_peers_tick(peers, bw_clock_now_ms() + 60000);
+	assert_string_equal(bw_fleet_peers_name(peers, last), "n2");
+	bw_fleet_peers_set_node(peers, "n2", NULL);
+	bw_fleet_peers_set_node(peers, "n9", f.nodes[2].listen.address);
+	assert_string_equal(bw_fleet_peers_name(peers, last), "-");
+	end(&f);
+}
+
 /* Failure: the node that is asked first does not answer. */
 static void test_silent_node_is_followed_by_another(void **state)
 {
@@ -263,6 +323,9 @@
 	bw_config_exchange_take(f.nodes[1].exchange, 4, "four", 4);
 	run(&f, NULL, CALM_S);
 	assert_true(has(&f.nodes[1], 4));
+	bw_fleet_peers_set_node(f.nodes[0].peers, "n2", NULL);
+	assert_string_equal(
+		bw_fleet_peers_name(f.nodes[0].peers, bw_name_id("n2")), "-");
 	assert_true(has(&f.nodes[2], 0));
 	assert_int_equal(f.nodes[1].received + f.nodes[2].received, 0);
 	assert_int_equal(bw_config_sync_newest(
@@ -296,6 +359,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			test_node_that_the_store_turns_away_gets_versions),
+		cmocka_unit_test(test_node_whose_lease_has_ended_gets_versions),
+		cmocka_unit_test(test_node_that_is_gone_is_removed_in_time),
 		cmocka_unit_test(test_silent_node_is_followed_by_another),
 		cmocka_unit_test(test_nothing_is_told_without_tenants),
 		cmocka_unit_test(
