Scheduler: a fair order of tenants in a pool that is short of room

Cause: jobs were placed whosever they are, so that a surge of one tenant took the room of all. Change: with tenants configured, jobs beyond their tenant's weight in jobs a second (token bucket) go behind all others, as do those that are of no value any more; within a class of priority and urgency, jobs of tenants that have no more than their due of the pool go first, in the order of work times time left as before, and then those of whoever has the least of its due (weighted dominant resource fairness). Many tasks are placed in turns. What room is left is used by whoever waits. Without tenants the order is as it was.

--- a/Makefile
+++ b/Makefile
@@ -64,7 +64,8 @@
 	$(BUILD)/test/test_unreadable $(BUILD)/test/test_resend \
 	$(BUILD)/test/test_gangs $(BUILD)/test/test_confirm \
 	$(BUILD)/test/test_advice $(BUILD)/test/test_new_jobs \
-	$(BUILD)/test/test_connections $(BUILD)/test/test_restart_between_owners
+	$(BUILD)/test/test_connections $(BUILD)/test/test_restart_between_owners \
+	$(BUILD)/test/test_turns
 $(SCHED_TESTS): $(BUILD)/test/test_%: $(BUILD)/test/test_%.o $(BUILD)/test/sched_orders.o $(LIB)
 	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS) -lcmocka
 
--- a/bench/bench_overload.c
+++ b/bench/bench_overload.c
@@ -6,6 +6,10 @@
  *
  * A job earns its full worth when it finishes within its objective, its late
  * worth within LATE_MULTIPLE times the objective, and nothing after that.
+ *
+ * With tenants, what each earns is compared with what its weight is due: the
+ * worth of the jobs that it submits, up to its weight in jobs a second. Their
+ * weights are skewed, and one of them submits several times its weight.
  */
 #include <math.h>
 #include <stdio.h>
@@ -41,6 +45,14 @@
 #define BISECTIONS 6
 /** Share of the jobs, by work, that count as large. */
 #define LARGEST_SHARE 0.1
+#define TENANTS	      20
+/** Load of the run with tenants; that of their usual rates; and how many times
+ *  these their weights are. */
+#define TENANTS_LOAD   1.2
+#define USUAL_LOAD     0.75
+#define WEIGHT_X_USUAL 1.9
+/** The tenant that surges. */
+#define SURGING 2
 
 /** Sizes and worth of jobs, modelled on the requests of the two sites. */
 typedef struct profile {
@@ -90,6 +102,7 @@
 typedef struct job {
 	char id[BW_JOB_ID_CHARS + 1];
 	int64_t at_ms;
+	uint32_t tenant;
 	step_t steps[STEPS_MAX];
 	uint32_t step_count;
 	uint32_t step; /**< Current step; step_count when finished. */
@@ -103,6 +116,7 @@
 /** One run of a policy over a list of jobs. */
 typedef struct sim {
 	policy_t policy;
+	const double *weights; /**< Of the tenants; NULL: none are set. */
 	GArray *jobs;
 	GHashTable *by_id;
 	sim_workers_t *workers;
@@ -360,13 +374,22 @@
 	g_array_set_size(sim->replies, 0);
 }
 
+static void format_tenant(uint32_t tenant, char *out, size_t bytes)
+{
+	g_snprintf(out, bytes, "t%u", tenant);
+}
+
 static void submit(sim_t *sim, const job_t *job)
 {
 	bw_job_record_t record = { .queue = g_strdup("q"),
 				   .accepted_ms = job->at_ms,
 				   .spec = bw_job_spec_new(job->step_count) };
+	char tenant[8];
 	uint32_t i;
 
+	format_tenant(job->tenant, tenant, sizeof(tenant));
+	if (sim->weights)
+		record.tenant = g_strdup(tenant);
 	record.spec->text = g_strdup("t");
 	for (i = 0; i < job->step_count; i++) {
 		bw_step_spec_t *step = &record.spec->steps[i];
@@ -469,13 +492,28 @@
 
 /* Simulation. */
 
-static sim_t *sim_create(policy_t policy, GArray *jobs)
+static void set_tenants(const sim_t *sim)
+{
+	bw_tenant_config_t configs[TENANTS] = { 0 };
+	char names[TENANTS][8];
+	uint32_t i;
+
+	for (i = 0; i < TENANTS; i++) {
+		format_tenant(i, names[i], sizeof(names[i]));
+		configs[i].name = names[i];
+		configs[i].terms.weight = sim->weights[i];
+	}
+	bw_sched_set_tenants(sim->sched, configs, TENANTS);
+}
+
+static sim_t *sim_create(policy_t policy, GArray *jobs, const double *weights)
 {
 	sim_t *sim = g_new0(sim_t, 1);
 	bw_resources_t capacity = { WORKER_CPU_MILLIS, WORKER_MEM_MB, 0 };
 	uint32_t i;
 
 	sim->policy = policy;
+	sim->weights = weights;
 	sim->jobs = g_array_copy(jobs);
 	sim->now_ms = 1;
 	sim->workers = sim_workers_create(&workers_ops, sim);
@@ -490,6 +528,8 @@
 	}
 	if (policy == POLICY_SCHED)
 		sim->sched = sched_fixture_create(&sched_ops, sim, sim->now_ms);
+	if (weights)
+		set_tenants(sim);
 	for (i = 0; i < WORKERS; i++) {
 		char id[16];
 		bw_worker_info_t info = { .id = id,
@@ -734,7 +774,7 @@
 	       load, surges ? "surges" : "steady", seed, jobs->len,
 	       bound_worth / (profile->worth * jobs->len));
 	for (policy = 0; policy < POLICY_COUNT; policy++) {
-		sim_t *sim = sim_create((policy_t)policy, jobs);
+		sim_t *sim = sim_create((policy_t)policy, jobs, NULL);
 		score_t score;
 
 		simulate(sim);
@@ -771,6 +811,176 @@
 	return totals;
 }
 
+/* Tenants. */
+
+/** What tenants earn, over seeds and profiles. */
+typedef struct shares {
+	double due[TENANTS];
+	double earned[TENANTS];
+	double worth; /**< Of all jobs, also those that are not due. */
+	double bound;
+} shares_t;
+
+/* Weights in jobs a second; jobs_s is what the pool can do. */
+static void set_weights(double jobs_s, double *weights)
+{
+	double sum = 0.0;
+	uint32_t i;
+
+	for (i = 0; i < TENANTS; i++)
+		sum += 1.0 / (i + 1);
+	for (i = 0; i < TENANTS; i++)
+		weights[i] =
+			WEIGHT_X_USUAL * USUAL_LOAD * jobs_s / (i + 1) / sum;
+}
+
+/* Draws whose each job is: all submit by their weights, or the others at their
+ * usual rates and the surging one what is left of the load. */
+static void draw_tenants(GArray *jobs, const double *weights, bool surge,
+			 uint32_t seed)
+{
+	GRand *rand = g_rand_new_with_seed(seed);
+	double sum = 0.0;
+	double rest = 0.0;
+	guint i;
+
+	for (i = 0; i < TENANTS; i++)
+		sum += weights[i];
+	rest = sum - weights[SURGING];
+	for (i = 0; i < jobs->len; i++) {
+		job_t *job = &g_array_index(jobs, job_t, i);
+		double others =
+			surge ? rest / sum * USUAL_LOAD / TENANTS_LOAD : 1.0;
+		double at = g_rand_double(rand);
+
+		job->tenant = SURGING;
+		if (at >= others)
+			continue;
+		at *= (surge ? rest : sum) / others;
+		for (job->tenant = 0; job->tenant < TENANTS - 1;
+		     job->tenant++) {
+			if (surge && job->tenant == SURGING)
+				continue;
+			at -= weights[job->tenant];
+			if (at < 0.0)
+				break;
+		}
+	}
+	g_rand_free(rand);
+}
+
+static void add_shares(const sim_t *sim, const profile_t *profile,
+		       const double *weights, shares_t *out)
+{
+	double submitted[TENANTS] = { 0 };
+	double earned[TENANTS] = { 0 };
+	guint i;
+
+	for (i = 0; i < sim->jobs->len; i++) {
+		const job_t *job = &g_array_index(sim->jobs, job_t, i);
+		bool in_time = job->done_ms <= job->at_ms + job->objective_ms;
+
+		submitted[job->tenant] += profile->worth;
+		if (is_served(job))
+			earned[job->tenant] +=
+				in_time ? profile->worth : profile->late_worth;
+	}
+	for (i = 0; i < TENANTS; i++) {
+		double due = MIN(submitted[i], weights[i] * profile->worth *
+						       TRAFFIC_MS / 1000.0);
+
+		out->due[i] += due;
+		out->earned[i] += MIN(earned[i], due);
+		out->worth += earned[i];
+	}
+}
+
+static void run_tenants_seed(const profile_t *profile, bool surge,
+			     uint32_t seed, shares_t *before, shares_t *after)
+{
+	GArray *jobs = draw_jobs(profile, TENANTS_LOAD, false, seed);
+	double jobs_s = jobs->len * 1000.0 / TRAFFIC_MS / TENANTS_LOAD;
+	double bound = compute_bound(jobs, profile);
+	double weights[TENANTS];
+	sim_t *sim;
+
+	set_weights(jobs_s, weights);
+	draw_tenants(jobs, weights, surge, seed);
+	sim = sim_create(POLICY_SCHED, jobs, NULL);
+	simulate(sim);
+	add_shares(sim, profile, weights, before);
+	sim_destroy(sim);
+	sim = sim_create(POLICY_SCHED, jobs, weights);
+	simulate(sim);
+	add_shares(sim, profile, weights, after);
+	sim_destroy(sim);
+	before->bound += bound;
+	after->bound += bound;
+	g_array_free(jobs, TRUE);
+}
+
+static double share_of(const shares_t *shares, uint32_t tenant)
+{
+	return shares->earned[tenant] / shares->due[tenant];
+}
+
+static double worst_share(const shares_t *shares)
+{
+	double worst = 1.0;
+	uint32_t i;
+
+	for (i = 0; i < TENANTS; i++)
+		worst = MIN(worst, share_of(shares, i));
+	return worst;
+}
+
+static double due_share(const shares_t *shares)
+{
+	double due = 0.0;
+	double earned = 0.0;
+	uint32_t i;
+
+	for (i = 0; i < TENANTS; i++) {
+		due += shares->due[i];
+		earned += shares->earned[i];
+	}
+	return earned / due;
+}
+
+static void print_shares(const char *name, const shares_t *shares)
+{
+	uint32_t i;
+
+	printf("%s shares of due:", name);
+	for (i = 0; i < TENANTS; i++)
+		printf(" %.3f", share_of(shares, i));
+	printf("\n");
+}
+
+/* One tenant submits a multiple of its weight, or all of their usual rates. */
+static void run_tenants(const char *name, bool surge)
+{
+	shares_t before = { 0 };
+	shares_t after = { 0 };
+	uint32_t seed;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(profiles); i++)
+		for (seed = 1; seed <= SEEDS; seed++)
+			run_tenants_seed(&profiles[i], surge, seed, &before,
+					 &after);
+	print_shares("before", &before);
+	print_shares("after", &after);
+	printf("tenants=%s worst_tenant_120_before=%.3f worst_tenant_120=%.3f "
+	       "due_120_before=%.3f due_120=%.3f surging_120_before=%.3f "
+	       "surging_120=%.3f tenants_worth_120_before=%.3f "
+	       "tenants_worth_120=%.3f\n",
+	       name, worst_share(&before), worst_share(&after),
+	       due_share(&before), due_share(&after),
+	       share_of(&before, SURGING), share_of(&after, SURGING),
+	       before.worth / before.bound, after.worth / after.bound);
+}
+
 int main(void)
 {
 	totals_t at_60 = run_load(0.6, false);
@@ -790,5 +1000,7 @@
 	       MIN(MIN(at_90.large_share, at_120.large_share),
 		   surges.large_share),
 	       at_90.served, at_120.served, surges.served);
+	run_tenants("surge", true);
+	run_tenants("even", false);
 	return 0;
 }
--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -549,6 +549,7 @@
 	if (record->has_terms && !job->queue->configured)
 		job->queue->terms = record->terms;
 	set_spec(s, job, record, now_ms, wall_ms);
+	sched_tenant_arrived(job);
 	sched_load_progress(s, job, now_ms);
 	sched_record_arrival(s, job, now_ms);
 	/*
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -46,10 +46,11 @@
 	urgency_t urgency;
 	int64_t key; /**< The lowest is placed first. */
 	bool last_chance; /**< Late, and it can't wait any more. */
+	bool behind; /**< What its tenant is owed, or of no value any more. */
 } candidate_t;
 
 static bool has_waiting(const occurrence_t *occurrence);
-static void set_urgency(candidate_t *candidate, int64_t now_ms);
+static void set_urgency(candidate_t *candidate, bool tenants, int64_t now_ms);
 static int compare_candidates(gconstpointer a, gconstpointer b);
 static bool fits(const bw_resources_t *need, const worker_t *worker,
 		 bool filler);
@@ -120,7 +121,7 @@
 	return (int64_t)(waiting_work(occurrence) * left_ms / 1000.0);
 }
 
-static void set_urgency(candidate_t *candidate, int64_t now_ms)
+static void set_urgency(candidate_t *candidate, bool tenants, int64_t now_ms)
 {
 	const occurrence_t *occurrence = candidate->occurrence;
 	int64_t end_ms = now_ms + chain_left_ms(occurrence);
@@ -141,6 +142,9 @@
 		candidate->urgency = URGENCY_EXPIRED;
 		candidate->key = occurrence->due_ms;
 	}
+	/* Both only where there are tenants. */
+	candidate->behind = occurrence->job->beyond ||
+			    (tenants && candidate->urgency == URGENCY_EXPIRED);
 }
 
 static int compare_candidates(gconstpointer a, gconstpointer b)
@@ -150,6 +154,8 @@
 
 	if ((x->urgency == URGENCY_LASTING) != (y->urgency == URGENCY_LASTING))
 		return x->urgency == URGENCY_LASTING ? -1 : 1;
+	if (x->behind != y->behind)
+		return x->behind ? 1 : -1;
 	if (x->priority != y->priority)
 		return x->priority < y->priority ? -1 : 1;
 	if (x->urgency != y->urgency)
@@ -543,6 +549,8 @@
 
 		if (!task_startable(s, task, now_ms))
 			continue;
+		if (sched_turn_over(s))
+			return true;
 		if (!sched_quota_allows(s, occurrence->job, spec, 1, now_ms))
 			return true;
 		worker = pick_worker(s, task, now_ms);
@@ -575,7 +583,7 @@
 		if (candidate.occurrence->job->confirm_version >
 		    s->saved_version)
 			continue;
-		set_urgency(&candidate, now_ms);
+		set_urgency(&candidate, s->tenants->configured > 0, now_ms);
 		g_array_append_val(list, candidate);
 	}
 	g_array_sort(list, compare_candidates);
@@ -607,7 +615,7 @@
 		const candidate_t *candidate =
 			&g_array_index(list, candidate_t, i);
 
-		if (candidate->urgency == URGENCY_ON_TIME)
+		if (candidate->urgency == URGENCY_ON_TIME && !candidate->behind)
 			work += waiting_work(candidate->occurrence);
 	}
 	return 1000.0 * work / (double)MAX(s->capacity_millis, 1);
@@ -638,7 +646,7 @@
 		candidate_t *candidate = &g_array_index(list, candidate_t, i);
 		int64_t millis;
 
-		if (!candidate->last_chance)
+		if (!candidate->last_chance || candidate->behind)
 			continue;
 		millis = startable_millis(candidate->occurrence);
 		if (millis > left_millis)
@@ -661,12 +669,15 @@
 
 	s->capacity_millis = 0;
 	s->last_chance_millis = 0;
+	s->tenants->capacity = (bw_resources_t){ 0 };
 	g_hash_table_iter_init(&iter, s->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const worker_t *worker = value;
 
-		if (worker->registered && !worker->dead)
+		if (worker->registered && !worker->dead) {
 			s->capacity_millis += worker->capacity.cpu_millis;
+			sched_tenants_add_room(s, &worker->capacity);
+		}
 		for (i = 0; i < worker->tasks->len; i++) {
 			const task_t *task =
 				g_ptr_array_index(worker->tasks, i);
@@ -678,23 +689,81 @@
 	}
 }
 
+static void place_steps(bw_sched_t *s, occurrence_t *occurrence, int64_t now_ms)
+{
+	uint32_t step;
+
+	for (step = 0;
+	     step < occurrence->job->spec->step_count && !s->tenants->yielded;
+	     step++)
+		if (occurrence->steps[step].waiting > 0 &&
+		    sched_step_ready(occurrence, step))
+			place_step(s, occurrence, step, now_ms);
+}
+
+/* Whether the tenants of two jobs take turns, as only their keys decide. */
+static bool is_same_class(const candidate_t *x, const candidate_t *y)
+{
+	return x->behind == y->behind && x->priority == y->priority &&
+	       x->urgency == y->urgency;
+}
+
+/* Places jobs of one class; each tenant's in their order. */
+static void place_class(bw_sched_t *s, const GArray *list, guint first,
+			guint end, int64_t now_ms)
+{
+	tenants_t *tenants = s->tenants;
+	occurrence_t *occurrence;
+	guint i;
+
+	bw_fair_begin(tenants->fair, &tenants->capacity);
+	for (i = first; i < end; i++) {
+		occurrence = g_array_index(list, candidate_t, i).occurrence;
+		bw_fair_add(tenants->fair,
+			    sched_tenant_party(s, occurrence->job), occurrence);
+	}
+	while ((occurrence = bw_fair_next(tenants->fair))) {
+		tenants->yielded = false;
+		place_steps(s, occurrence, now_ms);
+		if (tenants->yielded)
+			bw_fair_put_back(tenants->fair);
+	}
+}
+
+static void place_in_turns(bw_sched_t *s, const GArray *list, int64_t now_ms)
+{
+	guint first = 0;
+	guint end;
+
+	s->tenants->in_turn = true;
+	for (; first < list->len; first = end) {
+		for (end = first + 1;
+		     end < list->len &&
+		     is_same_class(&g_array_index(list, candidate_t, first),
+				   &g_array_index(list, candidate_t, end));
+		     end++)
+			;
+		place_class(s, list, first, end, now_ms);
+	}
+	s->tenants->in_turn = false;
+	s->tenants->yielded = false;
+}
+
 void sched_place(bw_sched_t *s, int64_t now_ms)
 {
 	GArray *list = list_candidates(s, now_ms);
-	uint32_t step;
 	guint i;
 
 	promote_last_chances(s, list);
 	sched_isolation_changed(s);
 	sched_tenants_count(s, now_ms);
-	for (i = 0; i < list->len; i++) {
-		occurrence_t *occurrence =
-			g_array_index(list, candidate_t, i).occurrence;
-
-		for (step = 0; step < occurrence->job->spec->step_count; step++)
-			if (occurrence->steps[step].waiting > 0 &&
-			    sched_step_ready(occurrence, step))
-				place_step(s, occurrence, step, now_ms);
-	}
+	if (s->tenants->configured > 0)
+		place_in_turns(s, list, now_ms);
+	else
+		for (i = 0; i < list->len; i++)
+			place_steps(
+				s,
+				g_array_index(list, candidate_t, i).occurrence,
+				now_ms);
 	g_array_free(list, TRUE);
 }
--- a/src/sched/tenant.c
+++ b/src/sched/tenant.c
@@ -5,6 +5,8 @@
 #define COUNT_INTERVAL_MS 20
 /** Least time between log lines on starts that a quota holds back. */
 #define LOG_INTERVAL_MS 1000
+/** Weight of jobs without a tenant, and of tenants that are not configured. */
+#define WEIGHT_OF_NOBODY 1.0
 
 /** Room of the workers on which unknown runs may go on. */
 typedef struct hidden_room {
@@ -31,12 +33,15 @@
 	tenants->in_doubt = true;
 	tenants->hidden = true;
 	tenants->stale = true;
+	tenants->fair = bw_fair_create();
+	tenants->nobody.party.weight = WEIGHT_OF_NOBODY;
 	return tenants;
 }
 
 void sched_tenants_destroy(tenants_t *tenants)
 {
 	g_hash_table_destroy(tenants->by_name);
+	bw_fair_destroy(tenants->fair);
 	g_free(tenants);
 }
 
@@ -51,6 +56,7 @@
 		return tenant;
 	tenant = g_new0(tenant_t, 1);
 	tenant->name = g_strdup(name);
+	tenant->party.weight = WEIGHT_OF_NOBODY;
 	g_hash_table_insert(s->tenants->by_name, tenant->name, tenant);
 	return tenant;
 }
@@ -80,6 +86,7 @@
 		tenant->configured = false;
 		tenant->has_quota = false;
 		tenant->terms = (bw_tenant_terms_t){ 0 };
+		tenant->party.weight = WEIGHT_OF_NOBODY;
 	}
 }
 
@@ -99,6 +106,7 @@
 		tenant->gone = false;
 		tenant->configured = true;
 		tenant->terms = tenants[i].terms;
+		tenant->party.weight = tenants[i].terms.weight;
 	}
 	drop_gone(s);
 	s->tenants->configured = count;
@@ -151,9 +159,44 @@
 void sched_tenant_hold(const task_t *task, int64_t sign)
 {
 	tenant_t *tenant = task->occurrence->job->tenant;
+	const bw_step_spec_t *step = sched_task_step(task);
+	bw_resources_t need = step->need;
 
-	if (tenant)
-		add(&tenant->attached, &sched_task_step(task)->need, sign);
+	if (!tenant)
+		return;
+	add(&tenant->attached, &need, sign);
+	/* Fillers use the processor that others leave free. */
+	if (step->filler)
+		need.cpu_millis = 0;
+	add(&tenant->party.used, &need, sign);
+}
+
+void sched_tenants_add_room(bw_sched_t *s, const bw_resources_t *capacity)
+{
+	add(&s->tenants->capacity, capacity, 1);
+}
+
+void sched_tenant_arrived(job_t *job)
+{
+	tenant_t *tenant = job->tenant;
+
+	if (tenant && tenant->configured)
+		job->beyond = !bw_fair_owed(&tenant->rate, tenant->terms.weight,
+					    job->arrived_ms);
+}
+
+bw_fair_party_t *sched_tenant_party(bw_sched_t *s, const job_t *job)
+{
+	return job->tenant ? &job->tenant->party : &s->tenants->nobody.party;
+}
+
+bool sched_turn_over(bw_sched_t *s)
+{
+	tenants_t *tenants = s->tenants;
+
+	if (tenants->in_turn && !bw_fair_goes_on(tenants->fair))
+		tenants->yielded = true;
+	return tenants->yielded;
 }
 
 void sched_tenants_doubt(bw_sched_t *s)
--- a/src/sched/tenant.h
+++ b/src/sched/tenant.h
@@ -13,6 +13,7 @@
 
 #include <glib.h>
 
+#include "sched/fair.h"
 #include "sched/sched.h"
 
 struct job;
@@ -32,6 +33,9 @@
 	bw_resources_t doubted;
 	bw_resources_t orphaned; /**< Of runs that should not go on. */
 	int64_t orphaned_ms; /**< When there were as many at the latest. */
+	bw_fair_party_t party; /**< Its use is that of tasks on workers, without
+				  the processor of fillers. */
+	bw_fair_rate_t rate;
 	/* Sums of a count under way, or of a report. */
 	bw_resources_t flagged;
 	int64_t flagged_filler_millis; /**< No worker's capacity bounds it. */
@@ -49,6 +53,11 @@
 	int64_t counted_ms;
 	bool unknown_runs; /**< A worker lists runs of which nobody knows whose
 			      they are. */
+	bw_fair_t *fair;
+	tenant_t nobody; /**< In the order: of the jobs without a tenant. */
+	bw_resources_t capacity; /**< Of the pool, as of the last sweep. */
+	bool in_turn; /**< Tasks are being placed in turns. */
+	bool yielded; /**< The turn has ended before the job was placed. */
 	uint64_t refused; /**< Starts that a quota held back. */
 	uint64_t refused_logged;
 	int64_t next_log_ms;
@@ -73,6 +82,18 @@
 /** Whether the tasks of an ended job are still needed, as they may run. */
 bool sched_tenants_keep(const bw_sched_t *s, const struct job *job);
 
+/** Adds the capacity of a worker to that of the pool. */
+void sched_tenants_add_room(bw_sched_t *s, const bw_resources_t *capacity);
+
+/** Notes whether a job that has just arrived is owed to its tenant. */
+void sched_tenant_arrived(struct job *job);
+
+/** Returns the party of a job in the order of the tenants. */
+bw_fair_party_t *sched_tenant_party(bw_sched_t *s, const struct job *job);
+
+/** Whether it is the turn of other tenants' jobs. */
+bool sched_turn_over(bw_sched_t *s);
+
 /** Whether a number of tasks of a step may start within the quota of their
  *  tenant. */
 bool sched_quota_allows(bw_sched_t *s, const struct job *job,
