Lender: give the rest of a cap in the first order

Cause: two tests of single rules showed that a pool which asks gets what it wants, but the rest of the cap only by a later order: the room that the first raise had taken was subtracted twice. Change: a second raise in one decision starts from the first. Tests of an owner that reports after it was replaced, of one that dies with an order, and of a new owner that reports all that its predecessor might have started.

--- a/src/fleet/quota_lender.c
+++ b/src/fleet/quota_lender.c
@@ -658,12 +658,13 @@
 static void raise_quota(decision_t *d, uint32_t i, int kind, int64_t to)
 {
 	bw_amounts_t used = lent(row_at(d, i));
-	int64_t quota = MIN(to, used.of[kind] + d->room.of[kind]);
+	int64_t already = MAX(used.of[kind], d->quotas[i].of[kind]);
+	int64_t quota = MIN(to, already + d->room.of[kind]);
 
 	if (quota <= d->quotas[i].of[kind])
 		return;
 	d->quotas[i].of[kind] = quota;
-	d->room.of[kind] -= MAX(quota - used.of[kind], 0);
+	d->room.of[kind] -= MAX(quota - already, 0);
 }
 
 static void raise_quotas(decision_t *d, uint32_t first)
--- a/test/test_quota_lender.c
+++ b/test/test_quota_lender.c
@@ -878,7 +878,124 @@
 	play_free(p);
 }
 
-/* A tenth of what it takes with one tenant's report at a time. */
+/* A lender by itself, with two pools and a tenant with a cap of 100 units. */
+typedef struct bare {
+	bw_quota_lender_t *lender;
+	uint64_t claims[2];
+	int64_t ordered[2]; /* Units, by the last order to each; -1: none. */
+} bare_t;
+
+static uint64_t bare_claim(void *ctx, const char *pool)
+{
+	return ((bare_t *)ctx)->claims[pool[0] - 'a'];
+}
+
+static void bare_order(void *ctx, const Bramley__QuotaOrder *order)
+{
+	if (order->n_tenants > 0)
+		((bare_t *)ctx)->ordered[order->pool[0] - 'a'] =
+			order->tenants[0]->quota->cpu_millis / CPU_MILLIS;
+}
+
+static void bare_report(bare_t *b, int64_t now_ms, uint32_t pool,
+			uint64_t fence, uint64_t number, int64_t held,
+			int64_t wanted, int64_t quota)
+{
+	Bramley__QuotaReport report = BRAMLEY__QUOTA_REPORT__INIT;
+	Bramley__TenantUse use = BRAMLEY__TENANT_USE__INIT;
+	Bramley__TenantUse *uses[] = { &use };
+	Bramley__Resources values[3];
+	int i;
+
+	for (i = 0; i < 3; i++)
+		bramley__resources__init(&values[i]);
+	values[0].cpu_millis = held * CPU_MILLIS;
+	values[1].cpu_millis = wanted * CPU_MILLIS;
+	values[2].cpu_millis = quota * CPU_MILLIS;
+	use.tenant = (char *)tenant_names[0];
+	use.held = &values[0];
+	use.wanted = &values[1];
+	use.quota = &values[2];
+	report.pool = (char *)pool_names[pool];
+	report.fence = fence;
+	report.lender = 20;
+	report.number = number;
+	report.n_tenants = 1;
+	report.tenants = uses;
+	bw_quota_lender_report(b->lender, now_ms, &report);
+	bw_quota_lender_decide(b->lender, now_ms, bare_order, b);
+}
+
+static void bare_open(bare_t *b)
+{
+	bw_pool_config_t pools[2] = { { "a", false }, { "b", false } };
+	bw_tenant_t tenant = { .name = (char *)tenant_names[0] };
+	bw_fleet_config_t config = { .pools = pools,
+				     .pool_count = 2,
+				     .tenants = &tenant,
+				     .tenant_count = 1 };
+
+	tenant.terms.cap.cpu_millis = (int64_t)100 * CPU_MILLIS;
+	b->lender = bw_quota_lender_create(20);
+	b->claims[0] = 15;
+	b->claims[1] = 16;
+	b->ordered[0] = -1;
+	b->ordered[1] = -1;
+	bw_quota_lender_configure(b->lender, 1000, &config);
+	bw_quota_lender_read_claims(b->lender, 1000, bare_claim, b);
+}
+
+/* An owner that has been replaced reports to the lender, which has read the
+ * claim of its successor. */
+static void test_replaced_owner_reports(void **state)
+{
+	bare_t b;
+
+	(void)state;
+	bare_open(&b);
+	bare_report(&b, 10000, 1, 16, 0, 0, 50, 0);
+	bare_report(&b, 10010, 0, 12, 0, 0, 0, 0);
+	assert_int_equal(b.ordered[1], -1);
+	bare_report(&b, 10020, 0, 15, 0, 0, 0, 0);
+	assert_int_equal(b.ordered[1], 100);
+	bw_quota_lender_destroy(b.lender);
+}
+
+/* An owner dies after an order that it has not reported: what it may have
+ * started by that order counts. */
+static void test_owner_dies_with_an_order(void **state)
+{
+	bare_t b;
+
+	(void)state;
+	bare_open(&b);
+	bare_report(&b, 10000, 1, 16, 0, 0, 0, 0);
+	bare_report(&b, 10010, 0, 15, 0, 0, 50, 0);
+	assert_int_equal(b.ordered[0], 100);
+	bare_report(&b, 10020, 1, 16, 0, 0, 100, 0);
+	assert_int_equal(b.ordered[1], -1);
+	bare_report(&b, 10030, 0, 25, 0, 80, 0, 0);
+	assert_int_equal(b.ordered[1], 20);
+	bw_quota_lender_destroy(b.lender);
+}
+
+/* A new owner reports all that its predecessor might have started; this one had
+ * no quota, and started nothing. */
+static void test_owner_in_doubt(void **state)
+{
+	bare_t b;
+
+	(void)state;
+	bare_open(&b);
+	bare_report(&b, 10000, 0, 15, 0, 0, 0, 0);
+	bare_report(&b, 10010, 1, 16, 0, 0, 0, 0);
+	bare_report(&b, 10020, 0, 25, 0, 500, 0, 0);
+	bare_report(&b, 10030, 1, 16, 0, 0, 100, 0);
+	assert_int_equal(b.ordered[1], 100);
+	bw_quota_lender_destroy(b.lender);
+}
+
+/* A round of reports of all tenants from two pools, and the orders. */
 static void test_many_tenants(void **state)
 {
 	enum { COUNT = 10000 };
@@ -1124,6 +1241,9 @@
 		cmocka_unit_test(test_silent_pool),
 		cmocka_unit_test(test_cap_changes),
 		cmocka_unit_test(test_larger_than_cap),
+		cmocka_unit_test(test_replaced_owner_reports),
+		cmocka_unit_test(test_owner_dies_with_an_order),
+		cmocka_unit_test(test_owner_in_doubt),
 		cmocka_unit_test(test_many_tenants),
 		cmocka_unit_test(test_refused_orders),
 		cmocka_unit_test(test_idle_quota),
