Tests: crowds of clients that we do not control, against real processes

Clients send legal bodies whole, in pieces and in large or small chunks, endless headers or nothing; three of four stop short of the end and stay open. test/crowd/run.sh starts a real bramley-fleetd or bramleywingd on loopback with small limits in its settings (64 MB, 256 descriptors, 300 clients) and checks that it lives, its resident memory with unread bytes and its descriptors stay under these bounds, and one ordinary request is answered. check.sh plays them one by one after all other tests.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -81,6 +81,16 @@
 	names=()
 }
 
+crowd() { # TARGET KIND: runs beside nothing else; see test/crowd/run.sh
+	local name="crowd-$1-$2" status=0
+	timeout 120 test/crowd/run.sh "$1" "$2" >"$dir/crowd" 2>&1 || status=$?
+	if [ $status != 0 ] && known_red "$name"; then
+		echo "known red: $name"
+		return
+	fi
+	finish_step "$name" "$dir/crowd" $status
+}
+
 begin_suites() { # DIRECTORY: starts its test programs
 	local test
 	for test in "$1"/test_*; do
@@ -100,6 +110,7 @@
 }
 
 step "build" make -j "$cores" all tests build/test/play_world build/soak/soak
+step "build of the crowds" make -j "$cores" crowds
 step "format" make format-check
 step "lint" make lint
 step "build with sanitizers" make -j "$cores" BUILD=build/san CC=clang CXX=clang++ \
@@ -123,5 +134,12 @@
 begin step "test/test_side_by_side.sh" test/test_side_by_side.sh
 begin_fuzzers
 collect
+for kind in whole pieces chunks small-chunks headers idle; do
+	crowd node $kind
+	crowd entry $kind
+done
+crowd ready idle
+crowd metrics pieces
+crowd peers frames
 echo "$passed passed, $failed failed"
 [ $failed = 0 ]
