Servers bound what they hold for clients whose requests are not whole

A node read up to 3,000 bodies of 256 KB at once, whatever its memory, and kept each connection for ever: 300 clients that stopped just short of their end took it to 89 to 100 MB where its settings give 64, and to 433 descriptors of 256. An entry, the readiness and the operators' ports answered nobody else while such clients stayed open, and the peers' port read 2 MB from anybody. src/net/budget decides, without I/O, which connection goes when the bound of connections or of body bytes is met: the one that has moved least, a small body only when no large one is left, a whole request never. Fleet nodes derive both bounds from capacity.memory_mb and capacity.descriptors; entries take theirs from the settings they have. New settings limits.connections, body_memory_bytes, head_wait_ms and body_still_ms; event front limit, counters and gauges; docs/design/untrusted-clients.md.

--- a/cmd/bramley-fleetd.c
+++ b/cmd/bramley-fleetd.c
@@ -142,6 +142,7 @@
 
 static int serve(program_t *p)
 {
+	bw_budget_limits_t limits = bw_fleet_settings_limits(&p->settings);
 	bw_request_handler_t requests;
 
 	bw_event_init(p->loop, p->settings.log_bytes_s);
@@ -151,7 +152,7 @@
 	}
 	requests = bw_fleet_request_handler(p->fleet);
 	if (platform_front_create(p->loop, p->settings.callers,
-				  p->settings.ready, &requests,
+				  p->settings.ready, &limits, &requests,
 				  &p->front) != BW_OK) {
 		fprintf(stderr, "bramley-fleetd: %s\n", bw_status_message());
 		return EXIT_START;
--- a/soak/standin_workers.c
+++ b/soak/standin_workers.c
@@ -708,8 +708,9 @@
 static void start_server(worker_t *w, uint32_t node)
 {
 	server_t *server = &w->servers[node];
-	bw_simple_config_t config = { server->port.address, BODY_BYTES_MAX,
-				      CONNECTIONS_MAX };
+	bw_simple_config_t config = { .address = server->port.address,
+				      .body_bytes_max = BODY_BYTES_MAX,
+				      .connections_max = CONNECTIONS_MAX };
 
 	server->worker = w;
 	server->node = node;
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -29,6 +29,9 @@
 	BW_C_REFUSED_KEY_NOT_RUN,
 	BW_C_REFUSED_CONNECTIONS,
 	BW_C_REFUSED_SLOW,
+	/* Connections closed before their requests were whole. */
+	BW_C_CLOSED_BODY_MEMORY,
+	BW_C_CLOSED_CONNECTIONS,
 	/* Outcomes that the entry can't determine, answered as "unknown". */
 	BW_C_UNKNOWN_BROKEN,
 	BW_C_UNKNOWN_TIMEOUT,
@@ -62,6 +65,7 @@
 	BW_C_FRAMES_BAD,
 	BW_C_FRAMES_VERSION,
 	BW_C_FRAMES_TOO_LONG,
+	BW_C_PEERS_STRANGERS,
 	BW_C_STORE_CALLS,
 	BW_C_STORE_ERRORS,
 	BW_C_TABLE_APPLIED,
--- a/src/base/eventlist.c
+++ b/src/base/eventlist.c
@@ -336,6 +336,13 @@
 						"a newer version wrote it; the "
 						"wave is left alone",
 						"wave error" },
+	[BW_EVENT_FRONT_LIMIT] = { "front", "limit", BW_EVENT_SELDOM,
+				   "clients met a bound of a server and were "
+				   "refused or closed; count of them for this "
+				   "cause since its last line, at most one a "
+				   "second",
+				   "address cause count connections "
+				   "held_bytes" },
 	[BW_EVENT_SERVICE_REQUEST] = { "service", "request", BW_EVENT_REQUEST,
 				       "a caller was answered",
 				       "kind job queue pool answer state "
--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -1,5 +1,7 @@
 #include "base/metrics.h"
 
+#include <stdbool.h>
+
 /** Upper bounds of the buckets, inclusive. */
 static const int64_t bucket_max_ms[] = { 1,   2,   5,	 10,   20,   50,   100,
 					 200, 500, 1000, 2000, 5000, 10000 };
@@ -24,6 +26,7 @@
 	[BW_MC_STORE_FAILURES] = "bramley_store_failures_total",
 	[BW_MC_STORE_REPEATS] = "bramley_store_repeats_total",
 	[BW_MC_RETRIES] = "bramley_store_retries_total",
+	[BW_MC_CLIENTS] = "bramley_clients_limited_total",
 	[BW_MC_OWNERSHIP] = "bramley_ownership_changes_total",
 };
 
@@ -40,6 +43,19 @@
 	[BW_MH_LATENESS] = "bramley_loop_late_ms",
 };
 
+static const char *const gauge_names[BW_MG_COUNT] = {
+	[BW_MG_CALLER_CONNECTIONS] = "bramley_caller_connections",
+	[BW_MG_HELD_BYTES] = "bramley_caller_held_bytes",
+	[BW_MG_HELD_PEAK_BYTES] = "bramley_caller_held_peak_bytes",
+};
+
+/** A gauge that was set. */
+typedef struct gauge {
+	uint64_t value;
+	bool set;
+} gauge_t;
+
+static gauge_t gauges[BW_MG_COUNT];
 static family_t families[BW_MC_FAMILY_COUNT];
 static histogram_t histograms[BW_MH_COUNT];
 
@@ -62,6 +78,13 @@
 		g_new0(uint64_t, (gsize)labels->first_count * columns(family));
 }
 
+void bw_metrics_define_once(bw_counter_family_t which,
+			    const bw_family_labels_t *labels)
+{
+	if (!families[which].values)
+		bw_metrics_define(which, labels);
+}
+
 void bw_metrics_count(bw_counter_family_t which, uint32_t first,
 		      uint32_t second)
 {
@@ -73,6 +96,11 @@
 	family->values[first * columns(family) + second]++;
 }
 
+void bw_metrics_set(bw_gauge_t which, uint64_t value)
+{
+	gauges[which] = (gauge_t){ value, true };
+}
+
 void bw_metrics_observe(bw_histogram_t which, int64_t latency_ms)
 {
 	histogram_t *histogram = &histograms[which];
@@ -138,6 +166,10 @@
 {
 	int i;
 
+	for (i = 0; i < BW_MG_COUNT; i++)
+		if (gauges[i].set)
+			bw_metrics_gauge(out, gauge_names[i], NULL,
+					 (double)gauges[i].value);
 	for (i = 0; i < BW_MC_FAMILY_COUNT; i++)
 		print_family(out, (bw_counter_family_t)i);
 	for (i = 0; i < BW_MH_COUNT; i++)
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -23,6 +23,8 @@
 	BW_MC_STORE_FAILURES, /**< Failed ones, by kind and cause. */
 	BW_MC_STORE_REPEATS, /**< Calls that were sent again, by kind. */
 	BW_MC_RETRIES, /**< Retries of calls to the store, by purpose. */
+	BW_MC_CLIENTS, /**< Refused requests and closed connections, by cause.
+			*/
 	BW_MC_OWNERSHIP, /**< Pools gained and lost, by reason. */
 	BW_MC_FAMILY_COUNT
 } bw_counter_family_t;
@@ -43,6 +45,14 @@
 	BW_MH_COUNT
 } bw_histogram_t;
 
+/** Gauges that the code for connections sets. */
+typedef enum bw_gauge {
+	BW_MG_CALLER_CONNECTIONS, /**< Of callers. */
+	BW_MG_HELD_BYTES, /**< Of callers' bodies. */
+	BW_MG_HELD_PEAK_BYTES, /**< The most since the start. */
+	BW_MG_COUNT
+} bw_gauge_t;
+
 /** Labels of a family and their values; all strings must be static. */
 typedef struct bw_family_labels {
 	const char *first; /**< Label name. */
@@ -57,6 +67,10 @@
 void bw_metrics_define(bw_counter_family_t which,
 		       const bw_family_labels_t *labels);
 
+/** The same, unless the family has been defined before. */
+void bw_metrics_define_once(bw_counter_family_t which,
+			    const bw_family_labels_t *labels);
+
 /**
  * Adds one to a counter.
  * @param first index of the first label's value
@@ -65,6 +79,9 @@
 void bw_metrics_count(bw_counter_family_t which, uint32_t first,
 		      uint32_t second);
 
+/** Sets a gauge; one that was never set is not printed. */
+void bw_metrics_set(bw_gauge_t which, uint64_t value);
+
 /** Records one latency in a histogram. */
 void bw_metrics_observe(bw_histogram_t which, int64_t latency_ms);
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -168,7 +168,8 @@
 	f->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					 (GDestroyNotify)bw_pool_destroy);
 	status = bw_fleet_peers_create(
-		env->loop, env->settings->name, address, f->incarnation,
+		env->loop, env->settings->name, address,
+		bw_fleet_settings_strangers(env->settings), f->incarnation,
 		query_local, fleet_on_frame, f, env->counters, &f->peers);
 	if (status != BW_OK) {
 		g_free(address);
--- a/src/fleet/operators.c
+++ b/src/fleet/operators.c
@@ -10,7 +10,6 @@
 #include "net/simplehttp.h"
 
 #define BODY_BYTES_MAX	  (1U << 20)
-#define CONNECTIONS_MAX	  32U
 #define CALLER_TIMEOUT_MS 3000
 
 struct bw_fleet_operators {
@@ -213,13 +212,21 @@
 	return reply_json(r, 404, json_pack("{s:s}", "error", "no such page"));
 }
 
+static const bw_budget_limits_t limits = {
+	.connections_max = 32,
+	.bytes_max = 4U << 20,
+	.head_wait_ms = 60000,
+	.body_still_ms = 15000,
+};
+
 bw_status_t bw_fleet_operators_create(struct ev_loop *loop, const char *address,
 				      const bw_request_handler_t *requests,
 				      const bw_fleet_operators_ops_t *ops,
 				      void *ctx, bw_fleet_operators_t **out)
 {
-	bw_simple_config_t config = { address, BODY_BYTES_MAX,
-				      CONNECTIONS_MAX };
+	bw_simple_config_t config = { .address = address,
+				      .body_bytes_max = BODY_BYTES_MAX,
+				      .limits = &limits };
 	bw_fleet_operators_t *o = g_new0(bw_fleet_operators_t, 1);
 	bw_status_t status;
 
--- a/src/fleet/peers.c
+++ b/src/fleet/peers.c
@@ -56,7 +56,8 @@
 static const bw_peers_ops_t peer_ops = { on_peer_up, on_peer_lost, on_frame };
 
 bw_status_t bw_fleet_peers_create(struct ev_loop *loop, const char *name,
-				  const char *listen, uint64_t incarnation,
+				  const char *listen, uint32_t strangers_max,
+				  uint64_t incarnation,
 				  bw_fleet_query_handler_fn local,
 				  bw_fleet_peers_frame_fn other, void *ctx,
 				  bw_counters_t *counters,
@@ -67,6 +68,7 @@
 		.name = name,
 		.site = SITE,
 		.listen = listen,
+		.strangers_max = strangers_max,
 		.incarnation = incarnation,
 		.silence_timeout_us = (int64_t)PEER_SILENCE_MS * US_PER_MS,
 	};
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -48,11 +48,13 @@
 /**
  * Starts to listen for other nodes.
  * @param listen ip:port
+ * @param strangers_max see bw_peers_config_t
  * @param local answers queries of other nodes
  * @param other handles messages that are neither queries nor heartbeats
  */
 bw_status_t bw_fleet_peers_create(struct ev_loop *loop, const char *name,
-				  const char *listen, uint64_t incarnation,
+				  const char *listen, uint32_t strangers_max,
+				  uint64_t incarnation,
 				  bw_fleet_query_handler_fn local,
 				  bw_fleet_peers_frame_fn other, void *ctx,
 				  bw_counters_t *counters,
--- a/src/fleet/settings.c
+++ b/src/fleet/settings.c
@@ -13,6 +13,27 @@
 #define FRACTION_MAX_MILLI ((int64_t)1000000000)
 /** Processor speed that counts when none is given: one core. */
 #define ONE_CORE_MILLIS 1000
+/** Callers' connections of a node that has room for them. */
+#define CONNECTIONS_MAX ((int64_t)3000)
+/**
+ * Of a node's memory callers' bodies take an eighth at most. A connection takes
+ * up to 52 KB beside them in the worst case, 20 of its server and 32 that the
+ * kernel holds, so that 12 for a megabyte take three fifths.
+ */
+#define BODY_MEMORY_DIVISOR 8
+#define CONNECTIONS_PER_MB  12
+/** Body memory of a node that doesn't know its memory. */
+#define BODY_MEMORY_BYTES ((int64_t)64 << 20)
+#define BODY_BYTES_MIN	  ((int64_t)1 << 20)
+#define BYTES_PER_MB	  ((int64_t)1 << 20)
+/** Files and connections to the store, workers and nodes. */
+#define OWN_DESCRIPTORS ((int64_t)1100)
+/** Of few descriptors callers get this part. */
+#define DESCRIPTORS_DIVISOR 4
+/** Of them peers that have not said whose they are get this part. */
+#define STRANGERS_DIVISOR 16
+#define STRANGERS_MIN	  8
+#define STRANGERS_MAX	  256
 #define TEXT(path, kind, field, required)                                      \
 	{                                                                      \
 		path, kind, offsetof(bw_fleet_settings_t, field), 0, 0, 0,     \
@@ -52,6 +73,11 @@
 	NUMBER("limits.stop_ms", stop_ms, 1, DAY_MS, 400),
 	NUMBER("limits.holder_ms", holder_ms, 0, DAY_MS, 3000),
 	NUMBER("limits.log_bytes_s", log_bytes_s, 4096, 1 << 30, 262144),
+	NUMBER("limits.connections", connections_max, 0, 1000000, 0),
+	NUMBER("limits.body_memory_bytes", body_memory_bytes, 0,
+	       (int64_t)4 << 30, 0),
+	NUMBER("limits.head_wait_ms", head_wait_ms, 0, DAY_MS, 60000),
+	NUMBER("limits.body_still_ms", body_still_ms, 0, DAY_MS, 15000),
 	SECONDS("limits.keep_s", retention_ms, 120000),
 	SECONDS("limits.grace_s", grace_ms, 6000),
 	FRACTION("capacity.core_share", core_share_milli, 0),
@@ -98,6 +124,48 @@
 	};
 }
 
+static int64_t connections_of(const bw_fleet_settings_t *s)
+{
+	int64_t out = CONNECTIONS_MAX;
+
+	if (s->connections_max > 0)
+		return s->connections_max;
+	if (s->memory_mb > 0)
+		out = MIN(out, s->memory_mb * CONNECTIONS_PER_MB);
+	if (s->descriptors > 0)
+		out = MIN(out, MAX(s->descriptors - OWN_DESCRIPTORS,
+				   s->descriptors / DESCRIPTORS_DIVISOR));
+	return MAX(out, 1);
+}
+
+static int64_t body_memory_of(const bw_fleet_settings_t *s)
+{
+	if (s->body_memory_bytes > 0)
+		return s->body_memory_bytes;
+	if (s->memory_mb == 0)
+		return BODY_MEMORY_BYTES;
+	return MAX(s->memory_mb * BYTES_PER_MB / BODY_MEMORY_DIVISOR,
+		   BODY_BYTES_MIN);
+}
+
+bw_budget_limits_t bw_fleet_settings_limits(const bw_fleet_settings_t *s)
+{
+	return (bw_budget_limits_t){
+		.connections_max = (uint32_t)connections_of(s),
+		.bytes_max = (uint64_t)body_memory_of(s),
+		.head_wait_ms = s->head_wait_ms,
+		.body_still_ms = s->body_still_ms,
+	};
+}
+
+uint32_t bw_fleet_settings_strangers(const bw_fleet_settings_t *s)
+{
+	if (s->descriptors == 0)
+		return 0;
+	return (uint32_t)CLAMP(s->descriptors / STRANGERS_DIVISOR,
+			       STRANGERS_MIN, STRANGERS_MAX);
+}
+
 void bw_fleet_settings_clear(bw_fleet_settings_t *s)
 {
 	bw_keys_clear(&keys, s);
--- a/src/fleet/settings.h
+++ b/src/fleet/settings.h
@@ -11,6 +11,7 @@
 #include "base/findings.h"
 #include "base/status.h"
 #include "fleet/capacity.h"
+#include "net/budget.h"
 
 /** Settings; the structure owns its strings. */
 typedef struct bw_fleet_settings {
@@ -33,6 +34,10 @@
 	bool first_start; /**< The whole site is started for the first time. */
 	int64_t grace_ms; /**< Time from the stop signal to the kill. */
 	int64_t log_bytes_s; /**< Limit of the event log, in bytes a second. */
+	int64_t connections_max; /**< Of callers; 0: as the node's size lets. */
+	int64_t body_memory_bytes; /**< Bodies not yet whole; 0: the same. */
+	int64_t head_wait_ms; /**< Until a caller's head has to be whole. */
+	int64_t body_still_ms; /**< In which a caller's body has to move. */
 	int64_t core_share_milli; /**< Share of each core; 0 if unknown. */
 	int64_t cores_milli;
 	int64_t memory_mb; /**< 0 if unknown, as the next two. */
@@ -50,6 +55,12 @@
 /** Returns what the node has, for bw_fleet_member_config_t. */
 bw_node_capacity_t bw_fleet_settings_capacity(const bw_fleet_settings_t *s);
 
+/** Returns what the node may hold for callers. */
+bw_budget_limits_t bw_fleet_settings_limits(const bw_fleet_settings_t *s);
+
+/** Returns bw_peers_config_t.strangers_max of the node; 0 is the default. */
+uint32_t bw_fleet_settings_strangers(const bw_fleet_settings_t *s);
+
 void bw_fleet_settings_clear(bw_fleet_settings_t *s);
 
 #endif
--- a/src/net/mhdev.c
+++ b/src/net/mhdev.c
@@ -1,6 +1,7 @@
 #include "net/mhdev.h"
 
 #include <arpa/inet.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <ev.h>
@@ -81,6 +82,17 @@
 	(void)revents;
 }
 
+/* Connections take the size over from the socket that listens. */
+static void limit_receive_buffer(const bw_mhdev_t *m, int bytes)
+{
+	const union MHD_DaemonInfo *info =
+		MHD_get_daemon_info(m->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+
+	if (bytes > 0)
+		setsockopt(info->listen_fd, SOL_SOCKET, SO_RCVBUF, &bytes,
+			   sizeof(bytes));
+}
+
 bw_status_t bw_mhdev_create(struct ev_loop *loop,
 			    const bw_mhdev_config_t *config, bw_mhdev_t **out)
 {
@@ -115,6 +127,7 @@
 		return bw_status_set(BW_EIO, "cannot listen on %s",
 				     config->address);
 	}
+	limit_receive_buffer(m, config->receive_buffer_bytes);
 	info = MHD_get_daemon_info(m->daemon, MHD_DAEMON_INFO_EPOLL_FD);
 	ev_io_init(&m->io, on_io, info->epoll_fd, EV_READ);
 	ev_timer_init(&m->timer, on_timer, 0.0, 0.0);
@@ -129,6 +142,14 @@
 	return BW_OK;
 }
 
+void bw_mhdev_end(struct MHD_Connection *connection)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	shutdown(info->connect_fd, SHUT_RDWR);
+}
+
 void bw_mhdev_quiesce(bw_mhdev_t *m)
 {
 	MHD_socket fd = MHD_quiesce_daemon(m->daemon);
--- a/src/net/mhdev.h
+++ b/src/net/mhdev.h
@@ -34,6 +34,7 @@
 	size_t connection_memory; /**< Bytes per connection, for headers. */
 	uint32_t connections_max;
 	uint32_t idle_timeout_s; /**< 0 is none. */
+	int receive_buffer_bytes; /**< Of a connection; 0: the system's. */
 } bw_mhdev_config_t;
 
 /**
@@ -44,6 +45,9 @@
 bw_status_t bw_mhdev_create(struct ev_loop *loop,
 			    const bw_mhdev_config_t *config, bw_mhdev_t **out);
 
+/** Ends a connection that is not suspended; its callbacks follow soon. */
+void bw_mhdev_end(struct MHD_Connection *connection);
+
 /** Stops listening; open connections are still served. */
 void bw_mhdev_quiesce(bw_mhdev_t *m);
 
--- a/src/net/simplehttp.h
+++ b/src/net/simplehttp.h
@@ -8,6 +8,7 @@
 
 #include <glib.h>
 
+#include "net/budget.h"
 #include "net/mhdev.h"
 
 /** A server. */
@@ -21,6 +22,8 @@
 	const char *path; /**< Without the query. */
 	GString *body;
 	bool body_too_large; /**< The body was over the limit. */
+	bool body_refused; /**< There was no memory for the body. */
+	uint64_t dropped_bytes; /**< Of a body that is too large or refused. */
 	void *user; /**< Owned by the handler; NULL at its first call. */
 	void (*user_free)(void *user); /**< Called at the end, if set. */
 	uint32_t calls; /**< Previous calls of the handler. */
@@ -41,7 +44,13 @@
 typedef struct bw_simple_config {
 	const char *address;
 	size_t body_bytes_max;
-	uint32_t connections_max;
+	uint32_t connections_max; /**< Above it none is accepted. */
+	/** Bounds of what clients may hold, or NULL: none. Its number of
+	 *  connections counts in place of connections_max. */
+	const bw_budget_limits_t *limits;
+	/** Receive buffer of a connection in bytes, 0: the system's. */
+	int receive_buffer_bytes;
+	bool shown; /**< What it holds is in the process's metrics. */
 } bw_simple_config_t;
 
 /** Starts a server; returns what bw_mhdev_create() does. */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -18,7 +18,6 @@
 #define MISSED_HEARTBEATS_MAX 5
 #define PROMISE_HEARTBEATS    5
 #define STORE_OUTAGE_MAX_US   ((int64_t)3600 * 1000000)
-#define OPERATOR_CONNECTIONS  64
 #define OPERATOR_BODY_BYTES   65536
 #define LEAVE_TIMEOUT_S	      2.0
 
@@ -411,6 +410,13 @@
 					 &n->counters);
 }
 
+static const bw_budget_limits_t operator_limits = {
+	.connections_max = 64,
+	.bytes_max = 4U << 20,
+	.head_wait_ms = 60000,
+	.body_still_ms = 15000,
+};
+
 static bw_status_t create_servers(bw_node_t *n)
 {
 	const bw_settings_t *s = n->settings;
@@ -435,7 +441,7 @@
 	bw_simple_config_t operators = {
 		.address = s->operators,
 		.body_bytes_max = OPERATOR_BODY_BYTES,
-		.connections_max = OPERATOR_CONNECTIONS,
+		.limits = &operator_limits,
 	};
 	bw_status_t status;
 	uint32_t i;
--- a/src/node/operators.c
+++ b/src/node/operators.c
@@ -33,7 +33,7 @@
 	bw_view_members(n->view, &member_count);
 	return json_pack(
 		"{s:s,s:s,s:s,s:b,s:b,s:I,s:I,s:I,s:I,s:b,s:b,s:i,s:i,s:i,s:i,"
-		"s:i}",
+		"s:i,s:I}",
 		"name", n->settings->name, "site", n->settings->site, "zone",
 		n->settings->zone, "ready", (int)n->ready, "stopping",
 		(int)n->stopping, "table_version",
@@ -47,7 +47,8 @@
 		"peers_up", (int)bw_peers_up_count(n->peers), "calls",
 		(int)bw_relay_calls(n->relay), "waiting",
 		(int)bw_place_waiting(n->place), "connections",
-		(int)bw_front_connections(n->front));
+		(int)bw_front_connections(n->front), "held_bytes",
+		(json_int_t)bw_front_held_bytes(n->front));
 }
 
 static json_t *counters_page(bw_node_t *n)
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -27,6 +27,14 @@
 /** More than a site has nodes: a node that is refused tries again at once. */
 #define INCOMING_CONNECTIONS_MAX 1024
 
+/** Connections that have not said whose they are, unless the configuration
+ *  says another number; the oldest one makes room for a new one. */
+#define STRANGERS_MAX 256U
+/** More than a Hello takes, with the longest names. */
+#define STRANGER_BYTES_MAX 4096U
+/** Time in which a connection has to say whose it is. */
+#define HELLO_TIMEOUT_US ((int64_t)5 * G_USEC_PER_SEC)
+
 /** A peer and the connection made to it, used only to send. */
 typedef struct link {
 	bw_peers_t *peers;
@@ -50,6 +58,9 @@
 	ev_io io;
 	GByteArray *data; /**< Bytes not yet parsed. */
 	link_t *link; /**< NULL before its Hello message. */
+	GList stranger; /**< In the list of those without one. */
+	bool is_stranger;
+	int64_t accepted_us;
 } incoming_t;
 
 struct bw_peers {
@@ -64,6 +75,7 @@
 	ev_io listen_io;
 	GPtrArray *links;
 	GPtrArray *incoming;
+	GQueue strangers; /**< incoming_t before their Hello, by age. */
 	int64_t now_us; /**< Time of the last bw_peers_tick(). */
 	int64_t next_refusal_us; /**< No refused frame is logged before. */
 };
@@ -154,6 +166,7 @@
 	p->listen_fd = fd;
 	p->links = g_ptr_array_new_with_free_func(link_free);
 	p->incoming = g_ptr_array_new();
+	g_queue_init(&p->strangers);
 	ev_io_init(&p->listen_io, on_accept, fd, EV_READ);
 	p->listen_io.data = p;
 	ev_io_start(loop, &p->listen_io);
@@ -354,6 +367,48 @@
 		link_flush(link);
 }
 
+static void forget_stranger(incoming_t *in)
+{
+	if (!in->is_stranger)
+		return;
+	in->is_stranger = false;
+	g_queue_unlink(&in->peers->strangers, &in->stranger);
+}
+
+static void drop_oldest_stranger(bw_peers_t *p)
+{
+	bw_count(p->counters, BW_C_PEERS_STRANGERS, 1);
+	drop_incoming(p->strangers.head->data);
+}
+
+static void add_stranger(incoming_t *in)
+{
+	bw_peers_t *p = in->peers;
+	uint32_t max = p->config.strangers_max;
+
+	in->is_stranger = true;
+	in->accepted_us = p->now_us;
+	in->stranger.data = in;
+	g_queue_push_tail_link(&p->strangers, &in->stranger);
+	if (p->strangers.length > (max > 0 ? max : STRANGERS_MAX))
+		drop_oldest_stranger(p);
+}
+
+static void drop_late_strangers(bw_peers_t *p)
+{
+	incoming_t *oldest;
+
+	while (p->strangers.head) {
+		oldest = p->strangers.head->data;
+		/* It came before the first tick. */
+		if (oldest->accepted_us == 0)
+			oldest->accepted_us = p->now_us;
+		if (p->now_us - oldest->accepted_us < HELLO_TIMEOUT_US)
+			return;
+		drop_oldest_stranger(p);
+	}
+}
+
 static void on_accept(struct ev_loop *loop, ev_io *io, int revents)
 {
 	bw_peers_t *p = io->data;
@@ -377,10 +432,12 @@
 	in->io.data = in;
 	ev_io_start(loop, &in->io);
 	g_ptr_array_add(p->incoming, in);
+	add_stranger(in);
 }
 
 static void incoming_free(incoming_t *in)
 {
+	forget_stranger(in);
 	ev_io_stop(in->peers->loop, &in->io);
 	close(in->fd);
 	g_byte_array_free(in->data, TRUE);
@@ -414,6 +471,7 @@
 		return false;
 	if (link->incoming)
 		link_fail(link);
+	forget_stranger(in);
 	in->link = link;
 	link->incoming = in;
 	if (link->fd < 0)
@@ -495,6 +553,10 @@
 		}
 	}
 	g_byte_array_remove_range(in->data, 0, (guint)offset);
+	if (!in->link && in->data->len > STRANGER_BYTES_MAX) {
+		bw_count(p->counters, BW_C_PEERS_STRANGERS, 1);
+		drop_incoming(in);
+	}
 }
 
 static void on_incoming(struct ev_loop *loop, ev_io *io, int revents)
@@ -552,6 +614,7 @@
 	guint i;
 
 	p->now_us = now_us;
+	drop_late_strangers(p);
 	for (i = 0; i < p->links->len; i++) {
 		link_t *link = g_ptr_array_index(p->links, i);
 
--- a/src/relay/call.h
+++ b/src/relay/call.h
@@ -67,7 +67,6 @@
 	char *method;
 	char *target; /**< Path and query as received. */
 	GString *body;
-	size_t reserved; /**< Bytes reserved in the body memory. */
 	bool head_read;
 	bool suspended;
 	bool replying; /**< The answer's head has been queued. */
--- a/src/relay/front.c
+++ b/src/relay/front.c
@@ -9,6 +9,11 @@
 
 #include <ev.h>
 
+#define BW_LOG_PART "front"
+#include "base/log.h"
+
+#include "base/clock.h"
+#include "net/budget.h"
 #include "net/mhdev.h"
 #include "relay/problem.h"
 
@@ -21,7 +26,10 @@
 
 /** A caller's connection, closed when no request arrives in time. */
 typedef struct conn {
+	bw_budget_item_t item; /**< First: the budget's items are these. */
 	GList link;
+	bw_call_t *call; /**< Whose body is read, or NULL. */
+	bool ended; /**< Closed by this front. */
 	struct MHD_Connection *connection;
 	uint32_t ip;
 	bool busy; /**< A complete request is being answered. */
@@ -36,7 +44,7 @@
 	bw_counters_t *counters;
 	GHashTable *per_ip; /**< Number of connections by IP address. */
 	GQueue conns; /**< conn_t */
-	size_t body_bytes; /**< Reserved for bodies of open requests. */
+	bw_budget_t budget;
 	uint32_t open_calls;
 	uint32_t connections;
 	bool quiesced;
@@ -61,6 +69,8 @@
 static void handle_body(bw_front_t *f, bw_call_t *call, const char *data,
 			size_t bytes);
 static bool reserve_body(bw_front_t *f, bw_call_t *call, size_t bytes);
+static void end_connection(bw_front_t *f, bw_budget_item_t *item,
+			   bw_budget_cause_t cause);
 static enum MHD_Result collect_header(void *ctx, enum MHD_ValueKind kind,
 				      const char *name, const char *value);
 static enum MHD_Result queue_refusal(bw_front_t *f, bw_call_t *call,
@@ -99,21 +109,72 @@
 	call->refusal_counter = counter;
 }
 
+static void note(bw_front_t *f, bw_budget_cause_t cause)
+{
+	static const bw_counter_t counters[BW_BUDGET_CAUSE_COUNT] = {
+		[BW_BUDGET_REFUSED] = BW_C_COUNT,
+		[BW_BUDGET_CLOSED_MEMORY] = BW_C_CLOSED_BODY_MEMORY,
+		[BW_BUDGET_CLOSED_CONNECTIONS] = BW_C_CLOSED_CONNECTIONS,
+		[BW_BUDGET_CLOSED_HEAD] = BW_C_REFUSED_SLOW,
+		[BW_BUDGET_CLOSED_STILL] = BW_C_REFUSED_SLOW,
+		[BW_BUDGET_CLOSED_LONG] = BW_C_COUNT,
+	};
+	uint32_t count = bw_budget_note(&f->budget, cause, bw_clock_now_ms());
+
+	/* Refusals are counted when they are answered. */
+	if (counters[cause] != BW_C_COUNT)
+		bw_count(f->counters, counters[cause], 1);
+	if (count > 0)
+		g_warning("Callers met a bound: %s %u, connections %u, bodies "
+			  "of %" PRIu64 " bytes.",
+			  bw_budget_cause_name(cause), count,
+			  f->budget.connections, f->budget.held_bytes);
+}
+
+static void drop_body(bw_front_t *f, conn_t *conn, bw_call_t *call)
+{
+	g_string_free(call->body, TRUE);
+	call->body = g_string_new(NULL);
+	if (conn)
+		bw_budget_release(&f->budget, &conn->item);
+}
+
+/* Closes a connection whose request is not whole, and drops its body now. */
+static void end_connection(bw_front_t *f, bw_budget_item_t *item,
+			   bw_budget_cause_t cause)
+{
+	conn_t *conn = (conn_t *)item;
+
+	conn->ended = true;
+	if (conn->call)
+		drop_body(f, conn, conn->call);
+	bw_budget_remove(&f->budget, item);
+	bw_mhdev_end(conn->connection);
+	note(f, cause);
+}
+
+/* Makes room for more bytes of a body; refuses the call if there is none. */
 static bool reserve_body(bw_front_t *f, bw_call_t *call, size_t bytes)
 {
-	if (bytes <= call->reserved)
-		return true;
-	if (bytes > f->config.body_bytes_max) {
+	conn_t *conn = conn_of(call->connection);
+	int64_t now_ms = bw_clock_now_ms();
+
+	if (call->body->len + bytes > f->config.body_bytes_max) {
 		set_refusal(call, 413, BW_C_REFUSED_BODY_TOO_LARGE);
 		return false;
 	}
-	if (f->body_bytes + bytes - call->reserved >
-	    f->config.body_memory_bytes) {
-		set_refusal(call, 503, BW_C_REFUSED_BODY_MEMORY);
-		return false;
+	while (conn &&
+	       !bw_budget_take(&f->budget, &conn->item, bytes, now_ms)) {
+		bw_budget_item_t *holder =
+			bw_budget_holder(&f->budget, &conn->item);
+
+		if (!holder) {
+			set_refusal(call, 503, BW_C_REFUSED_BODY_MEMORY);
+			note(f, BW_BUDGET_REFUSED);
+			return false;
+		}
+		end_connection(f, holder, BW_BUDGET_CLOSED_MEMORY);
 	}
-	f->body_bytes += bytes - call->reserved;
-	call->reserved = bytes;
 	return true;
 }
 
@@ -143,9 +204,14 @@
 {
 	const char *length = MHD_lookup_connection_value(
 		call->connection, MHD_HEADER_KIND, "Content-Length");
+	conn_t *conn = conn_of(call->connection);
 	guint64 bytes = 0;
 
 	call->head_read = true;
+	if (conn) {
+		conn->call = call;
+		bw_budget_begin(&f->budget, &conn->item, bw_clock_now_ms());
+	}
 	call->method = g_strdup(method);
 	bw_count(f->counters, BW_C_REQUESTS, 1);
 	if (call->target[0] != '/')
@@ -155,8 +221,8 @@
 	if (length && !g_ascii_string_to_unsigned(length, 10, 0, G_MAXINT64,
 						  &bytes, NULL))
 		set_refusal(call, 400, BW_C_REFUSED_BAD_REQUEST);
-	if (call->refusal_status == 0)
-		reserve_body(f, call, bytes);
+	if (bytes > f->config.body_bytes_max)
+		set_refusal(call, 413, BW_C_REFUSED_BODY_TOO_LARGE);
 	/* An answer before the body lets the caller stop sending it. */
 	if (call->refusal_status != 0)
 		return queue_refusal(f, call, call->connection);
@@ -170,8 +236,8 @@
 {
 	if (call->refusal_status != 0)
 		return;
-	if (!reserve_body(f, call, call->body->len + bytes)) {
-		g_string_truncate(call->body, 0);
+	if (!reserve_body(f, call, bytes)) {
+		drop_body(f, conn_of(call->connection), call);
 		return;
 	}
 	g_string_append_len(call->body, data, (gssize)bytes);
@@ -268,10 +334,12 @@
 {
 	bw_front_t *f = ctx;
 	bw_call_t *call = *state;
-	conn_t *conn;
+	conn_t *conn = conn_of(connection);
 
 	(void)url;
 	(void)version;
+	if (conn && conn->ended)
+		return MHD_NO;
 	if (!call->head_read)
 		return handle_head(f, call, method);
 	if (*data_bytes > 0) {
@@ -285,9 +353,10 @@
 		return queue_refusal(f, call, connection);
 	if (call->relay)
 		return queue_answer(call);
-	conn = conn_of(connection);
-	if (conn)
+	if (conn) {
 		conn->busy = true;
+		bw_budget_serve(&f->budget, &conn->item);
+	}
 	call->suspended = true;
 	MHD_suspend_connection(connection);
 	bw_mbox_post(f->relay, BW_RELAY_REQUEST, call);
@@ -302,14 +371,17 @@
 	conn_t *conn = conn_of(connection);
 
 	if (conn) {
+		conn->call = NULL;
 		conn->busy = false;
 		conn->wait_start = ev_now(f->loop);
+		if (!conn->ended)
+			bw_budget_wait(&f->budget, &conn->item,
+				       bw_clock_now_ms());
 	}
 	if (!call)
 		return;
 	*state = NULL;
 	f->open_calls--;
-	f->body_bytes -= call->reserved;
 	call->connection = NULL;
 	if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
 		bw_count(f->counters, BW_C_CALLER_GONE, 1);
@@ -329,8 +401,10 @@
 	(void)bytes;
 	count = GPOINTER_TO_UINT(g_hash_table_lookup(
 		f->per_ip, GUINT_TO_POINTER(in->sin_addr.s_addr)));
-	if (f->connections < f->config.connections_max &&
-	    count < f->config.connections_per_address_max)
+	/* Another connection, which brings nothing, is closed for it. */
+	if (count < f->config.connections_per_address_max &&
+	    (f->budget.connections < f->config.connections_max ||
+	     bw_budget_stalest(&f->budget)))
 		return MHD_YES;
 	bw_count(f->counters, BW_C_REFUSED_CONNECTIONS, 1);
 	return MHD_NO;
@@ -357,17 +431,22 @@
 		g_queue_push_tail_link(&f->conns, &conn->link);
 		*state = conn;
 		f->connections++;
+		bw_budget_wait(&f->budget, &conn->item, bw_clock_now_ms());
 	}
 	ip = GUINT_TO_POINTER(conn->ip);
 	count = GPOINTER_TO_UINT(g_hash_table_lookup(f->per_ip, ip));
 	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
 		g_hash_table_insert(f->per_ip, ip, GUINT_TO_POINTER(count + 1));
+		if (bw_budget_is_crowded(&f->budget))
+			end_connection(f, bw_budget_stalest(&f->budget),
+				       BW_BUDGET_CLOSED_CONNECTIONS);
 		return;
 	}
 	if (count <= 1)
 		g_hash_table_remove(f->per_ip, ip);
 	else
 		g_hash_table_insert(f->per_ip, ip, GUINT_TO_POINTER(count - 1));
+	bw_budget_remove(&f->budget, &conn->item);
 	g_queue_unlink(&f->conns, &conn->link);
 	f->connections--;
 	g_free(conn);
@@ -381,7 +460,6 @@
 	double timeout_s = f->quiesced ? STOPPING_IDLE_TIMEOUT_S
 				       : f->config.idle_timeout_ms / 1000.0;
 	double oldest = ev_now(loop) - timeout_s;
-	const union MHD_ConnectionInfo *info;
 	GList *link;
 
 	(void)revents;
@@ -390,9 +468,7 @@
 
 		if (conn->busy || conn->wait_start > oldest)
 			continue;
-		info = MHD_get_connection_info(
-			conn->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-		shutdown(info->connect_fd, SHUT_RDWR);
+		bw_mhdev_end(conn->connection);
 		conn->wait_start = ev_now(loop);
 		if (!f->quiesced)
 			bw_count(f->counters, BW_C_REFUSED_SLOW, 1);
@@ -416,10 +492,15 @@
 		.connections_max = config->connections_max + CONNECTION_SLACK,
 		.idle_timeout_s = MAX(config->idle_timeout_ms / 1000, 1),
 	};
+	bw_budget_limits_t limits = {
+		.connections_max = config->connections_max,
+		.bytes_max = config->body_memory_bytes,
+	};
 	bw_status_t status;
 
 	f->loop = loop;
 	f->config = *config;
+	bw_budget_init(&f->budget, &limits);
 	f->relay = relay;
 	f->counters = counters;
 	f->per_ip = g_hash_table_new(NULL, NULL);
@@ -475,3 +556,8 @@
 {
 	return f->connections;
 }
+
+uint64_t bw_front_held_bytes(const bw_front_t *f)
+{
+	return f->budget.held_bytes;
+}
--- a/src/relay/front.h
+++ b/src/relay/front.h
@@ -51,4 +51,7 @@
 /** Returns the number of callers' connections. */
 uint32_t bw_front_connections(const bw_front_t *f);
 
+/** Returns the bytes held of callers' bodies. */
+uint64_t bw_front_held_bytes(const bw_front_t *f);
+
 #endif
--- a/test/test_adapter.c
+++ b/test/test_adapter.c
@@ -157,6 +157,7 @@
 	platform_front_t *front;
 	char *long_body = g_strnfill(LONG_BODY_BYTES, 'x');
 	char *jobs;
+	bw_budget_limits_t limits = { .connections_max = 16 };
 	char *readiness;
 	size_t i;
 
@@ -164,8 +165,8 @@
 	assert_int_equal(bw_anyport_reserve(LISTEN_IP, &t.callers), BW_OK);
 	assert_int_equal(bw_anyport_reserve(LISTEN_IP, &t.readiness), BW_OK);
 	assert_int_equal(platform_front_create(t.loop, t.callers.address,
-					       t.readiness.address, &handler,
-					       &front),
+					       t.readiness.address, &limits,
+					       &handler, &front),
 			 BW_OK);
 	jobs = g_strconcat(t.callers.url, "/p/id", NULL);
 	readiness = g_strconcat(t.readiness.url, "/v1/readiness", NULL);
@@ -297,7 +298,9 @@
 	store_test_t t = { .loop = ev_loop_new(0) };
 	canned_server_t server = { 0 };
 	bw_anyport_t listen;
-	bw_simple_config_t config = { listen.address, 65536, 16 };
+	bw_simple_config_t config = { .address = listen.address,
+				      .body_bytes_max = 65536,
+				      .connections_max = 16 };
 	bw_counters_t counters = { 0 };
 	bw_store_t store;
 	bw_store_watch_t *watch;
@@ -444,7 +447,9 @@
 	store_test_t t = { .loop = ev_loop_new(0) };
 	canned_server_t server = { 0 };
 	bw_anyport_t listen;
-	bw_simple_config_t config = { listen.address, 65536, 16 };
+	bw_simple_config_t config = { .address = listen.address,
+				      .body_bytes_max = 65536,
+				      .connections_max = 16 };
 	bw_worker_api_t api = platform_workers_create(t.loop, NULL);
 	bw_start_order_t start = { .worker = "w1",
 				   .address = listen.address,
@@ -540,7 +545,9 @@
 		.body = "{\"clock_ms\":5,\"running\":[],\"ended\":[]}"
 	};
 	bw_anyport_t listen;
-	bw_simple_config_t config = { listen.address, 65536, 16 };
+	bw_simple_config_t config = { .address = listen.address,
+				      .body_bytes_max = 65536,
+				      .connections_max = 16 };
 	bw_worker_api_t api = platform_workers_create(t.loop, NULL);
 	bw_heartbeat_order_t heartbeat = { .worker = "w1",
 					   .address = listen.address,
@@ -618,7 +625,9 @@
 	front_test_t t = { .loop = ev_loop_new(0) };
 	many_hosts_t hosts = { 0 };
 	bw_anyport_t listen;
-	bw_simple_config_t config = { listen.address, 65536, 2 * HOSTS };
+	bw_simple_config_t config = { .address = listen.address,
+				      .body_bytes_max = 65536,
+				      .connections_max = 2 * HOSTS };
 	bw_http_client_t *client = bw_http_client_create(t.loop, 8);
 	bw_simplehttp_t *http;
 
@@ -655,7 +664,9 @@
 	store_test_t t = { .loop = ev_loop_new(0) };
 	canned_server_t server = { 0 };
 	bw_anyport_t listen;
-	bw_simple_config_t config = { listen.address, 65536, 16 };
+	bw_simple_config_t config = { .address = listen.address,
+				      .body_bytes_max = 65536,
+				      .connections_max = 16 };
 	bw_counters_t counters = { 0 };
 	bw_simplehttp_t *http;
 	bw_store_t store;
@@ -691,7 +702,9 @@
 	char *body = g_strnfill(ENDLESS_BYTES, ' ');
 	canned_server_t server = { .status = 200, .body = body };
 	bw_anyport_t listen;
-	bw_simple_config_t config = { listen.address, 65536, 16 };
+	bw_simple_config_t config = { .address = listen.address,
+				      .body_bytes_max = 65536,
+				      .connections_max = 16 };
 	bw_worker_api_t workers = platform_workers_create(t.loop, NULL);
 	bw_run_order_t order = { .worker = "w1" };
 	bw_counters_t counters = { 0 };
