--- a/test/test_config_exchange.c
+++ b/test/test_config_exchange.c
@@ -128,7 +128,7 @@
 	g_snprintf(n->name, sizeof(n->name), "n%u", index);
 	assert_int_equal(bw_anyport_reserve(LISTEN_IP, &n->listen), BW_OK);
 	assert_int_equal(bw_fleet_peers_create(f->loop, n->name,
-					       n->listen.address, index + 1,
+					       n->listen.address, 0, index + 1,
 					       query, ignore_frame, n,
 					       &n->counters, &n->peers),
 			 BW_OK);
