Machines were directed by nobody for 3 s after their controller had left

Cause: a node that leaves gives the role of the controller up at once, but its process serves callers for 2.6 s more. The next controller can't know whether it still orders machines, and waited for 3 s. Change: a node that leaves tells the others that it has released the role, once each of its orders to machines has an answer, or was sent so long ago that it can't be carried out any more. Without that word the next controller waits as before.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -174,6 +174,10 @@
 	bw_status_t status;
 
 	f->env = *env;
+	if (env->machines.impl) {
+		f->machine_calls = bw_machine_calls_create(&env->machines);
+		f->env.machines = bw_machine_calls_api(f->machine_calls);
+	}
 	f->incarnation = ((uint64_t)g_random_int() << 32) | g_random_int();
 	f->last_store_answer_ms = bw_clock_now_ms();
 	f->store_reachable = true;
@@ -378,8 +382,7 @@
 
 	for (i = 0; f->config && i < f->config->pool_count; i++)
 		fn(arg, f->config->pools[i].name);
-	if (f->config &&
-	    (f->env.machines.impl || fleet_has_caps(f->config)))
+	if (f->config && (f->env.machines.impl || fleet_has_caps(f->config)))
 		fn(arg, BW_CONTROLLER_ROLE);
 }
 
@@ -401,6 +404,7 @@
 	};
 	guint i;
 
+	f->controller_claim = revision;
 	bw_controller_destroy(f->controller);
 	f->controller = bw_controller_create(&env, &controller_ops, f);
 	bw_controller_configure(f->controller, f->config);
@@ -605,6 +609,7 @@
 		bw_directory_tick(f->directory, now_ms);
 	fleet_send_reports(f, now_ms);
 	fleet_tick_quotas(f, now_ms);
+	fleet_release_controller(f, now_ms);
 	if (f->controller && !f->leaving &&
 	    now_ms < bw_fleet_member_lease_end_ms(f->member))
 		bw_controller_tick(f->controller, now_ms);
@@ -665,8 +670,11 @@
 	f->leaving = true;
 	bw_fleet_member_stop_claiming(f->member);
 	fleet_stop_lending(f);
+	if (f->controller)
+		f->released_claim = f->controller_claim;
 	bw_controller_destroy(f->controller);
 	f->controller = NULL;
+	fleet_release_controller(f, bw_clock_now_ms());
 	pools = g_hash_table_get_values(f->pools);
 	for (at = pools; at; at = at->next)
 		bw_pool_stop(at->data);
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -11,6 +11,7 @@
 #include "fleet/config_exchange.h"
 #include "fleet/controller.h"
 #include "fleet/directory.h"
+#include "fleet/machine_calls.h"
 #include "fleet/fleet.h"
 #include "fleet/peers.h"
 #include "fleet/member.h"
@@ -36,6 +37,11 @@
 	bw_fleet_operators_t *operators;
 	fleet_quotas_t *quotas;
 	bw_controller_t *controller; /**< NULL unless this node has the role. */
+	bw_machine_calls_t *machine_calls; /**< NULL: no machine interface. */
+	int64_t controller_claim; /**< Revision of the claim of the role. */
+	/** Claim of the role that this node gave up when it left; 0: none, or
+	 *  the others were told. */
+	int64_t released_claim;
 	GPtrArray *waves; /**< Stored values of waves, as GBytes. */
 	GHashTable *last_orders; /**< Pool to time of the last order for it. */
 	GHashTable *pools; /**< Name to bw_pool_t. */
@@ -86,6 +92,9 @@
  */
 void fleet_notify_owner(void *ctx, const char *pool, const char *id,
 			const uint8_t *record, size_t bytes);
+/** Tells all nodes that this one directs no machines any more, once none of its
+ *  orders may be carried out later. */
+void fleet_release_controller(bw_fleet_t *f, int64_t now_ms);
 /** Handles a message of another node. */
 void fleet_on_frame(void *ctx, const Bramley__Frame *frame);
 /** Sends reports of this node's pools to the controller, and withdraws its
--- /dev/null
+++ b/src/fleet/machine_calls.h
@@ -0,0 +1,25 @@
+/**
+ * @file
+ * Orders to machines, counted: whether one may still be carried out. A
+ * controller that ends in order is known to have stopped only then.
+ */
+#ifndef BW_FLEET_MACHINE_CALLS_H
+#define BW_FLEET_MACHINE_CALLS_H
+
+#include "fleet/interfaces.h"
+
+typedef struct bw_machine_calls bw_machine_calls_t;
+
+/** @param api passes the calls on; copied, must outlive all of them */
+bw_machine_calls_t *bw_machine_calls_create(const bw_machine_api_t *api);
+/** Its calls in progress still end. */
+void bw_machine_calls_destroy(bw_machine_calls_t *c);
+
+/** Returns the same interface, whose orders are counted. */
+bw_machine_api_t bw_machine_calls_api(bw_machine_calls_t *c);
+
+/** Returns whether no order may be carried out any more: each has an answer, or
+ *  was sent long ago. */
+bool bw_machine_calls_settled(const bw_machine_calls_t *c, int64_t now_ms);
+
+#endif
--- a/src/fleet/messages.c
+++ b/src/fleet/messages.c
@@ -86,6 +86,33 @@
 		bw_fleet_peers_send(f->peers, node, frame);
 }
 
+void fleet_release_controller(bw_fleet_t *f, int64_t now_ms)
+{
+	Bramley__RoleReleased released = BRAMLEY__ROLE_RELEASED__INIT;
+	Bramley__Frame frame = BRAMLEY__FRAME__INIT;
+
+	if (f->released_claim == 0 ||
+	    (f->machine_calls &&
+	     !bw_machine_calls_settled(f->machine_calls, now_ms)))
+		return;
+	released.role = (char *)BW_CONTROLLER_ROLE;
+	released.node = f->env.settings->name;
+	released.revision = f->released_claim;
+	frame.body_case = BRAMLEY__FRAME__BODY_ROLE_RELEASED;
+	frame.role_released = &released;
+	bw_fleet_peers_broadcast(f->peers, &frame);
+	f->released_claim = 0;
+}
+
+static void apply_released(bw_fleet_t *f, const Bramley__RoleReleased *released)
+{
+	bw_earlier_owner_t owner = { released->role, released->node,
+				     released->revision };
+
+	if (!strcmp(released->role, BW_CONTROLLER_ROLE))
+		bw_fleet_member_owner_stopped(f->member, &owner);
+}
+
 void fleet_on_frame(void *ctx, const Bramley__Frame *frame)
 {
 	bw_fleet_t *f = ctx;
@@ -98,6 +125,8 @@
 		 f->controller)
 		bw_controller_record_report(f->controller, bw_clock_now_ms(),
 					    frame->pool_report);
+	else if (frame->body_case == BRAMLEY__FRAME__BODY_ROLE_RELEASED)
+		apply_released(f, frame->role_released);
 	else if (frame->body_case == BRAMLEY__FRAME__BODY_QUOTA_REPORT)
 		fleet_take_quota_report(f, frame->quota_report);
 	else if (frame->body_case == BRAMLEY__FRAME__BODY_QUOTA_ORDER)
--- a/src/fleet/peers.c
+++ b/src/fleet/peers.c
@@ -520,3 +520,25 @@
 {
 	bw_peers_send(p->peers, bw_name_id(node), frame);
 }
+
+/** A message to all nodes. */
+typedef struct broadcast {
+	bw_fleet_peers_t *p;
+	const Bramley__Frame *frame;
+} broadcast_t;
+
+static void send_to_peer(void *ctx, uint64_t peer, const char *name, bool up)
+{
+	broadcast_t *broadcast = ctx;
+
+	(void)name;
+	if (up)
+		bw_peers_send(broadcast->p->peers, peer, broadcast->frame);
+}
+
+void bw_fleet_peers_broadcast(bw_fleet_peers_t *p, const Bramley__Frame *frame)
+{
+	broadcast_t broadcast = { p, frame };
+
+	bw_peers_foreach(p->peers, send_to_peer, &broadcast);
+}
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -123,6 +123,9 @@
 void bw_fleet_peers_send(bw_fleet_peers_t *p, const char *node,
 			 const Bramley__Frame *frame);
 
+/** Sends a message to all nodes that are connected. */
+void bw_fleet_peers_broadcast(bw_fleet_peers_t *p, const Bramley__Frame *frame);
+
 /**
  * Sets what heartbeats report on the store.
  * @param answered_ms when it last answered this node
--- a/src/wire/bramley.pb-c.c
+++ b/src/wire/bramley.pb-c.c
@@ -817,6 +817,51 @@
   assert(message->base.descriptor == &bramley__quota_order__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bramley__role_released__init
+                     (Bramley__RoleReleased         *message)
+{
+  static const Bramley__RoleReleased init_value = BRAMLEY__ROLE_RELEASED__INIT;
+  *message = init_value;
+}
+size_t bramley__role_released__get_packed_size
+                     (const Bramley__RoleReleased *message)
+{
+  assert(message->base.descriptor == &bramley__role_released__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bramley__role_released__pack
+                     (const Bramley__RoleReleased *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bramley__role_released__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bramley__role_released__pack_to_buffer
+                     (const Bramley__RoleReleased *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bramley__role_released__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bramley__RoleReleased *
+       bramley__role_released__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bramley__RoleReleased *)
+     protobuf_c_message_unpack (&bramley__role_released__descriptor,
+                                allocator, len, data);
+}
+void   bramley__role_released__free_unpacked
+                     (Bramley__RoleReleased *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bramley__role_released__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bramley__frame__init
                      (Bramley__Frame         *message)
 {
@@ -2495,7 +2540,71 @@
   (ProtobufCMessageInit) bramley__quota_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__frame__field_descriptors[13] =
+static const ProtobufCFieldDescriptor bramley__role_released__field_descriptors[3] =
+{
+  {
+    "role",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__RoleReleased, role),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "node",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__RoleReleased, node),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__RoleReleased, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bramley__role_released__field_indices_by_name[] = {
+  1,   /* field[1] = node */
+  2,   /* field[2] = revision */
+  0,   /* field[0] = role */
+};
+static const ProtobufCIntRange bramley__role_released__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor bramley__role_released__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bramley.RoleReleased",
+  "RoleReleased",
+  "Bramley__RoleReleased",
+  "bramley",
+  sizeof(Bramley__RoleReleased),
+  3,
+  bramley__role_released__field_descriptors,
+  bramley__role_released__field_indices_by_name,
+  1,  bramley__role_released__number_ranges,
+  (ProtobufCMessageInit) bramley__role_released__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bramley__frame__field_descriptors[14] =
 {
   {
     "hello",
@@ -2653,6 +2762,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "role_released",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bramley__Frame, body_case),
+    offsetof(Bramley__Frame, role_released),
+    &bramley__role_released__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__frame__field_indices_by_name[] = {
   4,   /* field[4] = ask */
@@ -2666,13 +2787,14 @@
   8,   /* field[8] = pool_report */
   12,   /* field[12] = quota_order */
   11,   /* field[11] = quota_report */
+  13,   /* field[13] = role_released */
   7,   /* field[7] = state_answer */
   6,   /* field[6] = state_ask */
 };
 static const ProtobufCIntRange bramley__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor bramley__frame__descriptor =
 {
@@ -2682,7 +2804,7 @@
   "Bramley__Frame",
   "bramley",
   sizeof(Bramley__Frame),
-  13,
+  14,
   bramley__frame__field_descriptors,
   bramley__frame__field_indices_by_name,
   1,  bramley__frame__number_ranges,
--- a/src/wire/bramley.pb-c.h
+++ b/src/wire/bramley.pb-c.h
@@ -33,6 +33,7 @@
 typedef struct Bramley__QuotaReport Bramley__QuotaReport;
 typedef struct Bramley__TenantQuota Bramley__TenantQuota;
 typedef struct Bramley__QuotaOrder Bramley__QuotaOrder;
+typedef struct Bramley__RoleReleased Bramley__RoleReleased;
 typedef struct Bramley__Frame Bramley__Frame;
 
 
@@ -466,6 +467,25 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL }
 
 
+/*
+ * Sent to all nodes by one that has given a role up and will give no orders by
+ * that claim any more.
+ */
+struct  Bramley__RoleReleased
+{
+  ProtobufCMessage base;
+  char *role;
+  char *node;
+  /*
+   * Of the claim.
+   */
+  int64_t revision;
+};
+#define BRAMLEY__ROLE_RELEASED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bramley__role_released__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
 typedef enum {
   BRAMLEY__FRAME__BODY__NOT_SET = 0,
   BRAMLEY__FRAME__BODY_HELLO = 1,
@@ -480,7 +500,8 @@
   BRAMLEY__FRAME__BODY_POOL_ORDER = 10,
   BRAMLEY__FRAME__BODY_JOB_NOTICE = 11,
   BRAMLEY__FRAME__BODY_QUOTA_REPORT = 12,
-  BRAMLEY__FRAME__BODY_QUOTA_ORDER = 13
+  BRAMLEY__FRAME__BODY_QUOTA_ORDER = 13,
+  BRAMLEY__FRAME__BODY_ROLE_RELEASED = 14
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BRAMLEY__FRAME__BODY__CASE)
 } Bramley__Frame__BodyCase;
 
@@ -502,6 +523,7 @@
     Bramley__JobNotice *job_notice;
     Bramley__QuotaReport *quota_report;
     Bramley__QuotaOrder *quota_order;
+    Bramley__RoleReleased *role_released;
   };
 };
 #define BRAMLEY__FRAME__INIT \
@@ -851,6 +873,25 @@
 void   bramley__quota_order__free_unpacked
                      (Bramley__QuotaOrder *message,
                       ProtobufCAllocator *allocator);
+/* Bramley__RoleReleased methods */
+void   bramley__role_released__init
+                     (Bramley__RoleReleased         *message);
+size_t bramley__role_released__get_packed_size
+                     (const Bramley__RoleReleased   *message);
+size_t bramley__role_released__pack
+                     (const Bramley__RoleReleased   *message,
+                      uint8_t             *out);
+size_t bramley__role_released__pack_to_buffer
+                     (const Bramley__RoleReleased   *message,
+                      ProtobufCBuffer     *buffer);
+Bramley__RoleReleased *
+       bramley__role_released__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bramley__role_released__free_unpacked
+                     (Bramley__RoleReleased *message,
+                      ProtobufCAllocator *allocator);
 /* Bramley__Frame methods */
 void   bramley__frame__init
                      (Bramley__Frame         *message);
@@ -926,6 +967,9 @@
 typedef void (*Bramley__QuotaOrder_Closure)
                  (const Bramley__QuotaOrder *message,
                   void *closure_data);
+typedef void (*Bramley__RoleReleased_Closure)
+                 (const Bramley__RoleReleased *message,
+                  void *closure_data);
 typedef void (*Bramley__Frame_Closure)
                  (const Bramley__Frame *message,
                   void *closure_data);
@@ -953,6 +997,7 @@
 extern const ProtobufCMessageDescriptor bramley__quota_report__descriptor;
 extern const ProtobufCMessageDescriptor bramley__tenant_quota__descriptor;
 extern const ProtobufCMessageDescriptor bramley__quota_order__descriptor;
+extern const ProtobufCMessageDescriptor bramley__role_released__descriptor;
 extern const ProtobufCMessageDescriptor bramley__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/test/test_earlier_owners.c
+++ b/test/test_earlier_owners.c
@@ -414,6 +414,30 @@
 	tear_down(&t);
 }
 
+/* A controller that leaves in order tells so before its process ends; what it
+ * says of another claim counts for nothing. */
+static void test_controller_that_has_released_its_role(void **state)
+{
+	bw_earlier_owner_t released = { POOL, "first", 0 };
+	owners_test_t t;
+
+	(void)state;
+	set_up(&t);
+	put_node(&t, "first", 1);
+	released.revision = claim_for_a_while(&t, "first", 1);
+	t.may_claim = true;
+	wait_for_owned(&t, true);
+	run(&t, SOME_ROUNDS);
+	assert_true(has_predecessor(&t));
+	released.revision++;
+	bw_fleet_member_owner_stopped(t.member, &released);
+	assert_true(has_predecessor(&t));
+	released.revision--;
+	bw_fleet_member_owner_stopped(t.member, &released);
+	assert_false(has_predecessor(&t));
+	tear_down(&t);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -425,6 +449,7 @@
 			test_claim_that_is_not_reported_yet_is_overlooked),
 		cmocka_unit_test(test_claim_that_is_answered_after_its_end),
 		cmocka_unit_test(test_controller_overlooks_an_earlier_one),
+		cmocka_unit_test(test_controller_that_has_released_its_role),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
