--- a/Makefile
+++ b/Makefile
@@ -191,7 +191,8 @@
 FUZZ_LIB_C := $(wildcard src/base/*.c src/place/*.c src/once/*.c \
 	src/member/*.c src/table/*.c src/wire/*.c src/job/job.c \
 	src/fleet/interfaces.c platform/decode.c platform/names.c \
-	platform/registration.c platform/submission.c platform/values.c)
+	platform/registration.c platform/submission.c platform/tenants.c \
+	platform/values.c)
 FUZZ_OBJ := $(FUZZ_LIB_C:%.c=$(BUILD)/fuzz/obj/%.o)
 FUZZERS := $(patsubst fuzz/fuzz_%.c,%,$(wildcard fuzz/fuzz_*.c))
 VARIANTS := $(shell sed -n 's/^\([a-z]*\) \([a-z_]*\) [a-z]*\/.*/\1-\2/p' fuzz/broken.txt)
--- a/fuzz/fuzz_values.c
+++ b/fuzz/fuzz_values.c
@@ -97,14 +97,39 @@
 	bw_registration_free(r);
 }
 
+static void check_tenant(const bw_tenant_t *tenant)
+{
+	char **key;
+
+	FUZZ_ASSERT(tenant->name[0] != '\0' && !strpbrk(tenant->name, " \r\n"),
+		    "a tenant has a name");
+	for (key = tenant->keys; *key; key++)
+		FUZZ_ASSERT((*key)[0] != '\0' && !strpbrk(*key, " \r\n"),
+			    "a key can be sent in a header");
+	FUZZ_ASSERT(tenant->terms.weight > 0.0, "a weight is above 0");
+	check_amount(tenant->terms.cap.cpu_millis);
+	check_amount(tenant->terms.cap.mem_mb);
+	check_amount(tenant->terms.cap.gpus);
+}
+
+static void check_config(const bw_fleet_config_t *config)
+{
+	uint32_t i;
+
+	for (i = 0; i < config->tenant_count; i++)
+		check_tenant(&config->tenants[i]);
+}
+
 static void parse_others(const char *text, size_t bytes)
 {
 	bw_fleet_config_t *config;
 	bw_wave_order_t *wave;
 	bw_job_spec_t *spec;
 
-	if (platform_value_format.parse_config(text, bytes, &config) == BW_OK)
+	if (platform_value_format.parse_config(text, bytes, &config) == BW_OK) {
+		check_config(config);
 		bw_fleet_config_free(config);
+	}
 	if (platform_value_format.parse_wave(text, bytes, &wave) == BW_OK)
 		bw_wave_order_free(wave);
 	if (platform_parse_job(text, bytes, &spec) == BW_OK)
--- a/src/fleet/show.c
+++ b/src/fleet/show.c
@@ -186,6 +186,10 @@
 		(double)(bw_fleet_member_lease_end_ms(f->member) - now_ms));
 	bw_metrics_gauge(out, "bramley_configuration_version", NULL,
 			 f->config ? (double)f->config->version : 0.0);
+	bw_metrics_gauge(out, "bramley_configuration_doubted", NULL,
+			 bw_config_sync_trust(
+				 bw_config_exchange_sync(f->config_exchange),
+				 now_ms) == BW_CONFIG_DOUBTED);
 	show_log(out);
 	g_hash_table_iter_init(&iter, f->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &pool))
--- a/test/test_odd_tenants.c
+++ b/test/test_odd_tenants.c
@@ -206,6 +206,21 @@
 	bw_fleet_config_free(config);
 }
 
+/* Failure: the text of an error in the log quotes what it is near. */
+static void test_unreadable_configuration_shows_no_key(void **state)
+{
+	static const char text[] = "{\"tenants\":[{\"name\":\"a\","
+				   "\"api_keys\":[\"k1\" \"SECRET\"]}]}";
+	bw_fleet_config_t *config = NULL;
+
+	(void)state;
+	assert_int_equal(
+		platform_value_format.parse_config(text, strlen(text), &config),
+		BW_EPARSE);
+	assert_non_null(strstr(bw_status_message(), "line 1"));
+	assert_null(strstr(bw_status_message(), "SECRET"));
+}
+
 static void test_many_tenants_are_read(void **state)
 {
 	GString *list = g_string_new("[");
@@ -234,6 +249,7 @@
 		cmocka_unit_test(test_tenants_that_are_no_list_are_refused),
 		cmocka_unit_test(test_odd_row_leaves_the_others_in_force),
 		cmocka_unit_test(test_remark_holds_no_key),
+		cmocka_unit_test(test_unreadable_configuration_shows_no_key),
 		cmocka_unit_test(test_many_tenants_are_read),
 	};
 
