A version that nobody has confirmed lately rejects no key

Change: after config_apply_ms without a confirmation it answers 503. The test of a node that hears nobody fails on the code before.

--- a/src/fleet/config_sync.c
+++ b/src/fleet/config_sync.c
@@ -11,7 +11,7 @@
 #define CONFIRM_DELAY_MS 500
 /** A confirmation is up to 2 s old when the next one comes, so none for a
  *  shorter time means nothing. */
-#define DOUBT_MIN_MS 3000
+#define CONFIRMED_MIN_MS 3000
 
 /** What is known of another node. */
 typedef struct peer {
@@ -21,7 +21,8 @@
 } peer_t;
 
 struct bw_config_sync {
-	int64_t doubt_ms; /**< After the last confirmation; 0: never. */
+	int64_t behind_ms; /**< After the last confirmation; 0: never. */
+	int64_t doubt_ms; /**< The same. */
 	uint64_t salt;
 	GHashTable *peers; /**< Identifier to peer_t. */
 	int64_t revision;
@@ -31,12 +32,10 @@
 	int64_t asked_ms; /**< Any node; INT64_MIN: none since behind. */
 };
 
-static int64_t doubt_ms(const bw_config_bounds_t *bounds)
+/* Returns for how long a confirmation counts within a bound. */
+static int64_t confirmed_for_ms(int64_t bound_ms)
 {
-	int64_t limit_ms =
-		bounds->apply_ms + bounds->outage_ms - CONFIRM_DELAY_MS;
-
-	return bounds->apply_ms > 0 ? MAX(limit_ms, DOUBT_MIN_MS) : 0;
+	return MAX(bound_ms - CONFIRM_DELAY_MS, CONFIRMED_MIN_MS);
 }
 
 bw_config_sync_t *bw_config_sync_create(const bw_config_bounds_t *bounds,
@@ -44,7 +43,11 @@
 {
 	bw_config_sync_t *c = g_new0(bw_config_sync_t, 1);
 
-	c->doubt_ms = doubt_ms(bounds);
+	if (bounds->apply_ms > 0) {
+		c->behind_ms = confirmed_for_ms(bounds->apply_ms);
+		c->doubt_ms =
+			confirmed_for_ms(bounds->apply_ms + bounds->outage_ms);
+	}
 	c->salt = salt;
 	c->asked_ms = INT64_MIN;
 	c->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
@@ -144,9 +147,12 @@
 bw_config_trust_t bw_config_sync_trust(const bw_config_sync_t *c,
 				       int64_t now_ms)
 {
-	if (c->doubt_ms > 0 &&
-	    bw_config_sync_silent_ms(c, now_ms) >= c->doubt_ms)
+	int64_t silent_ms = bw_config_sync_silent_ms(c, now_ms);
+
+	if (c->doubt_ms > 0 && silent_ms >= c->doubt_ms)
 		return BW_CONFIG_DOUBTED;
+	if (c->behind_ms > 0 && silent_ms >= c->behind_ms)
+		return BW_CONFIG_BEHIND;
 	return c->newest > c->revision ? BW_CONFIG_BEHIND : BW_CONFIG_NEWEST;
 }
 
--- a/src/fleet/config_sync.h
+++ b/src/fleet/config_sync.h
@@ -21,7 +21,8 @@
 /** What a version of the configuration is worth, at a time. */
 typedef enum bw_config_trust {
 	BW_CONFIG_NEWEST, /**< No newer version is known of. */
-	BW_CONFIG_BEHIND, /**< There is a newer one; this one may still hold. */
+	/** There is a newer one, or may be; this one may still hold. */
+	BW_CONFIG_BEHIND,
 	BW_CONFIG_DOUBTED /**< It must not be relied on any more. */
 } bw_config_trust_t;
 
--- a/test/test_tenant_keys.c
+++ b/test/test_tenant_keys.c
@@ -202,6 +202,8 @@
 	confirm(&n);
 	n.now_ms += APPLY_MS;
 	assert_int_equal(call(&n, &keyed, "ka1"), BW_KEY_ALLOWED);
+	/* It is not rejected by a version that others may not have any more. */
+	assert_int_equal(call(&n, &keyed, "nobody's"), BW_KEY_UNSURE);
 	n.now_ms = START_MS + APPLY_MS + OUTAGE_MS;
 	assert_int_equal(call(&n, &keyed, "ka1"), BW_KEY_UNSURE);
 	assert_int_equal(call(&n, &keyed, "nobody's"), BW_KEY_UNSURE);
