World: tenants with caps, and what really runs of them

Cause: nothing checked against workers that the accounting is an upper bound. Change: play_world tenants, and tenants- before another mode, gives most jobs to four tenants whose caps bind; each owner has the whole cap of the one pool as its quota from its first moment on. At each start on a worker the runs of the tenant on all workers are added up and held against the cap, 10 % and one task. The other modes draw as before.

--- a/test/play_world.c
+++ b/test/play_world.c
@@ -1,17 +1,19 @@
 /*
  * play_world FIRST COUNT [FAILURES_MAX
  * [plain|late|late-calls|gangs|plain-gangs|closing|closing-faults|owners|
- * owners-faults]]: plays simulations with COUNT seeds from FIRST on, or until
- * FAILURES_MAX of them have failed; exits with 1 if a rule was violated. With
- * "plain", workers do not restart under their identifier and no task crashes
- * them; with "late", besides, half of all orders have no answer, and most of
- * these are carried out later; with "late-calls", one call to a worker in ten
- * is carried out late without an answer, or half of them; with "gangs", half of
- * the steps are gangs, and each saved state is compared with what a successor
- * reads, with all faults or as "plain". With "closing", workers that keep no
- * connections restart, without other faults. With "owners", owners lose their
- * claims in quick succession, as "plain" without faults of its own, or with
- * all. WORLD_TRACE=1 prints each event of note.
+ * owners-faults|tenants|tenants-MODE]]: plays simulations with COUNT seeds from
+ * FIRST on, or until FAILURES_MAX of them have failed; exits with 1 if a rule
+ * was violated. With "plain", workers do not restart under their identifier and
+ * no task crashes them; with "late", besides, half of all orders have no
+ * answer, and most of these are carried out later; with "late-calls", one call
+ * to a worker in ten is carried out late without an answer, or half of them;
+ * with "gangs", half of the steps are gangs, and each saved state is compared
+ * with what a successor reads, with all faults or as "plain". With "closing",
+ * workers that keep no connections restart, without other faults. With
+ * "owners", owners lose their claims in quick succession, as "plain" without
+ * faults of its own, or with all. With "tenants", most jobs are of tenants with
+ * caps, and with "tenants-" before another mode, too. WORLD_TRACE=1 prints each
+ * event of note.
  */
 #include <stdbool.h>
 #include <stdio.h>
@@ -27,23 +29,36 @@
 	uint32_t first = argc > 1 ? (uint32_t)atoi(argv[1]) : 1;
 	uint32_t count = argc > 2 ? (uint32_t)atoi(argv[2]) : 100;
 	uint32_t failures_max = argc > 3 ? (uint32_t)atoi(argv[3]) : UINT32_MAX;
-	bool plain_gangs = argc > 4 && !strcmp(argv[4], "plain-gangs");
-	bool gangs = plain_gangs || (argc > 4 && !strcmp(argv[4], "gangs"));
-	bool late = argc > 4 && !strcmp(argv[4], "late");
-	bool late_calls = argc > 4 && !strcmp(argv[4], "late-calls");
-	bool closing_faults = argc > 4 && !strcmp(argv[4], "closing-faults");
-	bool closing =
-		closing_faults || (argc > 4 && !strcmp(argv[4], "closing"));
-	bool owners_faults = argc > 4 && !strcmp(argv[4], "owners-faults");
-	bool owners = argc > 4 && !strcmp(argv[4], "owners");
-	bool plain = late || late_calls || plain_gangs || owners ||
-		     (argc > 4 && !strcmp(argv[4], "plain"));
+	const char *mode = argc > 4 ? argv[4] : "";
+	bool tenants = g_str_has_prefix(mode, "tenants");
+	bool plain_gangs;
+	bool gangs;
+	bool late;
+	bool late_calls;
+	bool closing_faults;
+	bool closing;
+	bool owners_faults;
+	bool owners;
+	bool plain;
+	uint32_t at_cap = 0;
 	uint64_t events = 0;
 	uint32_t failures = 0;
 	uint32_t crashing_failed = 0;
 	uint32_t sound_failed = 0;
 	uint32_t i;
 
+	if (g_str_has_prefix(mode, "tenants-"))
+		mode += strlen("tenants-");
+	plain_gangs = !strcmp(mode, "plain-gangs");
+	gangs = plain_gangs || !strcmp(mode, "gangs");
+	late = !strcmp(mode, "late");
+	late_calls = !strcmp(mode, "late-calls");
+	closing_faults = !strcmp(mode, "closing-faults");
+	closing = closing_faults || !strcmp(mode, "closing");
+	owners_faults = !strcmp(mode, "owners-faults");
+	owners = !strcmp(mode, "owners");
+	plain = late || late_calls || plain_gangs || owners ||
+		!strcmp(mode, "plain");
 	for (i = 0; i < count && failures < failures_max; i++) {
 		world_config_t config;
 		world_result_t result;
@@ -71,7 +86,10 @@
 			world_close_connections(first + i, &config);
 		if (closing_faults)
 			config.faults = faults;
+		if (tenants)
+			world_add_tenants(&config);
 		world_play(&config, &result);
+		at_cap += result.at_cap;
 		events += result.events;
 		crashing_failed += result.crashing_failed;
 		sound_failed += result.sound_failed;
@@ -82,7 +100,10 @@
 		       result.violations, result.first_violation);
 	}
 	printf("seeds=%u failures=%u events=%" G_GUINT64_FORMAT
-	       " crashing_failed=%u sound_failed=%u\n",
+	       " crashing_failed=%u sound_failed=%u",
 	       i, failures, events, crashing_failed, sound_failed);
+	if (tenants)
+		printf(" at_cap=%u", at_cap);
+	printf("\n");
 	return failures > 0;
 }
--- a/test/world.c
+++ b/test/world.c
@@ -14,6 +14,10 @@
 /** Share of jobs with long runs, and the time that they take besides. */
 #define LONG_SHARE	 0.5
 #define LONG_RECOVERY_MS 30000
+/** Time that jobs take besides as only a part of them may run at a time, the
+ *  second for long ones. */
+#define CAPPED_MS      60000
+#define LONG_CAPPED_MS 300000
 
 void world_violation(world_t *w, const char *fmt, ...)
 {
@@ -743,6 +747,7 @@
 	draw_cuts(w);
 	world_init_crashes(w);
 	world_init_gangs(w);
+	world_init_tenants(w);
 	for (i = 0; i < w->config.faults; i++)
 		world_schedule(
 			w, world_random_between(w, 100, w->config.traffic_ms),
@@ -791,6 +796,7 @@
 	g_rand_free(w->crash_rand);
 	g_rand_free(w->gang_rand);
 	g_rand_free(w->late_rand);
+	g_rand_free(w->tenant_rand);
 	g_rand_free(w->fault_rand);
 	g_rand_free(w->owners_rand);
 }
@@ -898,6 +904,13 @@
 	config->stale_notice_share = seed % 2 == 0 ? 0.0 : 0.5;
 }
 
+void world_add_tenants(world_config_t *config)
+{
+	config->tenants = TENANTS_MAX;
+	config->recovery_ms +=
+		config->long_share > 0.0 ? LONG_CAPPED_MS : CAPPED_MS;
+}
+
 double world_late_share(uint32_t seed)
 {
 	return seed % 2 == 0 ? 0.1 : 0.5;
--- a/test/world.h
+++ b/test/world.h
@@ -47,6 +47,7 @@
 	double long_share; /**< Share of jobs whose first step takes 6 to 12 s.
 			    */
 	int64_t confirm_ms; /**< Of the schedulers. */
+	uint32_t tenants; /**< With caps; 0: jobs are nobody's. */
 	bool check_stored; /**< Compares each saved state with what a successor
 			      reads of it. */
 } world_config_t;
@@ -57,6 +58,8 @@
 	uint32_t violations;
 	uint32_t completed; /**< Jobs. */
 	uint32_t starts; /**< Runs that were started on a worker. */
+	uint32_t at_cap; /**< Of these, those after which a tenant had no room
+			    for another one like it. */
 	uint32_t crashing_failed; /**< Jobs that crash workers and failed. */
 	uint32_t sound_failed; /**< Others that failed with attempts left. */
 	char first_violation[256]; /**< Its time and text. */
@@ -85,6 +88,9 @@
  * faults but lost calls. With odd seeds earlier owners get notices of jobs. */
 void world_change_owners(uint32_t seed, world_config_t *config);
 
+/** Gives most jobs to tenants with caps that bind. */
+void world_add_tenants(world_config_t *config);
+
 /** Returns the share of calls that are carried out late, for a seed. */
 double world_late_share(uint32_t seed);
 
--- a/test/world_internal.h
+++ b/test/world_internal.h
@@ -4,7 +4,8 @@
  * workers and the calls to them (world_worker.c), nodes and the store
  * (world_node.c), tasks that crash their workers (world_crash.c), gangs
  * (world_gang.c), what nodes know of earlier owners (world_owners.c), owners
- * that lose their claims in quick succession (world_chain.c).
+ * that lose their claims in quick succession (world_chain.c), tenants with
+ * caps (world_tenant.c).
  */
 #ifndef BW_TEST_WORLD_INTERNAL_H
 #define BW_TEST_WORLD_INTERNAL_H
@@ -16,6 +17,8 @@
 
 #define NODE_COUNT   3
 #define WORKER_COUNT 7
+#define TENANTS_MAX  4U
+#define TENANT_CHARS 8U
 /** Lease of the pool's owner. */
 #define LEASE_MS 2000
 #define GRANT_MS 5000
@@ -109,6 +112,7 @@
 typedef struct fake_job {
 	char id[BW_JOB_ID_CHARS + 1];
 	bw_job_record_t record;
+	uint32_t tenant; /**< Its number, from 1; 0: nobody's. */
 	bool always_fails; /**< All runs of the first task of each step. */
 	int64_t stored_ms; /**< 0: not yet. */
 	int64_t revision; /**< Of the store that created its record. */
@@ -203,6 +207,8 @@
 	GRand *late_rand; /**< Draws calls that are carried out late. */
 	GRand *resize_rand; /**< Draws how workers shrink. */
 	GRand *connection_rand; /**< Draws which connections are closed. */
+	GRand *tenant_rand; /**< Draws tenants and their caps. */
+	bw_resources_t caps[TENANTS_MAX];
 	GRand *owners_rand; /**< Draws chains of owners, and what nodes learn of
 			       each other. */
 	GSequence *events;
@@ -374,6 +380,16 @@
  */
 void world_free_question(event_fn fn, void *arg);
 
+/** Draws whose the jobs are, once they are drawn, and the caps. */
+void world_init_tenants(world_t *w);
+
+/** Tells a new owner's scheduler the tenants and their quotas. */
+void world_set_tenants(world_t *w, bw_sched_t *sched);
+
+/** Checks the cap of a job's tenant before a task of it starts. */
+void world_check_cap(world_t *w, const fake_job_t *job,
+		     const bw_resources_t *need);
+
 /** Draws chains of owners, and which jobs have long runs. */
 void world_init_chains(world_t *w);
 
--- a/test/world_node.c
+++ b/test/world_node.c
@@ -418,6 +418,7 @@
 	node->sched =
 		bw_sched_create(&config, &world_sched_ops, node, w->now_ms);
 	bw_sched_set_queue(node->sched, &queue_config);
+	world_set_tenants(w, node->sched);
 	node->state_rev = w->state_rev;
 	node->known_from = w->state_known_from;
 	if (w->state) {
--- a/test/world_worker.c
+++ b/test/world_worker.c
@@ -193,6 +193,7 @@
 
 	trace_run(w, worker, "run-start", task, number, "");
 	check_start_rules(w, worker, job, task);
+	world_check_cap(w, job, &step->need);
 	if (job->removed_ms > 0)
 		world_violation(w, "job %s is started after its removal",
 				job->id);
