--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -245,6 +245,7 @@
 	char *machine;
 	char **labels;
 	bw_resources_t capacity;
+	bw_resources_t capacity_max; /**< Highest amounts that it had. */
 	bw_resources_t used;
 	GPtrArray *tasks; /**< Tasks whose worker is this one. */
 	GArray *orphans; /**< Tasks of runs that it lists and should not run;
--- a/src/sched/tenant.c
+++ b/src/sched/tenant.c
@@ -136,7 +136,7 @@
 	sum->gpus += times * need->gpus;
 }
 
-static void raise_to(bw_resources_t *sum, const bw_resources_t *other)
+void sched_raise_to(bw_resources_t *sum, const bw_resources_t *other)
 {
 	sum->cpu_millis = MAX(sum->cpu_millis, other->cpu_millis);
 	sum->mem_mb = MAX(sum->mem_mb, other->mem_mb);
@@ -221,17 +221,18 @@
 	       now_ms - worker->synced_ms < s->config.stop_ms + STOP_MARGIN_MS;
 }
 
-/* Of a worker that has listed its runs, they use what is free at the most. */
+/* Of a worker that has listed its runs, they use what is free at the most. One
+ * that has shrunk may run what it did before. */
 static void add_room(const worker_t *worker, hidden_room_t *hidden)
 {
-	bw_resources_t room = worker->capacity;
+	bw_resources_t room = worker->capacity_max;
 	bw_resources_t none = { 0 };
 
 	hidden->any = true;
 	hidden->unbounded |= !worker->described;
 	if (worker->synced)
 		add(&room, &worker->used, -1);
-	raise_to(&room, &none);
+	sched_raise_to(&room, &none);
 	add(&hidden->room, &room, 1);
 }
 
@@ -339,7 +340,7 @@
 	bool fewer = within(&tenant->listed, &tenant->orphaned);
 
 	if (!fewer || within(&tenant->orphaned, &tenant->listed)) {
-		raise_to(&tenant->orphaned, &tenant->listed);
+		sched_raise_to(&tenant->orphaned, &tenant->listed);
 		tenant->orphaned_ms = now_ms;
 	} else if (now_ms - tenant->orphaned_ms >=
 		   s->config.stop_ms + STOP_MARGIN_MS) {
@@ -538,7 +539,7 @@
 		return;
 	add(&use->wanted, &step->need, waiting);
 	add(&largest, &step->need, step->gang ? step->count : 1);
-	raise_to(&use->largest, &largest);
+	sched_raise_to(&use->largest, &largest);
 }
 
 static void add_use(const bw_sched_t *s, const occurrence_t *occurrence)
--- a/src/sched/tenant.h
+++ b/src/sched/tenant.h
@@ -69,6 +69,9 @@
 /** Returns the tenant of a name, which may be new; NULL for none. */
 tenant_t *sched_tenant(bw_sched_t *s, const char *name);
 
+/** Raises each amount to another one that is higher. */
+void sched_raise_to(bw_resources_t *sum, const bw_resources_t *other);
+
 /** Adds what a task needs to what its tenant holds; subtracts with sign -1. */
 void sched_tenant_hold(const struct task *task, int64_t sign);
 
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -360,6 +360,7 @@
 	    info->started_ms < worker->started_ms)
 		return;
 	worker->capacity = info->capacity;
+	sched_raise_to(&worker->capacity_max, &info->capacity);
 	worker->described = true;
 }
 
--- a/test/test_tenants.c
+++ b/test/test_tenants.c
@@ -460,6 +460,25 @@
 	bw_sched_destroy(o.sched);
 }
 
+/* A worker that has shrunk meanwhile may still run what it did before. */
+static void test_shrunk_worker_may_run_as_much_as_before(void **state)
+{
+	orders_t before;
+	orders_t o;
+
+	(void)state;
+	begin(&before, 4000);
+	orders_succeed(&before, &o);
+	set_tenants(&o);
+	add_job(&o, &(job_t){ JOB_A, "a", 5, 1000, false, 0 });
+	orders_add_worker(&o, "w1");
+	orders_run(&o, 10);
+	orders_add_worker_with(&o, "w1", 2000);
+	orders_run(&o, 10);
+	assert_int_equal(held(&o), 5000);
+	bw_sched_destroy(o.sched);
+}
+
 /* Its run may go on, though the job has ended and waits for nothing. */
 static void test_job_that_ends_during_recovery_is_held(void **state)
 {
@@ -607,6 +626,7 @@
 		cmocka_unit_test(test_adopted_run_is_held_once),
 		cmocka_unit_test(
 			test_what_may_run_is_bounded_by_the_unheard_workers),
+		cmocka_unit_test(test_shrunk_worker_may_run_as_much_as_before),
 		cmocka_unit_test(test_job_that_ends_during_recovery_is_held),
 		cmocka_unit_test(test_orphan_is_held),
 		cmocka_unit_test(test_orphan_of_an_ended_job_is_held),
