--- a/scripts/world-caught.sh
+++ b/scripts/world-caught.sh
@@ -24,6 +24,10 @@
 		return 1
 	case $name in
 	gang-*) mode=plain-gangs ;;
+	tenants-gang-*) mode=tenants-plain-gangs ;;
+	tenants-owners-*) mode=tenants-owners ;;
+	tenants-late-*) mode=tenants-late-calls ;;
+	tenants-*) mode=tenants-plain ;;
 	closing-*) mode=closing ;;
 	owners-*) mode=owners ;;
 	esac
--- a/test/test_world.c
+++ b/test/test_world.c
@@ -14,6 +14,8 @@
 #define DRAWN_SEEDS 40
 /** The same with owners in quick succession, which take longer. */
 #define OWNERS_SEEDS 10
+/** The same with tenants beside them, which take twice as long. */
+#define TENANT_OWNERS_SEEDS 5
 
 /** A seed that violated a rule, and the fault that caused it. */
 typedef struct regression {
@@ -266,6 +268,39 @@
 		check_owners(seed, "owners in turn");
 }
 
+static void add_tenants(uint32_t seed, world_config_t *config)
+{
+	(void)seed;
+	world_add_tenants(config);
+}
+
+/* Most jobs are of tenants whose caps bind. */
+static void test_world_tenants(void **state)
+{
+	(void)state;
+	play_drawn("tenants", add_tenants);
+}
+
+/* Each new owner has the whole cap from its first moment on, while earlier ones
+ * still act. */
+static void test_world_tenants_of_owners_in_turn(void **state)
+{
+	world_config_t config;
+	uint32_t seed;
+
+	(void)state;
+	for (seed = 1; seed <= TENANT_OWNERS_SEEDS; seed++) {
+		world_draw_config(seed, &config);
+		world_clear_restarts(&config);
+		world_clear_crashes(&config);
+		config.faults = 0;
+		config.resizes = 0;
+		world_change_owners(seed, &config);
+		world_add_tenants(&config);
+		check(seed, "tenants of owners in turn", &config);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -281,6 +316,8 @@
 		cmocka_unit_test(test_world_gangs),
 		cmocka_unit_test(test_world_restarts_without_kept_connections),
 		cmocka_unit_test(test_world_owners_in_turn),
+		cmocka_unit_test(test_world_tenants),
+		cmocka_unit_test(test_world_tenants_of_owners_in_turn),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
