Lender: fewer messages under steady demand

Cause: a trial of steady demand sent 800 messages a second for one tenant in four pools. Most were one order again and again: an amount that the cap does not limit was reported otherwise than ordered. The rest moved a few tasks' room with each report. Change: an order for such an amount is sent once after the limited amounts change. Orders about a tenant are 100 ms apart unless a pool lacks much, and an owner that goes on asking reports every 140 ms.

--- a/src/fleet/operators.h
+++ b/src/fleet/operators.h
@@ -1,7 +1,8 @@
 /**
  * @file
  * A fleet node's HTTP interface for operators: status, pools, tenants, jobs and
- * waves as JSON, and metrics as text. Operators can also submit, query and cancel jobs.
+ * waves as JSON, and metrics as text. Operators can also submit, query and
+ * cancel jobs.
  */
 #ifndef BW_FLEET_OPERATORS_H
 #define BW_FLEET_OPERATORS_H
--- a/src/fleet/quota_client.c
+++ b/src/fleet/quota_client.c
@@ -6,8 +6,10 @@
 
 /** Time between reports if nothing changes. */
 #define REPORT_INTERVAL_MS 300
-/** Least time between reports that ask for more. */
-#define ASK_INTERVAL_MS 40
+/** Least time between reports, and between reports that go on asking for more.
+ */
+#define ASK_INTERVAL_MS	      40
+#define ASK_AGAIN_INTERVAL_MS 140
 /** A report of many tenants is sent less often: one interval more for each. */
 #define TENANTS_MAX 500
 /** A tenant that neither holds nor wants anything keeps its quota so long. */
@@ -23,6 +25,7 @@
 	GHashTable *idle; /**< Tenants with a quota: idle since, in ms. */
 	int64_t reported_ms;
 	uint32_t reported; /**< Tenants in the last report. */
+	bool asked; /**< The last report asked for more. */
 	bool applied; /**< An order was applied since the last report. */
 };
 
@@ -250,9 +253,10 @@
 	const bw_quota_client_t *c = draft->c;
 	int64_t age_ms = draft->now_ms - c->reported_ms;
 	int64_t more = 1 + c->reported / TENANTS_MAX;
+	int64_t ask_ms = c->asked ? ASK_AGAIN_INTERVAL_MS : ASK_INTERVAL_MS;
 
 	return c->applied || age_ms >= REPORT_INTERVAL_MS * more ||
-	       (draft->asks && age_ms >= ASK_INTERVAL_MS * more);
+	       (draft->asks && age_ms >= ask_ms * more);
 }
 
 void bw_quota_client_tick(bw_quota_client_t *c, int64_t now_ms,
@@ -271,6 +275,7 @@
 		c->reported_ms = now_ms;
 		c->reported = draft.uses->len;
 		c->applied = false;
+		c->asked = draft.asks;
 		send_report(&draft, send, ctx);
 	}
 	g_array_free(draft.uses, TRUE);
--- a/src/fleet/quota_lender.c
+++ b/src/fleet/quota_lender.c
@@ -16,6 +16,10 @@
 /** Less than this part of a cap is not moved from one pool to another, unless a
  *  pool could start nothing else. */
 #define MOVED_MIN_PART 32
+/** Least time between orders about a tenant, unless a pool lacks this part of
+ *  the cap or what it needs for one start. */
+#define PACE_MS	    100
+#define URGENT_PART 8
 /** A pool outside the configuration is forgotten when it had no owner for so
  *  long: an owner that was cut off has stopped, and its grants are over. */
 #define FORGET_MS 15000
@@ -36,6 +40,8 @@
 	bw_amounts_t ordered_most; /**< By any order that is not confirmed. */
 	uint64_t ordered_number; /**< Of the last one; 0: all are confirmed. */
 	int64_t ordered_ms;
+	bool refreshed; /**< Ordered since the kinds that are limited changed.
+			 */
 	uint64_t report; /**< Last report of the pool that names the tenant. */
 } row_t;
 
@@ -47,6 +53,7 @@
 	bool configured; /**< Has been in it. */
 	int64_t limited_ms; /**< When an amount was limited that was not. */
 	bool dirty; /**< Among those to decide on. */
+	int64_t ordered_ms; /**< Of its last order to any pool. */
 	bool oversized; /**< An oversized start has been logged. */
 	GPtrArray *rows; /**< row_t. */
 } tenant_t;
@@ -227,6 +234,7 @@
 {
 	bool changed = memcmp(&t->cap, cap, sizeof(*cap)) != 0;
 	bool first = !t->configured;
+	guint i;
 
 	if (limits_more(&t->cap, cap))
 		t->limited_ms = now_ms;
@@ -237,6 +245,8 @@
 	if (!changed)
 		return;
 	t->oversized = false;
+	for (i = 0; i < t->rows->len; i++)
+		((row_t *)g_ptr_array_index(t->rows, i))->refreshed = false;
 	mark(l, t);
 	if (first)
 		return;
@@ -755,7 +765,7 @@
 		else
 			bounded |= now.of[kind] < BW_QUOTA_UNLIMITED;
 	}
-	return any && bounded;
+	return any && bounded && !row->refreshed;
 }
 
 /* A row awaits the report on its last order for a while, then it gets another
@@ -782,9 +792,11 @@
 	if (row->ordered_number == 0)
 		row->ordered_most = quota;
 	raise_to(&row->ordered_most, &quota);
+	row->refreshed = true;
 	row->ordered = quota;
 	row->ordered_number = row->pool->sent + 1;
 	row->ordered_ms = d->now_ms;
+	row->tenant->ordered_ms = d->now_ms;
 	g_ptr_array_add(row->pool->changes, row);
 }
 
@@ -804,6 +816,32 @@
 	return false;
 }
 
+/* Whether a pool lacks so much that it can't wait for the pace. */
+static bool is_urgent(const decision_t *d, uint32_t i, int kind)
+{
+	const bw_quota_part_t *part = &d->parts[i];
+	int64_t quota = d->quotas[i].of[kind];
+	int64_t gap = part->needed.of[kind] - quota;
+	int64_t least = MIN(part->largest.of[kind], part->wanted.of[kind]);
+
+	return is_limited(d, kind) && gap > 0 &&
+	       (gap >= d->tenant->cap.of[kind] / URGENT_PART || quota < least);
+}
+
+static bool is_paced(const decision_t *d)
+{
+	uint32_t i;
+	int kind;
+
+	if (d->now_ms - d->tenant->ordered_ms >= PACE_MS)
+		return false;
+	for (i = 0; i < d->count; i++)
+		for (kind = 0; kind < BW_AMOUNT_COUNT; kind++)
+			if (is_urgent(d, i, kind))
+				return false;
+	return true;
+}
+
 static void decide_quotas(decision_t *d)
 {
 	int64_t turn_ms = d->now_ms / TURN_MS;
@@ -816,6 +854,10 @@
 
 	fill_parts(d);
 	alone = bw_quota_split(&d->tenant->cap, d->parts, d->count, &turn);
+	if (is_paced(d)) {
+		mark(d->l, d->tenant);
+		return;
+	}
 	if (alone != BW_QUOTA_NOBODY) {
 		lend_alone(d, alone);
 	} else {
