Format two files of the fleet as the check wants them

Cause: two lines that the wiring of the lender changed were not in the format that clang-format gives, and format-check failed. Change: formatted; no other change.

--- a/src/fleet/controller.c
+++ b/src/fleet/controller.c
@@ -188,7 +188,8 @@
 
 static void request_list(bw_controller_t *c, int64_t now_ms)
 {
-	if (!c->env.machines.list || c->list_pending || now_ms < c->list_retry_ms ||
+	if (!c->env.machines.list || c->list_pending ||
+	    now_ms < c->list_retry_ms ||
 	    now_ms - c->list_ms < list_max_age_ms(c))
 		return;
 	c->list_pending = true;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -322,8 +322,7 @@
 
 	for (i = 0; f->config && i < f->config->pool_count; i++)
 		fn(arg, f->config->pools[i].name);
-	if (f->config &&
-	    (f->env.machines.impl || fleet_has_caps(f->config)))
+	if (f->config && (f->env.machines.impl || fleet_has_caps(f->config)))
 		fn(arg, BW_CONTROLLER_ROLE);
 }
 
