Quotas: own claims are known in order, and long reports are not sent

Cause: the rule that owners and lenders know all older claims had no test of its own, and a report of very many tenants would have ended the connection between two nodes, which also carries heartbeats. Change: a test of the member for the first; a report or an order that does not fit a frame is not sent, and logged.

--- a/src/base/eventlist.c
+++ b/src/base/eventlist.c
@@ -88,6 +88,12 @@
 				  "second: the process lacks processor time or "
 				  "was suspended",
 				  "node late_ms lease_left_ms" },
+	[BW_EVENT_FLEET_QUOTAS_TOO_LARGE] = { "fleet", "quotas-too-large",
+					      BW_EVENT_SELDOM,
+					      "a report or an order about "
+					      "tenants' quotas does not fit a "
+					      "message and was not sent",
+					      "pool tenants bytes" },
 	[BW_EVENT_MEMBER_REGISTERED] = { "member", "registered",
 					 BW_EVENT_SELDOM,
 					 "this node has registered with a new "
--- a/src/fleet/quotas.c
+++ b/src/fleet/quotas.c
@@ -9,6 +9,7 @@
 #include "base/metrics.h"
 #include "fleet/quota_client.h"
 #include "fleet/quota_lender.h"
+#include "wire/frame.h"
 
 /** Reports that come within this time are decided on together. */
 #define GATHER_S 0.01
@@ -189,6 +190,19 @@
 		report_pools(f, bw_clock_now_ms());
 }
 
+/* A peer ends the connection at a longer message. What is left out of a report
+ * would count as nothing, so it is sent whole or not at all. */
+static bool fits(const Bramley__Frame *frame, const char *pool, size_t tenants)
+{
+	size_t bytes = bramley__frame__get_packed_size(frame);
+
+	if (bytes <= BW_FRAME_BODY_MAX)
+		return true;
+	bw_event(BW_EVENT_FLEET_QUOTAS_TOO_LARGE, "pool=%s tenants=%u bytes=%u",
+		 pool, (unsigned int)tenants, (unsigned int)bytes);
+	return false;
+}
+
 static void send_order(void *ctx, const Bramley__QuotaOrder *order)
 {
 	bw_fleet_t *f = ctx;
@@ -201,7 +215,7 @@
 	frame.quota_order = (Bramley__QuotaOrder *)order;
 	if (!strcmp(owner, f->env.settings->name))
 		fleet_take_quota_order(f, order);
-	else
+	else if (fits(&frame, order->pool, order->n_tenants))
 		bw_fleet_peers_send(f->peers, owner, &frame);
 }
 
@@ -212,7 +226,8 @@
 
 	if (f->quotas->lender)
 		fleet_take_quota_report(f, frame->quota_report);
-	else if (node)
+	else if (node && fits(frame, frame->quota_report->pool,
+			      frame->quota_report->n_tenants))
 		bw_fleet_peers_send(f->peers, node, frame);
 }
 
--- a/test/test_member.c
+++ b/test/test_member.c
@@ -394,6 +394,35 @@
 	tear_down(&t);
 }
 
+/* The answer to a claim comes before the changes that are older than it. */
+static void test_older_claims_are_known_with_its_own(void **state)
+{
+	member_test_t t;
+
+	(void)state;
+	set_up(&t);
+	t.pool_needs_owner = false;
+	run_rounds(&t);
+	assert_false(bw_fleet_member_knows_claims(t.member, POOL));
+	bw_memstore_delay_events(t.store, true);
+	t.pool_needs_owner = true;
+	run_rounds(&t);
+	assert_true(t.owned);
+	assert_false(bw_fleet_member_knows_claims(t.member, POOL));
+	assert_int_equal(bw_fleet_member_claim(t.member, POOL), 0);
+	bw_memstore_delay_events(t.store, false);
+	run_rounds(&t);
+	assert_true(bw_fleet_member_knows_claims(t.member, POOL));
+	assert_int_equal(bw_fleet_member_claim(t.member, POOL),
+			 t.fencing_token);
+	put_owner(&t, "other", 1);
+	run_rounds(&t);
+	assert_false(bw_fleet_member_knows_claims(t.member, POOL));
+	assert_int_equal(bw_fleet_member_claim(t.member, POOL),
+			 owner_revision(&t));
+	tear_down(&t);
+}
+
 /* A store that resets connections is not asked as often as it does. */
 static void test_claims_without_an_answer_are_repeated_at_once(void **state)
 {
@@ -800,6 +829,7 @@
 		cmocka_unit_test(test_revision_of_the_registration_is_known),
 		cmocka_unit_test(test_older_events_change_nothing),
 		cmocka_unit_test(test_newer_events_count),
+		cmocka_unit_test(test_older_claims_are_known_with_its_own),
 		cmocka_unit_test(
 			test_claims_without_an_answer_are_repeated_at_once),
 		cmocka_unit_test(test_claims_outlive_their_lease),
