Quotas: long reports are sent less often, but count until the next

Cause: with over some 2,000 tenants at work in a pool reports came further apart than the lender took them for fresh, so that it ordered nothing there. Two tests failed first: 4 reports in 10 s of 10,000 tenants, and no order 2 s after a long report. Change: reports come 1 ms later for every ten tenants, and what they want counts 1 ms longer for every five.

--- a/src/fleet/quota_client.c
+++ b/src/fleet/quota_client.c
@@ -10,8 +10,8 @@
  */
 #define ASK_INTERVAL_MS	      40
 #define ASK_AGAIN_INTERVAL_MS 140
-/** A report of many tenants is sent less often: one interval more for each. */
-#define TENANTS_MAX 500
+/** A report of many tenants is sent less often, for the sake of small links. */
+#define TENANTS_A_MS 10
 /** A tenant that neither holds nor wants anything keeps its quota so long. */
 #define IDLE_MS 30000
 
@@ -252,11 +252,11 @@
 {
 	const bw_quota_client_t *c = draft->c;
 	int64_t age_ms = draft->now_ms - c->reported_ms;
-	int64_t more = 1 + c->reported / TENANTS_MAX;
+	int64_t more_ms = c->reported / TENANTS_A_MS;
 	int64_t ask_ms = c->asked ? ASK_AGAIN_INTERVAL_MS : ASK_INTERVAL_MS;
 
-	return c->applied || age_ms >= REPORT_INTERVAL_MS * more ||
-	       (draft->asks && age_ms >= ask_ms * more);
+	return c->applied || age_ms >= REPORT_INTERVAL_MS + more_ms ||
+	       (draft->asks && age_ms >= ask_ms + more_ms);
 }
 
 void bw_quota_client_tick(bw_quota_client_t *c, int64_t now_ms,
--- a/src/fleet/quota_lender.c
+++ b/src/fleet/quota_lender.c
@@ -25,8 +25,10 @@
 #define FORGET_MS 15000
 /** Until then, owners may not have the configuration that limits a tenant. */
 #define CAP_KNOWN_MS 5000
-/** What a pool wants counts for so long after its owner's last report. */
-#define REPORT_VALID_MS 1500
+/** What a pool wants counts for so long after its owner's last report; longer
+ *  with many tenants, whose reports are sent less often. */
+#define REPORT_VALID_MS	    1500
+#define REPORT_TENANTS_A_MS 5
 
 /** What a tenant has of a pool, as reported and as ordered since. */
 typedef struct row {
@@ -575,8 +577,11 @@
 /* Whether a pool's owner is likely to act on an order. */
 static bool is_led(const decision_t *d, const pool_t *pool)
 {
+	int64_t valid_ms =
+		REPORT_VALID_MS + pool->rows->len / REPORT_TENANTS_A_MS;
+
 	return pool->known && pool->owned && pool->claim <= pool->fence &&
-	       d->now_ms - pool->reported_ms < REPORT_VALID_MS;
+	       d->now_ms - pool->reported_ms < valid_ms;
 }
 
 static void fill_parts(decision_t *d)
--- a/test/test_quota_lender.c
+++ b/test/test_quota_lender.c
@@ -1011,6 +1011,7 @@
 	Bramley__TenantUse *uses = g_new0(Bramley__TenantUse, COUNT);
 	Bramley__TenantUse **list = g_new0(Bramley__TenantUse *, COUNT);
 	Bramley__Resources wanted = BRAMLEY__RESOURCES__INIT;
+	uint64_t before;
 	int64_t began_us;
 	int64_t took_us;
 	uint32_t round;
@@ -1053,6 +1054,12 @@
 		      (double)took_us / 10000);
 	assert_int_equal(stats.tenants, COUNT);
 	assert_true(stats.orders >= 10);
+	/* So long reports are seldom, and count for longer. */
+	before = stats.orders;
+	bw_quota_lender_decide(l, 1000 + 9 * 300 + 2000, send_order,
+			       p->lenders[0]);
+	bw_quota_lender_stats(l, &stats);
+	assert_true(stats.orders > before);
 	for (i = 0; i < COUNT; i++)
 		g_free(tenants[i].name);
 	g_free(list);
@@ -1062,6 +1069,62 @@
 	play_free(p);
 }
 
+/* An owner of a pool with many tenants at work. */
+typedef struct many {
+	uint32_t tenants;
+	uint32_t reports;
+} many_t;
+
+static bool many_capped(void *ctx, const char *tenant)
+{
+	(void)ctx;
+	(void)tenant;
+	return true;
+}
+
+static void many_uses(void *ctx, int64_t now_ms,
+		      void (*fn)(void *arg, const bw_tenant_use_t *use),
+		      void *arg)
+{
+	many_t *m = ctx;
+	bw_tenant_use_t use = { .name = "t", .wanted = resources(1) };
+	uint32_t i;
+
+	(void)now_ms;
+	for (i = 0; i < m->tenants; i++)
+		fn(arg, &use);
+}
+
+static void many_send(void *ctx, const Bramley__Frame *frame)
+{
+	many_t *m = ctx;
+
+	assert_int_equal(frame->quota_report->n_tenants, m->tenants);
+	m->reports++;
+}
+
+/* Reports in ten seconds of an owner whose tenants all want more. */
+static uint32_t count_reports(uint32_t tenants)
+{
+	bw_quota_client_ops_t ops = { many_capped, owner_set_quota, many_uses };
+	many_t m = { .tenants = tenants };
+	bw_quota_client_t *c = bw_quota_client_create("a", 1, &ops, &m);
+	int64_t now_ms;
+
+	for (now_ms = 1000; now_ms < 11000; now_ms += TICK_MS)
+		bw_quota_client_tick(c, now_ms, many_send, &m);
+	bw_quota_client_destroy(c);
+	return m.reports;
+}
+
+/* The longer a report, the less often it is sent, but often enough. */
+static void test_long_reports(void **state)
+{
+	(void)state;
+	assert_in_range(count_reports(20), 50, 100);
+	assert_in_range(count_reports(10000), 5, 12);
+}
+
 /* An order for another owner, of an earlier lender, or older than the last. */
 static void test_refused_orders(void **state)
 {
@@ -1245,6 +1308,7 @@
 		cmocka_unit_test(test_owner_dies_with_an_order),
 		cmocka_unit_test(test_owner_in_doubt),
 		cmocka_unit_test(test_many_tenants),
+		cmocka_unit_test(test_long_reports),
 		cmocka_unit_test(test_refused_orders),
 		cmocka_unit_test(test_idle_quota),
 		cmocka_unit_test(test_random),
