Quotas: ask the scheduler for the uses at most every 40 ms

Cause: between reports every tick, and every decision of a lender on the same node, walked all tenants of each pool only to find that no report was due. Change: the owner's side looks at most every 40 ms, and at once after an order.

--- a/src/fleet/quota_client.c
+++ b/src/fleet/quota_client.c
@@ -24,6 +24,7 @@
 	uint64_t number; /**< Of that one's last order that was applied. */
 	GHashTable *idle; /**< Tenants with a quota: idle since, in ms. */
 	int64_t reported_ms;
+	int64_t looked_ms; /**< When the scheduler was asked for the uses. */
 	uint32_t reported; /**< Tenants in the last report. */
 	bool asked; /**< The last report asked for more. */
 	bool applied; /**< An order was applied since the last report. */
@@ -265,8 +266,9 @@
 {
 	draft_t draft = { .c = c, .now_ms = now_ms };
 
-	if (!c->applied && now_ms - c->reported_ms < ASK_INTERVAL_MS)
+	if (!c->applied && now_ms - c->looked_ms < ASK_INTERVAL_MS)
 		return;
+	c->looked_ms = now_ms;
 	draft.uses = g_array_new(FALSE, FALSE, sizeof(bw_tenant_use_t));
 	draft.dropped = g_ptr_array_new_with_free_func(g_free);
 	c->ops.uses(c->ctx, now_ms, add_use, &draft);
