--- a/src/fleet/quota_client.c
+++ b/src/fleet/quota_client.c
@@ -6,10 +6,12 @@
 
 /** Time between reports if nothing changes. */
 #define REPORT_INTERVAL_MS 300
-/** Least time between reports that ask for more. */
-#define ASK_INTERVAL_MS 40
-/** A report of many tenants is sent less often: one interval more for each. */
-#define TENANTS_MAX 500
+/** Least time between reports, and between reports that go on asking for more.
+ */
+#define ASK_INTERVAL_MS	      40
+#define ASK_AGAIN_INTERVAL_MS 140
+/** A report of many tenants is sent less often, for the sake of small links. */
+#define TENANTS_A_MS 10
 /** A tenant that neither holds nor wants anything keeps its quota so long. */
 #define IDLE_MS 30000
 
@@ -22,7 +24,9 @@
 	uint64_t number; /**< Of that one's last order that was applied. */
 	GHashTable *idle; /**< Tenants with a quota: idle since, in ms. */
 	int64_t reported_ms;
+	int64_t looked_ms; /**< When the scheduler was asked for the uses. */
 	uint32_t reported; /**< Tenants in the last report. */
+	bool asked; /**< The last report asked for more. */
 	bool applied; /**< An order was applied since the last report. */
 };
 
@@ -249,10 +253,11 @@
 {
 	const bw_quota_client_t *c = draft->c;
 	int64_t age_ms = draft->now_ms - c->reported_ms;
-	int64_t more = 1 + c->reported / TENANTS_MAX;
+	int64_t more_ms = c->reported / TENANTS_A_MS;
+	int64_t ask_ms = c->asked ? ASK_AGAIN_INTERVAL_MS : ASK_INTERVAL_MS;
 
-	return c->applied || age_ms >= REPORT_INTERVAL_MS * more ||
-	       (draft->asks && age_ms >= ASK_INTERVAL_MS * more);
+	return c->applied || age_ms >= REPORT_INTERVAL_MS + more_ms ||
+	       (draft->asks && age_ms >= ask_ms + more_ms);
 }
 
 void bw_quota_client_tick(bw_quota_client_t *c, int64_t now_ms,
@@ -261,8 +266,9 @@
 {
 	draft_t draft = { .c = c, .now_ms = now_ms };
 
-	if (!c->applied && now_ms - c->reported_ms < ASK_INTERVAL_MS)
+	if (!c->applied && now_ms - c->looked_ms < ASK_INTERVAL_MS)
 		return;
+	c->looked_ms = now_ms;
 	draft.uses = g_array_new(FALSE, FALSE, sizeof(bw_tenant_use_t));
 	draft.dropped = g_ptr_array_new_with_free_func(g_free);
 	c->ops.uses(c->ctx, now_ms, add_use, &draft);
@@ -271,6 +277,7 @@
 		c->reported_ms = now_ms;
 		c->reported = draft.uses->len;
 		c->applied = false;
+		c->asked = draft.asks;
 		send_report(&draft, send, ctx);
 	}
 	g_array_free(draft.uses, TRUE);
