Peers: some hundred nodes may say Hello at once

The bound of 256 connections before their Hello broke test_some_hundred_nodes_are_accepted, which opens 400: a large site that starts does that.

--- a/src/fleet/settings.c
+++ b/src/fleet/settings.c
@@ -31,9 +31,9 @@
 /** Of few descriptors callers get this part. */
 #define DESCRIPTORS_DIVISOR 4
 /** Of them peers that have not said whose they are get this part. */
-#define STRANGERS_DIVISOR 16
+#define STRANGERS_DIVISOR 8
 #define STRANGERS_MIN	  8
-#define STRANGERS_MAX	  256
+#define STRANGERS_MAX	  512
 #define TEXT(path, kind, field, required)                                      \
 	{                                                                      \
 		path, kind, offsetof(bw_fleet_settings_t, field), 0, 0, 0,     \
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -29,7 +29,7 @@
 
 /** Connections that have not said whose they are, unless the configuration
  *  says another number; the oldest one makes room for a new one. */
-#define STRANGERS_MAX 256U
+#define STRANGERS_MAX 512U
 /** More than a Hello takes, with the longest names. */
 #define STRANGER_BYTES_MAX 4096U
 /** Time in which a connection has to say whose it is. */
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -39,7 +39,7 @@
 	/** A peer from which no frame arrives for this time is lost. */
 	int64_t silence_timeout_us;
 	/** Connections that may be open before they say whose they are; 0 is
-	 *  256. */
+	 *  512. */
 	uint32_t strangers_max;
 } bw_peers_config_t;
 
