--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -58,7 +58,7 @@
 	ev_io io;
 	GByteArray *data; /**< Bytes not yet parsed. */
 	link_t *link; /**< NULL before its Hello message. */
-	GList stranger; /**< In the list of those without one. */
+	GList *stranger; /**< In the list of those without one. */
 	bool is_stranger;
 	int64_t accepted_us;
 } incoming_t;
@@ -372,13 +372,16 @@
 	if (!in->is_stranger)
 		return;
 	in->is_stranger = false;
-	g_queue_unlink(&in->peers->strangers, &in->stranger);
+	g_queue_delete_link(&in->peers->strangers, in->stranger);
 }
 
 static void drop_oldest_stranger(bw_peers_t *p)
 {
+	incoming_t *in = g_queue_pop_head(&p->strangers);
+
+	in->is_stranger = false;
 	bw_count(p->counters, BW_C_PEERS_STRANGERS, 1);
-	drop_incoming(p->strangers.head->data);
+	drop_incoming(in);
 }
 
 static void add_stranger(incoming_t *in)
@@ -388,8 +391,8 @@
 
 	in->is_stranger = true;
 	in->accepted_us = p->now_us;
-	in->stranger.data = in;
-	g_queue_push_tail_link(&p->strangers, &in->stranger);
+	g_queue_push_tail(&p->strangers, in);
+	in->stranger = p->strangers.tail;
 	if (p->strangers.length > (max > 0 ? max : STRANGERS_MAX))
 		drop_oldest_stranger(p);
 }
--- a/test/crowd/run.sh
+++ b/test/crowd/run.sh
@@ -57,6 +57,12 @@
 	wait_until submission curl -sf -m 3 -H "Host: soak.example" -X POST \
 		-d '{"spec":"a","steps":[{"count":1,"cpu":100,"mem_mb":64}]}' \
 		"http://$callers/pool-0/00000000000000ff"
+	# In calm a job of the largest legal size is served.
+	printf '{"spec":"a","steps":[{"count":1,"cpu":100,"mem_mb":64}]%262088s}' "" >"$tmp/large"
+	[ "$(stat -c %s "$tmp/large")" = 262144 ] || exit 2
+	curl -sf -m 20 -H "Host: soak.example" -H "Expect:" -X POST --data-binary @"$tmp/large" \
+		"http://$callers/pool-0/00000000000000fe" >/dev/null ||
+		{ echo "FAILED: a job of the largest size is not served in calm"; exit 1; }
 }
 
 start_bramleywingd() { # sets pid and the address callers
