Tests: connections to the peers' port that do not say whose they are

The oldest makes room for the next one, more than 4 KB without a Hello ends a connection, and so do 5 s; with a bound of two and given times.

--- a/test/test_peer.c
+++ b/test/test_peer.c
@@ -19,6 +19,8 @@
 #define NODES	  400U
 #define SILENCE_S 5
 #define SETTLE_S  0.3
+/** More than an unnamed peer may bring. */
+#define STRANGER_BYTES 5000
 
 static void on_end(struct ev_loop *loop, ev_timer *timer, int revents)
 {
@@ -164,11 +166,64 @@
 	ev_loop_destroy(loop);
 }
 
+/* Who doesn't say whose a connection is may bring little, for a short time, and
+ * makes room for the next one. */
+static void test_strangers_are_bounded(void **state)
+{
+	static const bw_peers_ops_t ops = { 0 };
+	static const uint8_t head[] = { 'B', 'W', 1, 0, 0, 16, 0, 0 };
+	char bytes[STRANGER_BYTES] = { 0 };
+	bw_anyport_t listen;
+	bw_peers_config_t config = {
+		.name = "e1",
+		.site = "test",
+		.listen = listen.address,
+		.silence_timeout_us = SILENCE_S * G_USEC_PER_SEC,
+		.strangers_max = 2,
+	};
+	struct ev_loop *loop = ev_loop_new(0);
+	bw_counters_t counters = { 0 };
+	bw_peers_t *peers;
+	int fds[3];
+	int i;
+
+	(void)state;
+	assert_int_equal(bw_anyport_reserve(LISTEN_IP, &listen), BW_OK);
+	assert_int_equal(
+		bw_peers_create(loop, &config, &ops, NULL, &counters, &peers),
+		BW_OK);
+	bw_peers_tick(peers, G_USEC_PER_SEC);
+	for (i = 0; i < 3; i++) {
+		fds[i] = connect_node(listen.port);
+		run_for(loop, SETTLE_S);
+	}
+	assert_false(is_open(fds[0]));
+	assert_true(is_open(fds[1]) && is_open(fds[2]));
+	/* A frame of 1 MB, which a known peer may send. */
+	assert_int_equal(send(fds[1], head, sizeof(head), 0), sizeof(head));
+	assert_int_equal(send(fds[1], bytes, sizeof(bytes), 0), sizeof(bytes));
+	run_for(loop, SETTLE_S);
+	assert_false(is_open(fds[1]));
+	bw_peers_tick(peers, 5 * G_USEC_PER_SEC);
+	run_for(loop, SETTLE_S);
+	assert_true(is_open(fds[2]));
+	bw_peers_tick(peers, 6 * G_USEC_PER_SEC);
+	run_for(loop, SETTLE_S);
+	assert_false(is_open(fds[2]));
+	assert_int_equal(counters.value[BW_C_PEERS_STRANGERS], 3);
+	for (i = 0; i < 3; i++)
+		close(fds[i]);
+	bw_peers_destroy(peers);
+	bw_anyport_release(&listen);
+	ev_loop_destroy(loop);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_some_hundred_nodes_are_accepted),
 		cmocka_unit_test(test_refused_version_is_logged),
+		cmocka_unit_test(test_strangers_are_bounded),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
