Two copies of the exchange's test run side by side

Cause: test_config_exchange listens on addresses and was not among the programs that are run twice at a time. Change: it is; both copies pass here.

--- a/test/test_side_by_side.sh
+++ b/test/test_side_by_side.sh
@@ -25,7 +25,7 @@
 	done
 }
 
-for name in adapter answers peer store; do
+for name in adapter answers config_exchange peer store; do
 	twice "test_$name" "$build/test/test_$name"
 done
 twice "test_ctl.sh" test/test_ctl.sh
