Lender: a full pool does not keep a cap from the others

Cause: a pool in its surge wants far more than it can start. Change: a pool that wants more and leaves quota unused for 0.5 s counts with what it holds and one start, or an eighth, more, until it uses its quota up.

--- a/src/fleet/quota_lender.c
+++ b/src/fleet/quota_lender.c
@@ -25,6 +25,11 @@
 #define FORGET_MS 15000
 /** Until then, owners may not have the configuration that limits a tenant. */
 #define CAP_KNOWN_MS 5000
+/** A pool that wants more and has left quota unused for this long can't start
+ *  it, for example because it is full. */
+#define UNUSED_MS 500
+/** Such a pool gets one start more than it holds, or this part more. */
+#define SLACK_PART 8
 /** What a pool wants counts for so long after its owner's last report; longer
  *  with many tenants, whose reports are sent less often. */
 #define REPORT_VALID_MS	    1500
@@ -37,6 +42,9 @@
 	bw_amounts_t held;
 	bw_amounts_t wanted;
 	bw_amounts_t largest;
+	/** What it wants counts up to this; doubles as it uses its quota. */
+	bw_amounts_t slack;
+	int64_t unused_ms; /**< Since when it leaves quota unused; 0: not. */
 	bw_amounts_t quota; /**< As last reported. */
 	bw_amounts_t ordered; /**< By the last order that is not confirmed. */
 	bw_amounts_t ordered_most; /**< By any order that is not confirmed. */
@@ -168,6 +176,14 @@
 		at->of[kind] = MAX(at->of[kind], least->of[kind]);
 }
 
+static void lower_to(bw_amounts_t *at, const bw_amounts_t *most)
+{
+	int kind;
+
+	for (kind = 0; kind < BW_AMOUNT_COUNT; kind++)
+		at->of[kind] = MIN(at->of[kind], most->of[kind]);
+}
+
 static pool_t *get_pool(bw_quota_lender_t *l, const char *name)
 {
 	pool_t *pool = g_hash_table_lookup(l->pools, name);
@@ -195,6 +211,12 @@
 	return t;
 }
 
+static bw_amounts_t any_amounts(void)
+{
+	return (bw_amounts_t){ { BW_QUOTA_UNLIMITED, BW_QUOTA_UNLIMITED,
+				 BW_QUOTA_UNLIMITED } };
+}
+
 static row_t *get_row(tenant_t *t, pool_t *pool)
 {
 	row_t *row;
@@ -208,6 +230,7 @@
 	row = g_new0(row_t, 1);
 	row->tenant = t;
 	row->pool = pool;
+	row->slack = any_amounts();
 	g_ptr_array_add(t->rows, row);
 	g_ptr_array_add(pool->rows, row);
 	return row;
@@ -376,6 +399,55 @@
 	return out;
 }
 
+/* Whether the quota has room for the largest of what the pool wants. */
+static bool has_unused(const row_t *row)
+{
+	int kind;
+
+	for (kind = 0; kind < BW_AMOUNT_COUNT; kind++)
+		if (row->tenant->cap.of[kind] > 0 &&
+		    row->quota.of[kind] - row->held.of[kind] <
+			    row->largest.of[kind])
+			return false;
+	return true;
+}
+
+static void double_slack(row_t *row)
+{
+	int kind;
+
+	for (kind = 0; kind < BW_AMOUNT_COUNT; kind++)
+		row->slack.of[kind] =
+			MIN(2 * row->slack.of[kind], BW_QUOTA_UNLIMITED);
+}
+
+static void set_slack(row_t *row)
+{
+	int kind;
+
+	for (kind = 0; kind < BW_AMOUNT_COUNT; kind++)
+		row->slack.of[kind] = MAX(MAX(row->largest.of[kind],
+					      row->held.of[kind] / SLACK_PART),
+					  1);
+}
+
+/* Finds pools that don't start what they want although their quotas allow it;
+ * the cap is better lent to others. */
+static void update_slack(row_t *row, int64_t now_ms)
+{
+	if (is_zero(&row->wanted)) {
+		row->slack = any_amounts();
+		row->unused_ms = 0;
+	} else if (!has_unused(row)) {
+		double_slack(row);
+		row->unused_ms = 0;
+	} else if (row->unused_ms == 0) {
+		row->unused_ms = now_ms;
+	} else if (now_ms - row->unused_ms >= UNUSED_MS) {
+		set_slack(row);
+	}
+}
+
 static void record_use(bw_quota_lender_t *l, pool_t *pool, int64_t now_ms,
 		       const Bramley__TenantUse *use)
 {
@@ -389,7 +461,9 @@
 	row->largest = amounts_received(use->largest);
 	row->quota = amounts_received(use->quota);
 	row->report = pool->reports;
+	update_slack(row, now_ms);
 	if (memcmp(&before.held, &row->held, sizeof(row->held)) != 0 ||
+	    memcmp(&before.slack, &row->slack, sizeof(row->slack)) != 0 ||
 	    memcmp(&before.wanted, &row->wanted, sizeof(row->wanted)) != 0 ||
 	    memcmp(&before.quota, &row->quota, sizeof(row->quota)) != 0)
 		mark(l, t);
@@ -602,6 +676,7 @@
 		if (!row->pool->listed || !is_led(d, row->pool))
 			continue;
 		d->parts[i].wanted = row->wanted;
+		lower_to(&d->parts[i].wanted, &row->slack);
 		d->parts[i].largest = row->largest;
 	}
 }
--- a/test/test_quota_lender.c
+++ b/test/test_quota_lender.c
@@ -70,6 +70,7 @@
 	owner_t *owners[POOLS][OWNERS]; /* The first is the true one. */
 	lender_t *lenders[LENDERS]; /* The first is the true one. */
 	use_t uses[POOLS][TENANTS];
+	int64_t room[POOLS]; /* Units that fit into a pool, of each tenant. */
 	int64_t size[TENANTS]; /* Units of a task. */
 	int64_t cap[TENANTS]; /* Units; 0: no limit. */
 	/* Orders that were sent before a cap was lowered may still arrive. */
@@ -347,6 +348,7 @@
 		else if (size > p->cap[t] && held_by(o, t) == 0 &&
 			 o->quota[t] >= size)
 			most = size;
+		most = MIN(most, p->room[o->pool]);
 		while (startable_by(o, t) > 0 &&
 		       (held_by(o, t) + 1) * size <= most) {
 			u->running++;
@@ -570,8 +572,10 @@
 	p->cap[1] = 10;
 	p->size[0] = 1;
 	p->size[1] = 1;
-	for (i = 0; i < POOLS; i++)
+	for (i = 0; i < POOLS; i++) {
+		p->room[i] = INT64_MAX;
 		new_owner(p, i);
+	}
 	new_lender(p);
 	return p;
 }
@@ -712,6 +716,32 @@
 	play_free(p);
 }
 
+/* Pools that are full want much, and can't start it; the cap is for those that
+ * can. Once there is room again, they get their part. */
+static void test_full_pools(void **state)
+{
+	play_t *p = play_new(15);
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < POOLS; i++)
+		p->uses[i][0].waiting = 1000;
+	for (i = 1; i < POOLS; i++)
+		p->room[i] = 5;
+	run(p, 3000);
+	assert_true(running(p, 0) >= 80);
+	for (i = 1; i < POOLS; i++)
+		p->room[i] = INT64_MAX;
+	for (i = 0; i < 75; i++) {
+		end_tasks(p, 0, 0, 1);
+		run(p, 40);
+	}
+	assert_true(running(p, 0) >= 95);
+	for (i = 1; i < POOLS; i++)
+		assert_true(p->uses[i][0].running >= 15);
+	play_free(p);
+}
+
 /* Orders are lost for a while: the pools keep what they have. */
 static void test_lost_orders(void **state)
 {
@@ -1297,6 +1327,7 @@
 		cmocka_unit_test(test_turns_of_demand),
 		cmocka_unit_test(test_divided),
 		cmocka_unit_test(test_fewer_units_than_pools),
+		cmocka_unit_test(test_full_pools),
 		cmocka_unit_test(test_lost_orders),
 		cmocka_unit_test(test_new_lender),
 		cmocka_unit_test(test_owner_dies),
