Bounds of servers: what ended without a line of its own is told later

A crowd that came and went within a second left a line with count=1 for each cause: the rest was told only by the next closure.

--- a/src/net/budget.c
+++ b/src/net/budget.c
@@ -173,15 +173,19 @@
 	return is_late(item, b->limits.body_still_ms, now_ms) ? item : NULL;
 }
 
-uint32_t bw_budget_note(bw_budget_t *b, bw_budget_cause_t cause, int64_t now_ms)
+void bw_budget_note(bw_budget_t *b, bw_budget_cause_t cause)
 {
-	uint32_t count;
-
 	b->unsaid[cause]++;
-	if (now_ms < b->next_report_ms[cause])
+}
+
+uint32_t bw_budget_report(bw_budget_t *b, bw_budget_cause_t cause,
+			  int64_t now_ms)
+{
+	uint32_t count = b->unsaid[cause];
+
+	if (count == 0 || now_ms < b->next_report_ms[cause])
 		return 0;
 	b->next_report_ms[cause] = now_ms + REPORT_INTERVAL_MS;
-	count = b->unsaid[cause];
 	b->unsaid[cause] = 0;
 	return count;
 }
--- a/src/net/budget.h
+++ b/src/net/budget.h
@@ -112,13 +112,15 @@
 bw_budget_item_t *bw_budget_late(const bw_budget_t *b, int64_t now_ms,
 				 bw_budget_cause_t *cause);
 
+/** Notes a refusal or closure. */
+void bw_budget_note(bw_budget_t *b, bw_budget_cause_t cause);
+
 /**
- * Notes a refusal or closure.
- * @return how many there were for this cause since the last report if another
- *         one is due, at most once a second for each cause; else 0
+ * Returns how many were noted for a cause since its last report, and takes them
+ * as reported; 0 if a report came less than a second before.
  */
-uint32_t bw_budget_note(bw_budget_t *b, bw_budget_cause_t cause,
-			int64_t now_ms);
+uint32_t bw_budget_report(bw_budget_t *b, bw_budget_cause_t cause,
+			  int64_t now_ms);
 
 /** Returns a cause's name in logs and metrics, a static string. */
 const char *bw_budget_cause_name(bw_budget_cause_t cause);
--- a/src/net/simplehttp.c
+++ b/src/net/simplehttp.c
@@ -65,11 +65,10 @@
 	bw_metrics_set(BW_MG_HELD_PEAK_BYTES, s->budget.peak_bytes);
 }
 
-static void note(bw_simplehttp_t *s, bw_budget_cause_t cause)
+static void report(bw_simplehttp_t *s, bw_budget_cause_t cause)
 {
-	uint32_t count = bw_budget_note(&s->budget, cause, bw_clock_now_ms());
+	uint32_t count = bw_budget_report(&s->budget, cause, bw_clock_now_ms());
 
-	bw_metrics_count(BW_MC_CLIENTS, cause, 0);
 	if (count == 0)
 		return;
 	bw_event(BW_EVENT_FRONT_LIMIT,
@@ -79,6 +78,13 @@
 		 s->budget.connections, s->budget.held_bytes);
 }
 
+static void note(bw_simplehttp_t *s, bw_budget_cause_t cause)
+{
+	bw_budget_note(&s->budget, cause);
+	bw_metrics_count(BW_MC_CLIENTS, cause, 0);
+	report(s, cause);
+}
+
 /* Closes a connection whose request is not whole, and drops its body now. */
 static void end_connection(bw_simplehttp_t *s, bw_budget_item_t *item,
 			   bw_budget_cause_t cause)
@@ -283,25 +289,26 @@
 	bw_budget_remove(&s->budget, &conn->item);
 	g_free(conn);
 	*state = NULL;
-	if (s->budget.connections > 0)
-		return;
-	ev_timer_stop(s->loop, &s->sweep);
-	show(s);
 }
 
-/* Closes the connections that have brought nothing for too long. */
+/* Closes the connections that have brought nothing for too long; tells of those
+ * that ended without a line of their own. */
 static void on_sweep(struct ev_loop *loop, ev_timer *timer, int revents)
 {
 	bw_simplehttp_t *s = timer->data;
 	int64_t now_ms = bw_clock_now_ms();
 	bw_budget_cause_t cause;
 	bw_budget_item_t *item;
+	int i;
 
-	(void)loop;
 	(void)revents;
 	while ((item = bw_budget_late(&s->budget, now_ms, &cause)))
 		end_connection(s, item, cause);
+	for (i = 0; i < BW_BUDGET_CAUSE_COUNT; i++)
+		report(s, (bw_budget_cause_t)i);
 	show(s);
+	if (s->budget.connections == 0)
+		ev_timer_stop(loop, timer);
 }
 
 static void init_limits(bw_simplehttp_t *s, const bw_simple_config_t *config)
--- a/src/relay/front.c
+++ b/src/relay/front.c
@@ -109,6 +109,17 @@
 	call->refusal_counter = counter;
 }
 
+static void report(bw_front_t *f, bw_budget_cause_t cause)
+{
+	uint32_t count = bw_budget_report(&f->budget, cause, bw_clock_now_ms());
+
+	if (count > 0)
+		g_warning("Callers met a bound: %s %u, connections %u, bodies "
+			  "of %" PRIu64 " bytes.",
+			  bw_budget_cause_name(cause), count,
+			  f->budget.connections, f->budget.held_bytes);
+}
+
 static void note(bw_front_t *f, bw_budget_cause_t cause)
 {
 	static const bw_counter_t counters[BW_BUDGET_CAUSE_COUNT] = {
@@ -119,16 +130,11 @@
 		[BW_BUDGET_CLOSED_STILL] = BW_C_REFUSED_SLOW,
 		[BW_BUDGET_CLOSED_LONG] = BW_C_COUNT,
 	};
-	uint32_t count = bw_budget_note(&f->budget, cause, bw_clock_now_ms());
-
 	/* Refusals are counted when they are answered. */
 	if (counters[cause] != BW_C_COUNT)
 		bw_count(f->counters, counters[cause], 1);
-	if (count > 0)
-		g_warning("Callers met a bound: %s %u, connections %u, bodies "
-			  "of %" PRIu64 " bytes.",
-			  bw_budget_cause_name(cause), count,
-			  f->budget.connections, f->budget.held_bytes);
+	bw_budget_note(&f->budget, cause);
+	report(f, cause);
 }
 
 static void drop_body(bw_front_t *f, conn_t *conn, bw_call_t *call)
@@ -461,8 +467,11 @@
 				       : f->config.idle_timeout_ms / 1000.0;
 	double oldest = ev_now(loop) - timeout_s;
 	GList *link;
+	int i;
 
 	(void)revents;
+	for (i = 0; i < BW_BUDGET_CAUSE_COUNT; i++)
+		report(f, (bw_budget_cause_t)i);
 	for (link = f->conns.head; link; link = link->next) {
 		conn_t *conn = link->data;
 
--- a/test/test_budget.c
+++ b/test/test_budget.c
@@ -145,11 +145,17 @@
 
 	(void)state;
 	bw_budget_init(&b, &limits);
-	assert_int_equal(bw_budget_note(&b, BW_BUDGET_REFUSED, 5000), 1);
-	assert_int_equal(bw_budget_note(&b, BW_BUDGET_REFUSED, 5000), 0);
-	assert_int_equal(bw_budget_note(&b, BW_BUDGET_CLOSED_HEAD, 5000), 1);
-	assert_int_equal(bw_budget_note(&b, BW_BUDGET_REFUSED, 5999), 0);
-	assert_int_equal(bw_budget_note(&b, BW_BUDGET_REFUSED, 6000), 3);
+	assert_int_equal(bw_budget_report(&b, BW_BUDGET_REFUSED, 5000), 0);
+	bw_budget_note(&b, BW_BUDGET_REFUSED);
+	assert_int_equal(bw_budget_report(&b, BW_BUDGET_REFUSED, 5000), 1);
+	bw_budget_note(&b, BW_BUDGET_REFUSED);
+	assert_int_equal(bw_budget_report(&b, BW_BUDGET_REFUSED, 5000), 0);
+	bw_budget_note(&b, BW_BUDGET_CLOSED_HEAD);
+	assert_int_equal(bw_budget_report(&b, BW_BUDGET_CLOSED_HEAD, 5000), 1);
+	bw_budget_note(&b, BW_BUDGET_REFUSED);
+	assert_int_equal(bw_budget_report(&b, BW_BUDGET_REFUSED, 5999), 0);
+	assert_int_equal(bw_budget_report(&b, BW_BUDGET_REFUSED, 6000), 2);
+	assert_int_equal(bw_budget_report(&b, BW_BUDGET_REFUSED, 9000), 0);
 }
 
 /* The bounds follow the node's size; what the settings say comes first. */
