--- a/src/fleet/show.c
+++ b/src/fleet/show.c
@@ -146,6 +146,10 @@
 			 (double)stats.capacity.cpu_millis);
 	bw_metrics_gauge(out, "bramley_cpu_millis_used", label,
 			 (double)stats.used.cpu_millis);
+	/* Only where tenants have caps. */
+	if (stats.quota_refusals > 0)
+		bw_metrics_gauge(out, "bramley_quota_refusals_total", label,
+				 (double)stats.quota_refusals);
 }
 
 static void show_log(GString *out)
--- a/test/test_turns.c
+++ b/test/test_turns.c
@@ -161,6 +161,23 @@
 	bw_sched_destroy(o.sched);
 }
 
+/* The part of the pool for last chances is for jobs that are owed. */
+static void test_no_last_chance_for_what_is_not_owed(void **state)
+{
+	orders_t o;
+	uint32_t i;
+
+	(void)state;
+	begin(&o, NULL, OWED_AT_ONCE);
+	for (i = 1; i <= OWED_AT_ONCE; i++)
+		add_job(&o, &(job_t){ i, "a", 1, 20, 0 });
+	add_job(&o, &(job_t){ i, "a", 1, 20, 1500 });
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, OWED_AT_ONCE);
+	assert_int_equal(starts_of(&o, i), 0);
+	bw_sched_destroy(o.sched);
+}
+
 /* Also if that one holds less. */
 static void test_late_job_waits_for_anothers_in_time(void **state)
 {
@@ -221,6 +238,7 @@
 		cmocka_unit_test(test_jobs_that_are_not_owed_go_behind),
 		cmocka_unit_test(
 			test_jobs_that_are_not_owed_start_in_free_room),
+		cmocka_unit_test(test_no_last_chance_for_what_is_not_owed),
 		cmocka_unit_test(test_late_job_waits_for_anothers_in_time),
 		cmocka_unit_test(test_expired_job_goes_behind_what_is_not_owed),
 		cmocka_unit_test(test_turn_of_a_tenant_without_quota_passes),
