--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -808,8 +808,6 @@
 /* place.c */
 /** Returns whether a worker may run a task, apart from its resources. */
 bool sched_suits(const worker_t *worker, const task_t *task, int64_t now_ms);
-/** Returns the processor of all tasks that could start now. */
-int64_t sched_startable_millis(const bw_sched_t *s);
 /** Returns whether a worker has the resources for a task and may run it. */
 bool sched_is_allowed(const worker_t *worker, const task_t *task,
 		      int64_t now_ms);
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -686,18 +686,6 @@
 	return millis;
 }
 
-int64_t sched_startable_millis(const bw_sched_t *s)
-{
-	GHashTableIter iter;
-	gpointer key;
-	int64_t millis = 0;
-
-	g_hash_table_iter_init(&iter, s->startable);
-	while (g_hash_table_iter_next(&iter, &key, NULL))
-		millis += startable_millis(key);
-	return millis;
-}
-
 /* Returns how long the pool would need for the waiting jobs that are in time.
  */
 static double on_time_backlog_ms(const bw_sched_t *s, const GArray *list)
--- a/src/sched/wait.c
+++ b/src/sched/wait.c
@@ -2,8 +2,8 @@
  * How long a task waits for a place near its data, or a gang for one on a
  * single rack, before it starts elsewhere, where it takes longer.
  *
- * Nothing is kept from one pass to the next: a wait follows from what runs now
- * and from the job's own times, so that a new owner decides as the last one.
+ * A wait follows from what runs now and from the job's own times alone, so that
+ * a new owner decides as the last one did.
  */
 #include "sched/internal.h"
 
@@ -34,10 +34,8 @@
 	GHashTable *racks; /**< Name to a GArray of near_worker_t. */
 	GHashTable *waited; /**< Names of those that tasks wait for. */
 	GHashTable *waited_before; /**< The same in the last pass. */
-	bool measured; /**< The next two are known. */
-	double pressure; /**< Waiting work that finds no room, in poolfuls; up
-			      to 1. */
-	bool calm;
+	bool measured; /**< The next one is known. */
+	bool calm; /**< Much of the pool is free. */
 };
 
 static void near_worker_clear(gpointer data);
@@ -322,18 +320,16 @@
 	g_array_sort(place->releases, compare_releases);
 }
 
-/* Compares the work that waits with the room that is free. */
-static void measure(bw_sched_t *s, int64_t now_ms)
+/* Looks at how much of the pool is free. */
+static bool is_calm(bw_sched_t *s, int64_t now_ms)
 {
 	int64_t capacity_millis = 0;
 	int64_t free_millis = 0;
-	int64_t short_millis;
 	GHashTableIter iter;
 	gpointer value;
 
 	if (s->near->measured)
-		return;
-	s->near->measured = true;
+		return s->near->calm;
 	g_hash_table_iter_init(&iter, s->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const worker_t *worker = value;
@@ -344,11 +340,9 @@
 		free_millis +=
 			worker->capacity.cpu_millis - worker->used.cpu_millis;
 	}
-	short_millis = sched_startable_millis(s) - free_millis;
-	s->near->pressure =
-		CLAMP((double)short_millis / (double)MAX(capacity_millis, 1),
-		      0.0, 1.0);
+	s->near->measured = true;
 	s->near->calm = free_millis * CALM_DIVISOR > capacity_millis;
+	return s->near->calm;
 }
 
 /* Returns how long the steps took that had to end before a step. */
@@ -371,38 +365,42 @@
 }
 
 /*
- * Returns how long a wait may be at most to pay, from now on: what a task would
- * lose elsewhere, and in a full pool what the others would lose. It ends while
- * the job can still be in time elsewhere.
+ * Returns how long a task may wait at most so that it pays. What it loses
+ * elsewhere counts only if that makes its job late, as in a full pool a place
+ * that is given away is not there again later; a job that is late in any case
+ * waits, if it ends sooner then, only where others don't lack the near room.
+ * The wait ends while the job can still be in time near its data, and be done
+ * before its deadline elsewhere.
  */
 static int64_t longest_wait_ms(bw_sched_t *s, const task_t *task,
 			       int64_t now_ms)
 {
 	const occurrence_t *occurrence = task->occurrence;
 	const bw_step_spec_t *spec = sched_task_step(task);
-	double lost_ms = (s->config.remote_factor - 1.0) *
-			 (double)sched_estimate_ms(occurrence->job, spec);
+	int64_t lost_ms =
+		(int64_t)((s->config.remote_factor - 1.0) *
+			  (double)sched_estimate_ms(occurrence->job, spec));
 	int64_t near_end_ms =
 		now_ms + sched_chain_ms(occurrence->job, task->step);
-	int64_t far_end_ms = near_end_ms + (int64_t)lost_ms;
-	int64_t spare_ms;
+	int64_t far_end_ms = near_end_ms + lost_ms;
+	int64_t longest_ms;
 	int64_t delay_ms;
 
-	measure(s, now_ms);
-	if (far_end_ms <= occurrence->objective_ms) {
-		lost_ms *= 1.0 + s->near->pressure;
-		spare_ms = occurrence->objective_ms - far_end_ms;
-	} else if (far_end_ms <= occurrence->deadline_ms) {
-		spare_ms = occurrence->deadline_ms - far_end_ms;
-	} else {
-		spare_ms = occurrence->deadline_ms - near_end_ms;
-	}
-	if (s->near->calm) {
-		delay_ms = now_ms - occurrence->due_ms -
-			   finished_ms(occurrence, task->step);
-		spare_ms = MIN(spare_ms, CALM_DELAY_MAX_MS - delay_ms);
-	}
-	return MIN((int64_t)lost_ms, spare_ms);
+	if (far_end_ms <= occurrence->objective_ms ||
+	    (near_end_ms > occurrence->objective_ms && !is_calm(s, now_ms)))
+		return 0;
+	longest_ms = MIN(lost_ms, occurrence->deadline_ms -
+					  (far_end_ms <= occurrence->deadline_ms
+						   ? far_end_ms
+						   : near_end_ms));
+	if (near_end_ms <= occurrence->objective_ms)
+		longest_ms =
+			MIN(longest_ms, occurrence->objective_ms - near_end_ms);
+	if (!is_calm(s, now_ms))
+		return longest_ms;
+	delay_ms = now_ms - occurrence->due_ms -
+		   finished_ms(occurrence, task->step);
+	return MIN(longest_ms, CALM_DELAY_MAX_MS - delay_ms);
 }
 
 /* Lasting tasks have no end that would be earlier; fillers and tasks with a
--- a/test/test_world.c
+++ b/test/test_world.c
@@ -226,6 +226,20 @@
 	play_drawn("gangs", add_gangs);
 }
 
+static void add_racks(uint32_t seed, world_config_t *config)
+{
+	add_gangs(seed, config);
+	world_add_racks(config);
+}
+
+/* Tasks wait for places near their data, and gangs for one rack, under all
+ * faults; each still has to end in time. */
+static void test_world_racks(void **state)
+{
+	(void)state;
+	play_drawn("racks", add_racks);
+}
+
 /* Workers that keep no connections restart. A crash cuts a heartbeat that
  * acknowledges an end; its task was held without limit then. */
 static void test_world_restarts_without_kept_connections(void **state)
@@ -314,6 +328,7 @@
 			test_world_owner_changes_hide_crashes_of_a_lasting_task),
 		cmocka_unit_test(test_world_late_orders),
 		cmocka_unit_test(test_world_gangs),
+		cmocka_unit_test(test_world_racks),
 		cmocka_unit_test(test_world_restarts_without_kept_connections),
 		cmocka_unit_test(test_world_owners_in_turn),
 		cmocka_unit_test(test_world_tenants),
--- a/test/world.c
+++ b/test/world.c
@@ -748,6 +748,7 @@
 	world_init_crashes(w);
 	world_init_gangs(w);
 	world_init_tenants(w);
+	world_init_racks(w);
 	for (i = 0; i < w->config.faults; i++)
 		world_schedule(
 			w, world_random_between(w, 100, w->config.traffic_ms),
@@ -867,6 +868,13 @@
 	config->worker_crashes = 0;
 }
 
+void world_add_racks(world_config_t *config)
+{
+	config->near_share = 0.7;
+	/* Runs away from their data take longer, and hold up the others. */
+	config->recovery_ms *= 2;
+}
+
 void world_delay_orders(world_config_t *config)
 {
 	config->lost_share = 0.5;
--- a/test/world.h
+++ b/test/world.h
@@ -42,6 +42,9 @@
 	uint32_t worker_crashes; /**< Other crashes, of few machines. */
 	uint32_t resizes; /**< Number of workers that shrink for a time. */
 	double gang_share; /**< Share of steps that are gangs. */
+	/** Share of steps whose data is in one rack, or whose gang wants one;
+	 *  elsewhere they take longer. 0: there is one rack. */
+	double near_share;
 	uint32_t chains; /**< Of owners that lose their claims in quick
 			    succession; 0: nodes do not follow the claims. */
 	double long_share; /**< Share of jobs whose first step takes 6 to 12 s.
@@ -84,6 +87,9 @@
 /** Makes half of the steps gangs, and checks what is stored of all jobs. */
 void world_add_gangs(world_config_t *config);
 
+/** Puts the workers into racks, and the data of most steps into one of them. */
+void world_add_racks(world_config_t *config);
+
 /** Lets several owners follow each other within two seconds, without other
  * faults but lost calls. With odd seeds earlier owners get notices of jobs. */
 void world_change_owners(uint32_t seed, world_config_t *config);
--- a/test/world_internal.h
+++ b/test/world_internal.h
@@ -3,9 +3,9 @@
  * Parts of the simulation: events, jobs, faults and checks (world.c), fake
  * workers and the calls to them (world_worker.c), nodes and the store
  * (world_node.c), tasks that crash their workers (world_crash.c), gangs
- * (world_gang.c), what nodes know of earlier owners (world_owners.c), owners
- * that lose their claims in quick succession (world_chain.c), tenants with
- * caps (world_tenant.c).
+ * (world_gang.c), racks (world_rack.c), what nodes know of earlier owners
+ * (world_owners.c), owners that lose their claims in quick succession
+ * (world_chain.c), tenants with caps (world_tenant.c).
  */
 #ifndef BW_TEST_WORLD_INTERNAL_H
 #define BW_TEST_WORLD_INTERNAL_H
@@ -336,6 +336,20 @@
 /** Counts a job that is shown as failed. */
 void world_count_failed(world_t *w, fake_job_t *job);
 
+/** Draws which steps have their data in a rack; the gangs are drawn before. */
+void world_init_racks(world_t *w);
+
+/** Returns the name of a worker's rack. */
+const char *world_rack(const world_t *w, const fake_worker_t *worker);
+
+/** Returns how many times as long a run takes away from its data; 0: none is.
+ */
+double world_remote_factor(const world_t *w);
+
+/** Returns how long a run of a step takes on a worker. */
+int64_t world_run_ms(const world_t *w, const fake_worker_t *worker,
+		     const bw_step_spec_t *step, int64_t near_ms);
+
 /** Draws which steps are gangs. */
 void world_init_gangs(world_t *w);
 
