Crowds: a configuration without tenants

Cause: the soak's configuration has got tenants and a version, so that the crowds' stand-in did not build, and would have answered 401. Change: the crowds take the same configuration without tenants, as before. The crowds and their bounds are unchanged.

--- a/test/crowd/store.c
+++ b/test/crowd/store.c
@@ -6,15 +6,29 @@
 #include <stdlib.h>
 
 #include <ev.h>
+#include <jansson.h>
 
 #include "../../soak/standin_callers.h"
 #include "../../soak/standin_store.h"
 
+/* Returns the soak's configuration without tenants: the crowds have no keys. */
+static char *make_configuration(void)
+{
+	char *text = soak_callers_configuration(1);
+	json_t *root = json_loads(text, 0, NULL);
+
+	free(text);
+	json_object_del(root, "tenants");
+	text = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	return text;
+}
+
 int main(void)
 {
 	struct ev_loop *loop = ev_default_loop(0);
 	soak_store_t *store = soak_store_create(loop, 1);
-	char *text = soak_callers_configuration();
+	char *text = make_configuration();
 
 	soak_store_configure(store, text);
 	free(text);
