--- a/src/net/mhdev.c
+++ b/src/net/mhdev.c
@@ -82,15 +82,19 @@
 	(void)revents;
 }
 
-/* Connections take the size over from the socket that listens. */
-static void limit_receive_buffer(const bw_mhdev_t *m, int bytes)
+/* Connections take the sizes over from the socket that listens. A client that
+ * reads no answers fills the send buffer. */
+static void limit_buffers(const bw_mhdev_t *m, int bytes)
 {
 	const union MHD_DaemonInfo *info =
 		MHD_get_daemon_info(m->daemon, MHD_DAEMON_INFO_LISTEN_FD);
 
-	if (bytes > 0)
-		setsockopt(info->listen_fd, SOL_SOCKET, SO_RCVBUF, &bytes,
-			   sizeof(bytes));
+	if (bytes <= 0)
+		return;
+	setsockopt(info->listen_fd, SOL_SOCKET, SO_RCVBUF, &bytes,
+		   sizeof(bytes));
+	setsockopt(info->listen_fd, SOL_SOCKET, SO_SNDBUF, &bytes,
+		   sizeof(bytes));
 }
 
 bw_status_t bw_mhdev_create(struct ev_loop *loop,
@@ -127,7 +131,7 @@
 		return bw_status_set(BW_EIO, "cannot listen on %s",
 				     config->address);
 	}
-	limit_receive_buffer(m, config->receive_buffer_bytes);
+	limit_buffers(m, config->socket_buffer_bytes);
 	info = MHD_get_daemon_info(m->daemon, MHD_DAEMON_INFO_EPOLL_FD);
 	ev_io_init(&m->io, on_io, info->epoll_fd, EV_READ);
 	ev_timer_init(&m->timer, on_timer, 0.0, 0.0);
--- a/src/net/mhdev.h
+++ b/src/net/mhdev.h
@@ -34,7 +34,7 @@
 	size_t connection_memory; /**< Bytes per connection, for headers. */
 	uint32_t connections_max;
 	uint32_t idle_timeout_s; /**< 0 is none. */
-	int receive_buffer_bytes; /**< Of a connection; 0: the system's. */
+	int socket_buffer_bytes; /**< Of a connection; 0: the system's. */
 } bw_mhdev_config_t;
 
 /**
--- a/src/net/simplehttp.c
+++ b/src/net/simplehttp.c
@@ -344,7 +344,7 @@
 		.ctx = s,
 		.connection_memory = CONNECTION_MEMORY_BYTES,
 		.connections_max = config->connections_max,
-		.receive_buffer_bytes = config->receive_buffer_bytes,
+		.socket_buffer_bytes = config->socket_buffer_bytes,
 	};
 	bw_status_t status;
 
--- a/src/net/simplehttp.h
+++ b/src/net/simplehttp.h
@@ -49,7 +49,7 @@
 	 *  connections counts in place of connections_max. */
 	const bw_budget_limits_t *limits;
 	/** Receive buffer of a connection in bytes, 0: the system's. */
-	int receive_buffer_bytes;
+	int socket_buffer_bytes;
 	bool shown; /**< What it holds is in the process's metrics. */
 } bw_simple_config_t;
 
