--- a/src/fleet/controller.c
+++ b/src/fleet/controller.c
@@ -511,7 +511,7 @@
 	round_t *round = ctx;
 	bw_controller_t *c = round->c;
 
-	if (worker->reachable || worker->started_ms == 0 ||
+	if (!worker->silent || worker->started_ms == 0 ||
 	    g_hash_table_contains(c->listed_workers, worker->id))
 		return;
 	if (bw_missing_workers_note(c->missing, round->now_ms, worker->id,
--- a/src/fleet/missing_workers.c
+++ b/src/fleet/missing_workers.c
@@ -11,6 +11,8 @@
 typedef struct missing {
 	int64_t since_ms; /**< When it was first noted. */
 	int64_t noted_ms; /**< When it was last noted. */
+	int64_t list_ms; /**< Of the first list that would have it; 0: none yet.
+			  */
 	bool ended;
 } missing_t;
 
@@ -46,7 +48,12 @@
 		g_hash_table_insert(m->workers, g_strdup(id), missing);
 	}
 	missing->noted_ms = now_ms;
-	missing->ended = list_ms >= missing->since_ms + LIST_LAG_MS;
+	if (list_ms < missing->since_ms + LIST_LAG_MS)
+		return false;
+	/* Pages are no snapshot: one list may miss a machine. */
+	if (missing->list_ms == 0)
+		missing->list_ms = list_ms;
+	missing->ended = list_ms > missing->list_ms;
 	return missing->ended;
 }
 
--- a/src/fleet/reports.c
+++ b/src/fleet/reports.c
@@ -75,6 +75,7 @@
 	row.idle = view->idle;
 	row.emptied = view->cordoned;
 	row.reachable = view->reachable;
+	row.silent = view->silent;
 	row.started_ms = view->started_ms;
 	g_array_append_val(p->rows, row);
 }
@@ -155,6 +156,7 @@
 		worker->idle = row->idle;
 		worker->cordoned = row->emptied;
 		worker->reachable = row->reachable;
+		worker->silent = row->silent;
 		worker->started_ms = row->started_ms;
 		g_hash_table_replace(report->workers, worker->id, worker);
 	}
--- a/src/fleet/reports.h
+++ b/src/fleet/reports.h
@@ -25,6 +25,7 @@
 	bool idle; /**< No task runs or may still run on it. */
 	bool cordoned; /**< Its owner evacuates it and starts no tasks on it. */
 	bool reachable; /**< It answers and is not draining. */
+	bool silent; /**< Its owner does not hear it. */
 	int64_t started_ms; /**< Unix time of its start; 0: not known. */
 } bw_worker_report_t;
 
--- a/src/sched/report.c
+++ b/src/sched/report.c
@@ -114,6 +114,9 @@
 				worker->tasks->len == 0 && !worker->has_orphans,
 			.cordoned = worker->cordoned,
 			.reachable = sched_worker_reachable(worker, now_ms),
+			.silent = !worker->synced ||
+				  now_ms - worker->last_heartbeat_ms >=
+					  WORKER_SILENT_MS,
 			.started_ms = sched_worker_boot_ms(worker),
 		};
 
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -462,6 +462,7 @@
 	bool idle; /**< No task runs or may run on it. */
 	bool cordoned; /**< Gets no tasks and is evacuated. */
 	bool reachable; /**< It answers and is not draining. */
+	bool silent; /**< It has not answered this owner, or not lately. */
 	int64_t started_ms; /**< Unix time of its start; 0: not known. */
 } bw_worker_view_t;
 
--- a/src/wire/bramley.pb-c.c
+++ b/src/wire/bramley.pb-c.c
@@ -1743,7 +1743,7 @@
   (ProtobufCMessageInit) bramley__state_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__worker_report__field_descriptors[7] =
+static const ProtobufCFieldDescriptor bramley__worker_report__field_descriptors[8] =
 {
   {
     "id",
@@ -1829,6 +1829,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "silent",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__WorkerReport, silent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__worker_report__field_indices_by_name[] = {
   3,   /* field[3] = emptied */
@@ -1836,13 +1848,14 @@
   2,   /* field[2] = idle */
   5,   /* field[5] = lasting */
   4,   /* field[4] = reachable */
+  7,   /* field[7] = silent */
   6,   /* field[6] = started_ms */
   1,   /* field[1] = tasks */
 };
 static const ProtobufCIntRange bramley__worker_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor bramley__worker_report__descriptor =
 {
@@ -1852,7 +1865,7 @@
   "Bramley__WorkerReport",
   "bramley",
   sizeof(Bramley__WorkerReport),
-  7,
+  8,
   bramley__worker_report__field_descriptors,
   bramley__worker_report__field_indices_by_name,
   1,  bramley__worker_report__number_ranges,
@@ -2540,7 +2553,7 @@
   (ProtobufCMessageInit) bramley__quota_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__role_released__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bramley__role_released__field_descriptors[4] =
 {
   {
     "role",
@@ -2578,8 +2591,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "machines",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bramley__RoleReleased, n_machines),
+    offsetof(Bramley__RoleReleased, machines),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__role_released__field_indices_by_name[] = {
+  3,   /* field[3] = machines */
   1,   /* field[1] = node */
   2,   /* field[2] = revision */
   0,   /* field[0] = role */
@@ -2587,7 +2613,7 @@
 static const ProtobufCIntRange bramley__role_released__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bramley__role_released__descriptor =
 {
@@ -2597,7 +2623,7 @@
   "Bramley__RoleReleased",
   "bramley",
   sizeof(Bramley__RoleReleased),
-  3,
+  4,
   bramley__role_released__field_descriptors,
   bramley__role_released__field_indices_by_name,
   1,  bramley__role_released__number_ranges,
--- a/src/wire/bramley.pb-c.h
+++ b/src/wire/bramley.pb-c.h
@@ -265,10 +265,14 @@
    * Unix time of its start; 0: not known.
    */
   int64_t started_ms;
+  /*
+   * The owner does not hear it.
+   */
+  protobuf_c_boolean silent;
 };
 #define BRAMLEY__WORKER_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__worker_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -480,10 +484,15 @@
    * Of the claim.
    */
   int64_t revision;
+  /*
+   * Machines that it has ordered lately: these are left alone for a while.
+   */
+  size_t n_machines;
+  char **machines;
 };
 #define BRAMLEY__ROLE_RELEASED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__role_released__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL }
 
 
 typedef enum {
--- a/test/test_controller.c
+++ b/test/test_controller.c
@@ -145,9 +145,11 @@
 		bramley__worker_report__init(&rows[MACHINES]);
 		rows[MACHINES].id = (char *)UNLISTED;
 		rows[MACHINES].started_ms = UNLISTED_BOOT_MS;
+		rows[MACHINES].silent = true;
 		list_of_rows[MACHINES] = &rows[MACHINES];
 		surplus.n_workers++;
 		rows[0].reachable = false;
+		rows[0].silent = true;
 		rows[0].started_ms = UNLISTED_BOOT_MS;
 	}
 	needy.pool = (char *)POOL_NEEDY;
--- a/test/test_evacuate.c
+++ b/test/test_evacuate.c
@@ -5,6 +5,8 @@
 
 #include <glib.h>
 
+#include "fleet/controller.h"
+#include "fleet/reports.h"
 #include "sched_orders.h"
 
 #define PEERS 5
@@ -362,6 +364,97 @@
 	}
 }
 
+/** A pool whose controller hears nothing of machines. */
+typedef struct heard_test {
+	lasting_test_t t;
+	bw_controller_t *controller;
+	uint32_t views; /**< Workers that the owner takes as alive. */
+} heard_test_t;
+
+static void list_no_machine(void *impl, bw_machines_done_fn done, void *ctx)
+{
+	(void)impl;
+	done(ctx, BW_OK, NULL, 0);
+}
+
+static void apply_controllers_order(void *ctx, const char *pool,
+				    const Bramley__Frame *frame)
+{
+	heard_test_t *h = ctx;
+
+	if (!strcmp(pool, "p"))
+		bw_reports_apply_order(h->t.o.sched, frame->pool_order);
+}
+
+static void ignore_result(void *ctx, bw_status_t status)
+{
+	(void)ctx;
+	(void)status;
+}
+
+static void ignore_superseded(void *ctx)
+{
+	(void)ctx;
+}
+
+static bool has_none(void *ctx, int64_t now_ms)
+{
+	(void)ctx;
+	(void)now_ms;
+	return true;
+}
+
+static void take_report(void *ctx, const Bramley__Frame *frame)
+{
+	heard_test_t *h = ctx;
+
+	bw_controller_record_report(h->controller, h->t.o.now_ms,
+				    frame->pool_report);
+}
+
+static void count_view(void *ctx, const bw_worker_view_t *view)
+{
+	(void)view;
+	((heard_test_t *)ctx)->views++;
+}
+
+/* A worker that leaves runs its tasks on while its machine is gone from the
+ * list; its owner hears it all the while. */
+static void test_leaving_worker_that_is_heard_has_not_ended(void **state)
+{
+	static const bw_controller_ops_t ops = { apply_controllers_order,
+						 ignore_result,
+						 ignore_superseded, has_none };
+	static bw_pool_config_t pools[] = { { .name = (char *)"p" } };
+	static const bw_fleet_config_t config = { .pools = pools,
+						  .pool_count = 1 };
+	bw_controller_env_t env = { .machines = { .list = list_no_machine },
+				    .node = "n",
+				    .takeover_delay_ms = 600000 };
+	heard_test_t h = { 0 };
+	int i;
+
+	(void)state;
+	begin(&h.t, 2, 1);
+	bring_up(&h.t, 0);
+	bring_up(&h.t, 1);
+	drain(&h.t, 0);
+	h.controller = bw_controller_create(&env, &ops, &h);
+	bw_controller_configure(h.controller, &config);
+	for (i = 0; i < 30; i++) {
+		orders_run(&h.t.o, 100);
+		list(&h.t, 0);
+		list(&h.t, 1);
+		bw_reports_pack("p", 1, h.t.o.sched, h.t.o.now_ms, take_report,
+				&h);
+		bw_controller_tick(h.controller, h.t.o.now_ms);
+	}
+	bw_sched_views(h.t.o.sched, h.t.o.now_ms, count_view, &h);
+	assert_int_equal(h.views, 2);
+	bw_controller_destroy(h.controller);
+	bw_sched_destroy(h.t.o.sched);
+}
+
 static void test_lost_worker_counts_until_its_task_is_back(void **state)
 {
 	bw_run_row_t row;
@@ -422,6 +515,8 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+			test_leaving_worker_that_is_heard_has_not_ended),
 		cmocka_unit_test(
 			test_late_start_is_not_stopped_while_others_are_away),
 		cmocka_unit_test(
--- a/test/test_missing_workers.c
+++ b/test/test_missing_workers.c
@@ -5,7 +5,8 @@
 
 #define WORKER "w"
 
-/* A list that is hardly newer may not have the worker yet. */
+/* A list that is hardly newer may not have the worker yet, and any one list may
+ * miss a machine. */
 static void test_worker_has_ended_by_a_newer_list(void **state)
 {
 	bw_missing_workers_t *m = bw_missing_workers_create();
@@ -14,7 +15,10 @@
 	assert_false(bw_missing_workers_note(m, 5000, WORKER, 4900));
 	assert_true(bw_missing_workers_await_list(m));
 	assert_false(bw_missing_workers_note(m, 5600, WORKER, 5500));
-	assert_true(bw_missing_workers_note(m, 6100, WORKER, 6000));
+	assert_false(bw_missing_workers_note(m, 6100, WORKER, 6000));
+	assert_false(bw_missing_workers_note(m, 6200, WORKER, 6000));
+	assert_true(bw_missing_workers_await_list(m));
+	assert_true(bw_missing_workers_note(m, 6400, WORKER, 6300));
 	assert_false(bw_missing_workers_await_list(m));
 	bw_missing_workers_destroy(m);
 }
