--- a/src/fleet/config_exchange.c
+++ b/src/fleet/config_exchange.c
@@ -88,6 +88,16 @@
 	return true;
 }
 
+bool bw_config_exchange_is_new(const bw_config_exchange_t *x, int64_t revision)
+{
+	return bw_config_sync_is_new(x->sync, revision);
+}
+
+void bw_config_exchange_refuse(bw_config_exchange_t *x, int64_t revision)
+{
+	bw_config_sync_refuse(x->sync, revision);
+}
+
 void bw_config_exchange_share(bw_config_exchange_t *x)
 {
 	x->shared = true;
--- a/src/fleet/config_exchange.h
+++ b/src/fleet/config_exchange.h
@@ -31,6 +31,13 @@
 bool bw_config_exchange_take(bw_config_exchange_t *x, int64_t revision,
 			     const char *value, size_t bytes);
 
+/** Returns whether a version is newer than all that this node has taken or
+ *  refused. */
+bool bw_config_exchange_is_new(const bw_config_exchange_t *x, int64_t revision);
+
+/** Refuses a version that can't be used here; the one before stays. */
+void bw_config_exchange_refuse(bw_config_exchange_t *x, int64_t revision);
+
 /** Tells the other nodes which version this node has, from now on. */
 void bw_config_exchange_share(bw_config_exchange_t *x);
 
--- a/src/fleet/config_sync.c
+++ b/src/fleet/config_sync.c
@@ -27,6 +27,7 @@
 	GHashTable *peers; /**< Identifier to peer_t. */
 	int64_t revision;
 	int64_t newest;
+	int64_t refused; /**< Newest version that can't be used here. */
 	int64_t confirmed_ms; /**< 0: never. */
 	int64_t behind_since_ms; /**< Valid while a newer one is known. */
 	int64_t asked_ms; /**< Any node; INT64_MIN: none since behind. */
@@ -129,6 +130,17 @@
 	return true;
 }
 
+bool bw_config_sync_is_new(const bw_config_sync_t *c, int64_t revision)
+{
+	return revision > MAX(c->revision, c->refused);
+}
+
+void bw_config_sync_refuse(bw_config_sync_t *c, int64_t revision)
+{
+	c->refused = MAX(c->refused, revision);
+	c->newest = MAX(c->newest, revision);
+}
+
 int64_t bw_config_sync_revision(const bw_config_sync_t *c)
 {
 	return c->revision;
@@ -194,7 +206,7 @@
 {
 	uint64_t id;
 
-	if (c->newest <= c->revision ||
+	if (c->newest <= MAX(c->revision, c->refused) ||
 	    now_ms - c->behind_since_ms < ASK_DELAY_MS)
 		return 0;
 	if (c->asked_ms != INT64_MIN && now_ms - c->asked_ms < ASK_TIMEOUT_MS)
--- a/src/fleet/config_sync.h
+++ b/src/fleet/config_sync.h
@@ -63,6 +63,12 @@
  */
 bool bw_config_sync_take(bw_config_sync_t *c, int64_t revision);
 
+/** Returns whether a version is newer than all that were taken or refused. */
+bool bw_config_sync_is_new(const bw_config_sync_t *c, int64_t revision);
+
+/** Records a version that can't be used here: this node stays behind. */
+void bw_config_sync_refuse(bw_config_sync_t *c, int64_t revision);
+
 /** Returns the revision of the version that this node has; 0: none. */
 int64_t bw_config_sync_revision(const bw_config_sync_t *c);
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -306,20 +306,22 @@
 	GHashTableIter iter;
 	gpointer pool;
 
-	if (!bw_config_exchange_take(f->config_exchange, revision, value,
-				     bytes))
+	if (!bw_config_exchange_is_new(f->config_exchange, revision))
 		return;
 	if (f->env.values->parse_config(value, bytes, &config) != BW_OK) {
 		bw_event(BW_EVENT_FLEET_CONFIG_UNREADABLE, "error=\"%s\"",
 			 bw_status_message());
+		bw_config_exchange_refuse(f->config_exchange, revision);
 		return;
 	}
 	if (f->config && config->version < f->config->version) {
 		bw_event(BW_EVENT_FLEET_CONFIG_OLDER,
 			 "version=%" G_GINT64_FORMAT, config->version);
+		bw_config_exchange_refuse(f->config_exchange, revision);
 		bw_fleet_config_free(config);
 		return;
 	}
+	bw_config_exchange_take(f->config_exchange, revision, value, bytes);
 	log_config(config);
 	if (config->has_tenants)
 		bw_config_exchange_share(f->config_exchange);
@@ -388,8 +390,11 @@
 
 static bool has_earlier_controller(void *ctx, int64_t now_ms)
 {
-	return bw_fleet_member_has_predecessor(((bw_fleet_t *)ctx)->member,
-					       BW_CONTROLLER_ROLE, now_ms);
+	bw_fleet_t *f = ctx;
+
+	return f->orders_unsettled ||
+	       bw_fleet_member_has_predecessor(f->member, BW_CONTROLLER_ROLE,
+					       now_ms);
 }
 
 static void start_controller(bw_fleet_t *f, int64_t revision)
@@ -405,6 +410,9 @@
 	guint i;
 
 	f->controller_claim = revision;
+	f->orders_unsettled =
+		f->machine_calls &&
+		!bw_machine_calls_settled(f->machine_calls, bw_clock_now_ms());
 	bw_controller_destroy(f->controller);
 	f->controller = bw_controller_create(&env, &controller_ops, f);
 	bw_controller_configure(f->controller, f->config);
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -39,6 +39,7 @@
 	bw_controller_t *controller; /**< NULL unless this node has the role. */
 	bw_machine_calls_t *machine_calls; /**< NULL: no machine interface. */
 	int64_t controller_claim; /**< Revision of the claim of the role. */
+	bool orders_unsettled; /**< Orders by an earlier claim may come late. */
 	/** Claim of the role that this node gave up when it left; 0: none, or
 	 *  the others were told. */
 	int64_t released_claim;
--- a/src/fleet/messages.c
+++ b/src/fleet/messages.c
@@ -86,8 +86,14 @@
 		bw_fleet_peers_send(f->peers, node, frame);
 }
 
+static void add_machine(void *ctx, const char *machine)
+{
+	g_ptr_array_add(ctx, (char *)machine);
+}
+
 void fleet_release_controller(bw_fleet_t *f, int64_t now_ms)
 {
+	GPtrArray *machines;
 	Bramley__RoleReleased released = BRAMLEY__ROLE_RELEASED__INIT;
 	Bramley__Frame frame = BRAMLEY__FRAME__INIT;
 
@@ -95,6 +101,13 @@
 	    (f->machine_calls &&
 	     !bw_machine_calls_settled(f->machine_calls, now_ms)))
 		return;
+	machines = g_ptr_array_new();
+	if (f->machine_calls)
+		bw_machine_calls_recent(f->machine_calls, now_ms,
+					f->env.settings->holder_ms, add_machine,
+					machines);
+	released.machines = (char **)machines->pdata;
+	released.n_machines = machines->len;
 	released.role = (char *)BW_CONTROLLER_ROLE;
 	released.node = f->env.settings->name;
 	released.revision = f->released_claim;
@@ -102,15 +115,22 @@
 	frame.role_released = &released;
 	bw_fleet_peers_broadcast(f->peers, &frame);
 	f->released_claim = 0;
+	g_ptr_array_free(machines, TRUE);
 }
 
 static void apply_released(bw_fleet_t *f, const Bramley__RoleReleased *released)
 {
 	bw_earlier_owner_t owner = { released->role, released->node,
 				     released->revision };
+	int64_t until_ms = bw_clock_now_ms() + f->env.settings->holder_ms;
+	size_t i;
 
-	if (!strcmp(released->role, BW_CONTROLLER_ROLE))
-		bw_fleet_member_owner_stopped(f->member, &owner);
+	if (strcmp(released->role, BW_CONTROLLER_ROLE) != 0)
+		return;
+	for (i = 0; f->machine_calls && i < released->n_machines; i++)
+		bw_machine_calls_hold(f->machine_calls, released->machines[i],
+				      until_ms);
+	bw_fleet_member_owner_stopped(f->member, &owner);
 }
 
 void fleet_on_frame(void *ctx, const Bramley__Frame *frame)
--- a/test/test_machine_calls.c
+++ b/test/test_machine_calls.c
@@ -10,7 +10,9 @@
 typedef struct machines {
 	bw_machine_done_fn done;
 	void *ctx;
+	uint32_t orders;
 	uint32_t answers; /**< That the caller has got. */
+	bw_machine_result_t result; /**< Of the last of these. */
 } machines_t;
 
 static void move(void *impl, const char *machine, const char *pool,
@@ -22,14 +24,17 @@
 	(void)machine;
 	(void)pool;
 	(void)holder;
+	m->orders++;
 	m->done = done;
 	m->ctx = ctx;
 }
 
 static void on_answer(void *ctx, bw_machine_result_t result)
 {
-	(void)result;
-	((machines_t *)ctx)->answers++;
+	machines_t *m = ctx;
+
+	m->answers++;
+	m->result = result;
 }
 
 static void order(bw_machine_calls_t *c, machines_t *m)
@@ -90,12 +95,50 @@
 	assert_int_equal(m.answers, 1);
 }
 
+static void count_machine(void *ctx, const char *machine)
+{
+	assert_string_equal(machine, "m");
+	(*(uint32_t *)ctx)++;
+}
+
+/* Failure: two controllers order one machine in turn within a short time. */
+static void test_machine_of_an_earlier_controller_is_left_alone(void **state)
+{
+	machines_t m = { 0 };
+	bw_machine_api_t api = { .impl = &m, .move = move };
+	bw_machine_calls_t *earlier = bw_machine_calls_create(&api);
+	bw_machine_calls_t *next = bw_machine_calls_create(&api);
+	uint32_t recent = 0;
+
+	(void)state;
+	order(earlier, &m);
+	m.done(m.ctx, BW_MACHINE_OK);
+	bw_machine_calls_recent(earlier, bw_clock_now_ms() + MINUTE_MS, 3000,
+				count_machine, &recent);
+	assert_int_equal(recent, 0);
+	bw_machine_calls_recent(earlier, bw_clock_now_ms(), 3000, count_machine,
+				&recent);
+	assert_int_equal(recent, 1);
+	bw_machine_calls_hold(next, "m", bw_clock_now_ms() + MINUTE_MS);
+	order(next, &m);
+	assert_int_equal(m.orders, 1);
+	assert_int_equal(m.result, BW_MACHINE_BUSY);
+	bw_machine_calls_hold(next, "m", bw_clock_now_ms());
+	order(next, &m);
+	assert_int_equal(m.orders, 2);
+	m.done(m.ctx, BW_MACHINE_OK);
+	bw_machine_calls_destroy(next);
+	bw_machine_calls_destroy(earlier);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_settled_once_all_orders_have_answers),
 		cmocka_unit_test(test_not_settled_while_an_order_may_be_late),
 		cmocka_unit_test(test_orders_end_after_their_owner),
+		cmocka_unit_test(
+			test_machine_of_an_earlier_controller_is_left_alone),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
