Quota lender: constants with units, names without metaphors

Divisors were called parts, a rate had no unit, and pools were greeted and tenants dirty, which a newcomer has to decode. Static names and comments now say divisor, tenants per ms, announce and pending; public functions have Doxygen.

--- a/src/fleet/quota_client.c
+++ b/src/fleet/quota_client.c
@@ -10,8 +10,9 @@
  */
 #define ASK_INTERVAL_MS	      40
 #define ASK_AGAIN_INTERVAL_MS 140
-/** A report of many tenants is sent less often, for the sake of small links. */
-#define TENANTS_A_MS 10
+/** A report is sent 1 ms later for so many tenants in the last one, which
+ *  bounds the bytes a second on slow links. */
+#define TENANTS_PER_MS 10
 /** A tenant that neither holds nor wants anything keeps its quota so long. */
 #define IDLE_MS 30000
 
@@ -253,7 +254,7 @@
 {
 	const bw_quota_client_t *c = draft->c;
 	int64_t age_ms = draft->now_ms - c->reported_ms;
-	int64_t more_ms = c->reported / TENANTS_A_MS;
+	int64_t more_ms = c->reported / TENANTS_PER_MS;
 	int64_t ask_ms = c->asked ? ASK_AGAIN_INTERVAL_MS : ASK_INTERVAL_MS;
 
 	return c->applied || age_ms >= REPORT_INTERVAL_MS + more_ms ||
--- a/src/fleet/quota_client.h
+++ b/src/fleet/quota_client.h
@@ -21,8 +21,10 @@
 typedef struct bw_quota_client_ops {
 	/** Returns whether a tenant has a cap, as far as the owner knows. */
 	bool (*capped)(void *ctx, const char *tenant);
+	/** Sets the most that a tenant may have running in the pool. */
 	void (*set_quota)(void *ctx, const char *tenant,
 			  const bw_resources_t *quota);
+	/** Reports what each tenant uses of the pool. */
 	void (*uses)(void *ctx, int64_t now_ms,
 		     void (*fn)(void *arg, const bw_tenant_use_t *use),
 		     void *arg);
@@ -37,14 +39,13 @@
 	BW_QUOTA_RESULT_COUNT
 } bw_quota_result_t;
 
-/**
- * @param fence revision of this node's claim of the pool
- */
+/** @param fence revision of this node's claim of the pool */
 bw_quota_client_t *bw_quota_client_create(const char *pool, uint64_t fence,
 					  const bw_quota_client_ops_t *ops,
 					  void *ctx);
 void bw_quota_client_destroy(bw_quota_client_t *c);
 
+/** Returns the revision of the claim for which it was created. */
 uint64_t bw_quota_client_fence(const bw_quota_client_t *c);
 
 /** Learns of a claim of the lender's role; orders of earlier lenders are
--- a/src/fleet/quota_lender.c
+++ b/src/fleet/quota_lender.c
@@ -13,27 +13,30 @@
 #define TURN_MS 1000
 /** For how long tasks that exceed a cap come last, then first, by turns. */
 #define OVERSIZED_TURN_MS 4000
-/** Less than this part of a cap is not moved from one pool to another, unless a
- *  pool could start nothing else. */
-#define MOVED_MIN_PART 32
+/** Less than this part of a cap, as a divisor, is not moved from one pool to
+ *  another, unless a pool could start nothing otherwise. */
+#define MOVED_MIN_DIVISOR 32
 /** Least time between orders about a tenant, unless a pool lacks this part of
- *  the cap or what it needs for one start. */
-#define PACE_MS	    100
-#define URGENT_PART 8
+ *  the cap, as a divisor, or what it needs for one start. */
+#define PACE_MS	       100
+#define URGENT_DIVISOR 8
 /** A pool outside the configuration is forgotten when it had no owner for so
  *  long: an owner that was cut off has stopped, and its grants are over. */
 #define FORGET_MS 15000
-/** Until then, owners may not have the configuration that limits a tenant. */
+/** Time after which all owners are taken to have a configuration that limits a
+ *  tenant; until then they may start its tasks without a limit. */
 #define CAP_KNOWN_MS 5000
 /** A pool that wants more and has left quota unused for this long can't start
  *  it, for example because it is full. */
 #define UNUSED_MS 500
-/** Such a pool gets one start more than it holds, or this part more. */
-#define SLACK_PART 8
-/** What a pool wants counts for so long after its owner's last report; longer
- *  with many tenants, whose reports are sent less often. */
-#define REPORT_VALID_MS	    1500
-#define REPORT_TENANTS_A_MS 5
+/** Such a pool gets one start more than it holds, or this part more, as a
+ *  divisor. */
+#define SLACK_DIVISOR 8
+/** What a pool wants counts for so long after its owner's last report, a few
+ *  report intervals, and 1 ms longer for so many tenants: their reports are
+ *  sent less often, see TENANTS_PER_MS in quota_client.c. */
+#define REPORT_VALID_MS	      1500
+#define REPORT_TENANTS_PER_MS 5
 
 /** What a tenant has of a pool, as reported and as ordered since. */
 typedef struct row {
@@ -50,8 +53,7 @@
 	bw_amounts_t ordered_most; /**< By any order that is not confirmed. */
 	uint64_t ordered_number; /**< Of the last one; 0: all are confirmed. */
 	int64_t ordered_ms;
-	bool refreshed; /**< Ordered since the kinds that are limited changed.
-			 */
+	bool refreshed; /**< Ordered since the cap changed. */
 	uint64_t report; /**< Last report of the pool that names the tenant. */
 } row_t;
 
@@ -62,7 +64,7 @@
 	bool listed; /**< In the configuration. */
 	bool configured; /**< Has been in it. */
 	int64_t limited_ms; /**< When an amount was limited that was not. */
-	bool dirty; /**< Among those to decide on. */
+	bool pending; /**< Among those to decide on. */
 	int64_t ordered_ms; /**< Of its last order to any pool. */
 	bool oversized; /**< An oversized start has been logged. */
 	GPtrArray *rows; /**< row_t. */
@@ -75,8 +77,10 @@
 	bool owned; /**< It has an owner, as far as is known. */
 	uint64_t claim; /**< Highest revision of a claim that is known. */
 	uint64_t fence; /**< Of the owner that has reported last. */
-	uint64_t greeted; /**< Owner that is to obey this lender; 0: none. */
-	int64_t greeted_ms;
+	/** Fence of an owner that obeys an earlier lender, and is sent an empty
+	 *  order so that it obeys this one; 0: none. */
+	uint64_t unaware;
+	int64_t announced_ms; /**< When it was sent last. */
 	uint64_t number; /**< Last order that the owner has applied. */
 	uint64_t sent; /**< Number of the last order. */
 	uint64_t reports;
@@ -90,7 +94,7 @@
 	uint64_t fence;
 	GHashTable *pools; /**< Name to pool_t. */
 	GHashTable *tenants; /**< Name to tenant_t. */
-	GPtrArray *dirty; /**< tenant_t to decide on. */
+	GPtrArray *pending; /**< tenant_t to decide on. */
 	bool claims_known;
 	bool superseded;
 	bool lends; /**< All pools were known at the last decision. */
@@ -98,8 +102,6 @@
 	uint64_t orders;
 };
 
-static void decide_tenant(bw_quota_lender_t *l, tenant_t *t, int64_t now_ms);
-
 static void pool_free(gpointer data)
 {
 	pool_t *pool = data;
@@ -128,7 +130,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
 	l->tenants = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					   tenant_free);
-	l->dirty = g_ptr_array_new();
+	l->pending = g_ptr_array_new();
 	return l;
 }
 
@@ -136,7 +138,7 @@
 {
 	if (!l)
 		return;
-	g_ptr_array_free(l->dirty, TRUE);
+	g_ptr_array_free(l->pending, TRUE);
 	g_hash_table_destroy(l->tenants);
 	g_hash_table_destroy(l->pools);
 	g_free(l);
@@ -211,7 +213,7 @@
 	return t;
 }
 
-static bw_amounts_t any_amounts(void)
+static bw_amounts_t unlimited(void)
 {
 	return (bw_amounts_t){ { BW_QUOTA_UNLIMITED, BW_QUOTA_UNLIMITED,
 				 BW_QUOTA_UNLIMITED } };
@@ -230,18 +232,18 @@
 	row = g_new0(row_t, 1);
 	row->tenant = t;
 	row->pool = pool;
-	row->slack = any_amounts();
+	row->slack = unlimited();
 	g_ptr_array_add(t->rows, row);
 	g_ptr_array_add(pool->rows, row);
 	return row;
 }
 
-static void mark(bw_quota_lender_t *l, tenant_t *t)
+static void mark_pending(bw_quota_lender_t *l, tenant_t *t)
 {
-	if (t->dirty || !t->capped)
+	if (t->pending || !t->capped)
 		return;
-	t->dirty = true;
-	g_ptr_array_add(l->dirty, t);
+	t->pending = true;
+	g_ptr_array_add(l->pending, t);
 }
 
 static bool limits_more(const bw_amounts_t *old, const bw_amounts_t *new)
@@ -272,7 +274,7 @@
 	t->oversized = false;
 	for (i = 0; i < t->rows->len; i++)
 		((row_t *)g_ptr_array_index(t->rows, i))->refreshed = false;
-	mark(l, t);
+	mark_pending(l, t);
 	if (first)
 		return;
 	bw_event(BW_EVENT_CONTROLLER_CAP,
@@ -325,7 +327,7 @@
 	configure_tenants(l, now_ms, config);
 }
 
-/* Its rows keep no room any more. */
+/* What was lent to the pool is free for others from now on. */
 static void forget_pool(bw_quota_lender_t *l, pool_t *pool)
 {
 	guint i;
@@ -334,7 +336,7 @@
 		row_t *row = g_ptr_array_index(pool->rows, i);
 
 		g_ptr_array_remove(row->tenant->rows, row);
-		mark(l, row->tenant);
+		mark_pending(l, row->tenant);
 	}
 }
 
@@ -426,9 +428,10 @@
 	int kind;
 
 	for (kind = 0; kind < BW_AMOUNT_COUNT; kind++)
-		row->slack.of[kind] = MAX(MAX(row->largest.of[kind],
-					      row->held.of[kind] / SLACK_PART),
-					  1);
+		row->slack.of[kind] =
+			MAX(MAX(row->largest.of[kind],
+				row->held.of[kind] / SLACK_DIVISOR),
+			    1);
 }
 
 /* Finds pools that don't start what they want although their quotas allow it;
@@ -436,7 +439,7 @@
 static void update_slack(row_t *row, int64_t now_ms)
 {
 	if (is_zero(&row->wanted)) {
-		row->slack = any_amounts();
+		row->slack = unlimited();
 		row->unused_ms = 0;
 	} else if (!has_unused(row)) {
 		double_slack(row);
@@ -466,7 +469,7 @@
 	    memcmp(&before.slack, &row->slack, sizeof(row->slack)) != 0 ||
 	    memcmp(&before.wanted, &row->wanted, sizeof(row->wanted)) != 0 ||
 	    memcmp(&before.quota, &row->quota, sizeof(row->quota)) != 0)
-		mark(l, t);
+		mark_pending(l, t);
 }
 
 static bool is_unused(const row_t *row)
@@ -478,7 +481,7 @@
 static void record_absent(bw_quota_lender_t *l, row_t *row)
 {
 	if (!is_unused(row))
-		mark(l, row->tenant);
+		mark_pending(l, row->tenant);
 	memset(&row->held, 0, sizeof(row->held));
 	memset(&row->wanted, 0, sizeof(row->wanted));
 	memset(&row->largest, 0, sizeof(row->largest));
@@ -537,7 +540,7 @@
 	if (report->lender < l->fence) {
 		/* The report may be older than the last one of this owner. */
 		if (!pool->known || report->fence > pool->fence)
-			pool->greeted = report->fence;
+			pool->unaware = report->fence;
 		pool->known = pool->known && report->fence == pool->fence;
 		return;
 	}
@@ -550,7 +553,7 @@
 	pool->reported_ms = now_ms;
 	record_uses(l, pool, now_ms, report);
 	pool->known = true;
-	pool->greeted = 0;
+	pool->unaware = 0;
 }
 
 static void send_order(bw_quota_lender_t *l, pool_t *pool, uint64_t fence,
@@ -566,8 +569,8 @@
 }
 
 /* Makes owners that obey an earlier lender obey this one. */
-static void greet_pools(bw_quota_lender_t *l, int64_t now_ms,
-			bw_quota_order_fn order, void *ctx)
+static void announce_lender(bw_quota_lender_t *l, int64_t now_ms,
+			    bw_quota_order_fn order, void *ctx)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -577,13 +580,13 @@
 		Bramley__QuotaOrder message = BRAMLEY__QUOTA_ORDER__INIT;
 		pool_t *pool = value;
 
-		if (pool->greeted == 0 ||
-		    (pool->greeted_ms != 0 &&
-		     now_ms - pool->greeted_ms < ORDER_RETRY_MS))
+		if (pool->unaware == 0 ||
+		    (pool->announced_ms != 0 &&
+		     now_ms - pool->announced_ms < ORDER_RETRY_MS))
 			continue;
-		pool->greeted_ms = now_ms;
+		pool->announced_ms = now_ms;
 		pool->sent++;
-		send_order(l, pool, pool->greeted, &message, order, ctx);
+		send_order(l, pool, pool->unaware, &message, order, ctx);
 	}
 }
 
@@ -652,7 +655,7 @@
 static bool is_led(const decision_t *d, const pool_t *pool)
 {
 	int64_t valid_ms =
-		REPORT_VALID_MS + pool->rows->len / REPORT_TENANTS_A_MS;
+		REPORT_VALID_MS + pool->rows->len / REPORT_TENANTS_PER_MS;
 
 	return pool->known && pool->owned && pool->claim <= pool->fence &&
 	       d->now_ms - pool->reported_ms < valid_ms;
@@ -699,7 +702,7 @@
 
 	if (!is_limited(d, kind) || gap <= 0)
 		return false;
-	return gap >= d->tenant->cap.of[kind] / MOVED_MIN_PART ||
+	return gap >= d->tenant->cap.of[kind] / MOVED_MIN_DIVISOR ||
 	       is_stopped(d, i, kind);
 }
 
@@ -905,7 +908,8 @@
 	int64_t least = MIN(part->largest.of[kind], part->wanted.of[kind]);
 
 	return is_limited(d, kind) && gap > 0 &&
-	       (gap >= d->tenant->cap.of[kind] / URGENT_PART || quota < least);
+	       (gap >= d->tenant->cap.of[kind] / URGENT_DIVISOR ||
+		quota < least);
 }
 
 static bool is_paced(const decision_t *d)
@@ -935,7 +939,7 @@
 	fill_parts(d);
 	alone = bw_quota_split(&d->tenant->cap, d->parts, d->count, &turn);
 	if (is_paced(d)) {
-		mark(d->l, d->tenant);
+		mark_pending(d->l, d->tenant);
 		return;
 	}
 	if (alone != BW_QUOTA_NOBODY) {
@@ -953,7 +957,7 @@
 {
 	decision_t d = { .l = l, .tenant = t, .now_ms = now_ms };
 
-	t->dirty = false;
+	t->pending = false;
 	d.count = t->rows->len;
 	if (!t->capped || d.count == 0)
 		return;
@@ -961,17 +965,17 @@
 	d.quotas = g_new0(bw_amounts_t, d.count);
 	decide_quotas(&d);
 	if (is_open(&d))
-		mark(l, t);
+		mark_pending(l, t);
 	g_free(d.parts);
 	g_free(d.quotas);
 }
 
 static void decide_tenants(bw_quota_lender_t *l, int64_t now_ms)
 {
-	GPtrArray *due = l->dirty;
+	GPtrArray *due = l->pending;
 	guint i;
 
-	l->dirty = g_ptr_array_new();
+	l->pending = g_ptr_array_new();
 	for (i = 0; i < due->len; i++)
 		decide_tenant(l, g_ptr_array_index(due, i), now_ms);
 	g_ptr_array_free(due, TRUE);
@@ -1035,7 +1039,7 @@
 
 	if (l->superseded || !l->claims_known)
 		return;
-	greet_pools(l, now_ms, order, ctx);
+	announce_lender(l, now_ms, order, ctx);
 	waits_for = awaited(l);
 	log_state(l, waits_for);
 	if (waits_for > 0)
--- a/src/fleet/quota_lender.h
+++ b/src/fleet/quota_lender.h
@@ -64,6 +64,7 @@
 void bw_quota_lender_decide(bw_quota_lender_t *l, int64_t now_ms,
 			    bw_quota_order_fn order, void *ctx);
 
+/** Returns the lender's state, for operators. */
 void bw_quota_lender_stats(const bw_quota_lender_t *l,
 			   bw_quota_lender_stats_t *out);
 
