Scheduler: comments on tenants' order and counts say what they mean

Several members of the tenants' state had comments that only continued their names, such as beyond: what its tenant is owed. They now name the rate, the deadline and the unlisted runs; finished_ms is earlier_steps_ms.

--- a/src/sched/fair.c
+++ b/src/sched/fair.c
@@ -1,16 +1,16 @@
 #include "sched/fair.h"
 
-/** Part of the pool that a party beyond its due may be ahead of the next, so
- *  that turns are few. */
+/** Part of the pool that a party beyond its due may use more than the next one
+ *  before its turn ends; a smaller one would end a turn at each task. */
 #define QUANTUM 0.01
 /** No party with a smaller part of the pool is beyond its due: the jobs of
  * small tenants come singly, and each may be more than their due. */
 #define PART_MIN 0.2
-/** A tenant may be this much ahead of its rate, and by so many jobs: arrivals
- * at random within the rate are owed. */
+/** Size of the token bucket: the jobs of this time at the tenant's rate, and at
+ *  least so many jobs, so that random arrivals within the rate are owed. */
 #define BURST_S	  5.0
 #define BURST_MIN 5.0
-/** Counts for a weight that is lower. */
+/** Lower weights count as this one, so that they can be divided by. */
 #define WEIGHT_MIN 1e-6
 
 /** A party whose turn will come. */
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -228,7 +228,8 @@
 	short_record_t short_record;
 	uint64_t confirm_version; /**< No start before it is saved; 0: none. */
 	uint64_t revision; /**< That created its record; 0: not known. */
-	bool beyond; /**< What its tenant is owed. */
+	bool beyond; /**< It exceeds the rate of jobs that its tenant is owed.
+		      */
 	bool maybe_foreign; /**< It was read after the first save, and an
 			       earlier owner may have started it. */
 	bool end_stored; /**< An earlier owner has stored its end. */
--- a/src/sched/place.c
+++ b/src/sched/place.c
@@ -46,7 +46,9 @@
 	urgency_t urgency;
 	int64_t key; /**< The lowest is placed first. */
 	bool last_chance; /**< Late, and it can't wait any more. */
-	bool behind; /**< What its tenant is owed, or of no value any more. */
+	/** Placed after the others: it exceeds the rate of jobs that its tenant
+	 *  is owed, or will miss its deadline. */
+	bool behind;
 } candidate_t;
 
 static bool has_waiting(const occurrence_t *occurrence);
@@ -142,7 +144,7 @@
 		candidate->urgency = URGENCY_EXPIRED;
 		candidate->key = occurrence->due_ms;
 	}
-	/* Both only where there are tenants. */
+	/* Without tenants the order is by priority and urgency alone. */
 	candidate->behind = occurrence->job->beyond ||
 			    (tenants && candidate->urgency == URGENCY_EXPIRED);
 }
@@ -795,7 +797,8 @@
 			place_step(s, occurrence, step, now_ms);
 }
 
-/* Whether the tenants of two jobs take turns, as only their keys decide. */
+/* Whether two jobs differ only in their keys; among such jobs the tenants take
+ * turns. */
 static bool is_same_class(const candidate_t *x, const candidate_t *y)
 {
 	return x->behind == y->behind && x->priority == y->priority &&
--- a/src/sched/tenant.c
+++ b/src/sched/tenant.c
@@ -221,8 +221,9 @@
 	       now_ms - worker->synced_ms < s->config.stop_ms + STOP_MARGIN_MS;
 }
 
-/* Of a worker that has listed its runs, they use what is free at the most. One
- * that has shrunk may run what it did before. */
+/* Adds the most that unlisted runs may use on a worker: what is free, or all of
+ * a worker that has not listed its runs. One whose capacity was lowered may run
+ * what it ran before. */
 static void add_room(const worker_t *worker, hidden_room_t *hidden)
 {
 	bw_resources_t room = worker->capacity_max;
@@ -270,7 +271,7 @@
 	}
 }
 
-/** Of tasks that earlier owners held. */
+/** A count of the tasks that earlier owners held. */
 typedef struct hold_count {
 	const job_t *job; /**< Only of this one; NULL: of all. */
 	bool hidden; /**< Flagged tasks are counted already. */
--- a/src/sched/tenant.h
+++ b/src/sched/tenant.h
@@ -24,7 +24,7 @@
 	char *name;
 	bw_tenant_terms_t terms;
 	bool configured; /**< Otherwise it has no limits. */
-	bool gone; /**< From the configuration that is being set. */
+	bool gone; /**< Not in the configuration that is being set. */
 	bool has_quota;
 	bw_resources_t quota;
 	int64_t quota_ms; /**< When it was set. */
@@ -32,14 +32,15 @@
 	/** Of tasks on none that may run, by a start of an earlier owner. */
 	bw_resources_t doubted;
 	bw_resources_t orphaned; /**< Of runs that should not go on. */
-	int64_t orphaned_ms; /**< When there were as many at the latest. */
-	bw_fair_party_t party; /**< Its use is that of tasks on workers, without
-				  the processor of fillers. */
+	int64_t orphaned_ms; /**< When workers last listed that many. */
+	/** In the order of the tenants; its use is that of tasks on workers,
+	 *  without the processor of fillers. */
+	bw_fair_party_t party;
 	bw_fair_rate_t rate;
-	/* Sums of a count under way, or of a report. */
-	bw_resources_t flagged;
+	/* Sums of a count in progress, or of a report. */
+	bw_resources_t flagged; /**< Of tasks that may run unlisted. */
 	int64_t flagged_filler_millis; /**< No worker's capacity bounds it. */
-	bw_resources_t listed;
+	bw_resources_t listed; /**< Of orphans that workers list. */
 	bw_tenant_use_t use;
 } tenant_t;
 
@@ -48,13 +49,13 @@
 	GHashTable *by_name;
 	uint32_t configured; /**< 0: jobs are placed whosever they are. */
 	bool in_doubt; /**< More may run than the tasks on workers. */
-	bool hidden; /**< The same: where no worker lists it. */
-	bool stale; /**< It may be more than was counted. */
+	bool hidden; /**< The same; no worker may list some of it. */
+	bool stale; /**< More may run than was counted last. */
 	int64_t counted_ms;
 	bool unknown_runs; /**< A worker lists runs of which nobody knows whose
 			      they are. */
 	bw_fair_t *fair;
-	tenant_t nobody; /**< In the order: of the jobs without a tenant. */
+	tenant_t nobody; /**< Stands for jobs without a tenant in the order. */
 	bw_resources_t capacity; /**< Of the pool, as of the last sweep. */
 	bool in_turn; /**< Tasks are being placed in turns. */
 	bool yielded; /**< The turn has ended before the job was placed. */
--- a/src/sched/wait.c
+++ b/src/sched/wait.c
@@ -35,9 +35,9 @@
 	GHashTable *waited; /**< Names of those that tasks wait for. */
 	GHashTable *waited_before; /**< The same in the last pass. */
 	bool measured; /**< The next two are known. */
-	double pressure; /**< Waiting work that finds no room, in poolfuls; up
-			      to 1. */
-	bool calm;
+	double pressure; /**< Processor of waiting tasks that finds no room, as
+			      a part of the pool's; up to 1. */
+	bool calm; /**< More than a quarter of the pool's is free. */
 };
 
 static void near_worker_clear(gpointer data);
@@ -352,7 +352,7 @@
 }
 
 /* Returns how long the steps took that had to end before a step. */
-static int64_t finished_ms(const occurrence_t *occurrence, uint32_t step)
+static int64_t earlier_steps_ms(const occurrence_t *occurrence, uint32_t step)
 {
 	const bw_job_spec_t *spec = occurrence->job->spec;
 	int64_t ends_ms[BW_JOB_STEPS_MAX];
@@ -399,7 +399,7 @@
 	}
 	if (s->near->calm) {
 		delay_ms = now_ms - occurrence->due_ms -
-			   finished_ms(occurrence, task->step);
+			   earlier_steps_ms(occurrence, task->step);
 		spare_ms = MIN(spare_ms, CALM_DELAY_MAX_MS - delay_ms);
 	}
 	return MIN((int64_t)lost_ms, spare_ms);
