--- a/src/net/budget.c
+++ b/src/net/budget.c
@@ -1,10 +1,9 @@
 #include "net/budget.h"
 
+/** Least time between reports of a cause, to bound the log. */
 #define REPORT_INTERVAL_MS 1000
-/**
- * A body moves when a part of what it holds has come: a sixteenth. Single bytes
- * would keep a large one alive for ever.
- */
+/** A body moves when this part of what it holds has come, as a divisor: single
+ *  bytes would keep a large one open without an end. */
 #define MOVE_DIVISOR 16
 
 static const char *const cause_names[BW_BUDGET_CAUSE_COUNT] = {
--- a/src/net/budget.h
+++ b/src/net/budget.h
@@ -4,9 +4,11 @@
  * their number, the bytes of their bodies all together, and the time in which
  * they bring nothing.
  *
- * When a bound is met, the connection goes that has moved least. One that has
- * brought all of its request is never chosen, and one that holds little only
- * when no other one holds much.
+ * A connection moves when a request begins or ends, and when the bytes of its
+ * body that have come since the last move are at least a sixteenth of what it
+ * holds. When a bound is met, the one whose last move is longest ago is closed.
+ * One that has brought all of its request is never chosen, and one that holds
+ * little only when no other one holds much.
  *
  * This is decision code: no I/O, no clock. Times are in milliseconds of any
  * steady clock.
@@ -57,7 +59,7 @@
 	bw_budget_state_t state;
 	uint64_t held_bytes;
 	uint64_t unmoved_bytes; /**< That came since @p moved_ms. */
-	int64_t moved_ms;
+	int64_t moved_ms; /**< When it last moved. */
 } bw_budget_item_t;
 
 /** All connections of a server; initialised by bw_budget_init(). */
@@ -67,7 +69,7 @@
 	uint64_t held_bytes;
 	uint64_t peak_bytes;
 	uint32_t connections;
-	uint32_t unsaid[BW_BUDGET_CAUSE_COUNT]; /**< Since the last report. */
+	uint32_t unsaid[BW_BUDGET_CAUSE_COUNT]; /**< Noted, not reported. */
 	int64_t next_report_ms[BW_BUDGET_CAUSE_COUNT];
 } bw_budget_t;
 
--- a/src/net/simplehttp.c
+++ b/src/net/simplehttp.c
@@ -10,7 +10,7 @@
 #include "base/metrics.h"
 
 #define CONNECTION_MEMORY_BYTES 32768
-/** Connections that are closing, beside those that the bound allows. */
+/** Connections beside those that the bound allows, as some are being closed. */
 #define CONNECTION_SLACK 16
 #define SWEEP_INTERVAL_S 1.0
 /** Bytes that are read of a refused body, beside those of 64 legal ones;
