Fleet: Doxygen and reasons for limits, machine calls and shown tenants

Declarations of quotas and tenants had no Doxygen, limits of ports did not say whose they are, and two constants had names that hide what they bound. Comments and macro names are mended, includes sorted.

--- a/src/ctl/tenant.c
+++ b/src/ctl/tenant.c
@@ -8,7 +8,8 @@
 
 #include "ctl/ctl.h"
 
-#define MILLIS 1e3
+/** Thousandths in a core. */
+#define MILLIS_PER_CORE 1e3
 
 /** Tenants of all nodes. */
 typedef struct sum {
@@ -72,7 +73,7 @@
 
 static void print_cores(long long millis)
 {
-	printf(" %8.1f", (double)millis / MILLIS);
+	printf(" %8.1f", (double)millis / MILLIS_PER_CORE);
 }
 
 static void print_pool(json_t *row)
--- a/src/fleet/internal.h
+++ b/src/fleet/internal.h
@@ -11,10 +11,10 @@
 #include "fleet/config_exchange.h"
 #include "fleet/controller.h"
 #include "fleet/directory.h"
-#include "fleet/machine_calls.h"
 #include "fleet/fleet.h"
-#include "fleet/peers.h"
+#include "fleet/machine_calls.h"
 #include "fleet/member.h"
+#include "fleet/peers.h"
 #include "fleet/watch_cache.h"
 #include "fleet/operators.h"
 #include "fleet/pool.h"
@@ -104,11 +104,16 @@
 /* quotas.c */
 /** Returns whether a configuration has tenants with caps. */
 bool fleet_has_caps(const bw_fleet_config_t *config);
+/** Creates the state of quotas; no pool has a quota yet. */
 void fleet_create_quotas(bw_fleet_t *f);
 /** Applies the node's configuration. */
 void fleet_configure_quotas(bw_fleet_t *f);
-/** Starts to lend, while this node has the controller's role. */
+/**
+ * Starts to lend, while this node has the controller's role.
+ * @param revision of the claim of the role
+ */
 void fleet_start_lending(bw_fleet_t *f, int64_t revision);
+/** Stops to lend; the pools keep their quotas. */
 void fleet_stop_lending(bw_fleet_t *f);
 /** Handles the report of a pool's owner. */
 void fleet_take_quota_report(bw_fleet_t *f, const Bramley__QuotaReport *report);
@@ -119,9 +124,12 @@
 
 /** Returns the lender's state, or JSON null if this node does not lend. */
 json_t *fleet_show_lender(const bw_fleet_t *f);
+/** Appends gauges of the lender, if this node lends. */
 void fleet_show_lender_gauges(const bw_fleet_t *f, GString *out);
 
 /* show_tenants.c */
+/** Returns the tenants with their use of this node's pools, and the lender.
+ *  @param ctx the bw_fleet_t */
 json_t *fleet_show_tenants(void *ctx);
 /** Appends gauges of the tenants that hold or want most of a pool. */
 void fleet_show_tenant_gauges(bw_fleet_t *f, bw_pool_t *pool, GString *out);
--- a/src/fleet/machine_calls.h
+++ b/src/fleet/machine_calls.h
@@ -1,7 +1,8 @@
 /**
  * @file
- * Orders to machines, counted: whether one may still be carried out. A
- * controller that ends in order is known to have stopped only then.
+ * Counts the orders to machines that are in progress, to tell whether one may
+ * still be carried out. A controller that gives its role up tells the other
+ * nodes so only when none may be, as the next one then gives orders at once.
  */
 #ifndef BW_FLEET_MACHINE_CALLS_H
 #define BW_FLEET_MACHINE_CALLS_H
--- a/src/fleet/missing_workers.c
+++ b/src/fleet/missing_workers.c
@@ -2,7 +2,8 @@
 
 #include <glib.h>
 
-/** The list of machines has a worker that is registered after this time. */
+/** Time after its registration within which a worker is in the list of
+ *  machines. */
 #define LIST_LAG_MS 1000
 /** A worker that is not noted for so long is not missing any more. */
 #define FORGET_MS 1000
--- a/src/fleet/missing_workers.h
+++ b/src/fleet/missing_workers.h
@@ -25,8 +25,8 @@
  * Records that an owner does not hear a worker and that the current list of
  * machines doesn't have it.
  * @param list_ms when that list was requested
- * @return whether the worker has ended: the list is that much newer than the
- *         first report of it that it would have it otherwise
+ * @return whether the worker has ended: the list was requested so long after
+ *         the first note that it would have the worker if it still ran
  */
 bool bw_missing_workers_note(bw_missing_workers_t *m, int64_t now_ms,
 			     const char *id, int64_t list_ms);
--- a/src/fleet/operators.c
+++ b/src/fleet/operators.c
@@ -215,6 +215,7 @@
 	return reply_json(r, 404, json_pack("{s:s}", "error", "no such page"));
 }
 
+/** Of the operators' port, apart from the bounds for callers. */
 static const bw_budget_limits_t limits = {
 	.connections_max = 32,
 	.bytes_max = 4U << 20,
--- a/src/fleet/settings.c
+++ b/src/fleet/settings.c
@@ -13,26 +13,27 @@
 #define FRACTION_MAX_MILLI ((int64_t)1000000000)
 /** Processor speed that counts when none is given: one core. */
 #define ONE_CORE_MILLIS 1000
-/** A task is as fast on each rack when nothing else is given. */
+/** Default of remote_factor_milli: a task is as fast on each rack. */
 #define NOT_SLOWER_MILLI 1000
-/** Callers' connections of a node that has room for them. */
+/** Callers' connections of a node whose memory and descriptors suffice. */
 #define CONNECTIONS_MAX ((int64_t)3000)
 /**
- * Of a node's memory callers' bodies take an eighth at most. A connection takes
- * up to 52 KB beside them in the worst case, 20 of its server and 32 that the
- * kernel holds, so that 12 for a megabyte take three fifths.
+ * Callers' bodies take this part of a node's memory at most, as a divisor. A
+ * connection takes up to 52 KB beside its body, 20 KB of the server and 32 KB
+ * in the kernel, so that 12 connections for each megabyte take three fifths.
  */
 #define BODY_MEMORY_DIVISOR 8
 #define CONNECTIONS_PER_MB  12
 /** Body memory of a node that doesn't know its memory. */
-#define BODY_MEMORY_BYTES ((int64_t)64 << 20)
-#define BODY_BYTES_MIN	  ((int64_t)1 << 20)
-#define BYTES_PER_MB	  ((int64_t)1 << 20)
+#define BODY_MEMORY_BYTES     ((int64_t)64 << 20)
+#define BODY_MEMORY_MIN_BYTES ((int64_t)1 << 20)
+#define BYTES_PER_MB	      ((int64_t)1 << 20)
 /** Files and connections to the store, workers and nodes. */
 #define OWN_DESCRIPTORS ((int64_t)1100)
-/** Of few descriptors callers get this part. */
+/** Callers get at least this part of the descriptors, as a divisor. */
 #define DESCRIPTORS_DIVISOR 4
-/** Of them peers that have not said whose they are get this part. */
+/** Part of the descriptors for incoming connections of peers before their
+ *  Hello, as a divisor, and the bounds of their number. */
 #define STRANGERS_DIVISOR 8
 #define STRANGERS_MIN	  8
 #define STRANGERS_MAX	  512
@@ -150,7 +151,7 @@
 	if (s->memory_mb == 0)
 		return BODY_MEMORY_BYTES;
 	return MAX(s->memory_mb * BYTES_PER_MB / BODY_MEMORY_DIVISOR,
-		   BODY_BYTES_MIN);
+		   BODY_MEMORY_MIN_BYTES);
 }
 
 bw_budget_limits_t bw_fleet_settings_limits(const bw_fleet_settings_t *s)
--- a/src/fleet/show_tenants.c
+++ b/src/fleet/show_tenants.c
@@ -6,6 +6,7 @@
 #include "base/clock.h"
 #include "base/metrics.h"
 
+/** Size of the labels of a gauge: the names of a pool and of a tenant. */
 #define LABEL_BYTES 400
 /** Tenants in the metrics of a pool, those that hold or want most. */
 #define GAUGES_MAX 20
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -410,6 +410,7 @@
 					 &n->counters);
 }
 
+/** Of the operators' port, apart from the bounds for callers. */
 static const bw_budget_limits_t operator_limits = {
 	.connections_max = 64,
 	.bytes_max = 4U << 20,
