--- a/src/sched/hold.c
+++ b/src/sched/hold.c
@@ -188,17 +188,12 @@
 static const task_t *find_held_task(const bw_sched_t *s, const hold_t *hold)
 {
 	const job_t *job = g_hash_table_lookup(s->jobs, hold->job);
-	guint i;
-
-	for (i = 0; job && i < job->occurrences->len; i++) {
-		const occurrence_t *occurrence =
-			g_ptr_array_index(job->occurrences, i);
+	const occurrence_t *occurrence =
+		job ? sched_find_occurrence(job, hold->occurrence) : NULL;
 
-		if (occurrence->number == hold->occurrence &&
-		    hold->number < occurrence->task_count)
-			return &occurrence->tasks[hold->number];
-	}
-	return NULL;
+	return occurrence && hold->number < occurrence->task_count
+		       ? &occurrence->tasks[hold->number]
+		       : NULL;
 }
 
 void sched_holds_each(const bw_sched_t *s,
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -449,6 +449,9 @@
 void sched_job_free(gpointer data);
 queue_t *sched_queue(bw_sched_t *s, const char *name);
 occurrence_t *sched_occurrence_new(job_t *job, uint32_t number, int64_t due_ms);
+/** Returns the occurrence of a job with a number; NULL: it has ended, or is not
+ *  due here yet. */
+occurrence_t *sched_find_occurrence(const job_t *job, uint32_t number);
 task_t *sched_find_task(const bw_sched_t *s, const bw_task_name_t *name);
 /** The same for a task that a worker reports: an occurrence that is not due
  * here yet was due for an earlier owner, and is created. */
--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -210,26 +210,35 @@
 		occurrence->due_ms + DEADLINE_FACTOR * objective_ms;
 }
 
-task_t *sched_find_task(const bw_sched_t *s, const bw_task_name_t *name)
+occurrence_t *sched_find_occurrence(const job_t *job, uint32_t number)
 {
-	job_t *job = g_hash_table_lookup(s->jobs, name->job);
 	guint i;
 
-	if (!job || !job->spec || name->step >= job->spec->step_count ||
-	    name->index >= job->spec->steps[name->step].count)
-		return NULL;
 	for (i = 0; i < job->occurrences->len; i++) {
 		occurrence_t *occurrence =
 			g_ptr_array_index(job->occurrences, i);
 
-		if (occurrence->number == name->occurrence)
-			return &occurrence->tasks[occurrence->steps[name->step]
-							  .first_task +
-						  name->index];
+		if (occurrence->number == number)
+			return occurrence;
 	}
 	return NULL;
 }
 
+task_t *sched_find_task(const bw_sched_t *s, const bw_task_name_t *name)
+{
+	const job_t *job = g_hash_table_lookup(s->jobs, name->job);
+	occurrence_t *occurrence;
+
+	if (!job || !job->spec || name->step >= job->spec->step_count ||
+	    name->index >= job->spec->steps[name->step].count)
+		return NULL;
+	occurrence = sched_find_occurrence(job, name->occurrence);
+	if (!occurrence)
+		return NULL;
+	return &occurrence->tasks[occurrence->steps[name->step].first_task +
+				  name->index];
+}
+
 void sched_task_name(const task_t *task, bw_task_name_t *out)
 {
 	g_strlcpy(out->job, task->occurrence->job->id, sizeof(out->job));
@@ -414,13 +423,8 @@
 {
 	guint i;
 
-	for (i = 0; i < job->occurrences->len; i++) {
-		const occurrence_t *occurrence =
-			g_ptr_array_index(job->occurrences, i);
-
-		if (occurrence->number == number)
-			return true;
-	}
+	if (sched_find_occurrence(job, number))
+		return true;
 	for (i = 0; i < job->occurrences_done->len; i++)
 		if (g_array_index(job->occurrences_done, uint32_t, i) == number)
 			return true;
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -305,15 +305,11 @@
 static void load_task(job_t *job, const Bramley__TaskRecord *record,
 		      bool handed_over, int64_t now_ms)
 {
-	occurrence_t *occurrence = NULL;
+	occurrence_t *occurrence =
+		sched_find_occurrence(job, record->occurrence);
 	task_t *task;
 	guint i;
 
-	for (i = 0; i < job->occurrences->len && !occurrence; i++) {
-		occurrence = g_ptr_array_index(job->occurrences, i);
-		if (occurrence->number != record->occurrence)
-			occurrence = NULL;
-	}
 	if (!occurrence)
 		occurrence =
 			sched_occurrence_new(job, record->occurrence, now_ms);
