Peers: reason for keeping a node connected

KEPT_MS gave its 30 s without a reason. The comment now says why a node without a registration is kept and that outage.c uses the same time.

--- a/src/fleet/peers.c
+++ b/src/fleet/peers.c
@@ -14,7 +14,8 @@
 #define HEARTBEAT_INTERVAL_MS 500
 /** A peer that sends nothing for this long counts as lost. */
 #define PEER_SILENCE_MS 3500
-/** A node stays connected for this long after its registration has ended. */
+/** A node stays connected for this long after its registration has ended, as
+ *  the store may have turned it away; as long as outage.c counts it. */
 #define KEPT_MS	  30000
 #define US_PER_MS 1000
 #define SITE	  "fleet"
