Tests that fail: tenants' caps at takeovers, gangs, lowered caps

Seven cases found in a review; each fails at this commit: runs of jobs that had ended before a crash are held by nobody, quotas above the cap and gangs, kinds that a task does not need, and caps that are lowered.

--- a/test/test_quota_lender.c
+++ b/test/test_quota_lender.c
@@ -1025,6 +1025,58 @@
 	bw_quota_lender_destroy(b.lender);
 }
 
+/* REVIEW: a pool's long tasks go on beyond a lowered cap; the other pool's, as
+ * they end, must not be followed by new ones. */
+static void test_review_lowered_cap_with_long_tasks(void **state)
+{
+	play_t *p = play_new(10);
+
+	(void)state;
+	p->uses[0][0].waiting = 50;
+	p->uses[1][0].waiting = 1000;
+	run(p, 1000);
+	assert_int_equal(p->uses[0][0].running, 50);
+	assert_int_equal(running(p, 0), 100);
+	set_cap(p, 0, 40);
+	run(p, 1000);
+	end_tasks(p, 1, 0, 50);
+	run(p, 1000);
+	assert_int_equal(running(p, 0), 50);
+	end_tasks(p, 0, 0, 50);
+	run(p, 1000);
+	assert_int_equal(running(p, 0), 40);
+	play_free(p);
+}
+
+/* REVIEW: a change of the configuration lowers a cap and adds a pool, which has
+ * no owner yet. */
+static void test_review_cap_is_lowered_beside_a_new_pool(void **state)
+{
+	bw_pool_config_t pools[3] = { { "a", false },
+				      { "b", false },
+				      { "c", false } };
+	bw_tenant_t tenant = { .name = (char *)tenant_names[0] };
+	bw_fleet_config_t config = { .pools = pools,
+				     .pool_count = 3,
+				     .tenants = &tenant,
+				     .tenant_count = 1 };
+	bare_t b;
+
+	(void)state;
+	bare_open(&b);
+	bare_report(&b, 10000, 1, 16, 0, 0, 0, 0);
+	bare_report(&b, 10010, 0, 15, 0, 0, 50, 0);
+	assert_int_equal(b.ordered[0], 100);
+	bare_report(&b, 10020, 0, 15, 1, 50, 50, 100);
+	b.ordered[0] = -1;
+	tenant.terms.cap.cpu_millis = (int64_t)40 * CPU_MILLIS;
+	bw_quota_lender_configure(b.lender, 11000, &config);
+	bare_report(&b, 11010, 1, 16, 0, 0, 0, 0);
+	bare_report(&b, 11020, 0, 15, 1, 50, 50, 100);
+	assert_in_range(b.ordered[0], 0, 40);
+	bw_quota_lender_destroy(b.lender);
+}
+
 /* A round of reports of all tenants from two pools, and the orders. */
 static void test_many_tenants(void **state)
 {
@@ -1334,6 +1386,8 @@
 		cmocka_unit_test(test_owner_cut_off),
 		cmocka_unit_test(test_silent_pool),
 		cmocka_unit_test(test_cap_changes),
+		cmocka_unit_test(test_review_lowered_cap_with_long_tasks),
+		cmocka_unit_test(test_review_cap_is_lowered_beside_a_new_pool),
 		cmocka_unit_test(test_larger_than_cap),
 		cmocka_unit_test(test_replaced_owner_reports),
 		cmocka_unit_test(test_owner_dies_with_an_order),
--- a/test/test_tenants.c
+++ b/test/test_tenants.c
@@ -602,6 +602,125 @@
 	bw_sched_destroy(o.sched);
 }
 
+/* REVIEW: the owner stores that a job has ended before its run has stopped, and
+ * crashes; the run goes on. */
+static void test_review_job_that_ended_before_the_crash_is_held(void **state)
+{
+	orders_t before;
+	orders_t o;
+
+	(void)state;
+	begin(&before, 4000);
+	add_job(&before, &(job_t){ JOB_A, "a", 1, 1000, false, 0 });
+	orders_run(&before, 10);
+	answer_start(&before, 0, BW_ORDER_OK);
+	bw_sched_cancel(before.sched, before.now_ms, JOB_A);
+	orders_save(&before);
+	assert_int_equal(held(&before), 1000);
+	orders_succeed(&before, &o);
+	set_tenants(&o);
+	set_quota(&o, 1500);
+	orders_add_worker(&o, "w1");
+	add_job(&o, &(job_t){ JOB_A, "a", 1, 1000, false, 0 });
+	assert_int_equal(bw_sched_job_state(o.sched, JOB_A), BW_JOB_CANCELLED);
+	assert_true(held(&o) >= 1000);
+	bw_sched_destroy(o.sched);
+}
+
+/* REVIEW: the same, with a start of a job that is certainly new. */
+static void test_review_new_job_waits_for_runs_of_ended_ones(void **state)
+{
+	orders_t before;
+	orders_t o;
+
+	(void)state;
+	begin(&before, 4000);
+	add_job(&before, &(job_t){ JOB_A, "a", 1, 1000, false, 0 });
+	orders_run(&before, 10);
+	answer_start(&before, 0, BW_ORDER_OK);
+	bw_sched_cancel(before.sched, before.now_ms, JOB_A);
+	orders_save(&before);
+	orders_succeed(&before, &o);
+	set_tenants(&o);
+	set_quota(&o, 1500);
+	orders_add_worker(&o, "w1");
+	add_job(&o, &(job_t){ JOB_A, "a", 1, 1000, false, 0 });
+	orders_add_worker(&o, "w2");
+	orders_save(&o);
+	orders_answer_heartbeat(&o, "w2", NULL, 0, NULL, 0);
+	bw_sched_predecessor_stopped(o.sched, o.now_ms);
+	orders_run(&o, STOPPED_MS);
+	orders_save(&o);
+	bw_sched_owned_at(o.sched, 5);
+	orders_answer_heartbeat(&o, "w2", NULL, 0, NULL, 0);
+	add_job(&o, &(job_t){ JOB_B, "a", 1, 1000, false, 6 });
+	orders_run(&o, 10);
+	assert_false(bw_sched_recovered(o.sched));
+	assert_int_equal(o.start_count, 0);
+	bw_sched_destroy(o.sched);
+}
+
+/* REVIEW: 9000 exceeds 1.1 x 4000 and one task of 3000. */
+static void test_review_gang_beyond_the_cap_is_refused(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	begin(&o, 9000);
+	orders_add_worker(&o, "w2");
+	orders_answer_heartbeat(&o, "w2", NULL, 0, NULL, 0);
+	add_job(&o, &(job_t){ JOB_A, "a", 3, 3000, true, 0 });
+	orders_save(&o);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 0);
+	bw_sched_destroy(o.sched);
+}
+
+/* REVIEW: the lender's configuration did not limit the processor yet. */
+static void test_review_quota_above_the_cap_is_bounded_by_it(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	begin(&o, (int64_t)1 << 50);
+	add_job(&o, &(job_t){ JOB_A, "a", 8, 1000, false, 0 });
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 4);
+	bw_sched_destroy(o.sched);
+}
+
+/* REVIEW: a quota below what runs of one kind, and a task that needs none. */
+static void test_review_kind_that_is_not_needed_does_not_refuse(void **state)
+{
+	bw_tenant_config_t tenants[] = { { "a", { 1.0, { 4000, 4, 0 } } } };
+	bw_resources_t quota = { 4000, 4, 0 };
+	bw_job_record_t record = { .queue = g_strdup("q"),
+				   .tenant = g_strdup("a"),
+				   .spec = bw_job_spec_new(1) };
+	orders_t o;
+
+	(void)state;
+	orders_begin_with_worker(&o);
+	bw_sched_set_tenants(o.sched, tenants, 1);
+	bw_sched_set_quota(o.sched, "a", &quota);
+	record.accepted_ms = o.now_ms;
+	record.spec->text = g_strdup("text");
+	record.spec->steps[0].count = 1;
+	record.spec->steps[0].need.mem_mb = 3;
+	record.spec->steps[0].need.cpu_millis = 500;
+	record.spec->steps[0].estimate_ms = 20;
+	bw_sched_add_job(o.sched, o.now_ms, o.now_ms, JOB_A, &record);
+	bw_job_record_clear(&record);
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 1);
+	quota.mem_mb = 2;
+	bw_sched_set_quota(o.sched, "a", &quota);
+	add_job(&o, &(job_t){ JOB_B, "a", 1, 1000, false, 0 });
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 2);
+	bw_sched_destroy(o.sched);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -632,6 +751,11 @@
 		cmocka_unit_test(test_orphan_of_an_ended_job_is_held),
 		cmocka_unit_test(test_task_that_was_held_is_counted),
 		cmocka_unit_test(test_unknown_run_holds_back_starts),
+		cmocka_unit_test(test_review_job_that_ended_before_the_crash_is_held),
+		cmocka_unit_test(test_review_new_job_waits_for_runs_of_ended_ones),
+		cmocka_unit_test(test_review_gang_beyond_the_cap_is_refused),
+		cmocka_unit_test(test_review_quota_above_the_cap_is_bounded_by_it),
+		cmocka_unit_test(test_review_kind_that_is_not_needed_does_not_refuse),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
