Lender: a lowered cap holds also where pools hold more than their shares

With a cap lowered from 100 to 40, a pool that held 50 and another that started anew within its share of 20 had 70 running. Quotas fall now as far as the others' holdings need, also while pools are awaited, since a change may add a pool that nobody owns yet.

--- a/src/fleet/quota_lender.c
+++ b/src/fleet/quota_lender.c
@@ -65,6 +65,8 @@
 	bool dirty; /**< Among those to decide on. */
 	int64_t ordered_ms; /**< Of its last order to any pool. */
 	bool oversized; /**< An oversized start has been logged. */
+	bool shrunk; /**< Pools may hold more than the cap, as it was lowered.
+		      */
 	GPtrArray *rows; /**< row_t. */
 } tenant_t;
 
@@ -94,6 +96,7 @@
 	bool claims_known;
 	bool superseded;
 	bool lends; /**< All pools were known at the last decision. */
+	bool awaits; /**< Not all pools are known: nothing is raised. */
 	uint32_t capped;
 	uint64_t orders;
 };
@@ -254,6 +257,16 @@
 	return false;
 }
 
+static bool limits_below(const bw_amounts_t *old, const bw_amounts_t *new)
+{
+	int kind;
+
+	for (kind = 0; kind < BW_AMOUNT_COUNT; kind++)
+		if (new->of[kind] > 0 && new->of[kind] < old->of[kind])
+			return true;
+	return limits_more(old, new);
+}
+
 static void set_cap(bw_quota_lender_t *l, int64_t now_ms, tenant_t *t,
 		    const bw_amounts_t *cap)
 {
@@ -263,6 +276,8 @@
 
 	if (limits_more(&t->cap, cap))
 		t->limited_ms = now_ms;
+	t->shrunk = (t->shrunk && !is_zero(cap)) ||
+		    (!first && limits_below(&t->cap, cap));
 	t->cap = *cap;
 	t->capped = !is_zero(cap);
 	t->configured = true;
@@ -727,6 +742,19 @@
 	}
 }
 
+/* If pools hold more than the cap, because it was lowered, a quota falls as far
+ * as the others' holdings need; else a pool could start within its goal while
+ * another one goes on above its own. */
+static int64_t lowered(const decision_t *d, uint32_t i, int kind)
+{
+	bw_amounts_t used = lent(row_at(d, i));
+	int64_t goal = d->parts[i].goal.of[kind];
+
+	if (d->room.of[kind] >= 0 || !d->tenant->shrunk)
+		return goal;
+	return MIN(goal, MAX(used.of[kind] + d->room.of[kind], 0));
+}
+
 static void lower_quotas(decision_t *d)
 {
 	int kind;
@@ -737,7 +765,7 @@
 			if (d->reclaim[kind])
 				d->quotas[i].of[kind] =
 					MIN(d->quotas[i].of[kind],
-					    d->parts[i].goal.of[kind]);
+					    lowered(d, i, kind));
 }
 
 /*
@@ -922,6 +950,31 @@
 	return true;
 }
 
+static void note_room(decision_t *d)
+{
+	int kind;
+
+	for (kind = 0; kind < BW_AMOUNT_COUNT; kind++)
+		if (is_limited(d, kind) && d->room.of[kind] < 0)
+			return;
+	d->tenant->shrunk = false;
+}
+
+/* A lowered cap does not wait for pools that are not known yet; what they hold
+ * only makes less room. */
+static void keep_to_lowered(decision_t *d)
+{
+	int kind;
+	uint32_t i;
+
+	for (kind = 0; kind < BW_AMOUNT_COUNT; kind++)
+		d->reclaim[kind] = is_limited(d, kind) && d->room.of[kind] < 0;
+	lower_quotas(d);
+	for (i = 0; i < d->count; i++)
+		order_quota(d, i);
+	mark(d->l, d->tenant);
+}
+
 static void decide_quotas(decision_t *d)
 {
 	int64_t turn_ms = d->now_ms / TURN_MS;
@@ -934,6 +987,11 @@
 
 	fill_parts(d);
 	alone = bw_quota_split(&d->tenant->cap, d->parts, d->count, &turn);
+	if (d->l->awaits) {
+		keep_to_lowered(d);
+		return;
+	}
+	note_room(d);
 	if (is_paced(d)) {
 		mark(d->l, d->tenant);
 		return;
@@ -972,8 +1030,14 @@
 	guint i;
 
 	l->dirty = g_ptr_array_new();
-	for (i = 0; i < due->len; i++)
-		decide_tenant(l, g_ptr_array_index(due, i), now_ms);
+	for (i = 0; i < due->len; i++) {
+		tenant_t *t = g_ptr_array_index(due, i);
+
+		if (!l->awaits || t->shrunk)
+			decide_tenant(l, t, now_ms);
+		else
+			g_ptr_array_add(l->dirty, t);
+	}
 	g_ptr_array_free(due, TRUE);
 }
 
@@ -1038,8 +1102,7 @@
 	greet_pools(l, now_ms, order, ctx);
 	waits_for = awaited(l);
 	log_state(l, waits_for);
-	if (waits_for > 0)
-		return;
+	l->awaits = waits_for > 0;
 	decide_tenants(l, now_ms);
 	g_hash_table_iter_init(&iter, l->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
