Scheduler: starts keep to the cap as well as to the quota

A gang of 9000 started under a cap of 4000 as the lender lent it whole, and a quota from before a kind was limited counted as no limit. A task that needs none of a kind is no longer refused for it.

--- a/src/sched/tenant.c
+++ b/src/sched/tenant.c
@@ -456,22 +456,51 @@
 	return sum;
 }
 
-static bool amount_fits(int64_t cap, int64_t after, int64_t quota)
+/* What a start doesn't need it can't bring above the limit. */
+static bool amount_fits(int64_t cap, int64_t held, int64_t need, int64_t most)
 {
-	return cap == 0 || after <= quota;
+	return cap == 0 || need == 0 || held + need <= most;
 }
 
-static bool fits(const tenant_t *tenant, const bw_resources_t *need)
+static bool all_fit(const bw_resources_t *cap, const bw_resources_t *held,
+		    const bw_resources_t *need, const bw_resources_t *most)
+{
+	return amount_fits(cap->cpu_millis, held->cpu_millis, need->cpu_millis,
+			   most->cpu_millis) &&
+	       amount_fits(cap->mem_mb, held->mem_mb, need->mem_mb,
+			   most->mem_mb) &&
+	       amount_fits(cap->gpus, held->gpus, need->gpus, most->gpus);
+}
+
+/* Whether a start exceeds the cap by no more than one of its tasks. */
+static bool exceeds_by_a_task(const tenant_t *tenant, const bw_step_spec_t *step,
+			      uint32_t count)
+{
+	const bw_resources_t *cap = &tenant->terms.cap;
+	bw_resources_t none = { 0 };
+	bw_resources_t others = { 0 };
+
+	add(&others, &step->need, (int64_t)count - 1);
+	return all_fit(cap, &none, &others, cap);
+}
+
+static bool fits(const tenant_t *tenant, const bw_step_spec_t *step,
+		 uint32_t count)
 {
 	const bw_resources_t *cap = &tenant->terms.cap;
-	bw_resources_t after = held(tenant);
+	bw_resources_t none = { 0 };
+	bw_resources_t now_held = held(tenant);
+	bw_resources_t need = { 0 };
 
-	add(&after, need, 1);
-	return tenant->has_quota &&
-	       amount_fits(cap->cpu_millis, after.cpu_millis,
-			   tenant->quota.cpu_millis) &&
-	       amount_fits(cap->mem_mb, after.mem_mb, tenant->quota.mem_mb) &&
-	       amount_fits(cap->gpus, after.gpus, tenant->quota.gpus);
+	add(&need, &step->need, count);
+	if (!tenant->has_quota ||
+	    !all_fit(cap, &now_held, &need, &tenant->quota))
+		return false;
+	if (all_fit(cap, &now_held, &need, cap))
+		return true;
+	/* Alone. */
+	return all_fit(cap, &now_held, &now_held, &none) &&
+	       exceeds_by_a_task(tenant, step, count);
 }
 
 static void log_refusal(bw_sched_t *s, const job_t *job,
@@ -512,9 +541,9 @@
 
 	if (!job->tenant || !is_limited(job->tenant))
 		return true;
-	add(&need, &step->need, count);
-	if (!s->tenants->unknown_runs && fits(job->tenant, &need))
+	if (!s->tenants->unknown_runs && fits(job->tenant, step, count))
 		return true;
+	add(&need, &step->need, count);
 	log_refusal(s, job, &need, now_ms);
 	return false;
 }
@@ -537,6 +566,10 @@
 	}
 	if (waiting == 0 || (step->gang && waiting < step->count))
 		return;
+	/* It can never start. */
+	if (step->gang && is_limited(occurrence->job->tenant) &&
+	    !exceeds_by_a_task(occurrence->job->tenant, step, step->count))
+		return;
 	add(&use->wanted, &step->need, waiting);
 	add(&largest, &step->need, step->gang ? step->count : 1);
 	sched_raise_to(&use->largest, &largest);
