Scheduler: runs of jobs that ended before a takeover are held

The next owner loaded such a job without its tasks, so that it reported nothing held while the runs went on, and their room was lent again. The tasks are kept until the workers have listed their runs and the stops are over.

--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -532,6 +532,25 @@
 	mark_maybe_running(job);
 }
 
+/*
+ * Runs of a job whose end an earlier owner has stored may go on until they are
+ * stopped. Its tasks are kept, so that its tenant holds what they need.
+ */
+static void keep_ended(bw_sched_t *s, job_t *job, bw_job_record_t *record,
+		       int64_t now_ms)
+{
+	if (s->tenants->configured == 0 || s->first_owner || s->recovered ||
+	    job->finished_version == 0 || job->spec || !record->spec ||
+	    record->spec->repeats > 0)
+		return;
+	job->spec = g_steal_pointer(&record->spec);
+	job->occurrences_left = 1;
+	sched_occurrence_new(job, 0, now_ms);
+	mark_maybe_running(job);
+	g_ptr_array_add(s->ending, job);
+	sched_tenants_doubt(s);
+}
+
 void bw_sched_add_job(bw_sched_t *s, int64_t now_ms, int64_t wall_ms,
 		      const char *id, bw_job_record_t *record)
 {
@@ -542,6 +561,7 @@
 		/* The short record of one that has ended has none. */
 		if (!job->tenant && !job->spec)
 			job->tenant = sched_tenant(s, record->tenant);
+		keep_ended(s, job, record, now_ms);
 		sched_note_revision(s, job, record->revision);
 		return;
 	}
