Scheduler: an unknown run holds back no more than its worker may run

While a worker listed a run of a job that is not read, which may be a job of another pool for 3 s, no tenant with a cap started anything in the pool. Starts now leave room for what the worker can hold, unless that is not known.

--- a/src/sched/tenant.c
+++ b/src/sched/tenant.c
@@ -394,6 +394,19 @@
 	       now_ms - worker->last_heartbeat_ms < WORKER_SILENT_MS;
 }
 
+/* They may be anybody's, so each tenant's starts leave room for all. */
+static void add_unknown(tenants_t *tenants, const worker_t *worker)
+{
+	bw_resources_t room = worker->capacity_max;
+	bw_resources_t none = { 0 };
+
+	add(&room, &worker->used, -1);
+	sched_raise_to(&room, &none);
+	add(&tenants->unknown, &room, 1);
+	tenants->unknown_runs = true;
+	tenants->unknown_unbounded |= !worker->described;
+}
+
 static void count_doubt(const bw_sched_t *s, int64_t now_ms)
 {
 	hidden_room_t hidden = { .any = false };
@@ -404,6 +417,8 @@
 
 	clear_sums(s->tenants);
 	s->tenants->unknown_runs = false;
+	s->tenants->unknown_unbounded = false;
+	s->tenants->unknown = (bw_resources_t){ 0 };
 	g_hash_table_iter_init(&iter, s->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const worker_t *worker = value;
@@ -411,7 +426,8 @@
 		if (may_hide_runs(s, worker, now_ms))
 			add_room(worker, &hidden);
 		add_orphans(s, worker);
-		s->tenants->unknown_runs |= lists_unknown_runs(worker, now_ms);
+		if (lists_unknown_runs(worker, now_ms))
+			add_unknown(s->tenants, worker);
 	}
 	/* A worker of which an earlier owner stored nothing may be unknown. */
 	hidden.unbounded |= !s->recovered && g_hash_table_size(s->workers) == 0;
@@ -484,16 +500,17 @@
 	return all_fit(cap, &none, &others, cap);
 }
 
-static bool fits(const tenant_t *tenant, const bw_step_spec_t *step,
-		 uint32_t count)
+static bool fits(const tenants_t *tenants, const tenant_t *tenant,
+		 const bw_step_spec_t *step, uint32_t count)
 {
 	const bw_resources_t *cap = &tenant->terms.cap;
 	bw_resources_t none = { 0 };
 	bw_resources_t now_held = held(tenant);
 	bw_resources_t need = { 0 };
 
+	add(&now_held, &tenants->unknown, 1);
 	add(&need, &step->need, count);
-	if (!tenant->has_quota ||
+	if (!tenant->has_quota || tenants->unknown_unbounded ||
 	    !all_fit(cap, &now_held, &need, &tenant->quota))
 		return false;
 	if (all_fit(cap, &now_held, &need, cap))
@@ -541,7 +558,7 @@
 
 	if (!job->tenant || !is_limited(job->tenant))
 		return true;
-	if (!s->tenants->unknown_runs && fits(job->tenant, step, count))
+	if (fits(s->tenants, job->tenant, step, count))
 		return true;
 	add(&need, &step->need, count);
 	log_refusal(s, job, &need, now_ms);
--- a/src/sched/tenant.h
+++ b/src/sched/tenant.h
@@ -53,6 +53,8 @@
 	int64_t counted_ms;
 	bool unknown_runs; /**< A worker lists runs of which nobody knows whose
 			      they are. */
+	bool unknown_unbounded; /**< Nor what such a worker has. */
+	bw_resources_t unknown; /**< The most that these runs use. */
 	bw_fair_t *fair;
 	tenant_t nobody; /**< In the order: of the jobs without a tenant. */
 	bw_resources_t capacity; /**< Of the pool, as of the last sweep. */
--- a/test/test_tenants.c
+++ b/test/test_tenants.c
@@ -721,6 +721,28 @@
 	bw_sched_destroy(o.sched);
 }
 
+/* REVIEW: a worker lists a run of a job that this pool doesn't have; the quota
+ * has room for more than all that the worker could run. */
+static void test_review_unknown_run_leaves_the_rest(void **state)
+{
+	bw_run_row_t row;
+	orders_t o;
+
+	(void)state;
+	begin(&o, 4000);
+	orders_add_worker_with(&o, "w2", 2000);
+	init_row(&row, JOB_EARLY, 1);
+	orders_answer_heartbeat(&o, "w2", &row, 1, NULL, 0);
+	add_job(&o, &(job_t){ JOB_A, "a", 3, 1000, false, 0 });
+	orders_run(&o, 10);
+	assert_int_equal(o.start_count, 2);
+	orders_run(&o, 1000);
+	orders_answer_heartbeat(&o, "w2", &row, 1, NULL, 0);
+	orders_run(&o, 30);
+	assert_int_equal(o.start_count, 2);
+	bw_sched_destroy(o.sched);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -751,6 +773,7 @@
 		cmocka_unit_test(test_orphan_of_an_ended_job_is_held),
 		cmocka_unit_test(test_task_that_was_held_is_counted),
 		cmocka_unit_test(test_unknown_run_holds_back_starts),
+		cmocka_unit_test(test_review_unknown_run_leaves_the_rest),
 		cmocka_unit_test(test_review_job_that_ended_before_the_crash_is_held),
 		cmocka_unit_test(test_review_new_job_waits_for_runs_of_ended_ones),
 		cmocka_unit_test(test_review_gang_beyond_the_cap_is_refused),
