--- a/src/sched/tenant.c
+++ b/src/sched/tenant.c
@@ -258,7 +258,21 @@
 	}
 }
 
-static void add_flagged_of_jobs(const GPtrArray *jobs)
+/* An earlier owner may start the next occurrence as soon as it is due. */
+static void add_next_occurrence(const bw_sched_t *s, const job_t *job)
+{
+	uint32_t i;
+
+	if (s->first_owner || s->handed_over || s->recovered ||
+	    job->finished_version > 0 || !job->spec ||
+	    job->next_occurrence >= job->spec->repeats)
+		return;
+	for (i = 0; i < job->spec->step_count; i++)
+		add(&job->tenant->flagged, &job->spec->steps[i].need,
+		    job->spec->steps[i].count);
+}
+
+static void add_flagged_of_jobs(const bw_sched_t *s, const GPtrArray *jobs)
 {
 	guint i;
 	guint k;
@@ -266,6 +280,8 @@
 	for (i = 0; i < jobs->len; i++) {
 		const job_t *job = g_ptr_array_index(jobs, i);
 
+		if (job->tenant)
+			add_next_occurrence(s, job);
 		for (k = 0; job->tenant && k < job->occurrences->len; k++)
 			add_flagged(g_ptr_array_index(job->occurrences, k));
 	}
@@ -395,6 +411,19 @@
 	       now_ms - worker->last_heartbeat_ms < WORKER_SILENT_MS;
 }
 
+/* They may be anybody's, so each tenant's starts leave room for all. */
+static void add_unknown(tenants_t *tenants, const worker_t *worker)
+{
+	bw_resources_t room = worker->capacity_max;
+	bw_resources_t none = { 0 };
+
+	add(&room, &worker->used, -1);
+	sched_raise_to(&room, &none);
+	add(&tenants->unknown, &room, 1);
+	tenants->unknown_runs = true;
+	tenants->unknown_unbounded |= !worker->described;
+}
+
 static void count_doubt(const bw_sched_t *s, int64_t now_ms)
 {
 	hidden_room_t hidden = { .any = false };
@@ -405,6 +434,8 @@
 
 	clear_sums(s->tenants);
 	s->tenants->unknown_runs = false;
+	s->tenants->unknown_unbounded = false;
+	s->tenants->unknown = (bw_resources_t){ 0 };
 	g_hash_table_iter_init(&iter, s->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const worker_t *worker = value;
@@ -412,14 +443,15 @@
 		if (may_hide_runs(s, worker, now_ms))
 			add_room(worker, &hidden);
 		add_orphans(s, worker);
-		s->tenants->unknown_runs |= lists_unknown_runs(worker, now_ms);
+		if (lists_unknown_runs(worker, now_ms))
+			add_unknown(s->tenants, worker);
 	}
 	/* A worker of which an earlier owner stored nothing may be unknown. */
 	hidden.unbounded |= !s->recovered && g_hash_table_size(s->workers) == 0;
 	holds.hidden = hidden.any || hidden.unbounded;
 	if (holds.hidden) {
-		add_flagged_of_jobs(s->active);
-		add_flagged_of_jobs(s->ending);
+		add_flagged_of_jobs(s, s->active);
+		add_flagged_of_jobs(s, s->ending);
 	}
 	sched_holds_each(s, add_held, &holds);
 	orphans = settle(s, &hidden, now_ms);
@@ -457,22 +489,52 @@
 	return sum;
 }
 
-static bool amount_fits(int64_t cap, int64_t after, int64_t quota)
+/* What a start doesn't need it can't bring above the limit. */
+static bool amount_fits(int64_t cap, int64_t held, int64_t need, int64_t most)
+{
+	return cap == 0 || need == 0 || held + need <= most;
+}
+
+static bool all_fit(const bw_resources_t *cap, const bw_resources_t *held,
+		    const bw_resources_t *need, const bw_resources_t *most)
+{
+	return amount_fits(cap->cpu_millis, held->cpu_millis, need->cpu_millis,
+			   most->cpu_millis) &&
+	       amount_fits(cap->mem_mb, held->mem_mb, need->mem_mb,
+			   most->mem_mb) &&
+	       amount_fits(cap->gpus, held->gpus, need->gpus, most->gpus);
+}
+
+/* Whether a start exceeds the cap by no more than one of its tasks. */
+static bool exceeds_by_a_task(const tenant_t *tenant,
+			      const bw_step_spec_t *step, uint32_t count)
 {
-	return cap == 0 || after <= quota;
+	const bw_resources_t *cap = &tenant->terms.cap;
+	bw_resources_t none = { 0 };
+	bw_resources_t others = { 0 };
+
+	add(&others, &step->need, (int64_t)count - 1);
+	return all_fit(cap, &none, &others, cap);
 }
 
-static bool fits(const tenant_t *tenant, const bw_resources_t *need)
+static bool fits(const tenants_t *tenants, const tenant_t *tenant,
+		 const bw_step_spec_t *step, uint32_t count)
 {
 	const bw_resources_t *cap = &tenant->terms.cap;
-	bw_resources_t after = held(tenant);
+	bw_resources_t none = { 0 };
+	bw_resources_t now_held = held(tenant);
+	bw_resources_t need = { 0 };
 
-	add(&after, need, 1);
-	return tenant->has_quota &&
-	       amount_fits(cap->cpu_millis, after.cpu_millis,
-			   tenant->quota.cpu_millis) &&
-	       amount_fits(cap->mem_mb, after.mem_mb, tenant->quota.mem_mb) &&
-	       amount_fits(cap->gpus, after.gpus, tenant->quota.gpus);
+	add(&now_held, &tenants->unknown, 1);
+	add(&need, &step->need, count);
+	if (!tenant->has_quota || tenants->unknown_unbounded ||
+	    !all_fit(cap, &now_held, &need, &tenant->quota))
+		return false;
+	if (all_fit(cap, &now_held, &need, cap))
+		return true;
+	/* Alone. */
+	return all_fit(cap, &now_held, &now_held, &none) &&
+	       exceeds_by_a_task(tenant, step, count);
 }
 
 static void log_refusal(bw_sched_t *s, const job_t *job,
@@ -513,9 +575,9 @@
 
 	if (!job->tenant || !is_limited(job->tenant))
 		return true;
-	add(&need, &step->need, count);
-	if (!s->tenants->unknown_runs && fits(job->tenant, &need))
+	if (fits(s->tenants, job->tenant, step, count))
 		return true;
+	add(&need, &step->need, count);
 	log_refusal(s, job, &need, now_ms);
 	return false;
 }
@@ -538,6 +600,10 @@
 	}
 	if (waiting == 0 || (step->gang && waiting < step->count))
 		return;
+	/* It can never start. */
+	if (step->gang && is_limited(occurrence->job->tenant) &&
+	    !exceeds_by_a_task(occurrence->job->tenant, step, step->count))
+		return;
 	add(&use->wanted, &step->need, waiting);
 	add(&largest, &step->need, step->gang ? step->count : 1);
 	sched_raise_to(&use->largest, &largest);
