--- a/src/fleet/settings.c
+++ b/src/fleet/settings.c
@@ -19,11 +19,11 @@
 #define CONNECTIONS_MAX ((int64_t)3000)
 /**
  * Callers' bodies take this part of a node's memory at most, as a divisor. A
- * connection takes up to 52 KB beside its body, 20 KB of the server and 32 KB
- * in the kernel, so that 12 connections for each megabyte take three fifths.
+ * connection takes up to 84 KB beside its body, 20 KB of the server and 64 KB
+ * in the kernel, so that 8 connections for each megabyte take two thirds.
  */
 #define BODY_MEMORY_DIVISOR 8
-#define CONNECTIONS_PER_MB  12
+#define CONNECTIONS_PER_MB  8
 /** Body memory of a node that doesn't know its memory. */
 #define BODY_MEMORY_BYTES     ((int64_t)64 << 20)
 #define BODY_MEMORY_MIN_BYTES ((int64_t)1 << 20)
--- a/src/fleet/show.c
+++ b/src/fleet/show.c
@@ -4,7 +4,7 @@
 #include "base/event.h"
 #include "base/metrics.h"
 
-#define LABEL_BYTES 200
+#define LABEL_BYTES 256
 
 static json_t *show_status(void *ctx);
 static json_t *show_pools(void *ctx);
--- a/src/fleet/show_tenants.c
+++ b/src/fleet/show_tenants.c
@@ -6,8 +6,9 @@
 #include "base/clock.h"
 #include "base/metrics.h"
 
-/** Size of the labels of a gauge: the names of a pool and of a tenant. */
-#define LABEL_BYTES 400
+/** Size of the labels of a gauge: the names of a pool and of a tenant, of up to
+ *  200 bytes each. */
+#define LABEL_BYTES 512
 /** Tenants in the metrics of a pool, those that hold or want most. */
 #define GAUGES_MAX 20
 
