--- a/review/standin-3/world.cpp
+++ b/review/standin-3/world.cpp
@@ -28,6 +28,8 @@
 constexpr int64_t MOVE_MS = 1500;
 constexpr int64_t UPKEEP_MS = 2000;
 constexpr size_t PAGE_ITEMS = 500;
+/** As in the settings of DEPLOY.md. */
+constexpr size_t VALUE_BYTES = 1048576;
 
 FILE *record_file;
 std::mutex record_mutex;
@@ -488,6 +490,13 @@
 	return at == items_.end() ? "" : decode(at->second.value);
 }
 
+size_t store_t::largest()
+{
+	std::lock_guard<std::mutex> lock(mutex_);
+
+	return largest_;
+}
+
 std::vector<std::string> store_t::keys(const std::string &prefix)
 {
 	std::lock_guard<std::mutex> lock(mutex_);
@@ -628,6 +637,14 @@
 
 		if (lease != 0 && !leases_.count(lease))
 			return { 404, "{}", false };
+		size_t bytes = text_of(row, "value").size() / 4 * 3;
+
+		largest_ = std::max(largest_, bytes);
+		if (bytes > VALUE_BYTES) {
+			record("store: %zu bytes for %s: 400", bytes,
+			       text_of(row, "key").c_str());
+			return { 400, "{}", false };
+		}
 	}
 	revision_++;
 	json_array_foreach(json_object_get(body, "writes"), i, row)
@@ -885,6 +902,13 @@
 	std::string spec = text_of(body, "spec");
 	uint32_t number = (uint32_t)int_of(body, "run");
 	int64_t work_ms = strtoll(spec.c_str(), nullptr, 10);
+	std::string own = task.substr(task.find('.', 17) + 1);
+
+	/* A step may have a time of its own. */
+	own = " step " + own.substr(0, own.find('.')) + ": ";
+	if (spec.find(own) != std::string::npos)
+		work_ms = strtoll(spec.c_str() + spec.find(own) + own.size(),
+				  nullptr, 10);
 
 	if (fenced(body))
 		return answer(409, "fence");
@@ -1139,6 +1163,8 @@
 	std::lock_guard<std::mutex> lock(log_mutex_);
 
 	starts_.push_back(start);
+	if (brief)
+		return;
 	record("minion %s starts %s run %u", start.minion.c_str(),
 	       start.task.c_str(), start.run);
 }
@@ -1148,6 +1174,8 @@
 	std::lock_guard<std::mutex> lock(log_mutex_);
 
 	ends_.push_back(end);
+	if (brief)
+		return;
 	record("minion %s: %s run %u ends %s", end.minion.c_str(),
 	       end.task.c_str(), end.run, end.how.c_str());
 }
--- a/review/standin-3/world.hpp
+++ b/review/standin-3/world.hpp
@@ -79,6 +79,8 @@
 	std::string get(const std::string &key);
 	/** Returns the keys that begin so. */
 	std::vector<std::string> keys(const std::string &prefix);
+	/** Bytes of the largest value that the system has sent. */
+	size_t largest();
 
 private:
 	struct item_t {
@@ -109,6 +111,7 @@
 	std::vector<event_t> events_;
 	std::map<int64_t, lease_t> leases_;
 	int64_t revision_ = 1, last_lease_ = 0;
+	size_t largest_ = 0;
 	std::unique_ptr<server_t> server_;
 };
 
@@ -223,6 +226,8 @@
 	std::string machine_of(const std::string &minion);
 	/** The API answers 503 to all calls. */
 	std::atomic<bool> unavailable{false};
+	/** Starts and ends are not written to record.txt. */
+	std::atomic<bool> brief{false};
 	std::vector<start_t> starts();
 	std::vector<end_t> ends();
 	/** Returns how many upkeeps of a machine have begun. */
@@ -271,6 +276,7 @@
 	int call(const char *method, const std::string &path,
 		 const std::string &body, std::string *answer = nullptr) const;
 	bool ready() const;
+	pid_t pid() const { return pid_; }
 
 private:
 	std::string name_, ip_, settings_, log_;
