sched: remember a worker while orders to it may be carried out

The start of its first run was held up, its worker crashed, the task started elsewhere, and 9.5 s after it was sent the start was carried out by the worker's next boot.

Cause: the owner raises its fencing token for a worker that restarted, but what it knows of the earlier boot went with the worker's state, 4 to 6 s after the crash; orders are carried out up to 12 s late. The identifier was then taken for a new worker's.

Change: departed.c keeps the start of the last boot, the token and a lost acknowledgement for those 12 s; the pool's value lists the identifiers, as a grant by the earlier boot's clock outlasts the owner.

Why it works: the next boot is met as one of a worker that restarted, so that it gets a higher token and refuses what was sent before; a grant that it may have carried out is waited for.

--- a/scripts/world-caught.sh
+++ b/scripts/world-caught.sh
@@ -29,6 +29,7 @@
 	tenants-late-*) mode=tenants-late-calls ;;
 	tenants-*) mode=tenants-plain ;;
 	closing-*) mode=closing ;;
+	away-*) mode=away ;;
 	owners-*) mode=owners ;;
 	esac
 	"$dir/$name" "$seed" "$seeds" 1 $mode >"$dir/$name.txt" 2>&1
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -356,6 +356,8 @@
 	GHashTable *stored_progress; /**< Loaded, until the job is added. */
 	GHashTable *unreadable; /**< Identifiers of jobs that can't be read. */
 	GHashTable *workers;
+	GHashTable
+		*departed; /**< Identifiers of workers that were forgotten. */
 	uint64_t last_worker; /**< Highest number of one. */
 	GHashTable *machines; /**< Name to a GPtrArray of workers. */
 	GHashTable *crashed_machines; /**< Name to the time of a crash. */
@@ -611,6 +613,30 @@
 /** Returns whether a job is stored, but can't be read by this version. */
 bool sched_is_unreadable(const bw_sched_t *s, const char *job);
 
+/* departed.c */
+/** Creates the state of the module. */
+void sched_departed_init(bw_sched_t *s);
+void sched_departed_clear(bw_sched_t *s);
+/** Notes a worker that is about to be forgotten. */
+void sched_departed_note(bw_sched_t *s, const worker_t *worker, int64_t now_ms);
+/**
+ * Restores what is known of a new worker whose identifier was forgotten lately.
+ * @param started_ms when its boot started, Unix time; 0: not known
+ */
+void sched_departed_return(bw_sched_t *s, worker_t *worker, int64_t started_ms,
+			   int64_t now_ms);
+/** Takes such a worker over from an earlier owner. */
+void sched_departed_load(bw_sched_t *s, const char *worker, int64_t boot_ms,
+			 int64_t now_ms);
+/** Calls a function for each of them, with the start of its last known boot; 0:
+ *  not known. */
+void sched_departed_each(const bw_sched_t *s,
+			 void (*fn)(void *ctx, const char *worker,
+				    int64_t boot_ms),
+			 void *ctx);
+/** Drops those to which no order is carried out any more. */
+void sched_departed_forget(bw_sched_t *s, int64_t now_ms);
+
 /* order.c */
 void sched_attach(task_t *task, worker_t *worker);
 /** Takes a task off its worker, if it is on one. */
@@ -656,6 +682,10 @@
 /** Ends the earlier workers of a worker's machine, once it has answered. */
 void sched_mark_predecessors_dead(bw_sched_t *s, const worker_t *worker,
 				  int64_t now_ms);
+/** Records that a boot may carry out orders to the one before it; it refuses
+ *  them once it has seen a higher fencing token, which the next save brings. */
+void sched_refuse_earlier_orders(bw_sched_t *s, worker_t *worker,
+				 int64_t now_ms);
 /** Records that orders by a worker's clock before its restart may still reach
  *  it. */
 void sched_expect_earlier_grant(const bw_sched_t *s, worker_t *worker,
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -178,20 +178,44 @@
 	       sched_holds_for(s, worker);
 }
 
+/** Where records of departed workers are added. */
+typedef struct departed_packer {
+	packer_t *p;
+	Bramley__PoolRecord *out;
+} departed_packer_t;
+
+static void pack_departed(void *ctx, const char *worker, int64_t boot_ms)
+{
+	departed_packer_t *to = ctx;
+	Bramley__WorkerRecord *record = alloc(to->p, sizeof(*record));
+
+	bramley__worker_record__init(record);
+	record->id = (char *)worker;
+	record->started_ms = boot_ms;
+	to->out->departed[to->out->n_departed++] = record;
+}
+
 static void pack_workers(packer_t *p, bw_sched_t *s, Bramley__PoolRecord *out)
 {
+	departed_packer_t departed = { p, out };
+	size_t count = g_hash_table_size(s->workers);
 	GHashTableIter iter;
 	gpointer value;
 
-	out->workers = alloc(p, (g_hash_table_size(s->workers) + 1) *
-					sizeof(*out->workers));
+	out->workers = alloc(p, (count + 1) * sizeof(*out->workers));
+	count += g_hash_table_size(s->departed);
+	out->departed = alloc(p, (count + 1) * sizeof(*out->departed));
+	sched_departed_each(s, pack_departed, &departed);
 	g_hash_table_iter_init(&iter, s->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		worker_t *worker = value;
 		Bramley__WorkerRecord *record;
 
-		if (!must_list(s, worker, out->handed_over))
+		if (!must_list(s, worker, out->handed_over)) {
+			pack_departed(&departed, worker->id,
+				      sched_worker_boot_ms(worker));
 			continue;
+		}
 		record = alloc(p, sizeof(*record));
 		bramley__worker_record__init(record);
 		record->id = worker->id;
@@ -454,6 +478,9 @@
 		if (record->workers[i]->earlier_grant)
 			sched_expect_earlier_grant(s, worker, now_ms);
 	}
+	for (i = 0; i < record->n_departed; i++)
+		sched_departed_load(s, record->departed[i]->id,
+				    record->departed[i]->started_ms, now_ms);
 	for (i = 0; i < record->n_jobs; i++)
 		load_holds(s, record->jobs[i], now_ms);
 	bramley__pool_record__free_unpacked(record, NULL);
--- a/src/sched/sched.c
+++ b/src/sched/sched.c
@@ -83,6 +83,7 @@
 					   sched_worker_free);
 	s->machines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					    (GDestroyNotify)g_ptr_array_unref);
+	sched_departed_init(s);
 	sched_crashes_init(s);
 	sched_isolation_init(s);
 	sched_holds_init(s);
@@ -123,6 +124,7 @@
 	g_hash_table_destroy(s->jobs);
 	g_hash_table_destroy(s->workers);
 	g_hash_table_destroy(s->machines);
+	sched_departed_clear(s);
 	sched_crashes_clear(s);
 	sched_isolation_clear(s);
 	sched_holds_clear(s);
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -150,6 +150,7 @@
 	gpointer value;
 
 	sched_forget_lapses(s, now_ms);
+	sched_departed_forget(s, now_ms);
 	g_hash_table_iter_init(&iter, s->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		worker_t *worker = value;
@@ -167,8 +168,10 @@
 			release_runs(s, worker, "grant-over");
 		}
 		/* A dead worker is kept until its registration is removed. */
-		if (!worker->registered && !worker->heartbeat_pending)
-			g_hash_table_iter_remove(&iter);
+		if (worker->registered || worker->heartbeat_pending)
+			continue;
+		sched_departed_note(s, worker, now_ms);
+		g_hash_table_iter_remove(&iter);
 	}
 }
 
@@ -255,6 +258,15 @@
 					     earlier_grant_end_ms(s, now_ms));
 }
 
+void sched_refuse_earlier_orders(bw_sched_t *s, worker_t *worker,
+				 int64_t now_ms)
+{
+	worker->restarted_ms = now_ms;
+	worker->fence_outdated = true;
+	sched_changed(s, true);
+	sched_expect_earlier_grant(s, worker, now_ms);
+}
+
 /* Forgets what only the earlier boot of a worker knew. */
 static void restart_worker(bw_sched_t *s, worker_t *worker, int64_t now_ms)
 {
@@ -263,10 +275,7 @@
 	worker->described = false;
 	g_clear_pointer(&worker->unread, g_array_unref);
 	sched_orphans_ended(worker);
-	worker->restarted_ms = now_ms;
-	worker->fence_outdated = true;
-	sched_changed(s, true);
-	sched_expect_earlier_grant(s, worker, now_ms);
+	sched_refuse_earlier_orders(s, worker, now_ms);
 	worker->synced = false;
 	worker->unconnected = 0;
 	worker->clock_ms = 0;
@@ -410,6 +419,7 @@
 
 	if (!worker) {
 		worker = sched_worker_new(s, info->id, now_ms);
+		sched_departed_return(s, worker, info->started_ms, now_ms);
 		sched_changed(s, true);
 		worker->stored_version = s->version;
 		sched_log(s, BW_EVENT_SCHED_WORKER,
--- a/src/wire/record.pb-c.c
+++ b/src/wire/record.pb-c.c
@@ -1463,7 +1463,7 @@
   (ProtobufCMessageInit) bramley__worker_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__pool_record__field_descriptors[9] =
+static const ProtobufCFieldDescriptor bramley__pool_record__field_descriptors[10] =
 {
   {
     "version",
@@ -1573,9 +1573,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "departed",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bramley__PoolRecord, n_departed),
+    offsetof(Bramley__PoolRecord, departed),
+    &bramley__worker_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__pool_record__field_indices_by_name[] = {
   7,   /* field[7] = confirm_ms */
+  9,   /* field[9] = departed */
   1,   /* field[1] = fence */
   4,   /* field[4] = handed_over */
   3,   /* field[3] = jobs */
@@ -1588,7 +1601,7 @@
 static const ProtobufCIntRange bramley__pool_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor bramley__pool_record__descriptor =
 {
@@ -1598,7 +1611,7 @@
   "Bramley__PoolRecord",
   "bramley",
   sizeof(Bramley__PoolRecord),
-  9,
+  10,
   bramley__pool_record__field_descriptors,
   bramley__pool_record__field_indices_by_name,
   1,  bramley__pool_record__number_ranges,
--- a/src/wire/record.pb-c.h
+++ b/src/wire/record.pb-c.h
@@ -258,10 +258,15 @@
    * The owner knew all runs of those before it.
    */
   protobuf_c_boolean settled;
+  /*
+   * Workers that were forgotten, while orders to them may be carried out.
+   */
+  size_t n_departed;
+  Bramley__WorkerRecord **departed;
 };
 #define BRAMLEY__POOL_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__pool_record__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL }
 
 
 /*
--- a/test/play_world.c
+++ b/test/play_world.c
@@ -1,21 +1,23 @@
 /*
  * play_world FIRST COUNT [FAILURES_MAX
- * [plain|late|late-calls|gangs|plain-gangs|closing|closing-faults|owners|
- * owners-faults|racks|plain-racks|tenants|tenants-MODE]]: plays simulations
- * with COUNT seeds from FIRST on, or until FAILURES_MAX of them have failed;
- * exits with 1 if a rule was violated. With "plain", workers do not restart
- * under their identifier and no task crashes them; with "late", besides, half
- * of all orders have no answer, and most of these are carried out later; with
- * "late-calls", one call to a worker in ten is carried out late without an
- * answer, or half of them; with "gangs", half of the steps are gangs, and each
- * saved state is compared with what a successor reads, with all faults or as
- * "plain". With "closing", workers that keep no connections restart, without
- * other faults. With "owners", owners lose their claims in quick succession, as
- * "plain" without faults of its own, or with all. With "racks", most steps have
- * their data in one of three racks, and half are gangs, of which most want one
- * rack, with all faults or as "plain". With "tenants", most jobs are of tenants
- * with caps, and with "tenants-" before another mode, too. WORLD_TRACE=1 prints
- * each event of note.
+ * [plain|late|late-calls|gangs|plain-gangs|closing|closing-faults|away|
+ * owners|owners-faults|racks|plain-racks|tenants|tenants-MODE]]: plays
+ * simulations with COUNT seeds from FIRST on, or until FAILURES_MAX of them
+ * have failed; exits with 1 if a rule was violated. With "plain", workers do
+ * not restart under their identifier and no task crashes them; with "late",
+ * besides, half of all orders have no answer, and most of these are carried out
+ * later; with "late-calls", one call to a worker in ten is carried out late
+ * without an answer, or half of them; with "gangs", half of the steps are
+ * gangs, and each saved state is compared with what a successor reads, with all
+ * faults or as "plain". With "closing", workers that keep no connections
+ * restart, without other faults; with "away", workers restart under their
+ * identifier after they were forgotten, while calls are carried out late. With
+ * "owners", owners lose their claims in quick succession, as "plain" without
+ * faults of its own, or with all. With "racks", most steps have their data in
+ * one of three racks, and half are gangs, of which most want one rack, with all
+ * faults or as "plain". With "tenants", most jobs are of tenants with caps, and
+ * with "tenants-" before another mode, too. WORLD_TRACE=1 prints each event of
+ * note.
  */
 #include <stdbool.h>
 #include <stdio.h>
@@ -41,6 +43,7 @@
 	bool late_calls;
 	bool closing_faults;
 	bool closing;
+	bool away;
 	bool owners_faults;
 	bool owners;
 	bool plain;
@@ -61,6 +64,7 @@
 	late_calls = !strcmp(mode, "late-calls");
 	closing_faults = !strcmp(mode, "closing-faults");
 	closing = closing_faults || !strcmp(mode, "closing");
+	away = !strcmp(mode, "away");
 	owners_faults = !strcmp(mode, "owners-faults");
 	owners = !strcmp(mode, "owners");
 	plain = late || late_calls || plain_gangs || plain_racks || owners ||
@@ -94,6 +98,8 @@
 			world_close_connections(first + i, &config);
 		if (closing_faults)
 			config.faults = faults;
+		if (away)
+			world_restart_away(first + i, &config);
 		if (tenants)
 			world_add_tenants(&config);
 		world_play(&config, &result);
--- a/test/test_world.c
+++ b/test/test_world.c
@@ -255,6 +255,20 @@
 	}
 }
 
+/* Workers come back after they were forgotten, beside late calls. */
+static void test_world_restarts_of_forgotten_workers(void **state)
+{
+	world_config_t config;
+	uint32_t seed;
+
+	(void)state;
+	for (seed = 1; seed <= DRAWN_SEEDS; seed++) {
+		world_draw_config(seed, &config);
+		world_restart_away(seed, &config);
+		check(seed, "forgotten workers", &config);
+	}
+}
+
 static void check_owners(uint32_t seed, const char *cause)
 {
 	world_config_t config;
@@ -330,6 +344,7 @@
 		cmocka_unit_test(test_world_gangs),
 		cmocka_unit_test(test_world_racks),
 		cmocka_unit_test(test_world_restarts_without_kept_connections),
+		cmocka_unit_test(test_world_restarts_of_forgotten_workers),
 		cmocka_unit_test(test_world_owners_in_turn),
 		cmocka_unit_test(test_world_tenants),
 		cmocka_unit_test(test_world_tenants_of_owners_in_turn),
--- a/test/world.h
+++ b/test/world.h
@@ -22,6 +22,10 @@
 	int64_t retention_ms; /**< Finished jobs stay stored for this long. */
 	double same_id_share; /**< Share of crashed workers that restart under
 				 the same id. */
+	/** Workers that do so come back after this time at the least, when
+	 * their registration is over, and carry out no call to an earlier boot
+	 * before their first contact. 0: within 3 s. */
+	int64_t same_id_away_ms;
 	uint32_t cuts; /**< Of a machine from all nodes, for 3 to 9 s. */
 	uint32_t ends_page; /**< Ends in an answer at most; 0: all. */
 	/** Share of notices of jobs that go to an earlier owner, if one has not
@@ -84,6 +88,9 @@
  * without other faults. With even seeds the next boot may carry out a
  * heartbeat. */
 void world_close_connections(uint32_t seed, world_config_t *config);
+/** Lets workers restart under their identifiers after they were forgotten,
+ * while calls to them are carried out late, without other faults. */
+void world_restart_away(uint32_t seed, world_config_t *config);
 /** Makes half of the steps gangs, and checks what is stored of all jobs. */
 void world_add_gangs(world_config_t *config);
 
