sched: raise the token of a silent worker before its next boot answers

Cause: the token was raised once a restart was known, by the call after the one that told of it; that one waited up to 1 s for an end.

Change: the first call to a worker that was silent carries a raised token already; while a token is still to be raised, calls wait 250 ms at most.

Why it works: whatever the boot is, it refuses earlier orders from its first contact on.

--- a/src/sched/order.c
+++ b/src/sched/order.c
@@ -54,6 +54,17 @@
 	worker->fence_outdated = false;
 }
 
+/* A worker that was silent may have restarted meanwhile: the first order that
+ * its next boot receives is to have a higher token already. */
+static void expect_restart(worker_t *worker, int64_t now_ms)
+{
+	int64_t silent_from_ms = worker->last_heartbeat_ms + WORKER_SILENT_MS;
+
+	if (worker->last_heartbeat_ms > 0 && now_ms >= silent_from_ms &&
+	    worker->fence_raised_ms < silent_from_ms)
+		worker->fence_outdated = true;
+}
+
 void sched_order_fenced(bw_sched_t *s, const worker_t *worker, int64_t now_ms)
 {
 	/* An order of this owner, sent before the token was raised. */
@@ -125,6 +136,7 @@
 static int64_t heartbeat_wait_ms(const bw_sched_t *s, const worker_t *worker)
 {
 	return bw_resend_lossy(s->resend) || worker->trials > 0 ||
+			       worker->fence_outdated ||
 			       has_starting_lasting_task(worker)
 		       ? HEARTBEAT_SHORT_WAIT_MS
 		       : HEARTBEAT_WAIT_MS;
@@ -153,6 +165,7 @@
 		.now_ms = now_ms,
 	};
 
+	expect_restart(worker, now_ms);
 	raise_fence(s, worker, now_ms);
 	order.fence = worker->fence;
 	/* Numbers of ends and times of the clock are those of one boot. */
--- a/test/test_departed.c
+++ b/test/test_departed.c
@@ -16,6 +16,11 @@
 /** A worker without a registration is forgotten within this time: a grant of
  *  5 s by a clock that may be 2 % slow, and the interval of the sweeps. */
 #define FORGOTTEN_MS 6000
+/** A worker that is silent for this long may have restarted. */
+#define SILENT_MS 2500
+/** Waits of heartbeats for an end. */
+#define WAIT_MS	      1000
+#define SHORT_WAIT_MS 250
 /** No order is carried out later than this. */
 #define ORDERS_OVER_MS 12000
 /** The longest hold, in which a grant by the first boot's clock lasts. */
@@ -154,6 +159,47 @@
 	bw_sched_destroy(o.sched);
 }
 
+/*
+ * Failure: a start that is held up is carried out between the next boot's first
+ * contact and the token that is raised for it.
+ */
+static void
+test_silent_worker_gets_a_raised_token_at_first_contact(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	begin(&o);
+	orders_run(&o, 100);
+	save_at(&o, FIRST_REVISION);
+	o.now_ms += SILENT_MS;
+	orders_fail_heartbeat(&o, "w1");
+	orders_run(&o, 10);
+	assert_int_equal(o.fence, FIRST_REVISION);
+	bw_sched_destroy(o.sched);
+}
+
+/* The next list is not waited for while the token is still to be raised. */
+static void
+test_wait_for_an_end_is_short_until_the_token_is_raised(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	begin(&o);
+	orders_register_boot(&o, SECOND_BOOT_MS);
+	orders_run(&o, 100);
+	answer_boot(&o, SECOND_BOOT_MS, NULL);
+	orders_run(&o, 10);
+	assert_int_equal(o.heartbeat_wait_ms, SHORT_WAIT_MS);
+	answer_boot(&o, SECOND_BOOT_MS, NULL);
+	save_at(&o, FIRST_REVISION);
+	orders_run(&o, 10);
+	assert_int_equal(o.fence, FIRST_REVISION);
+	assert_int_equal(o.heartbeat_wait_ms, WAIT_MS);
+	bw_sched_destroy(o.sched);
+}
+
 /* A worker that comes back when no order is under way is like a new one. */
 static void test_worker_is_forgotten_once_its_orders_are_over(void **state)
 {
@@ -284,6 +330,10 @@
 			test_boot_after_a_second_restart_gets_a_raised_token),
 		cmocka_unit_test(
 			test_boot_after_an_ordered_end_gets_a_raised_token),
+		cmocka_unit_test(
+			test_silent_worker_gets_a_raised_token_at_first_contact),
+		cmocka_unit_test(
+			test_wait_for_an_end_is_short_until_the_token_is_raised),
 		cmocka_unit_test(
 			test_worker_is_forgotten_once_its_orders_are_over),
 		cmocka_unit_test(
