maintenance: a machine has left by newer lists only

Cause: a machine that the controller's list lacks counted as one that has left, however old the list was; it was older than the wave.

Change: missing_workers.c becomes missing.c, for machines too: something has left once two lists lack it that were requested a second after it was first looked for. Each wave asks it for its machines.

Why it works: a machine that stays is in a list that was requested after it was added, and the wave is open until there are two such lists. One that has left or never was is in none, so that the wave ends.

--- a/src/fleet/controller.c
+++ b/src/fleet/controller.c
@@ -7,7 +7,7 @@
 #include "base/clock.h"
 #include "base/event.h"
 #include "fleet/balance.h"
-#include "fleet/missing_workers.h"
+#include "fleet/missing.h"
 
 /** Age from which the list is read again: idle, with a wave, with a move. */
 #define LIST_MAX_AGE_MS	     1500
@@ -43,7 +43,7 @@
 	bw_reports_t *reports;
 	bw_maintenance_t *maintenance;
 	bw_balance_t *balance;
-	bw_missing_workers_t *missing;
+	bw_missing_t *missing;
 	GHashTable *machines; /**< Name to bw_machine_t. */
 	GHashTable *listed_workers; /**< Identifiers, of the machines. */
 	GHashTable *moves; /**< Machine to move_t. */
@@ -116,7 +116,7 @@
 	c->created_ms = bw_clock_now_ms();
 	c->reports = bw_reports_create();
 	c->balance = bw_balance_create();
-	c->missing = bw_missing_workers_create();
+	c->missing = bw_missing_create();
 	c->maintenance =
 		bw_maintenance_create(&maintenance, &maintenance_ops, c);
 	c->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -135,7 +135,7 @@
 	g_hash_table_destroy(c->listed_workers);
 	g_hash_table_destroy(c->machines);
 	g_hash_table_destroy(c->moves);
-	bw_missing_workers_destroy(c->missing);
+	bw_missing_destroy(c->missing);
 	bw_balance_destroy(c->balance);
 	bw_reports_destroy(c->reports);
 	g_free(c);
@@ -188,8 +188,7 @@
 
 static int64_t list_max_age_ms(const bw_controller_t *c)
 {
-	if (bw_controller_has_moves(c) ||
-	    bw_missing_workers_await_list(c->missing))
+	if (bw_controller_has_moves(c) || bw_missing_await_list(c->missing))
 		return LIST_MAX_AGE_MOVE_MS;
 	return bw_maintenance_in_progress(c->maintenance) ? LIST_MAX_AGE_WAVE_MS
 							  : LIST_MAX_AGE_MS;
@@ -514,8 +513,7 @@
 	if (!worker->silent || worker->started_ms == 0 ||
 	    g_hash_table_contains(c->listed_workers, worker->id))
 		return;
-	if (bw_missing_workers_note(c->missing, round->now_ms, worker->id,
-				    c->list_ms))
+	if (bw_missing_note(c->missing, round->now_ms, worker->id, c->list_ms))
 		bw_reports_add_dead(c->reports, pool, worker->id,
 				    worker->started_ms);
 }
@@ -532,7 +530,7 @@
 			bw_reports_foreach_worker(c->reports,
 						  c->config->pools[i].name,
 						  check_missing, &round);
-	bw_missing_workers_forget(c->missing, now_ms);
+	bw_missing_forget(c->missing, now_ms);
 }
 
 static bool may_order(const bw_controller_t *c, int64_t now_ms)
--- a/src/fleet/maintenance.c
+++ b/src/fleet/maintenance.c
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "base/event.h"
+#include "fleet/missing.h"
 #include "fleet/wave_pace.h"
 #include "fleet/wave_record.h"
 
@@ -30,6 +31,7 @@
 	bw_wave_order_t *order;
 	char *key;
 	GHashTable *entries; /**< Machine to bw_wave_entry_t. */
+	bw_missing_t *missing; /**< Its machines that the list lacks. */
 	int64_t revision;
 	int64_t read_ms;
 	int64_t begin_ms; /**< When this node first ticked it; 0: not yet. */
@@ -83,6 +85,7 @@
 
 	bw_wave_order_free(wave->order);
 	g_hash_table_destroy(wave->entries);
+	bw_missing_destroy(wave->missing);
 	g_free(wave->key);
 	g_free(wave);
 }
@@ -131,6 +134,7 @@
 	wave->order = order;
 	wave->key = g_strdup_printf("bw/w/%" G_GINT64_FORMAT, order->number);
 	wave->entries = bw_wave_entries_new();
+	wave->missing = bw_missing_create();
 	g_hash_table_insert(m->waves, &order->number, wave);
 	bw_event(BW_EVENT_UPKEEP_WAVE,
 		 "wave=%" G_GINT64_FORMAT " machines=%u at_once=%u "
@@ -610,6 +614,20 @@
 	return false;
 }
 
+/* A machine of the wave may be newer than the list that lacks it. */
+static void note_missing(wave_t *wave)
+{
+	const bw_maintenance_view_t *view = wave->m->view;
+	char **name;
+
+	for (name = wave->order->machines; *name; name++)
+		if (!g_hash_table_contains(view->machines, *name))
+			bw_missing_note(wave->missing, view->now_ms, *name,
+					view->list_ms);
+	bw_missing_forget(wave->missing, view->now_ms);
+}
+
+/* Whether each machine has had its maintenance or has left. */
 static bool all_done(const wave_t *wave)
 {
 	char **name;
@@ -618,8 +636,8 @@
 		const bw_wave_entry_t *entry =
 			g_hash_table_lookup(wave->entries, *name);
 
-		if (g_hash_table_contains(wave->m->view->machines, *name) &&
-		    (!entry || entry->progress != BW_WAVE_DONE))
+		if (!(entry && entry->progress == BW_WAVE_DONE) &&
+		    !bw_missing_has_left(wave->missing, *name))
 			return false;
 	}
 	return true;
@@ -651,6 +669,7 @@
 		return;
 	if (wave->begin_ms == 0)
 		wave->begin_ms = now_ms;
+	note_missing(wave);
 	advance_machines(wave);
 	if (wave->call_pending || wave->status_pending ||
 	    now_ms < wave->next_ms)
