controller: one list that misses a machine does not end its move

When one missed a machine that had been ordered to move, the move was over for the controller: the owner was not told any more that the machine's worker had ended, and the machine was free for another order.

Change: a move ends when its machine has left by the rule of missing.c.

Evidence: test_move_outlasts_a_list_that_misses_its_machine fails without it.

--- a/src/fleet/controller.c
+++ b/src/fleet/controller.c
@@ -43,7 +43,8 @@
 	bw_reports_t *reports;
 	bw_maintenance_t *maintenance;
 	bw_balance_t *balance;
-	bw_missing_t *missing;
+	bw_missing_t *missing; /**< Workers that owners don't hear. */
+	bw_missing_t *missing_machines; /**< Those that are being moved. */
 	GHashTable *machines; /**< Name to bw_machine_t. */
 	GHashTable *listed_workers; /**< Identifiers, of the machines. */
 	GHashTable *moves; /**< Machine to move_t. */
@@ -117,6 +118,7 @@
 	c->reports = bw_reports_create();
 	c->balance = bw_balance_create();
 	c->missing = bw_missing_create();
+	c->missing_machines = bw_missing_create();
 	c->maintenance =
 		bw_maintenance_create(&maintenance, &maintenance_ops, c);
 	c->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -136,6 +138,7 @@
 	g_hash_table_destroy(c->machines);
 	g_hash_table_destroy(c->moves);
 	bw_missing_destroy(c->missing);
+	bw_missing_destroy(c->missing_machines);
 	bw_balance_destroy(c->balance);
 	bw_reports_destroy(c->reports);
 	g_free(c);
@@ -286,6 +289,13 @@
 	unref(c);
 }
 
+/* Returns whether a machine that the list lacks has left for good. */
+static bool has_left(bw_controller_t *c, const move_t *move, int64_t now_ms)
+{
+	return bw_missing_note(c->missing_machines, now_ms, move->machine,
+			       c->list_ms);
+}
+
 /* Returns whether the new pool uses a machine, or its move has timed out. */
 static bool has_arrived(const bw_controller_t *c, const move_t *move,
 			const bw_machine_t *machine, int64_t now_ms)
@@ -352,9 +362,11 @@
 		}
 		bw_reports_add_dead(c->reports, move->from, move->worker,
 				    move->worker_started_ms);
-		if (!machine || has_arrived(c, move, machine, now_ms))
+		if (machine ? has_arrived(c, move, machine, now_ms)
+			    : has_left(c, move, now_ms))
 			g_hash_table_iter_remove(&iter);
 	}
+	bw_missing_forget(c->missing_machines, now_ms);
 }
 
 static void fill_pools(const bw_controller_t *c, int64_t now_ms,
--- a/test/test_controller.c
+++ b/test/test_controller.c
@@ -25,6 +25,9 @@
 	uint32_t moves; /**< Orders to move a machine. */
 	char moved[8]; /**< By the first of them. */
 	bool has_predecessor; /**< Which may have sent orders lately. */
+	bool move_done; /**< Orders to move succeed. */
+	bool moved_unlisted; /**< The list lacks the moved machine. */
+	bool moved_dead; /**< The owner was told that its worker has ended. */
 	bool moved_used; /**< Its worker has a task, and is not cordoned. */
 	bool has_silent; /**< The owner does not hear two more workers. */
 	bool ended; /**< The owner was told that the unlisted one has ended. */
@@ -40,7 +43,9 @@
 
 	if (strcmp(pool, POOL_SURPLUS) != 0)
 		return;
+	t->moved_dead = false;
 	for (i = 0; i < order->n_dead; i++) {
+		t->moved_dead |= !strcmp(order->dead[i], t->moved);
 		t->listed_ended |= !strcmp(order->dead[i], t->names[0]);
 		t->ended |= !strcmp(order->dead[i], UNLISTED) &&
 			    order->dead_started_ms[i] == UNLISTED_BOOT_MS;
@@ -71,15 +76,20 @@
 {
 	controller_test_t *t = impl;
 	bw_machine_t machines[MACHINES];
+	uint32_t count = 0;
 	uint32_t i;
 
-	for (i = 0; i < MACHINES; i++)
-		machines[i] = (bw_machine_t){ .name = t->names[i],
-					      .pool = (char *)POOL_SURPLUS,
-					      .worker = t->names[i],
-					      .capacity_millis = 8000,
-					      .up = true };
-	done(ctx, BW_OK, machines, MACHINES);
+	for (i = 0; i < MACHINES; i++) {
+		if (t->moved_unlisted && !strcmp(t->names[i], t->moved))
+			continue;
+		machines[count++] =
+			(bw_machine_t){ .name = t->names[i],
+					.pool = (char *)POOL_SURPLUS,
+					.worker = t->names[i],
+					.capacity_millis = 8000,
+					.up = true };
+	}
+	done(ctx, BW_OK, machines, count);
 }
 
 /* The order has no answer. */
@@ -94,7 +104,7 @@
 	if (t->moved[0] == '\0')
 		g_strlcpy(t->moved, machine, sizeof(t->moved));
 	t->moves += !strcmp(t->moved, machine);
-	done(ctx, BW_MACHINE_FAILED);
+	done(ctx, t->move_done ? BW_MACHINE_OK : BW_MACHINE_FAILED);
 }
 
 static void set_up(controller_test_t *t)
@@ -253,6 +263,26 @@
 	bw_controller_destroy(t.controller);
 }
 
+/* Failure: one list that misses a machine ends its move: its owner is not told
+ * any more that the worker of before has ended, and waits for its grants. */
+static void test_move_outlasts_a_list_that_misses_its_machine(void **state)
+{
+	controller_test_t t;
+
+	(void)state;
+	set_up(&t);
+	t.move_done = true;
+	while (t.moves == 0)
+		pass(&t, ROUND_MS);
+	t.moved_unlisted = true;
+	pass(&t, 500);
+	assert_true(t.moved_dead);
+	t.moved_unlisted = false;
+	pass(&t, 500);
+	assert_true(t.moved_dead);
+	bw_controller_destroy(t.controller);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -261,6 +291,8 @@
 		cmocka_unit_test(test_move_is_not_repeated_on_an_old_report),
 		cmocka_unit_test(test_controller_waits_for_an_earlier_one),
 		cmocka_unit_test(test_worker_that_no_machine_runs_has_ended),
+		cmocka_unit_test(
+			test_move_outlasts_a_list_that_misses_its_machine),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
