service: refuse a number of waiting jobs that lacks a pool's

Cause: only the queue's present pool had to answer. Any other one without an owner, whose owner gave no answer or had not read its jobs, counted as 0.

Why it works: a silent source is no figure any more, and pools that can't have jobs of the queue need not answer. The log's count-missing names pool and cause.

--- a/src/base/eventlist.c
+++ b/src/base/eventlist.c
@@ -426,6 +426,12 @@
 					    "time",
 					    "kind job attempt status cause "
 					    "copies kept queued_ms took_ms" },
+	[BW_EVENT_SERVICE_COUNT_MISSING] = { "service", "count-missing",
+					     BW_EVENT_REQUEST,
+					     "nobody told how many jobs of a "
+					     "queue wait in a pool, so that "
+					     "their number is refused",
+					     "queue pool cause" },
 	[BW_EVENT_DIRECTORY_ENTRY_UNREADABLE] = { "directory",
 						  "entry-unreadable",
 						  BW_EVENT_BELIEF,
--- a/src/fleet/queue_count.h
+++ b/src/fleet/queue_count.h
@@ -9,6 +9,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "fleet/empty_pools.h"
 #include "fleet/interfaces.h"
 #include "fleet/service.h"
 
@@ -16,16 +17,18 @@
 typedef struct bw_queue_count_env {
 	const char *node; /**< Name of this node. */
 	bw_fleet_peers_t *peers;
+	bw_empty_pools_t *empty_pools;
 	const bw_service_ops_t *ops;
 	void *ctx; /**< Of the operations. */
 } bw_queue_count_env_t;
 
-/** @param known false: the owner of the queue's pool did not answer */
+/** @param known false: the owner of a pool that may have jobs of the queue did
+ *  not answer */
 typedef void (*bw_queue_count_done_fn)(void *ctx, bool known, uint32_t waiting);
 
 /**
- * Asks the owners of all pools. Other pools whose owners don't answer count
- * for nothing, as few have jobs of the queue.
+ * Asks the owners of all pools. The number is not known without that of a pool
+ * that may have jobs of the queue.
  * @param pools of the configuration; read before the function returns
  * @param pool the queue's
  * @param done called once, possibly before the function returns
--- a/src/fleet/service.c
+++ b/src/fleet/service.c
@@ -74,6 +74,7 @@
 	const bw_config_sync_t *config_sync; /**< Or NULL. */
 	bw_cancel_marks_t *cancel_marks;
 	bw_recent_writes_t *recent_writes;
+	bw_empty_pools_t *empty_pools;
 };
 
 /** A request in progress. */
@@ -170,6 +171,7 @@
 	s->peers = peers;
 	s->cancel_marks = bw_cancel_marks_create(store);
 	s->recent_writes = bw_recent_writes_create();
+	s->empty_pools = bw_empty_pools_create();
 	s->ops = *ops;
 	s->ctx = ctx;
 	return s;
@@ -182,6 +184,7 @@
 	bw_tenant_keys_destroy(s->keys);
 	bw_cancel_marks_destroy(s->cancel_marks);
 	bw_recent_writes_destroy(s->recent_writes);
+	bw_empty_pools_destroy(s->empty_pools);
 	g_free(s->node);
 	g_free(s);
 }
@@ -201,6 +204,7 @@
 {
 	bw_tenant_keys_destroy(s->keys);
 	s->keys = bw_tenant_keys_create(config);
+	bw_empty_pools_configure(s->empty_pools, bw_clock_now_ms(), config);
 	s->config = config;
 }
 
@@ -701,7 +705,8 @@
 static void count_waiting(pending_request_t *pending)
 {
 	bw_service_t *s = pending->s;
-	bw_queue_count_env_t env = { s->node, s->peers, &s->ops, s->ctx };
+	bw_queue_count_env_t env = { s->node, s->peers, s->empty_pools, &s->ops,
+				     s->ctx };
 
 	bw_queue_count(&env, s->config, pending->queue, pending->pool,
 		       on_counted, pending);
--- a/test/test_moved_queues.c
+++ b/test/test_moved_queues.c
@@ -9,7 +9,9 @@
 #include "fake_store.h"
 #include "fleet/cancel_marks.h"
 #include "fleet/job_keys.h"
+#include "fleet/peers.h"
 #include "fleet/service.h"
+#include "standin/anyport.h"
 #include "standin/memstore.h"
 
 #define JOB_ID "00000000000000aa"
@@ -340,10 +342,11 @@
 	out->waiting = strcmp(pool, "desk") ? 2 : 45;
 }
 
-static void ask_waiting(requests_t *r,
-			const char *(*owner)(void *ctx, const char *pool))
+static void ask_waiting_by(requests_t *r,
+			   const char *(*owner)(void *ctx, const char *pool),
+			   bw_fleet_query_handler_fn query_local)
 {
-	bw_service_ops_t ops = { owner, count_jobs, ignore_result,
+	bw_service_ops_t ops = { owner, query_local, ignore_result,
 				 record_notice, is_reachable };
 	bw_request_t request = { .kind = BW_REQUEST_QUEUE,
 				 .host = "h",
@@ -358,6 +361,12 @@
 	assert_int_equal(r->answers, 1);
 }
 
+static void ask_waiting(requests_t *r,
+			const char *(*owner)(void *ctx, const char *pool))
+{
+	ask_waiting_by(r, owner, count_jobs);
+}
+
 /* Failure: the number of waiting jobs forgets those that were accepted before
  * the queue was sent to another pool. */
 static void test_number_of_waiting_jobs_forgets_a_moved_queue(void **state)
@@ -384,6 +393,100 @@
 	end(&r);
 }
 
+static const char *own_annex(void *ctx, const char *pool)
+{
+	(void)ctx;
+	return strcmp(pool, "annex") ? NULL : "n";
+}
+
+/* Failure: while the owner of a moved queue's earlier pool is gone, its waiting
+ * jobs are told as none. */
+static void test_number_without_the_earlier_pool_is_told(void **state)
+{
+	requests_t r;
+
+	(void)state;
+	begin(&r);
+	ask_waiting(&r, own_annex);
+	assert_int_equal(r.answer.kind, BW_ANSWER_REFUSED);
+	assert_true(r.answer.retry_after_s > 0);
+	end(&r);
+}
+
+static bool desk_is_read; /**< Its owner knows its jobs. */
+
+static void count_read_jobs(void *ctx, const char *pool, const char *job,
+			    const char *queue, bw_fleet_query_answer_t *out)
+{
+	count_jobs(ctx, pool, job, queue, out);
+	if (!strcmp(pool, "desk") && !desk_is_read)
+		*out = (bw_fleet_query_answer_t){ 0 };
+}
+
+/* Failure: the same while the owner has not read the jobs yet. */
+static void test_number_is_told_before_the_earlier_pool_is_read(void **state)
+{
+	requests_t r;
+
+	(void)state;
+	begin(&r);
+	desk_is_read = false;
+	ask_waiting_by(&r, own_all, count_read_jobs);
+	assert_int_equal(r.answer.kind, BW_ANSWER_REFUSED);
+	desk_is_read = true;
+	r.answers = 0;
+	ask_waiting_by(&r, own_all, count_read_jobs);
+	assert_int_equal(r.answer.kind, BW_ANSWER_WAITING);
+	assert_int_equal(r.answer.waiting, 47);
+	end(&r);
+}
+
+static const char *own_elsewhere(void *ctx, const char *pool)
+{
+	(void)ctx;
+	return strcmp(pool, "desk") ? "n" : "m";
+}
+
+static void ignore_frame(void *ctx, const Bramley__Frame *frame)
+{
+	(void)ctx;
+	(void)frame;
+}
+
+/* Failure: the same while the owner is another node, which does not answer. */
+static void test_number_without_an_answer_is_told(void **state)
+{
+	bw_service_ops_t ops = { own_elsewhere, count_jobs, ignore_result,
+				 record_notice, is_reachable };
+	bw_request_t request = { .kind = BW_REQUEST_QUEUE,
+				 .host = "h",
+				 .path = "/p/",
+				 .caller_timeout_ms = 3000 };
+	bw_counters_t counters = { 0 };
+	bw_anyport_t listen;
+	bw_fleet_peers_t *peers;
+	bw_store_t store;
+	requests_t r;
+
+	(void)state;
+	begin(&r);
+	store = bw_memstore_interface(r.store);
+	assert_int_equal(bw_anyport_reserve("127.0.0.1", &listen), BW_OK);
+	assert_int_equal(bw_fleet_peers_create(r.loop, "n", listen.address, 0,
+					       1, count_jobs, ignore_frame, &r,
+					       &counters, &peers),
+			 BW_OK);
+	bw_service_destroy(r.service);
+	r.service = bw_service_create(r.loop, "n", &store, peers, &ops, &r);
+	bw_service_configure(r.service, &annex_of_two);
+	bw_service_serve(r.service, &request, on_answer, &r);
+	assert_int_equal(r.answers, 1);
+	assert_int_equal(r.answer.kind, BW_ANSWER_REFUSED);
+	bw_fleet_peers_destroy(peers);
+	bw_anyport_release(&listen);
+	end(&r);
+}
+
 static void count_mark(void *ctx, const bw_store_reply_t *reply)
 {
 	assert_true(reply->succeeded);
@@ -443,6 +546,10 @@
 			test_number_of_waiting_jobs_forgets_a_moved_queue),
 		cmocka_unit_test(
 			test_number_without_the_queues_own_pool_is_told),
+		cmocka_unit_test(test_number_without_the_earlier_pool_is_told),
+		cmocka_unit_test(test_number_without_an_answer_is_told),
+		cmocka_unit_test(
+			test_number_is_told_before_the_earlier_pool_is_read),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
