sched: bound the tasks of a schedule that are kept at a time

Cause: each occurrence that is due was created with all its tasks, 64 a round, however many had not ended.

Order and due times stay.

Why it works: the memory of a schedule is that of a plain job, for each owner and for what was accepted before; an end makes room for the next occurrence.

--- a/src/sched/job.c
+++ b/src/sched/job.c
@@ -14,6 +14,9 @@
 #define DEADLINE_FACTOR 3
 /** Limit on the occurrences of a job that one call creates. */
 #define OCCURRENCES_PER_CALL 64
+/** Limit on the tasks of a job's occurrences that are kept at a time, unless
+ * one has more: those of the largest job without occurrences. */
+#define OCCURRENCE_TASKS_MAX BW_JOB_TASKS_MAX
 
 static void occurrence_free(gpointer data);
 
@@ -440,31 +443,54 @@
 	}
 }
 
+/* Returns how much room a job's occurrences take, in tasks; a step takes that
+ * of one at most. */
+static uint64_t occurrence_tasks(const job_t *job, uint64_t occurrences)
+{
+	return occurrences *
+	       (bw_job_spec_tasks(job->spec) + job->spec->step_count + 1);
+}
+
+/* Whether another occurrence may be created before earlier ones have ended. */
+static bool has_room_for_occurrence(const job_t *job)
+{
+	return job->occurrences->len == 0 ||
+	       occurrence_tasks(job, (uint64_t)job->occurrences->len + 1) <=
+		       OCCURRENCE_TASKS_MAX;
+}
+
+/* An earlier owner may have started it until all of its runs are known. */
+static void create_next(bw_sched_t *s, job_t *job, int64_t due_ms)
+{
+	occurrence_t *occurrence =
+		sched_occurrence_new(job, job->next_occurrence, due_ms);
+
+	if (s->first_owner || s->handed_over || s->recovered)
+		return;
+	mark_occurrence(occurrence);
+	sched_tenants_doubt(s);
+}
+
+/* Occurrences are created in the order in which they are due. */
 static void create_due(bw_sched_t *s, job_t *job, int64_t now_ms,
 		       int64_t wall_ms)
 {
-	bool unsure = !s->first_owner && !s->handed_over && !s->recovered;
-	uint32_t created = 0;
+	uint32_t looked_at = 0;
 
 	while (job->next_occurrence < job->spec->repeats &&
-	       created < OCCURRENCES_PER_CALL) {
+	       looked_at < OCCURRENCES_PER_CALL) {
 		int64_t due_ms = job->spec->first_due_ms +
 				 job->spec->interval_ms * job->next_occurrence;
 
 		if (wall_ms < due_ms)
 			return;
 		if (!occurrence_exists(job, job->next_occurrence)) {
-			occurrence_t *occurrence = sched_occurrence_new(
-				job, job->next_occurrence,
-				now_ms - (wall_ms - due_ms));
-
-			if (unsure) {
-				mark_occurrence(occurrence);
-				sched_tenants_doubt(s);
-			}
+			if (!has_room_for_occurrence(job))
+				return;
+			create_next(s, job, now_ms - (wall_ms - due_ms));
 		}
 		job->next_occurrence++;
-		created++;
+		looked_at++;
 	}
 }
 
