fleet: tell owners why a worker has ended

Cause: the controller ends silent workers that no machine runs by the order that ends those whose machines it moves itself. It names no cause, and an ordered end is no evidence: the crashes were not counted.

Change: the order tells the cause of each end. A worker that no machine runs has crashed for its owner as if the owner had seen it, unless it was being emptied. Orders without causes are read as before.

Why it works: the crash is charged when the end is told, before the task's next start, so that the limits of crashes.md hold again. Ended by our order, a worker is no evidence, as before.

--- a/scripts/world-caught.sh
+++ b/scripts/world-caught.sh
@@ -30,6 +30,7 @@
 	tenants-*) mode=tenants-plain ;;
 	closing-*) mode=closing ;;
 	away-*) mode=away ;;
+	unlisted-*) mode=unlisted ;;
 	owners-*) mode=owners ;;
 	esac
 	"$dir/$name" "$seed" "$seeds" 1 $mode >"$dir/$name.txt" 2>&1
--- a/src/fleet/controller.c
+++ b/src/fleet/controller.c
@@ -361,7 +361,8 @@
 			continue;
 		}
 		bw_reports_add_dead(c->reports, move->from, move->worker,
-				    move->worker_started_ms);
+				    move->worker_started_ms,
+				    BW_WORKER_END_ORDERED);
 		if (machine ? has_arrived(c, move, machine, now_ms)
 			    : has_left(c, move, now_ms))
 			g_hash_table_iter_remove(&iter);
@@ -527,7 +528,7 @@
 		return;
 	if (bw_missing_note(c->missing, round->now_ms, worker->id, c->list_ms))
 		bw_reports_add_dead(c->reports, pool, worker->id,
-				    worker->started_ms);
+				    worker->started_ms, BW_WORKER_END_UNLISTED);
 }
 
 /* Ends the workers that no machine runs. */
--- a/src/fleet/maintenance.c
+++ b/src/fleet/maintenance.c
@@ -562,7 +562,8 @@
 		return;
 	if (entry->ordered_ms > 0) {
 		bw_reports_add_dead(view->reports, machine->pool, entry->worker,
-				    entry->worker_started_ms);
+				    entry->worker_started_ms,
+				    BW_WORKER_END_ORDERED);
 		if (!machine->up || !has_new_worker(view, machine, entry) ||
 		    view->list_ms < entry->ordered_ms + MAINTENANCE_LAG_MAX_MS)
 			return;
--- a/src/fleet/messages.c
+++ b/src/fleet/messages.c
@@ -23,7 +23,7 @@
 	g_hash_table_replace(f->last_orders, g_strdup(order->pool), ordered_ms);
 	if (order->awaits)
 		bw_directory_expect_workers(f->directory, bw_clock_now_ms());
-	bw_reports_apply_order(bw_pool_sched(pool), order);
+	bw_reports_apply_order(bw_pool_sched(pool), bw_clock_now_ms(), order);
 	bw_pool_wake(pool);
 }
 
--- a/src/fleet/missing.h
+++ b/src/fleet/missing.h
@@ -1,12 +1,12 @@
 /**
  * @file
- * What lists of machines lack, machines or the workers that they run: whether it
- * has left, or a list is only too old to have it. A list is as old as the
+ * What lists of machines lack, machines or the workers that they run: whether
+ * it has left, or a list is only too old to have it. A list is as old as the
  * interface's last answer, and its pages are no snapshot.
  *
  * Load pattern: all nodes end while machines were being moved, so that the next
- * owners know workers which ended meanwhile, and would wait for the end of their
- * grants.
+ * owners know workers which ended meanwhile, and would wait for the end of
+ * their grants.
  *
  * Does no I/O; the caller passes the time.
  */
@@ -24,8 +24,8 @@
 /**
  * Records that the current list lacks something that is looked for.
  * @param list_ms when that list was requested
- * @return whether it has left: two lists lack it that are so much newer than the
- *         first time that it was looked for that they would have it otherwise
+ * @return whether it has left: two lists lack it that are so much newer than
+ * the first time that it was looked for that they would have it otherwise
  */
 bool bw_missing_note(bw_missing_t *m, int64_t now_ms, const char *id,
 		     int64_t list_ms);
--- a/src/fleet/reports.c
+++ b/src/fleet/reports.c
@@ -12,6 +12,7 @@
 	GHashTable *workers; /**< Identifier to bw_worker_report_t. */
 	GPtrArray *orders[BW_WORKER_ORDER_COUNT]; /**< Identifiers. */
 	GArray *dead_started_ms; /**< int64_t, of each that is to be dead. */
+	GArray *dead_causes; /**< uint32_t, the same. */
 	bool expects_workers; /**< New workers will start soon. */
 } pool_report_t;
 
@@ -42,6 +43,7 @@
 	for (i = 0; i < BW_WORKER_ORDER_COUNT; i++)
 		g_ptr_array_free(report->orders[i], TRUE);
 	g_array_free(report->dead_started_ms, TRUE);
+	g_array_free(report->dead_causes, TRUE);
 	g_hash_table_destroy(report->workers);
 	g_free(report->pool);
 	g_free(report);
@@ -126,6 +128,7 @@
 	for (i = 0; i < BW_WORKER_ORDER_COUNT; i++)
 		report->orders[i] = g_ptr_array_new_with_free_func(g_free);
 	report->dead_started_ms = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	report->dead_causes = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	g_hash_table_insert(r->pools, report->pool, report);
 	return report;
 }
@@ -216,6 +219,7 @@
 		for (i = 0; i < BW_WORKER_ORDER_COUNT; i++)
 			g_ptr_array_set_size(report->orders[i], 0);
 		g_array_set_size(report->dead_started_ms, 0);
+		g_array_set_size(report->dead_causes, 0);
 	}
 }
 
@@ -233,12 +237,15 @@
 }
 
 void bw_reports_add_dead(bw_reports_t *r, const char *pool, const char *worker,
-			 int64_t started_ms)
+			 int64_t started_ms, bw_worker_end_t cause)
 {
+	uint32_t cause_number = cause;
+
 	if (worker[0] == '\0')
 		return;
 	bw_reports_add_order(r, pool, worker, BW_WORKER_DEAD);
 	g_array_append_val(get_pool(r, pool)->dead_started_ms, started_ms);
+	g_array_append_val(get_pool(r, pool)->dead_causes, cause_number);
 }
 
 void bw_reports_send_orders(bw_reports_t *r,
@@ -266,6 +273,9 @@
 		order.dead_started_ms =
 			(int64_t *)(void *)report->dead_started_ms->data;
 		order.n_dead_started_ms = report->dead_started_ms->len;
+		order.dead_causes =
+			(uint32_t *)(void *)report->dead_causes->data;
+		order.n_dead_causes = report->dead_causes->len;
 		order.awaits = report->expects_workers;
 		frame.body_case = BRAMLEY__FRAME__BODY_POOL_ORDER;
 		frame.pool_order = &order;
@@ -308,26 +318,33 @@
 				      id));
 }
 
-static void apply_dead(bw_sched_t *sched, const Bramley__PoolOrder *order)
+/* Earlier versions tell neither start nor cause. */
+static void apply_dead(bw_sched_t *sched, int64_t now_ms,
+		       const Bramley__PoolOrder *order)
 {
 	size_t i;
 
 	for (i = 0; i < order->n_dead; i++) {
-		/* Earlier versions send no times. */
+		const char *worker = order->dead[i];
 		int64_t started_ms = i < order->n_dead_started_ms
 					     ? order->dead_started_ms[i]
 					     : 0;
-
-		if (started_ms > 0)
-			bw_sched_boot_dead(sched, order->dead[i], started_ms,
-					   "upkeep-or-move");
+		bool unlisted = i < order->n_dead_causes &&
+				order->dead_causes[i] == BW_WORKER_END_UNLISTED;
+
+		if (started_ms == 0)
+			bw_sched_worker_dead(sched, worker, "upkeep-or-move");
+		else if (unlisted)
+			bw_sched_boot_unlisted(sched, now_ms, worker,
+					       started_ms);
 		else
-			bw_sched_worker_dead(sched, order->dead[i],
-					     "upkeep-or-move");
+			bw_sched_boot_dead(sched, worker, started_ms,
+					   "upkeep-or-move");
 	}
 }
 
-void bw_reports_apply_order(bw_sched_t *sched, const Bramley__PoolOrder *order)
+void bw_reports_apply_order(bw_sched_t *sched, int64_t now_ms,
+			    const Bramley__PoolOrder *order)
 {
 	order_ctx_t a = {
 		.sched = sched,
@@ -343,7 +360,7 @@
 	bw_sched_workers(sched, apply_worker, &a);
 	for (i = 0; i < LISTS; i++)
 		g_hash_table_destroy(a.workers[i]);
-	apply_dead(sched, order);
+	apply_dead(sched, now_ms, order);
 }
 
 static void uncordon_worker(void *ctx, const char *id, bool registered)
--- a/src/fleet/reports.h
+++ b/src/fleet/reports.h
@@ -78,12 +78,18 @@
 void bw_reports_add_order(bw_reports_t *r, const char *pool, const char *worker,
 			  bw_worker_order_t order);
 
+/** Why a worker has ended, as in messages. */
+typedef enum bw_worker_end {
+	BW_WORKER_END_ORDERED, /**< Its machine was moved or maintained. */
+	BW_WORKER_END_UNLISTED /**< No machine runs it; it may have crashed. */
+} bw_worker_end_t;
+
 /**
  * Adds the order to treat a worker as ended; none if the identifier is "".
  * @param started_ms of the boot that has ended; later ones go on; 0: any
  */
 void bw_reports_add_dead(bw_reports_t *r, const char *pool, const char *worker,
-			 int64_t started_ms);
+			 int64_t started_ms, bw_worker_end_t cause);
 
 /** Adds to a pool's order that new workers will start soon. */
 void bw_reports_expect_workers(bw_reports_t *r, const char *pool);
@@ -95,7 +101,8 @@
 			    void *ctx);
 
 /** Carries out a controller's order in a pool's scheduler. */
-void bw_reports_apply_order(bw_sched_t *sched, const Bramley__PoolOrder *order);
+void bw_reports_apply_order(bw_sched_t *sched, int64_t now_ms,
+			    const Bramley__PoolOrder *order);
 
 /** Uncordons all workers, as the controller has stopped sending orders. */
 void bw_reports_uncordon_all(bw_sched_t *sched);
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -274,6 +274,13 @@
 void bw_sched_boot_dead(bw_sched_t *s, const char *id, int64_t started_ms,
 			const char *reason);
 
+/**
+ * Records that no machine runs the boot of a worker that started at a time, nor
+ * one before it. Unless it was being emptied, it has crashed.
+ */
+void bw_sched_boot_unlisted(bw_sched_t *s, int64_t now_ms, const char *id,
+			    int64_t started_ms);
+
 /** Calls a function for each worker. */
 void bw_sched_workers(const bw_sched_t *s,
 		      void (*fn)(void *ctx, const char *id, bool registered),
--- a/src/sched/worker.c
+++ b/src/sched/worker.c
@@ -358,6 +358,17 @@
 	worker->started_ms = started_ms;
 }
 
+void bw_sched_boot_unlisted(bw_sched_t *s, int64_t now_ms, const char *id,
+			    int64_t started_ms)
+{
+	worker_t *worker = sched_worker(s, id);
+
+	if (!worker || worker->dead || worker->started_ms > started_ms)
+		return;
+	worker->started_ms = started_ms;
+	sched_worker_crashed(s, worker, "no-machine", now_ms);
+}
+
 void sched_worker_crashed(bw_sched_t *s, worker_t *worker, const char *reason,
 			  int64_t now_ms)
 {
--- a/src/wire/bramley.pb-c.c
+++ b/src/wire/bramley.pb-c.c
@@ -1988,7 +1988,7 @@
   (ProtobufCMessageInit) bramley__pool_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__pool_order__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bramley__pool_order__field_descriptors[7] =
 {
   {
     "pool",
@@ -2062,10 +2062,23 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "dead_causes",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Bramley__PoolOrder, n_dead_causes),
+    offsetof(Bramley__PoolOrder, dead_causes),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__pool_order__field_indices_by_name[] = {
   4,   /* field[4] = awaits */
   3,   /* field[3] = dead */
+  6,   /* field[6] = dead_causes */
   5,   /* field[5] = dead_started_ms */
   2,   /* field[2] = due */
   1,   /* field[1] = empty */
@@ -2074,7 +2087,7 @@
 static const ProtobufCIntRange bramley__pool_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bramley__pool_order__descriptor =
 {
@@ -2084,7 +2097,7 @@
   "Bramley__PoolOrder",
   "bramley",
   sizeof(Bramley__PoolOrder),
-  6,
+  7,
   bramley__pool_order__field_descriptors,
   bramley__pool_order__field_indices_by_name,
   1,  bramley__pool_order__number_ranges,
--- a/src/wire/bramley.pb-c.h
+++ b/src/wire/bramley.pb-c.h
@@ -338,10 +338,18 @@
    */
   size_t n_dead_started_ms;
   int64_t *dead_started_ms;
+  /*
+   * that started later go on. 0: any.
+   */
+  /*
+   * Of each: 0: an order to its machine;
+   */
+  size_t n_dead_causes;
+  uint32_t *dead_causes;
 };
 #define BRAMLEY__POOL_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__pool_order__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
 
 
 /*
--- a/test/crash_pool.c
+++ b/test/crash_pool.c
@@ -117,6 +117,27 @@
 			      m->run_count, ends, end_count);
 }
 
+/* The controller tells of a crashed worker, in each round until its machine is
+ * up again. */
+static void tell_end(const pool_t *p, machine_t *m)
+{
+	Bramley__PoolOrder order = BRAMLEY__POOL_ORDER__INIT;
+	char *worker = m->worker;
+	int64_t started_ms = 5 + m->boots;
+	uint32_t cause = p->told_cause;
+
+	if (p->unlisted_ms == 0 || m->up || m->back_ms == 0 ||
+	    p->o.now_ms < m->back_ms - p->back_ms + p->unlisted_ms)
+		return;
+	order.dead = &worker;
+	order.n_dead = 1;
+	order.dead_started_ms = &started_ms;
+	order.n_dead_started_ms = 1;
+	order.dead_causes = &cause;
+	order.n_dead_causes = 1;
+	bw_reports_apply_order(p->o.sched, p->o.now_ms, &order);
+}
+
 void pool_step(pool_t *p)
 {
 	uint32_t i;
@@ -126,6 +147,7 @@
 
 		if (!m->up && m->back_ms > 0 && p->o.now_ms >= m->back_ms)
 			pool_boot(p, m);
+		tell_end(p, m);
 		if (m->up && !m->silent)
 			report(p, m);
 	}
--- a/test/crash_pool.h
+++ b/test/crash_pool.h
@@ -5,6 +5,7 @@
 #ifndef BW_TEST_CRASH_POOL_H
 #define BW_TEST_CRASH_POOL_H
 
+#include "fleet/reports.h"
 #include "sched_orders.h"
 
 #define MACHINES_MAX 24
@@ -38,6 +39,10 @@
 	bool late_starts; /**< Each is carried out by the worker's next boot. */
 	bw_end_kind_t end_kind; /**< Of runs whose time has come. */
 	int64_t back_ms; /**< Time until a crashed machine is up again. */
+	/** Time until the controller tells that no machine runs a crashed
+	 *  worker; 0: it does not. */
+	int64_t unlisted_ms;
+	bw_worker_end_t told_cause; /**< That it tells. */
 	uint32_t handled; /**< Starts that were carried out. */
 	uint32_t crashes; /**< Of workers, by the crashing job. */
 	int64_t run_ms; /**< Runs end after this; 0: they do not. */
--- a/test/play_world.c
+++ b/test/play_world.c
@@ -1,7 +1,7 @@
 /*
  * play_world FIRST COUNT [FAILURES_MAX
  * [plain|late|late-calls|gangs|plain-gangs|closing|closing-faults|away|
- * owners|owners-faults|racks|plain-racks|tenants|tenants-MODE]]: plays
+ * unlisted|owners|owners-faults|racks|plain-racks|tenants|tenants-MODE]]: plays
  * simulations with COUNT seeds from FIRST on, or until FAILURES_MAX of them
  * have failed; exits with 1 if a rule was violated. With "plain", workers do
  * not restart under their identifier and no task crashes them; with "late",
@@ -44,6 +44,7 @@
 	bool closing_faults;
 	bool closing;
 	bool away;
+	bool unlisted;
 	bool owners_faults;
 	bool owners;
 	bool plain;
@@ -65,6 +66,7 @@
 	closing_faults = !strcmp(mode, "closing-faults");
 	closing = closing_faults || !strcmp(mode, "closing");
 	away = !strcmp(mode, "away");
+	unlisted = !strcmp(mode, "unlisted");
 	owners_faults = !strcmp(mode, "owners-faults");
 	owners = !strcmp(mode, "owners");
 	plain = late || late_calls || plain_gangs || plain_racks || owners ||
@@ -100,6 +102,8 @@
 			config.faults = faults;
 		if (away)
 			world_restart_away(first + i, &config);
+		if (unlisted)
+			world_tell_ends(&config);
 		if (tenants)
 			world_add_tenants(&config);
 		world_play(&config, &result);
--- a/test/test_controller.c
+++ b/test/test_controller.c
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #include "fleet/controller.h"
+#include "fleet/reports.h"
 
 #define MACHINES     6
 #define POOL_NEEDY   "needy"
@@ -27,6 +28,8 @@
 	bool has_predecessor; /**< Which may have sent orders lately. */
 	bool move_done; /**< Orders to move succeed. */
 	bool moved_unlisted; /**< The list lacks the moved machine. */
+	uint32_t ended_cause; /**< The cause of that. */
+	uint32_t moved_cause; /**< The same of a moved worker. */
 	bool moved_dead; /**< The owner was told that its worker has ended. */
 	bool moved_used; /**< Its worker has a task, and is not cordoned. */
 	bool has_silent; /**< The owner does not hear two more workers. */
@@ -45,6 +48,10 @@
 		return;
 	t->moved_dead = false;
 	for (i = 0; i < order->n_dead; i++) {
+		if (!strcmp(order->dead[i], UNLISTED))
+			t->ended_cause = order->dead_causes[i];
+		if (!strcmp(order->dead[i], t->moved))
+			t->moved_cause = order->dead_causes[i];
 		t->moved_dead |= !strcmp(order->dead[i], t->moved);
 		t->listed_ended |= !strcmp(order->dead[i], t->names[0]);
 		t->ended |= !strcmp(order->dead[i], UNLISTED) &&
@@ -259,6 +266,7 @@
 	assert_false(t.ended);
 	pass(&t, 1000);
 	assert_true(t.ended);
+	assert_int_equal(t.ended_cause, BW_WORKER_END_UNLISTED);
 	assert_false(t.listed_ended);
 	bw_controller_destroy(t.controller);
 }
@@ -277,6 +285,7 @@
 	t.moved_unlisted = true;
 	pass(&t, 500);
 	assert_true(t.moved_dead);
+	assert_int_equal(t.moved_cause, BW_WORKER_END_ORDERED);
 	t.moved_unlisted = false;
 	pass(&t, 500);
 	assert_true(t.moved_dead);
--- a/test/test_crashes.c
+++ b/test/test_crashes.c
@@ -3,6 +3,8 @@
 
 #include "crash_pool.h"
 
+/** The controller tells of an end after this time. */
+#define UNLISTED_MS 1500
 /** More would be started three times after three crashes. */
 #define CRASHES_TOLERATED 5U
 
@@ -84,6 +86,76 @@
 	pool_end(&p);
 }
 
+/* Plays a task that crashes its workers, which no machine runs by then. */
+static void play_unlisted(pool_t *p)
+{
+	pool_begin(p, 12);
+	p->unlisted_ms = UNLISTED_MS;
+	p->told_cause = BW_WORKER_END_UNLISTED;
+	p->crashing_job = JOB_A;
+	orders_add_job(&p->o, JOB_A, 1, false, 1000, 500);
+}
+
+/* Failure: the controller ends crashed workers that no machine runs as those
+ * that it moved itself, so that their crashes are not counted. */
+static void test_end_that_the_controller_tells_hides_a_crash(void **state)
+{
+	pool_t p;
+
+	(void)state;
+	play_unlisted(&p);
+	pool_play(&p, 60000);
+	assert_in_range(p.crashes, 2, 4);
+	assert_int_equal(pool_state_of(&p, JOB_A), BW_JOB_FAILED);
+	pool_end(&p);
+}
+
+/* The same if the start had no answer. */
+static void test_end_that_is_told_hides_a_crash_at_its_start(void **state)
+{
+	pool_t p;
+
+	(void)state;
+	play_unlisted(&p);
+	p.starts_unanswered = true;
+	pool_play(&p, 60000);
+	assert_in_range(p.crashes, 2, 4);
+	assert_int_equal(pool_state_of(&p, JOB_A), BW_JOB_FAILED);
+	pool_end(&p);
+}
+
+/* The same if the owner has changed between the crash and the end that is told.
+ */
+static void test_end_that_is_told_to_a_new_owner_hides_a_crash(void **state)
+{
+	pool_t p;
+
+	(void)state;
+	play_unlisted(&p);
+	pool_await_crashes(&p, 1);
+	pool_change_owner(&p, false);
+	bw_sched_predecessor_stopped(p.o.sched, p.o.now_ms);
+	orders_add_job(&p.o, JOB_A, 1, false, 1000, 500);
+	pool_play(&p, 60000);
+	assert_in_range(p.crashes, 2, CRASHES_TOLERATED);
+	assert_int_equal(pool_state_of(&p, JOB_A), BW_JOB_FAILED);
+	pool_end(&p);
+}
+
+/* An order to its machine is no evidence. */
+static void test_ordered_end_that_is_told_counts_as_crash(void **state)
+{
+	pool_t p;
+
+	(void)state;
+	play_unlisted(&p);
+	p.told_cause = BW_WORKER_END_ORDERED;
+	pool_play(&p, 30000);
+	assert_true(p.crashes > CRASHES_TOLERATED);
+	assert_int_equal(pool_state_of(&p, JOB_A), BW_JOB_RUNNING);
+	pool_end(&p);
+}
+
 /* The other tasks of its job are stopped, and a successor starts none. */
 static void test_job_of_given_up_task_goes_on(void **state)
 {
@@ -222,6 +294,13 @@
 			test_crash_proven_after_the_grant_is_forgotten),
 		cmocka_unit_test(test_slow_machines_hide_crashes),
 		cmocka_unit_test(test_unanswered_starts_hide_crashes),
+		cmocka_unit_test(
+			test_end_that_the_controller_tells_hides_a_crash),
+		cmocka_unit_test(
+			test_end_that_is_told_hides_a_crash_at_its_start),
+		cmocka_unit_test(
+			test_end_that_is_told_to_a_new_owner_hides_a_crash),
+		cmocka_unit_test(test_ordered_end_that_is_told_counts_as_crash),
 		cmocka_unit_test(test_job_of_given_up_task_goes_on),
 		cmocka_unit_test(test_successor_counts_from_nothing),
 		cmocka_unit_test(test_changes_of_owner_hide_crashes),
--- a/test/test_evacuate.c
+++ b/test/test_evacuate.c
@@ -383,7 +383,8 @@
 	heard_test_t *h = ctx;
 
 	if (!strcmp(pool, "p"))
-		bw_reports_apply_order(h->t.o.sched, frame->pool_order);
+		bw_reports_apply_order(h->t.o.sched, h->t.o.now_ms,
+				       frame->pool_order);
 }
 
 static void ignore_result(void *ctx, bw_status_t status)
--- a/test/test_world.c
+++ b/test/test_world.c
@@ -269,6 +269,20 @@
 	}
 }
 
+/* Tasks crash workers that no machine runs when their owner is told. */
+static void test_world_ends_that_owners_are_told(void **state)
+{
+	world_config_t config;
+	uint32_t seed;
+
+	(void)state;
+	for (seed = 1; seed <= DRAWN_SEEDS; seed++) {
+		world_draw_config(seed, &config);
+		world_tell_ends(&config);
+		check(seed, "ends that are told", &config);
+	}
+}
+
 static void check_owners(uint32_t seed, const char *cause)
 {
 	world_config_t config;
@@ -345,6 +359,7 @@
 		cmocka_unit_test(test_world_racks),
 		cmocka_unit_test(test_world_restarts_without_kept_connections),
 		cmocka_unit_test(test_world_restarts_of_forgotten_workers),
+		cmocka_unit_test(test_world_ends_that_owners_are_told),
 		cmocka_unit_test(test_world_owners_in_turn),
 		cmocka_unit_test(test_world_tenants),
 		cmocka_unit_test(test_world_tenants_of_owners_in_turn),
--- a/test/world.c
+++ b/test/world.c
@@ -9,6 +9,8 @@
 #define CLOSING_CRASHES 12
 /** The same of workers that are forgotten before they restart. */
 #define AWAY_CRASHES 12
+/** Share of jobs with a task that crashes its workers, of which is told. */
+#define CRASHING_SHARE 0.08
 /** A worker that is away for this long is forgotten. */
 #define AWAY_MS 5500
 /** Times at which owners lose their claims in quick succession. */
@@ -279,6 +281,8 @@
 	}
 	world_break_gangs(w, worker);
 	g_array_set_size(worker->runs, 0);
+	if (w->config.tells_ends)
+		world_tell_end(w, worker);
 	if (world_fault_bool(w, w->config.same_id_share))
 		world_schedule(w,
 			       w->config.same_id_away_ms +
@@ -913,6 +917,17 @@
 	config->late_call_share = world_late_share(seed);
 }
 
+void world_tell_ends(world_config_t *config)
+{
+	world_clear_restarts(config);
+	config->lost_share = 0.0;
+	config->faults = 0;
+	config->resizes = 0;
+	config->crashing_share = CRASHING_SHARE;
+	config->worker_crashes = 0;
+	config->tells_ends = true;
+}
+
 void world_add_gangs(world_config_t *config)
 {
 	config->gang_share = 0.5;
--- a/test/world.h
+++ b/test/world.h
@@ -43,6 +43,8 @@
 	double late_call_share;
 	double crashing_share; /**< Share of jobs with a task that crashes each
 				  worker that starts it. */
+	/** Owners are told of crashed workers that no machine runs any more. */
+	bool tells_ends;
 	uint32_t worker_crashes; /**< Other crashes, of few machines. */
 	uint32_t resizes; /**< Number of workers that shrink for a time. */
 	double gang_share; /**< Share of steps that are gangs. */
@@ -91,6 +93,9 @@
 /** Lets workers restart under their identifiers after they were forgotten,
  * while calls to them are carried out late, without other faults. */
 void world_restart_away(uint32_t seed, world_config_t *config);
+/** Lets tasks crash their workers, whose machines start others while owners are
+ *  told that no machine runs them, without other faults. */
+void world_tell_ends(world_config_t *config);
 /** Makes half of the steps gangs, and checks what is stored of all jobs. */
 void world_add_gangs(world_config_t *config);
 
--- a/test/world_crash.c
+++ b/test/world_crash.c
@@ -13,6 +13,10 @@
 #define STARTS_TOO_MANY 3
 /** Crashes under a task that are a cause to give it up. */
 #define CRASHES_CAUSE 2
+/** Range of the time until an owner is told of a worker that no machine runs.
+ */
+#define TELL_MIN_MS 1000
+#define TELL_MAX_MS 2500
 /** Seed of the generator, combined with that of the simulation. */
 #define CRASH_SEED 0xc4a54U
 
@@ -75,6 +79,27 @@
 	}
 }
 
+static void on_told_end(world_t *w, void *arg)
+{
+	const fake_worker_t *worker = arg;
+	guint i;
+
+	for (i = 0; i < NODE_COUNT; i++) {
+		const node_t *node = &w->nodes[i];
+
+		if (node->sched && node->fence == w->owner_fence)
+			bw_sched_boot_unlisted(node->sched, w->now_ms,
+					       worker->id,
+					       worker->started_ms + 1000000);
+	}
+}
+
+void world_tell_end(world_t *w, fake_worker_t *worker)
+{
+	world_schedule(w, draw(w, TELL_MIN_MS, TELL_MAX_MS), on_told_end,
+		       worker);
+}
+
 void world_start_crashing(world_t *w, fake_worker_t *worker,
 			  const bw_task_name_t *task, bool delayed)
 {
--- a/test/world_internal.h
+++ b/test/world_internal.h
@@ -322,6 +322,8 @@
 
 /** Records a crash under each run of a worker. */
 void world_record_crash(world_t *w, const fake_worker_t *worker);
+/** Lets the owner be told that no machine runs a worker any more. */
+void world_tell_end(world_t *w, fake_worker_t *worker);
 
 /**
  * Checks the start of a task and, if it crashes its workers, schedules that.
