save: name the done tasks of large jobs by bits

No save succeeded any more, and accepted jobs were not begun.

Change: an occurrence with 1,000 done tasks or more names them by one bit each; such a value has version 3, which earlier programs refuse to read instead of starting the tasks again. Smaller jobs are stored as before.

Why it works: 152,000 done tasks take 19 kB. Only a task of which nothing but its end matters is named so.

Two older tests name the first unknown version, which is 4 now.

--- a/Makefile
+++ b/Makefile
@@ -66,7 +66,8 @@
 	$(BUILD)/test/test_advice $(BUILD)/test/test_new_jobs \
 	$(BUILD)/test/test_connections $(BUILD)/test/test_restart_between_owners \
 	$(BUILD)/test/test_wait $(BUILD)/test/test_turns \
-	$(BUILD)/test/test_departed $(BUILD)/test/test_schedules
+	$(BUILD)/test/test_departed $(BUILD)/test/test_schedules \
+	$(BUILD)/test/test_large_values
 $(SCHED_TESTS): $(BUILD)/test/test_%: $(BUILD)/test/test_%.o $(BUILD)/test/sched_orders.o $(LIB)
 	$(CXX) $(SANITIZE) $^ -o $@ $(LIB_LIBS) -lcmocka
 
--- a/src/sched/save.c
+++ b/src/sched/save.c
@@ -5,6 +5,10 @@
 
 #include "wire/version.h"
 
+/** From so many done tasks of an occurrence on they are named by their bits: a
+ *  record of each would take ten bytes and more. */
+#define DONE_BITS_MIN 1000U
+
 /** A record under construction; the arena owns what is allocated for it. */
 typedef struct packer {
 	GPtrArray *arena;
@@ -62,6 +66,45 @@
 	       (s->handing_over && task->maybe_running);
 }
 
+/* Whether nothing but its end matters of a task. */
+static bool is_only_done(const bw_sched_t *s, task_t *task)
+{
+	return task->done && !task->worker && !task->maybe_running &&
+	       !sched_has_orphan(s, task);
+}
+
+static uint32_t count_done(const occurrence_t *occurrence)
+{
+	uint32_t count = 0;
+	uint32_t k;
+
+	for (k = 0; k < occurrence->task_count; k++)
+		count += occurrence->tasks[k].done;
+	return count;
+}
+
+static Bramley__DoneTasks *pack_done_tasks(packer_t *p, const bw_sched_t *s,
+					   const occurrence_t *occurrence)
+{
+	Bramley__DoneTasks *record = alloc(p, sizeof(*record));
+	uint32_t k;
+
+	bramley__done_tasks__init(record);
+	record->occurrence = occurrence->number;
+	record->bits.len = occurrence->task_count / 8 + 1;
+	record->bits.data = alloc(p, record->bits.len);
+	for (k = 0; k < occurrence->task_count; k++)
+		if (is_only_done(s, &occurrence->tasks[k]))
+			record->bits.data[k / 8] |= (uint8_t)(1U << (k % 8));
+	return record;
+}
+
+static bool has_bit(const Bramley__DoneTasks *record, uint32_t number)
+{
+	return number / 8 < record->bits.len &&
+	       (record->bits.data[number / 8] >> (number % 8)) & 1U;
+}
+
 static void pack_tasks(packer_t *p, const bw_sched_t *s, const job_t *job,
 		       Bramley__JobProgress *out)
 {
@@ -77,15 +120,22 @@
 		total += occurrence->task_count;
 	}
 	out->tasks = alloc(p, total * sizeof(*out->tasks) + 1);
+	out->done_tasks =
+		alloc(p, job->occurrences->len * sizeof(*out->done_tasks) + 1);
 	records = alloc(p, total * sizeof(*records) + 1);
 	for (i = 0; i < job->occurrences->len; i++) {
 		const occurrence_t *occurrence =
 			g_ptr_array_index(job->occurrences, i);
+		const Bramley__DoneTasks *done = NULL;
 
-		for (k = 0;
-		     occurrence->remaining > 0 && k < occurrence->task_count;
-		     k++)
-			if (has_progress(s, &occurrence->tasks[k])) {
+		if (occurrence->remaining == 0)
+			continue;
+		if (count_done(occurrence) >= DONE_BITS_MIN)
+			done = out->done_tasks[out->n_done_tasks++] =
+				pack_done_tasks(p, s, occurrence);
+		for (k = 0; k < occurrence->task_count; k++)
+			if (has_progress(s, &occurrence->tasks[k]) &&
+			    !(done && has_bit(done, k))) {
 				pack_task(s, &occurrence->tasks[k], k, records);
 				out->tasks[out->n_tasks++] = records++;
 			}
@@ -249,6 +299,17 @@
 	return false;
 }
 
+/* Whether a record names done tasks by their bits. */
+static bool any_bits(const Bramley__PoolRecord *record)
+{
+	size_t i;
+
+	for (i = 0; i < record->n_jobs; i++)
+		if (record->jobs[i]->n_done_tasks > 0)
+			return true;
+	return false;
+}
+
 /* Whether a record has tasks that are held, also of jobs that are passed on. */
 static bool any_held(const Bramley__PoolRecord *record)
 {
@@ -262,6 +323,13 @@
 	return false;
 }
 
+static uint32_t value_version(const Bramley__PoolRecord *record)
+{
+	if (any_bits(record))
+		return BW_POOL_BITS_VERSION;
+	return any_held(record) ? BW_POOL_HELD_VERSION : BW_RECORD_VERSION;
+}
+
 uint8_t *bw_sched_pack(bw_sched_t *s, size_t *bytes)
 {
 	Bramley__PoolRecord record = BRAMLEY__POOL_RECORD__INIT;
@@ -281,8 +349,7 @@
 	record.confirm_ms = sched_pack_confirm_ms(s);
 	pack_workers(&p, s, &record);
 	pack_jobs(&p, s, &record);
-	record.version =
-		any_held(&record) ? BW_POOL_HELD_VERSION : BW_RECORD_VERSION;
+	record.version = value_version(&record);
 	*bytes = bramley__pool_record__get_packed_size(&record);
 	data = g_malloc(*bytes + 1);
 	bramley__pool_record__pack(&record, data);
@@ -326,17 +393,35 @@
 	task->occurrence->remaining--;
 }
 
+static occurrence_t *loaded_occurrence(job_t *job, uint32_t number,
+				       int64_t now_ms)
+{
+	occurrence_t *occurrence = sched_find_occurrence(job, number);
+
+	return occurrence ? occurrence
+			  : sched_occurrence_new(job, number, now_ms);
+}
+
+static void load_done_tasks(job_t *job, const Bramley__DoneTasks *record,
+			    int64_t now_ms)
+{
+	occurrence_t *occurrence =
+		loaded_occurrence(job, record->occurrence, now_ms);
+	uint32_t k;
+
+	for (k = 0; k < occurrence->task_count; k++)
+		if (has_bit(record, k))
+			set_done(&occurrence->tasks[k]);
+}
+
 static void load_task(job_t *job, const Bramley__TaskRecord *record,
 		      bool handed_over, int64_t now_ms)
 {
 	occurrence_t *occurrence =
-		sched_find_occurrence(job, record->occurrence);
+		loaded_occurrence(job, record->occurrence, now_ms);
 	task_t *task;
 	guint i;
 
-	if (!occurrence)
-		occurrence =
-			sched_occurrence_new(job, record->occurrence, now_ms);
 	if (record->number >= occurrence->task_count)
 		return;
 	task = &occurrence->tasks[record->number];
@@ -411,6 +496,8 @@
 	}
 	for (i = 0; i < progress->n_tasks; i++)
 		load_task(job, progress->tasks[i], s->handed_over, now_ms);
+	for (i = 0; i < progress->n_done_tasks; i++)
+		load_done_tasks(job, progress->done_tasks[i], now_ms);
 	g_hash_table_remove(s->stored_progress, job->id);
 	complete_occurrences(s, job, now_ms);
 }
--- a/src/wire/record.pb-c.c
+++ b/src/wire/record.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &bramley__task_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bramley__done_tasks__init
+                     (Bramley__DoneTasks         *message)
+{
+  static const Bramley__DoneTasks init_value = BRAMLEY__DONE_TASKS__INIT;
+  *message = init_value;
+}
+size_t bramley__done_tasks__get_packed_size
+                     (const Bramley__DoneTasks *message)
+{
+  assert(message->base.descriptor == &bramley__done_tasks__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bramley__done_tasks__pack
+                     (const Bramley__DoneTasks *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bramley__done_tasks__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bramley__done_tasks__pack_to_buffer
+                     (const Bramley__DoneTasks *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bramley__done_tasks__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bramley__DoneTasks *
+       bramley__done_tasks__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bramley__DoneTasks *)
+     protobuf_c_message_unpack (&bramley__done_tasks__descriptor,
+                                allocator, len, data);
+}
+void   bramley__done_tasks__free_unpacked
+                     (Bramley__DoneTasks *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bramley__done_tasks__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bramley__job_progress__init
                      (Bramley__JobProgress         *message)
 {
@@ -1283,7 +1328,58 @@
   (ProtobufCMessageInit) bramley__task_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bramley__job_progress__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bramley__done_tasks__field_descriptors[2] =
+{
+  {
+    "occurrence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__DoneTasks, occurrence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bits",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Bramley__DoneTasks, bits),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bramley__done_tasks__field_indices_by_name[] = {
+  1,   /* field[1] = bits */
+  0,   /* field[0] = occurrence */
+};
+static const ProtobufCIntRange bramley__done_tasks__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bramley__done_tasks__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bramley.DoneTasks",
+  "DoneTasks",
+  "Bramley__DoneTasks",
+  "bramley",
+  sizeof(Bramley__DoneTasks),
+  2,
+  bramley__done_tasks__field_descriptors,
+  bramley__done_tasks__field_indices_by_name,
+  1,  bramley__done_tasks__number_ranges,
+  (ProtobufCMessageInit) bramley__done_tasks__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bramley__job_progress__field_descriptors[7] =
 {
   {
     "id",
@@ -1357,8 +1453,21 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "done_tasks",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bramley__JobProgress, n_done_tasks),
+    offsetof(Bramley__JobProgress, done_tasks),
+    &bramley__done_tasks__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bramley__job_progress__field_indices_by_name[] = {
+  6,   /* field[6] = done_tasks */
   3,   /* field[3] = finished_ms */
   0,   /* field[0] = id */
   5,   /* field[5] = occurrences_done */
@@ -1369,7 +1478,7 @@
 static const ProtobufCIntRange bramley__job_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bramley__job_progress__descriptor =
 {
@@ -1379,7 +1488,7 @@
   "Bramley__JobProgress",
   "bramley",
   sizeof(Bramley__JobProgress),
-  6,
+  7,
   bramley__job_progress__field_descriptors,
   bramley__job_progress__field_indices_by_name,
   1,  bramley__job_progress__number_ranges,
--- a/src/wire/record.pb-c.h
+++ b/src/wire/record.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Bramley__JobRecord Bramley__JobRecord;
 typedef struct Bramley__JobLocation Bramley__JobLocation;
 typedef struct Bramley__TaskRecord Bramley__TaskRecord;
+typedef struct Bramley__DoneTasks Bramley__DoneTasks;
 typedef struct Bramley__JobProgress Bramley__JobProgress;
 typedef struct Bramley__WorkerRecord Bramley__WorkerRecord;
 typedef struct Bramley__PoolRecord Bramley__PoolRecord;
@@ -183,6 +184,23 @@
     , 0, 0, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * Tasks of an occurrence that are done, and of which nothing else is known.
+ */
+struct  Bramley__DoneTasks
+{
+  ProtobufCMessage base;
+  uint32_t occurrence;
+  /*
+   * Bit N % 8 of byte N / 8 stands for task N.
+   */
+  ProtobufCBinaryData bits;
+};
+#define BRAMLEY__DONE_TASKS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bramley__done_tasks__descriptor) \
+    , 0, {0,NULL} }
+
+
 struct  Bramley__JobProgress
 {
   ProtobufCMessage base;
@@ -197,10 +215,15 @@
   protobuf_c_boolean started;
   size_t n_occurrences_done;
   uint32_t *occurrences_done;
+  /*
+   * Beside those in tasks.
+   */
+  size_t n_done_tasks;
+  Bramley__DoneTasks **done_tasks;
 };
 #define BRAMLEY__JOB_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bramley__job_progress__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL }
 
 
 struct  Bramley__WorkerRecord
@@ -229,7 +252,7 @@
 {
   ProtobufCMessage base;
   /*
-   * 2: tasks are held.
+   * 2: tasks are held. 3: some are in done_tasks.
    */
   uint32_t version;
   uint64_t fence;
@@ -451,6 +474,25 @@
 void   bramley__task_record__free_unpacked
                      (Bramley__TaskRecord *message,
                       ProtobufCAllocator *allocator);
+/* Bramley__DoneTasks methods */
+void   bramley__done_tasks__init
+                     (Bramley__DoneTasks         *message);
+size_t bramley__done_tasks__get_packed_size
+                     (const Bramley__DoneTasks   *message);
+size_t bramley__done_tasks__pack
+                     (const Bramley__DoneTasks   *message,
+                      uint8_t             *out);
+size_t bramley__done_tasks__pack_to_buffer
+                     (const Bramley__DoneTasks   *message,
+                      ProtobufCBuffer     *buffer);
+Bramley__DoneTasks *
+       bramley__done_tasks__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bramley__done_tasks__free_unpacked
+                     (Bramley__DoneTasks *message,
+                      ProtobufCAllocator *allocator);
 /* Bramley__JobProgress methods */
 void   bramley__job_progress__init
                      (Bramley__JobProgress         *message);
@@ -601,6 +643,9 @@
 typedef void (*Bramley__TaskRecord_Closure)
                  (const Bramley__TaskRecord *message,
                   void *closure_data);
+typedef void (*Bramley__DoneTasks_Closure)
+                 (const Bramley__DoneTasks *message,
+                  void *closure_data);
 typedef void (*Bramley__JobProgress_Closure)
                  (const Bramley__JobProgress *message,
                   void *closure_data);
@@ -633,6 +678,7 @@
 extern const ProtobufCMessageDescriptor bramley__job_record__descriptor;
 extern const ProtobufCMessageDescriptor bramley__job_location__descriptor;
 extern const ProtobufCMessageDescriptor bramley__task_record__descriptor;
+extern const ProtobufCMessageDescriptor bramley__done_tasks__descriptor;
 extern const ProtobufCMessageDescriptor bramley__job_progress__descriptor;
 extern const ProtobufCMessageDescriptor bramley__worker_record__descriptor;
 extern const ProtobufCMessageDescriptor bramley__pool_record__descriptor;
--- a/src/wire/version.h
+++ b/src/wire/version.h
@@ -15,6 +15,9 @@
 /** The version of a pool's value while tasks of it are held; programs that read
  *  only the one above would start them. */
 #define BW_POOL_HELD_VERSION 2
+/** The same while it names done tasks by their bits; programs that read only
+ * the ones above would start them again. */
+#define BW_POOL_BITS_VERSION 3
 
 /**
  * Checks the version that a record says.
@@ -23,7 +26,7 @@
  */
 bw_status_t bw_record_check_version(const char *what, uint32_t version);
 
-/** The same for the value of a pool, which has either version. */
+/** The same for the value of a pool, which has any of these versions. */
 bw_status_t bw_record_check_pool_version(uint32_t version);
 
 /** The same for kinds whose records said no version at first, which is 0. */
--- a/test/test_records.c
+++ b/test/test_records.c
@@ -192,7 +192,7 @@
 
 	(void)state;
 	set_up(&t);
-	put_value(&t, BW_POOL_HELD_VERSION + 1);
+	put_value(&t, BW_POOL_BITS_VERSION + 1);
 	start(&t);
 	pass_claim_of_earlier_process(&t);
 	assert_true(run_until(&t, is_claimed, WAIT_MAX_S));
--- a/test/test_unreadable.c
+++ b/test/test_unreadable.c
@@ -15,7 +15,7 @@
 
 static void write_newer_version(Bramley__PoolRecord *record)
 {
-	record->version = BW_POOL_HELD_VERSION + 1;
+	record->version = BW_POOL_BITS_VERSION + 1;
 }
 
 static void leave_version_out(Bramley__PoolRecord *record)
@@ -90,7 +90,7 @@
 		const char *message;
 	} cases[] = {
 		{ "newer version", write_newer_version,
-		  "a pool record of version 3, this program reads 1 and 2" },
+		  "a pool record of version 4, this program reads 1 to 3" },
 		{ "no version", leave_version_out,
 		  "a pool record of version 0, this program reads 1" },
 		{ "unknown state", write_unknown_state, "state 6" },
