sched: a refusal of the raised token tells of a successor

Seen by reading, and by the test: since silent workers get a raised token, an owner that was suspended raises it for all of them when it goes on. For 2 s it then took each refusal for that of an order that it had sent before.

Cause: only the time since the token was raised was looked at, not when the refused call was sent.

Change: a refused heartbeat that was sent with the raised token, or after it, tells of a successor at once. Of starts and stops an earlier copy may have been refused; they wait as before.

Evidence: test_refusal_of_a_raised_token_tells_of_a_successor fails without it.

--- a/src/sched/heartbeat.c
+++ b/src/sched/heartbeat.c
@@ -431,16 +431,17 @@
 }
 
 static void heartbeat_failed(bw_sched_t *s, worker_t *worker,
-			     bw_order_result_t result, int64_t now_ms)
+			     const bw_heartbeat_answer_t *answer,
+			     int64_t now_ms)
 {
 	worker->next_heartbeat_ms =
 		worker->boot_unsure ? now_ms + HEARTBEAT_RETRY_MS : now_ms;
 	worker->boot_unsure = true;
-	if (result == BW_ORDER_FENCED) {
-		sched_order_fenced(s, worker, now_ms);
+	if (answer->result == BW_ORDER_FENCED) {
+		sched_order_fenced(s, worker, answer->sent_ms, now_ms);
 		return;
 	}
-	if (result == BW_ORDER_OTHER_BOOT && proves_end(s, worker))
+	if (answer->result == BW_ORDER_OTHER_BOOT && proves_end(s, worker))
 		sched_worker_crashed(s, worker, "other-boot", now_ms);
 }
 
@@ -551,7 +552,7 @@
 	if (ask_again(s, worker, answer, now_ms))
 		return;
 	if (answer->result != BW_ORDER_OK) {
-		heartbeat_failed(s, worker, answer->result, now_ms);
+		heartbeat_failed(s, worker, answer, now_ms);
 		return;
 	}
 	record_contact(s, worker, answer, now_ms);
--- a/src/sched/internal.h
+++ b/src/sched/internal.h
@@ -649,8 +649,10 @@
 int64_t sched_grant_clock(const bw_sched_t *s, const worker_t *worker,
 			  int64_t now_ms);
 void sched_record_clock(worker_t *worker, int64_t now_ms, int64_t clock_ms);
-/** Handles an order that was refused for a higher fencing token. */
-void sched_order_fenced(bw_sched_t *s, const worker_t *worker, int64_t now_ms);
+/** Handles an order that was refused for a higher fencing token.
+ * @param sent_ms 0: not known, as an earlier copy may have been refused */
+void sched_order_fenced(bw_sched_t *s, const worker_t *worker, int64_t sent_ms,
+			int64_t now_ms);
 void sched_send_heartbeats(bw_sched_t *s, int64_t now_ms);
 void sched_resend_stops(bw_sched_t *s, int64_t now_ms);
 
--- a/src/sched/order.c
+++ b/src/sched/order.c
@@ -65,10 +65,11 @@
 		worker->fence_outdated = true;
 }
 
-void sched_order_fenced(bw_sched_t *s, const worker_t *worker, int64_t now_ms)
+void sched_order_fenced(bw_sched_t *s, const worker_t *worker, int64_t sent_ms,
+			int64_t now_ms)
 {
 	/* An order of this owner, sent before the token was raised. */
-	if (worker && worker->fence_raised_ms > 0 &&
+	if (worker && sent_ms < worker->fence_raised_ms &&
 	    now_ms - worker->fence_raised_ms < FENCE_SETTLE_MS)
 		return;
 	s->ops.superseded(s->ctx);
@@ -287,7 +288,7 @@
 		  name->job, name->step, name->index, run, worker_id,
 		  bw_order_result_name(result));
 	if (result == BW_ORDER_FENCED)
-		sched_order_fenced(s, worker, now_ms);
+		sched_order_fenced(s, worker, 0, now_ms);
 	if (worker && result == BW_ORDER_NO_RESOURCES)
 		worker->pause_until_ms = now_ms + NO_RESOURCES_PAUSE_MS;
 	if (worker && result == BW_ORDER_UNHEALTHY)
@@ -354,7 +355,7 @@
 	task_t *task = sched_find_task(s, name);
 
 	if (result == BW_ORDER_FENCED)
-		sched_order_fenced(s, worker, now_ms);
+		sched_order_fenced(s, worker, 0, now_ms);
 	if (!task || !worker || task->worker != worker || task->run != run ||
 	    task->state != TASK_STOPPING)
 		return;
--- a/test/test_departed.c
+++ b/test/test_departed.c
@@ -179,6 +179,35 @@
 	bw_sched_destroy(o.sched);
 }
 
+/* Failure: an owner that was suspended finds all workers silent, and takes the
+ * refusal of its raised token for one of its earlier orders. */
+static void test_refusal_of_a_raised_token_tells_of_a_successor(void **state)
+{
+	bw_heartbeat_answer_t fenced = { .result = BW_ORDER_FENCED };
+	orders_t o;
+
+	(void)state;
+	begin(&o);
+	orders_run(&o, 100);
+	save_at(&o, FIRST_REVISION);
+	fenced.sent_ms = o.now_ms;
+	o.now_ms += SILENT_MS;
+	bw_sched_heartbeat_answered(o.sched, o.now_ms, "w2", &fenced);
+	assert_int_equal(o.superseded, 1);
+	orders_fail_heartbeat(&o, "w1");
+	orders_run(&o, 10);
+	assert_int_equal(o.fence, FIRST_REVISION);
+	fenced.sent_ms = o.now_ms - 1;
+	bw_sched_heartbeat_answered(o.sched, o.now_ms, "w1", &fenced);
+	assert_int_equal(o.superseded, 1);
+	orders_run(&o, 300);
+	fenced.sent_ms = o.now_ms;
+	o.now_ms += 1;
+	bw_sched_heartbeat_answered(o.sched, o.now_ms, "w1", &fenced);
+	assert_int_equal(o.superseded, 2);
+	bw_sched_destroy(o.sched);
+}
+
 /* The next list is not waited for while the token is still to be raised. */
 static void
 test_wait_for_an_end_is_short_until_the_token_is_raised(void **state)
@@ -332,6 +361,8 @@
 			test_boot_after_an_ordered_end_gets_a_raised_token),
 		cmocka_unit_test(
 			test_silent_worker_gets_a_raised_token_at_first_contact),
+		cmocka_unit_test(
+			test_refusal_of_a_raised_token_tells_of_a_successor),
 		cmocka_unit_test(
 			test_wait_for_an_end_is_short_until_the_token_is_raised),
 		cmocka_unit_test(
