sched: a silent worker's token is raised only if a save brought a newer one

Seen by reading, and by the test: in a pool without changes a worker that had been silent once was asked every 250 ms for good.

Cause: its token was to be raised, which keeps the waits short, and a pool without changes saves nothing that would bring a newer one.

Change: the token of a silent worker is raised with the call that is about to be sent, or not at all; the next call looks again.

Evidence: test_silence_without_a_save_keeps_the_wait_long fails without it.

--- a/src/sched/order.c
+++ b/src/sched/order.c
@@ -56,12 +56,14 @@
 
 /* A worker that was silent may have restarted meanwhile: the first order that
  * its next boot receives is to have a higher token already. */
-static void expect_restart(worker_t *worker, int64_t now_ms)
+static void expect_restart(const bw_sched_t *s, worker_t *worker,
+			   int64_t now_ms)
 {
 	int64_t silent_from_ms = worker->last_heartbeat_ms + WORKER_SILENT_MS;
 
 	if (worker->last_heartbeat_ms > 0 && now_ms >= silent_from_ms &&
-	    worker->fence_raised_ms < silent_from_ms)
+	    worker->fence_raised_ms < silent_from_ms &&
+	    s->owned_at > worker->fence)
 		worker->fence_outdated = true;
 }
 
@@ -166,7 +168,7 @@
 		.now_ms = now_ms,
 	};
 
-	expect_restart(worker, now_ms);
+	expect_restart(s, worker, now_ms);
 	raise_fence(s, worker, now_ms);
 	order.fence = worker->fence;
 	/* Numbers of ends and times of the clock are those of one boot. */
--- a/test/test_departed.c
+++ b/test/test_departed.c
@@ -179,6 +179,25 @@
 	bw_sched_destroy(o.sched);
 }
 
+/* Failure: in a pool without saves a worker that was silent is asked four times
+ * a second for good. */
+static void test_silence_without_a_save_keeps_the_wait_long(void **state)
+{
+	orders_t o;
+
+	(void)state;
+	begin(&o);
+	orders_run(&o, 100);
+	o.now_ms += SILENT_MS;
+	orders_fail_heartbeat(&o, "w1");
+	orders_run(&o, 10);
+	assert_int_equal(o.fence, CLAIM_TOKEN);
+	answer_boot(&o, FIRST_BOOT_MS, NULL);
+	orders_run(&o, 10);
+	assert_int_equal(o.heartbeat_wait_ms, WAIT_MS);
+	bw_sched_destroy(o.sched);
+}
+
 /* Failure: an owner that was suspended finds all workers silent, and takes the
  * refusal of its raised token for one of its earlier orders. */
 static void test_refusal_of_a_raised_token_tells_of_a_successor(void **state)
@@ -361,6 +380,8 @@
 			test_boot_after_an_ordered_end_gets_a_raised_token),
 		cmocka_unit_test(
 			test_silent_worker_gets_a_raised_token_at_first_contact),
+		cmocka_unit_test(
+			test_silence_without_a_save_keeps_the_wait_long),
 		cmocka_unit_test(
 			test_refusal_of_a_raised_token_tells_of_a_successor),
 		cmocka_unit_test(
